Lay out the workspace with messages and transports

Cause: nothing stood yet; every process needs the same messages, HTTP connections and runtime. Change: a workspace of small crates, domain types, the schema between processes, tonic over the legacy driver, and HTTP/1.1 connections with limits and graceful shutdown. Conclusion: monoio-http parses heads and chunks, while heads are written here, because its encoder holds small chunks back until the end of a body, which watchers cannot bear.

--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,2 @@
+//! Under construction.
+fn main() {}
--- /dev/null
+++ b/crates/codegen/tests/current.rs
@@ -0,0 +1,20 @@
+//! The committed message code matches its schemas.
+
+use shallotflow_codegen::{SCHEMAS, generate};
+use std::path::Path;
+
+#[test]
+fn committed_code_is_current() {
+    let crates = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    for schema in SCHEMAS {
+        let fresh = Path::new(env!("CARGO_TARGET_TMPDIR")).join(schema.output);
+        generate(&crates, schema, &fresh).expect("the schema is valid");
+        for file in std::fs::read_dir(&fresh).expect("code was generated") {
+            let file = file.expect("a readable entry");
+            let committed = crates.join(schema.output).join(file.file_name());
+            let fresh = std::fs::read_to_string(file.path()).expect("generated code");
+            let committed = std::fs::read_to_string(&committed).expect("committed code");
+            assert_eq!(fresh, committed, "run `cargo run -p shallotflow-codegen` and commit");
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/job/mod.rs
@@ -0,0 +1,9 @@
+//! Batch jobs, from submission to their last state.
+
+mod record;
+mod spec;
+mod state;
+
+pub use record::Record;
+pub use spec::Spec;
+pub use state::State;
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,19 @@
+//! Domain types shared by every crate of shallotflow.
+//!
+//! The crate holds no I/O and no decisions:
+//!
+//! - [`name`]: shared immutable names.
+//! - [`time`]: points in time and the clock that gives them.
+//! - [`resources`]: what a task needs and what a worker has.
+//! - [`class`]: the three classes of work.
+//! - [`outcome`]: what is known of a request after it was answered.
+//! - [`problem`]: errors as callers see them, with their remedies.
+//! - [`job`]: batch jobs, from submission to their last state.
+
+pub mod class;
+pub mod job;
+pub mod name;
+pub mod outcome;
+pub mod problem;
+pub mod resources;
+pub mod time;
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Under construction.
--- /dev/null
+++ b/crates/runtime/src/stop.rs
@@ -0,0 +1,72 @@
+//! Tells a process to stop, from a signal or from another thread.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// How far a process was asked to stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Level {
+    /// It keeps running.
+    Run = 0,
+    /// It finishes what is in progress, then ends.
+    Graceful = 1,
+    /// It ends at once.
+    Immediate = 2,
+}
+
+/// A request to stop; clones share it, across threads.
+#[derive(Clone, Debug, Default)]
+pub struct Stop {
+    level: Arc<AtomicU8>,
+}
+
+impl Stop {
+    /// A stop that SIGTERM and SIGINT raise: the first gracefully, the second at once.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the system refuses the signal handlers.
+    pub fn on_signals() -> std::io::Result<Self> {
+        let stop = Self::default();
+        for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+            let level = stop.level.clone();
+            let raise = move || {
+                let _ = level.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |level| {
+                    Some((level + 1).min(Level::Immediate as u8))
+                });
+            };
+            register(signal, raise)?;
+        }
+        Ok(stop)
+    }
+
+    /// Asks the process to stop; never lowers the level.
+    pub fn raise(&self, level: Level) {
+        self.level.fetch_max(level as u8, Ordering::SeqCst);
+    }
+
+    /// The level asked for.
+    pub fn level(&self) -> Level {
+        match self.level.load(Ordering::SeqCst) {
+            0 => Level::Run,
+            1 => Level::Graceful,
+            _ => Level::Immediate,
+        }
+    }
+
+    /// Waits until at least `level` is asked for.
+    pub async fn wait(&self, level: Level) {
+        while self.level() < level {
+            monoio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+}
+
+#[allow(unsafe_code)]
+fn register(signal: i32, action: impl Fn() + Sync + Send + 'static) -> std::io::Result<()> {
+    // SAFETY: the action only touches an atomic, which is safe within a signal handler.
+    unsafe { signal_hook::low_level::register(signal, action) }.map(|_| ())
+}
--- /dev/null
+++ b/crates/wire/src/http/body.rs
@@ -0,0 +1,188 @@
+//! Bodies of requests and responses.
+
+use super::reader::{Framing, Reader};
+use super::{Error, Result};
+use bytes::{Bytes, BytesMut};
+use futures_util::future::LocalBoxFuture;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::{HeaderMap, Method, StatusCode};
+use monoio_http::h1::codec::decoder::ChunkedBodyDecoder;
+use std::cell::RefCell;
+use std::rc::Rc;
+
+/// A place where a body leaves its connection's reader once it was read to its end.
+pub(super) type Slot = Rc<RefCell<Option<Reader>>>;
+
+/// A source of body pieces that are made while they are sent.
+pub trait Source {
+    /// The next piece, `None` at the end.
+    fn next(&mut self) -> LocalBoxFuture<'_, Option<Result<Bytes>>>;
+}
+
+/// The body of a request or a response.
+pub enum Body {
+    /// No body.
+    Empty,
+    /// A body that is at hand as a whole.
+    Full(Bytes),
+    /// A body that is being received.
+    Incoming(Incoming),
+    /// A body that is being made, sent in chunks.
+    Source(Box<dyn Source>),
+}
+
+impl Body {
+    /// The length, when it is known before the body is read.
+    pub fn length(&self) -> Option<u64> {
+        match self {
+            Self::Empty => Some(0),
+            Self::Full(bytes) => Some(bytes.len() as u64),
+            Self::Incoming(incoming) => incoming.length(),
+            Self::Source(_) => None,
+        }
+    }
+
+    /// The next piece, `None` at the end.
+    pub async fn next(&mut self) -> Option<Result<Bytes>> {
+        match self {
+            Self::Empty => None,
+            Self::Full(bytes) => {
+                let bytes = std::mem::take(bytes);
+                *self = Self::Empty;
+                if bytes.is_empty() { None } else { Some(Ok(bytes)) }
+            }
+            Self::Incoming(incoming) => incoming.next().await,
+            Self::Source(source) => source.next().await,
+        }
+    }
+
+    /// Reads the body to its end, up to `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the body is larger, truncated, slow or not well-formed.
+    pub async fn collect(mut self, limit: usize) -> Result<Bytes> {
+        if let Self::Full(bytes) = self {
+            return Ok(bytes);
+        }
+        let mut whole = BytesMut::new();
+        while let Some(piece) = self.next().await {
+            whole.extend_from_slice(&piece?);
+            if whole.len() > limit {
+                return Err(Error::BodyTooLarge(limit as u64));
+            }
+        }
+        Ok(whole.freeze())
+    }
+}
+
+impl From<Bytes> for Body {
+    fn from(bytes: Bytes) -> Self {
+        Self::Full(bytes)
+    }
+}
+
+impl From<String> for Body {
+    fn from(text: String) -> Self {
+        Self::Full(text.into())
+    }
+}
+
+impl From<&'static str> for Body {
+    fn from(text: &'static str) -> Self {
+        Self::Full(Bytes::from_static(text.as_bytes()))
+    }
+}
+
+/// A body that is being received from a connection.
+pub struct Incoming {
+    reader: Option<Reader>,
+    framing: Framing,
+    slot: Slot,
+}
+
+impl Incoming {
+    pub(super) fn new(reader: Reader, framing: Framing, slot: Slot) -> Self {
+        let mut incoming = Self { reader: Some(reader), framing, slot };
+        if matches!(incoming.framing, Framing::Length(0)) {
+            incoming.finish();
+        }
+        incoming
+    }
+
+    fn length(&self) -> Option<u64> {
+        match self.framing {
+            Framing::Length(left) => Some(left),
+            _ => None,
+        }
+    }
+
+    async fn next(&mut self) -> Option<Result<Bytes>> {
+        let reader = self.reader.as_mut()?;
+        let piece = reader.body(&mut self.framing).await;
+        match &piece {
+            Ok(Some(_)) if matches!(self.framing, Framing::Length(0)) => self.finish(),
+            Ok(Some(_)) => {}
+            Ok(None) => self.finish(),
+            // The reader is dropped, so that the connection is never reused.
+            Err(_) => self.reader = None,
+        }
+        piece.transpose()
+    }
+
+    fn finish(&mut self) {
+        let reusable = !matches!(self.framing, Framing::UntilClose(_));
+        let reader = self.reader.take();
+        if reusable {
+            *self.slot.borrow_mut() = reader;
+        }
+    }
+}
+
+/// How the body of a request with these headers ends.
+pub(super) fn request_framing(headers: &HeaderMap, limit: u64) -> Result<Framing> {
+    Ok(framing(headers, limit)?.unwrap_or(Framing::Length(0)))
+}
+
+/// How the body of a response with this status and these headers ends.
+pub(super) fn response_framing(
+    method: &Method,
+    status: StatusCode,
+    headers: &HeaderMap,
+    limit: u64,
+) -> Result<Framing> {
+    let bodiless = method == Method::HEAD
+        || status.is_informational()
+        || status == StatusCode::NO_CONTENT
+        || status == StatusCode::NOT_MODIFIED;
+    if bodiless {
+        return Ok(Framing::Length(0));
+    }
+    Ok(framing(headers, limit)?.unwrap_or(Framing::UntilClose(0)))
+}
+
+fn framing(headers: &HeaderMap, limit: u64) -> Result<Option<Framing>> {
+    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
+    let length = lengths.next();
+    if lengths.next().is_some() {
+        return Err(Error::Malformed("more than one Content-Length".to_owned()));
+    }
+    if let Some(encoding) = headers.get(TRANSFER_ENCODING) {
+        if length.is_some() {
+            return Err(Error::Malformed("both Content-Length and Transfer-Encoding".to_owned()));
+        }
+        if !encoding.as_bytes().eq_ignore_ascii_case(b"chunked") {
+            return Err(Error::Malformed("a Transfer-Encoding other than chunked".to_owned()));
+        }
+        return Ok(Some(Framing::Chunked(ChunkedBodyDecoder::default(), 0)));
+    }
+    let Some(length) = length else { return Ok(None) };
+    let digits = length.to_str().ok().filter(|text| text.bytes().all(|b| b.is_ascii_digit()));
+    let Some(length) = digits.and_then(|text| text.parse::<u64>().ok()) else {
+        return Err(Error::Malformed("a Content-Length that is not a number".to_owned()));
+    };
+    if length > limit {
+        return Err(Error::BodyTooLarge(limit));
+    }
+    Ok(Some(Framing::Length(length)))
+}
--- /dev/null
+++ b/crates/wire/src/http/client.rs
@@ -0,0 +1,86 @@
+//! Sends HTTP/1.1 requests on one connection.
+
+use super::body::{Body, Incoming, Slot, response_framing};
+use super::limits::Limits;
+use super::reader::Reader;
+use super::server::asks_close;
+use super::writer::Writer;
+use super::{Error, Result};
+use http::{Request, Response};
+use monoio::io::Splitable;
+use monoio::net::TcpStream;
+use monoio::time::timeout;
+use monoio_http::h1::codec::decoder::ResponseHeadDecoder;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A connection that carries one exchange at a time.
+pub struct Connection {
+    reader: Slot,
+    writer: Writer,
+    limits: Rc<Limits>,
+}
+
+impl Connection {
+    /// Connects to `address` within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Connect`] when no connection could be made.
+    pub async fn open(address: SocketAddr, limits: Rc<Limits>, limit: Duration) -> Result<Self> {
+        let failed = |_| Error::Connect(address.to_string());
+        let stream = timeout(limit, TcpStream::connect(address))
+            .await
+            .map_err(|_| Error::Connect(address.to_string()))?
+            .map_err(failed)?;
+        stream.set_nodelay(true).map_err(failed)?;
+        let (read, write) = stream.into_split();
+        let reader = Reader::new(read, limits.clone());
+        let reader = Rc::new(std::cell::RefCell::new(Some(reader)));
+        Ok(Self { reader, writer: Writer::new(write), limits })
+    }
+
+    /// Sends a request and reads the head of its response.
+    ///
+    /// The connection can be reused once the response's body was read to its end.
+    ///
+    /// # Errors
+    ///
+    /// After any error the peer may or may not have received the request.
+    pub async fn send(&mut self, request: Request<Body>) -> Result<Response<Body>> {
+        let Some(mut reader) = self.reader.borrow_mut().take() else {
+            return Err(Error::Truncated);
+        };
+        let (head, mut body) = request.into_parts();
+        self.writer.request(&head, &mut body).await?;
+        let response = loop {
+            if !reader.wait_first_byte().await? {
+                return Err(Error::Truncated);
+            }
+            let response = reader.head(ResponseHeadDecoder, self.limits.head).await?;
+            if !response.status.is_informational() {
+                break response;
+            }
+        };
+        let limit = self.limits.body_bytes;
+        let framing = response_framing(&head.method, response.status, &response.headers, limit)?;
+        let slot =
+            if asks_close(&response.headers) { Slot::default() } else { self.reader.clone() };
+        let body = Body::Incoming(Incoming::new(reader, framing, slot));
+        Ok(Response::from_parts(response, body))
+    }
+
+    /// Whether the last response was read to its end and nothing follows it.
+    pub fn is_reusable(&self) -> bool {
+        self.reader.borrow().as_ref().is_some_and(|reader| !reader.has_leftover())
+    }
+
+    /// Whether the peer has closed the connection or sent something unasked.
+    pub async fn is_stale(&mut self) -> bool {
+        let Some(mut reader) = self.reader.borrow_mut().take() else { return true };
+        let quiet = timeout(Duration::ZERO, reader.wait_first_byte()).await.is_err();
+        *self.reader.borrow_mut() = Some(reader);
+        !quiet
+    }
+}
--- /dev/null
+++ b/crates/wire/src/http/mod.rs
@@ -0,0 +1,64 @@
+//! HTTP/1.1 connections with limits, streamed bodies and graceful shutdown.
+//!
+//! `monoio-http` reads and writes heads and chunks. This module adds what it leaves to its user:
+//! limits on heads and bodies, bodies of known length that are streamed, and connections that
+//! are reused only after the whole answer was read.
+
+pub mod body;
+pub mod client;
+pub mod gate;
+pub mod limits;
+pub mod pool;
+mod reader;
+pub mod server;
+mod writer;
+
+/// Why an exchange failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// No connection could be made; nothing was sent.
+    #[error("{0} does not accept connections; check that the process runs there")]
+    Connect(String),
+    /// The peer closed the connection in the middle of a message.
+    #[error("the peer closed the connection before the message was whole; retry if idempotent")]
+    Truncated,
+    /// The message is not well-formed.
+    #[error("the message is not well-formed HTTP/1.1 ({0}); correct the sender")]
+    Malformed(String),
+    /// The head is larger than allowed.
+    #[error("the head exceeds {0} bytes; send fewer or shorter headers")]
+    HeadTooLarge(usize),
+    /// The body is larger than allowed.
+    #[error("the body exceeds {0} bytes; send a smaller body")]
+    BodyTooLarge(u64),
+    /// The peer was too slow.
+    #[error("the peer sent nothing within its time limit; send without pauses")]
+    Slow,
+    /// The system reported an error on the connection.
+    #[error("the connection broke ({0}); retry if idempotent")]
+    Io(#[from] std::io::Error),
+}
+
+/// The result of an exchange.
+pub type Result<T> = std::result::Result<T, Error>;
+
+impl From<monoio_http::h1::codec::decoder::DecodeError> for Error {
+    fn from(error: monoio_http::h1::codec::decoder::DecodeError) -> Self {
+        match error {
+            monoio_http::h1::codec::decoder::DecodeError::Io(error) => Self::Io(error),
+            other => Self::Malformed(other.to_string()),
+        }
+    }
+}
+
+impl From<monoio_http::common::error::HttpError> for Error {
+    fn from(error: monoio_http::common::error::HttpError) -> Self {
+        Self::Io(std::io::Error::other(error.to_string()))
+    }
+}
+
+impl From<Error> for monoio_http::common::error::HttpError {
+    fn from(error: Error) -> Self {
+        Self::IOError(std::io::Error::other(error.to_string()))
+    }
+}
--- /dev/null
+++ b/crates/wire/src/http/pool.rs
@@ -0,0 +1,78 @@
+//! Idle connections kept for reuse, by address.
+
+use super::client::Connection;
+use super::limits::Limits;
+use super::{Error, Result};
+use foldhash::{HashMap, HashMapExt};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Idle connections to many addresses; clones share them.
+#[derive(Clone)]
+pub struct Pool {
+    idle: Rc<RefCell<HashMap<SocketAddr, Vec<Parked>>>>,
+    limits: Rc<Limits>,
+    connect: Duration,
+    per_address: usize,
+}
+
+struct Parked {
+    connection: Connection,
+    expires: Instant,
+}
+
+impl Pool {
+    /// A pool whose connections are made within `connect` and kept up to `per_address` each.
+    pub fn new(limits: Limits, connect: Duration, per_address: usize) -> Self {
+        let limits = Rc::new(limits);
+        Self { idle: Rc::new(RefCell::new(HashMap::new())), limits, connect, per_address }
+    }
+
+    /// An idle connection to `address`, or a new one.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Connect`] when no connection could be made; nothing was sent then.
+    pub async fn take(&self, address: SocketAddr) -> Result<Connection> {
+        while let Some(parked) = self.pop(address) {
+            let mut connection = parked.connection;
+            if Instant::now() < parked.expires && !connection.is_stale().await {
+                return Ok(connection);
+            }
+        }
+        Connection::open(address, self.limits.clone(), self.connect).await
+    }
+
+    /// Keeps `connection` for reuse, if it can be reused.
+    pub fn give_back(&self, address: SocketAddr, connection: Connection) {
+        if !connection.is_reusable() {
+            return;
+        }
+        let mut idle = self.idle.borrow_mut();
+        let parked = idle.entry(address).or_default();
+        if parked.len() < self.per_address {
+            parked.push(Parked { connection, expires: Instant::now() + self.limits.idle });
+        }
+    }
+
+    /// Closes the idle connections to `address`.
+    pub fn forget(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
+    /// Connections kept at present.
+    pub fn idle(&self) -> usize {
+        self.idle.borrow().values().map(Vec::len).sum()
+    }
+
+    /// Whether `error` was met before anything was sent.
+    pub fn not_sent(error: &Error) -> bool {
+        matches!(error, Error::Connect(_))
+    }
+
+    fn pop(&self, address: SocketAddr) -> Option<Parked> {
+        self.idle.borrow_mut().get_mut(&address)?.pop()
+    }
+}
--- /dev/null
+++ b/crates/wire/src/http/writer.rs
@@ -0,0 +1,159 @@
+//! Writes heads and bodies to one connection.
+//!
+//! The encoder of `monoio-http` holds small chunks back until the end of a body. Watchers need
+//! each piece at once, so heads and chunks are written here and flushed by piece.
+
+use super::Result;
+use super::body::Body;
+use bytes::{BufMut, Bytes, BytesMut};
+use http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::{HeaderMap, request, response};
+use monoio::io::{AsyncWriteRent, AsyncWriteRentExt, OwnedWriteHalf};
+use monoio::net::TcpStream;
+use std::io::Write;
+
+const SMALL_BODY_BYTES: u64 = 32 * 1024;
+
+/// The writing half of a connection.
+pub(super) struct Writer {
+    io: OwnedWriteHalf<TcpStream>,
+    buffer: BytesMut,
+}
+
+impl Writer {
+    pub(super) fn new(io: OwnedWriteHalf<TcpStream>) -> Self {
+        Self { io, buffer: BytesMut::new() }
+    }
+
+    /// Writes a whole request.
+    pub(super) async fn request(&mut self, head: &request::Parts, body: &mut Body) -> Result<()> {
+        let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
+        self.buffer.put_slice(head.method.as_str().as_bytes());
+        self.buffer.put_u8(b' ');
+        self.buffer.put_slice(target.as_bytes());
+        self.buffer.put_slice(b" HTTP/1.1\r\n");
+        let force = !matches!(body, Body::Empty);
+        self.message(&head.headers, body, force, false, false).await
+    }
+
+    /// Writes a whole response; a body is left out when `bodiless`.
+    pub(super) async fn response(
+        &mut self,
+        head: &response::Parts,
+        body: &mut Body,
+        bodiless: bool,
+        close: bool,
+    ) -> Result<()> {
+        let reason = head.status.canonical_reason().unwrap_or("");
+        write!((&mut self.buffer).writer(), "HTTP/1.1 {} {reason}\r\n", head.status.as_str())?;
+        self.message(&head.headers, body, true, close, bodiless).await
+    }
+
+    /// Writes the interim response that invites a body.
+    pub(super) async fn invite(&mut self) -> Result<()> {
+        self.buffer.put_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+        self.flush().await
+    }
+
+    async fn message(
+        &mut self,
+        headers: &HeaderMap,
+        body: &mut Body,
+        force_length: bool,
+        close: bool,
+        bodiless: bool,
+    ) -> Result<()> {
+        let length = body.length();
+        self.headers(headers, close)?;
+        match length {
+            Some(0) if !force_length => {}
+            Some(length) => {
+                write!((&mut self.buffer).writer(), "content-length: {length}\r\n")?;
+            }
+            None => self.buffer.put_slice(b"transfer-encoding: chunked\r\n"),
+        }
+        self.buffer.put_slice(b"\r\n");
+        if bodiless {
+            return self.flush().await;
+        }
+        match length {
+            Some(length) => self.sized(body, length).await,
+            None => self.chunked(body).await,
+        }
+    }
+
+    fn headers(&mut self, headers: &HeaderMap, close: bool) -> Result<()> {
+        for (name, value) in headers {
+            if name == CONTENT_LENGTH || name == TRANSFER_ENCODING || name == CONNECTION {
+                continue;
+            }
+            self.buffer.put_slice(name.as_str().as_bytes());
+            self.buffer.put_slice(b": ");
+            self.buffer.put_slice(value.as_bytes());
+            self.buffer.put_slice(b"\r\n");
+        }
+        if close {
+            self.buffer.put_slice(b"connection: close\r\n");
+        }
+        Ok(())
+    }
+
+    async fn sized(&mut self, body: &mut Body, length: u64) -> Result<()> {
+        if length > SMALL_BODY_BYTES {
+            self.flush().await?;
+        }
+        let mut left = length;
+        while left > 0 {
+            let Some(piece) = body.next().await else { return Err(super::Error::Truncated) };
+            let piece = piece?;
+            left = left.saturating_sub(piece.len() as u64);
+            self.piece(piece).await?;
+        }
+        self.flush().await
+    }
+
+    async fn chunked(&mut self, body: &mut Body) -> Result<()> {
+        self.flush().await?;
+        while let Some(piece) = body.next().await {
+            let piece = piece?;
+            if piece.is_empty() {
+                continue;
+            }
+            write!((&mut self.buffer).writer(), "{:x}\r\n", piece.len())?;
+            self.piece(piece).await?;
+            self.buffer.put_slice(b"\r\n");
+            self.flush().await?;
+        }
+        self.buffer.put_slice(b"0\r\n\r\n");
+        self.flush().await
+    }
+
+    async fn piece(&mut self, piece: Bytes) -> Result<()> {
+        if piece.len() as u64 <= SMALL_BODY_BYTES {
+            self.buffer.put_slice(&piece);
+            return Ok(());
+        }
+        self.flush().await?;
+        let (result, _) = self.io.write_all(piece).await;
+        result?;
+        Ok(())
+    }
+
+    async fn flush(&mut self) -> Result<()> {
+        if self.buffer.is_empty() {
+            return Ok(());
+        }
+        let buffer = std::mem::take(&mut self.buffer);
+        let (result, buffer) = self.io.write_all(buffer).await;
+        self.buffer = buffer;
+        self.buffer.clear();
+        result?;
+        Ok(())
+    }
+
+    /// Closes the writing direction.
+    pub(super) async fn close(&mut self) {
+        // The peer may be gone already; nothing is left to tell it.
+        let _ = self.io.shutdown().await;
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,17 @@
+//! Messages and transports between callers, entries, agents and workers.
+//!
+//! - [`proto`]: the messages and services between the processes, generated from
+//!   `proto/shallotflow.proto`.
+//! - [`rpc`]: `tonic` clients and servers over the process's own runtime.
+//! - [`http`]: HTTP/1.1 connections with limits, streamed bodies and graceful shutdown.
+//! - [`convert`]: between messages and domain types.
+
+pub mod convert;
+pub mod http;
+pub mod rpc;
+
+/// Generated messages and services.
+#[allow(missing_docs, clippy::all, unreachable_pub)]
+pub mod proto {
+    include!("generated/shallotflow.v1.rs");
+}
--- /dev/null
+++ b/crates/wire/src/rpc/server.rs
@@ -0,0 +1,62 @@
+//! Serves a generated service on a listener.
+
+use event_listener::Event;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use monoio::io::IntoPollIo;
+use monoio::net::{TcpListener, TcpStream};
+use monoio_compat::hyper::{MonoioExecutor, MonoioIo, MonoioTimer};
+use std::convert::Infallible;
+use std::rc::Rc;
+use tonic::body::Body;
+use tower_service::Service;
+
+/// Accepts connections and serves `service` on each until `stop` is notified.
+///
+/// Connections that are open when `stop` is notified finish their calls and close.
+pub async fn serve<S>(listener: TcpListener, service: S, stop: Rc<Event>)
+where
+    S: Service<Request<Body>, Response = Response<Body>, Error = Infallible> + Clone + 'static,
+    S::Future: 'static,
+{
+    let stopped = stop.listen();
+    let accepting = async {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else { continue };
+            monoio::spawn(connection(stream, service.clone(), stop.clone()));
+        }
+    };
+    monoio::select! {
+        _ = stopped => {}
+        () = accepting => {}
+    }
+}
+
+async fn connection<S>(stream: TcpStream, service: S, stop: Rc<Event>)
+where
+    S: Service<Request<Body>, Response = Response<Body>, Error = Infallible> + Clone + 'static,
+    S::Future: 'static,
+{
+    let stopped = stop.listen();
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let Ok(stream) = stream.into_poll_io() else { return };
+    let handler = service_fn(move |request: Request<Incoming>| {
+        let mut service = service.clone();
+        service.call(request.map(Body::new))
+    });
+    let mut connection = std::pin::pin!(
+        hyper::server::conn::http2::Builder::new(MonoioExecutor)
+            .timer(MonoioTimer)
+            .serve_connection(MonoioIo::new(stream), handler)
+    );
+    monoio::select! {
+        _ = stopped => {}
+        _ = connection.as_mut() => { return }
+    }
+    connection.as_mut().graceful_shutdown();
+    // A peer that breaks off here has its own error to report.
+    let _ = connection.await;
+}
--- /dev/null
+++ b/crates/wire/tests/http.rs
@@ -0,0 +1,134 @@
+//! Behaviour of HTTP connections: bodies, limits, reuse and graceful shutdown.
+
+use bytes::Bytes;
+use futures_util::future::LocalBoxFuture;
+use http::{Request, Response, StatusCode};
+use monoio::net::{TcpListener, TcpStream};
+use shallotflow_wire::http::body::Body;
+use shallotflow_wire::http::gate::Gate;
+use shallotflow_wire::http::limits::Limits;
+use shallotflow_wire::http::pool::Pool;
+use shallotflow_wire::http::server::{Handler, serve};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+const CONNECT: Duration = Duration::from_secs(5);
+
+struct Echo;
+
+impl Handler for Echo {
+    fn call(
+        &self,
+        request: Request<Body>,
+        _: SocketAddr,
+    ) -> LocalBoxFuture<'static, Response<Body>> {
+        Box::pin(async move { Response::new(request.into_body()) })
+    }
+}
+
+fn run(test: impl AsyncFnOnce(SocketAddr, Gate)) {
+    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .expect("a runtime");
+    runtime.block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("a bound address");
+        let gate = Gate::default();
+        let limits = Limits { body_bytes: 200_000, head_bytes: 4_096, ..Limits::default() };
+        monoio::spawn(serve(listener, Rc::new(Echo), limits, gate.clone()));
+        test(address, gate).await;
+    });
+}
+
+fn pool() -> Pool {
+    Pool::new(Limits::default(), CONNECT, 4)
+}
+
+async fn raw(address: SocketAddr, message: &'static [u8]) -> String {
+    use monoio::io::{AsyncReadRentExt, AsyncWriteRentExt};
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    stream.write_all(message).await.0.expect("a sent message");
+    let (result, answer) = stream.read_exact(vec![0_u8; 12]).await;
+    result.expect("an answer");
+    String::from_utf8(answer).expect("an ASCII status line")
+}
+
+#[test]
+fn echoes_bodies_of_every_size_on_one_connection() {
+    run(async |address, _| {
+        let pool = pool();
+        for size in [0, 1, 1_000, 40_000, 150_000] {
+            let sent = Bytes::from(vec![b'x'; size]);
+            let mut connection = pool.take(address).await.expect("a connection");
+            let request = Request::post("/").body(Body::Full(sent.clone())).expect("a request");
+            let response = connection.send(request).await.expect("a response");
+            let received = response.into_body().collect(200_000).await.expect("a whole body");
+            assert_eq!(received, sent);
+            pool.give_back(address, connection);
+            assert_eq!(pool.idle(), 1);
+        }
+    });
+}
+
+#[test]
+fn a_connection_with_an_unread_answer_is_not_reused() {
+    run(async |address, _| {
+        let pool = pool();
+        let mut connection = pool.take(address).await.expect("a connection");
+        let body = Body::Full(Bytes::from(vec![b'x'; 100_000]));
+        let request = Request::post("/").body(body).expect("a request");
+        let response = connection.send(request).await.expect("a response");
+        drop(response);
+        pool.give_back(address, connection);
+        assert_eq!(pool.idle(), 0);
+    });
+}
+
+#[test]
+fn refuses_a_body_over_the_limit_before_reading_it() {
+    run(async |address, _| {
+        let answer = raw(address, b"POST / HTTP/1.1\r\ncontent-length: 200001\r\n\r\n").await;
+        assert_eq!(answer, "HTTP/1.1 413");
+    });
+}
+
+#[test]
+fn refuses_conflicting_lengths() {
+    run(async |address, _| {
+        let both = b"POST / HTTP/1.1\r\ncontent-length: 1\r\ntransfer-encoding: chunked\r\n\r\n";
+        assert_eq!(raw(address, both).await, "HTTP/1.1 400");
+        let twice = b"POST / HTTP/1.1\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\n";
+        assert_eq!(raw(address, twice).await, "HTTP/1.1 400");
+    });
+}
+
+#[test]
+fn refuses_a_head_over_the_limit() {
+    run(async |address, _| {
+        let pool = pool();
+        let mut connection = pool.take(address).await.expect("a connection");
+        let request = Request::get("/").header("x-large", "x".repeat(8_000));
+        let request = request.body(Body::Empty).expect("a request");
+        let response = connection.send(request).await.expect("a response");
+        assert_eq!(response.status(), StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
+    });
+}
+
+#[test]
+fn draining_finishes_the_exchange_and_closes() {
+    run(async |address, gate| {
+        let pool = pool();
+        let mut connection = pool.take(address).await.expect("a connection");
+        let request = Request::post("/").body(Body::from("first")).expect("a request");
+        let response = connection.send(request).await.expect("a response");
+        assert_eq!(response.into_body().collect(100).await.expect("a body"), "first");
+        gate.drain();
+        let request = Request::post("/").body(Body::from("second")).expect("a request");
+        let response = connection.send(request).await.expect("a request already on its way");
+        assert_eq!(response.into_body().collect(100).await.expect("a body"), "second");
+        assert!(!connection.is_reusable());
+        gate.wait_closed().await;
+    });
+}
