Name the settings of each process and the parts of the policy

Cause: the processes are written side by side and need agreed borders. Conclusion: borders first, so that each part can be filled in alone.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`class`]: the three classes of work.
 //! - [`outcome`]: what is known of a request after it was answered.
 //! - [`problem`]: errors as callers see them, with their remedies.
+//! - [`settings`]: how each process runs.
 //! - [`job`]: batch jobs, from submission to their last state.
 
 pub mod class;
@@ -16,4 +17,5 @@
 pub mod outcome;
 pub mod problem;
 pub mod resources;
+pub mod settings;
 pub mod time;
--- /dev/null
+++ b/crates/core/src/settings/mod.rs
@@ -0,0 +1,5 @@
+//! Settings of each process.
+
+pub mod agent;
+pub mod entry;
+pub mod standin;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,3 @@
-//! Under construction.
+//! The entry: takes callers' requests, routes quick work and owns batch ledgers.
+
+pub mod batch;
--- /dev/null
+++ b/crates/policy/src/disturbance/mod.rs
@@ -0,0 +1,1 @@
+//! Slowdown of one kind by another, learned per pair.
--- /dev/null
+++ b/crates/policy/src/estimate/mod.rs
@@ -0,0 +1,1 @@
+//! Sizes and run times, learned from late reports.
--- /dev/null
+++ b/crates/policy/src/evict/mod.rs
@@ -0,0 +1,1 @@
+//! Throttling, checkpointing and evicting batch work for quick work.
--- /dev/null
+++ b/crates/policy/src/ledger/mod.rs
@@ -0,0 +1,1 @@
+//! Batch jobs under an owner: grants, recovery, cancellation and retention.
--- /dev/null
+++ b/crates/policy/src/member/mod.rs
@@ -0,0 +1,1 @@
+//! Which targets and entries are alive.
--- /dev/null
+++ b/crates/policy/src/outlier/mod.rs
@@ -0,0 +1,1 @@
+//! Setting failing and slow workers aside, within a bound.
--- /dev/null
+++ b/crates/policy/src/reserve/mod.rs
@@ -0,0 +1,1 @@
+//! Room kept free for quick work, following the recent crest.
--- /dev/null
+++ b/crates/policy/src/retry/mod.rs
@@ -0,0 +1,1 @@
+//! Retries within a budget.
--- /dev/null
+++ b/crates/policy/src/route/mod.rs
@@ -0,0 +1,1 @@
+//! The choice of a target for a request.
--- /dev/null
+++ b/crates/policy/src/share/mod.rs
@@ -0,0 +1,1 @@
+//! Fair shares of callers and shedding under overload.
--- /dev/null
+++ b/crates/policy/src/spread/mod.rs
@@ -0,0 +1,1 @@
+//! One configuration revision in force everywhere, never an older one.
