Read the settings of every process from INI files

Cause: the processes had settings structs but no way to read them.

Change: core::ini takes a text apart with line numbers (on ini_core) and reads it through one declarative table of typed keys a process; the same table prints settings and makes docs/reference/settings.md and errors.md. Limits of HTTP connections move from wire to core, so that they are read from the [limits] section.

--- a/crates/codegen/src/lib.rs
+++ b/crates/codegen/src/lib.rs
@@ -1,4 +1,7 @@
-//! Generation of message code from schemas, without an external compiler.
+//! Generation of message code from schemas, without an external compiler, and of the reference
+//! pages from the tables in the code.
+
+pub mod page;
 
 use anyhow::{Context, Result};
 use std::path::Path;
--- a/crates/codegen/src/main.rs
+++ b/crates/codegen/src/main.rs
@@ -1,6 +1,7 @@
-//! Generates the committed message code of `shallotflow-wire` and `shallotflow-store`.
+//! Generates the committed message code and the reference pages of the documentation.
 //!
-//! Run `cargo run -p shallotflow-codegen` after a change to a schema and commit the result.
+//! Run `cargo run -p shallotflow-codegen` after a change to a schema, a setting, an error code or
+//! the command line, and commit the result.
 
 use anyhow::{Context, Result};
 use std::path::{Path, PathBuf};
@@ -13,6 +14,11 @@
             .with_context(|| format!("generating {} from {}", schema.output, schema.input))?;
         println!("wrote {}", display(&out));
     }
+    for page in shallotflow_codegen::page::all() {
+        let path = crates.join("..").join(page.path);
+        std::fs::write(&path, &page.text).with_context(|| format!("writing {}", page.path))?;
+        println!("wrote {}", page.path);
+    }
     Ok(())
 }
 
--- /dev/null
+++ b/crates/codegen/src/page.rs
@@ -0,0 +1,38 @@
+//! Reference pages that follow from tables in the code.
+
+use shallotflow_core::problem::Code;
+use shallotflow_core::settings;
+
+/// A page of the documentation.
+#[derive(Clone, Debug)]
+pub struct Page {
+    /// Its path, relative to the root of the repository.
+    pub path: &'static str,
+    /// Its Markdown text.
+    pub text: String,
+}
+
+/// Every generated page.
+pub fn all() -> Vec<Page> {
+    vec![
+        Page { path: "docs/reference/settings.md", text: settings::reference::page() },
+        Page { path: "docs/reference/errors.md", text: errors() },
+    ]
+}
+
+fn errors() -> String {
+    let mut page = String::from(
+        "# Errors and remedies\n\n\
+         Errors of the callers' interface are `application/problem+json` documents. Each carries\n\
+         one of these codes, the `outcome` (`not-run` or `unknown`), a detail with the values at\n\
+         hand, and the remedy. A request with the outcome `not-run` was not run and never will\n\
+         be; after `unknown` it may have run, so retry it only if it is idempotent.\n\n\
+         This page is generated from the code by `cargo run -p shallotflow-codegen`.\n\n\
+         | code | HTTP status | remedy |\n|---|---|---|\n",
+    );
+    for code in Code::ALL {
+        let (name, status, remedy) = (code.as_str(), code.status(), code.remedy());
+        page.push_str(&format!("| `{name}` | {status} | {remedy} |\n"));
+    }
+    page
+}
--- a/crates/codegen/tests/current.rs
+++ b/crates/codegen/tests/current.rs
@@ -1,4 +1,4 @@
-//! The committed message code matches its schemas.
+//! The committed message code and reference pages match their sources.
 
 use shallotflow_codegen::{SCHEMAS, generate};
 use std::path::Path;
@@ -18,3 +18,13 @@
         }
     }
 }
+
+#[test]
+fn reference_pages_are_current() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    for page in shallotflow_codegen::page::all() {
+        let committed = std::fs::read_to_string(root.join(page.path)).expect("a committed page");
+        let hint = "run `cargo run -p shallotflow-codegen` and commit";
+        assert_eq!(committed, page.text, "{}: {hint}", page.path);
+    }
+}
--- /dev/null
+++ b/crates/core/src/ini/document.rs
@@ -0,0 +1,100 @@
+//! The sections of an INI text.
+
+use super::{Entry, Error, Fault, Result, Section};
+use crate::name::Name;
+use ini_core::{Item, Parser};
+use std::path::Path;
+
+/// An INI text taken apart, without knowledge of its keys.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Document {
+    /// The file's name as the operator gave it.
+    pub file: Name,
+    /// The sections in the order of the text.
+    pub sections: Vec<Section>,
+}
+
+impl Document {
+    /// Reads and takes apart the file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file cannot be read or is not an INI text.
+    pub fn load(path: &Path) -> Result<Self> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|error| Error {
+            file: file.as_str().into(),
+            line: 0,
+            fault: Fault::Unreadable(error.to_string()),
+        })?;
+        Self::parse(&file, &text)
+    }
+
+    /// Takes apart `text`; `file` is the name that messages carry.
+    ///
+    /// # Errors
+    ///
+    /// Fails on lines that are neither header, key nor comment, and on anything given twice.
+    pub fn parse(file: &str, text: &str) -> Result<Self> {
+        let mut document = Self { file: file.into(), sections: Vec::new() };
+        let mut parser = Parser::new(text).auto_trim(true);
+        loop {
+            // The parser does not count a last line without a line end, so count before it.
+            let line = parser.line() + 1;
+            let Some(item) = parser.next() else { break };
+            match item {
+                Item::Error(header) => return Err(document.error(line, header_fault(header))),
+                Item::Section(name) => document.open(name, line)?,
+                Item::Property(key, _) if key.starts_with([';', '#']) => {}
+                Item::Property(key, None) => {
+                    return Err(document.error(line, Fault::NoValue(key.to_owned())));
+                }
+                Item::Property(key, Some(value)) => document.add(key, value, line)?,
+                Item::Comment(_) | Item::Blank | Item::SectionEnd => {}
+            }
+        }
+        Ok(document)
+    }
+
+    /// The section with this name.
+    pub fn section(&self, name: &str) -> Option<&Section> {
+        self.sections.iter().find(|section| section.name == name)
+    }
+
+    /// The line of a key, or of its section, or 1.
+    pub fn line_of(&self, section: &str, key: &str) -> u32 {
+        let Some(section) = self.section(section) else { return 1 };
+        section.entry(key).map_or(section.line, |entry| entry.line)
+    }
+
+    /// A fault at a line of this document.
+    pub fn error(&self, line: u32, fault: Fault) -> Error {
+        Error { file: self.file.clone(), line, fault }
+    }
+
+    fn open(&mut self, name: &str, line: u32) -> Result<()> {
+        if let Some(first) = self.section(name).map(|section| section.line) {
+            return Err(self.error(line, Fault::DuplicateSection { name: name.to_owned(), first }));
+        }
+        self.sections.push(Section { name: name.to_owned(), line, entries: Vec::new() });
+        Ok(())
+    }
+
+    fn add(&mut self, key: &str, value: &str, line: u32) -> Result<()> {
+        let Some(section) = self.sections.last() else {
+            return Err(self.error(line, Fault::Outside(key.to_owned())));
+        };
+        if let Some(first) = section.entry(key).map(|entry| entry.line) {
+            return Err(self.error(line, Fault::DuplicateKey { name: key.to_owned(), first }));
+        }
+        let entry = Entry { key: key.to_owned(), value: value.to_owned(), line };
+        if let Some(section) = self.sections.last_mut() {
+            section.entries.push(entry);
+        }
+        Ok(())
+    }
+}
+
+fn header_fault(header: &str) -> Fault {
+    Fault::Header(header.trim().to_owned())
+}
--- /dev/null
+++ b/crates/core/src/ini/fault.rs
@@ -0,0 +1,90 @@
+//! What can be wrong in an INI text.
+
+/// A fault whose message names the values at hand and the remedy.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Fault {
+    /// The file cannot be read.
+    #[error("the file cannot be read ({0}); check the path and its permissions")]
+    Unreadable(String),
+    /// A header without its closing bracket.
+    #[error("`{0}` is not a section header; write it as `[name]`")]
+    Header(String),
+    /// A line without an equals sign.
+    #[error("`{0}` is neither a header nor a key; write it as `key = value`")]
+    NoValue(String),
+    /// A key above the first header.
+    #[error("key `{0}` stands outside of any section; put it below a `[section]` header")]
+    Outside(String),
+    /// A header that appears twice.
+    #[error("section `{name}` already stands at line {first}; merge the two")]
+    DuplicateSection {
+        /// The section.
+        name: String,
+        /// The line of its first header.
+        first: u32,
+    },
+    /// A key that appears twice in its section.
+    #[error("key `{name}` already stands at line {first}; remove one of the two")]
+    DuplicateKey {
+        /// The key.
+        name: String,
+        /// The line of its first appearance.
+        first: u32,
+    },
+    /// A section that this file does not have.
+    #[error("section `{name}` is unknown; use one of {known}")]
+    UnknownSection {
+        /// The section.
+        name: String,
+        /// The names that are known.
+        known: String,
+    },
+    /// A key that its section does not have.
+    #[error("key `{name}` is unknown in section `{section}`; {hint}")]
+    UnknownKey {
+        /// The key.
+        name: String,
+        /// Its section.
+        section: String,
+        /// The nearest key, or all of them.
+        hint: String,
+    },
+    /// A value that does not parse.
+    #[error("`{value}` is not {expected}; correct the value of `{key}`")]
+    Syntax {
+        /// The key.
+        key: String,
+        /// The value as written.
+        value: String,
+        /// What the key takes.
+        expected: String,
+    },
+    /// A value outside of its range.
+    #[error("`{value}` is out of range for `{key}`; use a value from {lowest} to {highest}")]
+    Range {
+        /// The key.
+        key: String,
+        /// The value as written.
+        value: String,
+        /// The lowest accepted value.
+        lowest: String,
+        /// The highest accepted value.
+        highest: String,
+    },
+    /// A key that has to be given.
+    #[error("section `{section}` has no `{key}`; add a line `{key} = …`")]
+    Missing {
+        /// The section.
+        section: String,
+        /// The key.
+        key: String,
+    },
+    /// Values that contradict each other.
+    #[error("{message}; {remedy}")]
+    Conflict {
+        /// What contradicts what, with the values.
+        message: String,
+        /// What to change.
+        remedy: String,
+    },
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,10 +8,12 @@
 //! - [`class`]: the three classes of work.
 //! - [`outcome`]: what is known of a request after it was answered.
 //! - [`problem`]: errors as callers see them, with their remedies.
+//! - [`ini`]: INI documents with line numbers, and typed keys over them.
 //! - [`settings`]: how each process runs.
 //! - [`job`]: batch jobs, from submission to their last state.
 
 pub mod class;
+pub mod ini;
 pub mod job;
 pub mod name;
 pub mod outcome;
--- a/crates/core/src/settings/agent.rs
+++ b/crates/core/src/settings/agent.rs
@@ -1,8 +1,13 @@
 //! Settings of an agent.
 
+use super::limits::Limits;
+use super::span::{ms, s};
+use crate::ini::codec::{Address, Count, Label, Line, List, Size, Span};
+use crate::ini::{self, Document, Key, Table, key};
 use crate::name::Name;
 use serde::{Deserialize, Serialize};
 use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
 use std::time::Duration;
 
 /// How an agent runs.
@@ -27,6 +32,10 @@
     pub report_to: usize,
     /// How long a graceful stop may take.
     pub drain: Duration,
+    /// What it logs: a level, then `target=level` for parts of it.
+    pub log: Name,
+    /// Limits on HTTP connections.
+    pub limits: Limits,
     /// The seed of its random choices.
     pub seed: u64,
 }
@@ -44,7 +53,59 @@
             control: any_port,
             report_to: 3,
             drain: Duration::from_secs(30),
+            log: "info".into(),
+            limits: Limits::default(),
             seed: 1,
         }
     }
 }
+
+/// The keys of the settings file.
+pub const KEYS: &[Key<Settings>] = &[
+    key!("agent", worker: Label, "The worker that it stands beside."),
+    key!("agent", domain: Label, "The failure domain it runs in."),
+    key!("agent", listen: Address, "Where entries send requests; port 0 takes a free one."),
+    key!("agent", operators_listen: Address, "Where operators connect."),
+    key!("agent", entries: List<Address>, "Where it first announces itself: the balancer's address for entries' peers."),
+    key!("agent", target: Address, "The target that answers requests."),
+    key!("agent", control: Address, "The worker's control interface."),
+    key!("agent", report_to: Count<usize>, "How many entries it reports to at most.", 1..=64),
+    key!("agent", drain: Span, "How long a graceful stop may take.", ms(0)..=s(3600)),
+    key!("agent", log: Line, "What it logs: a level, then `target=level` for parts of it."),
+    key!("agent", seed: Count<u64>, "Seed of its random choices."),
+    key!("limits", limits.head_bytes: Size<usize>, "Largest head of a message.", 1024..=1024 * 1024),
+    key!("limits", limits.body_bytes: Size<u64>, "Largest body of a message.", 0..=1 << 30),
+    key!("limits", limits.idle: Span, "Longest wait for the next request on an idle connection.", ms(100)..=s(3600)),
+    key!("limits", limits.head: Span, "Longest time from the first byte of a head to its last.", ms(100)..=s(60)),
+    key!("limits", limits.stall: Span, "Longest pause within a body.", ms(100)..=s(600)),
+    key!("limits", limits.connections: Count<usize>, "Most connections at a time.", 1..=1_000_000),
+];
+
+impl Settings {
+    /// The keys as a table.
+    pub const TABLE: Table<Self> = Table { keys: KEYS };
+
+    /// Reads the settings file at `path`; keys that it leaves out keep their defaults.
+    ///
+    /// # Errors
+    ///
+    /// Names the file, the line and the remedy.
+    pub fn load(path: &Path) -> ini::Result<Self> {
+        Self::read(&Document::load(path)?)
+    }
+
+    /// Reads settings from `text`; `file` is the name that messages carry.
+    ///
+    /// # Errors
+    ///
+    /// Names the file, the line and the remedy.
+    pub fn parse(file: &str, text: &str) -> ini::Result<Self> {
+        Self::read(&Document::parse(file, text)?)
+    }
+
+    fn read(document: &Document) -> ini::Result<Self> {
+        let mut settings = Self::default();
+        Self::TABLE.read(document, &mut settings)?;
+        Ok(settings)
+    }
+}
--- a/crates/core/src/settings/entry.rs
+++ b/crates/core/src/settings/entry.rs
@@ -1,8 +1,13 @@
 //! Settings of an entry.
 
+use super::limits::Limits;
+use super::span::{ms, s};
+use crate::ini::codec::{Address, Count, Label, Line, List, Size, Span};
+use crate::ini::{self, Document, Fault, Key, Table, key};
 use crate::name::Name;
 use serde::{Deserialize, Serialize};
 use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
 use std::time::Duration;
 
 /// How an entry runs.
@@ -35,6 +40,10 @@
     pub longest_deadline: Duration,
     /// How long a graceful stop may take.
     pub drain: Duration,
+    /// What it logs: a level, then `target=level` for parts of it.
+    pub log: Name,
+    /// Limits on HTTP connections.
+    pub limits: Limits,
     /// The seed of its random choices.
     pub seed: u64,
 }
@@ -56,7 +65,82 @@
             default_deadline: Duration::from_secs(2),
             longest_deadline: Duration::from_secs(600),
             drain: Duration::from_secs(30),
+            log: "info".into(),
+            limits: Limits::default(),
             seed: 1,
         }
     }
 }
+
+/// The keys of the settings file.
+pub const KEYS: &[Key<Settings>] = &[
+    key!("entry", name: Label, "The name of this entry, unique among entries."),
+    key!("entry", domain: Label, "The failure domain it runs in."),
+    key!("entry", callers_listen: Address, "Where callers connect; port 0 takes a free one."),
+    key!("entry", peers_listen: Address, "Where agents and other entries connect."),
+    key!("entry", operators_listen: Address, "Where operators connect."),
+    key!("entry", store: List<Address>, "Endpoints of the store; without any, batch work is refused."),
+    key!("entry", ledgers: Count<u32>, "Into how many ledgers jobs are divided; the same in the whole fleet.", 1..=1024),
+    key!("entry", owner_lease: Span, "How long a ledger stays owned without a renewal at the store.", ms(200)..=s(300)),
+    key!("entry", task_lease: Span, "How long a task runs after the report that last renewed it.", ms(200)..=s(300)),
+    key!("entry", beat: Span, "Longest time between two reports of an agent.", ms(10)..=s(60)),
+    key!("entry", default_deadline: Span, "Deadline of a quick request that names none.", ms(1)..=s(3600)),
+    key!("entry", longest_deadline: Span, "Farthest deadline that a request may name.", ms(1)..=s(24 * 3600)),
+    key!("entry", drain: Span, "How long a graceful stop may take.", ms(0)..=s(3600)),
+    key!("entry", log: Line, "What it logs: a level, then `target=level` for parts of it."),
+    key!("entry", seed: Count<u64>, "Seed of its random choices."),
+    key!("limits", limits.head_bytes: Size<usize>, "Largest head of a message.", 1024..=1024 * 1024),
+    key!("limits", limits.body_bytes: Size<u64>, "Largest body of a message.", 0..=1 << 30),
+    key!("limits", limits.idle: Span, "Longest wait for the next request on an idle connection.", ms(100)..=s(3600)),
+    key!("limits", limits.head: Span, "Longest time from the first byte of a head to its last.", ms(100)..=s(60)),
+    key!("limits", limits.stall: Span, "Longest pause within a body.", ms(100)..=s(600)),
+    key!("limits", limits.connections: Count<usize>, "Most connections at a time.", 1..=1_000_000),
+];
+
+impl Settings {
+    /// The keys as a table.
+    pub const TABLE: Table<Self> = Table { keys: KEYS };
+
+    /// Reads the settings file at `path`; keys that it leaves out keep their defaults.
+    ///
+    /// # Errors
+    ///
+    /// Names the file, the line and the remedy.
+    pub fn load(path: &Path) -> ini::Result<Self> {
+        Self::read(&Document::load(path)?)
+    }
+
+    /// Reads settings from `text`; `file` is the name that messages carry.
+    ///
+    /// # Errors
+    ///
+    /// Names the file, the line and the remedy.
+    pub fn parse(file: &str, text: &str) -> ini::Result<Self> {
+        Self::read(&Document::parse(file, text)?)
+    }
+
+    fn read(document: &Document) -> ini::Result<Self> {
+        let mut settings = Self::default();
+        Self::TABLE.read(document, &mut settings)?;
+        settings.check(document)?;
+        Ok(settings)
+    }
+
+    fn check(&self, document: &Document) -> ini::Result<()> {
+        let conflict = |key: &str, message: String, remedy: &str| {
+            let fault = Fault::Conflict { message, remedy: remedy.to_owned() };
+            Err(document.error(document.line_of("entry", key), fault))
+        };
+        if self.default_deadline > self.longest_deadline {
+            let (default, longest) = (self.default_deadline, self.longest_deadline);
+            let message = format!("default_deadline {default:?} exceeds {longest:?}");
+            return conflict("default_deadline", message, "raise `longest_deadline` or lower it");
+        }
+        if self.task_lease < self.beat * 2 {
+            let (lease, beat) = (self.task_lease, self.beat);
+            let message = format!("task_lease {lease:?} is less than two beats of {beat:?}");
+            return conflict("task_lease", message, "raise it, or lower `beat`");
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/core/src/settings/reference.rs
@@ -0,0 +1,47 @@
+//! The reference page of settings, made from the tables of keys.
+
+use super::{agent, entry, standin};
+use crate::ini::{Key, Table};
+
+/// The page as Markdown.
+pub fn page() -> String {
+    let mut page = String::from(
+        "# Settings\n\n\
+         Each process reads one INI file, given by `--config FILE`. Keys that are left out keep\n\
+         their defaults. A line that starts with `;` or `#` is a comment. Unknown sections and\n\
+         keys, wrong units and values out of range are refused with file, line and remedy.\n\n\
+         This page is generated from the code by `cargo run -p shallotflow-codegen`.\n",
+    );
+    push(&mut page, "shallotflow-entry", &entry::Settings::TABLE);
+    push(&mut page, "shallotflow-agent", &agent::Settings::TABLE);
+    push(&mut page, "shallotflow-standin", &standin::Settings::TABLE);
+    page
+}
+
+fn push<T: Default>(page: &mut String, program: &str, table: &Table<T>) {
+    let defaults = T::default();
+    page.push_str(&format!("\n## {program}\n"));
+    for section in table.sections() {
+        page.push_str(&format!("\n### `[{section}]`\n\n"));
+        push_keys(page, table.keys.iter().filter(|key| key.section == section), &defaults);
+    }
+}
+
+/// Adds a table with one row a key.
+pub(crate) fn push_keys<'a, T: 'a>(
+    page: &mut String,
+    keys: impl Iterator<Item = &'a Key<T>>,
+    defaults: &T,
+) {
+    page.push_str("| key | meaning | takes | range | default |\n|---|---|---|---|---|\n");
+    for key in keys {
+        let range = (key.range)()
+            .map_or("any".to_owned(), |(lowest, highest)| format!("`{lowest}` to `{highest}`"));
+        let default = match (key.print)(defaults) {
+            text if text.is_empty() => "empty".to_owned(),
+            text => format!("`{text}`"),
+        };
+        let Key { name, meaning, expected, .. } = key;
+        page.push_str(&format!("| `{name}` | {meaning} | {expected} | {range} | {default} |\n"));
+    }
+}
