Test calls between processes and the runtime

Cause: every process stands on these two, and nothing showed that answers stay with their calls or that no io_uring descriptor is opened. Change: behaviour tests of the tonic transport and of the executor.

--- a/crates/codegen/src/main.rs
+++ b/crates/codegen/src/main.rs
@@ -3,7 +3,7 @@
 //! Run `cargo run -p shallotflow-codegen` after a change to a schema and commit the result.
 
 use anyhow::{Context, Result};
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
 fn main() -> Result<()> {
     let crates = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
@@ -11,12 +11,7 @@
         let out = crates.join(schema.output);
         shallotflow_codegen::generate(&crates, schema, &out)
             .with_context(|| format!("generating {} from {}", schema.output, schema.input))?;
-        println!("wrote {}", display(&out));
+        println!("wrote {}", schema.output);
     }
     Ok(())
 }
-
-fn display(path: &Path) -> String {
-    let path: PathBuf = path.components().collect();
-    path.display().to_string()
-}
--- /dev/null
+++ b/crates/runtime/tests/executor.rs
@@ -0,0 +1,47 @@
+//! The runtime of a process.
+
+use shallotflow_runtime::executor;
+use shallotflow_runtime::stop::{Level, Stop};
+use std::path::Path;
+use std::time::Duration;
+
+fn descriptors() -> Vec<String> {
+    let entries = std::fs::read_dir("/proc/self/fd").expect("open descriptors");
+    entries
+        .filter_map(|entry| std::fs::read_link(entry.ok()?.path()).ok())
+        .map(|link| link.display().to_string())
+        .collect()
+}
+
+#[test]
+fn uses_epoll_and_never_io_uring() {
+    assert!(
+        Path::new("/proc/self/fd").exists(),
+        "this test reads the system's list of descriptors"
+    );
+    let open = executor::run(async {
+        monoio::time::sleep(Duration::from_millis(1)).await;
+        descriptors()
+    })
+    .expect("a runtime");
+    assert!(open.iter().any(|link| link.contains("eventpoll")), "{open:?}");
+    assert!(!open.iter().any(|link| link.contains("io_uring")), "{open:?}");
+}
+
+#[test]
+fn a_stop_never_lowers_its_level() {
+    let stop = Stop::default();
+    assert_eq!(stop.level(), Level::Run);
+    stop.raise(Level::Immediate);
+    stop.raise(Level::Graceful);
+    assert_eq!(stop.level(), Level::Immediate);
+}
+
+#[test]
+fn a_stop_reaches_a_runtime_from_another_thread() {
+    let stop = Stop::default();
+    let remote = stop.clone();
+    let raiser = std::thread::spawn(move || remote.raise(Level::Graceful));
+    executor::run(stop.wait(Level::Graceful)).expect("a runtime");
+    raiser.join().expect("the raising thread ended");
+}
--- /dev/null
+++ b/crates/wire/tests/rpc.rs
@@ -0,0 +1,129 @@
+//! Behaviour of calls between processes.
+
+use event_listener::Event;
+use monoio::net::TcpListener;
+use shallotflow_wire::proto::scheduler_client::SchedulerClient;
+use shallotflow_wire::proto::scheduler_server::{Scheduler, SchedulerServer};
+use shallotflow_wire::proto::{
+    ConfigReply, ConfigRequest, JobReply, JobRequest, ListReply, ListRequest, ReportReply,
+    ReportRequest, SubmitRequest, TargetsReply, TargetsRequest,
+};
+use shallotflow_wire::rpc::{Channel, serve};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tonic::{Code, Request, Response, Status};
+
+/// Answers each report with its sequence and nothing else.
+struct Echo;
+
+type Answer<T> = Result<Response<T>, Status>;
+
+#[tonic::async_trait]
+impl Scheduler for Echo {
+    async fn report(&self, request: Request<ReportRequest>) -> Answer<ReportReply> {
+        let sequence = request.into_inner().sequence;
+        Ok(Response::new(ReportReply { sequence, ..ReportReply::default() }))
+    }
+
+    async fn fetch_config(&self, _: Request<ConfigRequest>) -> Answer<ConfigReply> {
+        Err(Status::unavailable("no configuration yet"))
+    }
+
+    async fn submit_job(&self, _: Request<SubmitRequest>) -> Answer<JobReply> {
+        Err(Status::unimplemented("submit"))
+    }
+
+    async fn read_job(&self, _: Request<JobRequest>) -> Answer<JobReply> {
+        Err(Status::unimplemented("read"))
+    }
+
+    async fn cancel_job(&self, _: Request<JobRequest>) -> Answer<JobReply> {
+        Err(Status::unimplemented("cancel"))
+    }
+
+    async fn list_jobs(&self, _: Request<ListRequest>) -> Answer<ListReply> {
+        Err(Status::unimplemented("list"))
+    }
+
+    async fn list_targets(&self, _: Request<TargetsRequest>) -> Answer<TargetsReply> {
+        Err(Status::unimplemented("targets"))
+    }
+}
+
+fn run(test: impl AsyncFnOnce(SocketAddr, Rc<Event>)) {
+    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .expect("a runtime");
+    runtime.block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("a bound address");
+        let stop = Rc::new(Event::new());
+        monoio::spawn(serve(listener, SchedulerServer::new(Echo), stop.clone()));
+        test(address, stop).await;
+    });
+}
+
+fn client(channel: &Channel) -> SchedulerClient<Channel> {
+    SchedulerClient::with_origin(channel.clone(), channel.origin())
+}
+
+async fn report(channel: &Channel, sequence: u64) -> Result<u64, Status> {
+    let request = ReportRequest { sequence, ..ReportRequest::default() };
+    client(channel).report(request).await.map(|reply| reply.into_inner().sequence)
+}
+
+#[test]
+fn answers_belong_to_their_calls() {
+    run(async |address, _| {
+        let channel = Channel::new(address);
+        let calls = (1..=50).map(|sequence| report(&channel, sequence));
+        let answers = futures_util::future::join_all(calls).await;
+        let answers: Vec<_> = answers.into_iter().map(|a| a.expect("an answer")).collect();
+        assert_eq!(answers, (1..=50).collect::<Vec<_>>());
+    });
+}
+
+#[test]
+fn an_error_status_reaches_the_client() {
+    run(async |address, _| {
+        let channel = Channel::new(address);
+        let status = client(&channel).fetch_config(ConfigRequest {}).await.expect_err("a refusal");
+        assert_eq!(status.code(), Code::Unavailable);
+        assert_eq!(status.message(), "no configuration yet");
+    });
+}
+
+#[test]
+fn a_channel_connects_anew_after_a_reset() {
+    run(async |address, _| {
+        let channel = Channel::new(address);
+        assert_eq!(report(&channel, 1).await.expect("an answer"), 1);
+        channel.reset();
+        assert_eq!(report(&channel, 2).await.expect("an answer"), 2);
+    });
+}
+
+#[test]
+fn a_call_to_a_closed_port_fails() {
+    run(async |_, _| {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("a bound address");
+        drop(listener);
+        let status = report(&Channel::new(address), 1).await.expect_err("a failure");
+        assert!(status.message().contains("does not accept connections"), "{status}");
+    });
+}
+
+#[test]
+fn a_stopped_server_takes_no_new_connections() {
+    run(async |address, stop| {
+        let channel = Channel::new(address);
+        report(&channel, 1).await.expect("an answer");
+        stop.notify(usize::MAX);
+        // The listener closes in its own task; a refused connection shows that it did.
+        while monoio::net::TcpStream::connect(address).await.is_ok() {
+            monoio::time::sleep(std::time::Duration::from_millis(1)).await;
+        }
+    });
+}
