--- a/crates/codegen/src/main.rs
+++ b/crates/codegen/src/main.rs
@@ -4,7 +4,7 @@
 //! the command line, and commit the result.
 
 use anyhow::{Context, Result};
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
 fn main() -> Result<()> {
     let crates = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
@@ -12,7 +12,7 @@
         let out = crates.join(schema.output);
         shallotflow_codegen::generate(&crates, schema, &out)
             .with_context(|| format!("generating {} from {}", schema.output, schema.input))?;
-        println!("wrote {}", display(&out));
+        println!("wrote {}", schema.output);
     }
     for page in shallotflow_codegen::page::all() {
         let path = crates.join("..").join(page.path);
@@ -21,8 +21,3 @@
     }
     Ok(())
 }
-
-fn display(path: &Path) -> String {
-    let path: PathBuf = path.components().collect();
-    path.display().to_string()
-}
