--- a/crates/codegen/src/page.rs
+++ b/crates/codegen/src/page.rs
@@ -1,5 +1,6 @@
 //! Reference pages that follow from tables in the code.
 
+use shallotflow_core::metric;
 use shallotflow_core::problem::Code;
 use shallotflow_core::settings;
 
@@ -17,6 +18,7 @@
     vec![
         Page { path: "docs/reference/settings.md", text: settings::reference::page() },
         Page { path: "docs/reference/errors.md", text: errors() },
+        Page { path: "docs/reference/metrics.md", text: metrics() },
     ]
 }
 
@@ -36,3 +38,18 @@
     }
     page
 }
+
+fn metrics() -> String {
+    let mut page = String::from(
+        "# Metrics\n\n\
+         Each process serves its metrics in the Prometheus text format at `/metrics` on its\n\
+         operators' listener. Counters start at zero with the process.\n\n\
+         This page is generated from the code by `cargo run -p shallotflow-codegen`.\n\n\
+         | metric | kind | labels | meaning |\n|---|---|---|---|\n",
+    );
+    for metric in metric::ALL {
+        let metric::Metric { name, kind, labels, meaning } = metric;
+        page.push_str(&format!("| `{name}` | {} | {labels} | {meaning} |\n", kind.as_str()));
+    }
+    page
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,12 +9,14 @@
 //! - [`outcome`]: what is known of a request after it was answered.
 //! - [`problem`]: errors as callers see them, with their remedies.
 //! - [`ini`]: INI documents with line numbers, and typed keys over them.
+//! - [`metric`]: the metrics that the processes record.
 //! - [`settings`]: how each process runs.
 //! - [`job`]: batch jobs, from submission to their last state.
 
 pub mod class;
 pub mod ini;
 pub mod job;
+pub mod metric;
 pub mod name;
 pub mod outcome;
 pub mod problem;
--- /dev/null
+++ b/crates/core/src/metric.rs
@@ -0,0 +1,85 @@
+//! The metrics that the processes record: their names, labels, units and meanings.
+
+/// How a metric is counted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Only grows while a process runs.
+    Counter,
+    /// Goes up and down.
+    Gauge,
+    /// A distribution in buckets.
+    Histogram,
+}
+
+impl Kind {
+    /// The name used in the Prometheus text format.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Counter => "counter",
+            Self::Gauge => "gauge",
+            Self::Histogram => "histogram",
+        }
+    }
+}
+
+/// One metric.
+#[derive(Clone, Copy, Debug)]
+pub struct Metric {
+    /// Its name, with its unit.
+    pub name: &'static str,
+    /// How it is counted.
+    pub kind: Kind,
+    /// The labels that it carries, separated by commas.
+    pub labels: &'static str,
+    /// What it means.
+    pub meaning: &'static str,
+}
+
+macro_rules! metrics {
+    ($($constant:ident = $name:literal, $kind:ident, $labels:literal, $meaning:literal;)+) => {
+        $(
+            #[doc = $meaning]
+            pub const $constant: &str = $name;
+        )+
+
+        /// Every metric, in the order of the reference page.
+        pub const ALL: &[Metric] = &[
+            $(Metric { name: $name, kind: Kind::$kind, labels: $labels, meaning: $meaning },)+
+        ];
+    };
+}
+
+metrics! {
+    QUICK_LATENCY = "shallotflow_quick_latency_seconds", Histogram, "kind",
+        "Time from a quick request's arrival at an entry to the end of its answer.";
+    REQUESTS = "shallotflow_requests_total", Counter, "class, outcome",
+        "Requests answered, by outcome.";
+    REFUSALS = "shallotflow_refusals_total", Counter, "reason",
+        "Requests refused, by the code of the problem.";
+    RETRIES = "shallotflow_retries_total", Counter, "",
+        "Requests tried again at another target.";
+    RETRY_BUDGET = "shallotflow_retry_budget", Gauge, "",
+        "Retries that may be made at once.";
+    HEAD_OF_LINE_WAIT = "shallotflow_head_of_line_wait_seconds", Histogram, "class",
+        "Time that work waited at an agent while longer work held the slots.";
+    BATCH_STARTED = "shallotflow_batch_started_total", Counter, "",
+        "Batch tasks started.";
+    BATCH_ENDED = "shallotflow_batch_ended_total", Counter, "state",
+        "Batch jobs that reached a final state; its rate is the batch throughput.";
+    BATCH_BACKLOG = "shallotflow_batch_backlog", Gauge, "",
+        "Batch jobs that wait for a start in the ledgers owned here.";
+    EVICTIONS = "shallotflow_evictions_total", Counter, "",
+        "Batch tasks checkpointed and stopped to make room for quick work.";
+    THROTTLES = "shallotflow_throttles_total", Counter, "",
+        "Steps by which batch tasks were throttled.";
+    TARGETS = "shallotflow_targets", Gauge, "state",
+        "Targets known to an entry, by state.";
+    REPORTS = "shallotflow_reports_total", Counter, "",
+        "Reports taken by an entry or sent by an agent.";
+    CONFIG_REVISION = "shallotflow_config_revision", Gauge, "",
+        "Revision of the fleet configuration in force.";
+    STORE_CALLS = "shallotflow_store_calls_total", Counter, "call, result",
+        "Calls to the store.";
+    OWNED_LEDGERS = "shallotflow_owned_ledgers", Gauge, "",
+        "Ledgers that an entry owns.";
+}
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -1,4 +1,24 @@
-//! What every process shares: its runtime, its stop signal and its operators' listener.
+//! What every process shares: its runtime, its stop signal, logs, metrics and operators' listener.
+//!
+//! - [`executor`]: the single-threaded runtime.
+//! - [`stop`]: graceful and immediate stops, from signals or from another thread.
+//! - [`logs`]: JSON lines on the standard error stream, filtered by level and target.
+//! - [`program`]: the name, log filter and metrics of one program on its thread.
+//! - [`operators`]: the operators' HTTP listener.
+//! - [`process`]: a `main` that reads settings and runs a program until it stops.
+//!
+//! A program's `run` function starts with these lines:
+//!
+//! ```text
+//! let program = Program::new("entry", &settings.name, &settings.log)?;
+//! let _recording = program.record();
+//! let listener = operators::Listener::bind(settings.operators_listen)?;
+//! monoio::spawn(listener.serve(program.clone(), inspect, settings.limits.clone(), stop.clone()));
+//! ```
 
 pub mod executor;
+pub mod logs;
+pub mod operators;
+pub mod process;
+pub mod program;
 pub mod stop;
--- /dev/null
+++ b/crates/runtime/src/operators/listener.rs
@@ -0,0 +1,65 @@
+//! The listener and the dump on a signal.
+
+use super::Inspect;
+use super::handler::Handler;
+use crate::program::Program;
+use crate::stop::{DumpSignal, Level, Stop};
+use monoio::net::TcpListener;
+use shallotflow_wire::http::gate::Gate;
+use shallotflow_wire::http::limits::Limits;
+use shallotflow_wire::http::server;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// The bound listener of operators.
+pub struct Listener {
+    listener: TcpListener,
+    address: SocketAddr,
+}
+
+impl Listener {
+    /// Binds `address`; port 0 takes a free one.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address is taken or not one of this host.
+    pub fn bind(address: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
+        let address = listener.local_addr()?;
+        Ok(Self { listener, address })
+    }
+
+    /// The bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Answers operators, and dumps to the log on SIGUSR1, until an immediate stop.
+    ///
+    /// During a graceful stop it keeps answering, and `/readyz` says that the process leaves.
+    pub async fn serve(
+        self,
+        program: Program,
+        inspect: Rc<dyn Inspect>,
+        limits: Limits,
+        stop: Stop,
+    ) {
+        let dumping = dump_on_signal(inspect.clone());
+        let handler = Rc::new(Handler { program, inspect, stop: stop.clone() });
+        let serving = server::serve(self.listener, handler, limits, Gate::default());
+        monoio::select! {
+            () = serving => {}
+            () = dumping => {}
+            () = stop.wait(Level::Immediate) => {}
+        }
+    }
+}
+
+async fn dump_on_signal(inspect: Rc<dyn Inspect>) {
+    let mut signal = DumpSignal::default();
+    loop {
+        signal.wait().await;
+        let state = inspect.dump();
+        spdlog::info!("state dump", kv: { state:serde = state });
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/process.rs
@@ -0,0 +1,73 @@
+//! A `main` that reads settings and runs a program until it stops.
+
+use crate::executor;
+use crate::stop::{Level, Stop};
+use bpaf::{Parser, construct, long};
+use shallotflow_core::ini;
+use std::fmt::Debug;
+use std::future::Future;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// Exit code when the settings are refused.
+pub const EXIT_SETTINGS: u8 = 2;
+
+/// A program that is started from a settings file.
+pub struct Process<S> {
+    /// The name of the binary.
+    pub name: &'static str,
+    /// What it does, for `--help`.
+    pub about: &'static str,
+    /// Reads its settings.
+    pub load: fn(&Path) -> ini::Result<S>,
+}
+
+impl<S> Process<S> {
+    /// Reads the command line and the settings, runs `run` to its end, and gives the exit code.
+    ///
+    /// SIGTERM and SIGINT stop it gracefully, the second one at once.
+    pub fn main<B, F>(self, run: impl FnOnce(S, Stop, fn(B)) -> F) -> ExitCode
+    where
+        B: Debug,
+        F: Future<Output = anyhow::Result<()>>,
+    {
+        let config = long("config").help("INI file with the settings").argument("FILE");
+        let arguments = construct!(config).to_options().descr(self.about);
+        let path: PathBuf = arguments.run();
+        let settings = match (self.load)(&path) {
+            Ok(settings) => settings,
+            Err(error) => {
+                eprintln!("{error}");
+                return ExitCode::from(EXIT_SETTINGS);
+            }
+        };
+        match execute(settings, run) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                eprintln!("{}: {error:#}", self.name);
+                ExitCode::FAILURE
+            }
+        }
+    }
+}
+
+fn execute<S, B, F>(settings: S, run: impl FnOnce(S, Stop, fn(B)) -> F) -> anyhow::Result<()>
+where
+    B: Debug,
+    F: Future<Output = anyhow::Result<()>>,
+{
+    let stop = Stop::on_signals()?;
+    executor::run(async {
+        let immediate = stop.clone();
+        monoio::select! {
+            result = run(settings, stop, announce::<B>) => result,
+            () = immediate.wait(Level::Immediate) => Err(anyhow::anyhow!(
+                "stopped at once, by a second signal or because the drain took too long"
+            )),
+        }
+    })?
+}
+
+fn announce<B: Debug>(bound: B) {
+    spdlog::info!("listening", kv: { bound:? });
+}
--- /dev/null
+++ b/crates/runtime/src/program.rs
@@ -0,0 +1,144 @@
+//! The identity, log filter and metrics of one program on its thread.
+
+use crate::logs::{self, Filter};
+use metrics::{LocalRecorderGuard, Recorder, SharedString};
+use metrics_exporter_prometheus::{
+    BuildError, Matcher, PrometheusBuilder, PrometheusHandle, PrometheusRecorder,
+};
+use shallotflow_core::metric::{self, Kind};
+use shallotflow_core::name::Name;
+use spdlog::{Level, LevelFilter};
+use std::cell::RefCell;
+use std::rc::Rc;
+
+/// Upper bounds of the buckets of every histogram, seconds.
+const SECONDS_BUCKETS: [f64; 16] = [
+    0.000_25, 0.000_5, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 30.0,
+    300.0,
+];
+
+thread_local! {
+    static CURRENT: RefCell<Option<Current>> = const { RefCell::new(None) };
+}
+
+struct Current {
+    identity: Identity,
+    filter: Filter,
+}
+
+/// Which program of which process a log record comes from.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// The kind of program, such as `entry`.
+    pub program: &'static str,
+    /// The name of the process, such as `entry-1`.
+    pub name: Name,
+}
+
+/// Why a program cannot be set up.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The log filter is not valid.
+    #[error("the log filter is not valid: {0}")]
+    Filter(#[from] logs::Error),
+    /// The metrics library refuses its settings.
+    #[error("metrics cannot be recorded ({0}); report this as a defect")]
+    Metrics(#[from] BuildError),
+}
+
+/// The result of setting up a program.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// A program that runs on the current thread; one program a thread.
+///
+/// Its logs carry its name and its metrics are its own, also where several programs run as
+/// threads of one process.
+#[derive(Clone)]
+pub struct Program {
+    identity: Identity,
+    recorder: Rc<PrometheusRecorder>,
+}
+
+impl Program {
+    /// Names the program on this thread and filters its logs with `filter`.
+    ///
+    /// The variable [`logs::FILTER_VARIABLE`] goes before `filter`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the filter is not valid.
+    pub fn new(program: &'static str, name: &Name, filter: &str) -> Result<Self> {
+        logs::install();
+        let chosen = std::env::var(logs::FILTER_VARIABLE).unwrap_or_else(|_| filter.to_owned());
+        let filter = chosen.parse()?;
+        let identity = Identity { program, name: name.clone() };
+        let current = Current { identity: identity.clone(), filter };
+        CURRENT.with_borrow_mut(|slot| *slot = Some(current));
+        let recorder = PrometheusBuilder::new()
+            .set_buckets_for_metric(Matcher::Suffix("_seconds".to_owned()), &SECONDS_BUCKETS)?
+            .build_recorder();
+        describe(&recorder);
+        Ok(Self { identity, recorder: Rc::new(recorder) })
+    }
+
+    /// Records the metrics of this thread until the guard is dropped.
+    pub fn record(&self) -> LocalRecorderGuard<'_> {
+        metrics::set_default_local_recorder(&*self.recorder)
+    }
+
+    /// Renders the metrics.
+    pub fn metrics(&self) -> PrometheusHandle {
+        self.recorder.handle()
+    }
+
+    /// Which program this is.
+    pub fn identity(&self) -> &Identity {
+        &self.identity
+    }
+
+    /// The log filter in force.
+    pub fn filter(&self) -> String {
+        CURRENT.with_borrow(|slot| {
+            slot.as_ref().map(|current| current.filter.as_str().to_owned()).unwrap_or_default()
+        })
+    }
+
+    /// Replaces the log filter.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the filter is not valid; the one in force stays.
+    pub fn set_filter(&self, filter: &str) -> Result<()> {
+        let filter: Filter = filter.parse()?;
+        CURRENT.with_borrow_mut(|slot| {
+            if let Some(current) = slot {
+                current.filter = filter;
+            }
+        });
+        Ok(())
+    }
+}
+
+/// The identity of the program on this thread.
+pub(crate) fn identity() -> Option<Identity> {
+    CURRENT.with_borrow(|slot| slot.as_ref().map(|current| current.identity.clone()))
+}
+
+/// Whether the program on this thread writes such a record; without a program, from `info` up.
+pub(crate) fn allows(level: Level, target: &str) -> bool {
+    CURRENT.with_borrow(|slot| match slot {
+        Some(current) => current.filter.allows(level, target),
+        None => LevelFilter::MoreSevereEqual(Level::Info).test(level),
+    })
+}
+
+fn describe(recorder: &PrometheusRecorder) {
+    for metric in metric::ALL {
+        let meaning = SharedString::const_str(metric.meaning);
+        match metric.kind {
+            Kind::Counter => recorder.describe_counter(metric.name.into(), None, meaning),
+            Kind::Gauge => recorder.describe_gauge(metric.name.into(), None, meaning),
+            Kind::Histogram => recorder.describe_histogram(metric.name.into(), None, meaning),
+        }
+    }
+}
--- a/crates/runtime/src/stop.rs
+++ b/crates/runtime/src/stop.rs
@@ -1,11 +1,16 @@
 //! Tells a process to stop, from a signal or from another thread.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
 use std::time::Duration;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+const DUMP_POLL_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Times that SIGUSR1 arrived.
+static DUMPS_ASKED: AtomicUsize = AtomicUsize::new(0);
+
 /// How far a process was asked to stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Level {
@@ -26,6 +31,8 @@
 impl Stop {
     /// A stop that SIGTERM and SIGINT raise: the first gracefully, the second at once.
     ///
+    /// SIGUSR1 then asks every program of the process for a dump of its state.
+    ///
     /// # Errors
     ///
     /// Fails when the system refuses the signal handlers.
@@ -40,6 +47,9 @@
             };
             register(signal, raise)?;
         }
+        register(signal_hook::consts::SIGUSR1, || {
+            DUMPS_ASKED.fetch_add(1, Ordering::SeqCst);
+        })?;
         Ok(stop)
     }
 
@@ -65,8 +75,43 @@
     }
 }
 
+impl Stop {
+    /// Waits for a graceful stop, then makes it an immediate one once `drain` has passed.
+    pub async fn limit_drain(&self, drain: Duration) {
+        self.wait(Level::Graceful).await;
+        monoio::time::sleep(drain).await;
+        self.raise(Level::Immediate);
+    }
+}
+
+/// Waits for SIGUSR1, in each program of a process on its own.
+#[derive(Debug)]
+pub struct DumpSignal {
+    seen: usize,
+}
+
+impl Default for DumpSignal {
+    fn default() -> Self {
+        Self { seen: DUMPS_ASKED.load(Ordering::SeqCst) }
+    }
+}
+
+impl DumpSignal {
+    /// Waits until a dump is asked for; signals that arrive meanwhile count once.
+    pub async fn wait(&mut self) {
+        loop {
+            let asked = DUMPS_ASKED.load(Ordering::SeqCst);
+            if asked != self.seen {
+                self.seen = asked;
+                return;
+            }
+            monoio::time::sleep(DUMP_POLL_INTERVAL).await;
+        }
+    }
+}
+
 #[allow(unsafe_code)]
 fn register(signal: i32, action: impl Fn() + Sync + Send + 'static) -> std::io::Result<()> {
-    // SAFETY: the action only touches an atomic, which is safe within a signal handler.
+    // SAFETY: the actions only touch atomics, which is safe within a signal handler.
     unsafe { signal_hook::low_level::register(signal, action) }.map(|_| ())
 }
