Resolve fleet defaults and exceptions in one pure function

Cause: operators steer the fleet by defaults and a short list of exceptions; every process has to come to the same values from the same text.

Change: core::fleet reads, checks, prints and resolves the configuration. An exception needs an identifier, a condition, an override and a reason; it may end by itself at a stored time. For each key the narrowest matching exception wins, by a rule that the module states in full.

512 random configurations resolve as a naive reading of the rule does and survive a print and a parse; arbitrary text never panics; ten refusals are checked word for word.

--- /dev/null
+++ b/crates/core/src/fleet/config.rs
@@ -0,0 +1,119 @@
+//! The whole configuration.
+
+use super::{Exception, Subject, Values};
+use crate::ini::{Document, Fault, Result};
+use serde::{Deserialize, Serialize};
+use std::path::Path;
+
+/// Defaults and exceptions in the order of the text.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Config {
+    /// Values where no exception matches.
+    pub defaults: Values,
+    /// The exceptions.
+    pub exceptions: Vec<Exception>,
+}
+
+impl Config {
+    /// The largest text, bytes; the store holds no larger values.
+    pub const TEXT_BYTES: usize = 512 * 1024;
+    /// The most exceptions.
+    pub const EXCEPTIONS: usize = 1_000;
+
+    /// Reads and checks the file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Names the file, the line and the remedy.
+    pub fn load(path: &Path) -> Result<Self> {
+        Self::read(&Document::load(path)?)
+    }
+
+    /// Reads and checks `text`; `file` is the name that messages carry.
+    ///
+    /// # Errors
+    ///
+    /// Names the file, the line and the remedy.
+    pub fn parse(file: &str, text: &str) -> Result<Self> {
+        let document = Document::parse(file, text)?;
+        if text.len() > Self::TEXT_BYTES {
+            let message = format!("the text has {} bytes, over {}", text.len(), Self::TEXT_BYTES);
+            let remedy = "remove exceptions that are no longer needed".to_owned();
+            return Err(document.error(1, Fault::Conflict { message, remedy }));
+        }
+        Self::read(&document)
+    }
+
+    /// Prints a text that [`Config::parse`] reads back.
+    pub fn print(&self) -> String {
+        let mut text = Values::TABLE.print(&self.defaults);
+        for exception in &self.exceptions {
+            text.push('\n');
+            text.push_str(&exception.print());
+        }
+        text
+    }
+
+    /// The values for `subject` at `unix_now_s`, in seconds since 1970.
+    ///
+    /// The module's documentation has the rule. The result depends on the arguments alone, so
+    /// every process comes to the same values.
+    pub fn resolve(&self, subject: &Subject<'_>, unix_now_s: u64) -> Values {
+        let mut matching: Vec<&Exception> = self
+            .exceptions
+            .iter()
+            .filter(|exception| exception.is_in_force(unix_now_s))
+            .filter(|exception| exception.condition.matches(subject))
+            .collect();
+        // The sort is stable, so that a later exception of the same rank is applied later.
+        matching.sort_by_key(|exception| exception.condition.rank());
+        let mut values = self.defaults.clone();
+        for exception in matching {
+            exception.apply(&mut values);
+        }
+        values
+    }
+
+    /// The exception with this identifier.
+    pub fn exception(&self, id: &str) -> Option<&Exception> {
+        self.exceptions.iter().find(|exception| &*exception.id == id)
+    }
+
+    fn read(document: &Document) -> Result<Self> {
+        let mut config = Self::default();
+        for section in &document.sections {
+            let name = section.name.as_str();
+            if name == "defaults" {
+                for entry in &section.entries {
+                    Values::TABLE
+                        .read_entry(name, entry, &mut config.defaults)
+                        .map_err(|fault| document.error(entry.line, fault))?;
+                }
+                continue;
+            }
+            let Some(id) = exception_id(name) else {
+                let fault = Fault::unknown_section(name, ["defaults", "exception ID"]);
+                return Err(document.error(section.line, fault));
+            };
+            let exception = Exception::read(document, section, id)?;
+            if config.exception(&exception.id).is_some() {
+                let message = format!("exception `{}` stands twice", exception.id);
+                let remedy = "give each its own identifier".to_owned();
+                return Err(document.error(section.line, Fault::Conflict { message, remedy }));
+            }
+            config.exceptions.push(exception);
+        }
+        if config.exceptions.len() > Self::EXCEPTIONS {
+            let message = format!("there are {} exceptions", config.exceptions.len());
+            let remedy = format!("keep at most {}", Self::EXCEPTIONS);
+            return Err(document.error(1, Fault::Conflict { message, remedy }));
+        }
+        Ok(config)
+    }
+}
+
+fn exception_id(section: &str) -> Option<&str> {
+    let id = section.strip_prefix(Exception::SECTION)?;
+    id.starts_with(char::is_whitespace).then(|| id.trim())
+}
--- /dev/null
+++ b/crates/core/src/fleet/mod.rs
@@ -0,0 +1,40 @@
+//! Defaults and exceptions that hold in the whole fleet.
+//!
+//! The configuration is one INI text. `[defaults]` gives values for everything; each
+//! `[exception ID]` overrides some of them where its conditions match:
+//!
+//! ```text
+//! [defaults]
+//! reserve = 25%
+//!
+//! [exception rush-piedmont]
+//! domain = piedmont
+//! reserve = 50%
+//! reason = phone quotes double on Fridays
+//! author = anna
+//! expires = 2026-12-31T18:00:00Z
+//! ```
+//!
+//! [`Config::resolve`] gives the values for a domain, worker, kind and caller. For each key, of
+//! the exceptions that match, are in force and give the key:
+//!
+//! 1. the one with more conditions wins;
+//! 2. of those with as many, one that names a worker goes before one that names a caller, then
+//!    one that names a kind, then one that names a domain;
+//! 3. of those that name the same, the one that stands later in the text wins.
+//!
+//! An exception whose expiry has passed is ignored; it ends without a change of the text.
+
+mod condition;
+mod config;
+mod exception;
+mod subject;
+mod values;
+
+pub use condition::Condition;
+pub use config::Config;
+pub use exception::Exception;
+pub use subject::Subject;
+pub use values::Values;
+
+pub(crate) use exception::push_reference;
--- a/crates/core/src/ini/fault.rs
+++ b/crates/core/src/ini/fault.rs
@@ -1,5 +1,8 @@
 //! What can be wrong in an INI text.
 
+/// How many letters a misspelt key may differ from the one that is suggested.
+const SUGGESTION_DISTANCE: usize = 2;
+
 /// A fault whose message names the values at hand and the remedy.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Fault {
@@ -88,3 +91,47 @@
         remedy: String,
     },
 }
+
+impl Fault {
+    /// A section that is none of `known`.
+    pub fn unknown_section<'a>(name: &str, known: impl IntoIterator<Item = &'a str>) -> Self {
+        Self::UnknownSection { name: name.to_owned(), known: quoted(known) }
+    }
+
+    /// A key that is none of `known`; suggests the nearest.
+    pub fn unknown_key<'a>(
+        section: &str,
+        name: &str,
+        known: impl Iterator<Item = &'a str> + Clone,
+    ) -> Self {
+        let nearest = known.clone().min_by_key(|key| distance(key, name));
+        let hint = match nearest {
+            Some(key) if distance(key, name) <= SUGGESTION_DISTANCE => {
+                format!("did you mean `{key}`?")
+            }
+            _ => format!("use one of {}", quoted(known)),
+        };
+        Self::UnknownKey { name: name.to_owned(), section: section.to_owned(), hint }
+    }
+}
+
+fn quoted<'a>(names: impl IntoIterator<Item = &'a str>) -> String {
+    let quoted: Vec<_> = names.into_iter().map(|name| format!("`{name}`")).collect();
+    quoted.join(", ")
+}
+
+/// The number of single-character edits between two words.
+fn distance(left: &str, right: &str) -> usize {
+    let right: Vec<char> = right.chars().collect();
+    let mut row: Vec<usize> = (0..=right.len()).collect();
+    for (i, a) in left.chars().enumerate() {
+        let mut diagonal = row[0];
+        row[0] = i + 1;
+        for (j, b) in right.iter().enumerate() {
+            let substituted = diagonal + usize::from(a != *b);
+            diagonal = row[j + 1];
+            row[j + 1] = substituted.min(row[j] + 1).min(diagonal + 1);
+        }
+    }
+    row[right.len()]
+}
--- a/crates/core/src/ini/key.rs
+++ b/crates/core/src/ini/key.rs
@@ -19,6 +19,8 @@
     pub read: fn(&mut T, &str) -> Result<(), Fault>,
     /// Prints the value of its field.
     pub print: fn(&T) -> String,
+    /// Copies its field from the first to the second.
+    pub copy: fn(&T, &mut T),
 }
 
 /// Makes a [`Key`] for a field, or for a field of a field.
@@ -44,6 +46,7 @@
                 Ok(())
             },
             print: |target| <$codec as $crate::ini::codec::Codec>::print(&target.$($path)+),
+            copy: |from, to| to.$($path)+.clone_from(&from.$($path)+),
         }
     };
     (@ $section:literal, $name:ident, [$($path:tt)+], $codec:ty, $meaning:literal, $range:expr) => {
@@ -59,6 +62,7 @@
                 Ok(())
             },
             print: |target| <$codec as $crate::ini::codec::Codec>::print(&target.$($path)+),
+            copy: |from, to| to.$($path)+.clone_from(&from.$($path)+),
         }
     };
 }
--- a/crates/core/src/ini/table.rs
+++ b/crates/core/src/ini/table.rs
@@ -2,9 +2,6 @@
 
 use super::{Document, Entry, Fault, Key, Result, Section};
 
-/// How many letters a misspelt key may differ from the one that is suggested.
-const SUGGESTION_DISTANCE: usize = 2;
-
 /// The keys of a file, in the order of its reference page.
 #[derive(Debug)]
 pub struct Table<T: 'static> {
@@ -50,8 +47,7 @@
 
     fn read_section(&self, document: &Document, section: &Section, target: &mut T) -> Result<()> {
         if !self.sections().contains(&section.name.as_str()) {
-            let known = quoted(self.sections());
-            let fault = Fault::UnknownSection { name: section.name.clone(), known };
+            let fault = Fault::unknown_section(&section.name, self.sections());
             return Err(document.error(section.line, fault));
         }
         for entry in &section.entries {
@@ -72,43 +68,19 @@
         entry: &Entry,
         target: &mut T,
     ) -> std::result::Result<(), Fault> {
-        let mut keys = self.keys.iter().filter(|key| key.section == section);
-        let Some(key) = keys.find(|key| key.name == entry.key) else {
-            return Err(self.unknown_key(section, &entry.key));
+        let Some(key) = self.key(section, &entry.key) else {
+            return Err(Fault::unknown_key(section, &entry.key, self.names(section)));
         };
         (key.read)(target, &entry.value)
     }
 
-    fn unknown_key(&self, section: &str, name: &str) -> Fault {
-        let known = self.keys.iter().filter(|key| key.section == section).map(|key| key.name);
-        let nearest = known.clone().min_by_key(|key| distance(key, name));
-        let hint = match nearest {
-            Some(key) if distance(key, name) <= SUGGESTION_DISTANCE => {
-                format!("did you mean `{key}`?")
-            }
-            _ => format!("use one of {}", quoted(known)),
-        };
-        Fault::UnknownKey { name: name.to_owned(), section: section.to_owned(), hint }
+    /// The key with this name in this section.
+    pub fn key(&self, section: &str, name: &str) -> Option<&'static Key<T>> {
+        self.keys.iter().find(|key| key.section == section && key.name == name)
     }
-}
 
-fn quoted<'a>(names: impl IntoIterator<Item = &'a str>) -> String {
-    let quoted: Vec<_> = names.into_iter().map(|name| format!("`{name}`")).collect();
-    quoted.join(", ")
-}
-
-/// The number of single-character edits between two words.
-fn distance(left: &str, right: &str) -> usize {
-    let right: Vec<char> = right.chars().collect();
-    let mut row: Vec<usize> = (0..=right.len()).collect();
-    for (i, a) in left.chars().enumerate() {
-        let mut diagonal = row[0];
-        row[0] = i + 1;
-        for (j, b) in right.iter().enumerate() {
-            let substituted = diagonal + usize::from(a != *b);
-            diagonal = row[j + 1];
-            row[j + 1] = substituted.min(row[j] + 1).min(diagonal + 1);
-        }
+    /// The names of the keys of a section.
+    pub fn names(&self, section: &str) -> impl Iterator<Item = &'static str> + Clone {
+        self.keys.iter().filter(move |key| key.section == section).map(|key| key.name)
     }
-    row[right.len()]
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,12 +8,14 @@
 //! - [`class`]: the three classes of work.
 //! - [`outcome`]: what is known of a request after it was answered.
 //! - [`problem`]: errors as callers see them, with their remedies.
+//! - [`fleet`]: defaults and exceptions that hold in the whole fleet.
 //! - [`ini`]: INI documents with line numbers, and typed keys over them.
 //! - [`metric`]: the metrics that the processes record.
 //! - [`settings`]: how each process runs.
 //! - [`job`]: batch jobs, from submission to their last state.
 
 pub mod class;
+pub mod fleet;
 pub mod ini;
 pub mod job;
 pub mod metric;
--- a/crates/core/src/settings/reference.rs
+++ b/crates/core/src/settings/reference.rs
@@ -1,6 +1,7 @@
 //! The reference page of settings, made from the tables of keys.
 
 use super::{agent, entry, standin};
+use crate::fleet;
 use crate::ini::{Key, Table};
 
 /// The page as Markdown.
@@ -15,6 +16,12 @@
     push(&mut page, "shallotflow-entry", &entry::Settings::TABLE);
     push(&mut page, "shallotflow-agent", &agent::Settings::TABLE);
     push(&mut page, "shallotflow-standin", &standin::Settings::TABLE);
+    push(&mut page, "Fleet configuration", &fleet::Values::TABLE);
+    page.push_str(
+        "\n### `[exception ID]`\n\nAn exception also takes every key of `[defaults]`. It needs a \
+         reason, a condition\n(`domain`, `worker`, `kind` or `caller`) and an override.\n\n",
+    );
+    fleet::push_reference(&mut page);
     page
 }
 
--- /dev/null
+++ b/crates/core/tests/fleet.rs
@@ -0,0 +1,184 @@
+//! The fleet configuration: resolution, round trips and refusals.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use shallotflow_core::fleet::{Condition, Config, Exception, Subject, Values};
+use shallotflow_core::name::Name;
+use std::time::Duration;
+use test_case::test_case;
+
+const NAMES: [&str; 3] = ["a", "b", "c"];
+const KEYS: [&str; 4] = ["reserve", "batch", "watch_cap", "quota_slots"];
+
+#[test_case(
+    "[exception x]\nworker = w\nbatch = false",
+    "fleet.ini:1: section `exception x` has no `reason`; add a line `reason = …`"
+)]
+#[test_case("[exception x]\nworker = w\nbatch = false\nreason =", "fleet.ini:1: section `exception x` has no `reason`; add a line `reason = …`"; "an empty reason")]
+#[test_case(
+    "[exception x]\nreason = r\nbatch = false",
+    "fleet.ini:1: exception `x` matches everything; add `domain`, `worker`, `kind` or `caller`, or change the defaults"
+)]
+#[test_case(
+    "[exception x]\nworker = w\nreason = r",
+    "fleet.ini:1: exception `x` overrides nothing; add a key of the defaults"
+)]
+#[test_case(
+    "[defaults]\n[exception x]\nworkr = w",
+    "fleet.ini:3: key `workr` is unknown in section `exception x`; did you mean `worker`?"
+)]
+#[test_case(
+    "[exception x y]\nworker = w",
+    "fleet.ini:1: `x y` is not a name of at most 100 letters, digits, `-`, `_` and `.`; correct the value of `exception`"
+)]
+#[test_case(
+    "[exceptions]",
+    "fleet.ini:1: section `exceptions` is unknown; use one of `defaults`, `exception ID`"
+)]
+#[test_case(
+    "[defaults]\nreserve = 101%",
+    "fleet.ini:2: `101%` is out of range for `reserve`; use a value from 0% to 100%"
+)]
+#[test_case(
+    "[exception  x]\nworker=w\nbatch=true\nreason=r\n[exception x]\nworker=w\nbatch=true\nreason=r",
+    "fleet.ini:5: exception `x` stands twice; give each its own identifier"
+)]
+#[test_case(
+    "[exception x]\nexpires = tomorrow",
+    "fleet.ini:2: `tomorrow` is not a time in UTC, such as `2026-12-31T18:00:00Z`; correct the value of `expires`"
+)]
+fn refuses_with_place_and_remedy(text: &str, message: &str) {
+    let error = Config::parse("fleet.ini", text).expect_err("an invalid configuration");
+    assert_eq!(error.to_string(), message);
+}
+
+#[test]
+fn narrower_conditions_win_and_expired_ones_end() {
+    let text = "[defaults]\nreserve = 10%\n\
+                [exception both]\ndomain = d\nkind = k\nreserve = 40%\nreason = r\n\
+                [exception worker]\nworker = w\nreserve = 30%\nreason = r\n\
+                [exception domain]\ndomain = d\nreserve = 20%\nbatch = false\nreason = r\n\
+                expires = 2026-12-31T18:00:00Z\n";
+    let config = Config::parse("fleet.ini", text).expect("a valid configuration");
+    let expiry = config.exceptions[2].expires_unix_s.expect("an expiry");
+    assert_eq!(expiry, 1_798_740_000);
+    let reserve = |subject: Subject<'_>, now| config.resolve(&subject, now).reserve;
+    let place = Subject { domain: "d", worker: "w", ..Subject::default() };
+    assert_eq!(reserve(Subject { kind: "k", ..place }, 0), 400);
+    assert_eq!(reserve(place, 0), 300);
+    let domain = Subject { worker: "other", ..place };
+    assert_eq!(reserve(domain, expiry - 1), 200);
+    assert_eq!(reserve(domain, expiry), 100);
+    assert!(config.resolve(&domain, expiry).batch);
+}
+
+fn name() -> impl Strategy<Value = Name> {
+    proptest::sample::select(&NAMES).prop_map(Into::into)
+}
+
+fn condition() -> impl Strategy<Value = Condition> {
+    let maybe = || proptest::option::of(name());
+    (maybe(), maybe(), maybe(), maybe())
+        .prop_map(|(domain, worker, kind, caller)| Condition { domain, worker, kind, caller })
+        .prop_filter("a condition names something", |condition| !condition.is_empty())
+}
+
+fn values() -> impl Strategy<Value = Values> {
+    let ranges = (0..=1000_u32, any::<bool>(), 0..100_u32, proptest::option::of(0..9_u32));
+    (ranges, 1..100_000_u64).prop_map(|((reserve, batch, watch_cap, quota_slots), ms)| Values {
+        reserve,
+        batch,
+        watch_cap,
+        quota_slots,
+        quick_deadline: Duration::from_millis(ms),
+        ..Values::default()
+    })
+}
+
+fn config() -> impl Strategy<Value = Config> {
+    let keys = proptest::sample::subsequence(&KEYS, 1..=KEYS.len());
+    let expiry = proptest::option::of(0..20_u64);
+    let exception = (condition(), values(), keys, expiry, "[a-z;#=\\[\\]]{1,9}");
+    let exceptions = proptest::collection::vec(exception, 0..8);
+    (values(), exceptions).prop_map(|(defaults, drafts)| {
+        let exceptions = drafts.into_iter().enumerate().map(|(index, draft)| {
+            let (condition, all, keys, expires_unix_s, reason) = draft;
+            // Only overridden keys are written, so the others keep their built-in values.
+            let mut values = Values::default();
+            for key in &keys {
+                match *key {
+                    "reserve" => values.reserve = all.reserve,
+                    "batch" => values.batch = all.batch,
+                    "watch_cap" => values.watch_cap = all.watch_cap,
+                    _ => values.quota_slots = all.quota_slots,
+                }
+            }
+            Exception {
+                id: format!("e{index}").into(),
+                condition,
+                overrides: keys.into_iter().map(Into::into).collect(),
+                values,
+                reason: reason.as_str().into(),
+                author: None,
+                expires_unix_s,
+            }
+        });
+        Config { defaults, exceptions: exceptions.collect() }
+    })
+}
+
+/// Ranks by the documented rule, key by key, without sorting.
+fn naive_reserve(config: &Config, subject: &Subject<'_>, now: u64) -> u32 {
+    let mut best: Option<(Vec<bool>, u32)> = None;
+    for exception in &config.exceptions {
+        let Condition { domain, worker, kind, caller } = &exception.condition;
+        let pairs = [
+            (worker, subject.worker),
+            (caller, subject.caller),
+            (kind, subject.kind),
+            (domain, subject.domain),
+        ];
+        let matches = pairs.iter().all(|(want, is)| want.as_deref().is_none_or(|w| w == *is));
+        let ended = exception.expires_unix_s.is_some_and(|expires| expires <= now);
+        if !matches || ended || !exception.overrides.contains(&"reserve".into()) {
+            continue;
+        }
+        let given: Vec<bool> = pairs.iter().map(|(want, _)| want.is_some()).collect();
+        let count = |given: &[bool]| given.iter().filter(|given| **given).count();
+        let wins = best.as_ref().is_none_or(|(other, _)| {
+            count(&given) > count(other) || (count(&given) == count(other) && given >= *other)
+        });
+        if wins {
+            best = Some((given, exception.values.reserve));
+        }
+    }
+    best.map_or(config.defaults.reserve, |(_, reserve)| reserve)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(7), failure_persistence: None, cases: 512, ..Default::default()
+    })]
+
+    #[test]
+    fn resolves_like_the_naive_rule(config in config(), names in [name(), name(), name(), name()], now in 0..20_u64) {
+        let [domain, worker, kind, caller] = &names;
+        let subject = Subject { domain, worker, kind, caller };
+        let resolved = config.resolve(&subject, now).reserve;
+        prop_assert_eq!(resolved, naive_reserve(&config, &subject, now));
+    }
+
+    #[test]
+    fn printed_text_reads_back(config in config()) {
+        let printed = config.print();
+        let parsed = Config::parse("printed", &printed);
+        prop_assert_eq!(parsed.as_ref(), Ok(&config), "{}", printed);
+    }
+
+    #[test]
+    fn arbitrary_text_never_panics(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+        let text = String::from_utf8_lossy(&bytes);
+        let _ = Config::parse("any", &text);
+        let _ = Config::parse("any", &format!("[exception x]\nexpires={text}\nreserve={text}%"));
+    }
+}
