Keep every process at the highest configuration revision

Cause: an accepted configuration has to be in force everywhere and never revert, also where a process starts while the store is down.

Change: policy::spread holds the revision in force, its text, and what was heard of. A text comes in force only when newer and valid; a refused one keeps the last good one and is not fetched again.

The property test runs entries, agents and a store under lost and reordered reports, restarts and outages. Its first run found that an entry which had refused revision 2 did not want revision 1 that others had in force; refused revisions no longer count as heard of.

--- /dev/null
+++ b/crates/policy/src/spread/offer.rs
@@ -0,0 +1,14 @@
+//! What became of a text.
+
+use super::Refusal;
+
+/// The outcome of [`super::State::offer`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Offer {
+    /// The text is in force now.
+    InForce,
+    /// A text of this or a higher revision is in force already.
+    Known,
+    /// The text is not valid; the one in force stays.
+    Refused(Refusal),
+}
--- /dev/null
+++ b/crates/policy/src/spread/state.rs
@@ -0,0 +1,103 @@
+//! The configuration of one process.
+
+use super::{Offer, Refusal};
+use shallotflow_core::fleet::Config;
+use shallotflow_core::name::Name;
+use std::sync::Arc;
+
+/// The file name in messages about a text that came from another process.
+const SOURCE: &str = "fleet.ini";
+/// How many refused revisions are remembered, so that they are not fetched again.
+const REFUSALS_KEPT: usize = 16;
+
+/// The revision in force, its text, and the highest revision heard of that was not refused.
+///
+/// Revision 0 is the built-in configuration with an empty text.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct State {
+    revision: u64,
+    text: Name,
+    config: Arc<Config>,
+    heard: u64,
+    refusals: Vec<Refusal>,
+}
+
+impl State {
+    /// The revision in force; never goes down.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// The text in force.
+    pub fn text(&self) -> &Name {
+        &self.text
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> &Arc<Config> {
+        &self.config
+    }
+
+    /// The newest text that was refused, if it is newer than the one in force.
+    pub fn refusal(&self) -> Option<&Refusal> {
+        self.refusals.iter().max_by_key(|refusal| refusal.revision)
+    }
+
+    /// Notes that another process has `revision` in force.
+    pub fn hear(&mut self, revision: u64) {
+        if !self.is_refused(revision) {
+            self.heard = self.heard.max(revision);
+        }
+    }
+
+    /// Whether a newer text than the one in force is known to exist and was not refused.
+    pub fn wants(&self) -> bool {
+        self.heard > self.revision
+    }
+
+    /// Puts `text` in force, if it is newer and valid.
+    ///
+    /// Revision 0 is the built-in configuration and never replaces anything.
+    pub fn offer(&mut self, revision: u64, text: &str) -> Offer {
+        if revision <= self.revision {
+            return Offer::Known;
+        }
+        match Config::parse(SOURCE, text) {
+            Ok(config) => {
+                self.accept(revision, text, config);
+                Offer::InForce
+            }
+            Err(error) => {
+                let refusal = Refusal { revision, reason: error.to_string() };
+                self.refuse(refusal.clone());
+                Offer::Refused(refusal)
+            }
+        }
+    }
+
+    fn accept(&mut self, revision: u64, text: &str, config: Config) {
+        self.revision = revision;
+        self.text = text.into();
+        self.config = Arc::new(config);
+        self.heard = self.heard.max(revision);
+        self.refusals.retain(|refusal| refusal.revision > revision);
+    }
+
+    fn refuse(&mut self, refusal: Refusal) {
+        if self.is_refused(refusal.revision) {
+            return;
+        }
+        if self.heard == refusal.revision {
+            // Lower revisions that others have in force are heard of again with their next message.
+            self.heard = self.revision;
+        }
+        if self.refusals.len() == REFUSALS_KEPT {
+            self.refusals.remove(0);
+        }
+        self.refusals.push(refusal);
+    }
+
+    fn is_refused(&self, revision: u64) -> bool {
+        self.refusals.iter().any(|refusal| refusal.revision == revision)
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/spread.rs
@@ -0,0 +1,195 @@
+//! Spread of the configuration under lost and reordered messages, restarts and store outages.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use shallotflow_policy::spread::{Offer, State};
+
+const ENTRIES: usize = 3;
+const AGENTS: usize = 4;
+
+/// What an agent sends to an entry.
+#[derive(Clone, Debug)]
+struct Report {
+    agent: usize,
+    entry: usize,
+    revision: u64,
+    text: Option<String>,
+}
+
+/// One step of the world; indices are taken modulo what there is.
+#[derive(Clone, Debug)]
+enum Step {
+    /// The operator writes a text, which may be invalid.
+    Write { valid: bool },
+    /// The store comes or goes.
+    Store { up: bool },
+    /// An entry reads the store, if it is up.
+    Watch(usize),
+    /// An agent sends a report, which waits in the network.
+    Send(usize, usize),
+    /// A waiting report is delivered, in any order.
+    Deliver(usize),
+    /// A waiting report is lost.
+    Lose(usize),
+    /// An agent fetches from an entry, if it wants to.
+    Fetch(usize, usize),
+    /// An entry restarts with nothing.
+    RestartEntry(usize),
+    /// An agent restarts with nothing.
+    RestartAgent(usize),
+}
+
+#[derive(Default)]
+struct World {
+    store_down: bool,
+    /// Every text ever written; its revision is its position plus one.
+    written: Vec<String>,
+    entries: [State; ENTRIES],
+    agents: [State; AGENTS],
+    /// For each agent, whether each entry asked for its text.
+    asked: [[bool; ENTRIES]; AGENTS],
+    network: Vec<Report>,
+}
+
+impl World {
+    fn run(&mut self, step: &Step) {
+        match *step {
+            Step::Write { valid: true } => {
+                self.written.push(format!("[defaults]\nwatch_cap = {}\n", self.written.len()));
+            }
+            Step::Write { valid: false } => self.written.push("[default]\n".to_owned()),
+            Step::Store { up } => self.store_down = !up,
+            Step::Watch(entry) => self.watch(entry % ENTRIES),
+            Step::Send(agent, entry) => self.send(agent % AGENTS, entry % ENTRIES),
+            Step::Deliver(index) => self.deliver(index),
+            Step::Lose(index) => {
+                if !self.network.is_empty() {
+                    self.network.swap_remove(index % self.network.len());
+                }
+            }
+            Step::Fetch(agent, entry) => self.fetch(agent % AGENTS, entry % ENTRIES),
+            Step::RestartEntry(entry) => self.entries[entry % ENTRIES] = State::default(),
+            Step::RestartAgent(agent) => self.agents[agent % AGENTS] = State::default(),
+        }
+    }
+
+    fn watch(&mut self, entry: usize) {
+        if let (false, Some(text)) = (self.store_down, self.written.last()) {
+            self.entries[entry].offer(self.written.len() as u64, text);
+        }
+    }
+
+    fn send(&mut self, agent: usize, entry: usize) {
+        let state = &self.agents[agent];
+        let text = self.asked[agent][entry].then(|| state.text().to_string());
+        let revision = state.revision();
+        self.network.push(Report { agent, entry, revision, text });
+    }
+
+    fn deliver(&mut self, index: usize) {
+        if self.network.is_empty() {
+            return;
+        }
+        let report = self.network.swap_remove(index % self.network.len());
+        let entry = &mut self.entries[report.entry];
+        entry.hear(report.revision);
+        if let Some(text) = &report.text {
+            entry.offer(report.revision, text);
+        }
+        self.asked[report.agent][report.entry] = entry.wants();
+        let revision = entry.revision();
+        self.agents[report.agent].hear(revision);
+    }
+
+    fn fetch(&mut self, agent: usize, entry: usize) {
+        if self.agents[agent].wants() {
+            let (revision, text) = (self.entries[entry].revision(), self.entries[entry].text());
+            self.agents[agent].offer(revision, text);
+        }
+    }
+
+    fn states(&self) -> impl Iterator<Item = &State> {
+        self.entries.iter().chain(&self.agents)
+    }
+
+    /// Lets every message through for long enough.
+    fn settle(&mut self) {
+        self.network.clear();
+        for _ in 0..3 {
+            for agent in 0..AGENTS {
+                for entry in 0..ENTRIES {
+                    self.send(agent, entry);
+                    self.deliver(0);
+                    self.fetch(agent, entry);
+                }
+            }
+        }
+    }
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let index = || 0..12_usize;
+    prop_oneof![
+        1 => Just(Step::Write { valid: true }),
+        1 => Just(Step::Write { valid: false }),
+        1 => any::<bool>().prop_map(|up| Step::Store { up }),
+        3 => index().prop_map(Step::Watch),
+        6 => (index(), index()).prop_map(|(agent, entry)| Step::Send(agent, entry)),
+        6 => index().prop_map(Step::Deliver),
+        1 => index().prop_map(Step::Lose),
+        3 => (index(), index()).prop_map(|(agent, entry)| Step::Fetch(agent, entry)),
+        1 => index().prop_map(Step::RestartEntry),
+        1 => index().prop_map(Step::RestartAgent),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(11), failure_persistence: None, cases: 256, ..Default::default()
+    })]
+
+    #[test]
+    fn a_revision_in_force_never_goes_down(steps in proptest::collection::vec(step(), 1..200)) {
+        let mut world = World::default();
+        for step in &steps {
+            let before: Vec<u64> = world.states().map(State::revision).collect();
+            world.run(step);
+            for (index, state) in world.states().enumerate() {
+                let restarted = match *step {
+                    Step::RestartEntry(entry) => index == entry % ENTRIES,
+                    Step::RestartAgent(agent) => index == ENTRIES + agent % AGENTS,
+                    _ => false,
+                };
+                prop_assert!(restarted || state.revision() >= before[index], "{step:?}");
+                let written = state.revision().checked_sub(1).map(|at| &*world.written[at as usize]);
+                prop_assert_eq!(&**state.text(), written.unwrap_or_default());
+            }
+        }
+        // With the store down for good, the processes agree on the highest revision among them.
+        world.store_down = true;
+        let highest = world.states().map(State::revision).max().unwrap_or_default();
+        world.settle();
+        for state in world.states() {
+            prop_assert_eq!(state.revision(), highest);
+        }
+    }
+}
+
+#[test]
+fn a_refused_text_keeps_the_last_good_one_and_is_not_fetched_again() {
+    let mut state = State::default();
+    assert_eq!(state.offer(3, "[defaults]\nbatch = false\n"), Offer::InForce);
+    let Offer::Refused(refusal) = state.offer(5, "[defaults]\nbatch = no\n") else {
+        panic!("an invalid text is refused");
+    };
+    assert!(refusal.to_string().contains("fleet.ini:2: `no` is not `true` or `false`"));
+    assert!(!state.config().defaults.batch);
+    assert_eq!((state.revision(), state.wants()), (3, false));
+    assert_eq!(state.offer(4, "[defaults]\nbatch = true\n"), Offer::InForce);
+    assert!(state.refusal().is_some(), "revision 5 is still refused");
+    state.hear(6);
+    assert!(state.wants());
+    assert_eq!(state.offer(6, ""), Offer::InForce);
+    assert_eq!(state.refusal(), None);
+    assert_eq!(state.offer(6, "[defaults]\nbatch = false\n"), Offer::Known);
+}
