Add the store's trait, its etcd v3 client and a stand-in with faults

Cause: batch jobs, ownership and configuration need the platform's store, and tests need one whose outages, delays, lost answers and lapsed leases can be brought about. Change: the trait with typed results (not applied, unavailable, unknown, lease gone); a client that fails over between endpoints and tries a write elsewhere only when it was surely not sent; an in-memory stand-in that counts calls and bytes. Conclusion: seven tests over TCP cover compare-and-swap, prefix reads, lost answers, frozen and dead endpoints, lapsed leases and a watch opened anew.

--- a/crates/codegen/src/lib.rs
+++ b/crates/codegen/src/lib.rs
@@ -15,8 +15,10 @@
 }
 
 /// Every schema of the workspace.
-pub const SCHEMAS: &[Schema] =
-    &[Schema { directory: "wire/proto", input: "shallotflow.proto", output: "wire/src/generated" }];
+pub const SCHEMAS: &[Schema] = &[
+    Schema { directory: "wire/proto", input: "shallotflow.proto", output: "wire/src/generated" },
+    Schema { directory: "store/proto", input: "rpc.proto", output: "store/src/generated" },
+];
 
 /// Writes the code of `schema` into `out`.
 ///
--- /dev/null
+++ b/crates/standin/src/store/mod.rs
@@ -0,0 +1,90 @@
+//! A stand-in of the platform's store: in memory, with faults that are set while it runs.
+//!
+//! - [`Faults`]: outages, delays and lost answers.
+//! - [`Counters`]: what was asked of the store.
+//! - [`Table`]: the pairs, their history and the leases.
+//! - [`Server`]: the gRPC interface over a table.
+
+mod counters;
+mod faults;
+mod server;
+mod table;
+
+pub use counters::{Counters, Reading};
+pub use faults::Faults;
+pub use server::Server;
+pub use table::Table;
+
+use event_listener::Event;
+use http::Request;
+use shallotflow_store::proto::etcdserverpb as rpc;
+use std::rc::Rc;
+use std::time::Duration;
+use tonic::body::Body;
+use tower_service::Service;
+
+/// How often ended leases are looked for when nobody calls.
+const LEASE_INTERVAL: Duration = Duration::from_millis(50);
+/// The largest message that the store takes, bytes.
+const MESSAGE_LIMIT: usize = 64 * 1024 * 1024;
+
+/// Serves `server` on `listener` until `stop` is notified.
+pub async fn serve(listener: monoio::net::TcpListener, server: Server, stop: Rc<Event>) {
+    let stopped = stop.listen();
+    let router = Router::new(&server);
+    let expiring = async {
+        loop {
+            monoio::time::sleep(LEASE_INTERVAL).await;
+            server.expire();
+        }
+    };
+    monoio::select! {
+        _ = stopped => {}
+        () = expiring => {}
+        () = shallotflow_wire::rpc::serve(listener, router, stop.clone()) => {}
+    }
+    server.close();
+}
+
+/// Sends each call to the service that its path names.
+#[derive(Clone)]
+struct Router {
+    kv: rpc::kv_server::KvServer<Server>,
+    lease: rpc::lease_server::LeaseServer<Server>,
+    watch: rpc::watch_server::WatchServer<Server>,
+}
+
+impl Router {
+    fn new(server: &Server) -> Self {
+        Self {
+            kv: rpc::kv_server::KvServer::new(server.clone())
+                .max_decoding_message_size(MESSAGE_LIMIT),
+            lease: rpc::lease_server::LeaseServer::new(server.clone()),
+            watch: rpc::watch_server::WatchServer::new(server.clone()),
+        }
+    }
+}
+
+impl Service<Request<Body>> for Router {
+    type Response = http::Response<Body>;
+    type Error = std::convert::Infallible;
+    type Future = futures_util::future::BoxFuture<'static, Result<Self::Response, Self::Error>>;
+
+    fn poll_ready(
+        &mut self,
+        _: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Result<(), Self::Error>> {
+        std::task::Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, request: Request<Body>) -> Self::Future {
+        let path = request.uri().path();
+        if path.starts_with("/etcdserverpb.Lease/") {
+            return self.lease.call(request);
+        }
+        if path.starts_with("/etcdserverpb.Watch/") {
+            return self.watch.call(request);
+        }
+        self.kv.call(request)
+    }
+}
--- /dev/null
+++ b/crates/store/src/client/mod.rs
@@ -0,0 +1,205 @@
+//! The store's trait over the gRPC interface of etcd v3.
+
+mod convert;
+mod settings;
+mod stream;
+
+pub use settings::Settings;
+
+use crate::error::{Error, Result};
+use crate::pair::Pair;
+use crate::proto::etcdserverpb as rpc;
+use crate::store::{Snapshot, Store};
+use crate::transaction::Transaction;
+use crate::watch::Watch;
+use async_trait::async_trait;
+use futures_util::StreamExt;
+use rpc::kv_client::KvClient;
+use rpc::lease_client::LeaseClient;
+use rpc::watch_client::WatchClient;
+use shallotflow_wire::rpc::Channel;
+use std::cell::Cell;
+use std::time::Duration;
+use tonic::{Code, Response, Status};
+
+/// The largest message that the client takes from the store, bytes.
+const MESSAGE_LIMIT: usize = 64 * 1024 * 1024;
+
+/// A client of the store; keeps one connection to each endpoint.
+pub struct Client {
+    settings: Settings,
+    channels: Vec<Channel>,
+    current: Cell<usize>,
+}
+
+impl Client {
+    /// A client of the endpoints in `settings`; connects on the first call.
+    pub fn new(settings: Settings) -> Self {
+        let channels = settings.endpoints.iter().copied().map(Channel::new).collect();
+        Self { settings, channels, current: Cell::new(0) }
+    }
+
+    /// Calls endpoints in turn until one takes the call; a call that may have been applied is
+    /// tried elsewhere only if `repeatable`.
+    async fn call<T>(
+        &self,
+        repeatable: bool,
+        send: impl AsyncFn(Channel) -> std::result::Result<Response<T>, Status>,
+    ) -> Result<T> {
+        let mut last = Error::Unavailable { reason: "no endpoint is configured".to_owned() };
+        for _ in 0..self.channels.len() {
+            let channel = self.channels[self.current.get()].clone();
+            match self.attempt(&channel, &send).await {
+                Ok(reply) => return Ok(reply),
+                Err(error @ Error::Unavailable { .. }) => last = error,
+                Err(error @ Error::Unknown { .. }) if repeatable => last = error,
+                Err(error @ Error::Unknown { .. }) => {
+                    self.advance();
+                    return Err(error);
+                }
+                Err(error) => return Err(error),
+            }
+            self.advance();
+        }
+        Err(last)
+    }
+
+    async fn attempt<T>(
+        &self,
+        channel: &Channel,
+        send: &impl AsyncFn(Channel) -> std::result::Result<Response<T>, Status>,
+    ) -> Result<T> {
+        let limit = self.settings.call_timeout;
+        let Ok(reply) = monoio::time::timeout(limit, send(channel.clone())).await else {
+            channel.reset();
+            return Err(Error::timed_out(limit));
+        };
+        reply.map(Response::into_inner).map_err(|status| classify(&status))
+    }
+
+    fn advance(&self) {
+        self.current.set((self.current.get() + 1) % self.channels.len().max(1));
+    }
+
+    async fn fetch(&self, request: rpc::RangeRequest) -> Result<rpc::RangeResponse> {
+        self.call(true, async |channel| kv(channel).range(request.clone()).await).await
+    }
+}
+
+#[async_trait(?Send)]
+impl Store for Client {
+    async fn get(&self, key: &str) -> Result<Option<Pair>> {
+        let request = rpc::RangeRequest { key: key.into(), ..Default::default() };
+        let reply = self.fetch(request).await?;
+        Ok(reply.kvs.into_iter().next().map(convert::pair))
+    }
+
+    async fn range(&self, prefix: &str) -> Result<Snapshot> {
+        let range_end = convert::prefix_end(prefix);
+        let request = rpc::RangeRequest { key: prefix.into(), range_end, ..Default::default() };
+        let reply = self.fetch(request).await?;
+        let revision = convert::revision(reply.header.as_ref());
+        Ok(Snapshot { pairs: reply.kvs.into_iter().map(convert::pair).collect(), revision })
+    }
+
+    async fn commit(&self, transaction: Transaction) -> Result<i64> {
+        let key = transaction.compares.first().map_or("", |compare| compare.key()).to_owned();
+        let lease = convert::lease(&transaction);
+        let request = convert::transaction(transaction);
+        let reply = self.call(false, async |channel| kv(channel).txn(request.clone()).await).await;
+        let reply = reply.map_err(|error| match error {
+            Error::LeaseGone { .. } => Error::LeaseGone { id: lease },
+            other => other,
+        })?;
+        if !reply.succeeded {
+            return Err(Error::NotApplied { key });
+        }
+        Ok(convert::revision(reply.header.as_ref()))
+    }
+
+    async fn grant(&self, ttl: Duration) -> Result<i64> {
+        let seconds = i64::try_from(ttl.as_millis().div_ceil(1_000)).unwrap_or(i64::MAX);
+        let request = rpc::LeaseGrantRequest { ttl: seconds, id: 0 };
+        let reply =
+            self.call(true, async |channel| lease(channel).lease_grant(request).await).await?;
+        Ok(reply.id)
+    }
+
+    async fn keep_alive(&self, id: i64) -> Result<()> {
+        let request = rpc::LeaseKeepAliveRequest { id };
+        let reply = self
+            .call(true, async |channel| {
+                let requests = futures_util::stream::iter([request]);
+                let reply = lease(channel).lease_keep_alive(requests).await?;
+                let first = reply.into_inner().next().await;
+                let missing = || Status::unavailable("the keep-alive stream ended early");
+                first.ok_or_else(missing)?.map(Response::new)
+            })
+            .await?;
+        if reply.ttl <= 0 {
+            return Err(Error::LeaseGone { id });
+        }
+        Ok(())
+    }
+
+    async fn revoke(&self, id: i64) -> Result<()> {
+        let request = rpc::LeaseRevokeRequest { id };
+        let reply =
+            self.call(true, async |channel| lease(channel).lease_revoke(request).await).await;
+        match reply {
+            Ok(_) | Err(Error::LeaseGone { .. }) => Ok(()),
+            Err(error) => Err(error),
+        }
+    }
+
+    async fn watch(&self, prefix: &str, revision: i64) -> Result<Box<dyn Watch>> {
+        let range_end = convert::prefix_end(prefix);
+        let create =
+            rpc::WatchCreateRequest { key: prefix.into(), range_end, start_revision: revision };
+        let reply = self
+            .call(true, async |channel| {
+                let requests = stream::requests(create.clone());
+                watch(channel).watch(requests).await
+            })
+            .await?;
+        Ok(Box::new(stream::Stream::new(reply, revision)))
+    }
+}
+
+fn kv(channel: Channel) -> KvClient<Channel> {
+    let origin = channel.origin();
+    KvClient::with_origin(channel, origin)
+        .max_decoding_message_size(MESSAGE_LIMIT)
+        .max_encoding_message_size(MESSAGE_LIMIT)
+}
+
+fn lease(channel: Channel) -> LeaseClient<Channel> {
+    let origin = channel.origin();
+    LeaseClient::with_origin(channel, origin)
+}
+
+fn watch(channel: Channel) -> WatchClient<Channel> {
+    let origin = channel.origin();
+    WatchClient::with_origin(channel, origin).max_decoding_message_size(MESSAGE_LIMIT)
+}
+
+/// What a failed call says about its effect.
+fn classify(status: &Status) -> Error {
+    let reason = status.message().to_owned();
+    let carried = std::error::Error::source(status)
+        .and_then(|source| source.downcast_ref::<shallotflow_wire::rpc::Error>());
+    if let Some(shallotflow_wire::rpc::Error::Connect { .. }) = carried {
+        return Error::Unavailable { reason };
+    }
+    match status.code() {
+        Code::NotFound => Error::LeaseGone { id: 0 },
+        Code::InvalidArgument
+        | Code::OutOfRange
+        | Code::PermissionDenied
+        | Code::Unauthenticated
+        | Code::Unimplemented
+        | Code::FailedPrecondition => Error::Rejected { reason },
+        Code::ResourceExhausted => Error::Unavailable { reason },
+        _ => Error::Unknown { reason },
+    }
+}
