Serve callers, agents and jobs at an entry

Cause: nothing served requests yet. Change: routing and membership tables in the policy crate; an entry that routes quick requests over HTTP to the targets that report to it, with a retry budget, and hands batch calls to the Batch trait. Without a store batch work is refused as not run. Bodies of known length can now be made piece by piece, and resource bundles are read from text.

--- a/crates/core/src/resources.rs
+++ b/crates/core/src/resources.rs
@@ -1,6 +1,33 @@
 //! What a task needs and what a worker can hold.
 
 use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::str::FromStr;
+
+/// Why a text is not a bundle.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// A part has no equals sign.
+    #[error("{0:?} is not of the form name=amount; write slots=1 for instance")]
+    NotAPair(String),
+    /// A part names no resource.
+    #[error("{0:?} is no resource; use slots, connections, millicores, memory_mib or accelerators")]
+    UnknownResource(String),
+    /// An amount is not a whole number in range.
+    #[error("amount {amount:?} of {resource} is not a whole number below 2^32; correct it")]
+    BadAmount {
+        /// The resource.
+        resource: String,
+        /// The amount as given.
+        amount: String,
+    },
+    /// A resource is given twice.
+    #[error("{0:?} is given more than once; give each resource once")]
+    Repeated(String),
+}
+
+/// The result of reading a bundle.
+pub type Result<T> = std::result::Result<T, Error>;
 
 /// Amounts of each resource, as a need or as a capacity.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -48,6 +75,17 @@
         *self == Self::default()
     }
 
+    fn field(&mut self, resource: &str) -> Option<&mut u32> {
+        match resource {
+            "slots" => Some(&mut self.slots),
+            "connections" => Some(&mut self.connections),
+            "millicores" => Some(&mut self.millicores),
+            "memory_mib" => Some(&mut self.memory_mib),
+            "accelerators" => Some(&mut self.accelerators),
+            _ => None,
+        }
+    }
+
     fn zip(&self, other: &Self, op: impl Fn(u32, u32) -> u32) -> Self {
         Self {
             slots: op(self.slots, other.slots),
@@ -58,3 +96,36 @@
         }
     }
 }
+
+impl FromStr for Bundle {
+    type Err = Error;
+
+    /// Reads `slots=1,memory_mib=64`; what is not named is zero.
+    fn from_str(text: &str) -> Result<Self> {
+        let mut bundle = Self::default();
+        let mut seen = Vec::new();
+        for part in text.split(',') {
+            let (resource, amount) =
+                part.trim().split_once('=').ok_or_else(|| Error::NotAPair(part.to_owned()))?;
+            let unknown = || Error::UnknownResource(resource.to_owned());
+            let field = bundle.field(resource).ok_or_else(unknown)?;
+            *field = amount.parse().map_err(|_| Error::BadAmount {
+                resource: resource.to_owned(),
+                amount: amount.to_owned(),
+            })?;
+            if seen.contains(&resource) {
+                return Err(Error::Repeated(resource.to_owned()));
+            }
+            seen.push(resource);
+        }
+        Ok(bundle)
+    }
+}
+
+impl fmt::Display for Bundle {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { slots, connections, millicores, memory_mib, accelerators } = self;
+        write!(f, "slots={slots},connections={connections},millicores={millicores},")?;
+        write!(f, "memory_mib={memory_mib},accelerators={accelerators}")
+    }
+}
--- /dev/null
+++ b/crates/entry/src/callers/front.rs
@@ -0,0 +1,134 @@
+//! Takes callers' requests apart by path and method.
+
+use super::{Ask, answer, ask, header, jobs};
+use crate::quick::{self, Payload};
+use crate::state::State;
+use futures_util::future::LocalBoxFuture;
+use http::{HeaderValue, Method, Request, Response, request};
+use shallotflow_core::class::Class;
+use shallotflow_core::name::Name;
+use shallotflow_core::problem::{Code, Problem};
+use shallotflow_wire::http as transport;
+use shallotflow_wire::http::body::Body;
+use shallotflow_wire::http::server::Handler;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+const RETRY_AFTER_S: u32 = 1;
+
+/// Answers callers.
+pub struct Front {
+    state: Rc<State>,
+}
+
+/// What a path names.
+enum Route {
+    Run(Name),
+    Jobs,
+    Job(Name),
+}
+
+impl Front {
+    /// A front over the tables of an entry.
+    pub fn new(state: Rc<State>) -> Self {
+        Self { state }
+    }
+}
+
+impl Handler for Front {
+    fn call(
+        &self,
+        request: Request<Body>,
+        _: SocketAddr,
+    ) -> LocalBoxFuture<'static, Response<Body>> {
+        Box::pin(respond(self.state.clone(), request))
+    }
+
+    fn refuse(&self, error: &transport::Error) -> Response<Body> {
+        let code = match error {
+            transport::Error::HeadTooLarge(_) => Code::HeadTooLarge,
+            transport::Error::BodyTooLarge(_) => Code::BodyTooLarge,
+            transport::Error::Slow => Code::SlowCaller,
+            _ => Code::Malformed,
+        };
+        answer::problem(&Problem::not_run(code, error.to_string()))
+    }
+
+    fn overloaded(&self) -> Response<Body> {
+        let detail = "this entry has as many connections as it may have";
+        answer::problem(&Problem::not_run(Code::Overloaded, detail).retry_after(RETRY_AFTER_S))
+    }
+}
+
+async fn respond(state: Rc<State>, request: Request<Body>) -> Response<Body> {
+    let (head, body) = request.into_parts();
+    let ask = match Ask::read(&head.headers, state.settings.longest_deadline) {
+        Ok(ask) => ask,
+        Err(error) => return answer::problem(&error.problem()),
+    };
+    let id = ask.id.clone().unwrap_or_else(|| state.next_request_id());
+    let mut response = route(state, &id, ask, head, body).await;
+    if let Ok(value) = HeaderValue::from_str(&id) {
+        response.headers_mut().insert(header::REQUEST_ID, value);
+    }
+    response
+}
+
+async fn route(
+    state: Rc<State>,
+    id: &Name,
+    ask: Ask,
+    head: request::Parts,
+    body: Body,
+) -> Response<Body> {
+    match (parse(head.uri.path()), &head.method) {
+        (Ok(Route::Run(kind)), &Method::POST) => run(state, id, kind, ask, head, body).await,
+        (Ok(Route::Run(_)), _) => not_allowed(&head.method, "POST"),
+        (Ok(Route::Jobs), &Method::POST) => jobs::submit(&state, &ask, &head.headers, body).await,
+        (Ok(Route::Jobs), _) => not_allowed(&head.method, "POST"),
+        (Ok(Route::Job(job)), &Method::GET) => jobs::read(&state, job).await,
+        (Ok(Route::Job(job)), &Method::DELETE) => jobs::cancel(&state, job).await,
+        (Ok(Route::Job(_)), _) => not_allowed(&head.method, "GET, DELETE"),
+        (Err(problem), _) => answer::problem(&problem),
+    }
+}
+
+async fn run(
+    state: Rc<State>,
+    id: &Name,
+    kind: Name,
+    ask: Ask,
+    head: request::Parts,
+    body: Body,
+) -> Response<Body> {
+    let within = ask.within.unwrap_or(match ask.class {
+        Class::Watch => state.settings.longest_deadline,
+        Class::Quick | Class::Batch => state.settings.default_deadline,
+    });
+    let deadline = state.now().after(within);
+    let payload = match Payload::read(body).await {
+        Ok(payload) => payload,
+        Err(error) => return answer::problem(&quick::caller_problem(&error)),
+    };
+    let request = quick::Request { id: id.clone(), kind, ask, deadline, head, payload };
+    quick::dispatch(state, request).await
+}
+
+fn parse(path: &str) -> Result<Route, Problem> {
+    let mut segments = path.split('/').skip(1);
+    let route = match (segments.next(), segments.next(), segments.next()) {
+        (Some("run"), Some(kind), None) => ask::is_name(kind).then(|| Route::Run(kind.into())),
+        (Some("jobs"), None, None) => Some(Route::Jobs),
+        (Some("jobs"), Some(job), None) => jobs::is_id(job).then(|| Route::Job(job.into())),
+        _ => None,
+    };
+    let detail =
+        || format!("path {:?} names nothing here", path.chars().take(200).collect::<String>());
+    route.ok_or_else(|| Problem::not_run(Code::NotFound, detail()))
+}
+
+fn not_allowed(method: &Method, allowed: &'static str) -> Response<Body> {
+    let detail = format!("method {method} is not accepted on this path; use {allowed}");
+    let problem = Problem::not_run(Code::MethodNotAllowed, detail);
+    answer::allow(answer::problem(&problem), allowed)
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,3 +1,27 @@
 //! The entry: takes callers' requests, routes quick work and owns batch ledgers.
+//!
+//! - [`callers`]: the callers' HTTP interface.
+//! - [`quick`]: quick requests and watchers on their way to an agent and back.
+//! - [`batch`]: batch jobs, in the ledgers of this entry or of another.
+//! - [`peers`]: the `tonic` service for agents and other entries.
+//! - [`operators`]: liveness and readiness for operators.
+//! - [`state`]: the tables that these share.
+//! - [`tick`]: the systems that run over the tables each tick.
+//!
+//! [`run`] puts them together; a process or a test calls it with its [`Settings`].
 
 pub mod batch;
+pub mod bound;
+pub mod callers;
+pub mod operators;
+pub mod peers;
+pub mod quick;
+pub mod state;
+pub mod tick;
+pub mod unavailable;
+
+mod serve;
+
+pub use bound::Bound;
+pub use serve::run;
+pub use shallotflow_core::settings::entry::Settings;
--- /dev/null
+++ b/crates/entry/src/state.rs
@@ -0,0 +1,93 @@
+//! The tables that the parts of an entry share.
+
+use crate::Settings;
+use crate::batch::Batch;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use shallotflow_core::name::Name;
+use shallotflow_core::time::{Clock, Monotonic, Time};
+use shallotflow_policy::{member, retry, route};
+use shallotflow_wire::http::gate::Gate;
+use shallotflow_wire::http::limits::Limits;
+use shallotflow_wire::http::pool::Pool;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Idle connections are closed here before the agent closes them.
+const POOL_IDLE: Duration = Duration::from_secs(30);
+const POOL_PER_TARGET: usize = 64;
+
+/// The tables of an entry.
+pub struct State {
+    /// How the entry runs.
+    pub settings: Settings,
+    /// Batch work.
+    pub batch: Rc<dyn Batch>,
+    /// Targets as the choice sees them.
+    pub routes: RefCell<route::Table>,
+    /// Targets as they announced themselves.
+    pub members: RefCell<member::Table>,
+    /// The budget for retries.
+    pub retries: RefCell<retry::Budget>,
+    /// Random choices.
+    pub rng: RefCell<SmallRng>,
+    /// Connections to agents.
+    pub pool: Pool,
+    /// Callers' exchanges in progress.
+    pub gate: Gate,
+    /// Addresses of the live entries' peers, this one's included.
+    pub entries: RefCell<Vec<SocketAddr>>,
+    leaving: Cell<bool>,
+    requests: Cell<u64>,
+    started: Time,
+    clock: Monotonic,
+}
+
+impl State {
+    /// The state of an entry that knows no target yet.
+    pub fn new(settings: Settings, batch: Rc<dyn Batch>) -> Self {
+        let members = member::Settings { beat: settings.beat, ..member::Settings::default() };
+        let routes = route::Table::new(route::Settings::default(), settings.domain.clone());
+        let limits = Limits { idle: POOL_IDLE, ..Limits::default() };
+        Self {
+            batch,
+            routes: RefCell::new(routes),
+            members: RefCell::new(member::Table::new(members)),
+            retries: RefCell::new(retry::Budget::new(retry::Settings::default())),
+            rng: RefCell::new(SmallRng::seed_from_u64(settings.seed)),
+            pool: Pool::new(limits, CONNECT_TIMEOUT, POOL_PER_TARGET),
+            gate: Gate::default(),
+            entries: RefCell::default(),
+            leaving: Cell::new(false),
+            requests: Cell::new(0),
+            started: Monotonic.now(),
+            clock: Monotonic,
+            settings,
+        }
+    }
+
+    /// The current time.
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// Whether the entry is leaving and asks balancers to stop choosing it.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
+    /// Marks the entry as leaving.
+    pub fn leave(&self) {
+        self.leaving.set(true);
+    }
+
+    /// A new identifier for a request, unique among the entries' names.
+    pub fn next_request_id(&self) -> Name {
+        let number = self.requests.get() + 1;
+        self.requests.set(number);
+        format!("{}-{}-{number}", self.settings.name, self.started.as_micros()).into()
+    }
+}
--- /dev/null
+++ b/crates/policy/src/route/id.rs
@@ -0,0 +1,10 @@
+//! Identifies a target within a table.
+
+use serde::{Deserialize, Serialize};
+
+/// A place in the table; a place that is used again gets another generation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Id {
+    pub(super) index: u32,
+    pub(super) generation: u32,
+}
--- /dev/null
+++ b/crates/policy/src/route/table.rs
@@ -0,0 +1,431 @@
+//! The table of targets.
+
+use super::kind::{Kind, Membership};
+use super::row::{Cost, Row};
+use super::{Choice, Id, Load, Settings, Wish};
+use foldhash::{HashMap, HashMapExt};
+use rand::Rng;
+use rand::rngs::SmallRng;
+use shallotflow_core::class::Class;
+use shallotflow_core::name::Name;
+use std::net::SocketAddr;
+
+/// A target as it announces itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// The worker.
+    pub worker: Name,
+    /// Its failure domain.
+    pub domain: Name,
+    /// Where its agent takes requests.
+    pub address: SocketAddr,
+    /// The kinds that it serves.
+    pub kinds: Vec<Name>,
+}
+
+/// What the choice does not read.
+#[derive(Debug)]
+struct Place {
+    target: Target,
+    memberships: Vec<Membership>,
+    leaving: bool,
+    ejected: bool,
+}
+
+impl Place {
+    fn is_eligible(&self) -> bool {
+        !self.leaving && !self.ejected
+    }
+}
+
+/// The targets of an entry, in columns indexed by kind.
+#[derive(Debug)]
+pub struct Table {
+    settings: Settings,
+    domain: u32,
+    domains: Vec<Name>,
+    rows: Vec<Row>,
+    places: Vec<Option<Place>>,
+    free: Vec<u32>,
+    by_worker: HashMap<Name, u32>,
+    kinds: Vec<Kind>,
+    free_kinds: Vec<usize>,
+    by_kind: HashMap<Name, usize>,
+}
+
+impl Table {
+    /// An empty table of an entry in `domain`.
+    pub fn new(settings: Settings, domain: Name) -> Self {
+        Self {
+            settings,
+            domain: 0,
+            domains: vec![domain],
+            rows: Vec::new(),
+            places: Vec::new(),
+            free: Vec::new(),
+            by_worker: HashMap::new(),
+            kinds: Vec::new(),
+            free_kinds: Vec::new(),
+            by_kind: HashMap::new(),
+        }
+    }
+
+    /// The number of targets.
+    pub fn len(&self) -> usize {
+        self.by_worker.len()
+    }
+
+    /// Whether there is no target.
+    pub fn is_empty(&self) -> bool {
+        self.by_worker.is_empty()
+    }
+
+    /// The targets in no order.
+    pub fn ids(&self) -> impl Iterator<Item = Id> + '_ {
+        self.by_worker.values().map(|&index| self.id(index))
+    }
+
+    /// The target of `worker`.
+    pub fn find(&self, worker: &str) -> Option<Id> {
+        self.by_worker.get(worker).map(|&index| self.id(index))
+    }
+
+    /// The target at `id`, unless it is gone.
+    pub fn target(&self, id: Id) -> Option<&Target> {
+        self.place(id).map(|place| &place.target)
+    }
+
+    /// The last load of the target at `id`.
+    pub fn load(&self, id: Id) -> Option<Load> {
+        self.row(id).map(|row| row.load)
+    }
+
+    /// Quick requests that this entry has sent to `id` and that are not answered.
+    pub fn outstanding(&self, id: Id) -> u32 {
+        self.row(id).map_or(0, |row| row.outstanding)
+    }
+
+    /// Whether the target at `id` may be chosen.
+    pub fn is_eligible(&self, id: Id) -> bool {
+        self.place(id).is_some_and(Place::is_eligible)
+    }
+
+    /// How many targets announce `kind`, eligible or not.
+    pub fn members(&self, kind: &str) -> usize {
+        self.by_kind.get(kind).map_or(0, |&kind| self.kinds[kind].members)
+    }
+
+    /// Adds a target, or replaces what the target of the same worker announced before.
+    ///
+    /// Counts of outstanding requests survive while the address stays the same.
+    pub fn announce(&mut self, target: Target) -> Id {
+        if let Some(id) = self.find(&target.worker) {
+            if self.target(id) == Some(&target) {
+                return id;
+            }
+            let same_address = self.target(id).is_some_and(|old| old.address == target.address);
+            if same_address {
+                self.rename(id, target);
+                return id;
+            }
+            self.remove(id);
+        }
+        self.insert(target)
+    }
+
+    /// Removes a target; answers that are still to come are ignored.
+    pub fn remove(&mut self, id: Id) {
+        if self.place(id).is_none() {
+            return;
+        }
+        self.leave_kinds(id.index);
+        let Some(place) = self.places[id.index as usize].take() else { return };
+        self.by_worker.remove(&place.target.worker);
+        let row = &mut self.rows[id.index as usize];
+        *row = Row { generation: row.generation.wrapping_add(1), ..Row::default() };
+        self.free.push(id.index);
+    }
+
+    /// Sets whether a target is leaving; a leaving target is never chosen.
+    pub fn set_leaving(&mut self, id: Id, leaving: bool) {
+        self.change(id, |place| place.leaving = leaving);
+    }
+
+    /// Sets whether a target is set aside; such a target is never chosen.
+    pub fn set_ejected(&mut self, id: Id, ejected: bool) {
+        self.change(id, |place| place.ejected = ejected);
+    }
+
+    /// Whether a target is set aside.
+    pub fn is_ejected(&self, id: Id) -> bool {
+        self.place(id).is_some_and(|place| place.ejected)
+    }
+
+    /// Whether a target is leaving.
+    pub fn is_leaving(&self, id: Id) -> bool {
+        self.place(id).is_some_and(|place| place.leaving)
+    }
+
+    /// Sets whether a target gets one request at a time.
+    pub fn set_probing(&mut self, id: Id, probing: bool) {
+        if let Some(row) = self.row_mut(id) {
+            row.probing = probing;
+        }
+    }
+
+    /// Takes the load that came with an answer or a report.
+    pub fn observe(&mut self, id: Id, load: Load) {
+        if let Some(row) = self.row_mut(id) {
+            row.observe(load);
+        }
+    }
+
+    /// Takes the number of watchers that a target holds.
+    pub fn observe_watchers(&mut self, id: Id, present: u32) {
+        if let Some(row) = self.row_mut(id) {
+            row.observe_watchers(present);
+        }
+    }
+
+    /// Counts a request that is being sent.
+    pub fn sent(&mut self, id: Id, class: Class) {
+        let Some(row) = self.row_mut(id) else { return };
+        match class {
+            Class::Watch => row.watchers += 1,
+            Class::Quick | Class::Batch => row.outstanding += 1,
+        }
+    }
+
+    /// Counts a request whose answer is complete or given up.
+    pub fn answered(&mut self, id: Id, class: Class) {
+        let Some(row) = self.row_mut(id) else { return };
+        match class {
+            Class::Watch => row.watchers = row.watchers.saturating_sub(1),
+            Class::Quick | Class::Batch => row.outstanding = row.outstanding.saturating_sub(1),
+        }
+    }
+
+    /// Takes the result of a request for the failure rate.
+    pub fn record(&mut self, id: Id, failed: bool) {
+        if let Some(row) = self.row_mut(id) {
+            row.record(failed);
+        }
+    }
+
+    /// Chooses a target; `None` when every target of the kind is gone, set aside or tried.
+    pub fn choose(&self, wish: &Wish<'_>, rng: &mut SmallRng) -> Option<Choice> {
+        let kind = &self.kinds[*self.by_kind.get(wish.kind)?];
+        let eligible = &kind.eligible;
+        if eligible.len() <= wish.tried.len() + 1 {
+            return self.choose_of_few(eligible, wish);
+        }
+        let mut best: Option<(u32, Cost)> = None;
+        for _ in 0..self.settings.pairs.max(1) {
+            for _ in 0..2 {
+                let index = eligible[rng.random_range(0..eligible.len())];
+                best = self.better(best, index, wish);
+            }
+            if best.is_some_and(|(_, cost)| cost.wait_us == 0) {
+                break;
+            }
+        }
+        // Every draw hit a target that was tried or that is proving itself.
+        let best = best.or_else(|| self.first_untried(eligible, wish, rng));
+        best.map(|(index, cost)| self.choice(index, cost))
+    }
+
+    fn choose_of_few(&self, eligible: &[u32], wish: &Wish<'_>) -> Option<Choice> {
+        let best = eligible.iter().fold(None, |best, &index| self.better(best, index, wish));
+        best.map(|(index, cost)| self.choice(index, cost))
+    }
+
+    fn first_untried(
+        &self,
+        eligible: &[u32],
+        wish: &Wish<'_>,
+        rng: &mut SmallRng,
+    ) -> Option<(u32, Cost)> {
+        let start = rng.random_range(0..eligible.len());
+        let around = eligible[start..].iter().chain(&eligible[..start]);
+        // Targets on probation are bounded by a share, so few steps suffice.
+        around.map(|&index| self.better(None, index, wish)).find(Option::is_some).flatten()
+    }
+
+    fn better(
+        &self,
+        best: Option<(u32, Cost)>,
+        index: u32,
+        wish: &Wish<'_>,
+    ) -> Option<(u32, Cost)> {
+        let row = &self.rows[index as usize];
+        let busy_probing = row.probing && row.outstanding > 0;
+        if busy_probing || wish.tried.iter().any(|tried| tried.index == index) {
+            return best;
+        }
+        let cost = self.cost(row, wish.class);
+        match best {
+            Some((_, other)) if other.total_us <= cost.total_us => best,
+            _ => Some((index, cost)),
+        }
+    }
+
+    fn cost(&self, row: &Row, class: Class) -> Cost {
+        if class == Class::Watch {
+            return Cost { wait_us: 0, total_us: row.held().into() };
+        }
+        row.cost(row.domain == self.domain, &self.settings)
+    }
+
+    fn choice(&self, index: u32, cost: Cost) -> Choice {
+        Choice { id: self.id(index), wait: cost.wait(), total: cost.total() }
+    }
+
+    fn insert(&mut self, target: Target) -> Id {
+        let index = self.free.pop().unwrap_or_else(|| {
+            self.rows.push(Row::default());
+            self.places.push(None);
+            u32::try_from(self.rows.len() - 1).expect("fewer than 2^32 targets")
+        });
+        let domain = self.intern_domain(&target.domain);
+        let row = &mut self.rows[index as usize];
+        *row = Row { generation: row.generation, domain, ..Row::default() };
+        self.by_worker.insert(target.worker.clone(), index);
+        let place = Place { target, memberships: Vec::new(), leaving: false, ejected: false };
+        self.places[index as usize] = Some(place);
+        self.join_kinds(index);
+        self.id(index)
+    }
+
+    fn rename(&mut self, id: Id, target: Target) {
+        self.leave_kinds(id.index);
+        self.rows[id.index as usize].domain = self.intern_domain(&target.domain);
+        if let Some(place) = self.places[id.index as usize].as_mut() {
+            place.target = target;
+        }
+        self.join_kinds(id.index);
+    }
+
+    fn change(&mut self, id: Id, change: impl FnOnce(&mut Place)) {
+        if self.place(id).is_none() {
+            return;
+        }
+        let Some(place) = self.places[id.index as usize].as_mut() else { return };
+        let before = place.is_eligible();
+        change(place);
+        let after = place.is_eligible();
+        match (before, after) {
+            (true, false) => self.withdraw(id.index),
+            (false, true) => self.offer(id.index),
+            _ => {}
+        }
+    }
+
+    fn join_kinds(&mut self, index: u32) {
+        let Some(place) = self.places[index as usize].as_ref() else { return };
+        let eligible = place.is_eligible();
+        let mut names = place.target.kinds.clone();
+        names.sort_unstable();
+        names.dedup();
+        let kinds: Vec<usize> = names.iter().map(|name| self.intern_kind(name)).collect();
+        for &kind in &kinds {
+            self.kinds[kind].members += 1;
+        }
+        let memberships = kinds.into_iter().map(|kind| Membership { kind, position: 0 }).collect();
+        if let Some(place) = self.places[index as usize].as_mut() {
+            place.memberships = memberships;
+        }
+        if eligible {
+            self.offer(index);
+        }
+    }
+
+    fn leave_kinds(&mut self, index: u32) {
+        let Some(place) = self.places[index as usize].as_ref() else { return };
+        if place.is_eligible() {
+            self.withdraw(index);
+        }
+        let Some(place) = self.places[index as usize].as_mut() else { return };
+        for membership in std::mem::take(&mut place.memberships) {
+            let kind = &mut self.kinds[membership.kind];
+            kind.members -= 1;
+            if kind.members == 0 {
+                self.by_kind.remove(&kind.name);
+                self.free_kinds.push(membership.kind);
+            }
+        }
+    }
+
+    /// Adds a target to the eligible ones of each of its kinds.
+    fn offer(&mut self, index: u32) {
+        let Some(place) = self.places[index as usize].as_mut() else { return };
+        for membership in &mut place.memberships {
+            let eligible = &mut self.kinds[membership.kind].eligible;
+            membership.position = eligible.len();
+            eligible.push(index);
+        }
+    }
+
+    /// Takes a target out of the eligible ones of each of its kinds.
+    fn withdraw(&mut self, index: u32) {
+        let Some(place) = self.places[index as usize].as_ref() else { return };
+        for Membership { kind, position } in place.memberships.clone() {
+            let eligible = &mut self.kinds[kind].eligible;
+            eligible.swap_remove(position);
+            let Some(&moved) = eligible.get(position) else { continue };
+            self.reposition(moved, kind, position);
+        }
+    }
+
+    fn reposition(&mut self, index: u32, kind: usize, position: usize) {
+        let Some(place) = self.places[index as usize].as_mut() else { return };
+        let mut memberships = place.memberships.iter_mut();
+        if let Some(membership) = memberships.find(|membership| membership.kind == kind) {
+            membership.position = position;
+        }
+    }
+
+    fn intern_kind(&mut self, name: &Name) -> usize {
+        if let Some(&kind) = self.by_kind.get(name) {
+            return kind;
+        }
+        let new = Kind { name: name.clone(), eligible: Vec::new(), members: 0 };
+        let kind = match self.free_kinds.pop() {
+            Some(kind) => {
+                self.kinds[kind] = new;
+                kind
+            }
+            None => {
+                self.kinds.push(new);
+                self.kinds.len() - 1
+            }
+        };
+        self.by_kind.insert(name.clone(), kind);
+        kind
+    }
+
+    fn intern_domain(&mut self, name: &Name) -> u32 {
+        let known = self.domains.iter().position(|domain| domain == name);
+        let index = known.unwrap_or_else(|| {
+            self.domains.push(name.clone());
+            self.domains.len() - 1
+        });
+        u32::try_from(index).expect("fewer than 2^32 failure domains")
+    }
+
+    fn id(&self, index: u32) -> Id {
+        Id { index, generation: self.rows[index as usize].generation }
+    }
+
+    fn row(&self, id: Id) -> Option<&Row> {
+        self.rows.get(id.index as usize).filter(|row| row.generation == id.generation)
+    }
+
+    fn row_mut(&mut self, id: Id) -> Option<&mut Row> {
+        self.rows.get_mut(id.index as usize).filter(|row| row.generation == id.generation)
+    }
+
+    fn place(&self, id: Id) -> Option<&Place> {
+        self.row(id)?;
+        self.places[id.index as usize].as_ref()
+    }
+}
--- a/crates/wire/src/http/body.rs
+++ b/crates/wire/src/http/body.rs
@@ -17,6 +17,11 @@
 pub trait Source {
     /// The next piece, `None` at the end.
     fn next(&mut self) -> LocalBoxFuture<'_, Option<Result<Bytes>>>;
+
+    /// The length that is left, when it is known; without it the body is sent in chunks.
+    fn length(&self) -> Option<u64> {
+        None
+    }
 }
 
 /// The body of a request or a response.
@@ -27,7 +32,7 @@
     Full(Bytes),
     /// A body that is being received.
     Incoming(Incoming),
-    /// A body that is being made, sent in chunks.
+    /// A body that is being made.
     Source(Box<dyn Source>),
 }
 
@@ -38,7 +43,7 @@
             Self::Empty => Some(0),
             Self::Full(bytes) => Some(bytes.len() as u64),
             Self::Incoming(incoming) => incoming.length(),
-            Self::Source(_) => None,
+            Self::Source(source) => source.length(),
         }
     }
 
