Follow the fleet configuration at entries

Cause: entries answered reports without a configuration revision, and ran from built-in settings.

Change: entry::config reads and watches the text in the store and takes it from agents' reports while the store is down; the report handler and FetchConfig use it. Metrics are recorded through one recorder of the process that hands on to the program of the calling thread: guards of the metrics library restore each other's recorders when dropped out of order, which two programs on one thread would do.

--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -25,12 +25,15 @@
 //!
 //! An exception whose expiry has passed is ignored; it ends without a change of the text.
 
+mod changes;
 mod condition;
 mod config;
 mod exception;
+pub mod key;
 mod subject;
 mod values;
 
+pub use changes::Changes;
 pub use condition::Condition;
 pub use config::Config;
 pub use exception::Exception;
--- /dev/null
+++ b/crates/entry/src/config/follow.rs
@@ -0,0 +1,54 @@
+//! Follows the configuration in the store.
+
+use super::Keeper;
+use shallotflow_core::fleet::key;
+use shallotflow_store::error::Result;
+use shallotflow_store::pair::Pair;
+use shallotflow_store::store::Store;
+use shallotflow_store::watch::Change;
+use std::rc::Rc;
+use std::time::Duration;
+
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+
+/// Reads and watches the configuration until the future is dropped; after an error it reads anew.
+pub async fn follow(keeper: Rc<Keeper>, store: Rc<dyn Store>) {
+    let mut pause = FIRST_PAUSE;
+    loop {
+        let before = keeper.revision();
+        if let Err(error) = read_and_watch(&keeper, &*store).await {
+            spdlog::warn!("configuration cannot be followed", kv: { error: });
+        }
+        let progressed = keeper.revision() > before;
+        pause = if progressed { FIRST_PAUSE } else { (pause * 2).min(LONGEST_PAUSE) };
+        monoio::time::sleep(pause).await;
+    }
+}
+
+async fn read_and_watch(keeper: &Keeper, store: &dyn Store) -> Result<()> {
+    let snapshot = store.range(key::PREFIX).await?;
+    for pair in &snapshot.pairs {
+        take(keeper, pair);
+    }
+    let mut watch = store.watch(key::PREFIX, snapshot.revision + 1).await?;
+    loop {
+        let update = watch.next().await?;
+        for change in update.changes {
+            match change {
+                Change::Put(pair) => take(keeper, &pair),
+                Change::Delete { key, .. } => {
+                    spdlog::warn!("configuration deleted; the last one stays in force", kv: { key });
+                }
+            }
+        }
+    }
+}
+
+fn take(keeper: &Keeper, pair: &Pair) {
+    if pair.key != key::TEXT {
+        return;
+    }
+    let revision = u64::try_from(pair.mod_revision).unwrap_or_default();
+    keeper.offer(revision, &String::from_utf8_lossy(&pair.value));
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`callers`]: the callers' HTTP interface.
 //! - [`quick`]: quick requests and watchers on their way to an agent and back.
 //! - [`batch`]: batch jobs, in the ledgers of this entry or of another.
+//! - [`config`]: the fleet configuration, from the store or from agents.
 //! - [`peers`]: the `tonic` service for agents and other entries.
 //! - [`operators`]: liveness and readiness for operators.
 //! - [`state`]: the tables that these share.
@@ -13,6 +14,7 @@
 pub mod batch;
 pub mod bound;
 pub mod callers;
+pub mod config;
 pub mod operators;
 pub mod peers;
 pub mod quick;
--- a/crates/entry/src/operators/mod.rs
+++ b/crates/entry/src/operators/mod.rs
@@ -1,39 +1,64 @@
-//! Liveness and readiness for operators.
+//! What an entry tells its operators.
 
 use crate::state::State;
-use futures_util::future::LocalBoxFuture;
-use http::{Request, Response, StatusCode};
-use shallotflow_wire::http::body::Body;
-use shallotflow_wire::http::server::Handler;
-use std::net::SocketAddr;
+use serde_json::{Value, json};
+use shallotflow_runtime::operators::{Inspect, NotReady};
 use std::rc::Rc;
 
-/// Answers operators and the platform's health checks.
-pub struct Front {
+/// The tables of an entry as operators see them.
+pub struct View {
     state: Rc<State>,
 }
 
-impl Front {
-    /// A front over the tables of an entry.
+impl View {
+    /// A view of the tables of an entry.
     pub fn new(state: Rc<State>) -> Self {
         Self { state }
     }
+
+    fn targets(&self) -> Vec<Value> {
+        let now = self.state.now();
+        let members = self.state.members.borrow();
+        let rows = members.iter().map(|member| {
+            let announcement = &member.announcement;
+            let target = &announcement.target;
+            json!({
+                "worker": target.worker,
+                "domain": target.domain,
+                "address": target.address,
+                "kinds": target.kinds,
+                "leaving": announcement.leaving,
+                "incarnation": announcement.incarnation,
+                "sequence": announcement.sequence,
+                "boot": announcement.boot,
+                "capacity": announcement.capacity,
+                "age_ms": now.since(member.heard).as_millis() as u64,
+            })
+        });
+        rows.collect()
+    }
 }
 
-impl Handler for Front {
-    fn call(
-        &self,
-        request: Request<Body>,
-        _: SocketAddr,
-    ) -> LocalBoxFuture<'static, Response<Body>> {
-        let (status, text) = match request.uri().path() {
-            "/healthz" => (StatusCode::OK, "alive"),
-            "/readyz" if self.state.is_leaving() => (StatusCode::SERVICE_UNAVAILABLE, "leaving"),
-            "/readyz" => (StatusCode::OK, "ready"),
-            _ => (StatusCode::NOT_FOUND, "not found"),
-        };
-        let mut response = Response::new(Body::from(text));
-        *response.status_mut() = status;
-        Box::pin(async move { response })
+impl Inspect for View {
+    fn ready(&self) -> Result<(), NotReady> {
+        if self.state.is_leaving() {
+            return Err(NotReady("leaving".to_owned()));
+        }
+        Ok(())
+    }
+
+    fn dump(&self) -> Value {
+        let state = &self.state;
+        json!({
+            "settings": state.settings,
+            "leaving": state.is_leaving(),
+            "exchanges": state.gate.active(),
+            "connections": state.gate.connections(),
+            "idle_connections_to_agents": state.pool.idle(),
+            "entries": *state.entries.borrow(),
+            "config": state.config.dump(),
+            "targets": self.targets(),
+            "batch": state.batch.dump(),
+        })
     }
 }
--- a/crates/entry/src/peers/report.rs
+++ b/crates/entry/src/peers/report.rs
@@ -20,13 +20,14 @@
     let announcement = announcement(&request)?;
     hear(state, announcement, request.load.as_ref())?;
     let sequence = request.sequence;
+    let notice = state.config.hear(request.config_revision, &request.config_text);
     let decision = state.batch.report(Rc::new(request)).await;
     let entries = state.entries.borrow().iter().map(ToString::to_string).collect();
     Ok(proto::ReportReply {
         sequence,
         entries,
-        config_revision: 0,
-        want_config: false,
+        config_revision: notice.revision,
+        want_config: notice.want,
         grants: decision.grants,
         stops: decision.stops,
         settled: decision.settled,
@@ -37,8 +38,8 @@
 }
 
 /// The fleet configuration in force here.
-pub(super) fn config(_: &State) -> proto::ConfigReply {
-    proto::ConfigReply::default()
+pub(super) fn config(state: &State) -> proto::ConfigReply {
+    state.config.fetch()
 }
 
 fn hear(
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -4,13 +4,14 @@
 use crate::bound::Bound;
 use crate::state::State;
 use crate::unavailable::Unavailable;
-use crate::{Settings, callers, operators, peers, tick};
+use crate::{Settings, callers, config, operators, peers, tick};
 use anyhow::Context;
 use event_listener::Event;
 use monoio::net::TcpListener;
+use shallotflow_runtime::operators::Listener;
+use shallotflow_runtime::program::Program;
 use shallotflow_runtime::stop::{Level, Stop};
-use shallotflow_wire::http::gate::Gate;
-use shallotflow_wire::http::limits::Limits;
+use shallotflow_store::client as store;
 use shallotflow_wire::proto::scheduler_server::SchedulerServer;
 use shallotflow_wire::{http, rpc};
 use std::net::SocketAddr;
@@ -26,21 +27,27 @@
 ///
 /// Fails when an address cannot be bound.
 pub async fn run(settings: Settings, stop: Stop, ready: impl FnOnce(Bound)) -> anyhow::Result<()> {
+    let program = Program::new("entry", &settings.name, &settings.log)?;
     let callers = bind(settings.callers_listen, "callers_listen")?;
     let peers = bind(settings.peers_listen, "peers_listen")?;
-    let operators = bind(settings.operators_listen, "operators_listen")?;
+    let listener = Listener::bind(settings.operators_listen)
+        .with_context(|| cannot_bind("operators_listen", settings.operators_listen))?;
     let bound = Bound {
         callers: callers.local_addr()?,
         peers: peers.local_addr()?,
-        operators: operators.local_addr()?,
+        operators: listener.address(),
     };
     let batch: Rc<dyn Batch> = Rc::new(Unavailable);
     let state = Rc::new(State::new(settings, batch));
     state.entries.borrow_mut().push(bound.peers);
     let stop_peers = Rc::new(Event::new());
+    follow_config(&state);
     serve_callers(&state, callers);
     serve_peers(&state, peers, stop_peers.clone());
-    let operators_gate = serve_operators(&state, operators);
+    let view = Rc::new(operators::View::new(state.clone()));
+    let limits = state.settings.limits.clone();
+    let operators_gate = listener.gate();
+    monoio::spawn(listener.serve(program, view, limits, stop.clone()));
     let ticking = monoio::spawn(tick::run(state.clone()));
     spdlog::info!("entry started", kv: {
         callers = bound.callers.to_string(), peers = bound.peers.to_string()
@@ -71,13 +78,26 @@
 }
 
 fn bind(address: SocketAddr, setting: &str) -> anyhow::Result<TcpListener> {
-    TcpListener::bind(address)
-        .with_context(|| format!("{setting} = {address} cannot be bound; choose a free address"))
+    TcpListener::bind(address).with_context(|| cannot_bind(setting, address))
+}
+
+fn cannot_bind(setting: &str, address: SocketAddr) -> String {
+    format!("{setting} = {address} cannot be bound; choose a free address")
+}
+
+fn follow_config(state: &State) {
+    let endpoints = state.settings.store.clone();
+    if endpoints.is_empty() {
+        return;
+    }
+    let settings = store::Settings { endpoints, ..store::Settings::default() };
+    let store = Rc::new(store::Client::new(settings));
+    monoio::spawn(config::follow(state.config.clone(), store));
 }
 
 fn serve_callers(state: &Rc<State>, listener: TcpListener) {
     let front = Rc::new(callers::Front::new(state.clone()));
-    let limits = Limits::default();
+    let limits = state.settings.limits.clone();
     monoio::spawn(http::server::serve(listener, front, limits, state.gate.clone()));
 }
 
@@ -86,10 +106,3 @@
     monoio::spawn(calls.run(state.clone()));
     monoio::spawn(rpc::serve(listener, SchedulerServer::new(service), stop));
 }
-
-fn serve_operators(state: &Rc<State>, listener: TcpListener) -> Gate {
-    let gate = Gate::default();
-    let front = Rc::new(operators::Front::new(state.clone()));
-    monoio::spawn(http::server::serve(listener, front, Limits::default(), gate.clone()));
-    gate
-}
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::Settings;
 use crate::batch::Batch;
+use crate::config::Keeper;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use shallotflow_core::name::Name;
@@ -26,6 +27,8 @@
     pub settings: Settings,
     /// Batch work.
     pub batch: Rc<dyn Batch>,
+    /// The fleet configuration.
+    pub config: Rc<Keeper>,
     /// Targets as the choice sees them.
     pub routes: RefCell<route::Table>,
     /// Targets as they announced themselves.
@@ -54,6 +57,7 @@
         let limits = Limits { idle: POOL_IDLE, ..Limits::default() };
         Self {
             batch,
+            config: Rc::default(),
             routes: RefCell::new(routes),
             members: RefCell::new(member::Table::new(members)),
             retries: RefCell::new(retry::Budget::new(retry::Settings::default())),
--- a/crates/policy/src/spread/mod.rs
+++ b/crates/policy/src/spread/mod.rs
@@ -7,7 +7,8 @@
 //! [`State::hear`]; [`State::wants`] then says that a newer text should be fetched.
 //!
 //! At an entry, for each report: `hear(report.config_revision)`, `offer(report.config_revision,
-//! report.config_text)` when a text came along, then reply with `revision()` and `wants()`.
+//! report.config_text)` when a text came along, then reply with `revision()` and
+//! `wants_text_of(report.config_revision)`.
 //! At an agent, for each reply: `hear(reply.config_revision)`; when `wants()`, call `FetchConfig`
 //! and `offer` its answer; when the reply asks for the text, put `text()` into the next report to
 //! the same entry (the wish is kept for each entry, as another entry may not need it).
--- a/crates/policy/src/spread/state.rs
+++ b/crates/policy/src/spread/state.rs
@@ -55,6 +55,11 @@
         self.heard > self.revision
     }
 
+    /// Whether the text of `revision`, which another process has in force, is wanted here.
+    pub fn wants_text_of(&self, revision: u64) -> bool {
+        revision > self.revision && !self.is_refused(revision)
+    }
+
     /// Puts `text` in force, if it is newer and valid.
     ///
     /// Revision 0 is the built-in configuration and never replaces anything.
--- a/crates/policy/tests/spread.rs
+++ b/crates/policy/tests/spread.rs
@@ -96,7 +96,7 @@
         if let Some(text) = &report.text {
             entry.offer(report.revision, text);
         }
-        self.asked[report.agent][report.entry] = entry.wants();
+        self.asked[report.agent][report.entry] = entry.wants_text_of(report.revision);
         let revision = entry.revision();
         self.agents[report.agent].hear(revision);
     }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -11,14 +11,17 @@
 //!
 //! ```text
 //! let program = Program::new("entry", &settings.name, &settings.log)?;
-//! let _recording = program.record();
 //! let listener = operators::Listener::bind(settings.operators_listen)?;
-//! monoio::spawn(listener.serve(program.clone(), inspect, settings.limits.clone(), stop.clone()));
+//! let operators_gate = listener.gate();
+//! monoio::spawn(listener.serve(program, inspect, settings.limits.clone(), stop.clone()));
 //! ```
+//!
+//! and drains `operators_gate` before it returns. Its `main` is [`process::Process::main`].
 
 pub mod executor;
 pub mod logs;
 pub mod operators;
 pub mod process;
 pub mod program;
+mod recorder;
 pub mod stop;
--- a/crates/runtime/src/operators/listener.rs
+++ b/crates/runtime/src/operators/listener.rs
@@ -15,6 +15,7 @@
 pub struct Listener {
     listener: TcpListener,
     address: SocketAddr,
+    gate: Gate,
 }
 
 impl Listener {
@@ -26,7 +27,7 @@
     pub fn bind(address: SocketAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         let address = listener.local_addr()?;
-        Ok(Self { listener, address })
+        Ok(Self { listener, address, gate: Gate::default() })
     }
 
     /// The bound address.
@@ -34,7 +35,13 @@
         self.address
     }
 
-    /// Answers operators, and dumps to the log on SIGUSR1, until an immediate stop.
+    /// The gate of its connections; the program drains it as the last step of a stop.
+    pub fn gate(&self) -> Gate {
+        self.gate.clone()
+    }
+
+    /// Answers operators, and dumps to the log on SIGUSR1, until its gate drains or an immediate
+    /// stop.
     ///
     /// During a graceful stop it keeps answering, and `/readyz` says that the process leaves.
     pub async fn serve(
@@ -46,7 +53,7 @@
     ) {
         let dumping = dump_on_signal(inspect.clone());
         let handler = Rc::new(Handler { program, inspect, stop: stop.clone() });
-        let serving = server::serve(self.listener, handler, limits, Gate::default());
+        let serving = server::serve(self.listener, handler, limits, self.gate);
         monoio::select! {
             () = serving => {}
             () = dumping => {}
--- a/crates/runtime/src/program.rs
+++ b/crates/runtime/src/program.rs
@@ -1,7 +1,8 @@
 //! The identity, log filter and metrics of one program on its thread.
 
 use crate::logs::{self, Filter};
-use metrics::{LocalRecorderGuard, Recorder, SharedString};
+use crate::recorder;
+use metrics::{Recorder, SharedString};
 use metrics_exporter_prometheus::{
     BuildError, Matcher, PrometheusBuilder, PrometheusHandle, PrometheusRecorder,
 };
@@ -24,6 +25,7 @@
 struct Current {
     identity: Identity,
     filter: Filter,
+    recorder: Rc<PrometheusRecorder>,
 }
 
 /// Which program of which process a log record comes from.
@@ -52,7 +54,7 @@
 /// A program that runs on the current thread; one program a thread.
 ///
 /// Its logs carry its name and its metrics are its own, also where several programs run as
-/// threads of one process.
+/// threads of one process. Of two programs on one thread, the one made later gets both.
 #[derive(Clone)]
 pub struct Program {
     identity: Identity,
@@ -60,7 +62,7 @@
 }
 
 impl Program {
-    /// Names the program on this thread and filters its logs with `filter`.
+    /// Names the program on this thread, filters its logs with `filter` and records its metrics.
     ///
     /// The variable [`logs::FILTER_VARIABLE`] goes before `filter`.
     ///
@@ -69,21 +71,18 @@
     /// Fails when the filter is not valid.
     pub fn new(program: &'static str, name: &Name, filter: &str) -> Result<Self> {
         logs::install();
+        recorder::install();
         let chosen = std::env::var(logs::FILTER_VARIABLE).unwrap_or_else(|_| filter.to_owned());
         let filter = chosen.parse()?;
         let identity = Identity { program, name: name.clone() };
-        let current = Current { identity: identity.clone(), filter };
-        CURRENT.with_borrow_mut(|slot| *slot = Some(current));
         let recorder = PrometheusBuilder::new()
             .set_buckets_for_metric(Matcher::Suffix("_seconds".to_owned()), &SECONDS_BUCKETS)?
             .build_recorder();
         describe(&recorder);
-        Ok(Self { identity, recorder: Rc::new(recorder) })
-    }
-
-    /// Records the metrics of this thread until the guard is dropped.
-    pub fn record(&self) -> LocalRecorderGuard<'_> {
-        metrics::set_default_local_recorder(&*self.recorder)
+        let recorder = Rc::new(recorder);
+        let current = Current { identity: identity.clone(), filter, recorder: recorder.clone() };
+        CURRENT.with_borrow_mut(|slot| *slot = Some(current));
+        Ok(Self { identity, recorder })
     }
 
     /// Renders the metrics.
@@ -98,9 +97,7 @@
 
     /// The log filter in force.
     pub fn filter(&self) -> String {
-        CURRENT.with_borrow(|slot| {
-            slot.as_ref().map(|current| current.filter.as_str().to_owned()).unwrap_or_default()
-        })
+        current(|current| current.filter.as_str().to_owned()).unwrap_or_default()
     }
 
     /// Replaces the log filter.
@@ -119,17 +116,25 @@
     }
 }
 
+/// Reads the program of this thread; `None` without one, or while the thread ends.
+fn current<T>(read: impl FnOnce(&Current) -> T) -> Option<T> {
+    CURRENT.try_with(|slot| slot.try_borrow().ok()?.as_ref().map(read)).ok().flatten()
+}
+
 /// The identity of the program on this thread.
 pub(crate) fn identity() -> Option<Identity> {
-    CURRENT.with_borrow(|slot| slot.as_ref().map(|current| current.identity.clone()))
+    current(|current| current.identity.clone())
 }
 
 /// Whether the program on this thread writes such a record; without a program, from `info` up.
 pub(crate) fn allows(level: Level, target: &str) -> bool {
-    CURRENT.with_borrow(|slot| match slot {
-        Some(current) => current.filter.allows(level, target),
-        None => LevelFilter::MoreSevereEqual(Level::Info).test(level),
-    })
+    current(|current| current.filter.allows(level, target))
+        .unwrap_or_else(|| LevelFilter::MoreSevereEqual(Level::Info).test(level))
+}
+
+/// The recorder of the program on this thread.
+pub(crate) fn recorder() -> Option<Rc<PrometheusRecorder>> {
+    current(|current| current.recorder.clone())
 }
 
 fn describe(recorder: &PrometheusRecorder) {
--- a/crates/runtime/tests/operators.rs
+++ b/crates/runtime/tests/operators.rs
@@ -46,7 +46,6 @@
 fn serve(name: &'static str, ready: bool, test: impl AsyncFnOnce(SocketAddr, Stop) + Send) {
     executor::run(async {
         let program = Program::new("test", &name.into(), "info").expect("a program");
-        let _recording = program.record();
         let listener = Listener::bind(([127, 0, 0, 1], 0).into()).expect("a free port");
         let (address, stop) = (listener.address(), Stop::default());
         let inspect = Rc::new(Ready(ready));
