Merge edits of the fleet configuration by section

Cause: two operators may edit the configuration at the same moment.

Change: core::fleet::merge takes each section from the edit that changed it and names the sections that both changed differently.

--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -30,6 +30,7 @@
 mod config;
 mod exception;
 pub mod key;
+mod merge;
 mod subject;
 mod values;
 
@@ -37,6 +38,7 @@
 pub use condition::Condition;
 pub use config::Config;
 pub use exception::Exception;
+pub use merge::{Clash, merge};
 pub use subject::Subject;
 pub use values::Values;
 
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use shallotflow_core::fleet::{Condition, Config, Exception, Subject, Values};
+use shallotflow_core::fleet::{Condition, Config, Exception, Subject, Values, merge};
 use shallotflow_core::name::Name;
 use std::time::Duration;
 use test_case::test_case;
@@ -175,6 +175,29 @@
         prop_assert_eq!(parsed.as_ref(), Ok(&config), "{}", printed);
     }
 
+    #[test]
+    fn edits_of_different_sections_merge_and_of_the_same_clash(
+        base in config(), mine in values(), at in any::<prop::sample::Index>(), remove in any::<bool>(),
+    ) {
+        prop_assume!(!base.exceptions.is_empty());
+        let index = at.index(base.exceptions.len());
+        let ours = Config { defaults: mine.clone(), ..base.clone() };
+        let mut theirs = base.clone();
+        if remove {
+            theirs.exceptions.remove(index);
+        } else {
+            theirs.exceptions[index].reason = "another".into();
+        }
+        let merged = Config { defaults: mine, ..theirs.clone() };
+        prop_assert_eq!(merge(&base, &ours, &theirs), Ok(merged.clone()));
+        prop_assert_eq!(merge(&base, &theirs, &ours), Ok(merged));
+        let mut rival = base.clone();
+        rival.exceptions[index].reason = "a third".into();
+        let clashes = merge(&base, &rival, &theirs).expect_err("both changed the same section");
+        prop_assert_eq!(clashes.len(), 1);
+        prop_assert_eq!(&*clashes[0].section, &*Exception::header(&base.exceptions[index].id));
+    }
+
     #[test]
     fn arbitrary_text_never_panics(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
         let text = String::from_utf8_lossy(&bytes);
