Name the messages of a worker's control interface

Cause: the agent and the stand-in worker need one set of messages, and the decisions on batch tasks need a task's identity without the transport.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`problem`]: errors as callers see them, with their remedies.
 //! - [`settings`]: how each process runs.
 //! - [`job`]: batch jobs, from submission to their last state.
+//! - [`task`]: single attempts of jobs at a worker.
 
 pub mod class;
 pub mod job;
@@ -18,4 +19,5 @@
 pub mod problem;
 pub mod resources;
 pub mod settings;
+pub mod task;
 pub mod time;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,8 +4,10 @@
 //!   `proto/shallotflow.proto`.
 //! - [`rpc`]: `tonic` clients and servers over the process's own runtime.
 //! - [`http`]: HTTP/1.1 connections with limits, streamed bodies and graceful shutdown.
+//! - [`control`]: messages of a worker's control interface.
 //! - [`convert`]: between messages and domain types.
 
+pub mod control;
 pub mod convert;
 pub mod http;
 pub mod rpc;
