Add the stand-in worker and target

Cause: tests of leases, reservations and interference need a worker that keeps its own account of what happened. Change: a worker runs tasks under leases behind the control interface and fences older agents; the target's service times are stretched by what runs beside them; a shared board of facts counts broken promises. Conclusion: the scheduler is judged by the stand-in, never by itself.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,101 @@
-//! Under construction.
+//! Small stand-ins of the platform, for tests and the demo.
+//!
+//! - [`worker`]: runs tasks under leases, behind a control interface.
+//! - [`target`]: answers requests, slowed down by what runs on the same worker.
+//! - [`facts`]: what really happened, with the promises that were broken.
+
+pub mod facts;
+pub mod target;
+pub mod worker;
+
+use anyhow::Context;
+use monoio::net::TcpListener;
+use shallotflow_core::settings::standin::Settings;
+use shallotflow_runtime::stop::{Level, Stop};
+use shallotflow_wire::http::gate::Gate;
+use shallotflow_wire::http::limits::Limits;
+use shallotflow_wire::http::server::{Handler, serve};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+const DRAIN_POLL: Duration = Duration::from_millis(5);
+
+/// The addresses that a stand-in process listens on.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Bound {
+    /// Where the store listens, if it runs here.
+    pub store: Option<SocketAddr>,
+    /// Where the worker's control interface listens, if the worker runs here.
+    pub control: Option<SocketAddr>,
+    /// Where the target listens, if the worker runs here.
+    pub target: Option<SocketAddr>,
+}
+
+/// Runs the stand-ins that `settings` name until `stop` is raised.
+///
+/// # Errors
+///
+/// Fails when an address cannot be listened on.
+pub async fn run(settings: Settings, stop: Stop, ready: impl FnOnce(Bound)) -> anyhow::Result<()> {
+    run_on(settings, facts::Board::default(), stop, ready).await
+}
+
+/// Like [`run`], with a board of facts that other stand-ins share.
+///
+/// # Errors
+///
+/// Fails when an address cannot be listened on.
+pub async fn run_on(
+    settings: Settings,
+    board: facts::Board,
+    stop: Stop,
+    ready: impl FnOnce(Bound),
+) -> anyhow::Result<()> {
+    let gate = Gate::default();
+    let floor = worker::Floor::new(settings.clone(), board);
+    let control = Rc::new(worker::Control::new(floor.clone()));
+    let target = Rc::new(target::Target::new(floor.clone()));
+    let bound = Bound {
+        store: None,
+        control: listen(settings.control_listen, control, &gate)?,
+        target: listen(settings.target_listen, target, &gate)?,
+    };
+    ready(bound);
+    stop.wait(Level::Graceful).await;
+    floor.leave();
+    drain(&floor, &settings, &stop).await;
+    gate.drain();
+    floor.close();
+    Ok(())
+}
+
+/// Waits for requests in progress; counts those that a planned stop cuts off.
+async fn drain(floor: &worker::Floor, settings: &Settings, stop: &Stop) {
+    let finished = async {
+        while floor.requests() > 0 {
+            monoio::time::sleep(DRAIN_POLL).await;
+        }
+    };
+    monoio::select! {
+        () = stop.wait(Level::Immediate) => {}
+        result = monoio::time::timeout(settings.drain, finished) => {
+            if result.is_err() {
+                floor.cut_off();
+            }
+        }
+    }
+}
+
+fn listen(
+    address: Option<SocketAddr>,
+    handler: Rc<dyn Handler>,
+    gate: &Gate,
+) -> anyhow::Result<Option<SocketAddr>> {
+    let Some(address) = address else { return Ok(None) };
+    let listener = TcpListener::bind(address)
+        .with_context(|| format!("cannot listen on {address}; choose a free address"))?;
+    let bound = listener.local_addr()?;
+    monoio::spawn(serve(listener, handler, Limits::default(), gate.clone()));
+    Ok(Some(bound))
+}
--- /dev/null
+++ b/crates/standin/src/target/serve.rs
@@ -0,0 +1,94 @@
+//! Requests over HTTP.
+
+use crate::worker::{Floor, Request as Admission};
+use futures_util::future::LocalBoxFuture;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use shallotflow_core::name::Name;
+use shallotflow_core::resources::Bundle;
+use shallotflow_wire::control::INCARNATION_HEADER;
+use shallotflow_wire::http::body::Body;
+use shallotflow_wire::http::server::Handler;
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+const OUTCOME_HEADER: &str = "shallotflow-outcome";
+const RUN_PREFIX: &str = "/run/";
+const REQUEST_ID_HEADER: &str = "shallotflow-request-id";
+/// Run time of the request alone, milliseconds; for tests.
+const RUN_MS_HEADER: &str = "standin-run-ms";
+
+/// Answers `POST /run/<kind>` with the body that it was sent.
+pub struct Target {
+    floor: Floor,
+    direct: Rc<Cell<u64>>,
+}
+
+impl Target {
+    /// The target of `floor`.
+    pub fn new(floor: Floor) -> Self {
+        Self { floor, direct: Rc::default() }
+    }
+}
+
+impl Handler for Target {
+    fn call(
+        &self,
+        request: Request<Body>,
+        _: SocketAddr,
+    ) -> LocalBoxFuture<'static, Response<Body>> {
+        let floor = self.floor.clone();
+        self.direct.set(self.direct.get() + 1);
+        let direct = self.direct.get();
+        Box::pin(run(floor, request, direct))
+    }
+}
+
+async fn run(floor: Floor, request: Request<Body>, direct: u64) -> Response<Body> {
+    let (head, body) = request.into_parts();
+    let Some(kind) = head.uri.path().strip_prefix(RUN_PREFIX) else {
+        return refuse(StatusCode::NOT_FOUND, "use POST /run/<kind>");
+    };
+    let kind = Name::from(kind);
+    let Ok(body) = body.collect(MAX_BODY_BYTES).await else {
+        return refuse(StatusCode::BAD_REQUEST, "the body broke off; send it whole");
+    };
+    let headers = &head.headers;
+    let ticket = text(headers, INCARNATION_HEADER);
+    let incarnation = ticket.and_then(|ticket| ticket.split('.').next()?.parse().ok());
+    let id = ticket.map_or_else(|| format!("direct.{direct}").into(), Name::from);
+    let admission = Admission {
+        id,
+        request_id: text(headers, REQUEST_ID_HEADER).map(Name::from),
+        kind,
+        resources: text(headers, Bundle::HEADER)
+            .and_then(|text| text.parse().ok())
+            .unwrap_or_default(),
+        idempotent: text(headers, "shallotflow-idempotent") == Some("true"),
+        run: text(headers, RUN_MS_HEADER)
+            .and_then(|text| text.parse().ok())
+            .map(Duration::from_millis),
+    };
+    if let Err(fault) = floor.run_request(incarnation, admission).await {
+        let mut response = refuse(StatusCode::CONFLICT, &fault.to_string());
+        response.headers_mut().insert(OUTCOME_HEADER, HeaderValue::from_static("not-run"));
+        return response;
+    }
+    let mut response = Response::new(Body::Full(body));
+    if let Some(id) = headers.get(REQUEST_ID_HEADER) {
+        response.headers_mut().insert(REQUEST_ID_HEADER, id.clone());
+    }
+    response
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn refuse(code: StatusCode, why: &str) -> Response<Body> {
+    let mut response = Response::new(Body::from(why.to_owned()));
+    *response.status_mut() = code;
+    response
+}
--- /dev/null
+++ b/crates/standin/src/worker/serve.rs
@@ -0,0 +1,89 @@
+//! The control interface over HTTP.
+
+use super::{Floor, Result};
+use bytes::Bytes;
+use futures_util::future::LocalBoxFuture;
+use http::{Request, Response, StatusCode};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use shallotflow_wire::control::{self, Call, Fault};
+use shallotflow_wire::http::body::Body;
+use shallotflow_wire::http::server::Handler;
+use std::net::SocketAddr;
+
+const MAX_CALL_BYTES: usize = 4 * 1024 * 1024;
+
+/// Answers control calls.
+pub struct Control {
+    floor: Floor,
+}
+
+impl Control {
+    /// The control interface of `floor`.
+    pub fn new(floor: Floor) -> Self {
+        Self { floor }
+    }
+}
+
+impl Handler for Control {
+    fn call(
+        &self,
+        request: Request<Body>,
+        _: SocketAddr,
+    ) -> LocalBoxFuture<'static, Response<Body>> {
+        let floor = self.floor.clone();
+        Box::pin(async move {
+            let path = request.uri().path().to_owned();
+            match request.into_body().collect(MAX_CALL_BYTES).await {
+                Ok(body) => dispatch(&floor, &path, &body).await,
+                Err(error) => answer::<()>(Err(malformed(&error))),
+            }
+        })
+    }
+}
+
+async fn dispatch(floor: &Floor, path: &str, body: &Bytes) -> Response<Body> {
+    match path {
+        control::Attach::PATH => answer(parse(body).and_then(|call| floor.attach(&call))),
+        control::Start::PATH => answer(parse(body).and_then(|call| floor.start(&call))),
+        control::Renew::PATH => answer(parse(body).and_then(|call| floor.renew(&call))),
+        control::Throttle::PATH => answer(parse(body).and_then(|call| floor.throttle(&call))),
+        control::Checkpoint::PATH => answer(parse(body).and_then(|call| floor.checkpoint(&call))),
+        control::Stop::PATH => answer(parse(body).and_then(|call| floor.stop(&call))),
+        control::Acknowledge::PATH => answer(parse(body).and_then(|call| floor.acknowledge(&call))),
+        control::Usage::PATH => answer(parse(body).and_then(|call| floor.usage(&call))),
+        control::List::PATH => match parse(body) {
+            Ok(call) => answer(floor.list(&call).await),
+            Err(fault) => answer::<()>(Err(fault)),
+        },
+        _ => status(StatusCode::NOT_FOUND, Body::Empty),
+    }
+}
+
+fn parse<T: DeserializeOwned>(body: &Bytes) -> Result<T> {
+    serde_json::from_slice(body).map_err(|error| malformed(&error))
+}
+
+fn malformed(error: &dyn std::error::Error) -> Fault {
+    Fault::Malformed { detail: error.to_string() }
+}
+
+fn answer<T: Serialize>(result: Result<T>) -> Response<Body> {
+    match result {
+        Ok(reply) => json(StatusCode::OK, &reply),
+        Err(fault) => json(StatusCode::CONFLICT, &fault),
+    }
+}
+
+fn json<T: Serialize>(code: StatusCode, value: &T) -> Response<Body> {
+    match serde_json::to_vec(value) {
+        Ok(text) => status(code, Body::Full(text.into())),
+        Err(error) => status(StatusCode::INTERNAL_SERVER_ERROR, Body::from(error.to_string())),
+    }
+}
+
+fn status(code: StatusCode, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = code;
+    response
+}
