Add admission and leases as tables and systems

Cause: the agent must never give its worker more than it holds, and must fence owners that lost their ledger.

--- /dev/null
+++ b/crates/policy/src/admission/table.rs
@@ -0,0 +1,268 @@
+//! The table of what runs and waits at one worker.
+
+use super::{Id, Queue, Refusal, Result, Settings, Ticket};
+use foldhash::{HashMap, HashMapExt};
+use shallotflow_core::class::Class;
+use shallotflow_core::resources::Bundle;
+use shallotflow_core::time::Time;
+use std::time::Duration;
+
+/// What the caller of [`Table::tick`] must do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Start the work; its resources are reserved.
+    Start(Ticket),
+    /// Tell its caller that the work does not run.
+    Refuse(Ticket, Refusal),
+}
+
+/// Reservations and queues of one worker.
+#[derive(Clone, Debug)]
+pub struct Table {
+    settings: Settings,
+    capacity: Bundle,
+    running: HashMap<Id, Ticket>,
+    used: Used,
+    quick: Queue,
+    watch: Queue,
+    batch: Queue,
+    leaving: bool,
+}
+
+/// Resources reserved by class.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Used {
+    quick: Bundle,
+    watch: Bundle,
+    batch: Bundle,
+}
+
+impl Used {
+    fn of(&mut self, class: Class) -> &mut Bundle {
+        match class {
+            Class::Quick => &mut self.quick,
+            Class::Watch => &mut self.watch,
+            Class::Batch => &mut self.batch,
+        }
+    }
+
+    fn total(&self) -> Bundle {
+        self.quick.plus(&self.watch).plus(&self.batch)
+    }
+}
+
+impl Table {
+    /// An idle worker with `capacity`.
+    pub fn new(settings: Settings, capacity: Bundle) -> Self {
+        Self {
+            settings,
+            capacity,
+            running: HashMap::new(),
+            used: Used::default(),
+            quick: Queue::default(),
+            watch: Queue::default(),
+            batch: Queue::default(),
+            leaving: false,
+        }
+    }
+
+    /// The worker can hold `capacity` from now on; what runs keeps its reservations.
+    pub fn resize(&mut self, capacity: Bundle) {
+        self.capacity = capacity;
+    }
+
+    /// Refuses new work from now on; what waits is refused at the next tick.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// What the worker can hold.
+    pub fn capacity(&self) -> Bundle {
+        self.capacity
+    }
+
+    /// What is reserved by all classes.
+    pub fn used(&self) -> Bundle {
+        self.used.total()
+    }
+
+    /// What is reserved by one class.
+    pub fn used_by(&self, class: Class) -> Bundle {
+        let mut used = self.used;
+        *used.of(class)
+    }
+
+    /// Work of `class` that runs.
+    pub fn running(&self, class: Class) -> usize {
+        self.running.values().filter(|ticket| ticket.class == class).count()
+    }
+
+    /// The queue of `class`.
+    pub fn queue(&self, class: Class) -> &Queue {
+        match class {
+            Class::Quick => &self.quick,
+            Class::Watch => &self.watch,
+            Class::Batch => &self.batch,
+        }
+    }
+
+    /// Slots that quick work may use now, in use or free.
+    pub fn quick_slots(&self) -> u32 {
+        let others = self.used.watch.plus(&self.used.batch);
+        self.capacity.minus(&others).slots
+    }
+
+    /// Room for new batch work beside `reserve` for quick work.
+    pub fn batch_room(&self, reserve: &Bundle) -> Bundle {
+        let kept = reserve.max(&self.used.quick);
+        self.capacity.minus(&kept).minus(&self.used.watch).minus(&self.used.batch)
+    }
+
+    /// When the earliest deadline of waiting work passes.
+    pub fn next_deadline(&self) -> Option<Time> {
+        let queues = [&self.quick, &self.watch, &self.batch];
+        queues.into_iter().filter_map(Queue::first_deadline).min()
+    }
+
+    /// Puts work into the queue of its class; [`Table::tick`] starts it.
+    ///
+    /// `service` is the expected run time of one piece of work of its class, zero if unknown.
+    ///
+    /// # Errors
+    ///
+    /// Refuses what can never run here or cannot start within its deadline.
+    pub fn offer(&mut self, ticket: Ticket, service: Duration, now: Time) -> Result<()> {
+        if self.leaving {
+            return Err(Refusal::Leaving);
+        }
+        if !self.limit(ticket.class).holds(&ticket.need) {
+            return Err(Refusal::NeverFits { need: ticket.need, capacity: self.capacity });
+        }
+        if ticket.deadline.passed(now) {
+            return Err(Refusal::DeadlinePassed { deadline: ticket.deadline });
+        }
+        let (class, length) = (ticket.class, self.queue(ticket.class).len());
+        if length >= self.longest(class) {
+            return Err(Refusal::QueueFull { class, length });
+        }
+        let wait = self.expected_wait(&ticket, service);
+        if now.after(wait) > ticket.deadline {
+            return Err(Refusal::TooLate { wait, deadline: ticket.deadline });
+        }
+        self.queue_mut(class).push(ticket);
+        Ok(())
+    }
+
+    /// Reserves for work that runs already, found at the worker after a restart of the agent.
+    pub fn adopt(&mut self, ticket: Ticket) {
+        self.reserve(ticket);
+    }
+
+    /// Takes back work that waits, because its caller gave up.
+    pub fn withdraw(&mut self, class: Class, id: Id, deadline: Time) -> Option<Ticket> {
+        self.queue_mut(class).remove(id, deadline)
+    }
+
+    /// Releases what work reserved; call it only once the end of the work is confirmed.
+    pub fn release(&mut self, id: Id) -> Option<Ticket> {
+        let ticket = self.running.remove(&id)?;
+        let used = self.used.of(ticket.class);
+        *used = used.minus(&ticket.need);
+        Some(ticket)
+    }
+
+    /// Starts what fits and refuses what is too late; `reserve` is kept free of batch work.
+    pub fn tick(&mut self, now: Time, reserve: &Bundle) -> Vec<Command> {
+        let mut commands = Vec::new();
+        for class in [Class::Quick, Class::Watch, Class::Batch] {
+            self.refuse_passed(class, now, &mut commands);
+            self.start_fitting(class, reserve, &mut commands);
+        }
+        commands
+    }
+
+    fn refuse_passed(&mut self, class: Class, now: Time, commands: &mut Vec<Command>) {
+        let until = if self.leaving { Time::NEVER } else { now };
+        for ticket in self.queue_mut(class).take_passed(until) {
+            let deadline = ticket.deadline;
+            let late = deadline.passed(now);
+            let refusal =
+                if late { Refusal::DeadlinePassed { deadline } } else { Refusal::Leaving };
+            commands.push(Command::Refuse(ticket, refusal));
+        }
+    }
+
+    fn start_fitting(&mut self, class: Class, reserve: &Bundle, commands: &mut Vec<Command>) {
+        let passes = self.settings.passes;
+        loop {
+            let room = self.room(class, reserve);
+            let fits = |ticket: &Ticket| room.holds(&ticket.need);
+            let Some(ticket) = self.queue_mut(class).take_fitting(passes, fits) else { return };
+            self.reserve(ticket.clone());
+            commands.push(Command::Start(ticket));
+        }
+    }
+
+    fn reserve(&mut self, ticket: Ticket) {
+        if self.running.contains_key(&ticket.id) {
+            return;
+        }
+        let used = self.used.of(ticket.class);
+        *used = used.plus(&ticket.need);
+        self.running.insert(ticket.id, ticket);
+    }
+
+    /// Room for new work of `class`.
+    fn room(&self, class: Class, reserve: &Bundle) -> Bundle {
+        match class {
+            Class::Quick => self.capacity.minus(&self.used.total()),
+            Class::Batch => self.batch_room(reserve),
+            Class::Watch => {
+                let cap = self.limit(class).minus(&self.used.watch);
+                let room = self.capacity.minus(&self.used.total());
+                Bundle { connections: room.connections.min(cap.connections), ..room }
+            }
+        }
+    }
+
+    /// The most that one piece of work of `class` may ever need.
+    fn limit(&self, class: Class) -> Bundle {
+        if class != Class::Watch {
+            return self.capacity;
+        }
+        let connections = self.capacity.connections.min(self.settings.watch_connections);
+        Bundle { connections, ..self.capacity }
+    }
+
+    fn longest(&self, class: Class) -> usize {
+        match class {
+            Class::Quick => self.settings.quick_queue,
+            Class::Watch => self.settings.watch_queue,
+            Class::Batch => self.settings.batch_queue,
+        }
+    }
+
+    /// How long `ticket` waits if the work ahead of it leaves at the rate of `service` a slot.
+    fn expected_wait(&self, ticket: &Ticket, service: Duration) -> Duration {
+        if ticket.class != Class::Quick {
+            return Duration::ZERO;
+        }
+        let slots = self.quick_slots().max(1);
+        let free = slots.saturating_sub(self.used.quick.slots) as usize;
+        let ahead = self.quick.ahead_of(ticket.deadline);
+        if ahead < free {
+            return Duration::ZERO;
+        }
+        let rounds = (ahead - free) as u32 / slots;
+        // The first place is free after half a service time, on average.
+        service / 2 + service * rounds
+    }
+
+    fn queue_mut(&mut self, class: Class) -> &mut Queue {
+        match class {
+            Class::Quick => &mut self.quick,
+            Class::Watch => &mut self.watch,
+            Class::Batch => &mut self.batch,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/lease/task.rs
@@ -0,0 +1,57 @@
+//! One batch task at an agent.
+
+use super::Grant;
+use shallotflow_core::task::Phase;
+use shallotflow_core::time::Time;
+
+/// A task that its owner has not settled yet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Task {
+    /// What was granted.
+    pub grant: Grant,
+    /// How far it has come.
+    pub phase: Phase,
+    /// Until when it may run without a renewal.
+    pub deadline: Time,
+    /// Whether a start was sent to the worker.
+    pub sent: bool,
+    /// Whether a stop was ordered.
+    pub stopping: bool,
+    /// When its start was sent.
+    pub started: Time,
+    /// The last checkpoint, empty if none.
+    pub checkpoint: String,
+    /// Why it ended, if not well.
+    pub reason: String,
+    /// Time spent running, milliseconds.
+    pub run_ms: u64,
+    /// Time spent running since the last checkpoint, milliseconds.
+    pub unsaved_ms: u64,
+}
+
+impl Task {
+    pub(super) fn new(grant: Grant, deadline: Time) -> Self {
+        Self {
+            checkpoint: grant.checkpoint.clone(),
+            grant,
+            phase: Phase::Accepted,
+            deadline,
+            sent: false,
+            stopping: false,
+            started: Time::NEVER,
+            reason: String::new(),
+            run_ms: 0,
+            unsaved_ms: 0,
+        }
+    }
+
+    /// Whether it runs, or may run because its start was sent.
+    pub fn may_run(&self) -> bool {
+        self.sent && !self.phase.is_final()
+    }
+
+    pub(super) fn refuse(&mut self, reason: &str) {
+        self.phase = Phase::Refused;
+        self.reason = reason.to_owned();
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`disturbance`]: slowdown of one kind by another, learned per pair.
 //! - [`estimate`]: sizes and run times, learned from late reports.
 //! - [`evict`]: throttling, checkpointing and evicting batch work for quick work.
+//! - [`lease`]: batch tasks of one worker under leases, fenced by epochs.
 //! - [`ledger`]: batch jobs under an owner: grants, recovery, cancellation and retention.
 //! - [`member`]: which targets and entries are alive.
 //! - [`outlier`]: setting failing and slow workers aside, within a bound.
@@ -21,6 +22,7 @@
 pub mod disturbance;
 pub mod estimate;
 pub mod evict;
+pub mod lease;
 pub mod ledger;
 pub mod member;
 pub mod outlier;
