Serve requests and batch tasks through an agent

Cause: the whole path needs the one door to a worker. Change: the agent attaches to its worker and takes over what runs there before it admits anything, passes requests to the target with the load on each answer, reports to entries one report at a time, and carries out grants, stops and renewals that come in replies. A graceful stop refuses new work, answers what is in progress, evicts batch work and tells the entries.

--- /dev/null
+++ b/crates/agent/src/batch/convert.rs
@@ -0,0 +1,41 @@
+//! The worker's words in the lease table's terms.
+
+use crate::worker::Attachment;
+use shallotflow_core::task::Phase;
+use shallotflow_core::time::Time;
+use shallotflow_policy::lease::{Held, Observation};
+use shallotflow_wire::control::Task;
+use std::time::Duration;
+
+/// A task found at the worker after a restart of the agent.
+pub(crate) fn held(attachment: &Attachment, task: &Task, now: Time) -> Held {
+    Held {
+        epoch: task.epoch,
+        kind: task.kind.clone(),
+        resources: task.resources,
+        deadline: attachment.from_worker(Time::from_micros(task.deadline_us)),
+        started: now.before(Duration::from_millis(task.run_ms)),
+    }
+}
+
+/// What the worker says of a task.
+pub(crate) fn observation(task: &Task) -> Observation {
+    Observation {
+        phase: task.phase,
+        checkpoint: task.checkpoint.clone(),
+        reason: task.reason.clone(),
+        run_ms: task.run_ms,
+        unsaved_ms: task.unsaved_ms,
+    }
+}
+
+/// What is known of a task whose worker restarted.
+pub(crate) fn lost() -> Observation {
+    Observation {
+        phase: Phase::Lapsed,
+        checkpoint: String::new(),
+        reason: "its worker restarted".to_owned(),
+        run_ms: 0,
+        unsaved_ms: 0,
+    }
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -1,1 +1,71 @@
-//! Under construction.
+//! The agent: the only door to its worker.
+//!
+//! - [`worker`]: the control interface of the worker.
+//! - [`request`]: requests from entries, admitted and passed to the target.
+
+mod agent;
+mod batch;
+mod leave;
+mod report;
+pub mod request;
+pub mod worker;
+
+use crate::agent::Agent;
+use anyhow::Context;
+use monoio::net::TcpListener;
+use shallotflow_core::settings::agent::Settings;
+use shallotflow_runtime::stop::Stop;
+use shallotflow_wire::http::gate::Gate;
+use shallotflow_wire::http::limits::Limits;
+use shallotflow_wire::http::server::serve;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+const TICK_INTERVAL: Duration = Duration::from_millis(5);
+
+/// The addresses that an agent listens on.
+#[derive(Clone, Copy, Debug)]
+pub struct Bound {
+    /// Where entries send requests.
+    pub requests: SocketAddr,
+    /// Where operators connect.
+    pub operators: SocketAddr,
+}
+
+/// Runs an agent until `stop` is raised or a newer agent attaches to its worker.
+///
+/// # Errors
+///
+/// Fails when an address cannot be listened on, and once a newer agent has attached.
+pub async fn run(settings: Settings, stop: Stop, ready: impl FnOnce(Bound)) -> anyhow::Result<()> {
+    let requests = listen(settings.listen)?;
+    let operators = listen(settings.operators_listen)?;
+    let bound = Bound { requests: requests.local_addr()?, operators: operators.local_addr()? };
+    let control = Rc::new(worker::Client::new(settings.control));
+    let agent = Agent::new(settings, control, bound.requests);
+    let gate = Gate::default();
+    let door = Rc::new(request::Door::new(agent.clone()));
+    monoio::spawn(serve(requests, door, Limits::default(), gate.clone()));
+    monoio::spawn(report::follow_entries(agent.clone()));
+    ready(bound);
+    let result = monoio::select! {
+        () = leave::leave(agent.clone(), stop, gate.clone()) => Ok(()),
+        () = tick(agent.clone()) => Ok(()),
+        result = worker::watch(agent.clone()) => result,
+    };
+    gate.drain();
+    result.context("another agent has taken this worker over; end this one")
+}
+
+async fn tick(agent: Agent) {
+    loop {
+        agent.tick();
+        monoio::time::sleep(TICK_INTERVAL).await;
+    }
+}
+
+fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address)
+        .with_context(|| format!("cannot listen on {address}; choose a free address"))
+}
--- /dev/null
+++ b/crates/agent/src/report/mod.rs
@@ -0,0 +1,11 @@
+//! Reports to entries, and the decisions in their replies.
+
+mod budget;
+mod fleet;
+mod message;
+mod session;
+mod wake;
+
+pub(crate) use budget::Budget;
+pub(crate) use fleet::follow_entries;
+pub(crate) use wake::Wake;
--- /dev/null
+++ b/crates/agent/src/report/session.rs
@@ -0,0 +1,116 @@
+//! Reports to one entry, one at a time.
+
+use super::{Wake, message};
+use crate::agent::Agent;
+use crate::batch;
+use prost::Message;
+use shallotflow_core::time::{Clock, Monotonic, Time};
+use shallotflow_wire::proto;
+use shallotflow_wire::proto::scheduler_client::SchedulerClient;
+use shallotflow_wire::rpc::Channel;
+use spdlog::{debug, warn};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The longest time that a report may stay without a reply.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(2);
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_RETRY_PAUSE: Duration = Duration::from_secs(2);
+const DEFAULT_BEAT: Duration = Duration::from_millis(500);
+
+/// The reports to one entry.
+pub(super) struct Session {
+    agent: Agent,
+    channel: Channel,
+    wake: Rc<Wake>,
+    sequence: u64,
+    due: Time,
+    failures: u32,
+}
+
+impl Session {
+    pub(super) fn new(agent: Agent, entry: SocketAddr, wake: Rc<Wake>) -> Self {
+        let channel = Channel::new(entry);
+        Self { agent, channel, wake, sequence: 0, due: Time::ZERO, failures: 0 }
+    }
+
+    /// Reports until the session is no longer wanted.
+    pub(super) async fn run(mut self) {
+        let entry = self.channel.address();
+        while self.is_wanted() {
+            self.wait().await;
+            let Some(report) = message::report(&self.agent, self.sequence + 1) else {
+                self.due = Monotonic.now().after(RETRY_PAUSE);
+                continue;
+            };
+            self.sequence += 1;
+            match self.send(report).await {
+                Ok(()) => self.failures = 0,
+                Err(error) => {
+                    warn!("a report failed", kv: { entry = entry.to_string(), error = error.to_string() });
+                    self.back_off();
+                }
+            }
+        }
+        debug!("session ended", kv: { entry = entry.to_string() });
+    }
+
+    fn is_wanted(&self) -> bool {
+        let state = self.agent.state();
+        let own = state.sessions.get(&self.channel.address());
+        own.is_some_and(|wake| Rc::ptr_eq(wake, &self.wake))
+    }
+
+    /// Waits until a report is due, or wanted earlier, and the budget has room for it.
+    async fn wait(&self) {
+        let left = self.due.left(Monotonic.now());
+        // Whichever ends the wait, a report is due.
+        let _ = monoio::time::timeout(left, self.wake.wait()).await;
+        let ready = self.agent.state().budget.ready();
+        monoio::time::sleep(ready.left(Monotonic.now())).await;
+        self.wake.take();
+    }
+
+    /// Sends one report and takes its reply; a reply that comes after the timeout reaches nobody.
+    async fn send(&mut self, report: proto::ReportRequest) -> anyhow::Result<()> {
+        let sent = Monotonic.now();
+        self.agent.state_mut().budget.spend(report.encoded_len(), sent);
+        let origin = self.channel.origin();
+        let mut client = SchedulerClient::with_origin(self.channel.clone(), origin);
+        let answer = monoio::time::timeout(REPLY_TIMEOUT, client.report(report.clone())).await;
+        let Ok(answer) = answer else {
+            anyhow::bail!("no reply within {REPLY_TIMEOUT:?}; check the entry's load");
+        };
+        let reply = answer?.into_inner();
+        self.agent.state_mut().budget.spend(reply.encoded_len(), Monotonic.now());
+        if reply.sequence != report.sequence {
+            anyhow::bail!("reply to report {} instead of {}", reply.sequence, report.sequence);
+        }
+        self.take(&reply, &report, sent);
+        Ok(())
+    }
+
+    fn take(&mut self, reply: &proto::ReportReply, report: &proto::ReportRequest, sent: Time) {
+        let now = Monotonic.now();
+        let beat = Duration::from_millis(reply.beat_ms.into());
+        self.due = sent.after(if beat.is_zero() { DEFAULT_BEAT } else { beat });
+        let decisions = message::reply(reply, report, sent);
+        let mut state = self.agent.state_mut();
+        state.heard(self.channel.address(), reply);
+        if report.leaving {
+            state.told_leaving.insert(self.channel.address());
+        }
+        let commands = state.leases.reply(&decisions, now);
+        drop(state);
+        batch::carry_out(&self.agent, commands);
+        self.agent.tick();
+    }
+
+    fn back_off(&mut self) {
+        self.channel.reset();
+        let pause = RETRY_PAUSE * 2_u32.saturating_pow(self.failures);
+        self.failures = (self.failures + 1).min(8);
+        self.due = Monotonic.now().after(pause.min(LONGEST_RETRY_PAUSE));
+    }
+}
--- /dev/null
+++ b/crates/agent/src/request/head.rs
@@ -0,0 +1,87 @@
+//! What a request's head asks of the agent.
+
+use super::Result;
+use http::HeaderMap;
+use http::request::Parts;
+use shallotflow_core::class::Class;
+use shallotflow_core::name::Name;
+use shallotflow_core::problem::{Code, Problem};
+use shallotflow_core::resources::Bundle;
+use shallotflow_core::time::Time;
+use std::time::Duration;
+
+const RUN_PREFIX: &str = "/run/";
+const CLASS_HEADER: &str = "shallotflow-class";
+const DEADLINE_HEADER: &str = "shallotflow-deadline-ms";
+const DEFAULT_DEADLINE_MS: u64 = 2_000;
+const MAX_DEADLINE_MS: u64 = 24 * 60 * 60 * 1_000;
+
+/// A request as the agent reads it.
+#[derive(Clone, Debug)]
+pub(super) struct Head {
+    pub(super) kind: Name,
+    pub(super) class: Class,
+    pub(super) need: Bundle,
+    pub(super) deadline: Time,
+}
+
+impl Head {
+    pub(super) fn read(parts: &Parts, now: Time) -> Result<Self> {
+        let Some(kind) = parts.uri.path().strip_prefix(RUN_PREFIX) else {
+            let detail = format!("{} is not served here", parts.uri.path());
+            return Err(Problem::not_run(Code::NotFound, detail));
+        };
+        if parts.method != http::Method::POST {
+            let detail = format!("{} is not POST", parts.method);
+            return Err(Problem::not_run(Code::MethodNotAllowed, detail));
+        }
+        let class = class(&parts.headers)?;
+        let deadline = now.after(deadline(&parts.headers)?);
+        Ok(Self { kind: kind.into(), class, need: need(&parts.headers, class)?, deadline })
+    }
+}
+
+fn class(headers: &HeaderMap) -> Result<Class> {
+    match text(headers, CLASS_HEADER)? {
+        None | Some("quick") => Ok(Class::Quick),
+        Some("watch") => Ok(Class::Watch),
+        Some(other) => Err(bad(CLASS_HEADER, other, "quick or watch")),
+    }
+}
+
+fn deadline(headers: &HeaderMap) -> Result<Duration> {
+    let Some(text) = text(headers, DEADLINE_HEADER)? else {
+        return Ok(Duration::from_millis(DEFAULT_DEADLINE_MS));
+    };
+    match text.parse() {
+        Ok(millis @ 1..=MAX_DEADLINE_MS) => Ok(Duration::from_millis(millis)),
+        _ => {
+            let detail = format!("{DEADLINE_HEADER} is {text:?}");
+            Err(Problem::not_run(Code::BadDeadline, detail))
+        }
+    }
+}
+
+fn need(headers: &HeaderMap, class: Class) -> Result<Bundle> {
+    let Some(text) = text(headers, Bundle::HEADER)? else { return Ok(least(class)) };
+    let need: Bundle = text.parse().map_err(|error: shallotflow_core::resources::ParseError| {
+        bad(Bundle::HEADER, text, &error.to_string())
+    })?;
+    Ok(need.max(&least(class)))
+}
+
+/// What any request of `class` needs.
+fn least(class: Class) -> Bundle {
+    let slots = u32::from(class == Class::Quick);
+    Bundle { slots, connections: 1, ..Bundle::default() }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    let text = value.to_str().map_err(|_| bad(name, "binary", "printable text"))?;
+    Ok(Some(text.trim()))
+}
+
+fn bad(name: &str, value: &str, wanted: &str) -> Problem {
+    Problem::not_run(Code::BadHeader, format!("{name} is {value:?}; {wanted} is wanted"))
+}
--- /dev/null
+++ b/crates/agent/src/request/serve.rs
@@ -0,0 +1,140 @@
+//! Answers requests from entries.
+
+use super::forward::forward;
+use super::head::Head;
+use super::load::load;
+use super::{OUTCOME_HEADER, Result, carried};
+use crate::agent::Agent;
+use futures_util::future::LocalBoxFuture;
+use http::{HeaderValue, Request, Response, StatusCode};
+use shallotflow_core::outcome::Outcome;
+use shallotflow_core::problem::{Code, Problem};
+use shallotflow_core::time::{Clock, Monotonic};
+use shallotflow_policy::admission::{Id, Refusal};
+use shallotflow_wire::http::body::Body;
+use shallotflow_wire::http::server::Handler;
+use std::net::SocketAddr;
+
+const WORKER_HEADER: &str = "shallotflow-worker";
+const LOAD_HEADER: &str = "shallotflow-load";
+/// Bodies up to this length are read before a slot is asked for.
+const BUFFERED_BYTES: u64 = 64 * 1024;
+
+/// Where entries' requests come in.
+pub(crate) struct Door {
+    agent: Agent,
+}
+
+impl Door {
+    pub(crate) fn new(agent: Agent) -> Self {
+        Self { agent }
+    }
+}
+
+impl Handler for Door {
+    fn call(
+        &self,
+        request: Request<Body>,
+        _: SocketAddr,
+    ) -> LocalBoxFuture<'static, Response<Body>> {
+        let agent = self.agent.clone();
+        Box::pin(async move {
+            let mut response = answer(&agent, request).await.unwrap_or_else(|p| refuse(&p));
+            label(&agent, &mut response);
+            response
+        })
+    }
+}
+
+async fn answer(agent: &Agent, request: Request<Body>) -> Result<Response<Body>> {
+    let (parts, body) = request.into_parts();
+    let head = Head::read(&parts, Monotonic.now())?;
+    check_kind(agent, &head)?;
+    let body = buffer(body).await?;
+    let id = admit(agent, &head).await?;
+    forward(agent, id, &head, Request::from_parts(parts, body)).await
+}
+
+fn check_kind(agent: &Agent, head: &Head) -> Result<()> {
+    let state = agent.state();
+    let Some(attachment) = &state.attachment else {
+        let detail = "the agent does not know yet what its worker runs";
+        return Err(Problem::not_run(Code::Overloaded, detail));
+    };
+    if attachment.kinds.contains(&head.kind) {
+        return Ok(());
+    }
+    let detail = format!("{} does not serve kind {:?}", agent.settings().worker, head.kind);
+    Err(Problem::not_run(Code::UnknownKind, detail))
+}
+
+/// Reads a short body, so that a slow sender holds no slot.
+async fn buffer(body: Body) -> Result<Body> {
+    if !matches!(body.length(), Some(1..=BUFFERED_BYTES)) {
+        return Ok(body);
+    }
+    let broken = |error: shallotflow_wire::http::Error| {
+        Problem::not_run(Code::Malformed, format!("the body broke off: {error}"))
+    };
+    let bytes = body.collect(BUFFERED_BYTES as usize).await.map_err(broken)?;
+    Ok(Body::Full(bytes))
+}
+
+/// Waits for a start, no longer than the deadline.
+async fn admit(agent: &Agent, head: &Head) -> Result<Id> {
+    let offered = agent.offer(head.class, head.need, head.deadline);
+    let (id, started) = offered.map_err(|refusal| problem(&refusal))?;
+    let mut waiting = carried::Waiting::new(agent, head, id);
+    let left = head.deadline.left(Monotonic.now());
+    let told = monoio::time::timeout(left, started).await;
+    match told {
+        Ok(Ok(Ok(()))) => {
+            waiting.disarm();
+            Ok(id)
+        }
+        Ok(Ok(Err(refusal))) => {
+            waiting.disarm();
+            Err(problem(&refusal))
+        }
+        _ => Err(problem(&Refusal::DeadlinePassed { deadline: head.deadline })),
+    }
+}
+
+fn problem(refusal: &Refusal) -> Problem {
+    let code = match refusal {
+        Refusal::NeverFits { .. } => Code::NeverFits,
+        Refusal::QueueFull { .. } | Refusal::TooLate { .. } => Code::Overloaded,
+        Refusal::DeadlinePassed { .. } => Code::DeadlinePassed,
+        Refusal::Leaving => Code::Leaving,
+    };
+    Problem::not_run(code, refusal.to_string())
+}
+
+fn refuse(problem: &Problem) -> Response<Body> {
+    let text = serde_json::to_vec(problem).unwrap_or_default();
+    let mut response = Response::new(Body::Full(text.into()));
+    *response.status_mut() =
+        StatusCode::from_u16(problem.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = response.headers_mut();
+    let media_type = HeaderValue::from_static(Problem::MEDIA_TYPE);
+    headers.insert(http::header::CONTENT_TYPE, media_type);
+    headers.insert(OUTCOME_HEADER, HeaderValue::from_static(problem.outcome.as_str()));
+    response
+}
+
+fn label(agent: &Agent, response: &mut Response<Body>) {
+    let load = load(&agent.state());
+    let load = format!(
+        "{},{},{},{},{}",
+        load.running, load.queued, load.slots, load.service_us, load.disturbance_milli
+    );
+    let headers = response.headers_mut();
+    let mut set = |name: &'static str, text: &str| {
+        if let Ok(value) = HeaderValue::from_str(text) {
+            headers.insert(name, value);
+        }
+    };
+    set(LOAD_HEADER, &load);
+    set(WORKER_HEADER, &agent.settings().worker);
+    headers.entry(OUTCOME_HEADER).or_insert(HeaderValue::from_static(Outcome::Done.as_str()));
+}
--- /dev/null
+++ b/crates/agent/src/worker/http.rs
@@ -0,0 +1,99 @@
+//! The control interface over HTTP.
+
+use super::{Control, Error, Result};
+use futures_util::future::LocalBoxFuture;
+use http::{Request, StatusCode};
+use shallotflow_wire::control::{
+    Acknowledge, Attach, Attached, Call, Done, Fault, List, Listed, Measured, Renew, Start, Stop,
+    Stopped, Throttle, Usage,
+};
+use shallotflow_wire::http::body::Body;
+use shallotflow_wire::http::limits::Limits;
+use shallotflow_wire::http::pool::Pool;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
+const IDLE_CONNECTIONS: usize = 4;
+const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
+/// A client of one worker.
+pub struct Client {
+    address: SocketAddr,
+    pool: Pool,
+}
+
+impl Client {
+    /// A client of the worker whose control interface is at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address, pool: Pool::new(Limits::default(), CONNECT_TIMEOUT, IDLE_CONNECTIONS) }
+    }
+
+    async fn send<C: Call>(&self, call: C, wait: Duration) -> Result<C::Reply> {
+        let unreached = |error: &dyn std::error::Error| Error::Unreached(error.to_string());
+        let text = serde_json::to_vec(&call).map_err(|error| unreached(&error))?;
+        let request = Request::post(C::PATH)
+            .body(Body::Full(text.into()))
+            .map_err(|error| unreached(&error))?;
+        let exchange = self.exchange(request);
+        let answer = monoio::time::timeout(ANSWER_TIMEOUT + wait, exchange).await;
+        let (status, body) =
+            answer.map_err(|_| Error::Unanswered("the time limit passed".to_owned()))??;
+        if status == StatusCode::OK {
+            let invalid = |error: serde_json::Error| Error::Unanswered(error.to_string());
+            return serde_json::from_slice(&body).map_err(invalid);
+        }
+        match serde_json::from_slice::<Fault>(&body) {
+            Ok(fault) => Err(Error::Refused(fault)),
+            Err(_) => Err(Error::Unanswered(format!("status {status}"))),
+        }
+    }
+
+    async fn exchange(&self, request: Request<Body>) -> Result<(StatusCode, bytes::Bytes)> {
+        let unreached = |error: shallotflow_wire::http::Error| Error::Unreached(error.to_string());
+        let unanswered =
+            |error: shallotflow_wire::http::Error| Error::Unanswered(error.to_string());
+        let mut connection = self.pool.take(self.address).await.map_err(unreached)?;
+        let response = connection.send(request).await.map_err(unanswered)?;
+        let status = response.status();
+        let body = response.into_body().collect(MAX_ANSWER_BYTES).await.map_err(unanswered)?;
+        self.pool.give_back(self.address, connection);
+        Ok((status, body))
+    }
+}
+
+impl Control for Client {
+    fn attach(&self, call: Attach) -> LocalBoxFuture<'_, Result<Attached>> {
+        Box::pin(self.send(call, Duration::ZERO))
+    }
+
+    fn start(&self, call: Start) -> LocalBoxFuture<'_, Result<Done>> {
+        Box::pin(self.send(call, Duration::ZERO))
+    }
+
+    fn renew(&self, call: Renew) -> LocalBoxFuture<'_, Result<Done>> {
+        Box::pin(self.send(call, Duration::ZERO))
+    }
+
+    fn throttle(&self, call: Throttle) -> LocalBoxFuture<'_, Result<Done>> {
+        Box::pin(self.send(call, Duration::ZERO))
+    }
+
+    fn stop(&self, call: Stop) -> LocalBoxFuture<'_, Result<Stopped>> {
+        Box::pin(self.send(call, Duration::ZERO))
+    }
+
+    fn acknowledge(&self, call: Acknowledge) -> LocalBoxFuture<'_, Result<Done>> {
+        Box::pin(self.send(call, Duration::ZERO))
+    }
+
+    fn list(&self, call: List) -> LocalBoxFuture<'_, Result<Listed>> {
+        let wait = Duration::from_millis(call.wait_ms);
+        Box::pin(self.send(call, wait))
+    }
+
+    fn usage(&self, call: Usage) -> LocalBoxFuture<'_, Result<Measured>> {
+        Box::pin(self.send(call, Duration::ZERO))
+    }
+}
--- /dev/null
+++ b/crates/agent/tests/agent/main.rs
@@ -0,0 +1,6 @@
+//! Behaviour of an agent over real connections, beside a stand-in worker.
+
+mod leaving;
+mod path;
+mod restart;
+mod support;
--- /dev/null
+++ b/crates/agent/tests/agent/support/mod.rs
@@ -0,0 +1,212 @@
+//! An agent beside a stand-in worker, with an entry that a test scripts.
+
+mod entry;
+
+pub(crate) use entry::{Entry, Script};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode};
+use shallotflow_agent as agent;
+use shallotflow_core::resources::Bundle;
+use shallotflow_core::settings::agent::Settings as AgentSettings;
+use shallotflow_core::settings::standin::Settings as WorkerSettings;
+use shallotflow_runtime::stop::{Level, Stop};
+use shallotflow_standin as standin;
+use shallotflow_standin::facts::Board;
+use shallotflow_wire::http::body::Body;
+use shallotflow_wire::http::limits::Limits;
+use shallotflow_wire::http::pool::Pool;
+use shallotflow_wire::proto;
+use std::net::SocketAddr;
+use std::sync::mpsc::{Sender, channel};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+const POLL: Duration = Duration::from_millis(2);
+
+/// Runs `test` on a runtime like that of a process.
+pub(crate) fn run(test: impl Future<Output = ()>) {
+    shallotflow_runtime::executor::run(test).expect("a runtime");
+}
+
+/// Waits until `done` holds; fails the test when it never does.
+pub(crate) async fn until(what: &str, mut done: impl FnMut() -> bool) {
+    let waiting = async {
+        while !done() {
+            monoio::time::sleep(POLL).await;
+        }
+    };
+    monoio::time::timeout(PATIENCE, waiting).await.unwrap_or_else(|_| panic!("never: {what}"));
+}
+
+/// Runs a process in a thread of its own, with its own runtime.
+struct Process {
+    stop: Stop,
+    thread: Option<JoinHandle<anyhow::Result<()>>>,
+}
+
+impl Process {
+    /// Starts a process and waits until it listens.
+    fn start<B, F>(main: impl FnOnce(Stop, Sender<B>) -> F + Send + 'static) -> (Self, B)
+    where
+        B: Send + 'static,
+        F: Future<Output = anyhow::Result<()>>,
+    {
+        let stop = Stop::default();
+        let (sender, receiver) = channel();
+        let inner = stop.clone();
+        let thread = std::thread::spawn(move || {
+            shallotflow_runtime::executor::run(main(inner, sender)).expect("a runtime")
+        });
+        let bound = receiver.recv_timeout(PATIENCE).expect("a process that listens");
+        (Self { stop, thread: Some(thread) }, bound)
+    }
+
+    /// Stops the process and waits for its end.
+    async fn end(&mut self, level: Level) -> anyhow::Result<()> {
+        self.stop.raise(level);
+        let thread = self.thread.take().expect("a process that runs");
+        until("the end of a process", || thread.is_finished()).await;
+        thread.join().expect("no panic")
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.stop.raise(Level::Immediate);
+    }
+}
+
+/// A worker with what happened on it.
+pub(crate) struct Worker {
+    pub(crate) board: Board,
+    pub(crate) settings: WorkerSettings,
+    process: Process,
+}
+
+impl Worker {
+    pub(crate) fn start(settings: WorkerSettings, board: Board) -> Self {
+        let (mut own, facts) = (settings.clone(), board.clone());
+        let (process, bound) = Process::start(move |stop, ready| {
+            standin::run_on(settings, facts, stop, move |bound| {
+                ready.send(bound).expect("a waiting test");
+            })
+        });
+        own.control_listen = bound.control;
+        own.target_listen = bound.target;
+        Self { board, settings: own, process }
+    }
+
+    /// Ends the worker at once, with all that runs on it.
+    pub(crate) async fn kill(&mut self) {
+        self.process.end(Level::Immediate).await.expect("a clean end");
+    }
+
+    /// Starts a worker anew at the same addresses.
+    pub(crate) async fn restart(&mut self) {
+        self.kill().await;
+        *self = Self::start(self.settings.clone(), self.board.clone());
+    }
+}
+
+pub(crate) fn worker_settings() -> WorkerSettings {
+    let capacity =
+        Bundle { slots: 2, connections: 8, millicores: 4_000, memory_mib: 1_000, accelerators: 0 };
+    WorkerSettings {
+        capacity,
+        kinds: vec!["preview".into(), "render".into()],
+        ..WorkerSettings::default()
+    }
+}
+
+/// A running agent.
+pub(crate) struct Agent {
+    pub(crate) address: SocketAddr,
+    process: Process,
+}
+
+impl Agent {
+    /// An agent of `worker` that reports to `entry`.
+    pub(crate) fn start(worker: &Worker, entry: &Entry) -> Self {
+        let settings = AgentSettings {
+            entries: vec![entry.address],
+            control: worker.settings.control_listen.expect("a control address"),
+            target: worker.settings.target_listen.expect("a target address"),
+            drain: Duration::from_secs(10),
+            ..AgentSettings::default()
+        };
+        let (process, bound) = Process::start(move |stop, ready| {
+            agent::run(settings, stop, move |bound: agent::Bound| {
+                ready.send(bound).expect("a waiting test");
+            })
+        });
+        Self { address: bound.requests, process }
+    }
+
+    /// Stops the agent gracefully.
+    pub(crate) async fn leave(&mut self) -> anyhow::Result<()> {
+        self.process.end(Level::Graceful).await
+    }
+
+    /// Ends the agent at once.
+    pub(crate) async fn kill(&mut self) -> anyhow::Result<()> {
+        self.process.end(Level::Immediate).await
+    }
+
+    /// Waits until the agent ends by itself.
+    pub(crate) async fn ended(&mut self) -> anyhow::Result<()> {
+        self.process.end(Level::Run).await
+    }
+
+    /// Sends a quick request and reads its whole answer.
+    pub(crate) async fn request(&self, body: &str, headers: &[(&'static str, &str)]) -> Answer {
+        request(self.address, body, headers).await
+    }
+}
+
+/// Sends a quick request to an agent and reads its whole answer.
+pub(crate) async fn request(
+    address: SocketAddr,
+    body: &str,
+    headers: &[(&'static str, &str)],
+) -> Answer {
+    let pool = Pool::new(Limits::default(), PATIENCE, 1);
+    let mut request = Request::post("/run/preview");
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(Body::from(body.to_owned())).expect("a request");
+    let mut connection = pool.take(address).await.expect("a connection");
+    let response = connection.send(request).await.expect("an answer");
+    let (head, body) = response.into_parts();
+    let body = body.collect(1 << 20).await.expect("a whole answer");
+    Answer { status: head.status, headers: head.headers, body }
+}
+
+/// An answer with its whole body.
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+impl Answer {
+    pub(crate) fn header(&self, name: &str) -> &str {
+        self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+    }
+}
+
+/// A grant of a task that runs for `run_ms`.
+pub(crate) fn grant(job: &str, run_ms: u64) -> proto::Grant {
+    proto::Grant {
+        key: Some(proto::TaskKey { ledger: 1, job: job.to_owned(), attempt: 1 }),
+        epoch: 7,
+        caller: "clerk".to_owned(),
+        kind: "render".to_owned(),
+        resources: Some(proto::Bundle { slots: 1, memory_mib: 100, ..proto::Bundle::default() }),
+        expected_run_ms: run_ms,
+        payload: format!("{{\"run_ms\":{run_ms}}}"),
+        ..proto::Grant::default()
+    }
+}
