--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -172,6 +172,11 @@
     /// Keeps a reservation until the worker's list confirms that its work has ended.
     pub(crate) fn doubt(&self, id: Id, name: Name) {
         self.state_mut().doubts.push(Doubt { id, name, since: Monotonic.now() });
+        self.suspect();
+    }
+
+    /// Asks for the list of the worker at once, over a new connection.
+    pub(crate) fn suspect(&self) {
         self.inner.worker_changed.notify(usize::MAX);
     }
 
--- a/crates/agent/src/batch/carry.rs
+++ b/crates/agent/src/batch/carry.rs
@@ -124,6 +124,7 @@
     if let Err(error) = agent.control().renew(call).await {
         // The next report renews them again.
         warn!("a renewal failed", kv: { error = error.to_string() });
+        agent.suspect();
     }
 }
 
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -16,7 +16,6 @@
 use shallotflow_core::settings::agent::Settings;
 use shallotflow_runtime::stop::Stop;
 use shallotflow_wire::http::gate::Gate;
-use shallotflow_wire::http::limits::Limits;
 use shallotflow_wire::http::server::serve;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -44,9 +43,10 @@
     let bound = Bound { requests: requests.local_addr()?, operators: operators.local_addr()? };
     let control = Rc::new(worker::Client::new(settings.control));
     let agent = Agent::new(settings, control, bound.requests);
+    let limits = agent.settings().limits.clone();
     let gate = Gate::default();
     let door = Rc::new(request::Door::new(agent.clone()));
-    monoio::spawn(serve(requests, door, Limits::default(), gate.clone()));
+    monoio::spawn(serve(requests, door, limits, gate.clone()));
     monoio::spawn(report::follow_entries(agent.clone()));
     ready(bound);
     let result = monoio::select! {
--- a/crates/agent/src/request/head.rs
+++ b/crates/agent/src/request/head.rs
@@ -64,7 +64,7 @@
 
 fn need(headers: &HeaderMap, class: Class) -> Result<Bundle> {
     let Some(text) = text(headers, Bundle::HEADER)? else { return Ok(least(class)) };
-    let need: Bundle = text.parse().map_err(|error: shallotflow_core::resources::ParseError| {
+    let need: Bundle = text.parse().map_err(|error: shallotflow_core::resources::Error| {
         bad(Bundle::HEADER, text, &error.to_string())
     })?;
     Ok(need.max(&least(class)))
--- a/crates/agent/tests/agent/support/mod.rs
+++ b/crates/agent/tests/agent/support/mod.rs
@@ -89,7 +89,8 @@
     pub(crate) fn start(settings: WorkerSettings, board: Board) -> Self {
         let (mut own, facts) = (settings.clone(), board.clone());
         let (process, bound) = Process::start(move |stop, ready| {
-            standin::run_on(settings, facts, stop, move |bound| {
+            let handles = standin::Handles { board: facts, ..standin::Handles::default() };
+            standin::run_with(settings, handles, stop, move |bound| {
                 ready.send(bound).expect("a waiting test");
             })
         });
--- a/crates/codegen/src/lib.rs
+++ b/crates/codegen/src/lib.rs
@@ -1,4 +1,7 @@
-//! Generation of message code from schemas, without an external compiler.
+//! Generation of message code from schemas, without an external compiler, and of the reference
+//! pages from the tables in the code.
+
+pub mod page;
 
 use anyhow::{Context, Result};
 use std::path::Path;
@@ -15,8 +18,10 @@
 }
 
 /// Every schema of the workspace.
-pub const SCHEMAS: &[Schema] =
-    &[Schema { directory: "wire/proto", input: "shallotflow.proto", output: "wire/src/generated" }];
+pub const SCHEMAS: &[Schema] = &[
+    Schema { directory: "wire/proto", input: "shallotflow.proto", output: "wire/src/generated" },
+    Schema { directory: "store/proto", input: "rpc.proto", output: "store/src/generated" },
+];
 
 /// Writes the code of `schema` into `out`.
 ///
--- a/crates/core/src/resources.rs
+++ b/crates/core/src/resources.rs
@@ -4,6 +4,31 @@
 use std::fmt;
 use std::str::FromStr;
 
+/// Why a text is not a bundle.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// A part has no equals sign.
+    #[error("{0:?} is not of the form name=amount; write slots=1 for instance")]
+    NotAPair(String),
+    /// A part names no resource.
+    #[error("{0:?} is no resource; use slots, connections, millicores, memory_mib or accelerators")]
+    UnknownResource(String),
+    /// An amount is not a whole number in range.
+    #[error("amount {amount:?} of {resource} is not a whole number below 2^32; correct it")]
+    BadAmount {
+        /// The resource.
+        resource: String,
+        /// The amount as given.
+        amount: String,
+    },
+    /// A resource is given twice.
+    #[error("{0:?} is given more than once; give each resource once")]
+    Repeated(String),
+}
+
+/// The result of reading a bundle.
+pub type Result<T> = std::result::Result<T, Error>;
+
 /// Amounts of each resource, as a need or as a capacity.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -21,6 +46,9 @@
 }
 
 impl Bundle {
+    /// The header that carries a bundle between processes, as its text.
+    pub const HEADER: &'static str = "shallotflow-resources";
+
     /// Whether `need` fits in `self` in every dimension.
     pub fn holds(&self, need: &Self) -> bool {
         self.slots >= need.slots
@@ -50,48 +78,8 @@
         *self == Self::default()
     }
 
-    fn zip(&self, other: &Self, op: impl Fn(u32, u32) -> u32) -> Self {
-        Self {
-            slots: op(self.slots, other.slots),
-            connections: op(self.connections, other.connections),
-            millicores: op(self.millicores, other.millicores),
-            memory_mib: op(self.memory_mib, other.memory_mib),
-            accelerators: op(self.accelerators, other.accelerators),
-        }
-    }
-}
-
-/// Why a text is no bundle.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum ParseError {
-    /// A part without `=`.
-    #[error("resource {0:?} has no value; write name=amount")]
-    NoValue(String),
-    /// A name that is no resource.
-    #[error(
-        "resource {0:?} does not exist; use slots, connections, millicores, memory_mib or \
-         accelerators"
-    )]
-    UnknownName(String),
-    /// An amount that is no number.
-    #[error("resource {name} has amount {amount:?}; give a whole number up to 4294967295")]
-    BadAmount {
-        /// The resource.
-        name: String,
-        /// What was given.
-        amount: String,
-    },
-}
-
-/// The result of reading a bundle.
-pub type Result<T> = std::result::Result<T, ParseError>;
-
-impl Bundle {
-    /// The header that carries a bundle between processes, in the form of its text.
-    pub const HEADER: &'static str = "shallotflow-resources";
-
-    fn field(&mut self, name: &str) -> Option<&mut u32> {
-        match name {
+    fn field(&mut self, resource: &str) -> Option<&mut u32> {
+        match resource {
             "slots" => Some(&mut self.slots),
             "connections" => Some(&mut self.connections),
             "millicores" => Some(&mut self.millicores),
@@ -100,34 +88,47 @@
             _ => None,
         }
     }
-}
 
-impl fmt::Display for Bundle {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "slots={},connections={},millicores={},memory_mib={},accelerators={}",
-            self.slots, self.connections, self.millicores, self.memory_mib, self.accelerators
-        )
+    fn zip(&self, other: &Self, op: impl Fn(u32, u32) -> u32) -> Self {
+        Self {
+            slots: op(self.slots, other.slots),
+            connections: op(self.connections, other.connections),
+            millicores: op(self.millicores, other.millicores),
+            memory_mib: op(self.memory_mib, other.memory_mib),
+            accelerators: op(self.accelerators, other.accelerators),
+        }
     }
 }
 
 impl FromStr for Bundle {
-    type Err = ParseError;
+    type Err = Error;
 
+    /// Reads `slots=1,memory_mib=64`; what is not named is zero.
     fn from_str(text: &str) -> Result<Self> {
         let mut bundle = Self::default();
-        for part in text.split(',').map(str::trim).filter(|part| !part.is_empty()) {
-            let Some((name, amount)) = part.split_once('=') else {
-                return Err(ParseError::NoValue(part.to_owned()));
-            };
-            let (name, amount) = (name.trim(), amount.trim());
-            let Some(field) = bundle.field(name) else {
-                return Err(ParseError::UnknownName(name.to_owned()));
-            };
-            let bad = |_| ParseError::BadAmount { name: name.into(), amount: amount.into() };
-            *field = amount.parse().map_err(bad)?;
+        let mut seen = Vec::new();
+        for part in text.split(',') {
+            let (resource, amount) =
+                part.trim().split_once('=').ok_or_else(|| Error::NotAPair(part.to_owned()))?;
+            let unknown = || Error::UnknownResource(resource.to_owned());
+            let field = bundle.field(resource).ok_or_else(unknown)?;
+            *field = amount.parse().map_err(|_| Error::BadAmount {
+                resource: resource.to_owned(),
+                amount: amount.to_owned(),
+            })?;
+            if seen.contains(&resource) {
+                return Err(Error::Repeated(resource.to_owned()));
+            }
+            seen.push(resource);
         }
         Ok(bundle)
     }
 }
+
+impl fmt::Display for Bundle {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { slots, connections, millicores, memory_mib, accelerators } = self;
+        write!(f, "slots={slots},connections={connections},millicores={millicores},")?;
+        write!(f, "memory_mib={memory_mib},accelerators={accelerators}")
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,19 +1,21 @@
 //! Small stand-ins of the platform, for tests and the demo.
 //!
+//! - [`store`]: the platform's key-value store, in memory, with faults.
 //! - [`worker`]: runs tasks under leases, behind a control interface.
 //! - [`target`]: answers requests, slowed down by what runs on the same worker.
 //! - [`facts`]: what really happened, with the promises that were broken.
 
 pub mod facts;
+pub mod store;
 pub mod target;
 pub mod worker;
 
 use anyhow::Context;
+use event_listener::Event;
 use monoio::net::TcpListener;
 use shallotflow_core::settings::standin::Settings;
 use shallotflow_runtime::stop::{Level, Stop};
 use shallotflow_wire::http::gate::Gate;
-use shallotflow_wire::http::limits::Limits;
 use shallotflow_wire::http::server::{Handler, serve};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -38,33 +40,47 @@
 ///
 /// Fails when an address cannot be listened on.
 pub async fn run(settings: Settings, stop: Stop, ready: impl FnOnce(Bound)) -> anyhow::Result<()> {
-    run_on(settings, facts::Board::default(), stop, ready).await
+    run_with(settings, Handles::default(), stop, ready).await
 }
 
-/// Like [`run`], with a board of facts that other stand-ins share.
+/// What a test shares with a stand-in, or several stand-ins with each other.
+#[derive(Clone, Debug, Default)]
+pub struct Handles {
+    /// What really happened.
+    pub board: facts::Board,
+    /// The faults that the store shows.
+    pub faults: store::Faults,
+    /// What the store was asked.
+    pub counters: store::Counters,
+}
+
+/// Like [`run`], with handles that the caller keeps.
 ///
 /// # Errors
 ///
 /// Fails when an address cannot be listened on.
-pub async fn run_on(
+pub async fn run_with(
     settings: Settings,
-    board: facts::Board,
+    handles: Handles,
     stop: Stop,
     ready: impl FnOnce(Bound),
 ) -> anyhow::Result<()> {
     let gate = Gate::default();
-    let floor = worker::Floor::new(settings.clone(), board);
+    let closing = Rc::new(Event::new());
+    let store = store::Server::new(handles.faults, handles.counters, settings.seed);
+    let floor = worker::Floor::new(settings.clone(), handles.board);
     let control = Rc::new(worker::Control::new(floor.clone()));
     let target = Rc::new(target::Target::new(floor.clone()));
     let bound = Bound {
-        store: None,
-        control: listen(settings.control_listen, control, &gate)?,
-        target: listen(settings.target_listen, target, &gate)?,
+        store: listen_store(settings.store_listen, store, &closing)?,
+        control: listen(settings.control_listen, control, &settings, &gate)?,
+        target: listen(settings.target_listen, target, &settings, &gate)?,
     };
     ready(bound);
     stop.wait(Level::Graceful).await;
     floor.leave();
     drain(&floor, &settings, &stop).await;
+    closing.notify(usize::MAX);
     gate.drain();
     floor.close();
     Ok(())
@@ -90,12 +106,29 @@
 fn listen(
     address: Option<SocketAddr>,
     handler: Rc<dyn Handler>,
+    settings: &Settings,
     gate: &Gate,
 ) -> anyhow::Result<Option<SocketAddr>> {
     let Some(address) = address else { return Ok(None) };
-    let listener = TcpListener::bind(address)
-        .with_context(|| format!("cannot listen on {address}; choose a free address"))?;
+    let listener = bind(address)?;
     let bound = listener.local_addr()?;
-    monoio::spawn(serve(listener, handler, Limits::default(), gate.clone()));
+    monoio::spawn(serve(listener, handler, settings.limits.clone(), gate.clone()));
     Ok(Some(bound))
 }
+
+fn listen_store(
+    address: Option<SocketAddr>,
+    store: store::Server,
+    closing: &Rc<Event>,
+) -> anyhow::Result<Option<SocketAddr>> {
+    let Some(address) = address else { return Ok(None) };
+    let listener = bind(address)?;
+    let bound = listener.local_addr()?;
+    monoio::spawn(store::serve(listener, store, closing.clone()));
+    Ok(Some(bound))
+}
+
+fn bind(address: SocketAddr) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address)
+        .with_context(|| format!("cannot listen on {address}; choose a free address"))
+}
