Close listeners and connections at the end of a process

Cause: tasks of a runtime that ends are not dropped, so a process that a test ran as a thread left its listener open, and with address reuse half of the new connections went to it; a restarted worker was found only after a list timed out (4.1 s for the agent's tests). Change: a gate can be cut, which breaks its connections off and closes its listener; agent and stand-in do so at their end. Ruled out: closing by dropping the runtime, as timers and events keep their tasks alive in a cycle.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -54,7 +54,8 @@
         () = tick(agent.clone()) => Ok(()),
         result = worker::watch(agent.clone()) => result,
     };
-    gate.drain();
+    gate.cut();
+    gate.wait_closed().await;
     result.context("another agent has taken this worker over; end this one")
 }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -21,6 +21,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// The longest wait for peers to close their idle connections.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 const DRAIN_POLL: Duration = Duration::from_millis(5);
 
 /// The addresses that a stand-in process listens on.
@@ -81,7 +83,13 @@
     floor.leave();
     drain(&floor, &settings, &stop).await;
     closing.notify(usize::MAX);
-    gate.drain();
+    if stop.level() == Level::Graceful {
+        gate.drain();
+        // Idle connections close within moments; one that does not is cut below.
+        let _ = monoio::time::timeout(CLOSE_TIMEOUT, gate.wait_closed()).await;
+    }
+    gate.cut();
+    gate.wait_closed().await;
     floor.close();
     Ok(())
 }
--- a/crates/wire/src/http/gate.rs
+++ b/crates/wire/src/http/gate.rs
@@ -15,6 +15,7 @@
     active: Cell<usize>,
     connections: Cell<usize>,
     draining: Cell<bool>,
+    cut: Cell<bool>,
     changed: Event,
 }
 
@@ -30,6 +31,14 @@
         self.inner.draining.get()
     }
 
+    /// Breaks all connections off, also in the middle of an exchange, and accepts no new ones.
+    ///
+    /// The connections are closed once [`Gate::wait_closed`] returns.
+    pub fn cut(&self) {
+        self.inner.cut.set(true);
+        self.drain();
+    }
+
     /// Exchanges in progress.
     pub fn active(&self) -> usize {
         self.inner.active.get()
@@ -47,6 +56,13 @@
         }
     }
 
+    /// Waits until [`Gate::cut`] is called.
+    pub(super) async fn wait_cut(&self) {
+        while !self.inner.cut.get() {
+            self.listen().await;
+        }
+    }
+
     /// Waits until no exchange is in progress.
     pub async fn wait_idle(&self) {
         while self.active() > 0 {
--- a/crates/wire/src/http/server.rs
+++ b/crates/wire/src/http/server.rs
@@ -91,14 +91,18 @@
         let _ = writer.response(&head, &mut body, false, true).await;
         return writer.close().await;
     }
-    loop {
-        match exchange(reader, &mut writer, peer, &*handler, &limits, &gate).await {
-            Ok(Some(next)) => reader = next,
-            Ok(None) => break,
-            Err(_) => break,
+    let exchanges = async {
+        while let Ok(Some(next)) =
+            exchange(reader, &mut writer, peer, &*handler, &limits, &gate).await
+        {
+            reader = next;
         }
+        writer.close().await;
+    };
+    monoio::select! {
+        () = gate.wait_cut() => {}
+        () = exchanges => {}
     }
-    writer.close().await;
 }
 
 /// Serves one request; gives the reader back when the connection can be reused.
--- a/crates/wire/tests/http.rs
+++ b/crates/wire/tests/http.rs
@@ -132,3 +132,18 @@
         gate.wait_closed().await;
     });
 }
+
+#[test]
+fn cutting_breaks_off_connections_and_closes_the_listener() {
+    run(async |address, gate| {
+        let pool = pool();
+        let mut connection = pool.take(address).await.expect("a connection");
+        let request = Request::post("/").body(Body::from("first")).expect("a request");
+        let response = connection.send(request).await.expect("a response");
+        assert_eq!(response.into_body().collect(100).await.expect("a body"), "first");
+        gate.cut();
+        gate.wait_closed().await;
+        assert!(connection.is_stale().await);
+        assert!(pool.take(address).await.is_err());
+    });
+}
