Cut off peers that take no answer and see closed connections at once

Cause: a write to a peer that reads nothing never ended, and asking whether a pooled connection is stale cost a 16 KB buffer each time, because the cancelled read kept the buffer. Change: writes are limited by the same time as pauses within a body, in parts of 64 KB; staleness is asked by one poll with a buffer of one byte. Conclusion: two tests added; the one with the peer that never reads hangs without the limit.

--- a/crates/wire/src/http/client.rs
+++ b/crates/wire/src/http/client.rs
@@ -38,7 +38,7 @@
         let (read, write) = stream.into_split();
         let reader = Reader::new(read, limits.clone());
         let reader = Rc::new(std::cell::RefCell::new(Some(reader)));
-        Ok(Self { reader, writer: Writer::new(write), limits })
+        Ok(Self { reader, writer: Writer::new(write, limits.stall), limits })
     }
 
     /// Sends a request and reads the head of its response.
@@ -77,10 +77,7 @@
     }
 
     /// Whether the peer has closed the connection or sent something unasked.
-    pub async fn is_stale(&mut self) -> bool {
-        let Some(mut reader) = self.reader.borrow_mut().take() else { return true };
-        let quiet = timeout(Duration::ZERO, reader.wait_first_byte()).await.is_err();
-        *self.reader.borrow_mut() = Some(reader);
-        !quiet
+    pub fn is_stale(&mut self) -> bool {
+        self.reader.borrow_mut().as_mut().is_none_or(|reader| !reader.is_quiet())
     }
 }
--- a/crates/wire/src/http/pool.rs
+++ b/crates/wire/src/http/pool.rs
@@ -38,7 +38,7 @@
     pub async fn take(&self, address: SocketAddr) -> Result<Connection> {
         while let Some(parked) = self.pop(address) {
             let mut connection = parked.connection;
-            if Instant::now() < parked.expires && !connection.is_stale().await {
+            if Instant::now() < parked.expires && !connection.is_stale() {
                 return Ok(connection);
             }
         }
--- a/crates/wire/src/http/reader.rs
+++ b/crates/wire/src/http/reader.rs
@@ -3,6 +3,7 @@
 use super::limits::Limits;
 use super::{Error, Result};
 use bytes::{Bytes, BytesMut};
+use futures_util::FutureExt;
 use monoio::io::{AsyncReadRent, OwnedReadHalf};
 use monoio::net::TcpStream;
 use monoio::time::timeout;
@@ -42,6 +43,11 @@
         !self.buffer.is_empty()
     }
 
+    /// Whether nothing has arrived and the peer has not closed, without waiting.
+    pub(super) fn is_quiet(&mut self) -> bool {
+        self.buffer.is_empty() && self.io.read(vec![0; 1]).now_or_never().is_none()
+    }
+
     /// Waits for the first byte of a message; `false` when the peer closed instead.
     pub(super) async fn wait_first_byte(&mut self) -> Result<bool> {
         if !self.buffer.is_empty() {
--- a/crates/wire/src/http/server.rs
+++ b/crates/wire/src/http/server.rs
@@ -84,7 +84,7 @@
         return;
     }
     let (read, write) = stream.into_split();
-    let mut writer = Writer::new(write);
+    let mut writer = Writer::new(write, limits.stall);
     let mut reader = Reader::new(read, limits.clone());
     if gate.connections() > limits.connections {
         let (head, mut body) = handler.overloaded().into_parts();
--- a/crates/wire/src/http/writer.rs
+++ b/crates/wire/src/http/writer.rs
@@ -3,26 +3,33 @@
 //! The encoder of `monoio-http` holds small chunks back until the end of a body. Watchers need
 //! each piece at once, so heads and chunks are written here and flushed by piece.
 
-use super::Result;
 use super::body::Body;
+use super::{Error, Result};
 use bytes::{BufMut, Bytes, BytesMut};
 use http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, request, response};
+use monoio::buf::IoBuf;
 use monoio::io::{AsyncWriteRent, AsyncWriteRentExt, OwnedWriteHalf};
 use monoio::net::TcpStream;
+use monoio::time::timeout;
 use std::io::Write;
+use std::time::Duration;
 
 const SMALL_BODY_BYTES: u64 = 32 * 1024;
+/// The most that the peer has to take within the time limit for pauses.
+const WRITE_BYTES: usize = 64 * 1024;
 
 /// The writing half of a connection.
 pub(super) struct Writer {
     io: OwnedWriteHalf<TcpStream>,
     buffer: BytesMut,
+    stall: Duration,
 }
 
 impl Writer {
-    pub(super) fn new(io: OwnedWriteHalf<TcpStream>) -> Self {
-        Self { io, buffer: BytesMut::new() }
+    /// A writer that gives up when the peer takes nothing for `stall`.
+    pub(super) fn new(io: OwnedWriteHalf<TcpStream>, stall: Duration) -> Self {
+        Self { io, buffer: BytesMut::new(), stall }
     }
 
     /// Writes a whole request.
@@ -104,7 +111,7 @@
         }
         let mut left = length;
         while left > 0 {
-            let Some(piece) = body.next().await else { return Err(super::Error::Truncated) };
+            let Some(piece) = body.next().await else { return Err(Error::Truncated) };
             let piece = piece?;
             left = left.saturating_sub(piece.len() as u64);
             self.piece(piece).await?;
@@ -128,14 +135,16 @@
         self.flush().await
     }
 
-    async fn piece(&mut self, piece: Bytes) -> Result<()> {
+    async fn piece(&mut self, mut piece: Bytes) -> Result<()> {
         if piece.len() as u64 <= SMALL_BODY_BYTES {
             self.buffer.put_slice(&piece);
             return Ok(());
         }
         self.flush().await?;
-        let (result, _) = self.io.write_all(piece).await;
-        result?;
+        while !piece.is_empty() {
+            let part = piece.split_to(piece.len().min(WRITE_BYTES));
+            self.write(part).await?;
+        }
         Ok(())
     }
 
@@ -144,13 +153,18 @@
             return Ok(());
         }
         let buffer = std::mem::take(&mut self.buffer);
-        let (result, buffer) = self.io.write_all(buffer).await;
-        self.buffer = buffer;
+        self.buffer = self.write(buffer).await?;
         self.buffer.clear();
-        result?;
         Ok(())
     }
 
+    async fn write<T: IoBuf + 'static>(&mut self, bytes: T) -> Result<T> {
+        let written = timeout(self.stall, self.io.write_all(bytes)).await;
+        let (result, bytes) = written.map_err(|_| Error::Slow)?;
+        result?;
+        Ok(bytes)
+    }
+
     /// Closes the writing direction.
     pub(super) async fn close(&mut self) {
         // The peer may be gone already; nothing is left to tell it.
--- a/crates/wire/tests/http.rs
+++ b/crates/wire/tests/http.rs
@@ -14,6 +14,10 @@
 use std::time::Duration;
 
 const CONNECT: Duration = Duration::from_secs(5);
+/// More than the system buffers on a connection.
+const LARGE_BYTES: usize = 64 * 1024 * 1024;
+/// Short, so that a peer that takes nothing is cut off soon.
+const STALL: Duration = Duration::from_millis(200);
 
 struct Echo;
 
@@ -23,6 +27,10 @@
         request: Request<Body>,
         _: SocketAddr,
     ) -> LocalBoxFuture<'static, Response<Body>> {
+        if request.uri().path() == "/large" {
+            let large = Bytes::from(vec![b'x'; LARGE_BYTES]);
+            return Box::pin(async move { Response::new(Body::Full(large)) });
+        }
         Box::pin(async move { Response::new(request.into_body()) })
     }
 }
@@ -36,7 +44,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("a bound address");
         let gate = Gate::default();
-        let limits = Limits { body_bytes: 200_000, head_bytes: 4_096, ..Limits::default() };
+        let limits =
+            Limits { body_bytes: 200_000, head_bytes: 4_096, stall: STALL, ..Limits::default() };
         monoio::spawn(serve(listener, Rc::new(Echo), limits, gate.clone()));
         test(address, gate).await;
     });
@@ -86,6 +95,37 @@
     });
 }
 
+#[test]
+fn a_connection_that_the_peer_closed_is_not_reused() {
+    run(async |address, gate| {
+        let pool = pool();
+        let mut connection = pool.take(address).await.expect("a connection");
+        let request = Request::post("/").body(Body::from("first")).expect("a request");
+        let response = connection.send(request).await.expect("a response");
+        response.into_body().collect(100).await.expect("a body");
+        assert!(!connection.is_stale());
+        gate.drain();
+        gate.wait_closed().await;
+        // The end of the connection is seen when the runtime next asks the system for events.
+        while !connection.is_stale() {
+            monoio::time::sleep(Duration::from_millis(1)).await;
+        }
+    });
+}
+
+#[test]
+fn a_peer_that_takes_no_answer_is_cut_off() {
+    run(async |address, gate| {
+        use monoio::io::AsyncWriteRentExt;
+        let mut stream = TcpStream::connect(address).await.expect("a connection");
+        let request = b"GET /large HTTP/1.1\r\n\r\n";
+        stream.write_all(&request[..]).await.0.expect("a sent message");
+        // The peer never reads, and the buffers of the system hold less than the answer.
+        gate.drain();
+        gate.wait_closed().await;
+    });
+}
+
 #[test]
 fn refuses_a_body_over_the_limit_before_reading_it() {
     run(async |address, _| {
