--- a/crates/codegen/src/main.rs
+++ b/crates/codegen/src/main.rs
@@ -1,6 +1,7 @@
-//! Generates the committed message code of `shallotflow-wire` and `shallotflow-store`.
+//! Generates the committed message code and the reference pages of the documentation.
 //!
-//! Run `cargo run -p shallotflow-codegen` after a change to a schema and commit the result.
+//! Run `cargo run -p shallotflow-codegen` after a change to a schema, a setting, an error code or
+//! the command line, and commit the result.
 
 use anyhow::{Context, Result};
 use std::path::Path;
@@ -13,5 +14,10 @@
             .with_context(|| format!("generating {} from {}", schema.output, schema.input))?;
         println!("wrote {}", schema.output);
     }
+    for page in shallotflow_codegen::page::all() {
+        let path = crates.join("..").join(page.path);
+        std::fs::write(&path, &page.text).with_context(|| format!("writing {}", page.path))?;
+        println!("wrote {}", page.path);
+    }
     Ok(())
 }
