Decide on batch jobs in tables under an owner's epoch

Cause: a job must run at most once or resume exactly once whatever owner, agent or worker is lost, and grants must not leave before they are recorded. Change: one table for the jobs of every owned ledger, with systems for reports, grants, lost leases, impossible jobs and retention; changes leave in segments of an append-only log whose oldest part is compacted into new ones.

--- /dev/null
+++ b/crates/policy/src/ledger/hear.rs
@@ -0,0 +1,222 @@
+//! What a report says of tasks, and what follows for their jobs.
+
+use super::pending::Item;
+use super::shape::Shape;
+use super::worker::Worker;
+use super::{Grant, Key, Mark, Moment, Pending, Phase, Reply, Report, Status, Table, grant, id};
+use shallotflow_core::job::State;
+use shallotflow_core::name::Name;
+use std::collections::BTreeSet;
+
+impl Table {
+    /// Takes a report and decides for its worker.
+    ///
+    /// The decisions leave through [`Table::reply`] once their changes are committed. A report that
+    /// is older than one taken before changes nothing and renews nothing.
+    pub fn hear(&mut self, report: &Report, moment: Moment) -> Pending {
+        if !self.refresh(report, moment) {
+            return Pending::default();
+        }
+        let mut pending =
+            Pending { worker: report.worker.clone(), taken: true, ..Pending::default() };
+        for status in &report.tasks {
+            judge(self, report, status, &mut pending, moment);
+        }
+        judge_missing(self, report, moment);
+        grant::run(self, report, &mut pending, moment);
+        pending
+    }
+
+    /// The part of a pending reply that is committed; what is not stays out of it.
+    pub fn reply(&self, pending: &Pending) -> Reply {
+        if !pending.taken {
+            return Reply::default();
+        }
+        let settled = pending.settled.iter().filter(|item| self.is_committed(item.mark));
+        let stops = pending.stops.iter();
+        Reply {
+            grants: pending.grants.iter().filter_map(|item| self.release(pending, item)).collect(),
+            stops: stops.filter_map(|key| Some((key.clone(), self.epoch(key)?))).collect(),
+            settled: settled.map(|item| item.key.clone()).collect(),
+            owned: self.owned().collect(),
+        }
+    }
+
+    /// Whether a change is in the store; false for a ledger that is no longer owned.
+    pub fn is_committed(&self, mark: Mark) -> bool {
+        let shard = self.shards.get(&mark.ledger).filter(|shard| shard.epoch == mark.epoch);
+        shard.is_some_and(|shard| shard.committed >= mark.change)
+    }
+
+    /// Whether a change can still come into the store under this owner.
+    pub fn may_commit(&self, mark: Mark) -> bool {
+        self.shards.get(&mark.ledger).is_some_and(|shard| shard.epoch == mark.epoch)
+    }
+
+    fn epoch(&self, key: &Key) -> Option<u64> {
+        self.shards.get(&key.ledger).map(|shard| shard.epoch)
+    }
+
+    /// The grant of `item`, unless it is uncommitted or the job has moved on.
+    fn release(&self, pending: &Pending, item: &Item) -> Option<Grant> {
+        if !self.is_committed(item.mark) {
+            return None;
+        }
+        let record = &self.jobs.get(&item.key.job)?.record;
+        let starts = is_started_on(&record.state, &pending.worker)
+            && record.attempts == item.key.attempt
+            && !record.cancelled;
+        let epoch = self.epoch(&item.key)?;
+        starts.then(|| Grant::new(item.key.clone(), epoch, record))
+    }
+
+    /// Updates the worker; returns whether the report is newer than every earlier one.
+    fn refresh(&mut self, report: &Report, moment: Moment) -> bool {
+        let worker =
+            self.workers.entry(report.worker.clone()).or_insert_with(|| Worker::new(report));
+        if !worker.precedes(report) {
+            return false;
+        }
+        worker.refresh(report, &self.settings, moment.now);
+        let shape = Shape::of(worker);
+        if !self.shapes.contains(&shape) {
+            self.recount_shapes();
+        }
+        true
+    }
+}
+
+/// Decides on one listed task.
+fn judge(
+    table: &mut Table,
+    report: &Report,
+    status: &Status,
+    pending: &mut Pending,
+    moment: Moment,
+) {
+    let key = &status.key;
+    if !table.shards.contains_key(&key.ledger) || id::ledger(&key.job) != Some(key.ledger) {
+        return;
+    }
+    let current = table.jobs.get(&key.job).is_some_and(|job| {
+        job.record.attempts == key.attempt && is_started_on(&job.record.state, &report.worker)
+    });
+    if current {
+        advance(table, report, status, moment);
+    }
+    if status.phase.has_ended() {
+        let mark = table.last_change(&key.job);
+        pending.settled.push(Item { key: key.clone(), mark });
+        return;
+    }
+    let cancelled = table.jobs.get(&key.job).is_some_and(|job| job.record.cancelled);
+    if !current || cancelled {
+        pending.stops.push(key.clone());
+    }
+}
+
+/// Carries the phase of a current task over to its job.
+fn advance(table: &mut Table, report: &Report, status: &Status, moment: Moment) {
+    let settings = table.settings.clone();
+    let reason = &status.reason;
+    let id = &status.key.job;
+    match status.phase {
+        Phase::Accepted | Phase::Running => return note_active(table, status),
+        Phase::Done => note_success(table, &report.worker),
+        Phase::Failed => note_failure(table, &report.worker, moment),
+        _ => {}
+    }
+    table.update(id, |job| {
+        job.acknowledge(&status.checkpoint);
+        match status.phase {
+            Phase::Done => job.finish(moment),
+            Phase::Failed => job.fail(reason, &settings, moment),
+            Phase::Refused => job.requeue(moment),
+            Phase::Evicted => job.interrupt("evicted without a checkpoint", moment),
+            Phase::Stopped => job.interrupt("stopped without a checkpoint", moment),
+            Phase::Lapsed => job.interrupt("its lease passed while it ran", moment),
+            Phase::Accepted | Phase::Running => {}
+        }
+    });
+}
+
+fn note_active(table: &mut Table, status: &Status) {
+    let Some(job) = table.jobs.get_mut(&status.key.job) else { return };
+    job.heard = true;
+    if status.checkpoint.is_some() && job.record.checkpoint != status.checkpoint {
+        table.update(&status.key.job, |job| {
+            job.acknowledge(&status.checkpoint);
+        });
+    }
+}
+
+fn note_success(table: &mut Table, worker: &Name) {
+    let Some(worker) = table.workers.get_mut(worker) else { return };
+    worker.failures = 0;
+    worker.aside_until = shallotflow_core::time::Time::ZERO;
+}
+
+/// Counts a failure and sets the worker aside, unless too many are aside already.
+fn note_failure(table: &mut Table, name: &Name, moment: Moment) {
+    let aside = table.workers.values().filter(|worker| !worker.aside_until.passed(moment.now));
+    let limit = table.workers.len() * table.settings.aside_percent as usize / 100;
+    let may_set_aside = aside.count() < limit;
+    let Some(worker) = table.workers.get_mut(name) else { return };
+    worker.failures = worker.failures.saturating_add(1);
+    if worker.failures >= table.settings.aside_failures && may_set_aside {
+        worker.aside_until = worker.aside_end(&table.settings, moment.now);
+    }
+}
+
+/// Decides on tasks that the report should list but does not.
+fn judge_missing(table: &mut Table, report: &Report, moment: Moment) {
+    let listed: BTreeSet<&Key> = report.tasks.iter().map(|status| &status.key).collect();
+    let settings = table.settings.clone();
+    for id in table.placed_on(&report.worker) {
+        if table.current_key(&id).is_none_or(|key| listed.contains(&key)) {
+            continue;
+        }
+        match absence(table, &id, report) {
+            Absence::Unproved => {}
+            Absence::NeverStarted => {
+                table.update(&id, |job| job.requeue(moment));
+            }
+            Absence::Lost => {
+                let reason = format!("worker {} holds it no more", report.worker);
+                table.update(&id, |job| job.lose(&reason, &settings, moment));
+            }
+        }
+    }
+}
+
+/// What it means that a report does not list a task.
+enum Absence {
+    /// The grant may still reach the agent.
+    Unproved,
+    /// The agent dropped the grant and will never start it.
+    NeverStarted,
+    /// The agent may have started it, but its worker holds it no more.
+    Lost,
+}
+
+fn absence(table: &Table, id: &Name, report: &Report) -> Absence {
+    let Some(job) = table.jobs.get(id) else { return Absence::Unproved };
+    let Some(granted) = job.granted else {
+        // An agent that has seen this owner's epoch takes no more grants of earlier owners.
+        let ledger = id::ledger(id).unwrap_or_default();
+        let epoch = table.shards.get(&ledger).map_or(u64::MAX, |shard| shard.epoch);
+        let fenced = report.epoch(ledger) >= epoch;
+        return if fenced { Absence::Lost } else { Absence::Unproved };
+    };
+    if (granted.incarnation, granted.sequence) >= (report.incarnation, report.sequence) {
+        return Absence::Unproved;
+    }
+    if granted.incarnation == report.incarnation && !job.heard {
+        return Absence::NeverStarted;
+    }
+    Absence::Lost
+}
+
+fn is_started_on(state: &State, name: &Name) -> bool {
+    matches!(state, State::Started { worker, .. } if worker == name)
+}
--- /dev/null
+++ b/crates/policy/src/ledger/id.rs
@@ -0,0 +1,35 @@
+//! Identifiers of jobs: the number of the ledger and a digest of the caller and its key.
+
+use sha2::{Digest, Sha256};
+use shallotflow_core::name::Name;
+use std::fmt::Write;
+
+/// Bytes of the digest that an identifier keeps.
+const DIGEST_BYTES: usize = 16;
+
+/// The identifier of the job that `caller` submits under `key`.
+///
+/// Equal arguments give equal identifiers on every entry; `ledgers` is at least one.
+pub fn derive(caller: &str, key: &str, ledgers: u32) -> Name {
+    let mut digest = Sha256::new();
+    digest.update((caller.len() as u64).to_be_bytes());
+    digest.update(caller);
+    digest.update(key);
+    let digest = digest.finalize();
+    let [a, b, c, d] = [digest[28], digest[29], digest[30], digest[31]];
+    let ledger = u32::from_be_bytes([a, b, c, d]) % ledgers.max(1);
+    let mut id = format!("{ledger}-");
+    for byte in &digest[..DIGEST_BYTES] {
+        // Writing to a string does not fail.
+        let _ = write!(id, "{byte:02x}");
+    }
+    id.into()
+}
+
+/// The ledger that holds the job `id`, or nothing when `id` is not well-formed.
+pub fn ledger(id: &str) -> Option<u32> {
+    let (ledger, digest) = id.split_once('-')?;
+    let valid =
+        digest.len() == 2 * DIGEST_BYTES && digest.bytes().all(|byte| byte.is_ascii_hexdigit());
+    valid.then(|| ledger.parse().ok())?
+}
--- a/crates/policy/src/ledger/mod.rs
+++ b/crates/policy/src/ledger/mod.rs
@@ -1,1 +1,55 @@
 //! Batch jobs under an owner: grants, recovery, cancellation and retention.
+//!
+//! An entry keeps the jobs of every ledger that it owns in one [`Table`]. Events change the table;
+//! each change waits in the ledger's log until a [`Segment`] that holds it is in the store. What
+//! depends on a change (a grant, a settled task, an answer to a caller) leaves only afterwards.
+//!
+//! - [`Report`], [`Status`], [`Phase`], [`Key`]: what agents say of their tasks.
+//! - [`Pending`], [`Reply`], [`Grant`]: what is answered, once it is committed.
+//! - [`Segment`], [`line`]: what is written to the store.
+//! - [`assignment`]: which entry owns which ledger.
+//! - [`id`]: identifiers of jobs.
+
+mod backlog;
+mod commit;
+mod error;
+mod expire;
+mod grant;
+mod hear;
+mod job;
+mod key;
+mod log;
+mod mark;
+mod moment;
+mod park;
+mod pending;
+mod phase;
+mod reply;
+mod report;
+mod retain;
+mod segment;
+mod settings;
+mod shape;
+mod shard;
+mod status;
+mod table;
+mod transition;
+mod worker;
+
+pub mod assignment;
+pub mod id;
+pub mod line;
+
+pub use error::{Error, Result};
+pub use grant::Grant;
+pub use key::Key;
+pub use mark::Mark;
+pub use moment::Moment;
+pub use pending::Pending;
+pub use phase::Phase;
+pub use reply::Reply;
+pub use report::Report;
+pub use segment::Segment;
+pub use settings::Settings;
+pub use status::Status;
+pub use table::Table;
--- /dev/null
+++ b/crates/policy/src/ledger/park.rs
@@ -0,0 +1,73 @@
+//! Jobs that no known worker could ever hold.
+
+use super::shape::Shape;
+use super::{Moment, Table};
+use shallotflow_core::job::State;
+use shallotflow_core::name::Name;
+
+/// How many jobs are compared with the capacities at a time.
+const CHECKS_PER_TICK: usize = 256;
+
+impl Table {
+    /// Collects the capacities anew; a change of them has every waiting job compared again.
+    pub(super) fn recount_shapes(&mut self) {
+        let mut shapes: Vec<Shape> = Vec::new();
+        for worker in self.workers.values() {
+            let shape = Shape::of(worker);
+            if !shapes.contains(&shape) {
+                shapes.push(shape);
+            }
+        }
+        self.shapes = shapes;
+        let waits = |state: &State| matches!(state, State::Queued | State::Parked { .. });
+        let jobs = self.jobs.values().filter(|job| waits(&job.record.state));
+        self.unchecked = jobs.map(|job| job.record.id.clone()).collect();
+    }
+}
+
+/// Parks jobs that nothing could hold, and takes back those that something can.
+pub(super) fn run(table: &mut Table, moment: Moment) {
+    if table.shapes.is_empty() || !table.parks_from.passed(moment.now) {
+        return;
+    }
+    for _ in 0..CHECKS_PER_TICK {
+        let Some(id) = table.unchecked.pop_front() else { return };
+        check(table, &id);
+    }
+}
+
+fn check(table: &mut Table, id: &Name) {
+    let Some(job) = table.jobs.get(id) else { return };
+    let spec = &job.record.spec;
+    let possible = table.shapes.iter().any(|shape| shape.could_hold(&spec.kind, &spec.resources));
+    match (&job.record.state, possible) {
+        (State::Queued, false) => {
+            let reason = reason(table, id);
+            table.update(id, |job| job.record.state = State::Parked { reason });
+        }
+        (State::Parked { .. }, true) => {
+            table.update(id, |job| job.record.state = State::Queued);
+        }
+        _ => {}
+    }
+}
+
+fn reason(table: &Table, id: &Name) -> String {
+    let Some(job) = table.jobs.get(id) else { return String::new() };
+    let spec = &job.record.spec;
+    let serves = |shape: &&Shape| shape.could_hold(&spec.kind, &Default::default());
+    if !table.shapes.iter().any(|shape| serves(&shape)) {
+        return format!("no worker serves the kind {}", spec.kind);
+    }
+    let need = &spec.resources;
+    format!(
+        "no worker of the kind {} holds {} slots, {} connections, {} millicores, {} MiB and {} \
+         accelerators at once",
+        spec.kind,
+        need.slots,
+        need.connections,
+        need.millicores,
+        need.memory_mib,
+        need.accelerators
+    )
+}
