Send the load of a floor open-loop and account for every answer

Cause: nothing measured the promises from outside of the scheduler. Change: floors as INI files (guild and merkjagerd embedded), seeded Poisson arrivals with a crest, latency counted from the time a request was due, answers matched with their requests, jobs submitted with idempotency keys and polled, figures as JSON and as a table, and an echo to check the generator by itself (shallotflow-bench calibrate).

--- /dev/null
+++ b/crates/bench/src/command/calibrate.rs
@@ -0,0 +1,52 @@
+//! `calibrate`: the load generator against an echo.
+
+use crate::echo::Echo;
+use crate::floor::Floor;
+use crate::load::generator::{Running, Settings};
+use crate::report;
+use crate::report::Summary;
+use crate::run::{display, output, summarize};
+use bpaf::Bpaf;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// What to send, and for how long.
+#[derive(Clone, Debug, Bpaf)]
+pub struct Options {
+    /// Seconds of load
+    #[bpaf(argument("N"), fallback(10))]
+    pub seconds: u64,
+    /// Seed of arrivals and service times
+    #[bpaf(argument("S"), fallback(1))]
+    pub seed: u64,
+    /// Where to write the figures as JSON
+    #[bpaf(argument("FILE"))]
+    pub json: Option<PathBuf>,
+    /// `guild`, `merkjagerd` or the path of an INI file
+    #[bpaf(positional("FLOOR"))]
+    pub floor: String,
+}
+
+impl Options {
+    /// Runs the load and prints what came of it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the floor cannot be read or the echo cannot be started.
+    pub fn run(self) -> anyhow::Result<ExitCode> {
+        let floor = Floor::load(&self.floor)?;
+        let echo = Echo::start()?;
+        let run = Duration::from_secs(self.seconds);
+        let settings =
+            Settings { address: echo.address, run, seed: self.seed, ..Settings::default() };
+        let running = Running::start(&floor, &settings)?;
+        display::follow(&running, run);
+        let outcomes = running.join()?;
+        echo.stop()?;
+        let summary = Summary { policy: "echo".into(), ..summarize(&floor, &settings, &outcomes) };
+        println!("{}", report::summary(&summary));
+        output::json(self.json.as_deref(), &summary)?;
+        Ok(output::verdict(&summary))
+    }
+}
--- /dev/null
+++ b/crates/bench/src/command/mod.rs
@@ -0,0 +1,28 @@
+//! The subcommands of the program, one a module.
+
+pub mod calibrate;
+
+use bpaf::Bpaf;
+use std::process::ExitCode;
+
+/// Runs experiments on the scheduler.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+pub enum Command {
+    /// Sends the load of a floor to an echo, to see what the generator itself adds
+    #[bpaf(command)]
+    Calibrate(#[bpaf(external(calibrate::options))] calibrate::Options),
+}
+
+impl Command {
+    /// Runs the subcommand.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the experiment could not be carried out.
+    pub fn run(self) -> anyhow::Result<ExitCode> {
+        match self {
+            Self::Calibrate(options) => options.run(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/floor/disturbance.rs
@@ -0,0 +1,16 @@
+//! How kinds of work slow each other down.
+
+use serde::{Deserialize, Serialize};
+use shallotflow_core::name::Name;
+
+/// The slowdown of one kind by each task of another kind on the same worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Disturbance {
+    /// The kind that is slowed down.
+    pub kind: Name,
+    /// The kind that runs beside it.
+    pub beside: Name,
+    /// Additional service time for each task beside it, thousandths.
+    pub slowdown_milli: u32,
+}
--- /dev/null
+++ b/crates/bench/src/floor/floor.rs
@@ -0,0 +1,88 @@
+//! A whole floor.
+
+use super::{Crest, Disturbance, Kind, Result, Site, reader};
+use serde::{Deserialize, Serialize};
+use shallotflow_core::class::Class;
+use shallotflow_core::ini::Document;
+use shallotflow_core::name::Name;
+use shallotflow_core::resources::Bundle;
+use shallotflow_core::settings::standin;
+use std::path::Path;
+
+const GUILD: &str = include_str!("../../floors/guild.ini");
+const MERKJAGERD: &str = include_str!("../../floors/merkjagerd.ini");
+
+/// Workers, kinds of work and the load over time.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Floor {
+    /// Where the workers stand.
+    pub site: Site,
+    /// What each worker can hold.
+    pub capacity: Bundle,
+    /// The swing of the quick load.
+    pub crest: Crest,
+    /// The kinds of work.
+    pub kinds: Vec<Kind>,
+    /// How kinds slow each other down.
+    pub disturbances: Vec<Disturbance>,
+}
+
+impl Default for Floor {
+    fn default() -> Self {
+        Self {
+            site: Site::default(),
+            capacity: standin::Settings::default().capacity,
+            crest: Crest::default(),
+            kinds: Vec::new(),
+            disturbances: Vec::new(),
+        }
+    }
+}
+
+impl Floor {
+    /// The names of the embedded floors.
+    pub const EMBEDDED: [&str; 2] = ["guild", "merkjagerd"];
+
+    /// The embedded floor of this name, or the floor in the file at this path.
+    ///
+    /// # Errors
+    ///
+    /// Names the file, the line and the remedy.
+    pub fn load(name: &str) -> Result<Self> {
+        match name {
+            "guild" => Self::parse("guild", GUILD),
+            "merkjagerd" => Self::parse("merkjagerd", MERKJAGERD),
+            path => reader::read(&Document::load(Path::new(path))?),
+        }
+    }
+
+    /// Reads a floor from `text`; `file` is the name that messages carry.
+    ///
+    /// # Errors
+    ///
+    /// Names the file, the line and the remedy.
+    pub fn parse(file: &str, text: &str) -> Result<Self> {
+        reader::read(&Document::parse(file, text)?)
+    }
+
+    /// The kinds of one class.
+    pub fn kinds_of(&self, class: Class) -> impl Iterator<Item = &Kind> {
+        self.kinds.iter().filter(move |kind| kind.class == class)
+    }
+
+    /// The kind of this name.
+    pub fn kind(&self, name: &str) -> Option<&Kind> {
+        self.kinds.iter().find(|kind| &*kind.name == name)
+    }
+
+    /// The names of all kinds.
+    pub fn kind_names(&self) -> Vec<Name> {
+        self.kinds.iter().map(|kind| kind.name.clone()).collect()
+    }
+
+    /// The failure domain of the worker with this index.
+    pub fn domain_of(&self, worker: usize) -> Name {
+        self.site.domains[worker % self.site.domains.len()].clone()
+    }
+}
--- /dev/null
+++ b/crates/bench/src/floor/kind.rs
@@ -0,0 +1,62 @@
+//! One kind of work.
+
+use serde::{Deserialize, Serialize};
+use shallotflow_core::class::Class;
+use shallotflow_core::name::Name;
+use shallotflow_core::resources::Bundle;
+use std::time::Duration;
+
+/// A kind of work with its arrivals, its service times and what it declares.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Kind {
+    /// The name of the kind.
+    pub name: Name,
+    /// Its class.
+    pub class: Class,
+    /// Mean arrivals per second outside of the crest.
+    pub rate: u32,
+    /// Median service time on an otherwise idle worker.
+    pub median: Duration,
+    /// Standard deviation of the logarithm of the service time, thousandths.
+    pub spread: u32,
+    /// Share of stragglers, thousandths.
+    pub straggler_share: u32,
+    /// How many times longer a straggler runs.
+    pub straggler_factor: u32,
+    /// The deadline of a request.
+    pub deadline: Duration,
+    /// The run time that a job declares.
+    pub declared_run: Duration,
+    /// Whether it may run again after it may have run.
+    pub idempotent: bool,
+    /// The size of a request's body.
+    pub body_bytes: usize,
+    /// What it declares to need.
+    pub resources: Bundle,
+}
+
+impl Default for Kind {
+    fn default() -> Self {
+        Self {
+            name: "kind".into(),
+            class: Class::Quick,
+            rate: 10,
+            median: Duration::from_millis(10),
+            spread: 300,
+            straggler_share: 0,
+            straggler_factor: 1,
+            deadline: Duration::from_secs(2),
+            declared_run: Duration::from_millis(500),
+            idempotent: true,
+            body_bytes: 128,
+            resources: Bundle {
+                slots: 1,
+                connections: 1,
+                millicores: 500,
+                memory_mib: 64,
+                accelerators: 0,
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/floor/mod.rs
@@ -0,0 +1,20 @@
+//! Floors: the workers, the mix of work and the load that an experiment runs with.
+//!
+//! A floor is an INI file. Two are embedded, `guild` and `merkjagerd`; any other name is a path.
+
+mod crest;
+#[path = "floor.rs"]
+mod description;
+mod disturbance;
+mod kind;
+mod reader;
+mod site;
+
+pub use crest::Crest;
+pub use description::Floor;
+pub use disturbance::Disturbance;
+pub use kind::Kind;
+pub use site::Site;
+
+/// The result of reading a floor.
+pub type Result<T> = shallotflow_core::ini::Result<T>;
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,19 @@
-//! Under construction.
+//! Load, faults, experiments and reports on real processes.
+//!
+//! A run starts entries, agents and stand-ins as threads of one process, each with its own
+//! runtime and on ports that the system chooses, sends them an open-loop load and counts what
+//! came of it.
+//!
+//! - [`floor`]: the workers, the mix of work and the load that an experiment runs with.
+//! - [`load`]: open-loop load and what came of it.
+//! - [`echo`]: a server that stands in for the whole system, to check the generator by itself.
+//! - [`report`]: what an experiment found.
+//! - [`run`]: carries out one run and sums it up.
+//! - [`command`]: the subcommands of the program.
+
+pub mod command;
+pub mod echo;
+pub mod floor;
+pub mod load;
+pub mod report;
+pub mod run;
--- /dev/null
+++ b/crates/bench/src/load/generator.rs
@@ -0,0 +1,300 @@
+//! The threads that send the load of a floor.
+
+use super::batch::{self, Jobs};
+use super::client::Client;
+use super::quick;
+use super::schedule::Schedule;
+use super::service::Service;
+use super::tally::Tally;
+use crate::floor::{Floor, Kind};
+use shallotflow_core::class::Class;
+use shallotflow_core::name::Name;
+use shallotflow_core::outcome::Outcome;
+use shallotflow_runtime::executor;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+/// How the load of a floor is sent.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Where callers connect.
+    pub address: SocketAddr,
+    /// How long requests are sent.
+    pub run: Duration,
+    /// How long after that jobs may take to end.
+    pub settle: Duration,
+    /// Threads that send quick requests and watchers.
+    pub threads: u16,
+    /// Whether batch jobs are submitted.
+    pub batch: bool,
+    /// The seed of arrivals and service times.
+    pub seed: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            run: Duration::from_secs(10),
+            settle: Duration::from_secs(20),
+            threads: 2,
+            batch: true,
+            seed: 1,
+        }
+    }
+}
+
+/// Counts that the display reads while a run goes on; clones share them.
+#[derive(Clone, Debug, Default)]
+pub struct Progress {
+    counts: Arc<Counts>,
+}
+
+#[derive(Debug, Default)]
+struct Counts {
+    sent: AtomicU64,
+    done: AtomicU64,
+    not_run: AtomicU64,
+    unknown: AtomicU64,
+    submitted: AtomicU64,
+    finished: AtomicU64,
+}
+
+impl Progress {
+    pub(super) fn sent(&self) {
+        self.counts.sent.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(super) fn ended(&self, outcome: Outcome) {
+        let count = match outcome {
+            Outcome::Done => &self.counts.done,
+            Outcome::NotRun => &self.counts.not_run,
+            Outcome::Unknown => &self.counts.unknown,
+        };
+        count.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(super) fn job_submitted(&self) {
+        self.counts.submitted.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(super) fn job_done(&self) {
+        self.counts.finished.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// The counts as one line.
+    pub fn line(&self) -> String {
+        let count = |count: &AtomicU64| count.load(Ordering::Relaxed);
+        format!(
+            "requests {} sent {} done {} not run {} unknown | jobs {} taken {} done",
+            count(&self.counts.sent),
+            count(&self.counts.done),
+            count(&self.counts.not_run),
+            count(&self.counts.unknown),
+            count(&self.counts.submitted),
+            count(&self.counts.finished),
+        )
+    }
+}
+
+/// What came of the requests of one kind.
+#[derive(Clone, Debug)]
+pub struct Requests {
+    /// The kind.
+    pub kind: Name,
+    /// Its class.
+    pub class: Class,
+    /// The counts.
+    pub tally: Tally,
+}
+
+/// What came of a load.
+#[derive(Clone, Debug, Default)]
+pub struct Outcomes {
+    /// Quick requests and watchers, by kind.
+    pub requests: Vec<Requests>,
+    /// Jobs of all kinds.
+    pub jobs: Jobs,
+}
+
+impl Outcomes {
+    fn merge(&mut self, other: Self) {
+        for requests in other.requests {
+            match self.requests.iter_mut().find(|own| own.kind == requests.kind) {
+                Some(own) => own.tally.merge(requests.tally),
+                None => self.requests.push(requests),
+            }
+        }
+        self.jobs.merge(&other.jobs);
+    }
+
+    /// The counts of all requests of one class.
+    pub fn of_class(&self, class: Class) -> Tally {
+        let mut sum = Tally::default();
+        for requests in self.requests.iter().filter(|requests| requests.class == class) {
+            sum.merge(requests.tally.clone());
+        }
+        sum
+    }
+}
+
+/// A load that is being sent.
+pub struct Running {
+    threads: Vec<JoinHandle<std::io::Result<Outcomes>>>,
+    /// Counts for the display.
+    pub progress: Progress,
+    /// When the run started.
+    pub start: Instant,
+}
+
+impl Running {
+    /// Starts to send the load of `floor`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the system gives no thread.
+    pub fn start(floor: &Floor, settings: &Settings) -> std::io::Result<Self> {
+        let progress = Progress::default();
+        let start = Instant::now();
+        let mut threads = Vec::new();
+        for thread in 0..settings.threads {
+            let sender = Sender::new(floor, settings, &progress, start, thread);
+            threads.push(spawn(format!("load-{thread}"), move || sender.requests())?);
+        }
+        if settings.batch {
+            let sender = Sender::new(floor, settings, &progress, start, settings.threads);
+            threads.push(spawn("load-batch".to_owned(), move || sender.jobs())?);
+        }
+        Ok(Self { threads, progress, start })
+    }
+
+    /// Whether all requests have ended.
+    pub fn is_finished(&self) -> bool {
+        self.threads.iter().all(JoinHandle::is_finished)
+    }
+
+    /// Waits until all requests have ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a thread got no runtime or panicked.
+    pub fn join(self) -> anyhow::Result<Outcomes> {
+        let mut outcomes = Outcomes::default();
+        for thread in self.threads {
+            let part = thread.join().map_err(|_| anyhow::anyhow!("a load thread panicked"))??;
+            outcomes.merge(part);
+        }
+        Ok(outcomes)
+    }
+}
+
+fn spawn(
+    name: String,
+    body: impl FnOnce() -> std::io::Result<Outcomes> + Send + 'static,
+) -> std::io::Result<JoinHandle<std::io::Result<Outcomes>>> {
+    std::thread::Builder::new().name(name).spawn(body)
+}
+
+/// The part of a load that one thread sends.
+struct Sender {
+    floor: Floor,
+    settings: Settings,
+    progress: Progress,
+    start: Instant,
+    thread: u16,
+}
+
+impl Sender {
+    fn new(
+        floor: &Floor,
+        settings: &Settings,
+        progress: &Progress,
+        start: Instant,
+        thread: u16,
+    ) -> Self {
+        let (floor, settings, progress) = (floor.clone(), settings.clone(), progress.clone());
+        Self { floor, settings, progress, start, thread }
+    }
+
+    fn requests(self) -> std::io::Result<Outcomes> {
+        executor::run(async {
+            let client = Client::new(self.settings.address);
+            let kinds = self.floor.kinds.iter().filter(|kind| kind.class != Class::Batch);
+            let mut running = Vec::new();
+            for (index, kind) in kinds.enumerate() {
+                let stream = self.quick_stream(kind, index, client.clone());
+                let (name, class) = (kind.name.clone(), kind.class);
+                running.push(monoio::spawn(async move {
+                    Requests { kind: name, class, tally: stream.run().await }
+                }));
+            }
+            let requests = futures_util::future::join_all(running).await;
+            Outcomes { requests, ..Outcomes::default() }
+        })
+    }
+
+    fn jobs(self) -> std::io::Result<Outcomes> {
+        executor::run(async {
+            let client = Client::new(self.settings.address);
+            let mut running = Vec::new();
+            for (index, kind) in self.floor.kinds_of(Class::Batch).enumerate() {
+                running.push(monoio::spawn(self.batch_stream(kind, index, client.clone()).run()));
+            }
+            let mut outcomes = Outcomes::default();
+            for jobs in futures_util::future::join_all(running).await {
+                outcomes.jobs.merge(&jobs);
+            }
+            outcomes
+        })
+    }
+
+    fn quick_stream(&self, kind: &Kind, index: usize, client: Client) -> quick::Stream {
+        let seed = self.stream_seed(index);
+        let rate = f64::from(kind.rate) / f64::from(self.settings.threads.max(1));
+        let run = self.settings.run;
+        let schedule = match kind.class {
+            Class::Quick => Schedule::new(rate, self.floor.crest.clone(), run, seed),
+            _ => Schedule::steady(rate, run, seed),
+        };
+        quick::Stream {
+            kind: kind.clone(),
+            schedule,
+            service: Service::new(kind, seed.wrapping_add(1)),
+            client,
+            start: self.start,
+            thread: self.token_space(index),
+            progress: self.progress.clone(),
+        }
+    }
+
+    fn batch_stream(&self, kind: &Kind, index: usize, client: Client) -> batch::Stream {
+        let seed = self.stream_seed(index);
+        let run = self.settings.run;
+        batch::Stream {
+            kind: kind.clone(),
+            schedule: Schedule::steady(f64::from(kind.rate), run, seed),
+            service: Service::new(kind, seed.wrapping_add(1)),
+            client,
+            start: self.start,
+            until: run + self.settings.settle,
+            thread: self.token_space(index),
+            seed: self.settings.seed,
+            progress: self.progress.clone(),
+        }
+    }
+
+    /// A seed that no other stream of the run has.
+    fn stream_seed(&self, index: usize) -> u64 {
+        let stream = u64::from(self.token_space(index)) << 1;
+        self.settings.seed.wrapping_mul(1 << 20).wrapping_add(stream)
+    }
+
+    /// The first part of the tokens of one stream.
+    fn token_space(&self, index: usize) -> u16 {
+        const STREAMS: u16 = 64;
+        self.thread * STREAMS + index as u16
+    }
+}
--- /dev/null
+++ b/crates/bench/src/load/mod.rs
@@ -0,0 +1,18 @@
+//! Open-loop load: requests are sent when they are due, however slow the answers are.
+//!
+//! - [`schedule`]: when requests are due, by seed.
+//! - [`service`]: how long work runs, by seed.
+//! - [`token`]: bodies by which an answer is matched with its request.
+//! - [`tally`]: what came of the requests.
+//! - [`client`]: one exchange with an entry.
+//! - [`quick`] and [`batch`]: requests, watchers among them, and jobs.
+//! - [`generator`]: the threads that send the load of a floor.
+
+pub mod batch;
+pub mod client;
+pub mod generator;
+pub mod quick;
+pub mod schedule;
+pub mod service;
+pub mod tally;
+pub mod token;
--- /dev/null
+++ b/crates/bench/src/load/quick.rs
@@ -0,0 +1,132 @@
+//! Quick requests of one kind, sent when they are due.
+
+use super::client::{Answer, Client, Failure, Result, caller};
+use super::schedule::Schedule;
+use super::tally::{Ending, Tally};
+use super::token::Token;
+use crate::floor::Kind;
+use crate::load::generator::Progress;
+use crate::load::service::Service;
+use bytes::Bytes;
+use http::Request;
+use shallotflow_core::class::Class;
+use shallotflow_core::outcome::Outcome;
+use shallotflow_core::resources::Bundle;
+use shallotflow_wire::http::body::Body;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// How long a caller waits beyond the deadline that it gave.
+const GRACE: Duration = Duration::from_millis(500);
+const OPEN_POLL: Duration = Duration::from_millis(20);
+
+/// A stream of requests of one kind.
+pub struct Stream {
+    /// The kind.
+    pub kind: Kind,
+    /// When requests are due.
+    pub schedule: Schedule,
+    /// How long each runs.
+    pub service: Service,
+    /// Where they go.
+    pub client: Client,
+    /// When the run starts.
+    pub start: Instant,
+    /// The number of the generator thread.
+    pub thread: u16,
+    /// Counts for the display.
+    pub progress: Progress,
+}
+
+struct Shot {
+    token: Token,
+    due: Duration,
+    service: Duration,
+    body: Bytes,
+}
+
+impl Stream {
+    /// Sends all requests and waits until each was answered or given up.
+    pub async fn run(self) -> Tally {
+        let Self { kind, schedule, mut service, client, start, thread, progress } = self;
+        let kind = Rc::new(kind);
+        let tally = Rc::new(RefCell::new(Tally::default()));
+        for (number, due) in schedule.enumerate() {
+            let now = start.elapsed();
+            if due > now {
+                monoio::time::sleep(due - now).await;
+            }
+            let token = Token::new(thread, number as u64);
+            let body = token.body(kind.body_bytes);
+            let shot = Shot { token, due, service: service.draw(), body };
+            tally.borrow_mut().sent(due, start.elapsed().saturating_sub(due));
+            progress.sent();
+            let (kind, client) = (kind.clone(), client.clone());
+            let (tally, progress) = (tally.clone(), progress.clone());
+            monoio::spawn(async move {
+                let ending = shot.fire(&kind, &client, start).await;
+                progress.ended(ending.outcome);
+                tally.borrow_mut().ended(&ending);
+            });
+        }
+        while tally.borrow().open() > 0 {
+            monoio::time::sleep(OPEN_POLL).await;
+        }
+        tally.take()
+    }
+}
+
+impl Shot {
+    async fn fire(self, kind: &Kind, client: &Client, start: Instant) -> Ending {
+        let spent = start.elapsed().saturating_sub(self.due);
+        let limit = (kind.deadline + GRACE).saturating_sub(spent);
+        let answer = match request(kind, &self) {
+            Some(request) => client.send(request, limit).await,
+            None => Err(Failure::NotSent),
+        };
+        let latency = start.elapsed().saturating_sub(self.due);
+        self.ending(kind, latency, &answer)
+    }
+
+    fn ending(&self, kind: &Kind, latency: Duration, answer: &Result<Answer>) -> Ending {
+        let outcome = match answer {
+            Ok(answer) => answer.outcome(),
+            Err(failure) => failure.outcome(),
+        };
+        let whole = match answer {
+            Ok(answer) if outcome == Outcome::Done => self.token.matches(&self.body, &answer.body),
+            _ => true,
+        };
+        Ending {
+            token: self.token,
+            due: self.due,
+            latency,
+            waited: latency.saturating_sub(self.service),
+            outcome,
+            whole,
+            in_time: latency <= kind.deadline,
+        }
+    }
+}
+
+fn request(kind: &Kind, shot: &Shot) -> Option<Request<Body>> {
+    let class = if kind.class == Class::Watch { Class::Watch } else { Class::Quick };
+    let request = Request::post(format!("/run/{}", kind.name))
+        .header("shallotflow-caller", caller(shot.token.number()))
+        .header("shallotflow-class", class.as_str())
+        .header("shallotflow-deadline-ms", kind.deadline.as_millis().to_string())
+        .header("shallotflow-idempotent", if kind.idempotent { "true" } else { "false" })
+        .header("shallotflow-request-id", shot.token.to_string())
+        .header("shallotflow-resources", resources(&kind.resources))
+        .header("standin-run-ms", shot.service.as_millis().to_string());
+    request.body(Body::Full(shot.body.clone())).ok()
+}
+
+fn resources(need: &Bundle) -> String {
+    let Bundle { slots, connections, millicores, memory_mib, accelerators } = need;
+    format!(
+        "slots={slots},connections={connections},millicores={millicores},\
+         memory_mib={memory_mib},accelerators={accelerators}"
+    )
+}
--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,15 @@
+//! The program `shallotflow-bench`.
+
+use shallotflow_bench::command::{self, Command};
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let command: Command = command::command().run();
+    match command.run() {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("shallotflow-bench: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/report/summary.rs
@@ -0,0 +1,39 @@
+//! Everything that one run found.
+
+use super::{Batch, Quick, Violations};
+use serde::{Deserialize, Serialize};
+use shallotflow_core::name::Name;
+
+/// The figures of one run.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Summary {
+    /// The floor.
+    pub floor: Name,
+    /// The policy.
+    pub policy: Name,
+    /// The faults, in the order in which they began.
+    pub faults: Vec<Name>,
+    /// The seed.
+    pub seed: u64,
+    /// How long load was sent, seconds.
+    pub seconds: f64,
+    /// Seconds of the real floor that one second of batch run time stands for.
+    pub time_scale: u32,
+    /// Quick requests.
+    pub quick: Quick,
+    /// Quick requests that were due at the crest: the share done within their deadline.
+    pub crest_in_deadline: f64,
+    /// Long-lived requests.
+    pub watch: Quick,
+    /// Batch jobs.
+    pub batch: Batch,
+    /// Tasks that were checkpointed and stopped to make room.
+    pub evictions: u64,
+    /// Time that quick requests spent beyond their own service time, 99th percentile.
+    pub head_of_line_ms_p99: f64,
+    /// Broken promises, by name.
+    pub violations: Violations,
+    /// The first broken promises in words.
+    pub notes: Vec<String>,
+}
--- /dev/null
+++ b/crates/bench/src/report/table.rs
@@ -0,0 +1,81 @@
+//! Tables for a terminal.
+
+use super::{Quick, Summary};
+use comfy_table::presets::UTF8_BORDERS_ONLY;
+use comfy_table::{CellAlignment, Table};
+
+/// The figures of one run.
+pub fn summary(summary: &Summary) -> String {
+    let mut table = table(&["measure", "value"]);
+    let mut row = |name: &str, value: String| {
+        table.add_row([name, &value]);
+    };
+    row("floor", format!("{} (1 s of batch = {} s)", summary.floor, summary.time_scale));
+    row("policy, seed", format!("{}, {}", summary.policy, summary.seed));
+    row("faults", joined(&summary.faults));
+    row("seconds of load", format!("{:.1}", summary.seconds));
+    row("quick requests", counts(&summary.quick));
+    row("quick p50 / p99 / p99.9", latencies(&summary.quick));
+    row("quick within deadline", percent(summary.quick.in_deadline));
+    row("at the crest within deadline", percent(summary.crest_in_deadline));
+    row("head-of-line wait p99", format!("{:.1} ms", summary.head_of_line_ms_p99));
+    row("generator lag p99", format!("{:.1} ms", summary.quick.generator_lag_p99_ms));
+    row("watchers", counts(&summary.watch));
+    let batch = &summary.batch;
+    row(
+        "jobs",
+        format!(
+            "{} taken, {} done, {} failed, {} unknown, {} open, {} lost",
+            batch.submitted, batch.done, batch.failed, batch.unknown, batch.open, batch.lost
+        ),
+    );
+    row("job duplicates", batch.duplicates.to_string());
+    row("tasks done per second", format!("{:.1}", batch.per_second));
+    row("job turnaround p50", format!("{:.0} ms", batch.turnaround_p50_ms));
+    row("evictions", format!("{} of {} starts", summary.evictions, batch.started));
+    for (name, count) in summary.violations.by_name() {
+        row(&format!("violations of {name}"), count.to_string());
+    }
+    table.to_string()
+}
+
+/// Runs side by side, one a column.
+pub fn comparison(names: &[String], rows: &[(String, Vec<String>)]) -> String {
+    let mut header = vec!["measure"];
+    header.extend(names.iter().map(String::as_str));
+    let mut table = table(&header);
+    for (name, values) in rows {
+        let mut row = vec![name.clone()];
+        row.extend(values.iter().cloned());
+        table.add_row(row);
+    }
+    table.to_string()
+}
+
+fn table(header: &[&str]) -> Table {
+    let mut table = Table::new();
+    table.load_style(UTF8_BORDERS_ONLY).set_header(header);
+    for column in table.column_iter_mut().skip(1) {
+        column.set_cell_alignment(CellAlignment::Right);
+    }
+    table
+}
+
+fn counts(quick: &Quick) -> String {
+    format!(
+        "{} sent, {} done, {} not run, {} unknown",
+        quick.sent, quick.done, quick.not_run, quick.unknown
+    )
+}
+
+fn latencies(quick: &Quick) -> String {
+    format!("{:.1} / {:.1} / {:.1} ms", quick.p50_ms, quick.p99_ms, quick.p999_ms)
+}
+
+fn percent(share: f64) -> String {
+    format!("{:.2}%", share * 100.0)
+}
+
+fn joined(names: &[shallotflow_core::name::Name]) -> String {
+    if names.is_empty() { "none".to_owned() } else { names.join(", ") }
+}
--- /dev/null
+++ b/crates/bench/src/run/output.rs
@@ -0,0 +1,24 @@
+//! Where the figures go.
+
+use crate::report::Summary;
+use anyhow::Context;
+use serde::Serialize;
+use std::path::Path;
+use std::process::ExitCode;
+
+/// Writes `value` as JSON to `path`, if there is one.
+///
+/// # Errors
+///
+/// Fails when the file cannot be written.
+pub fn json<T: Serialize>(path: Option<&Path>, value: &T) -> anyhow::Result<()> {
+    let Some(path) = path else { return Ok(()) };
+    let mut text = serde_json::to_string_pretty(value)?;
+    text.push('\n');
+    std::fs::write(path, text).with_context(|| format!("cannot write {}", path.display()))
+}
+
+/// Success only when no promise was broken.
+pub fn verdict(summary: &Summary) -> ExitCode {
+    if summary.violations.total() == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
--- /dev/null
+++ b/crates/bench/tests/floor.rs
@@ -0,0 +1,47 @@
+//! Floors: the embedded ones, and what is refused.
+
+use shallotflow_bench::floor::Floor;
+use shallotflow_core::class::Class;
+use std::time::Duration;
+use test_case::test_case;
+
+#[test_case("guild", 4, 64_000)]
+#[test_case("merkjagerd", 3, 32_000)]
+fn embedded_floors_have_the_sizes_of_today(name: &str, domains: usize, millicores: u32) {
+    let floor = Floor::load(name).expect("a valid floor");
+    assert_eq!(&*floor.site.name, name);
+    assert_eq!(floor.site.workers, 11);
+    assert_eq!(floor.site.domains.len(), domains);
+    assert_eq!(floor.capacity.slots, 8);
+    assert_eq!(floor.capacity.connections, 64);
+    assert_eq!(floor.capacity.millicores, millicores);
+    for class in [Class::Quick, Class::Watch, Class::Batch] {
+        assert_eq!(floor.kinds_of(class).count(), 1, "{class}");
+    }
+}
+
+#[test_case("[floor]\nworkrs = 3", 2, "workrs"; "an unknown key")]
+#[test_case("[floors]\nworkers = 3", 1, "floors"; "an unknown section")]
+#[test_case("[floor]\nworkers = 0", 2, "out of range"; "a value out of range")]
+#[test_case("[kind a]\nmedian = 10", 2, "duration"; "a duration without its unit")]
+#[test_case("[kind a]\nclass = slow", 2, "`quick`, `watch` or `batch`"; "an unknown class")]
+#[test_case("[kind a]\nslots = 9\n[capacity]\nslots = 8", 1, "kind `a`"; "a kind that never fits")]
+#[test_case("[kind a]\n[disturbance a]\nb = 5%", 1, "unknown kind"; "an unknown neighbor")]
+fn refuses_by_file_and_line(text: &str, line: u32, named: &str) {
+    let error = Floor::parse("mine.ini", text).expect_err("an invalid floor");
+    assert_eq!(&*error.file, "mine.ini");
+    assert_eq!(error.line, line, "{error}");
+    assert!(error.to_string().contains(named), "{error}");
+}
+
+#[test]
+fn the_crest_rises_and_falls_where_the_file_says() {
+    let text = "[crest]\nstart = 50%\nrise = 1s\nlength = 20%\nfactor = 5";
+    let crest = Floor::parse("mine.ini", text).expect("a valid floor").crest;
+    let run = Duration::from_secs(10);
+    let at = |ms| crest.multiple(Duration::from_millis(ms), run);
+    assert!((at(4_999) - 1.0).abs() < 1e-9);
+    assert!((at(5_500) - 3.0).abs() < 1e-9);
+    assert!((at(6_500) - 5.0).abs() < 1e-9);
+    assert!((at(7_000) - 1.0).abs() < 1e-9);
+}
