--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`ini`]: INI documents with line numbers, and typed keys over them.
 //! - [`settings`]: how each process runs.
 //! - [`job`]: batch jobs, from submission to their last state.
+//! - [`task`]: single attempts of jobs at a worker.
 
 pub mod class;
 pub mod ini;
@@ -20,4 +21,5 @@
 pub mod problem;
 pub mod resources;
 pub mod settings;
+pub mod task;
 pub mod time;
