--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`metric`]: the metrics that the processes record.
 //! - [`settings`]: how each process runs.
 //! - [`job`]: batch jobs, from submission to their last state.
+//! - [`task`]: single attempts of jobs at a worker.
 
 pub mod class;
 pub mod fleet;
@@ -24,4 +25,5 @@
 pub mod problem;
 pub mod resources;
 pub mod settings;
+pub mod task;
 pub mod time;
--- a/crates/core/src/settings/standin.rs
+++ b/crates/core/src/settings/standin.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::Path;
+use std::time::Duration;
 
 /// How the stand-ins run; a process may run any of them.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -26,6 +27,20 @@
     pub capacity: Bundle,
     /// The kinds that the target serves.
     pub kinds: Vec<Name>,
+    /// How kinds behave; a kind without a profile takes the default one.
+    pub profiles: Vec<Profile>,
+    /// How much kinds slow each other down; other pairs do not.
+    pub disturbances: Vec<Disturbance>,
+    /// Time between two usage samples of a task.
+    pub usage_period: Duration,
+    /// Time from the moment that a usage sample describes until it is reported.
+    pub report_lag: Duration,
+    /// Time after which a leaving target counts a start as a violation.
+    pub leaving_grace: Duration,
+    /// How long a graceful stop waits for requests in progress.
+    pub drain: Duration,
+    /// Whether every task that starts here fails at once.
+    pub fails_tasks: bool,
     /// What it logs: a level, then `target=level` for parts of it.
     pub log: Name,
     /// Limits on HTTP connections.
@@ -50,6 +65,13 @@
                 accelerators: 0,
             },
             kinds: Vec::new(),
+            profiles: Vec::new(),
+            disturbances: Vec::new(),
+            usage_period: Duration::from_millis(100),
+            report_lag: Duration::from_millis(500),
+            leaving_grace: Duration::from_secs(3),
+            drain: Duration::from_secs(30),
+            fails_tasks: false,
             log: "info".into(),
             limits: Limits::default(),
             seed: 1,
@@ -64,6 +86,10 @@
     key!("standin", target_listen: Maybe<Address>, "Where the target listens; empty to leave it out."),
     key!("standin", worker: Label, "The worker's name."),
     key!("standin", kinds: List<Label>, "The kinds that the target serves."),
+    key!("standin", usage_period: Span, "Time between two usage samples of a task.", ms(1)..=s(3600)),
+    key!("standin", report_lag: Span, "Time from the moment that a usage sample describes until it is reported.", ms(0)..=s(3600)),
+    key!("standin", leaving_grace: Span, "Time after which a leaving target counts a start as a violation.", ms(0)..=s(3600)),
+    key!("standin", drain: Span, "How long a graceful stop waits for requests in progress.", ms(0)..=s(3600)),
     key!("standin", log: Line, "What it logs: a level, then `target=level` for parts of it."),
     key!("standin", seed: Count<u64>, "Seed of service times."),
     key!("capacity", capacity.slots: Count<u32>, "Places for running tasks."),
@@ -107,3 +133,47 @@
         Ok(settings)
     }
 }
+
+/// How work of one kind behaves when it runs alone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Profile {
+    /// The kind.
+    pub kind: Name,
+    /// The median run time; a task whose payload names `run_ms` takes that instead.
+    pub median: Duration,
+    /// Spread of the log-normal run time: its standard deviation in thousandths of a natural
+    /// logarithm.
+    pub sigma_milli: u32,
+    /// Thousandths of runs that are stragglers.
+    pub straggler_permille: u32,
+    /// How many times longer a straggler runs.
+    pub straggler_factor: u32,
+    /// What one run really uses; its slots and connections are not looked at.
+    pub usage: Bundle,
+}
+
+impl Default for Profile {
+    fn default() -> Self {
+        Self {
+            kind: "default".into(),
+            median: Duration::from_millis(10),
+            sigma_milli: 250,
+            straggler_permille: 0,
+            straggler_factor: 1,
+            usage: Bundle { millicores: 1_000, memory_mib: 64, ..Bundle::default() },
+        }
+    }
+}
+
+/// How much one kind slows another down.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Disturbance {
+    /// The kind that is slowed down.
+    pub victim: Name,
+    /// The kind that slows it down.
+    pub neighbor: Name,
+    /// Added run time for each neighbor at full speed, in thousandths.
+    pub slowdown_milli: u32,
+}
