Set failing targets aside, share an overloaded entry, pass unknown kinds on

Cause: an entry kept sending to targets that fail, let one caller take everything and refused kinds that another entry knows. Change: outlier detection with a bounded share, growing times and probation; shedding by expected wait and by caller's share in tables of fixed size; a cap of its own for watchers; one hop to another live entry; deadlines on streamed answers; metrics; settings from a file.

--- a/crates/entry/src/callers/ask.rs
+++ b/crates/entry/src/callers/ask.rs
@@ -95,6 +95,11 @@
 }
 
 impl Ask {
+    /// Whether it asks for no more than one slot and one connection.
+    pub fn is_small(&self) -> bool {
+        self.resources == ONE_SLOT
+    }
+
     /// Reads the headers of a request whose deadline may be at most `longest` away.
     ///
     /// # Errors
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,8 @@
 //! - [`batch`]: batch jobs, in the ledgers of this entry or of another.
 //! - [`peers`]: the `tonic` service for agents and other entries.
 //! - [`operators`]: liveness and readiness for operators.
+//! - [`directory`]: the live entries.
+//! - [`meters`]: the metrics.
 //! - [`state`]: the tables that these share.
 //! - [`tick`]: the systems that run over the tables each tick.
 //!
@@ -13,6 +15,8 @@
 pub mod batch;
 pub mod bound;
 pub mod callers;
+pub mod directory;
+pub mod meters;
 pub mod operators;
 pub mod peers;
 pub mod quick;
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -4,14 +4,20 @@
 use shallotflow_entry::{Settings, run};
 use shallotflow_runtime::executor;
 use shallotflow_runtime::stop::Stop;
+use std::path::PathBuf;
 
 /// Runs an entry of shallotflow.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
-struct Arguments {}
+struct Arguments {
+    /// The settings file
+    #[bpaf(argument("FILE"))]
+    config: PathBuf,
+}
 
 fn main() -> anyhow::Result<()> {
-    let Arguments {} = arguments().run();
+    let Arguments { config } = arguments().run();
+    let settings = Settings::load(&config)?;
     let stop = Stop::on_signals()?;
-    executor::run(run(Settings::default(), stop, |bound| println!("{bound:?}")))?
+    executor::run(run(settings, stop, |_| {}))?
 }
--- a/crates/entry/src/peers/report.rs
+++ b/crates/entry/src/peers/report.rs
@@ -21,7 +21,7 @@
     hear(state, announcement, request.load.as_ref())?;
     let sequence = request.sequence;
     let decision = state.batch.report(Rc::new(request)).await;
-    let entries = state.entries.borrow().iter().map(ToString::to_string).collect();
+    let entries = state.directory.borrow().addresses().map(|address| address.to_string()).collect();
     Ok(proto::ReportReply {
         sequence,
         entries,
@@ -59,17 +59,17 @@
     let restarted = known.is_some_and(|known| known != incarnation);
     let old = routes.find(&target.worker).filter(|_| restarted);
     if let Some(id) = old {
-        state.pool.forget(target.address);
+        state.forget(target.address);
         routes.remove(id);
     }
     let address = target.address;
     let id = routes.announce(target);
     if leaving && !routes.is_leaving(id) {
-        state.pool.forget(address);
+        state.forget(address);
     }
     routes.set_leaving(id, leaving);
     if let Some(load) = load {
-        routes.observe(id, snapshot(load));
+        routes.observe(now, id, snapshot(load));
         routes.observe_watchers(id, load.watchers);
     }
     Ok(())
--- a/crates/entry/src/quick/attempt.rs
+++ b/crates/entry/src/quick/attempt.rs
@@ -1,105 +1,111 @@
-//! One attempt of a request at one target.
+//! One attempt of a request at one place.
 
 use super::Request;
+use super::failure::Failure;
 use super::flight::Flight;
+use super::place::Place;
 use super::relayed::Relayed;
+use super::ticket::Ticket;
 use crate::callers::header;
 use crate::state::State;
 use http::header::{CONNECTION, EXPECT, HOST, TE, TRAILER, UPGRADE};
 use http::{HeaderMap, HeaderName, HeaderValue, Response};
 use shallotflow_core::outcome::Outcome;
-use shallotflow_core::problem::{Code, Problem};
 use shallotflow_policy::route;
 use shallotflow_wire::http::body::Body;
 use shallotflow_wire::http::client::Connection;
 use std::cell::Cell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// The largest answer that is passed on as a whole, bytes.
 const WHOLE_BYTES: u64 = 32 * 1024;
-const MAX_PROBLEM_BYTES: usize = 64 * 1024;
 const HOP_BY_HOP: [HeaderName; 6] = [CONNECTION, EXPECT, HOST, TE, TRAILER, UPGRADE];
 const KEEP_ALIVE: &str = "keep-alive";
 
-/// An attempt that gave no answer to pass on.
-#[derive(Debug)]
-pub(super) struct Failure {
-    /// What the caller is told if no other attempt follows.
-    pub(super) problem: Problem,
-    /// Whether another target may do better.
-    pub(super) transient: bool,
-    /// Whether the target is to blame.
-    pub(super) blame: bool,
-}
-
 /// The result of an attempt.
 pub(super) type Result<T> = std::result::Result<T, Failure>;
 
-/// Sends `request` to the target at `id` and reads the answer until the deadline.
+/// Sends `request` to `place` and reads the answer until the deadline.
+///
+/// A large answer is passed on while it is received, and `ticket` with it.
 pub(super) async fn attempt(
     state: &Rc<State>,
     request: &mut Request,
-    id: route::Id,
-    address: SocketAddr,
+    place: &Place,
+    ticket: &Rc<Ticket>,
 ) -> Result<Response<Body>> {
     let left = request.deadline.left(state.now());
     let sent = Cell::new(false);
-    let exchange = exchange(state, request, id, address, &sent);
+    let exchange = exchange(state, request, place, ticket, &sent);
     match monoio::time::timeout(left, exchange).await {
         Ok(result) => result,
         // The connection was dropped with the exchange, so that a late answer reaches nobody.
-        Err(_) => Err(timed_out(sent.get(), address)),
+        Err(_) => Err(Failure::timed_out(place.address(), sent.get())),
     }
 }
 
 async fn exchange(
     state: &Rc<State>,
     request: &mut Request,
-    id: route::Id,
-    address: SocketAddr,
+    place: &Place,
+    ticket: &Rc<Ticket>,
     sent: &Cell<bool>,
 ) -> Result<Response<Body>> {
-    let flight = Flight::start(state.clone(), id, request.ask.class);
-    let mut connection = state.pool.take(address).await.map_err(|error| Failure {
-        problem: Problem::not_run(Code::TargetLost, error.to_string()),
-        transient: true,
-        blame: true,
-    })?;
-    let outgoing = outgoing(state, request, address);
+    let address = place.address();
+    let flight = Flight::start(state.clone(), place, request.ask.class);
+    let pool = state.pool(request.ask.class);
+    let mut connection = pool.take(address).await.map_err(|error| Failure::unreachable(&error))?;
+    let outgoing = outgoing(state, request, place);
     sent.set(true);
-    let response = connection.send(outgoing).await.map_err(|error| lost(address, &error))?;
-    observe(state, id, response.headers());
-    match outcome(response.headers()) {
-        Outcome::Done => pass_on(state, response, connection, address, flight).await,
-        Outcome::NotRun | Outcome::Unknown => Err(refused(response, address).await),
+    let response = match connection.send(outgoing).await {
+        Ok(response) => response,
+        Err(error) if request.payload.is_broken() => return Err(Failure::broken_caller(&error)),
+        Err(error) => return Err(Failure::lost(address, &error)),
+    };
+    observe(state, place, response.headers());
+    let (mut head, body) = response.into_parts();
+    let outcome = outcome(&head.headers);
+    if outcome != Outcome::Done {
+        let failure = Failure::refused(outcome, head.status, body, address).await;
+        pool.give_back(address, connection);
+        return Err(failure);
     }
+    strip(&mut head.headers);
+    head.headers.remove(header::LOAD);
+    let done = HeaderValue::from_static(Outcome::Done.as_str());
+    head.headers.insert(header::OUTCOME, done);
+    let body = if body.length().is_some_and(|length| length <= WHOLE_BYTES) {
+        let whole = body.collect(WHOLE_BYTES as usize).await;
+        let whole = whole.map_err(|error| Failure::lost(address, &error))?;
+        pool.give_back(address, connection);
+        Body::Full(whole)
+    } else {
+        stream(body, connection, request, place, flight, ticket, pool)
+    };
+    Ok(Response::from_parts(head, body))
 }
 
-async fn pass_on(
-    state: &Rc<State>,
-    response: Response<Body>,
+fn stream(
+    body: Body,
     connection: Connection,
-    address: SocketAddr,
+    request: &Request,
+    place: &Place,
     flight: Flight,
-) -> Result<Response<Body>> {
-    let (mut head, body) = response.into_parts();
-    strip(&mut head.headers);
-    head.headers.remove(header::LOAD);
-    head.headers.insert(header::OUTCOME, HeaderValue::from_static(Outcome::Done.as_str()));
-    let small = body.length().is_some_and(|length| length <= WHOLE_BYTES);
-    if !small {
-        let state = state.clone();
-        let connection = Some(connection);
-        let relayed = Relayed { state, body, connection, address, flight: Some(flight) };
-        return Ok(Response::from_parts(head, Body::Source(Box::new(relayed))));
-    }
-    let whole = body.collect(WHOLE_BYTES as usize).await.map_err(|error| lost(address, &error))?;
-    state.pool.give_back(address, connection);
-    Ok(Response::from_parts(head, Body::Full(whole)))
+    ticket: &Rc<Ticket>,
+    pool: &shallotflow_wire::http::pool::Pool,
+) -> Body {
+    Body::Source(Box::new(Relayed {
+        body,
+        connection: Some(connection),
+        address: place.address(),
+        pool: pool.clone(),
+        deadline: request.deadline,
+        flight: Some(flight),
+        ticket: Some(ticket.clone()),
+    }))
 }
 
-fn outgoing(state: &State, request: &mut Request, address: SocketAddr) -> http::Request<Body> {
+fn outgoing(state: &State, request: &mut Request, place: &Place) -> http::Request<Body> {
     let mut outgoing = http::Request::new(request.payload.take());
     *outgoing.method_mut() = request.head.method.clone();
     *outgoing.uri_mut() = request.head.uri.clone();
@@ -107,10 +113,13 @@
     *headers = request.head.headers.clone();
     strip(headers);
     let left_ms = request.deadline.left(state.now()).as_millis().max(1);
-    set(headers, HOST.as_str(), &address.to_string());
+    set(headers, HOST.as_str(), &place.address().to_string());
     set(headers, header::DEADLINE_MS, &left_ms.to_string());
     set(headers, header::REQUEST_ID, &request.id);
     set(headers, header::CALLER, &request.ask.caller);
+    if matches!(place, Place::Entry(_)) {
+        headers.insert(header::HOPS, HeaderValue::from_static("1"));
+    }
     outgoing
 }
 
@@ -127,10 +136,11 @@
     headers.remove(KEEP_ALIVE);
 }
 
-fn observe(state: &State, id: route::Id, headers: &HeaderMap) {
+fn observe(state: &State, place: &Place, headers: &HeaderMap) {
+    let Place::Target { id, .. } = place else { return };
     let load = headers.get(header::LOAD).and_then(|value| value.to_str().ok());
     if let Some(load) = load.and_then(route::Load::parse) {
-        state.routes.borrow_mut().observe(id, load);
+        state.routes.borrow_mut().observe(state.now(), *id, load);
     }
 }
 
@@ -138,43 +148,3 @@
     let value = headers.get(header::OUTCOME).and_then(|value| value.to_str().ok());
     value.and_then(Outcome::parse).unwrap_or(Outcome::Done)
 }
-
-/// The agent's own problem document, or one made from its status.
-async fn refused(response: Response<Body>, address: SocketAddr) -> Failure {
-    let outcome = outcome(response.headers());
-    let status = response.status().as_u16();
-    let body = response.into_body().collect(MAX_PROBLEM_BYTES).await.unwrap_or_default();
-    let document = serde_json::from_slice::<Problem>(&body);
-    let problem = document.unwrap_or_else(|_| {
-        let detail = format!("the agent at {address} answered {status} without a problem document");
-        match outcome {
-            Outcome::NotRun => Problem::not_run(Code::Overloaded, detail),
-            Outcome::Done | Outcome::Unknown => Problem::unknown(Code::TargetLost, detail),
-        }
-    });
-    let problem = Problem { outcome, ..problem };
-    let transient = matches!(
-        problem.code,
-        Code::Overloaded | Code::Leaving | Code::DeadlinePassed | Code::TargetLost
-    );
-    let blame = problem.code == Code::TargetLost;
-    Failure { problem, transient, blame }
-}
-
-/// After the send, the target may have run the request.
-fn lost(address: SocketAddr, error: &shallotflow_wire::http::Error) -> Failure {
-    let detail = format!("the agent at {address} broke off: {error}");
-    let problem = Problem::unknown(Code::TargetLost, detail);
-    Failure { problem, transient: true, blame: true }
-}
-
-fn timed_out(sent: bool, address: SocketAddr) -> Failure {
-    if sent {
-        let detail = format!("the agent at {address} gave no whole answer before the deadline");
-        let problem = Problem::unknown(Code::TimedOut, detail);
-        return Failure { problem, transient: false, blame: true };
-    }
-    let detail = format!("no connection to {address} was made before the deadline");
-    let problem = Problem::not_run(Code::DeadlinePassed, detail);
-    Failure { problem, transient: false, blame: true }
-}
--- a/crates/entry/src/quick/payload.rs
+++ b/crates/entry/src/quick/payload.rs
@@ -1,8 +1,11 @@
 //! The body of a request, kept for another attempt if it is small.
 
+use super::upload::Upload;
 use bytes::Bytes;
 use shallotflow_wire::http::Result;
 use shallotflow_wire::http::body::Body;
+use std::cell::Cell;
+use std::rc::Rc;
 
 /// The largest body that is read before the first attempt, bytes.
 const REPLAY_BYTES: u64 = 64 * 1024;
@@ -12,7 +15,9 @@
     /// At hand as a whole; can be sent again.
     Whole(Bytes),
     /// Streamed from the caller; can be sent once.
-    Streamed(Option<Body>),
+    Streamed(Body),
+    /// Was streamed and is gone; tells whether the caller broke off.
+    Sent(Rc<Cell<bool>>),
 }
 
 impl Payload {
@@ -26,20 +31,30 @@
             Some(length) if length <= REPLAY_BYTES => {
                 Ok(Self::Whole(body.collect(REPLAY_BYTES as usize).await?))
             }
-            _ => Ok(Self::Streamed(Some(body))),
+            _ => Ok(Self::Streamed(body)),
         }
     }
 
     /// Whether the body can still be sent from its start.
     pub fn is_replayable(&self) -> bool {
-        !matches!(self, Self::Streamed(None))
+        !matches!(self, Self::Sent(_))
+    }
+
+    /// Whether the caller broke off while its body was streamed.
+    pub(super) fn is_broken(&self) -> bool {
+        matches!(self, Self::Sent(broken) if broken.get())
     }
 
     /// The body for an attempt; a streamed one is given once.
     pub(super) fn take(&mut self) -> Body {
-        match self {
-            Self::Whole(bytes) => Body::Full(bytes.clone()),
-            Self::Streamed(body) => body.take().unwrap_or(Body::Empty),
+        let broken = Rc::new(Cell::new(false));
+        match std::mem::replace(self, Self::Sent(broken.clone())) {
+            Self::Whole(bytes) => {
+                *self = Self::Whole(bytes.clone());
+                Body::Full(bytes)
+            }
+            Self::Streamed(body) => Body::Source(Box::new(Upload { body, broken })),
+            Self::Sent(_) => Body::Empty,
         }
     }
 }
--- /dev/null
+++ b/crates/entry/src/quick/targets.rs
@@ -0,0 +1,169 @@
+//! Sends a request to targets that are known here.
+
+use super::attempt::attempt;
+use super::failure::Failure;
+use super::place::Place;
+use super::ticket::Ticket;
+use super::{Request, Result};
+use crate::callers::header;
+use crate::state::State;
+use crate::tick;
+use http::{HeaderValue, Response};
+use shallotflow_core::problem::{Code, Problem};
+use shallotflow_core::time::Time;
+use shallotflow_policy::{outlier, retry, route, share};
+use shallotflow_wire::http::body::Body;
+use std::rc::Rc;
+
+const RETRY_AFTER_S: u32 = 1;
+/// A timeout is the target's fault when it had this many times the time that was expected.
+const FAIR_FACTOR: u32 = 4;
+
+/// Sends `request` to a target, and to others while the retry budget allows it.
+pub(super) async fn serve(
+    state: &Rc<State>,
+    mut request: Request,
+    ticket: &Rc<Ticket>,
+) -> Result<Response<Body>> {
+    check_size(state, &request)?;
+    state.retries.borrow_mut().earn();
+    let mut tried = Vec::new();
+    let mut last: Option<Failure> = None;
+    loop {
+        let Some(place) = choose(state, &request, &mut tried) else {
+            return Err(last.map_or_else(|| no_target(&request.kind), |last| last.problem));
+        };
+        if last.is_none() {
+            admit(state, &request, &place)?;
+        }
+        let began = state.now();
+        let result = attempt(state, &mut request, &place, ticket).await;
+        record(state, &request, &place, began, &result);
+        let failure = match result {
+            Ok(response) => return Ok(name_worker(response, &place)),
+            Err(failure) => failure,
+        };
+        if !may_retry(state, &request, &failure, tried.len()) {
+            return Err(failure.problem);
+        }
+        state.meters.borrow().retry();
+        last = Some(failure);
+    }
+}
+
+/// Refuses a request that no target of its kind could ever hold.
+fn check_size(state: &State, request: &Request) -> Result<()> {
+    let need = &request.ask.resources;
+    if request.ask.is_small() || state.members.borrow().could_hold(&request.kind, need) {
+        return Ok(());
+    }
+    let detail = format!("no target of kind {:?} has {need}", request.kind);
+    Err(Problem::not_run(Code::NeverFits, detail))
+}
+
+fn choose(state: &State, request: &Request, tried: &mut Vec<route::Id>) -> Option<Place> {
+    let routes = state.routes.borrow();
+    let wish = route::Wish { kind: &request.kind, class: request.ask.class, tried };
+    let choice = routes.choose(state.now(), &wish, &mut state.rng.borrow_mut())?;
+    let target = routes.target(choice.id)?;
+    tried.push(choice.id);
+    Some(Place::Target {
+        id: choice.id,
+        worker: target.worker.clone(),
+        address: target.address,
+        wait: choice.wait,
+        total: choice.total,
+    })
+}
+
+/// Sheds a request early, before anything is sent.
+fn admit(state: &State, request: &Request, place: &Place) -> Result<()> {
+    let Place::Target { wait, .. } = place else { return Ok(()) };
+    let claim = share::Claim {
+        caller: &request.ask.caller,
+        class: request.ask.class,
+        wait: *wait,
+        left: request.deadline.left(state.now()),
+    };
+    let admitted = share::admit(&claim, &state.shares.borrow(), &state.share_settings);
+    admitted.map_err(|refusal| shed(refusal, &claim))
+}
+
+fn shed(refusal: share::Refusal, claim: &share::Claim<'_>) -> Problem {
+    let share::Claim { caller, wait, left, .. } = claim;
+    let (code, detail) = match refusal {
+        share::Refusal::Watchers => {
+            (Code::Overloaded, "this entry holds as many watchers as it may".to_owned())
+        }
+        share::Refusal::Hopeless => {
+            let (wait, left) = (wait.as_millis(), left.as_millis());
+            let detail = format!("the wait is expected to be {wait} ms, with {left} ms left");
+            (Code::Overloaded, detail)
+        }
+        share::Refusal::OverShare => {
+            let detail = format!("caller {caller:?} has more than its share in progress");
+            (Code::CallerOverShare, detail)
+        }
+    };
+    Problem::not_run(code, detail).retry_after(RETRY_AFTER_S)
+}
+
+/// Takes the result of an attempt into the tables.
+fn record(
+    state: &State,
+    request: &Request,
+    place: &Place,
+    began: Time,
+    result: &super::attempt::Result<Response<Body>>,
+) {
+    let Place::Target { id, total, .. } = place else { return };
+    let latency = state.now().since(began);
+    let mut routes = state.routes.borrow_mut();
+    let usual = routes.usual(&request.kind);
+    let failed = match result {
+        Ok(response) => response.status().is_server_error(),
+        Err(failure) if failure.problem.code == Code::TimedOut => {
+            latency >= usual.max(*total) * FAIR_FACTOR
+        }
+        Err(failure) if failure.blame => true,
+        // A refusal says nothing about the target's health.
+        Err(_) => return,
+    };
+    routes.record(*id, failed);
+    if request.ask.class == shallotflow_core::class::Class::Watch && !failed {
+        return;
+    }
+    if !failed {
+        routes.learn(&request.kind, latency);
+    }
+    drop(routes);
+    let sample = outlier::Sample { failed, latency, usual: usual.max(*total) };
+    if state.outliers.borrow_mut().record(*id, &sample) {
+        tick::set_aside(state);
+    }
+}
+
+fn may_retry(state: &State, request: &Request, failure: &Failure, attempts: usize) -> bool {
+    let attempt = retry::Attempt {
+        outcome: failure.problem.outcome,
+        idempotent: request.ask.idempotent,
+        replayable: request.payload.is_replayable(),
+        number: u32::try_from(attempts).unwrap_or(u32::MAX),
+        deadline: request.deadline,
+    };
+    let mut budget = state.retries.borrow_mut();
+    failure.transient && retry::decide(&attempt, &mut budget, state.now()) == retry::Verdict::Again
+}
+
+fn no_target(kind: &str) -> Problem {
+    let detail = format!("every target of kind {kind:?} is leaving or set aside");
+    Problem::not_run(Code::Overloaded, detail).retry_after(RETRY_AFTER_S)
+}
+
+fn name_worker(mut response: Response<Body>, place: &Place) -> Response<Body> {
+    let Place::Target { worker, .. } = place else { return response };
+    if let Ok(value) = HeaderValue::from_str(worker) {
+        response.headers_mut().insert(header::WORKER, value);
+    }
+    response
+}
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -2,6 +2,7 @@
 
 use crate::batch::Batch;
 use crate::bound::Bound;
+use crate::directory::Peer;
 use crate::state::State;
 use crate::unavailable::Unavailable;
 use crate::{Settings, callers, operators, peers, tick};
@@ -35,8 +36,8 @@
         operators: operators.local_addr()?,
     };
     let batch: Rc<dyn Batch> = Rc::new(Unavailable);
-    let state = Rc::new(State::new(settings, batch));
-    state.entries.borrow_mut().push(bound.peers);
+    let own = Peer { name: settings.name.clone(), callers: bound.callers, peers: bound.peers };
+    let state = Rc::new(State::new(settings, own, batch));
     let stop_peers = Rc::new(Event::new());
     serve_callers(&state, callers);
     serve_peers(&state, peers, stop_peers.clone());
@@ -77,7 +78,7 @@
 
 fn serve_callers(state: &Rc<State>, listener: TcpListener) {
     let front = Rc::new(callers::Front::new(state.clone()));
-    let limits = Limits::default();
+    let limits = state.settings.limits.clone();
     monoio::spawn(http::server::serve(listener, front, limits, state.gate.clone()));
 }
 
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -2,11 +2,14 @@
 
 use crate::Settings;
 use crate::batch::Batch;
+use crate::directory::{Directory, Peer};
+use crate::meters::Meters;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use shallotflow_core::class::Class;
 use shallotflow_core::name::Name;
 use shallotflow_core::time::{Clock, Monotonic, Time};
-use shallotflow_policy::{member, retry, route};
+use shallotflow_policy::{member, outlier, retry, route, share};
 use shallotflow_wire::http::gate::Gate;
 use shallotflow_wire::http::limits::Limits;
 use shallotflow_wire::http::pool::Pool;
@@ -32,14 +35,22 @@
     pub members: RefCell<member::Table>,
     /// The budget for retries.
     pub retries: RefCell<retry::Budget>,
+    /// Results of the targets.
+    pub outliers: RefCell<outlier::Table>,
+    /// Requests in progress, by caller.
+    pub shares: RefCell<share::Table>,
+    /// When requests are refused for the sake of others.
+    pub share_settings: share::Settings,
+    /// Metrics.
+    pub meters: RefCell<Meters>,
     /// Random choices.
     pub rng: RefCell<SmallRng>,
-    /// Connections to agents.
-    pub pool: Pool,
     /// Callers' exchanges in progress.
     pub gate: Gate,
-    /// Addresses of the live entries' peers, this one's included.
-    pub entries: RefCell<Vec<SocketAddr>>,
+    /// The live entries.
+    pub directory: RefCell<Directory>,
+    quick_pool: Pool,
+    watch_pool: Pool,
     leaving: Cell<bool>,
     requests: Cell<u64>,
     started: Time,
@@ -48,19 +59,26 @@
 
 impl State {
     /// The state of an entry that knows no target yet.
-    pub fn new(settings: Settings, batch: Rc<dyn Batch>) -> Self {
+    pub fn new(settings: Settings, own: Peer, batch: Rc<dyn Batch>) -> Self {
         let members = member::Settings { beat: settings.beat, ..member::Settings::default() };
         let routes = route::Table::new(route::Settings::default(), settings.domain.clone());
-        let limits = Limits { idle: POOL_IDLE, ..Limits::default() };
+        // What a target answers is not limited in size, and a watcher may pause.
+        let quick = Limits { idle: POOL_IDLE, body_bytes: u64::MAX, ..settings.limits.clone() };
+        let watch = Limits { stall: settings.longest_deadline, ..quick.clone() };
         Self {
             batch,
             routes: RefCell::new(routes),
             members: RefCell::new(member::Table::new(members)),
             retries: RefCell::new(retry::Budget::new(retry::Settings::default())),
             rng: RefCell::new(SmallRng::seed_from_u64(settings.seed)),
-            pool: Pool::new(limits, CONNECT_TIMEOUT, POOL_PER_TARGET),
+            outliers: RefCell::new(outlier::Table::new(outlier::Settings::default())),
+            shares: RefCell::new(share::Table::new(settings.seed)),
+            share_settings: share::Settings::default(),
+            meters: RefCell::default(),
+            quick_pool: Pool::new(quick, CONNECT_TIMEOUT, POOL_PER_TARGET),
+            watch_pool: Pool::new(watch, CONNECT_TIMEOUT, POOL_PER_TARGET),
             gate: Gate::default(),
-            entries: RefCell::default(),
+            directory: RefCell::new(Directory::new(own)),
             leaving: Cell::new(false),
             requests: Cell::new(0),
             started: Monotonic.now(),
@@ -74,6 +92,20 @@
         self.clock.now()
     }
 
+    /// Connections to agents and other entries for requests of `class`.
+    pub fn pool(&self, class: Class) -> &Pool {
+        match class {
+            Class::Watch => &self.watch_pool,
+            Class::Quick | Class::Batch => &self.quick_pool,
+        }
+    }
+
+    /// Closes the idle connections to `address`.
+    pub fn forget(&self, address: SocketAddr) {
+        self.quick_pool.forget(address);
+        self.watch_pool.forget(address);
+    }
+
     /// Whether the entry is leaving and asks balancers to stop choosing it.
     pub fn is_leaving(&self) -> bool {
         self.leaving.get()
--- a/crates/entry/src/tick.rs
+++ b/crates/entry/src/tick.rs
@@ -1,6 +1,8 @@
 //! The systems that run over the tables each tick.
 
 use crate::state::State;
+use shallotflow_core::class::Class;
+use shallotflow_policy::outlier::Change;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,6 +13,8 @@
     loop {
         monoio::time::sleep(TICK).await;
         expire(&state);
+        set_aside(&state);
+        measure(&state);
     }
 }
 
@@ -21,9 +25,38 @@
     for worker in silent {
         let Some(id) = routes.find(&worker) else { continue };
         if let Some(target) = routes.target(id) {
-            state.pool.forget(target.address);
+            state.forget(target.address);
         }
         routes.remove(id);
         spdlog::warn!("target expired", kv: { worker = &*worker });
     }
 }
+
+/// Sets failing targets aside and takes them back.
+pub(crate) fn set_aside(state: &State) {
+    let mut routes = state.routes.borrow_mut();
+    let changes = state.outliers.borrow_mut().tick(state.now(), &mut routes);
+    for change in changes {
+        let (Change::Ejected(id, ..) | Change::Probed(id) | Change::Restored(id)) = change;
+        let Some(target) = routes.target(id) else { continue };
+        let worker = &*target.worker;
+        match change {
+            Change::Ejected(_, cause, until) => {
+                let (cause, until) = (cause.as_str(), until.to_string());
+                state.forget(target.address);
+                state.meters.borrow().ejected(cause);
+                spdlog::warn!("target set aside", kv: { worker, cause, until });
+            }
+            Change::Probed(_) => spdlog::info!("target on probation", kv: { worker }),
+            Change::Restored(_) => spdlog::info!("target taken back", kv: { worker }),
+        }
+    }
+}
+
+fn measure(state: &State) {
+    let routes = state.routes.borrow();
+    let watchers = state.shares.borrow().total(Class::Watch);
+    let budget = state.retries.borrow().left();
+    let known = |kind: &str| routes.members(kind) > 0;
+    state.meters.borrow_mut().tick(routes.len(), watchers, budget, known);
+}
--- a/crates/entry/tests/callers.rs
+++ b/crates/entry/tests/callers.rs
@@ -5,13 +5,12 @@
 use http::Request;
 use shallotflow_core::outcome::Outcome;
 use shallotflow_core::problem::Code;
-use shallotflow_entry::Settings;
-use support::{Agent, echo, with_entry};
+use support::{Agent, echo, settings, with_entry};
 use test_case::test_case;
 
 #[test]
 fn a_quick_request_gets_the_whole_answer_of_its_target() {
-    with_entry(Settings::default(), async |entry| {
+    with_entry(settings(), async |entry| {
         let agent = Agent::start("worker-1", "pattern", echo);
         let reply = agent.report(entry).await;
         assert_eq!(reply.sequence, 1);
@@ -41,7 +40,7 @@
 #[test_case("/jobs", "x-none", "", Code::KeyMissing; "no key")]
 #[test_case("/jobs", "idempotency-key", "k1", Code::Malformed; "no job")]
 fn each_bad_input_has_its_own_code(path: &str, header: &str, value: &str, code: Code) {
-    with_entry(Settings::default(), async |entry| {
+    with_entry(settings(), async |entry| {
         let agent = Agent::start("worker-1", "pattern", echo);
         agent.report(entry).await;
         let answer = entry.send(Request::post(path).header(header, value), "{").await;
@@ -55,7 +54,7 @@
 
 #[test]
 fn another_method_is_refused_with_the_accepted_ones() {
-    with_entry(Settings::default(), async |entry| {
+    with_entry(settings(), async |entry| {
         let answer = entry.send(Request::put("/jobs/a:b"), "").await;
         assert_eq!(answer.problem().code, Code::MethodNotAllowed);
         assert_eq!(answer.header("allow"), "GET, DELETE");
@@ -64,7 +63,7 @@
 
 #[test]
 fn without_a_store_a_job_is_refused_as_not_run() {
-    with_entry(Settings::default(), async |entry| {
+    with_entry(settings(), async |entry| {
         let request = Request::post("/jobs").header("idempotency-key", "k1");
         let job = r#"{"kind":"render","declared_run_ms":1000}"#;
         let answer = entry.send(request, job).await;
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -33,6 +33,11 @@
     pool: Pool,
 }
 
+/// Settings by which no target expires during a test.
+pub(crate) fn settings() -> Settings {
+    Settings { beat: PATIENCE, ..Settings::default() }
+}
+
 /// Runs `test` beside an entry with `settings`.
 pub(crate) fn with_entry(settings: Settings, test: impl AsyncFnOnce(&Entry)) {
     executor::run(async {
@@ -58,8 +63,7 @@
             let _ = end.send(());
         });
         let bound = bound.await.expect("a started entry");
-        let pool = Pool::new(Limits::default(), PATIENCE, 8);
-        Self { bound, stop, ended: Cell::new(Some(ended)), pool }
+        Self { bound, stop, ended: Cell::new(Some(ended)), pool: pool() }
     }
 
     /// Sends a request and reads the whole answer.
@@ -94,6 +98,11 @@
     }
 }
 
+/// Connections of a patient caller.
+pub(crate) fn pool() -> Pool {
+    Pool::new(Limits::default(), PATIENCE, 8)
+}
+
 /// A whole answer.
 pub(crate) struct Answer {
     pub(crate) head: http::response::Parts,
--- a/crates/policy/src/member/table.rs
+++ b/crates/policy/src/member/table.rs
@@ -3,6 +3,7 @@
 use super::{Announcement, Error, Result, Settings};
 use foldhash::{HashMap, HashMapExt};
 use shallotflow_core::name::Name;
+use shallotflow_core::resources::Bundle;
 use shallotflow_core::time::Time;
 
 /// A target that is alive.
@@ -59,6 +60,14 @@
         self.members.get(worker)
     }
 
+    /// Whether a member that serves `kind` has the capacity for `need`.
+    pub fn could_hold(&self, kind: &str, need: &Bundle) -> bool {
+        self.members.values().map(|member| &member.announcement).any(|announcement| {
+            let mut kinds = announcement.target.kinds.iter();
+            announcement.capacity.holds(need) && kinds.any(|served| &**served == kind)
+        })
+    }
+
     /// The members in no order.
     pub fn iter(&self) -> impl Iterator<Item = &Member> {
         self.members.values()
--- a/crates/policy/src/route/id.rs
+++ b/crates/policy/src/route/id.rs
@@ -8,3 +8,15 @@
     pub(super) index: u32,
     pub(super) generation: u32,
 }
+
+impl Id {
+    /// The place in the table.
+    pub(crate) fn index(self) -> usize {
+        self.index as usize
+    }
+
+    /// How often the place was used before.
+    pub(crate) fn generation(self) -> u32 {
+        self.generation
+    }
+}
--- a/crates/policy/src/route/row.rs
+++ b/crates/policy/src/route/row.rs
@@ -1,6 +1,7 @@
 //! The columns of a target that the choice reads.
 
 use super::{Load, Settings};
+use shallotflow_core::time::Time;
 use std::time::Duration;
 
 const NO_DISTURBANCE_MILLI: u64 = 1_000;
@@ -20,6 +21,8 @@
     pub(super) load: Load,
     /// Quick requests at the target that other entries sent, at the last snapshot.
     pub(super) others: u32,
+    /// When that was.
+    pub(super) observed: Time,
     /// Quick requests sent by this entry and not answered.
     pub(super) outstanding: u32,
     /// Watchers that other entries hold there, at the last report.
@@ -41,7 +44,8 @@
 
 impl Row {
     /// Takes a snapshot: what it counts beyond our own requests belongs to other entries.
-    pub(super) fn observe(&mut self, load: Load) {
+    pub(super) fn observe(&mut self, now: Time, load: Load) {
+        self.observed = now;
         self.load = load;
         let present = load.running.saturating_add(load.queued);
         self.others = present.saturating_sub(self.outstanding);
@@ -64,16 +68,21 @@
         self.other_watchers.saturating_add(self.watchers)
     }
 
-    /// Quick requests there.
-    pub(super) fn present(&self) -> u32 {
-        self.others.saturating_add(self.outstanding)
+    /// Quick requests there: those that other entries left waiting drain as time passes.
+    fn present(&self, now: Time, service_us: u64) -> u64 {
+        let slots = u64::from(self.load.slots.max(1));
+        let others = u64::from(self.others);
+        let elapsed = now.as_micros().saturating_sub(self.observed.as_micros());
+        let drained = elapsed.saturating_mul(slots) / service_us.max(1);
+        let waiting = others.saturating_sub(slots).saturating_sub(drained);
+        others.min(slots) + waiting + u64::from(self.outstanding)
     }
 
     /// What one more quick request is expected to cost.
-    pub(super) fn cost(&self, local: bool, settings: &Settings) -> Cost {
+    pub(super) fn cost(&self, now: Time, local: bool, settings: &Settings) -> Cost {
         let service = self.service_us(settings);
         let slots = u64::from(self.load.slots.max(1));
-        let present = u64::from(self.present());
+        let present = self.present(now, service);
         let ahead = (present + 1).saturating_sub(slots);
         let wait_us = ahead * service / slots;
         // Of two targets without a queue, the one with more free slots is less disturbed.
--- a/crates/policy/src/route/table.rs
+++ b/crates/policy/src/route/table.rs
@@ -8,7 +8,9 @@
 use rand::rngs::SmallRng;
 use shallotflow_core::class::Class;
 use shallotflow_core::name::Name;
+use shallotflow_core::time::Time;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// A target as it announces itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -153,7 +155,28 @@
 
     /// Sets whether a target is set aside; such a target is never chosen.
     pub fn set_ejected(&mut self, id: Id, ejected: bool) {
+        if self.is_ejected(id) == ejected || self.place(id).is_none() {
+            return;
+        }
         self.change(id, |place| place.ejected = ejected);
+        let Some(place) = self.places[id.index as usize].as_ref() else { return };
+        for membership in &place.memberships {
+            let kind = &mut self.kinds[membership.kind];
+            kind.ejected = if ejected { kind.ejected + 1 } else { kind.ejected - 1 };
+        }
+    }
+
+    /// Whether one more target of each kind of `id` may be set aside, so that at most
+    /// `share_milli` thousandths of its members are; of three members one may always be.
+    pub fn may_eject(&self, id: Id, share_milli: u32) -> bool {
+        let Some(place) = self.place(id) else { return false };
+        let mut kinds = place.memberships.iter().map(|membership| &self.kinds[membership.kind]);
+        kinds.all(|kind| kind.may_eject(share_milli))
+    }
+
+    /// Whether a target gets one request at a time.
+    pub fn is_probing(&self, id: Id) -> bool {
+        self.row(id).is_some_and(|row| row.probing)
     }
 
     /// Whether a target is set aside.
@@ -174,9 +197,9 @@
     }
 
     /// Takes the load that came with an answer or a report.
-    pub fn observe(&mut self, id: Id, load: Load) {
+    pub fn observe(&mut self, now: Time, id: Id, load: Load) {
         if let Some(row) = self.row_mut(id) {
-            row.observe(load);
+            row.observe(now, load);
         }
     }
 
@@ -212,35 +235,49 @@
         }
     }
 
+    /// Takes the time that a request of `kind` took at any target.
+    pub fn learn(&mut self, kind: &str, latency: Duration) {
+        if let Some(&kind) = self.by_kind.get(kind) {
+            self.kinds[kind].learn(latency);
+        }
+    }
+
+    /// The time that a request of `kind` takes of late, zero when none has been answered.
+    pub fn usual(&self, kind: &str) -> Duration {
+        let usual_us = self.by_kind.get(kind).map_or(0, |&kind| self.kinds[kind].usual_us);
+        Duration::from_micros(usual_us)
+    }
+
     /// Chooses a target; `None` when every target of the kind is gone, set aside or tried.
-    pub fn choose(&self, wish: &Wish<'_>, rng: &mut SmallRng) -> Option<Choice> {
+    pub fn choose(&self, now: Time, wish: &Wish<'_>, rng: &mut SmallRng) -> Option<Choice> {
         let kind = &self.kinds[*self.by_kind.get(wish.kind)?];
         let eligible = &kind.eligible;
         if eligible.len() <= wish.tried.len() + 1 {
-            return self.choose_of_few(eligible, wish);
+            return self.choose_of_few(now, eligible, wish);
         }
         let mut best: Option<(u32, Cost)> = None;
         for _ in 0..self.settings.pairs.max(1) {
             for _ in 0..2 {
                 let index = eligible[rng.random_range(0..eligible.len())];
-                best = self.better(best, index, wish);
+                best = self.better(now, best, index, wish);
             }
             if best.is_some_and(|(_, cost)| cost.wait_us == 0) {
                 break;
             }
         }
         // Every draw hit a target that was tried or that is proving itself.
-        let best = best.or_else(|| self.first_untried(eligible, wish, rng));
+        let best = best.or_else(|| self.first_untried(now, eligible, wish, rng));
         best.map(|(index, cost)| self.choice(index, cost))
     }
 
-    fn choose_of_few(&self, eligible: &[u32], wish: &Wish<'_>) -> Option<Choice> {
-        let best = eligible.iter().fold(None, |best, &index| self.better(best, index, wish));
+    fn choose_of_few(&self, now: Time, eligible: &[u32], wish: &Wish<'_>) -> Option<Choice> {
+        let best = eligible.iter().fold(None, |best, &index| self.better(now, best, index, wish));
         best.map(|(index, cost)| self.choice(index, cost))
     }
 
     fn first_untried(
         &self,
+        now: Time,
         eligible: &[u32],
         wish: &Wish<'_>,
         rng: &mut SmallRng,
@@ -248,11 +285,12 @@
         let start = rng.random_range(0..eligible.len());
         let around = eligible[start..].iter().chain(&eligible[..start]);
         // Targets on probation are bounded by a share, so few steps suffice.
-        around.map(|&index| self.better(None, index, wish)).find(Option::is_some).flatten()
+        around.map(|&index| self.better(now, None, index, wish)).find(Option::is_some).flatten()
     }
 
     fn better(
         &self,
+        now: Time,
         best: Option<(u32, Cost)>,
         index: u32,
         wish: &Wish<'_>,
@@ -262,18 +300,18 @@
         if busy_probing || wish.tried.iter().any(|tried| tried.index == index) {
             return best;
         }
-        let cost = self.cost(row, wish.class);
+        let cost = self.cost(now, row, wish.class);
         match best {
             Some((_, other)) if other.total_us <= cost.total_us => best,
             _ => Some((index, cost)),
         }
     }
 
-    fn cost(&self, row: &Row, class: Class) -> Cost {
+    fn cost(&self, now: Time, row: &Row, class: Class) -> Cost {
         if class == Class::Watch {
             return Cost { wait_us: 0, total_us: row.held().into() };
         }
-        row.cost(row.domain == self.domain, &self.settings)
+        row.cost(now, row.domain == self.domain, &self.settings)
     }
 
     fn choice(&self, index: u32, cost: Cost) -> Choice {
@@ -322,13 +360,14 @@
 
     fn join_kinds(&mut self, index: u32) {
         let Some(place) = self.places[index as usize].as_ref() else { return };
-        let eligible = place.is_eligible();
+        let (eligible, ejected) = (place.is_eligible(), place.ejected);
         let mut names = place.target.kinds.clone();
         names.sort_unstable();
         names.dedup();
         let kinds: Vec<usize> = names.iter().map(|name| self.intern_kind(name)).collect();
         for &kind in &kinds {
             self.kinds[kind].members += 1;
+            self.kinds[kind].ejected += usize::from(ejected);
         }
         let memberships = kinds.into_iter().map(|kind| Membership { kind, position: 0 }).collect();
         if let Some(place) = self.places[index as usize].as_mut() {
@@ -345,9 +384,11 @@
             self.withdraw(index);
         }
         let Some(place) = self.places[index as usize].as_mut() else { return };
+        let ejected = place.ejected;
         for membership in std::mem::take(&mut place.memberships) {
             let kind = &mut self.kinds[membership.kind];
             kind.members -= 1;
+            kind.ejected -= usize::from(ejected);
             if kind.members == 0 {
                 self.by_kind.remove(&kind.name);
                 self.free_kinds.push(membership.kind);
@@ -388,7 +429,8 @@
         if let Some(&kind) = self.by_kind.get(name) {
             return kind;
         }
-        let new = Kind { name: name.clone(), eligible: Vec::new(), members: 0 };
+        let new =
+            Kind { name: name.clone(), eligible: Vec::new(), members: 0, ejected: 0, usual_us: 0 };
         let kind = match self.free_kinds.pop() {
             Some(kind) => {
                 self.kinds[kind] = new;
