--- a/crates/entry/src/operators/mod.rs
+++ b/crates/entry/src/operators/mod.rs
@@ -2,6 +2,7 @@
 
 use crate::state::State;
 use serde_json::{Value, json};
+use shallotflow_core::class::Class;
 use shallotflow_runtime::operators::{Inspect, NotReady};
 use std::rc::Rc;
 
@@ -54,8 +55,11 @@
             "leaving": state.is_leaving(),
             "exchanges": state.gate.active(),
             "connections": state.gate.connections(),
-            "idle_connections_to_agents": state.pool.idle(),
-            "entries": *state.entries.borrow(),
+            "idle_connections_to_agents": {
+                "quick": state.pool(Class::Quick).idle(),
+                "watch": state.pool(Class::Watch).idle(),
+            },
+            "entries": state.directory.borrow().addresses().collect::<Vec<_>>(),
             "config": state.config.dump(),
             "targets": self.targets(),
             "batch": state.batch.dump(),
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -2,6 +2,7 @@
 
 use crate::batch::Batch;
 use crate::bound::Bound;
+use crate::directory::Peer;
 use crate::state::State;
 use crate::unavailable::Unavailable;
 use crate::{Settings, callers, config, operators, peers, tick};
@@ -38,8 +39,8 @@
         operators: listener.address(),
     };
     let batch: Rc<dyn Batch> = Rc::new(Unavailable);
-    let state = Rc::new(State::new(settings, batch));
-    state.entries.borrow_mut().push(bound.peers);
+    let own = Peer { name: settings.name.clone(), callers: bound.callers, peers: bound.peers };
+    let state = Rc::new(State::new(settings, own, batch));
     let stop_peers = Rc::new(Event::new());
     follow_config(&state);
     serve_callers(&state, callers);
