Number reports so that an entry accepts them through any address

Cause: a session counted its reports from one, so an entry that had heard the agent through the balancer refused the session that went to it directly ('report 1 of worker worker-1 came after report 4') until the count passed. Change: a session starts its count at the clock in microseconds. Conclusion: numbers still grow within an incarnation, for each entry.

--- a/crates/agent/src/report/session.rs
+++ b/crates/agent/src/report/session.rs
@@ -32,7 +32,9 @@
 impl Session {
     pub(super) fn new(agent: Agent, entry: SocketAddr, wake: Rc<Wake>) -> Self {
         let channel = Channel::new(entry);
-        Self { agent, channel, wake, sequence: 0, due: Time::ZERO, failures: 0 }
+        // The same entry may have heard this agent before, through another address.
+        let sequence = Monotonic.now().as_micros();
+        Self { agent, channel, wake, sequence, due: Time::ZERO, failures: 0 }
     }
 
     /// Reports until the session is no longer wanted.
