Run the processes of a floor as threads and sum up what the stand-ins saw

Cause: the load had only an echo to go to. Change: store, workers, entries, agents and a balancer as threads that can be killed, paused, replaced and stopped; the subcommand run with JSON, table and an exit code by violations; the board tells which requests ran, so that a refused request that ran counts.

--- /dev/null
+++ b/crates/bench/src/cluster/balancer.rs
@@ -0,0 +1,184 @@
+//! The platform's balancer: passes connections to the entries that are ready, in turn.
+
+use super::Node;
+use crate::load::client::Client;
+use http::{Request, StatusCode};
+use monoio::io::{Splitable, copy};
+use monoio::net::{TcpListener, TcpStream};
+use monoio::time::timeout;
+use shallotflow_runtime::stop::{Level, Stop};
+use shallotflow_wire::http::body::Body;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+const PROBE_INTERVAL: Duration = Duration::from_millis(200);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// One entry behind the balancer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Backend {
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where agents and other entries connect.
+    pub peers: SocketAddr,
+    /// Where its readiness is asked for.
+    pub operators: SocketAddr,
+}
+
+/// The entries behind the balancer; clones share them, across threads.
+#[derive(Clone, Debug, Default)]
+pub struct Backends {
+    members: Arc<Mutex<Vec<Member>>>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Member {
+    backend: Backend,
+    ready: bool,
+}
+
+impl Backends {
+    /// Adds an entry; it gets connections once it says that it is ready.
+    pub fn add(&self, backend: Backend) {
+        self.lock().push(Member { backend, ready: false });
+    }
+
+    /// Takes an entry out.
+    pub fn remove(&self, backend: &Backend) {
+        self.lock().retain(|member| member.backend != *backend);
+    }
+
+    fn all(&self) -> Vec<Backend> {
+        self.lock().iter().map(|member| member.backend).collect()
+    }
+
+    fn ready(&self) -> Vec<Backend> {
+        let members = self.lock();
+        members.iter().filter(|member| member.ready).map(|member| member.backend).collect()
+    }
+
+    fn set_ready(&self, backend: &Backend, ready: bool) {
+        let mut members = self.lock();
+        let found = members.iter_mut().find(|member| member.backend == *backend);
+        if let Some(member) = found {
+            member.ready = ready;
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Member>> {
+        self.members.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A running balancer.
+#[derive(Debug)]
+pub struct Balancer {
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where agents and other entries connect.
+    pub peers: SocketAddr,
+    /// The entries behind it.
+    pub backends: Backends,
+    node: Node,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Bound {
+    callers: SocketAddr,
+    peers: SocketAddr,
+}
+
+impl Balancer {
+    /// Starts a balancer without entries, on ports chosen by the system.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the system gives no thread, runtime or port.
+    pub fn start() -> anyhow::Result<Self> {
+        let backends = Backends::default();
+        let shared = backends.clone();
+        let (node, bound) =
+            Node::start("balancer", move |stop, ready| Box::pin(run(shared, stop, ready)))?;
+        let Bound { callers, peers } = bound;
+        Ok(Self { callers, peers, backends, node })
+    }
+
+    /// Closes all connections.
+    pub fn kill(&mut self) {
+        self.node.kill();
+    }
+}
+
+async fn run(
+    backends: Backends,
+    stop: Stop,
+    ready: super::node::Ready<Bound>,
+) -> anyhow::Result<()> {
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    let (callers, peers) = (TcpListener::bind(any_port)?, TcpListener::bind(any_port)?);
+    let bound = Bound { callers: callers.local_addr()?, peers: peers.local_addr()? };
+    monoio::spawn(accept(callers, backends.clone(), |backend| backend.callers));
+    monoio::spawn(accept(peers, backends.clone(), |backend| backend.peers));
+    monoio::spawn(probe(backends));
+    ready(bound);
+    stop.wait(Level::Graceful).await;
+    Ok(())
+}
+
+async fn accept(listener: TcpListener, backends: Backends, side: fn(&Backend) -> SocketAddr) {
+    let mut turn = 0;
+    while let Ok((stream, _)) = listener.accept().await {
+        turn += 1;
+        monoio::spawn(forward(stream, backends.clone(), side, turn));
+    }
+}
+
+/// Connects to the first ready entry from `turn` on that accepts, and passes bytes both ways.
+async fn forward(
+    near: TcpStream,
+    backends: Backends,
+    side: fn(&Backend) -> SocketAddr,
+    turn: usize,
+) {
+    let ready = backends.ready();
+    for offset in 0..ready.len() {
+        let address = side(&ready[(turn + offset) % ready.len()]);
+        let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        if let Ok(Ok(far)) = connecting {
+            return pass(near, far).await;
+        }
+    }
+}
+
+/// Passes bytes both ways until either side closes.
+async fn pass(near: TcpStream, far: TcpStream) {
+    if near.set_nodelay(true).is_err() || far.set_nodelay(true).is_err() {
+        return;
+    }
+    let (mut near_read, mut near_write) = near.into_split();
+    let (mut far_read, mut far_write) = far.into_split();
+    monoio::select! {
+        _ = copy(&mut near_read, &mut far_write) => {}
+        _ = copy(&mut far_read, &mut near_write) => {}
+    }
+}
+
+/// Asks every entry again and again whether it is ready.
+async fn probe(backends: Backends) {
+    loop {
+        let probes = backends.all().into_iter().map(|backend| {
+            let backends = backends.clone();
+            async move { backends.set_ready(&backend, is_ready(backend.operators).await) }
+        });
+        futures_util::future::join_all(probes).await;
+        monoio::time::sleep(PROBE_INTERVAL).await;
+    }
+}
+
+async fn is_ready(operators: SocketAddr) -> bool {
+    let Ok(request) = Request::get("/readyz").body(Body::Empty) else { return false };
+    let answer = Client::new(operators).send(request, PROBE_TIMEOUT).await;
+    answer.is_ok_and(|answer| answer.status == StatusCode::OK)
+}
--- /dev/null
+++ b/crates/bench/src/cluster/cluster.rs
@@ -0,0 +1,254 @@
+//! All processes of a floor.
+
+use super::balancer::{Backend, Balancer};
+use super::{Node, Settings};
+use crate::cluster::settings::worker_name;
+use shallotflow_core::name::Name;
+use shallotflow_core::settings::standin;
+use shallotflow_runtime::executor;
+use shallotflow_standin::Handles;
+use shallotflow_standin::facts::Board;
+use shallotflow_standin::store::{Counters, Faults};
+use shallotflow_wire::proto::TargetsRequest;
+use shallotflow_wire::proto::scheduler_client::SchedulerClient;
+use shallotflow_wire::rpc::Channel;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+const START_POLL: Duration = Duration::from_millis(50);
+
+/// The platform's store.
+#[derive(Debug)]
+pub struct Platform {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its faults.
+    pub faults: Faults,
+    /// What was asked of it.
+    pub counters: Counters,
+    node: Node,
+}
+
+/// A worker with its target.
+#[derive(Debug)]
+pub struct Worker {
+    /// Its name.
+    pub name: Name,
+    /// Where its control interface listens.
+    pub control: SocketAddr,
+    /// Where its target listens.
+    pub target: SocketAddr,
+    /// The process.
+    pub node: Node,
+}
+
+/// An agent.
+#[derive(Debug)]
+pub struct Agent {
+    /// Where entries send requests.
+    pub requests: SocketAddr,
+    /// The process.
+    pub node: Node,
+}
+
+/// An entry.
+#[derive(Debug)]
+pub struct Entry {
+    /// Where it listens.
+    pub backend: Backend,
+    /// The process.
+    pub node: Node,
+}
+
+/// The processes of a floor, in the order in which they were started.
+#[derive(Debug)]
+pub struct Cluster {
+    /// What really happened.
+    pub board: Board,
+    /// The platform's store.
+    pub platform: Platform,
+    /// The workers, by index.
+    pub workers: Vec<Worker>,
+    /// The entries, by index.
+    pub entries: Vec<Entry>,
+    /// The agents, by the index of their workers.
+    pub agents: Vec<Agent>,
+    /// The platform's balancer.
+    pub balancer: Balancer,
+    settings: Settings,
+}
+
+impl Cluster {
+    /// Starts every process and waits until the targets are known.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process cannot start or the targets are not known in time.
+    pub fn start(settings: Settings) -> anyhow::Result<Self> {
+        let board = Board::default();
+        let platform = Platform::start(settings.store())?;
+        let balancer = Balancer::start()?;
+        let mut cluster = Self {
+            board,
+            platform,
+            workers: Vec::new(),
+            entries: Vec::new(),
+            agents: Vec::new(),
+            balancer,
+            settings,
+        };
+        let site = cluster.settings.floor.site.clone();
+        for index in 0..site.entries {
+            let entry = cluster.start_entry(index)?;
+            cluster.entries.push(entry);
+        }
+        for index in 0..site.workers {
+            let worker = cluster.start_worker(index, false)?;
+            cluster.workers.push(worker);
+            let agent = cluster.start_agent(index)?;
+            cluster.agents.push(agent);
+        }
+        cluster.await_targets()?;
+        Ok(cluster)
+    }
+
+    /// The floor that it runs.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Replaces the entry with this index by a new one, at new addresses.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the new one cannot start.
+    pub fn replace_entry(&mut self, index: usize) -> anyhow::Result<()> {
+        self.entries[index].node.kill();
+        self.balancer.backends.remove(&self.entries[index].backend);
+        self.entries[index] = self.start_entry(index)?;
+        Ok(())
+    }
+
+    /// Replaces the agent with this index by a new one, at new addresses.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the new one cannot start.
+    pub fn replace_agent(&mut self, index: usize) -> anyhow::Result<()> {
+        self.agents[index].node.kill();
+        self.agents[index] = self.start_agent(index)?;
+        Ok(())
+    }
+
+    /// Replaces the worker with this index by a new one, with a new agent.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the new ones cannot start.
+    pub fn replace_worker(&mut self, index: usize, fails_tasks: bool) -> anyhow::Result<()> {
+        self.agents[index].node.kill();
+        self.workers[index].node.kill();
+        self.workers[index] = self.start_worker(index, fails_tasks)?;
+        self.agents[index] = self.start_agent(index)?;
+        Ok(())
+    }
+
+    /// Stops every process gracefully: agents first, then entries, workers and the store.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process ended with an error.
+    pub fn stop(mut self) -> anyhow::Result<()> {
+        self.agents.iter().for_each(|agent| agent.node.ask_to_stop());
+        for agent in &mut self.agents {
+            agent.node.stop()?;
+        }
+        self.entries.iter().for_each(|entry| entry.node.ask_to_stop());
+        for entry in &mut self.entries {
+            entry.node.stop()?;
+        }
+        for worker in &mut self.workers {
+            worker.node.stop()?;
+        }
+        self.platform.node.stop()
+    }
+
+    fn start_entry(&self, index: usize) -> anyhow::Result<Entry> {
+        let settings = self.settings.entry(index, self.platform.address);
+        let name = settings.name.to_string();
+        let main = move |stop, ready| Box::pin(shallotflow_entry::run(settings, stop, ready)) as _;
+        let (node, bound) = Node::start::<shallotflow_entry::Bound>(name, main)?;
+        let backend =
+            Backend { callers: bound.callers, peers: bound.peers, operators: bound.operators };
+        self.balancer.backends.add(backend);
+        Ok(Entry { backend, node })
+    }
+
+    fn start_worker(&self, index: usize, fails_tasks: bool) -> anyhow::Result<Worker> {
+        let settings = self.settings.worker(index, fails_tasks);
+        let handles = Handles { board: self.board.clone(), ..Handles::default() };
+        let main = move |stop, ready| {
+            Box::pin(shallotflow_standin::run_with(settings, handles, stop, ready)) as _
+        };
+        let name = worker_name(index);
+        let (node, bound) = Node::start::<shallotflow_standin::Bound>(name.to_string(), main)?;
+        let (Some(control), Some(target)) = (bound.control, bound.target) else {
+            anyhow::bail!("{name} has no control interface or no target");
+        };
+        Ok(Worker { name, control, target, node })
+    }
+
+    fn start_agent(&self, index: usize) -> anyhow::Result<Agent> {
+        let settings = self.settings.agent(index, self.balancer.peers, &self.workers[index]);
+        let name = format!("agent-{}", index + 1);
+        let main = move |stop, ready| Box::pin(shallotflow_agent::run(settings, stop, ready)) as _;
+        let (node, bound) = Node::start::<shallotflow_agent::Bound>(name, main)?;
+        Ok(Agent { requests: bound.requests, node })
+    }
+
+    /// Waits until each target is known to some entry, and each entry knows some target.
+    fn await_targets(&self) -> anyhow::Result<()> {
+        let wanted = self.workers.len();
+        let entries: Vec<_> = self.entries.iter().map(|entry| entry.backend.peers).collect();
+        executor::run(async move {
+            let until = Instant::now() + START_TIMEOUT;
+            let channels: Vec<_> = entries.into_iter().map(Channel::new).collect();
+            loop {
+                let known = futures_util::future::join_all(channels.iter().map(targets)).await;
+                let distinct: BTreeSet<_> = known.iter().flatten().collect();
+                if distinct.len() >= wanted && known.iter().all(|names| !names.is_empty()) {
+                    return Ok(());
+                }
+                if Instant::now() > until {
+                    let counts: Vec<_> = known.iter().map(Vec::len).collect();
+                    anyhow::bail!("the entries know {counts:?} of {wanted} targets");
+                }
+                monoio::time::sleep(START_POLL).await;
+            }
+        })?
+    }
+}
+
+/// The names of the targets that an entry knows.
+async fn targets(entry: &Channel) -> Vec<String> {
+    let mut client = SchedulerClient::with_origin(entry.clone(), entry.origin());
+    let Ok(reply) = client.list_targets(TargetsRequest::default()).await else {
+        return Vec::new();
+    };
+    reply.into_inner().targets.into_iter().map(|target| target.worker).collect()
+}
+
+impl Platform {
+    fn start(settings: standin::Settings) -> anyhow::Result<Self> {
+        let handles = Handles::default();
+        let (faults, counters) = (handles.faults.clone(), handles.counters.clone());
+        let main = move |stop, ready| {
+            Box::pin(shallotflow_standin::run_with(settings, handles, stop, ready)) as _
+        };
+        let (node, bound) = Node::start::<shallotflow_standin::Bound>("store", main)?;
+        let Some(address) = bound.store else { anyhow::bail!("the store has no address") };
+        Ok(Self { address, faults, counters, node })
+    }
+}
--- /dev/null
+++ b/crates/bench/src/cluster/switch.rs
@@ -0,0 +1,45 @@
+//! Kills and pauses the runtime of a thread from another thread.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+const PAUSE_INTERVAL: Duration = Duration::from_millis(2);
+
+/// Shared by the thread of a process and those that disturb it.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Switch {
+    killed: Arc<AtomicBool>,
+    paused: Arc<AtomicBool>,
+}
+
+impl Switch {
+    /// Ends the process without any goodbye.
+    pub(super) fn kill(&self) {
+        self.killed.store(true, Ordering::SeqCst);
+    }
+
+    /// Freezes the whole thread, or lets it go on.
+    pub(super) fn pause(&self, paused: bool) {
+        self.paused.store(paused, Ordering::SeqCst);
+    }
+
+    /// Obeys pauses; ends once the process is killed.
+    pub(super) async fn obey(self) {
+        loop {
+            self.freeze();
+            if self.killed.load(Ordering::SeqCst) {
+                return;
+            }
+            monoio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    /// Blocks the thread while it is paused, so that nothing on its runtime goes on.
+    fn freeze(&self) {
+        while self.paused.load(Ordering::SeqCst) && !self.killed.load(Ordering::SeqCst) {
+            std::thread::sleep(PAUSE_INTERVAL);
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/command/run.rs
@@ -0,0 +1,77 @@
+//! `run`: the processes of a floor under its load.
+
+use crate::floor::Floor;
+use crate::report;
+use crate::run::{Experiment, output};
+use bpaf::Bpaf;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// What to run, and for how long.
+#[derive(Clone, Debug, Bpaf)]
+pub struct Options {
+    /// Seconds of load
+    #[bpaf(argument("N"), fallback(10))]
+    pub seconds: u64,
+    /// Seconds that jobs may take to end after that
+    #[bpaf(argument("N"), fallback(20))]
+    pub settle: u64,
+    /// Seed of arrivals, service times and the processes' random choices
+    #[bpaf(argument("S"), fallback(1))]
+    pub seed: u64,
+    /// `ours`, or `isolated` for the same quick load without batch jobs
+    #[bpaf(argument("POLICY"), fallback(Policy::Ours))]
+    pub policy: Policy,
+    /// Where to write the figures as JSON
+    #[bpaf(argument("FILE"))]
+    pub json: Option<PathBuf>,
+    /// `guild`, `merkjagerd` or the path of an INI file
+    #[bpaf(positional("FLOOR"))]
+    pub floor: String,
+}
+
+/// Which scheduler answers, and whether batch jobs are submitted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Policy {
+    /// The scheduler, with batch jobs.
+    Ours,
+    /// The scheduler, without batch jobs.
+    Isolated,
+}
+
+impl std::str::FromStr for Policy {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "ours" => Ok(Self::Ours),
+            "isolated" => Ok(Self::Isolated),
+            _ => Err(format!("policy {text:?} is unknown; use `ours` or `isolated`")),
+        }
+    }
+}
+
+impl Options {
+    /// Runs the experiment and prints what it found.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the floor cannot be read or the experiment cannot be carried out.
+    pub fn run(self) -> anyhow::Result<ExitCode> {
+        let experiment = Experiment {
+            floor: Floor::load(&self.floor)?,
+            run: Duration::from_secs(self.seconds),
+            settle: Duration::from_secs(self.settle),
+            seed: self.seed,
+            batch: self.policy != Policy::Isolated,
+        };
+        let findings = experiment.carry_out()?;
+        println!("{}", report::summary(&findings.summary));
+        for note in &findings.summary.notes {
+            println!("{note}");
+        }
+        output::json(self.json.as_deref(), &findings.summary)?;
+        Ok(output::verdict(&findings.summary))
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -7,10 +7,12 @@
 //! - [`floor`]: the workers, the mix of work and the load that an experiment runs with.
 //! - [`load`]: open-loop load and what came of it.
 //! - [`echo`]: a server that stands in for the whole system, to check the generator by itself.
+//! - [`cluster`]: the processes of a floor.
 //! - [`report`]: what an experiment found.
 //! - [`run`]: carries out one run and sums it up.
 //! - [`command`]: the subcommands of the program.
 
+pub mod cluster;
 pub mod command;
 pub mod echo;
 pub mod floor;
--- /dev/null
+++ b/crates/bench/src/run/experiment.rs
@@ -0,0 +1,126 @@
+//! One load on the processes of a floor.
+
+use super::{display, summarize};
+use crate::cluster::{Cluster, Settings};
+use crate::floor::Floor;
+use crate::load::generator::{self, Outcomes, Running};
+use crate::load::token::Token;
+use crate::report::{Summary, Violations};
+use shallotflow_core::name::Name;
+use shallotflow_standin::facts::{Board, Facts};
+use std::time::Duration;
+
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// What is run, and for how long.
+#[derive(Clone, Debug)]
+pub struct Experiment {
+    /// The floor.
+    pub floor: Floor,
+    /// How long load is sent.
+    pub run: Duration,
+    /// How long after that jobs may take to end.
+    pub settle: Duration,
+    /// The seed.
+    pub seed: u64,
+    /// Whether batch jobs are submitted.
+    pub batch: bool,
+}
+
+/// What an experiment found.
+#[derive(Clone, Debug)]
+pub struct Findings {
+    /// The figures.
+    pub summary: Summary,
+    /// What came of each request.
+    pub outcomes: Outcomes,
+    /// Tasks that had ended well by the end of each sampling interval.
+    pub completions: Vec<u64>,
+}
+
+impl Experiment {
+    /// The time between two samples of [`Findings::completions`].
+    pub const SAMPLE_INTERVAL: Duration = SAMPLE_INTERVAL;
+
+    /// Starts the processes, sends the load, stops the processes gracefully and sums up.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process or a thread cannot be started, or a process fails.
+    pub fn carry_out(&self) -> anyhow::Result<Findings> {
+        let cluster = Cluster::start(Settings::new(self.floor.clone(), self.seed))?;
+        let board = cluster.board.clone();
+        let settings = generator::Settings {
+            address: cluster.balancer.callers,
+            run: self.run,
+            settle: self.settle,
+            batch: self.batch,
+            seed: self.seed,
+            ..generator::Settings::default()
+        };
+        let running = Running::start(&self.floor, &settings)?;
+        let mut completions = Vec::new();
+        display::follow(&running, self.run, || sample(&running, &board, &mut completions));
+        let outcomes = running.join()?;
+        cluster.stop()?;
+        let policy = if self.batch { "ours" } else { "isolated" };
+        let summary = Summary {
+            policy: policy.into(),
+            ..add_facts(summarize(&self.floor, &settings, &outcomes), &board, &outcomes)
+        };
+        let summary = with_throughput(summary, &completions, self.run);
+        Ok(Findings { summary, outcomes, completions })
+    }
+}
+
+/// Keeps how many tasks have ended well, once an interval.
+fn sample(running: &Running, board: &Board, completions: &mut Vec<u64>) {
+    let due = SAMPLE_INTERVAL * (completions.len() as u32 + 1);
+    if running.start.elapsed() >= due {
+        completions.push(board.facts().completions);
+    }
+}
+
+/// Adds what the stand-ins saw.
+fn add_facts(summary: Summary, board: &Board, outcomes: &Outcomes) -> Summary {
+    let facts = board.facts();
+    let violations = Violations {
+        whole_answer: summary.violations.whole_answer,
+        not_run_means_not_run: ran_after_all(&facts, outcomes),
+        ..broken(&facts)
+    };
+    let mut summary =
+        Summary { evictions: facts.evictions, violations, notes: facts.notes.clone(), ..summary };
+    summary.batch.duplicates = facts.duplicates;
+    summary.batch.started = facts.starts;
+    summary
+}
+
+fn broken(facts: &Facts) -> Violations {
+    let seen = facts.violations;
+    Violations {
+        capacity: seen.capacity_exceeded + seen.memory_exhausted,
+        one_worker_at_a_time: seen.job_ran_twice_at_once,
+        resume_once: seen.resumed_twice,
+        at_most_once: seen.ran_more_than_once,
+        leaving_gets_nothing: seen.started_on_leaving,
+        graceful_stop: seen.cut_off_by_stop,
+        ..Violations::default()
+    }
+}
+
+/// Requests that were said not to have run, and that a target ran.
+fn ran_after_all(facts: &Facts, outcomes: &Outcomes) -> u64 {
+    let refused = outcomes.requests.iter().flat_map(|requests| &requests.tally.refused);
+    let ran = |token: &&Token| facts.has_run(&Name::from(token.to_string()));
+    refused.filter(ran).count() as u64
+}
+
+fn with_throughput(mut summary: Summary, completions: &[u64], run: Duration) -> Summary {
+    let last = (run.as_millis() / SAMPLE_INTERVAL.as_millis()) as usize;
+    let at_end = completions.get(last.saturating_sub(1)).or(completions.last());
+    if let Some(done) = at_end {
+        summary.batch.per_second = *done as f64 / run.as_secs_f64();
+    }
+    summary
+}
--- a/crates/standin/src/facts/board.rs
+++ b/crates/standin/src/facts/board.rs
@@ -96,13 +96,19 @@
     /// A target runs the request `id`.
     pub fn request(&mut self, worker: &str, id: Option<&Name>, idempotent: bool) {
         self.requests += 1;
-        let Some(id) = id.filter(|_| !idempotent) else { return };
-        if !self.answered.insert(id.clone()) {
+        let Some(id) = id else { return };
+        let again = !self.answered.insert(id.clone());
+        if again && !idempotent {
             self.violations.ran_more_than_once += 1;
             self.note(format!("non-idempotent request {id} ran again on {worker}"));
         }
     }
 
+    /// Whether a target ran the request `id`.
+    pub fn has_run(&self, id: &Name) -> bool {
+        self.answered.contains(id)
+    }
+
     /// Keeps the details of a violation, if there is room.
     pub fn note(&mut self, note: String) {
         if self.notes.len() < MAX_NOTES {
