Own ledgers at entries and carry out their decisions

Cause: jobs were refused, because no entry had a store. Change: a session keeps the entry's lease and follows entries and owners; a service claims an even share of the ledgers, writes one segment at a time per ledger, and answers reports and callers once their changes are committed; calls on other ledgers cross one hop to the owner. Jobs are named by a digest of the caller and its idempotency key. Ruled out: a read forwarded to a killed owner held the caller for the whole timeout; the call now ends when the owner changes, and is carried out once more at the new one.

--- a/crates/entry/src/batch/mod.rs
+++ b/crates/entry/src/batch/mod.rs
@@ -1,4 +1,17 @@
 //! Batch jobs at an entry: the ledgers that it owns and the way to those that it does not.
+//!
+//! - [`Batch`]: batch work as the rest of the entry sees it.
+//! - [`Service`]: batch work of an entry that has a store. The decisions are those of
+//!   [`shallotflow_policy::ledger`]; the service carries them out.
+
+mod claim;
+mod convert;
+mod problem;
+mod remote;
+mod service;
+mod writer;
+
+pub use service::Service;
 
 use futures_util::future::LocalBoxFuture;
 use shallotflow_core::job::{Record, Spec};
--- a/crates/entry/src/callers/jobs.rs
+++ b/crates/entry/src/callers/jobs.rs
@@ -10,6 +10,7 @@
 use shallotflow_core::name::Name;
 use shallotflow_core::problem::{Code, Problem};
 use shallotflow_core::resources::Bundle;
+use shallotflow_policy::ledger::id;
 use shallotflow_wire::http::body::Body;
 
 const MAX_JOB_BYTES: usize = 256 * 1024;
@@ -45,7 +46,7 @@
         Ok(spec) => spec,
         Err(problem) => return answer::problem(&problem),
     };
-    let id: Name = format!("{}:{key}", ask.caller).into();
+    let id = id::derive(&ask.caller, &key, state.settings.ledgers);
     match state.batch.submit(id.clone(), spec, 0).await {
         Ok(submission) => {
             let response = answer::json(StatusCode::ACCEPTED, &submission.record);
@@ -65,9 +66,9 @@
     record(state.batch.cancel(job, 0).await)
 }
 
-/// Whether `text` has the form of a job's identifier, `<caller>:<key>`.
+/// Whether `text` has the form of a job's identifier.
 pub(super) fn is_id(text: &str) -> bool {
-    text.split_once(':').is_some_and(|(caller, key)| ask::is_name(caller) && ask::is_name(key))
+    id::ledger(text).is_some()
 }
 
 fn record(result: crate::batch::Result<Record>) -> Response<Body> {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`batch`]: batch jobs, in the ledgers of this entry or of another.
 //! - [`peers`]: the `tonic` service for agents and other entries.
 //! - [`operators`]: liveness and readiness for operators.
+//! - [`session`]: the entry's lease and presence at the store.
 //! - [`state`]: the tables that these share.
 //! - [`tick`]: the systems that run over the tables each tick.
 //!
@@ -16,6 +17,7 @@
 pub mod operators;
 pub mod peers;
 pub mod quick;
+pub mod session;
 pub mod state;
 pub mod tick;
 pub mod unavailable;
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -1,7 +1,8 @@
 //! Starts an entry and stops it.
 
-use crate::batch::Batch;
+use crate::batch::{self, Batch};
 use crate::bound::Bound;
+use crate::session::{Presence, Session};
 use crate::state::State;
 use crate::unavailable::Unavailable;
 use crate::{Settings, callers, operators, peers, tick};
@@ -9,6 +10,7 @@
 use event_listener::Event;
 use monoio::net::TcpListener;
 use shallotflow_runtime::stop::{Level, Stop};
+use shallotflow_store::client as store;
 use shallotflow_wire::http::gate::Gate;
 use shallotflow_wire::http::limits::Limits;
 use shallotflow_wire::proto::scheduler_server::SchedulerServer;
@@ -34,9 +36,16 @@
         peers: peers.local_addr()?,
         operators: operators.local_addr()?,
     };
-    let batch: Rc<dyn Batch> = Rc::new(Unavailable);
+    let service = start_batch(&settings, bound);
+    let batch: Rc<dyn Batch> = match &service {
+        Some(service) => Rc::new(service.clone()),
+        None => Rc::new(Unavailable),
+    };
     let state = Rc::new(State::new(settings, batch));
     state.entries.borrow_mut().push(bound.peers);
+    if let Some(service) = &service {
+        monoio::spawn(follow_entries(state.clone(), service.session().clone()));
+    }
     let stop_peers = Rc::new(Event::new());
     serve_callers(&state, callers);
     serve_peers(&state, peers, stop_peers.clone());
@@ -51,6 +60,9 @@
         () = leave(&state) => {}
         () = stop.wait(Level::Immediate) => {}
     }
+    if let Some(service) = service.filter(|_| stop.level() < Level::Immediate) {
+        service.stop().await;
+    }
     stop_peers.notify(usize::MAX);
     operators_gate.drain();
     drop(ticking);
@@ -58,6 +70,28 @@
     Ok(())
 }
 
+/// Starts batch work, if a store is configured.
+fn start_batch(settings: &Settings, bound: Bound) -> Option<Rc<batch::Service>> {
+    if settings.store.is_empty() {
+        return None;
+    }
+    let endpoints = settings.store.clone();
+    let store = store::Client::new(store::Settings { endpoints, ..store::Settings::default() });
+    let presence = Presence { peers: bound.peers, callers: bound.callers };
+    let name = settings.name.clone();
+    let session = Session::start(name, presence, settings.owner_lease, Rc::new(store));
+    Some(batch::Service::start(settings.clone(), session))
+}
+
+/// Keeps the addresses of the live entries, which agents learn from replies to their reports.
+async fn follow_entries(state: Rc<State>, session: Rc<Session>) {
+    loop {
+        let changed = session.listen();
+        *state.entries.borrow_mut() = session.peers();
+        changed.await;
+    }
+}
+
 /// Finishes what is in progress, within the time that the settings allow.
 async fn leave(state: &State) {
     let deadline = state.settings.drain;
--- a/crates/policy/src/ledger/table.rs
+++ b/crates/policy/src/ledger/table.rs
@@ -5,7 +5,9 @@
 use super::shape::Shape;
 use super::shard::Shard;
 use super::worker::Worker;
-use super::{Error, Key, Mark, Moment, Result, Settings, commit, expire, id, park, retain};
+use super::{
+    Error, Key, Mark, Moment, Result, Settings, Summary, commit, expire, id, park, retain,
+};
 use shallotflow_core::job::{Record, Spec, State};
 use shallotflow_core::name::Name;
 use shallotflow_core::time::Time;
@@ -199,6 +201,22 @@
         self.jobs.is_empty()
     }
 
+    /// Whether any change waits for its commit.
+    pub fn is_writing(&self) -> bool {
+        self.shards.keys().any(|ledger| self.is_writing_ledger(*ledger))
+    }
+
+    /// Whether a change of `ledger` waits for its commit.
+    pub fn is_writing_ledger(&self, ledger: u32) -> bool {
+        let shard = self.shards.get(&ledger);
+        shard.is_some_and(|shard| shard.flying.is_some() || !shard.dirty.is_empty())
+    }
+
+    /// The owned ledgers, for operators.
+    pub fn summary(&self) -> Vec<Summary> {
+        self.shards.iter().map(|(ledger, shard)| Summary::of(*ledger, shard)).collect()
+    }
+
     /// Runs the systems that depend on time alone: lost tasks, impossible jobs, retention.
     pub fn tick(&mut self, moment: Moment) {
         expire::run(self, moment);
