--- a/crates/core/src/resources.rs
+++ b/crates/core/src/resources.rs
@@ -46,6 +46,9 @@
 }
 
 impl Bundle {
+    /// The header that carries a bundle between processes, as its text.
+    pub const HEADER: &'static str = "shallotflow-resources";
+
     /// Whether `need` fits in `self` in every dimension.
     pub fn holds(&self, need: &Self) -> bool {
         self.slots >= need.slots
