Name a job as it is named now in a test of methods

Cause: the identifier of a job is now its ledger and a digest, so the path of the test named no job and was answered as not found. Change: the test uses an identifier of that form and is as strict as before. Conclusion: the tests of the entry pass.

--- a/crates/entry/tests/callers.rs
+++ b/crates/entry/tests/callers.rs
@@ -56,7 +56,7 @@
 #[test]
 fn another_method_is_refused_with_the_accepted_ones() {
     with_entry(Settings::default(), async |entry| {
-        let answer = entry.send(Request::put("/jobs/a:b"), "").await;
+        let answer = entry.send(Request::put("/jobs/0-00112233445566778899aabbccddeeff"), "").await;
         assert_eq!(answer.problem().code, Code::MethodNotAllowed);
         assert_eq!(answer.header("allow"), "GET, DELETE");
     });
