Fuzz the decisions on batch jobs against facts

Cause: the promises on batch jobs were only tested one fault at a time. Change: a fuzz of several owners, agents and workers in virtual time, with messages delayed, repeated and lost, writes delayed and their answers lost, pauses past leases, kills and restarts; an oracle keeps what the fake workers did and what callers were told.

--- /dev/null
+++ b/crates/policy/tests/ledger_fuzz/main.rs
@@ -0,0 +1,46 @@
+//! Batch jobs under every fault together, against facts kept by fake workers and callers.
+//!
+//! Checked: a job never runs on two workers at once; one that is not idempotent starts once from
+//! the beginning; evicted work resumes once from each checkpoint; what was answered as ended never
+//! starts again and never changes; what was refused as not run never runs; failures are bounded; a
+//! reply grants no more than the reported room; and once the faults stop, every job ends.
+
+mod agent;
+mod oracle;
+mod step;
+mod store;
+mod world;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use world::World;
+
+const STEPS: std::ops::Range<usize> = 50..400;
+
+fn config() -> ProptestConfig {
+    let cases = std::env::var("LEDGER_CASES").ok().and_then(|cases| cases.parse().ok());
+    let seed = std::env::var("LEDGER_SEED").ok().and_then(|seed| seed.parse().ok());
+    ProptestConfig {
+        cases: cases.unwrap_or(300),
+        rng_seed: RngSeed::Fixed(seed.unwrap_or(7)),
+        failure_persistence: None,
+        max_shrink_iters: 20_000,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn promises_hold_under_every_fault(
+        steps in proptest::collection::vec(step::step(), STEPS)
+    ) {
+        let mut world = World::new();
+        for step in steps {
+            world.apply(step);
+        }
+        world.settle();
+        prop_assert!(world.starts > 0, "nothing was ever granted");
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/ledger_fuzz/world.rs
@@ -0,0 +1,444 @@
+//! Entries, agents, a store and a network that delays, reorders, repeats and loses messages.
+
+use crate::agent::Agent;
+use crate::oracle::Oracle;
+use crate::step::{Fate, Step};
+use crate::store::Store;
+use shallotflow_core::job::Spec;
+use shallotflow_core::name::Name;
+use shallotflow_core::resources::Bundle;
+use shallotflow_core::time::Time;
+use shallotflow_policy::ledger::{
+    Mark, Moment, Pending, Reply, Report, Segment, Settings, Table, assignment, id,
+};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const ENTRIES: usize = 3;
+const AGENTS: usize = 3;
+const LEDGERS: u32 = 4;
+const JOBS: usize = 12;
+const LEASE_MS: u64 = 1_000;
+const ROUND_MS: u64 = 100;
+const ROUNDS: usize = 400;
+
+/// An entry around its table.
+struct Entry {
+    name: Name,
+    table: Table,
+    session: u64,
+    /// Until when it may act as an owner.
+    valid_until_ms: u64,
+    paused: bool,
+    writing: BTreeMap<u32, Segment>,
+    pending: Vec<Asked>,
+    unconfirmed: BTreeMap<Name, Mark>,
+}
+
+/// A report that waits for its answer.
+struct Asked {
+    agent: usize,
+    answered: (u64, u64),
+    pending: Pending,
+    room: u32,
+}
+
+#[derive(Clone)]
+enum Message {
+    Report { agent: usize, entry: usize, report: Report },
+    Reply { agent: usize, entry: usize, answered: (u64, u64), reply: Reply },
+}
+
+pub(crate) struct World {
+    settings: Settings,
+    now_ms: u64,
+    store: Store,
+    entries: Vec<Entry>,
+    agents: Vec<Agent>,
+    messages: Vec<Message>,
+    oracle: Oracle,
+    ids: Vec<Name>,
+    /// How many steps of each important kind took effect.
+    pub(crate) starts: usize,
+}
+
+impl World {
+    pub(crate) fn new() -> Self {
+        let settings = Settings {
+            task_lease: Duration::from_millis(LEASE_MS),
+            retry_delay: Duration::from_millis(50),
+            aside_span: Duration::from_millis(200),
+            segment_bytes: 700,
+            segments_min: 4,
+            ..Settings::default()
+        };
+        Self {
+            entries: (0..ENTRIES).map(|number| Entry::new(number, &settings)).collect(),
+            agents: (0..AGENTS).map(Agent::new).collect(),
+            settings,
+            now_ms: 10_000,
+            store: Store::default(),
+            messages: Vec::new(),
+            oracle: Oracle::default(),
+            ids: (0..JOBS).map(job_id).collect(),
+            starts: 0,
+        }
+    }
+
+    pub(crate) fn apply(&mut self, step: Step) {
+        match step {
+            Step::Advance(millis) => self.advance(u64::from(millis)),
+            Step::Submit { job } => self.submit(usize::from(job) % JOBS),
+            Step::Withdraw { job } => self.withdraw(usize::from(job) % JOBS),
+            Step::Cancel { job } => self.cancel(usize::from(job) % JOBS),
+            Step::Report { agent, entry } => self.report(pick(agent, AGENTS), pick(entry, ENTRIES)),
+            Step::Deliver { message } => {
+                if let Some(index) = some(message, self.messages.len()) {
+                    let message = self.messages.remove(index);
+                    self.deliver(message);
+                }
+            }
+            Step::Duplicate { message } => {
+                if let Some(index) = some(message, self.messages.len()) {
+                    self.deliver(self.messages[index].clone());
+                }
+            }
+            Step::Drop { message } => {
+                if let Some(index) = some(message, self.messages.len()) {
+                    self.messages.remove(index);
+                }
+            }
+            Step::Answer { entry, report } => self.answer(pick(entry, ENTRIES), report),
+            Step::Write { entry, ledger, fate } => {
+                self.write(pick(entry, ENTRIES), u32::from(ledger) % LEDGERS, fate);
+            }
+            Step::Late { write } => {
+                if let Some(index) = some(write, self.store.late.len()) {
+                    let segment = self.store.late.remove(index);
+                    self.store.write(&segment);
+                }
+            }
+            Step::Renew { entry } => self.renew(pick(entry, ENTRIES)),
+            Step::Claim { entry } => self.claim(pick(entry, ENTRIES)),
+            Step::Tick { entry } => self.tick(pick(entry, ENTRIES)),
+            Step::Work { agent, task, work } => {
+                let agent = &mut self.agents[pick(agent, AGENTS)];
+                agent.work(usize::from(task), work, &self.settings, &mut self.oracle);
+            }
+            Step::RestartAgent { agent } => {
+                self.agents[pick(agent, AGENTS)].restart(&mut self.oracle);
+            }
+            Step::Reboot { agent } => self.agents[pick(agent, AGENTS)].reboot(&mut self.oracle),
+            Step::Kill { entry } => {
+                let number = pick(entry, ENTRIES);
+                self.entries[number] = Entry::new(number, &self.settings);
+            }
+            Step::Pause { entry } => {
+                let entry = &mut self.entries[pick(entry, ENTRIES)];
+                entry.paused = !entry.paused;
+            }
+        }
+        self.read_all();
+    }
+
+    /// Lets everything work without faults until every job has come to its end.
+    pub(crate) fn settle(&mut self) {
+        for entry in &mut self.entries {
+            entry.paused = false;
+        }
+        for _ in 0..ROUNDS {
+            self.round();
+            if self.ids.iter().all(|id| self.oracle.has_end(id)) {
+                return;
+            }
+        }
+        let open: Vec<&Name> = self.ids.iter().filter(|id| !self.oracle.has_end(id)).collect();
+        panic!("jobs without an end: {open:?}");
+    }
+
+    fn round(&mut self) {
+        self.advance(ROUND_MS);
+        for entry in 0..ENTRIES {
+            self.renew(entry);
+            self.claim(entry);
+            self.tick(entry);
+        }
+        for job in 0..JOBS {
+            self.submit(job);
+        }
+        for agent in 0..AGENTS {
+            for entry in 0..ENTRIES {
+                self.report(agent, entry);
+            }
+        }
+        self.deliver_all();
+        for entry in 0..ENTRIES {
+            for ledger in 0..LEDGERS {
+                self.write(entry, ledger, Fate::Answered);
+                self.write(entry, ledger, Fate::Answered);
+            }
+            while !self.entries[entry].pending.is_empty() {
+                self.answer(entry, 0);
+            }
+        }
+        self.deliver_all();
+        for agent in &mut self.agents {
+            agent.work_all(&self.settings, &mut self.oracle);
+        }
+        self.read_all();
+    }
+
+    fn deliver_all(&mut self) {
+        while !self.messages.is_empty() {
+            let message = self.messages.remove(0);
+            self.deliver(message);
+        }
+    }
+
+    fn moment(&self) -> Moment {
+        Moment { now: Time::from_millis(self.now_ms), unix_ms: self.now_ms }
+    }
+
+    /// Moves the time on; leases end exactly when they are due.
+    fn advance(&mut self, millis: u64) {
+        let target = self.now_ms + millis;
+        while self.now_ms < target {
+            let ends =
+                self.agents.iter().flat_map(Agent::lease_ends).chain(self.store.lease_ends());
+            let next = ends.filter(|end| *end > self.now_ms).min().unwrap_or(target);
+            self.now_ms = next.min(target);
+            self.store.expire(self.now_ms);
+            for agent in &mut self.agents {
+                agent.lapse(self.now_ms, &mut self.oracle);
+            }
+        }
+    }
+
+    /// The entry that acts as the owner of a job, if one does.
+    fn owner(&self, id: &Name) -> Option<usize> {
+        let ledger = id::ledger(id)?;
+        (0..ENTRIES).find(|number| {
+            let entry = &self.entries[*number];
+            self.acts(*number) && entry.table.owned().any(|(owned, _)| owned == ledger)
+        })
+    }
+
+    fn acts(&self, entry: usize) -> bool {
+        let entry = &self.entries[entry];
+        !entry.paused && self.now_ms < entry.valid_until_ms
+    }
+
+    fn submit(&mut self, job: usize) {
+        let id = self.ids[job].clone();
+        let Some(owner) = self.owner(&id) else { return };
+        let moment = self.moment();
+        self.oracle.submit(&id);
+        let entry = &mut self.entries[owner];
+        let (mark, created) =
+            entry.table.submit(id.clone(), spec(job), moment).expect("a valid job");
+        if created {
+            entry.unconfirmed.insert(id, mark);
+        }
+    }
+
+    fn withdraw(&mut self, job: usize) {
+        let id = self.ids[job].clone();
+        let Some(owner) = self.owner(&id) else { return };
+        let entry = &mut self.entries[owner];
+        let Some(mark) = entry.unconfirmed.remove(&id) else { return };
+        if !entry.table.is_committed(mark) && entry.table.withdraw(&id) {
+            self.oracle.refuse(&id);
+        }
+    }
+
+    fn cancel(&mut self, job: usize) {
+        let id = self.ids[job].clone();
+        let Some(owner) = self.owner(&id) else { return };
+        let moment = self.moment();
+        // A job that was never submitted cannot be cancelled.
+        let _ = self.entries[owner].table.cancel(&id, moment);
+    }
+
+    fn report(&mut self, agent: usize, entry: usize) {
+        let report = self.agents[agent].report(entry, self.now_ms);
+        self.messages.push(Message::Report { agent, entry, report });
+    }
+
+    fn deliver(&mut self, message: Message) {
+        match message {
+            Message::Report { agent, entry, report } => {
+                if !self.acts(entry) {
+                    return;
+                }
+                let moment = self.moment();
+                let entry = &mut self.entries[entry];
+                let pending = entry.table.hear(&report, moment);
+                let answered = (report.incarnation, report.sequence);
+                let room = report.room.slots;
+                entry.pending.push(Asked { agent, answered, pending, room });
+            }
+            Message::Reply { agent, entry, answered, reply } => {
+                self.starts += reply.grants.len();
+                let (now_ms, settings) = (self.now_ms, &self.settings);
+                let oracle = &mut self.oracle;
+                self.agents[agent].take(entry, answered, &reply, now_ms, settings, oracle);
+            }
+        }
+    }
+
+    fn answer(&mut self, number: usize, report: u8) {
+        let acts = self.acts(number);
+        let entry = &mut self.entries[number];
+        let Some(index) = some(report, entry.pending.len()) else { return };
+        if entry.paused {
+            return;
+        }
+        let asked = entry.pending.remove(index);
+        if !acts {
+            return;
+        }
+        let reply = entry.table.reply(&asked.pending);
+        assert!(reply.grants.len() <= asked.room as usize, "more is granted than there is room");
+        let (agent, answered) = (asked.agent, asked.answered);
+        self.messages.push(Message::Reply { agent, entry: number, answered, reply });
+    }
+
+    fn write(&mut self, number: usize, ledger: u32, fate: Fate) {
+        let entry = &mut self.entries[number];
+        if entry.paused {
+            return;
+        }
+        if !entry.writing.contains_key(&ledger) {
+            let Some(segment) = entry.table.compose(ledger) else { return };
+            entry.writing.insert(ledger, segment);
+        }
+        let segment = entry.writing[&ledger].clone();
+        match fate {
+            Fate::Lost => return,
+            Fate::Delayed => return self.store.late.push(segment),
+            Fate::AnswerLost => {
+                self.store.write(&segment);
+                return;
+            }
+            Fate::Answered => {}
+        }
+        let written = self.store.write(&segment) || self.store.holds(&segment);
+        if written {
+            entry.writing.remove(&ledger);
+            entry.table.applied(&segment);
+        } else if self.store.epoch(ledger) != Some(segment.epoch) {
+            entry.writing.remove(&ledger);
+            let owned = entry.table.owned().any(|owned| owned == (ledger, segment.epoch));
+            if owned {
+                entry.table.close(ledger);
+            }
+        }
+    }
+
+    fn renew(&mut self, number: usize) {
+        let entry = &mut self.entries[number];
+        if entry.paused {
+            return;
+        }
+        let end_ms = self.now_ms + LEASE_MS;
+        if !self.store.renew(entry.session, end_ms) {
+            entry.give_up();
+            entry.session = self.store.grant(end_ms);
+        }
+        entry.valid_until_ms = self.now_ms + LEASE_MS * 9 / 10;
+    }
+
+    fn claim(&mut self, number: usize) {
+        if !self.acts(number) {
+            return;
+        }
+        let moment = self.moment();
+        let names: Vec<Name> = self.entries.iter().map(|entry| entry.name.clone()).collect();
+        let entry = &mut self.entries[number];
+        let mut owners = self.store.owners();
+        owners.retain(|ledger, name| {
+            *name != entry.name || entry.table.owned().any(|(owned, _)| owned == *ledger)
+        });
+        let plan = assignment::plan(&entry.name, &names, &owners, LEDGERS);
+        for ledger in plan.releases {
+            let epoch = entry.table.owned().find(|(owned, _)| *owned == ledger);
+            entry.table.close(ledger);
+            entry.writing.remove(&ledger);
+            if let Some((_, epoch)) = epoch {
+                self.store.release(ledger, epoch);
+            }
+        }
+        for ledger in plan.claims {
+            let claimed = self.store.claim(ledger, &entry.name, entry.session);
+            let Some(epoch) = claimed else { continue };
+            entry.writing.remove(&ledger);
+            let segments = self.store.segments(ledger);
+            entry.table.open(ledger, epoch, &segments, moment).expect("readable segments");
+        }
+    }
+
+    fn tick(&mut self, entry: usize) {
+        if self.acts(entry) {
+            let moment = self.moment();
+            self.entries[entry].table.tick(moment);
+        }
+    }
+
+    /// Callers read every job at its owner.
+    fn read_all(&mut self) {
+        for id in self.ids.clone() {
+            let Some(owner) = self.owner(&id) else { continue };
+            if let Ok(record) = self.entries[owner].table.read(&id) {
+                self.oracle.answer(record);
+            }
+        }
+    }
+}
+
+impl Entry {
+    fn new(number: usize, settings: &Settings) -> Self {
+        Self {
+            name: format!("e{number}").into(),
+            table: Table::new(settings.clone()),
+            session: 0,
+            valid_until_ms: 0,
+            paused: false,
+            writing: BTreeMap::new(),
+            pending: Vec::new(),
+            unconfirmed: BTreeMap::new(),
+        }
+    }
+
+    fn give_up(&mut self) {
+        let owned: Vec<u32> = self.table.owned().map(|(ledger, _)| ledger).collect();
+        for ledger in owned {
+            self.table.close(ledger);
+        }
+        self.writing.clear();
+        self.pending.clear();
+    }
+}
+
+fn job_id(job: usize) -> Name {
+    id::derive("guild", &job.to_string(), LEDGERS)
+}
+
+fn spec(job: usize) -> Spec {
+    Spec {
+        caller: format!("caller-{}", job % 3).into(),
+        kind: "render".into(),
+        resources: Bundle { slots: 1, ..Bundle::default() },
+        declared_run_ms: 10,
+        idempotent: job.is_multiple_of(2),
+        priority: if job.is_multiple_of(5) { Spec::URGENT } else { 0 },
+        payload: "pattern".to_owned(),
+    }
+}
+
+fn pick(number: u8, count: usize) -> usize {
+    usize::from(number) % count
+}
+
+fn some(number: u8, count: usize) -> Option<usize> {
+    (count > 0).then(|| pick(number, count))
+}
