--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`operators`]: liveness and readiness for operators.
 //! - [`directory`]: the live entries.
 //! - [`meters`]: the metrics.
+//! - [`session`]: the entry's lease and presence at the store.
 //! - [`state`]: the tables that these share.
 //! - [`tick`]: the systems that run over the tables each tick.
 //!
@@ -22,6 +23,7 @@
 pub mod operators;
 pub mod peers;
 pub mod quick;
+pub mod session;
 pub mod state;
 pub mod tick;
 pub mod unavailable;
