Operate the fleet from the command line

Cause: operators could not check, apply or change the fleet configuration, and had no view of targets, jobs and processes but raw HTTP.

A change of the configuration is one transaction that compares the revision, keeps the old text and records an identifier: concurrent edits merge by section or name what the other changed, and a lost answer is settled by reading back.

--- /dev/null
+++ b/crates/cli/src/command/jobs.rs
@@ -0,0 +1,51 @@
+//! `shallotflow jobs`.
+
+use super::job;
+use crate::answer::{Answer, Output, output};
+use crate::connect::{Peers, peers};
+use crate::error::{Error, Result};
+use bpaf::Bpaf;
+use serde_json::json;
+use shallotflow_core::job::Record;
+use shallotflow_wire::proto;
+
+const DEFAULT_LIMIT: u32 = 100;
+
+/// Arguments of `jobs`.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc, generate(arguments))]
+pub struct Arguments {
+    #[bpaf(external)]
+    pub(super) output: Output,
+    #[bpaf(external(peers))]
+    peers: Peers,
+    /// Only jobs in this state: queued, started, done, failed, cancelled, unknown or parked
+    #[bpaf(argument("STATE"), fallback(String::new()))]
+    state: String,
+    /// Most jobs to list from each entry; 100 if not given
+    #[bpaf(argument("COUNT"), fallback(DEFAULT_LIMIT))]
+    limit: u32,
+}
+
+/// Lists the jobs of the ledgers that the given entries own.
+///
+/// # Errors
+///
+/// Fails when an entry does not answer.
+pub(super) async fn run(arguments: Arguments) -> Result<Answer> {
+    let request = proto::ListRequest { state: arguments.state, limit: arguments.limit };
+    let replies = arguments
+        .peers
+        .call_each(async |mut client| client.list_jobs(request.clone()).await)
+        .await?;
+    let mut records: Vec<Record> = Vec::new();
+    for text in replies.iter().flat_map(|reply| &reply.records) {
+        let record = serde_json::from_str(text)
+            .map_err(|error| Error::System(format!("a job's record is not understood: {error}")))?;
+        records.push(record);
+    }
+    records.sort_by(|a, b| (a.submitted_unix_ms, &a.id).cmp(&(b.submitted_unix_ms, &b.id)));
+    records.dedup_by(|a, b| a.id == b.id);
+    let rows = records.iter().map(job::row).collect();
+    Ok(Answer::table(&job::HEAD, rows, "no jobs", json!(records)))
+}
--- /dev/null
+++ b/crates/cli/tests/config.rs
@@ -0,0 +1,246 @@
+//! Changes of the fleet configuration: concurrent edits, lost answers, refusals.
+
+mod support;
+
+use async_trait::async_trait;
+use shallotflow_cli::change::{Current, Edit, Session};
+use shallotflow_cli::command::command;
+use shallotflow_cli::error::Error;
+use shallotflow_core::fleet::Changes;
+use shallotflow_standin::store::Faults;
+use shallotflow_store::client::{Client, Settings};
+use shallotflow_store::error as store_error;
+use shallotflow_store::pair::Pair;
+use shallotflow_store::store::{self, Snapshot};
+use shallotflow_store::transaction::Transaction;
+use shallotflow_store::watch::Watch;
+use std::time::Duration;
+use support::{Store, file, run, with_store};
+
+const FIRST: &str = "; kept comment\n[defaults]\nreserve = 20%\n";
+
+async fn shown(store: &Store) -> String {
+    store.run(&["show"]).await.expect("a shown configuration").text
+}
+
+async fn add(store: &Store, id: &str) -> i64 {
+    store.apply(&["except", "add", "--worker=w1", "--reason=r", id, "batch=false"]).await
+}
+
+#[test]
+fn an_applied_file_is_shown_with_its_comments_and_its_revision() {
+    with_store(async |store| {
+        let revision = store.apply(&["apply", &file("first.ini", FIRST)]).await;
+        assert_eq!(shown(&store).await, format!("; revision {revision}\n{FIRST}"));
+        let again = file("again.ini", &shown(&store).await.replace("20%", "30%"));
+        assert!(store.apply(&["apply", &again]).await > revision);
+        assert!(shown(&store).await.contains("; kept comment\n[defaults]\nreserve = 30%\n"));
+    });
+}
+
+#[test]
+fn invalid_files_are_refused_before_any_write() {
+    with_store(async |store| {
+        let bad = file("bad.ini", "[defaults]\n\nreserve = much\n");
+        let error = store.run(&["apply", &bad]).await.expect_err("an invalid file");
+        assert_eq!(error.exit_code(), 2);
+        assert!(error.to_string().contains("bad.ini:3: `much` is not a percentage"), "{error}");
+        let error = run(&["check", &bad]).await.expect_err("an invalid file");
+        assert_eq!(error.exit_code(), 2);
+        assert!(shown(&store).await.starts_with("; revision 0\n"));
+    });
+}
+
+#[test]
+fn edits_of_different_sections_merge_and_of_the_same_name_the_other() {
+    with_store(async |store| {
+        store.apply(&["apply", &file("base.ini", FIRST)]).await;
+        let base = shown(&store).await;
+        let mine = file("mine.ini", &base.replace("20%", "30%"));
+        let rival = file("rival.ini", &base.replace("20%", "40%"));
+        add(&store, "x1").await;
+        let answer = store.run(&["apply", &mine]).await.expect("a merged edit");
+        assert_eq!(answer.json["merged"], true);
+        let text = shown(&store).await;
+        assert!(text.contains("reserve = 30%") && text.contains("[exception x1]"), "{text}");
+        let error = store.run(&["apply", &rival]).await.expect_err("an overlapping edit");
+        assert_eq!(error.exit_code(), 3);
+        let message = error.to_string();
+        assert!(message.contains("--- defaults, in force:"), "{message}");
+        assert!(
+            message.contains("reserve = 30%") && message.contains("reserve = 40%"),
+            "{message}"
+        );
+        assert_eq!(shown(&store).await, text);
+    });
+}
+
+#[test]
+fn a_file_without_a_base_does_not_replace_what_is_in_force() {
+    with_store(async |store| {
+        let path = file("base-missing.ini", FIRST);
+        store.apply(&["apply", &path]).await;
+        let error = store.run(&["apply", &path]).await.expect_err("no base");
+        assert_eq!(error.exit_code(), 2);
+        store.apply(&["apply", "--replace", &path]).await;
+    });
+}
+
+#[test]
+fn an_edit_of_a_text_that_is_no_longer_kept_is_refused() {
+    with_store(async |store| {
+        store.apply(&["apply", &file("gone.ini", FIRST)]).await;
+        let old = file("gone-old.ini", &shown(&store).await.replace("20%", "30%"));
+        for index in 0..=Changes::TEXTS_KEPT {
+            add(&store, &format!("x{index}")).await;
+        }
+        let error = store.run(&["apply", &old]).await.expect_err("a base that is gone");
+        assert!(matches!(error, Error::BaseGone { .. }), "{error}");
+        assert_eq!(error.exit_code(), 3);
+    });
+}
+
+#[test]
+fn racing_changes_are_all_applied() {
+    with_store(async |store| {
+        let racers = (0..8).map(|index| {
+            let id = format!("race{index}");
+            let store = &store;
+            async move { add(store, &id).await }
+        });
+        let mut revisions = futures_util::future::join_all(racers).await;
+        revisions.sort_unstable();
+        revisions.dedup();
+        assert_eq!(revisions.len(), 8, "each change has its own revision");
+        let listed = store.run(&["except", "list"]).await.expect("a list");
+        assert_eq!(listed.json.as_array().map(Vec::len), Some(8));
+    });
+}
+
+#[test]
+fn a_lost_answer_is_settled_by_reading_back() {
+    with_store(async |store| {
+        let first = store.apply(&["apply", &file("lost.ini", FIRST)]).await;
+        store.faults.set_lost_answers(1.0);
+        let revision = add(&store, "lost").await;
+        assert!(revision > first);
+        store.faults.set_lost_answers(0.0);
+        assert!(shown(&store).await.starts_with(&format!("; revision {revision}\n")));
+    });
+}
+
+/// Applies each write, loses its answer, and stays away from then on.
+struct Vanishing {
+    inner: Client,
+    faults: Faults,
+}
+
+#[async_trait(?Send)]
+impl store::Store for Vanishing {
+    async fn get(&self, key: &str) -> store_error::Result<Option<Pair>> {
+        self.inner.get(key).await
+    }
+
+    async fn range(&self, prefix: &str) -> store_error::Result<Snapshot> {
+        self.inner.range(prefix).await
+    }
+
+    async fn commit(&self, transaction: Transaction) -> store_error::Result<i64> {
+        self.inner.commit(transaction).await?;
+        self.faults.set_down(true);
+        Err(store_error::Error::Unknown { reason: "the connection broke".to_owned() })
+    }
+
+    async fn grant(&self, ttl: Duration) -> store_error::Result<i64> {
+        self.inner.grant(ttl).await
+    }
+
+    async fn keep_alive(&self, lease: i64) -> store_error::Result<()> {
+        self.inner.keep_alive(lease).await
+    }
+
+    async fn revoke(&self, lease: i64) -> store_error::Result<()> {
+        self.inner.revoke(lease).await
+    }
+
+    async fn watch(&self, prefix: &str, revision: i64) -> store_error::Result<Box<dyn Watch>> {
+        self.inner.watch(prefix, revision).await
+    }
+}
+
+#[test]
+fn a_change_that_stays_unsettled_is_applied_at_most_once() {
+    with_store(async |store| {
+        let settings = Settings { endpoints: vec![store.address], ..Settings::default() };
+        let inner = Client::new(settings);
+        let vanishing = Vanishing { inner, faults: store.faults.clone() };
+        let text = "[exception y]\nworker = w1\nbatch = false\nreason = r\n";
+        let edit = |_: &Current| Ok(Edit::direct(text.to_owned()));
+        let error = Session::new(&vanishing).change("c-1".into(), edit).await;
+        let error = error.expect_err("an unsettled change");
+        assert_eq!(error.exit_code(), 4, "{error}");
+        assert!(error.to_string().contains("--change c-1"), "{error}");
+        store.faults.set_down(false);
+        let before = shown(&store).await;
+        assert!(before.contains("[exception y]"), "{before}");
+        let add =
+            ["except", "add", "--change=c-1", "--worker=w1", "--reason=r", "y", "batch=false"];
+        store.apply(&add).await;
+        assert_eq!(shown(&store).await, before);
+    });
+}
+
+#[test]
+fn exceptions_need_a_reason_on_one_line_and_an_accepted_value() {
+    let words = &["except", "add", "--store=127.0.0.1:1", "--worker=w1", "x", "batch=false"];
+    let failure = command().run_inner(words).expect_err("no reason");
+    assert!(failure.unwrap_stderr().contains("--reason"));
+    with_store(async |store| {
+        let add = async |reason: &str, value: &str| {
+            let reason = format!("--reason={reason}");
+            let words = ["except", "add", "--worker=w1", &reason, "x", value];
+            store.run(&words).await.expect_err("a refused exception")
+        };
+        let error = add("r\n[defaults]\nbatch = false", "batch=false").await;
+        assert!(error.to_string().contains("has a line break"), "{error}");
+        let error = add("r", "batch=no").await;
+        assert!(error.to_string().contains("`no` is not `true` or `false`"), "{error}");
+        let error = add("", "batch=false").await;
+        assert!(error.to_string().contains("has no `reason`"), "{error}");
+        assert!(shown(&store).await.starts_with("; revision 0\n"));
+    });
+}
+
+#[test]
+fn removing_an_exception_keeps_the_rest_of_the_text() {
+    with_store(async |store| {
+        store.apply(&["apply", &file("keep.ini", FIRST)]).await;
+        add(&store, "a").await;
+        let before = shown(&store).await;
+        add(&store, "b").await;
+        store.apply(&["except", "remove", "b"]).await;
+        let after = shown(&store).await;
+        let text = |shown: &str| shown.lines().skip(1).collect::<Vec<_>>().join("\n");
+        assert_eq!(text(&after), text(&before));
+        let error = store.run(&["except", "remove", "b"]).await.expect_err("no such exception");
+        assert_eq!(error.exit_code(), 5);
+    });
+}
+
+#[test]
+fn a_drain_needs_a_reason_and_ends() {
+    with_store(async |store| {
+        let error = store.run(&["drain", "w3"]).await.expect_err("no reason");
+        assert_eq!(error.exit_code(), 2);
+        store.apply(&["drain", "--reason=new disks", "--for=2h", "w3"]).await;
+        let drained = async || {
+            let answer = store.run(&["show", "--worker=w3"]).await.expect("values");
+            answer.json["drain"] == true
+        };
+        assert!(drained().await);
+        let listed = store.run(&["except", "list"]).await.expect("a list");
+        assert!(listed.text.contains("drain-w3"), "{}", listed.text);
+        store.apply(&["drain", "--end", "w3"]).await;
+        assert!(!drained().await);
+    });
+}
--- /dev/null
+++ b/crates/cli/tests/processes.rs
@@ -0,0 +1,91 @@
+//! Commands that talk to running processes.
+
+mod support;
+
+use futures_channel::oneshot;
+use shallotflow_cli::error::Error;
+use shallotflow_entry::{Bound, Settings};
+use shallotflow_runtime::stop::Stop;
+use shallotflow_wire::proto;
+use shallotflow_wire::proto::scheduler_client::SchedulerClient;
+use shallotflow_wire::rpc::Channel;
+use support::{run, with_store};
+
+async fn entry() -> Bound {
+    let (ready, bound) = oneshot::channel();
+    let settings = Settings { log: "off".into(), ..Settings::default() };
+    monoio::spawn(shallotflow_entry::run(settings, Stop::default(), |bound| {
+        let _ = ready.send(bound);
+    }));
+    bound.await.expect("a started entry")
+}
+
+async fn announce(entry: Bound, worker: &str) {
+    let channel = Channel::new(entry.peers);
+    let origin = channel.origin();
+    let report = proto::ReportRequest {
+        worker: worker.to_owned(),
+        domain: "d1".to_owned(),
+        address: "127.0.0.1:9".to_owned(),
+        kinds: vec!["preview".to_owned()],
+        incarnation: 1,
+        sequence: 1,
+        ..Default::default()
+    };
+    SchedulerClient::with_origin(channel, origin).report(report).await.expect("a taken report");
+}
+
+#[test]
+fn targets_of_several_entries_are_listed_once() {
+    with_store(async |_| {
+        let entries = [entry().await, entry().await];
+        for entry in entries {
+            announce(entry, "w1").await;
+        }
+        announce(entries[1], "w2").await;
+        let addresses = entries.map(|entry| format!("--peers={}", entry.peers));
+        let words = ["targets", &addresses[0], &addresses[1]];
+        let answer = run(&words).await.expect("targets");
+        let workers: Vec<_> =
+            answer.json.as_array().expect("a list").iter().map(|row| &row["worker"]).collect();
+        assert_eq!(workers, ["w1", "w2"]);
+        let of_kind = run(&["targets", &addresses[0], "--kind=other"]).await.expect("targets");
+        assert_eq!(of_kind.text, "no targets\n");
+    });
+}
+
+#[test]
+fn a_dump_is_the_state_of_the_process() {
+    with_store(async |_| {
+        let entry = entry().await;
+        announce(entry, "w1").await;
+        let dump = run(&["dump", &entry.operators.to_string()]).await.expect("a dump");
+        assert_eq!(dump.json["targets"][0]["worker"], "w1");
+        let wrong = run(&["dump", &entry.callers.to_string()]).await.expect_err("no dump");
+        assert!(wrong.to_string().contains("give the operators' address"), "{wrong}");
+    });
+}
+
+#[test]
+fn problems_of_an_entry_become_exit_codes() {
+    with_store(async |_| {
+        let entry = format!("--entry={}", entry().await.callers);
+        // Without a store in its settings an entry refuses batch work as not run.
+        let words = ["submit", &entry, "--caller=guild", "--runs=5s", "render"];
+        let error = run(&words).await.expect_err("no store");
+        assert!(error.to_string().contains("(not-run)"), "{error}");
+        assert_eq!(error.exit_code(), 1);
+        let error = run(&["status", &entry, "no-such-job"]).await.expect_err("no job");
+        assert!(matches!(error, Error::Problem(_)), "{error}");
+        assert_eq!(error.exit_code(), 5);
+    });
+}
+
+#[test]
+fn a_process_that_does_not_run_is_named() {
+    with_store(async |_| {
+        let error = run(&["status", "--entry=127.0.0.1:1", "a:b"]).await.expect_err("nobody");
+        assert_eq!(error.exit_code(), 1);
+        assert!(error.to_string().contains("127.0.0.1:1"), "{error}");
+    });
+}
--- a/crates/codegen/src/page.rs
+++ b/crates/codegen/src/page.rs
@@ -17,6 +17,7 @@
 pub fn all() -> Vec<Page> {
     vec![
         Page { path: "docs/reference/settings.md", text: settings::reference::page() },
+        Page { path: "docs/reference/cli.md", text: shallotflow_cli::reference::page() },
         Page { path: "docs/reference/errors.md", text: errors() },
         Page { path: "docs/reference/metrics.md", text: metrics() },
     ]
