--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,6 +6,8 @@
 //! - [`config`]: the fleet configuration, from the store or from agents.
 //! - [`peers`]: the `tonic` service for agents and other entries.
 //! - [`operators`]: liveness and readiness for operators.
+//! - [`directory`]: the live entries.
+//! - [`meters`]: the metrics.
 //! - [`state`]: the tables that these share.
 //! - [`tick`]: the systems that run over the tables each tick.
 //!
@@ -15,6 +17,8 @@
 pub mod bound;
 pub mod callers;
 pub mod config;
+pub mod directory;
+pub mod meters;
 pub mod operators;
 pub mod peers;
 pub mod quick;
