Add reserve, eviction, disturbance and estimates as systems

Cause: quick work needs room before a crest is reported, batch work must give way in an order that loses least, and declared sizes are often far off. Conclusion: decisions take the time and the measurements as arguments; late reports are applied to the moment that they describe.

--- a/crates/policy/src/admission/queue.rs
+++ b/crates/policy/src/admission/queue.rs
@@ -1,6 +1,7 @@
 //! Work of one class that waits for a start.
 
 use super::{Id, Ticket};
+use shallotflow_core::resources::Bundle;
 use shallotflow_core::time::Time;
 use std::collections::BTreeMap;
 
@@ -37,6 +38,11 @@
         self.waiting.values().map(|waiting| &waiting.ticket)
     }
 
+    /// What all that waits needs together.
+    pub fn need(&self) -> Bundle {
+        self.tickets().fold(Bundle::default(), |sum, ticket| sum.plus(&ticket.need))
+    }
+
     /// The earliest deadline of what waits.
     pub fn first_deadline(&self) -> Option<Time> {
         self.waiting.keys().next().map(|(deadline, _)| *deadline)
--- a/crates/policy/src/admission/table.rs
+++ b/crates/policy/src/admission/table.rs
@@ -71,6 +71,16 @@
         self.capacity = capacity;
     }
 
+    /// Watchers hold at most `connections` from now on.
+    pub fn cap_watchers(&mut self, connections: u32) {
+        self.settings.watch_connections = connections;
+    }
+
+    /// Takes new work again.
+    pub fn stay(&mut self) {
+        self.leaving = false;
+    }
+
     /// Refuses new work from now on; what waits is refused at the next tick.
     pub fn leave(&mut self) {
         self.leaving = true;
@@ -112,7 +122,12 @@
         self.capacity.minus(&others).slots
     }
 
-    /// Room for new batch work beside `reserve` for quick work.
+    /// Room for new batch work beside `reserve` for quick work and what waits already.
+    pub fn batch_offer(&self, reserve: &Bundle) -> Bundle {
+        self.batch_room(reserve).minus(&self.batch.need())
+    }
+
+    /// Room in which batch work may start beside `reserve` for quick work.
     pub fn batch_room(&self, reserve: &Bundle) -> Bundle {
         let kept = reserve.max(&self.used.quick);
         self.capacity.minus(&kept).minus(&self.used.watch).minus(&self.used.batch)
@@ -158,6 +173,31 @@
         self.reserve(ticket);
     }
 
+    /// Sets what running work needs, because its usage was measured; the worker may then be
+    /// over its capacity, see [`Table::excess`].
+    pub fn resize_work(&mut self, id: Id, need: Bundle) {
+        let Some(ticket) = self.running.get_mut(&id) else { return };
+        let old = std::mem::replace(&mut ticket.need, need);
+        let used = self.used.of(ticket.class);
+        *used = used.minus(&old).plus(&need);
+    }
+
+    /// What running work needs.
+    pub fn need(&self, id: Id) -> Option<Bundle> {
+        self.running.get(&id).map(|ticket| ticket.need)
+    }
+
+    /// What is reserved beyond the capacity.
+    pub fn excess(&self) -> Bundle {
+        self.used().minus(&self.capacity)
+    }
+
+    /// What waiting quick work needs beyond the free room.
+    pub fn quick_shortage(&self) -> Bundle {
+        let free = self.capacity.minus(&self.used());
+        self.quick.need().minus(&free)
+    }
+
     /// Takes back work that waits, because its caller gave up.
     pub fn withdraw(&mut self, class: Class, id: Id, deadline: Time) -> Option<Ticket> {
         self.queue_mut(class).remove(id, deadline)
--- a/crates/policy/src/disturbance/mod.rs
+++ b/crates/policy/src/disturbance/mod.rs
@@ -1,1 +1,13 @@
 //! Slowdown of one kind by another, learned per pair.
+//!
+//! Measurements come late. Each is applied to the moment that it describes: a history tells what
+//! ran then. The slowdown of a kind is one plus the sum of what each neighbor adds; what a pair
+//! adds starts at a prior and returns to it when nothing is measured.
+
+mod history;
+mod settings;
+mod table;
+
+pub use history::History;
+pub use settings::Settings;
+pub use table::Table;
--- a/crates/policy/src/lease/table.rs
+++ b/crates/policy/src/lease/table.rs
@@ -50,22 +50,24 @@
             self.settle(key, &mut commands);
         }
         for grant in &reply.grants {
-            self.grant(grant, deadline, &mut commands);
+            self.grant(grant, deadline, now, &mut commands);
         }
         commands
     }
 
-    /// Ends tasks whose lease has passed.
-    pub fn tick(&mut self, now: Time) -> Vec<Command> {
+    /// Ends tasks whose lease has passed, and gives back those that have waited for `patience`.
+    pub fn tick(&mut self, patience: Duration, now: Time) -> Vec<Command> {
         let mut commands = Vec::new();
         for (key, task) in &mut self.tasks {
-            if task.phase.is_final() || !task.deadline.passed(now) {
+            if task.phase.is_final() {
                 continue;
             }
-            if !task.sent {
-                task.refuse("its lease passed before it could start");
+            let lapsed = task.deadline.passed(now);
+            let impatient = task.accepted.after(patience).passed(now);
+            if !task.sent && (lapsed || impatient) {
+                task.refuse("the worker had no room for it in time");
                 commands.push(Command::Withdraw(key.clone()));
-            } else if !task.stopping {
+            } else if lapsed && !task.stopping {
                 task.stopping = true;
                 commands.push(Command::Stop(key.clone()));
             }
@@ -132,7 +134,7 @@
             payload: String::new(),
             priority: 0,
         };
-        let mut task = Task::new(grant, held.deadline);
+        let mut task = Task::new(grant, held.deadline, held.started);
         task.sent = true;
         task.started = held.started;
         self.tasks.insert(key.clone(), task);
@@ -197,12 +199,12 @@
         }
     }
 
-    fn grant(&mut self, grant: &Grant, deadline: Time, commands: &mut Vec<Command>) {
+    fn grant(&mut self, grant: &Grant, deadline: Time, now: Time, commands: &mut Vec<Command>) {
         if !self.admits(grant.key.ledger, grant.epoch) || self.tasks.contains_key(&grant.key) {
             return;
         }
         let key = grant.key.clone();
-        self.tasks.insert(key.clone(), Task::new(grant.clone(), deadline));
+        self.tasks.insert(key.clone(), Task::new(grant.clone(), deadline, now));
         commands.push(Command::Offer(key));
     }
 }
--- a/crates/policy/src/lease/task.rs
+++ b/crates/policy/src/lease/task.rs
@@ -13,6 +13,8 @@
     pub phase: Phase,
     /// Until when it may run without a renewal.
     pub deadline: Time,
+    /// When it was granted, or found at the worker.
+    pub accepted: Time,
     /// Whether a start was sent to the worker.
     pub sent: bool,
     /// Whether a stop was ordered.
@@ -30,12 +32,13 @@
 }
 
 impl Task {
-    pub(super) fn new(grant: Grant, deadline: Time) -> Self {
+    pub(super) fn new(grant: Grant, deadline: Time, now: Time) -> Self {
         Self {
             checkpoint: grant.checkpoint.clone(),
             grant,
             phase: Phase::Accepted,
             deadline,
+            accepted: now,
             sent: false,
             stopping: false,
             started: Time::NEVER,
