Share a worker between quick and batch work

Cause: reservations alone leave quick work slowed down by its neighbors and without room at a crest. Change: the agent runs the reserve and the eviction controller each tick, learns slowdowns and sizes from the worker's late usage reports, and follows the fleet configuration: share kept for quick work, cap on watchers, batch allowed, drain. The stand-in computes slowdowns for all work in one pass and reports them.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -1,6 +1,7 @@
 //! The state of an agent, shared by its tasks.
 
 use crate::batch;
+use crate::colocation::Room;
 use crate::report::{Budget, Wake};
 use crate::request::Meter;
 use crate::worker::{Attachment, Control};
@@ -8,18 +9,23 @@
 use foldhash::{HashMap, HashMapExt, HashSet, HashSetExt};
 use futures_channel::oneshot;
 use shallotflow_core::class::Class;
+use shallotflow_core::fleet::Values;
 use shallotflow_core::name::Name;
 use shallotflow_core::resources::Bundle;
 use shallotflow_core::settings::agent::Settings;
-use shallotflow_core::task::Key;
+use shallotflow_core::task::{Key, Phase};
 use shallotflow_core::time::{Clock, Monotonic, Time};
 use shallotflow_policy::admission::{self, Command, Id, Refusal, Ticket};
-use shallotflow_policy::lease;
+use shallotflow_policy::{lease, spread};
 use shallotflow_wire::control::{Attached, Listed, Running, Task};
 use shallotflow_wire::http::pool::Pool;
 use std::cell::{Ref, RefCell, RefMut};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
+
+/// How long a granted task waits for room before it is given back to its owner.
+const PATIENCE: Duration = Duration::from_secs(1);
 
 /// An agent; clones share it.
 #[derive(Clone)]
@@ -48,6 +54,10 @@
     pub(crate) leases: lease::Table,
     /// Service times of quick work.
     pub(crate) meter: Meter,
+    /// Interference, sizes and demand.
+    pub(crate) room: Room,
+    /// The values of the fleet configuration for this worker.
+    pub(crate) values: Values,
     /// Bytes that reports may still take.
     pub(crate) budget: Budget,
     /// Which entry owns each ledger.
@@ -56,8 +66,10 @@
     pub(crate) sessions: HashMap<SocketAddr, Rc<Wake>>,
     /// Entries named by the last reply.
     pub(crate) entries: Vec<SocketAddr>,
-    /// The newest fleet configuration seen.
-    pub(crate) config: Config,
+    /// The fleet configuration in force.
+    pub(crate) config: spread::State,
+    /// Whether the configuration asks the worker to leave.
+    pub(crate) draining: bool,
     /// Whether the agent is leaving.
     pub(crate) leaving: bool,
     /// Entries that have answered a report which says so.
@@ -68,17 +80,6 @@
     next_id: u64,
 }
 
-/// The newest fleet configuration that the agent has seen.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Config {
-    /// Its revision, zero before the first.
-    pub(crate) revision: u64,
-    /// Its text.
-    pub(crate) text: String,
-    /// Whether an entry asked for the text.
-    pub(crate) wanted: bool,
-}
-
 /// A reservation whose work may still run at the target.
 #[derive(Clone, Debug)]
 struct Doubt {
@@ -95,11 +96,14 @@
             admission: admission::Table::new(admission::Settings::default(), Bundle::default()),
             leases: lease::Table::default(),
             meter: Meter::default(),
+            room: Room::new(),
+            values: Values::default(),
+            draining: false,
             budget: Budget::default(),
             owners: HashMap::new(),
             sessions: HashMap::new(),
             entries: Vec::new(),
-            config: Config::default(),
+            config: spread::State::default(),
             leaving: false,
             told_leaving: HashSet::new(),
             waiting: HashMap::new(),
@@ -204,8 +208,8 @@
         if state.attachment.is_none() {
             return;
         }
-        let lapsed = state.leases.tick(now);
-        let reserve = state.reserve();
+        let lapsed = state.leases.tick(PATIENCE, now);
+        let reserve = state.reserve(now);
         let commands = state.admission.tick(now, &reserve);
         let mut starts = Vec::new();
         for command in commands {
@@ -229,6 +233,7 @@
     pub(crate) fn offer(
         &self,
         class: Class,
+        kind: &Name,
         need: Bundle,
         deadline: Time,
     ) -> admission::Result<(Id, oneshot::Receiver<admission::Result<()>>)> {
@@ -238,6 +243,9 @@
         let service = state.meter.service();
         let ticket = Ticket { id, class, need, deadline, offered: now };
         state.admission.offer(ticket, service, now)?;
+        if class == Class::Quick {
+            state.room.saw(kind, now);
+        }
         let (sender, receiver) = oneshot::channel();
         state.waiting.insert(id, sender);
         drop(state);
@@ -254,7 +262,10 @@
 
     /// Releases a reservation whose work has ended for sure.
     pub(crate) fn release(&self, id: Id) {
-        self.state_mut().admission.release(id);
+        let mut state = self.state_mut();
+        state.admission.release(id);
+        state.room.requests.remove(&id);
+        drop(state);
         self.tick();
     }
 
@@ -297,24 +308,42 @@
     }
 
     /// Room for new batch work.
-    pub(crate) fn batch_room(&self) -> Bundle {
-        self.admission.batch_room(&self.reserve())
+    pub(crate) fn batch_room(&self, now: Time) -> Bundle {
+        if self.leaving || self.draining || !self.values.batch {
+            return Bundle::default();
+        }
+        self.admission.batch_offer(&self.reserve(now))
     }
 
     /// Room kept free for quick work.
-    pub(crate) fn reserve(&self) -> Bundle {
-        Bundle::default()
+    pub(crate) fn reserve(&self, now: Time) -> Bundle {
+        self.room.crest.kept(&self.admission.capacity(), now)
+    }
+
+    /// What is reserved for a task that was admitted.
+    pub(crate) fn reserved(&self, key: &Key) -> Option<Bundle> {
+        self.admission.need(*self.admitted.get(key)?)
+    }
+
+    /// Sets what is reserved for a task that was admitted.
+    pub(crate) fn resize_task(&mut self, key: &Key, need: Bundle) {
+        if let Some(&id) = self.admitted.get(key) {
+            self.admission.resize_work(id, need);
+        }
     }
 
     /// Offers a granted task for admission.
     pub(crate) fn offer_task(&mut self, key: &Key, now: Time) {
+        if !self.values.batch {
+            return self.leases.refuse(key, "the configuration lets no batch work start here");
+        }
         let Some(task) = self.leases.get(key) else { return };
-        let need = task.grant.resources;
+        let need = self.need(&task.grant.kind, &task.grant.resources);
         let id = self.next_id();
         // The lease table withdraws the task when its lease passes.
         let deadline = Time::NEVER;
         let ticket = Ticket { id, class: Class::Batch, need, deadline, offered: now };
-        match self.admission.offer(ticket, std::time::Duration::ZERO, now) {
+        match self.admission.offer(ticket, Duration::ZERO, now) {
             Ok(()) => {
                 self.admitted.insert(key.clone(), id);
             }
@@ -333,6 +362,7 @@
         if let Some(id) = self.admitted.remove(key) {
             self.admission.release(id);
         }
+        self.room.shares.remove(key);
     }
 
     fn key_of(&self, id: Id) -> Option<Key> {
@@ -407,6 +437,7 @@
         let mut ended = Vec::new();
         for task in tasks {
             if self.leases.observe(&task.key, &batch::observation(task)) {
+                self.learn_run(&task.key);
                 self.release_task(&task.key);
                 ended.push(task.key.clone());
             }
@@ -414,6 +445,18 @@
         ended
     }
 
+    /// Learns the run time of a task that ran from its beginning to its end.
+    fn learn_run(&mut self, key: &Key) {
+        let Some(task) = self.leases.get(key) else { return };
+        let whole = task.phase == Phase::Done && task.grant.checkpoint.is_empty();
+        if !whole || task.grant.expected_run.is_zero() {
+            return;
+        }
+        let run = Duration::from_millis(task.run_ms);
+        let now = Monotonic.now();
+        self.room.estimates.learn_run(&task.grant.kind, run, task.grant.expected_run, now);
+    }
+
     /// Releases doubtful reservations whose work the list no longer names.
     fn confirm_requests(&mut self, requests: &[Running], asked: Time) {
         let runs = |doubt: &Doubt| requests.iter().any(|request| request.id == doubt.name);
@@ -423,6 +466,7 @@
         self.doubts = doubts;
         for doubt in ended {
             self.admission.release(doubt.id);
+            self.room.requests.remove(&doubt.id);
         }
     }
 }
--- a/crates/agent/src/batch/carry.rs
+++ b/crates/agent/src/batch/carry.rs
@@ -60,6 +60,7 @@
         give_up(&mut state, key);
         return None;
     };
+    let resources = state.reserved(key);
     let task = state.leases.get(key)?;
     let grant = &task.grant;
     Some(Start {
@@ -67,7 +68,7 @@
         key: key.clone(),
         epoch: grant.epoch,
         kind: grant.kind.clone(),
-        resources: grant.resources,
+        resources: resources.unwrap_or(grant.resources),
         idempotent: grant.idempotent,
         checkpoint: grant.checkpoint.clone(),
         payload: grant.payload.clone(),
--- a/crates/agent/src/leave.rs
+++ b/crates/agent/src/leave.rs
@@ -45,7 +45,8 @@
     }
 }
 
-fn evict(agent: &Agent) {
+/// Checkpoints and stops every batch task that is not being stopped already.
+pub(crate) fn evict(agent: &Agent) {
     let mut state = agent.state_mut();
     let running = state.leases.tasks().filter(|(_, task)| task.may_run() && !task.stopping);
     let running: Vec<Key> = running.map(|(key, _)| key.clone()).collect();
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -5,6 +5,9 @@
 
 mod agent;
 mod batch;
+mod colocation;
+mod config;
+mod inspect;
 mod leave;
 mod report;
 pub mod request;
@@ -14,6 +17,9 @@
 use anyhow::Context;
 use monoio::net::TcpListener;
 use shallotflow_core::settings::agent::Settings;
+use shallotflow_core::time::{Clock, Monotonic, Time};
+use shallotflow_runtime::operators;
+use shallotflow_runtime::program::Program;
 use shallotflow_runtime::stop::Stop;
 use shallotflow_wire::http::gate::Gate;
 use shallotflow_wire::http::server::serve;
@@ -21,6 +27,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+const CONFIG_INTERVAL: Duration = Duration::from_secs(1);
 const TICK_INTERVAL: Duration = Duration::from_millis(5);
 
 /// The addresses that an agent listens on.
@@ -39,8 +46,10 @@
 /// Fails when an address cannot be listened on, and once a newer agent has attached.
 pub async fn run(settings: Settings, stop: Stop, ready: impl FnOnce(Bound)) -> anyhow::Result<()> {
     let requests = listen(settings.listen)?;
-    let operators = listen(settings.operators_listen)?;
-    let bound = Bound { requests: requests.local_addr()?, operators: operators.local_addr()? };
+    let program = Program::new("agent", &settings.worker, &settings.log)?;
+    let _recording = program.record();
+    let operators = operators::Listener::bind(settings.operators_listen)?;
+    let bound = Bound { requests: requests.local_addr()?, operators: operators.address() };
     let control = Rc::new(worker::Client::new(settings.control));
     let agent = Agent::new(settings, control, bound.requests);
     let limits = agent.settings().limits.clone();
@@ -48,6 +57,10 @@
     let door = Rc::new(request::Door::new(agent.clone()));
     monoio::spawn(serve(requests, door, limits, gate.clone()));
     monoio::spawn(report::follow_entries(agent.clone()));
+    monoio::spawn(colocation::follow_usage(agent.clone()));
+    let inspect = Rc::new(agent.clone());
+    let limits = agent.settings().limits.clone();
+    monoio::spawn(operators.serve(program.clone(), inspect, limits, stop.clone()));
     ready(bound);
     let result = monoio::select! {
         () = leave::leave(agent.clone(), stop, gate.clone()) => Ok(()),
@@ -60,8 +73,19 @@
 }
 
 async fn tick(agent: Agent) {
+    let mut configured = Time::ZERO;
     loop {
         agent.tick();
+        colocation::control(&agent);
+        if agent.state().draining {
+            leave::evict(&agent);
+        }
+        let now = Monotonic.now();
+        if configured.after(CONFIG_INTERVAL).passed(now) {
+            configured = now;
+            // An exception may have ended.
+            agent.apply_config();
+        }
         monoio::time::sleep(TICK_INTERVAL).await;
     }
 }
--- a/crates/agent/src/report/fleet.rs
+++ b/crates/agent/src/report/fleet.rs
@@ -66,6 +66,6 @@
         for owned in &reply.owned {
             self.owners.insert(owned.ledger, from);
         }
-        self.config.wanted = reply.want_config;
+        self.config.hear(reply.config_revision);
     }
 }
--- a/crates/agent/src/report/message.rs
+++ b/crates/agent/src/report/message.rs
@@ -3,17 +3,24 @@
 use crate::agent::Agent;
 use crate::request::load;
 use shallotflow_core::task::Key;
-use shallotflow_core::time::Time;
+use shallotflow_core::time::{Clock, Monotonic, Time};
 use shallotflow_policy::lease::{Grant, Owned, Reply, StopOrder, Task};
 use shallotflow_wire::proto;
 use std::time::Duration;
 
 /// The report as things stand now; `None` before the worker is known.
-pub(super) fn report(agent: &Agent, sequence: u64) -> Option<proto::ReportRequest> {
+///
+/// The configuration's text goes along when the entry `wants_config`.
+pub(super) fn report(
+    agent: &Agent,
+    sequence: u64,
+    wants_config: bool,
+) -> Option<proto::ReportRequest> {
     let state = agent.state();
     let attachment = state.attachment.as_ref()?;
     let settings = agent.settings();
-    let config_text = if state.config.wanted { state.config.text.clone() } else { String::new() };
+    let text = state.config.text();
+    let config_text = if wants_config { text.to_string() } else { String::new() };
     Some(proto::ReportRequest {
         worker: settings.worker.to_string(),
         domain: settings.domain.to_string(),
@@ -23,9 +30,9 @@
         boot: attachment.boot,
         sequence,
         capacity: Some(state.admission.capacity().into()),
-        load: Some(load(&state)),
-        leaving: state.leaving,
-        config_revision: state.config.revision,
+        load: Some(load(&state, Monotonic.now())),
+        leaving: state.leaving || state.draining,
+        config_revision: state.config.revision(),
         config_text,
         tasks: state.leases.tasks().map(|(key, task)| status(key, task)).collect(),
         epochs: state.leases.epochs().map(epoch).collect(),
--- a/crates/agent/src/report/session.rs
+++ b/crates/agent/src/report/session.rs
@@ -5,6 +5,7 @@
 use crate::batch;
 use prost::Message;
 use shallotflow_core::time::{Clock, Monotonic, Time};
+use shallotflow_policy::spread::Offer;
 use shallotflow_wire::proto;
 use shallotflow_wire::proto::scheduler_client::SchedulerClient;
 use shallotflow_wire::rpc::Channel;
@@ -27,12 +28,21 @@
     sequence: u64,
     due: Time,
     failures: u32,
+    wants_config: bool,
 }
 
 impl Session {
     pub(super) fn new(agent: Agent, entry: SocketAddr, wake: Rc<Wake>) -> Self {
         let channel = Channel::new(entry);
-        Self { agent, channel, wake, sequence: 0, due: Time::ZERO, failures: 0 }
+        Self {
+            agent,
+            channel,
+            wake,
+            sequence: 0,
+            due: Time::ZERO,
+            failures: 0,
+            wants_config: false,
+        }
     }
 
     /// Reports until the session is no longer wanted.
@@ -40,7 +50,8 @@
         let entry = self.channel.address();
         while self.is_wanted() {
             self.wait().await;
-            let Some(report) = message::report(&self.agent, self.sequence + 1) else {
+            let Some(report) = message::report(&self.agent, self.sequence + 1, self.wants_config)
+            else {
                 self.due = Monotonic.now().after(RETRY_PAUSE);
                 continue;
             };
@@ -88,13 +99,14 @@
             anyhow::bail!("reply to report {} instead of {}", reply.sequence, report.sequence);
         }
         self.take(&reply, &report, sent);
-        Ok(())
+        self.fetch_config(&mut client).await
     }
 
     fn take(&mut self, reply: &proto::ReportReply, report: &proto::ReportRequest, sent: Time) {
         let now = Monotonic.now();
         let beat = Duration::from_millis(reply.beat_ms.into());
         self.due = sent.after(if beat.is_zero() { DEFAULT_BEAT } else { beat });
+        self.wants_config = reply.want_config;
         let decisions = message::reply(reply, report, sent);
         let mut state = self.agent.state_mut();
         state.heard(self.channel.address(), reply);
@@ -107,6 +119,27 @@
         self.agent.tick();
     }
 
+    /// Fetches the configuration when a newer one than the one in force is known.
+    async fn fetch_config(&mut self, client: &mut SchedulerClient<Channel>) -> anyhow::Result<()> {
+        if !self.agent.state().config.wants() {
+            return Ok(());
+        }
+        let fetched = client.fetch_config(proto::ConfigRequest {});
+        let answer = monoio::time::timeout(REPLY_TIMEOUT, fetched).await;
+        let Ok(answer) = answer else {
+            anyhow::bail!("no configuration within {REPLY_TIMEOUT:?}; check the entry's load");
+        };
+        let config = answer?.into_inner();
+        let now = Monotonic.now();
+        self.agent.state_mut().budget.spend(config.text.len(), now);
+        let offer = self.agent.state_mut().config.offer(config.revision, &config.text);
+        if let Offer::Refused(refusal) = offer {
+            warn!("a configuration was refused", kv: { refusal = refusal.to_string() });
+        }
+        self.agent.apply_config();
+        Ok(())
+    }
+
     fn back_off(&mut self) {
         self.channel.reset();
         let pause = RETRY_PAUSE * 2_u32.saturating_pow(self.failures);
--- a/crates/agent/src/request/serve.rs
+++ b/crates/agent/src/request/serve.rs
@@ -7,6 +7,7 @@
 use crate::agent::Agent;
 use futures_util::future::LocalBoxFuture;
 use http::{HeaderValue, Request, Response, StatusCode};
+use shallotflow_core::metric;
 use shallotflow_core::outcome::Outcome;
 use shallotflow_core::problem::{Code, Problem};
 use shallotflow_core::time::{Clock, Monotonic};
@@ -39,7 +40,11 @@
     ) -> LocalBoxFuture<'static, Response<Body>> {
         let agent = self.agent.clone();
         Box::pin(async move {
-            let mut response = answer(&agent, request).await.unwrap_or_else(|p| refuse(&p));
+            let mut response = answer(&agent, request).await.unwrap_or_else(|problem| {
+                let reason = problem.code.as_str();
+                metrics::counter!(metric::REFUSALS, "reason" => reason).increment(1);
+                refuse(&problem)
+            });
             label(&agent, &mut response);
             response
         })
@@ -51,7 +56,11 @@
     let head = Head::read(&parts, Monotonic.now())?;
     check_kind(agent, &head)?;
     let body = buffer(body).await?;
+    let arrived = Monotonic.now();
     let id = admit(agent, &head).await?;
+    let waited = Monotonic.now().since(arrived).as_secs_f64();
+    metrics::histogram!(metric::HEAD_OF_LINE_WAIT, "class" => head.class.as_str()).record(waited);
+    agent.state_mut().room.requests.insert(id, head.kind.clone());
     forward(agent, id, &head, Request::from_parts(parts, body)).await
 }
 
@@ -82,7 +91,7 @@
 
 /// Waits for a start, no longer than the deadline.
 async fn admit(agent: &Agent, head: &Head) -> Result<Id> {
-    let offered = agent.offer(head.class, head.need, head.deadline);
+    let offered = agent.offer(head.class, &head.kind, head.need, head.deadline);
     let (id, started) = offered.map_err(|refusal| problem(&refusal))?;
     let mut waiting = carried::Waiting::new(agent, head, id);
     let left = head.deadline.left(Monotonic.now());
@@ -123,7 +132,7 @@
 }
 
 fn label(agent: &Agent, response: &mut Response<Body>) {
-    let load = load(&agent.state());
+    let load = load(&agent.state(), Monotonic.now());
     let load = format!(
         "{},{},{},{},{}",
         load.running, load.queued, load.slots, load.service_us, load.disturbance_milli
--- a/crates/standin/src/worker/floor.rs
+++ b/crates/standin/src/worker/floor.rs
@@ -384,6 +384,7 @@
         };
         let work = Work {
             kind: call.kind.clone(),
+            number: self.pace.number(&call.kind),
             reserved: call.resources,
             usage,
             total_us: if self.settings.fails_tasks { 0.0 } else { total_us },
@@ -418,6 +419,7 @@
         let profile = self.profile(&request.kind);
         let drawn = plan::draw(&profile, &mut self.rng);
         let work = Work {
+            number: self.pace.number(&request.kind),
             kind: request.kind,
             reserved: request.resources,
             usage: profile.usage,
@@ -462,12 +464,11 @@
         let passed_us = now.since(self.advanced).as_micros() as f64;
         self.advanced = now;
         let works: Vec<&Work> = self.works().collect();
-        let speeds: Vec<f64> =
-            (0..works.len()).map(|index| self.pace.speed(&works, index)).collect();
+        let slowdowns = self.pace.slowdowns(&works);
         let running = self.tasks.values_mut().filter(|held| !held.task.phase.is_final());
         let works = running.map(|held| &mut held.work).chain(self.requests.values_mut());
-        for (work, speed) in works.zip(speeds) {
-            work.done_us += passed_us * speed;
+        for (work, slowdown) in works.zip(slowdowns) {
+            work.done_us += passed_us * work.share() / slowdown;
         }
     }
 
@@ -478,7 +479,7 @@
         let Some(index) = works.iter().position(|other| std::ptr::eq(*other, work)) else {
             return Duration::ZERO;
         };
-        let left_us = (work.total_us - work.done_us) / self.pace.speed(&works, index).max(1e-6);
+        let left_us = (work.total_us - work.done_us) * self.pace.slowdowns(&works)[index];
         Duration::from_micros(left_us.max(0.0) as u64).min(SLICE)
     }
 
@@ -517,12 +518,19 @@
             facts.note(format!("{} uses {used} MiB", self.settings.worker));
         }
         let running = self.tasks.values().filter(|held| !held.task.phase.is_final());
-        let sample = |held: &Held| Sample {
+        let keys = running.map(|held| Some(held.task.key.clone()));
+        let keys = keys.chain(self.requests.values().map(|_| None));
+        let works: Vec<&Work> = self.works().collect();
+        let slowdowns = self.pace.slowdowns(&works);
+        let sample = |((work, slowdown), key): ((&&Work, f64), Option<Key>)| Sample {
             at_us: now.as_micros(),
-            key: held.task.key.clone(),
-            usage: held.work.usage,
+            key,
+            kind: work.kind.clone(),
+            usage: work.usage,
+            slowdown_milli: (slowdown * 1_000.0).round() as u32,
         };
-        self.samples.extend(running.map(|held| (now, sample(held))));
+        let samples: Vec<Sample> = works.iter().zip(slowdowns).zip(keys).map(sample).collect();
+        self.samples.extend(samples.into_iter().map(|sample| (now, sample)));
         while self.samples.len() > MAX_SAMPLES {
             self.samples.pop_front();
         }
--- a/crates/standin/src/worker/work.rs
+++ b/crates/standin/src/worker/work.rs
@@ -11,6 +11,8 @@
 pub(super) struct Work {
     /// The kind of work.
     pub(super) kind: Name,
+    /// The number of its kind, if the kind disturbs or is disturbed.
+    pub(super) number: Option<usize>,
     /// What its agent set aside for it.
     pub(super) reserved: Bundle,
     /// What it really uses at full speed.
--- a/crates/wire/src/control/reply.rs
+++ b/crates/wire/src/control/reply.rs
@@ -56,16 +56,20 @@
     pub requests: Vec<Running>,
 }
 
-/// The usage of one task at one moment.
+/// The usage of one task or request at one moment.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Sample {
     /// The moment that it describes.
     pub at_us: u64,
-    /// The task.
-    pub key: Key,
+    /// The task; none for a request.
+    pub key: Option<Key>,
+    /// The kind of work.
+    pub kind: Name,
     /// What it used.
     pub usage: Bundle,
+    /// How many times slower than alone it ran, thousandths.
+    pub slowdown_milli: u32,
 }
 
 /// Usage reports; they become available some time after the moment they describe.
