--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -47,8 +47,8 @@
 pub async fn run(settings: Settings, stop: Stop, ready: impl FnOnce(Bound)) -> anyhow::Result<()> {
     let requests = listen(settings.listen)?;
     let program = Program::new("agent", &settings.worker, &settings.log)?;
-    let _recording = program.record();
     let operators = operators::Listener::bind(settings.operators_listen)?;
+    let operators_gate = operators.gate();
     let bound = Bound { requests: requests.local_addr()?, operators: operators.address() };
     let control = Rc::new(worker::Client::new(settings.control));
     let agent = Agent::new(settings, control, bound.requests);
@@ -60,14 +60,16 @@
     monoio::spawn(colocation::follow_usage(agent.clone()));
     let inspect = Rc::new(agent.clone());
     let limits = agent.settings().limits.clone();
-    monoio::spawn(operators.serve(program.clone(), inspect, limits, stop.clone()));
+    monoio::spawn(operators.serve(program, inspect, limits, stop.clone()));
     ready(bound);
     let result = monoio::select! {
         () = leave::leave(agent.clone(), stop, gate.clone()) => Ok(()),
         () = tick(agent.clone()) => Ok(()),
         result = worker::watch(agent.clone()) => result,
     };
+    operators_gate.cut();
     gate.cut();
+    operators_gate.wait_closed().await;
     gate.wait_closed().await;
     result.context("another agent has taken this worker over; end this one")
 }
--- a/crates/agent/src/report/session.rs
+++ b/crates/agent/src/report/session.rs
@@ -34,15 +34,9 @@
 impl Session {
     pub(super) fn new(agent: Agent, entry: SocketAddr, wake: Rc<Wake>) -> Self {
         let channel = Channel::new(entry);
-        Self {
-            agent,
-            channel,
-            wake,
-            sequence: 0,
-            due: Time::ZERO,
-            failures: 0,
-            wants_config: false,
-        }
+        // The same entry may have heard this agent before, through another address.
+        let sequence = Monotonic.now().as_micros();
+        Self { agent, channel, wake, sequence, due: Time::ZERO, failures: 0, wants_config: false }
     }
 
     /// Reports until the session is no longer wanted.
@@ -98,6 +92,9 @@
         if reply.sequence != report.sequence {
             anyhow::bail!("reply to report {} instead of {}", reply.sequence, report.sequence);
         }
+        if !self.is_wanted() {
+            anyhow::bail!("another session with this entry has begun");
+        }
         self.take(&reply, &report, sent);
         self.fetch_config(&mut client).await
     }
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -25,15 +25,20 @@
 //!
 //! An exception whose expiry has passed is ignored; it ends without a change of the text.
 
+mod changes;
 mod condition;
 mod config;
 mod exception;
+pub mod key;
+mod merge;
 mod subject;
 mod values;
 
+pub use changes::Changes;
 pub use condition::Condition;
 pub use config::Config;
 pub use exception::Exception;
+pub use merge::{Clash, merge};
 pub use subject::Subject;
 pub use values::Values;
 
