--- a/crates/policy/tests/colocation.rs
+++ b/crates/policy/tests/colocation.rs
@@ -8,6 +8,7 @@
 use shallotflow_policy::estimate;
 use shallotflow_policy::evict::{Candidate, Command, Controller, Pressure, Settings};
 use shallotflow_policy::reserve::{self, Crest};
+use std::slice::from_ref;
 use std::time::Duration;
 
 const CAPACITY: Bundle =
@@ -132,8 +133,8 @@
     let (clerk, noisy, quiet): (Name, Name, Name) =
         ("clerk".into(), "noisy".into(), "quiet".into());
     for round in 0..200 {
-        table.learn(&clerk, &[noisy.clone()], 1.5, at(round));
-        table.learn(&clerk, &[quiet.clone()], 1.0, at(round));
+        table.learn(&clerk, from_ref(&noisy), 1.5, at(round));
+        table.learn(&clerk, from_ref(&quiet), 1.0, at(round));
         table.learn(&clerk, &[noisy.clone(), quiet.clone()], 1.5, at(round));
     }
     let now = at(200);
@@ -151,8 +152,8 @@
     let mut kinds = estimate::Table::new(settings);
     for number in 0..100 {
         let kind = Name::from(format!("kind-{number}"));
-        pairs.learn(&"clerk".into(), std::slice::from_ref(&kind), 1.5, at(number));
-        pairs.learn(&"clerk".into(), &[kind.clone()], f64::NAN, at(number));
+        pairs.learn(&"clerk".into(), from_ref(&kind), 1.5, at(number));
+        pairs.learn(&"clerk".into(), from_ref(&kind), f64::NAN, at(number));
         kinds.learn_usage(&kind, &CAPACITY, &CAPACITY, at(number));
     }
     assert_eq!((pairs.len(), kinds.len()), (10, 10));
