Let a killed thread lose its connections as a killed process does

Cause: a dropped runtime kept sockets whose tasks hold each other; a caller of a killed entry saw no end of its connection within 30 s. Change: each thread that plays a process has a descriptor table of its own, which the system closes with the thread. Ruled out: an immediate stop, which drains and so is no kill. Measured: a_killed_process_closes_what_it_had_open failed before (the read timed out) and passes now, with a paused and a whole tiny floor beside it. Conclusion: kills, pauses and graceful stops are three different things here.

--- a/crates/bench/src/cluster/mod.rs
+++ b/crates/bench/src/cluster/mod.rs
@@ -5,6 +5,7 @@
 //! - [`Cluster`]: all processes of a floor, each replaceable while a run goes on.
 
 pub mod balancer;
+mod descriptors;
 pub mod node;
 #[path = "cluster.rs"]
 mod processes;
--- a/crates/bench/src/cluster/node.rs
+++ b/crates/bench/src/cluster/node.rs
@@ -1,5 +1,6 @@
 //! A process on a thread of its own.
 
+use super::descriptors;
 use super::switch::Switch;
 use anyhow::Context;
 use futures_util::future::LocalBoxFuture;
@@ -37,6 +38,7 @@
         let (tell, told) = mpsc::channel();
         let (own_stop, own_switch) = (stop.clone(), switch.clone());
         let body = move || {
+            descriptors::separate()?;
             executor::run(async move {
                 // The receiver waits for this one message.
                 let ready = Box::new(move |bound| drop(tell.send(bound)));
