--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,8 +3,11 @@
 //! - [`callers`]: the callers' HTTP interface.
 //! - [`quick`]: quick requests and watchers on their way to an agent and back.
 //! - [`batch`]: batch jobs, in the ledgers of this entry or of another.
+//! - [`config`]: the fleet configuration, from the store or from agents.
 //! - [`peers`]: the `tonic` service for agents and other entries.
 //! - [`operators`]: liveness and readiness for operators.
+//! - [`directory`]: the live entries.
+//! - [`meters`]: the metrics.
 //! - [`state`]: the tables that these share.
 //! - [`tick`]: the systems that run over the tables each tick.
 //!
@@ -13,6 +16,9 @@
 pub mod batch;
 pub mod bound;
 pub mod callers;
+pub mod config;
+pub mod directory;
+pub mod meters;
 pub mod operators;
 pub mod peers;
 pub mod quick;
