Fuzz the batch path as a whole and mend what it broke

Cause: the ledger was fuzzed against a fake agent and the lease table alone, so nothing showed that the two keep the promises together. Run together in virtual time, three faults came up. A job that may run once, had ended at a worker that then fell silent, was resumed from its last checkpoint. The same happened when the worker restarted and forgot the end. A task whose start was lost before it reached the worker, and whose lease passed meanwhile, stayed open at its agent for ever. Ruled out: a double owner; every such run had one owner throughout. Change: a job whose fate is not known runs again only if it is idempotent, with or without a checkpoint; a lapsed task of an earlier boot counts as lost; the agent gives a start back once the worker's list, asked for after the lease, does not name it. Conclusion: a checkpoint allows a resumption only after a stop that is confirmed.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -192,7 +192,7 @@
     /// Takes a list of what the worker held at some moment after `asked`.
     pub(crate) fn observe(&self, listed: &Listed, asked: Time) {
         let mut state = self.state_mut();
-        let ended = state.observe_tasks(&listed.tasks);
+        let ended = state.observe_tasks(&listed.tasks, asked);
         state.confirm_requests(&listed.requests, asked);
         drop(state);
         for key in &ended {
@@ -433,7 +433,7 @@
         id
     }
 
-    fn observe_tasks(&mut self, tasks: &[Task]) -> Vec<Key> {
+    fn observe_tasks(&mut self, tasks: &[Task], asked: Time) -> Vec<Key> {
         let mut ended = Vec::new();
         for task in tasks {
             if self.leases.observe(&task.key, &batch::observation(task)) {
@@ -442,6 +442,11 @@
                 ended.push(task.key.clone());
             }
         }
+        let listed = tasks.iter().map(|task| task.key.clone()).collect();
+        for key in self.leases.miss(&listed, asked) {
+            self.release_task(&key);
+            ended.push(key);
+        }
         ended
     }
 
--- a/crates/policy/src/lease/table.rs
+++ b/crates/policy/src/lease/table.rs
@@ -5,7 +5,7 @@
 use shallotflow_core::resources::Bundle;
 use shallotflow_core::task::{Key, Phase};
 use shallotflow_core::time::Time;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Batch tasks of one worker.
@@ -115,6 +115,23 @@
         seen.phase.is_final()
     }
 
+    /// The worker's list, asked for at `asked`, names `listed` only; returns the tasks that thereby
+    /// never started.
+    ///
+    /// A start may still be on its way to the worker until the task's lease passes. Afterwards the
+    /// worker refuses it, and would have listed a task that it took before.
+    pub fn miss(&mut self, listed: &BTreeSet<Key>, asked: Time) -> Vec<Key> {
+        let mut missed = Vec::new();
+        for (key, task) in &mut self.tasks {
+            let due = task.may_run() && task.deadline.passed(asked);
+            if due && !listed.contains(key) {
+                task.refuse("its start did not reach the worker");
+                missed.push(key.clone());
+            }
+        }
+        missed
+    }
+
     /// Takes over a task that the worker holds and this table does not know.
     pub fn adopt(&mut self, key: Key, held: Held, seen: &Observation) {
         let seen_epoch = self.epochs.entry(key.ledger).or_default();
--- a/crates/policy/src/ledger/hear.rs
+++ b/crates/policy/src/ledger/hear.rs
@@ -1,5 +1,6 @@
 //! What a report says of tasks, and what follows for their jobs.
 
+use super::job::Job;
 use super::pending::Item;
 use super::shape::Shape;
 use super::worker::Worker;
@@ -134,12 +135,20 @@
             Phase::Refused => job.requeue(moment),
             Phase::Evicted => job.interrupt("evicted without a checkpoint", moment),
             Phase::Stopped => job.interrupt("stopped without a checkpoint", moment),
+            Phase::Lapsed if has_restarted(job, report) => {
+                job.lose("its worker restarted", &settings, moment);
+            }
             Phase::Lapsed => job.interrupt("its lease passed while it ran", moment),
             Phase::Accepted | Phase::Running => {}
         }
     });
 }
 
+/// Whether the worker restarted since the attempt was granted, and forgot how it ended.
+fn has_restarted(job: &Job, report: &Report) -> bool {
+    matches!(job.record.state, State::Started { boot, .. } if boot != report.boot)
+}
+
 fn note_active(table: &mut Table, status: &Status) {
     let Some(job) = table.jobs.get_mut(&status.key.job) else { return };
     job.heard = true;
--- a/crates/policy/src/ledger/job.rs
+++ b/crates/policy/src/ledger/job.rs
@@ -63,11 +63,6 @@
         }
     }
 
-    /// Whether it may run again after it may have run.
-    pub(super) fn is_resumable(&self) -> bool {
-        self.record.spec.idempotent || self.record.checkpoint.is_some()
-    }
-
     /// The bytes that it keeps alive in the log.
     pub(super) fn live_bytes(&self) -> usize {
         if self.expired { 0 } else { self.spec_at.bytes + self.status_at.bytes }
--- a/crates/policy/src/ledger/transition.rs
+++ b/crates/policy/src/ledger/transition.rs
@@ -26,18 +26,24 @@
         self.leave();
     }
 
-    /// The attempt was stopped before its end by something other than the job.
+    /// The attempt surely stopped before its end by something other than the job.
     pub(super) fn interrupt(&mut self, reason: &str, moment: Moment) {
-        if self.record.cancelled || self.is_resumable() {
+        let may_resume = self.record.spec.idempotent || self.record.checkpoint.is_some();
+        if self.record.cancelled || may_resume {
             return self.requeue(moment);
         }
         self.end(State::Unknown { reason: reason.to_owned() }, moment);
     }
 
     /// Nobody knows how far the attempt got, but it surely runs no more.
+    ///
+    /// It may have come to its end, so only an idempotent job runs again, checkpoint or not.
     pub(super) fn lose(&mut self, reason: &str, settings: &Settings, moment: Moment) {
-        if self.record.cancelled || !self.is_resumable() {
-            return self.interrupt(reason, moment);
+        if self.record.cancelled {
+            return self.requeue(moment);
+        }
+        if !self.record.spec.idempotent {
+            return self.end(State::Unknown { reason: reason.to_owned() }, moment);
         }
         self.fail(reason, settings, moment);
     }
@@ -46,7 +52,8 @@
     pub(super) fn fail(&mut self, reason: &str, settings: &Settings, moment: Moment) {
         self.record.failures += 1;
         let exhausted = self.record.failures >= settings.failures_max;
-        if !self.record.cancelled && (exhausted || !self.is_resumable()) {
+        let may_retry = self.record.spec.idempotent && !exhausted;
+        if !self.record.cancelled && !may_retry {
             return self.end(State::Failed { reason: reason.to_owned() }, moment);
         }
         self.not_before = self.retry_at(settings, moment.now);
--- /dev/null
+++ b/crates/policy/tests/system/agent.rs
@@ -0,0 +1,388 @@
+//! An agent: the lease table and the admission table of one worker.
+
+use super::facts::Facts;
+use super::packet::{Order, Packet};
+use super::worker::{CAPACITY, Held, NEED, Worker};
+use shallotflow_core::class::Class;
+use shallotflow_core::name::Name;
+use shallotflow_core::resources::Bundle;
+use shallotflow_core::task::{Key, Phase};
+use shallotflow_core::time::Time;
+use shallotflow_policy::admission::{self, Id, Ticket};
+use shallotflow_policy::{lease, ledger};
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+/// How long a granted task waits for room.
+const PATIENCE: Duration = Duration::from_secs(1);
+
+/// What it knows of its reports to one entry.
+#[derive(Clone, Debug, Default)]
+struct Session {
+    sequence: u64,
+    outstanding: Option<Outstanding>,
+}
+
+#[derive(Clone, Debug)]
+struct Outstanding {
+    sent: Time,
+    reported: Vec<Key>,
+}
+
+/// An agent beside its worker; both share the clock of their host.
+pub(crate) struct Agent {
+    number: usize,
+    /// Until when the process is paused, in true time.
+    pub(crate) paused_until: Time,
+    /// The rate of the host's clock, per thousand.
+    pub(crate) rate: u64,
+    incarnation: u64,
+    boot: u64,
+    leases: lease::Table,
+    admission: admission::Table,
+    admitted: BTreeMap<Key, Id>,
+    tickets: u64,
+    sessions: Vec<Session>,
+    orders: VecDeque<(u64, Order)>,
+}
+
+impl Agent {
+    pub(crate) fn new(number: usize, entries: usize, rate: u64) -> Self {
+        Self {
+            number,
+            paused_until: Time::ZERO,
+            rate,
+            incarnation: 1,
+            boot: 0,
+            leases: lease::Table::default(),
+            admission: admission::Table::new(admission::Settings::default(), CAPACITY),
+            admitted: BTreeMap::new(),
+            tickets: 0,
+            sessions: vec![Session::default(); entries],
+            orders: VecDeque::new(),
+        }
+    }
+
+    /// The clock of its host at the true time `now`.
+    pub(crate) fn local(&self, now: Time) -> Time {
+        Time::from_micros(now.as_micros() / 1_000 * self.rate)
+    }
+
+    /// The process dies and another takes its place; what it had sent to its worker may arrive.
+    pub(crate) fn restart(&mut self) {
+        let orders = std::mem::take(&mut self.orders);
+        let fresh = Self::new(self.number, self.sessions.len(), self.rate);
+        *self = Self { incarnation: self.incarnation + 1, orders, ..fresh };
+    }
+
+    /// Follows the worker and runs the systems.
+    pub(crate) fn tick(&mut self, worker: &mut Worker, now: Time) {
+        let now = self.local(now);
+        if !self.follow(worker, now) {
+            return;
+        }
+        let commands = self.leases.tick(PATIENCE, now);
+        self.carry_out(commands, now);
+        for command in self.admission.tick(now, &Bundle::default()) {
+            self.admitted(command, now);
+        }
+        self.send_again();
+    }
+
+    /// Reports to an entry, giving up the report before.
+    pub(crate) fn report(&mut self, entry: usize, now: Time) -> Option<Packet> {
+        if self.boot == 0 {
+            return None;
+        }
+        let sent = self.local(now);
+        let reported = self.leases.tasks().map(|(key, _)| key.clone()).collect();
+        let session = &mut self.sessions[entry];
+        session.sequence += 1;
+        session.outstanding = Some(Outstanding { sent, reported });
+        let report = self.compose(self.sessions[entry].sequence);
+        Some(Packet::Report { agent: self.number, entry, report })
+    }
+
+    /// Takes a reply, if it answers the outstanding report.
+    pub(crate) fn reply(
+        &mut self,
+        entry: usize,
+        incarnation: u64,
+        sequence: u64,
+        reply: &ledger::Reply,
+        now: Time,
+    ) {
+        let session = &mut self.sessions[entry];
+        if incarnation != self.incarnation || sequence != session.sequence {
+            return;
+        }
+        let Some(outstanding) = session.outstanding.take() else { return };
+        let now = self.local(now);
+        let commands = self.leases.reply(&translate(reply, outstanding), now);
+        self.carry_out(commands, now);
+    }
+
+    /// Evicts a running task.
+    pub(crate) fn evict(&mut self, position: usize) {
+        let running: Vec<Key> = self
+            .leases
+            .tasks()
+            .filter(|(_, task)| task.phase == Phase::Running)
+            .map(|(key, _)| key.clone())
+            .collect();
+        let Some(key) = running.get(position % running.len().max(1)) else { return };
+        self.leases.stopping(key);
+        self.orders
+            .push_back((self.incarnation, Order::Stop { key: key.clone(), checkpoint: true }));
+    }
+
+    /// Hands the next order to the worker, in the order of sending.
+    pub(crate) fn order(&mut self, worker: &mut Worker, now: Time, facts: &mut Facts) {
+        let now = self.local(now);
+        let Some((incarnation, order)) = self.orders.pop_front() else { return };
+        let taken = worker.order(incarnation, &order, now, facts);
+        let current = incarnation == self.incarnation && worker.attached() == incarnation;
+        if let (Order::Start { key, .. }, false, true) = (&order, taken, current) {
+            self.leases.refuse(key, "the worker refused it");
+            self.release(key);
+        }
+    }
+
+    /// The next order is lost on its way.
+    pub(crate) fn lose_order(&mut self) {
+        self.orders.pop_front();
+    }
+
+    pub(crate) fn has_orders(&self) -> bool {
+        !self.orders.is_empty()
+    }
+
+    fn follow(&mut self, worker: &mut Worker, now: Time) -> bool {
+        if worker.attached() != self.incarnation || worker.boot() != self.boot {
+            if !worker.attach(self.incarnation) {
+                return false;
+            }
+            self.attach(worker, now);
+        }
+        let held: Vec<(Key, Held)> =
+            worker.tasks().iter().map(|(key, held)| (key.clone(), held.clone())).collect();
+        for (key, held) in &held {
+            self.observe(key, held);
+        }
+        let listed = held.into_iter().map(|(key, _)| key).collect();
+        for key in self.leases.miss(&listed, now) {
+            self.release(&key);
+        }
+        true
+    }
+
+    fn attach(&mut self, worker: &Worker, now: Time) {
+        let restarted = self.boot != 0 && self.boot != worker.boot();
+        if restarted {
+            let sent: Vec<Key> = self
+                .leases
+                .tasks()
+                .filter(|(_, task)| task.sent && !task.phase.is_final())
+                .map(|(key, _)| key.clone())
+                .collect();
+            for key in sent {
+                self.leases.observe(&key, &observation(Phase::Lapsed, None));
+                self.release(&key);
+            }
+        }
+        self.boot = worker.boot();
+        for (key, held) in worker.tasks() {
+            self.adopt(key, held, now);
+        }
+    }
+
+    fn adopt(&mut self, key: &Key, held: &Held, now: Time) {
+        let adopted = lease::Held {
+            epoch: held.epoch,
+            kind: "render".into(),
+            resources: NEED,
+            deadline: held.deadline,
+            started: now,
+        };
+        let seen = observation(held.phase, held.checkpoint.as_ref());
+        self.leases.adopt(key.clone(), adopted, &seen);
+        if !held.phase.is_final() && !self.admitted.contains_key(key) {
+            let ticket = self.ticket(key, now);
+            self.admission.adopt(ticket);
+        }
+    }
+
+    fn observe(&mut self, key: &Key, held: &Held) {
+        let seen = observation(held.phase, held.checkpoint.as_ref());
+        if self.leases.observe(key, &seen) {
+            self.release(key);
+        }
+    }
+
+    fn ticket(&mut self, key: &Key, now: Time) -> Ticket {
+        self.tickets += 1;
+        let id = Id(self.tickets);
+        self.admitted.insert(key.clone(), id);
+        Ticket { id, class: Class::Batch, need: NEED, deadline: Time::NEVER, offered: now }
+    }
+
+    fn release(&mut self, key: &Key) {
+        if let Some(id) = self.admitted.remove(key) {
+            self.admission.release(id);
+        }
+    }
+
+    fn carry_out(&mut self, commands: Vec<lease::Command>, now: Time) {
+        for command in commands {
+            let order = match command {
+                lease::Command::Offer(key) => {
+                    self.offer(&key, now);
+                    continue;
+                }
+                lease::Command::Withdraw(key) => {
+                    if let Some(id) = self.admitted.remove(&key) {
+                        self.admission.withdraw(Class::Batch, id, Time::NEVER);
+                    }
+                    continue;
+                }
+                lease::Command::Renew(key, deadline) => Order::Renew { key, deadline },
+                lease::Command::Stop(key) => Order::Stop { key, checkpoint: false },
+                lease::Command::Acknowledge(key) => Order::Acknowledge { key },
+            };
+            self.orders.push_back((self.incarnation, order));
+        }
+    }
+
+    fn offer(&mut self, key: &Key, now: Time) {
+        let ticket = self.ticket(key, now);
+        if let Err(refusal) = self.admission.offer(ticket, Duration::ZERO, now) {
+            self.admitted.remove(key);
+            self.leases.refuse(key, &refusal.to_string());
+        }
+    }
+
+    fn admitted(&mut self, command: admission::Command, now: Time) {
+        let admission::Command::Start(ticket) = command else { return };
+        let found = self.admitted.iter().find(|(_, id)| **id == ticket.id);
+        let Some(key) = found.map(|(key, _)| key.clone()) else { return };
+        if self.leases.send(&key, now) {
+            self.start(&key);
+        } else {
+            self.leases.refuse(&key, "its lease had passed");
+            self.release(&key);
+        }
+    }
+
+    fn start(&mut self, key: &Key) {
+        let Some(task) = self.leases.get(key) else { return };
+        let checkpoint = &task.grant.checkpoint;
+        let order = Order::Start {
+            key: key.clone(),
+            epoch: task.grant.epoch,
+            checkpoint: (!checkpoint.is_empty()).then(|| Name::from(checkpoint.as_str())),
+            deadline: task.deadline,
+        };
+        self.orders.push_back((self.incarnation, order));
+    }
+
+    /// Sends starts and stops again that the worker has not answered.
+    fn send_again(&mut self) {
+        if !self.orders.is_empty() {
+            return;
+        }
+        let sent = |task: &&lease::Task| task.sent && !task.phase.is_final();
+        let tasks: Vec<(Key, Phase, bool)> = self
+            .leases
+            .tasks()
+            .filter(|(_, task)| sent(task))
+            .map(|(key, task)| (key.clone(), task.phase, task.stopping))
+            .collect();
+        for (key, phase, stopping) in tasks {
+            if stopping {
+                let order = Order::Stop { key: key.clone(), checkpoint: false };
+                self.orders.push_back((self.incarnation, order));
+            } else if phase == Phase::Accepted {
+                self.start(&key);
+            }
+        }
+    }
+
+    fn compose(&self, sequence: u64) -> ledger::Report {
+        let status = |(key, task): (&Key, &lease::Task)| ledger::Status {
+            key: ledger_key(key),
+            phase: ledger_phase(task.phase),
+            checkpoint: (!task.checkpoint.is_empty()).then(|| task.checkpoint.as_str().into()),
+            reason: task.reason.clone(),
+        };
+        ledger::Report {
+            worker: format!("worker-{}", self.number).as_str().into(),
+            incarnation: self.incarnation,
+            sequence,
+            boot: self.boot,
+            kinds: Vec::new(),
+            capacity: CAPACITY,
+            room: self.admission.batch_room(&Bundle::default()),
+            leaving: false,
+            tasks: self.leases.tasks().map(status).collect(),
+            epochs: self.leases.epochs().map(|owned| (owned.ledger, owned.epoch)).collect(),
+        }
+    }
+}
+
+fn observation(phase: Phase, checkpoint: Option<&Name>) -> lease::Observation {
+    lease::Observation {
+        phase,
+        checkpoint: checkpoint.map(ToString::to_string).unwrap_or_default(),
+        reason: String::new(),
+        run_ms: 0,
+        unsaved_ms: 0,
+    }
+}
+
+fn translate(reply: &ledger::Reply, outstanding: Outstanding) -> lease::Reply {
+    let grant = |grant: &ledger::Grant| lease::Grant {
+        key: agent_key(&grant.key),
+        epoch: grant.epoch,
+        caller: grant.record.spec.caller.clone(),
+        kind: grant.record.spec.kind.clone(),
+        resources: grant.record.spec.resources,
+        expected_run: Duration::from_millis(grant.record.spec.declared_run_ms),
+        idempotent: grant.record.spec.idempotent,
+        checkpoint: grant.record.checkpoint.as_ref().map(ToString::to_string).unwrap_or_default(),
+        payload: String::new(),
+        priority: grant.record.spec.priority,
+    };
+    let owned = |(ledger, epoch): &(u32, u64)| lease::Owned { ledger: *ledger, epoch: *epoch };
+    let stop =
+        |(key, epoch): &(ledger::Key, u64)| lease::StopOrder { key: agent_key(key), epoch: *epoch };
+    lease::Reply {
+        sent: outstanding.sent,
+        lease: super::entry::settings().task_lease,
+        reported: outstanding.reported,
+        owned: reply.owned.iter().map(owned).collect(),
+        grants: reply.grants.iter().map(grant).collect(),
+        stops: reply.stops.iter().map(stop).collect(),
+        settled: reply.settled.iter().map(agent_key).collect(),
+    }
+}
+
+fn agent_key(key: &ledger::Key) -> Key {
+    Key { ledger: key.ledger, job: key.job.clone(), attempt: key.attempt }
+}
+
+fn ledger_key(key: &Key) -> ledger::Key {
+    ledger::Key { ledger: key.ledger, job: key.job.clone(), attempt: key.attempt }
+}
+
+fn ledger_phase(phase: Phase) -> ledger::Phase {
+    match phase {
+        Phase::Accepted => ledger::Phase::Accepted,
+        Phase::Running => ledger::Phase::Running,
+        Phase::Done => ledger::Phase::Done,
+        Phase::Failed => ledger::Phase::Failed,
+        Phase::Evicted => ledger::Phase::Evicted,
+        Phase::Stopped => ledger::Phase::Stopped,
+        Phase::Refused => ledger::Phase::Refused,
+        Phase::Lapsed => ledger::Phase::Lapsed,
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/system/machine.rs
@@ -0,0 +1,84 @@
+//! The run as a state machine of `proptest`.
+
+use super::world::{Step, World};
+use proptest::prelude::*;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+
+/// Jobs of a run.
+const JOBS: u8 = 10;
+
+/// The reference: the oracle needs no state but the facts that the run keeps.
+#[derive(Clone, Debug)]
+pub(crate) struct Plan;
+
+impl ReferenceStateMachine for Plan {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Step> {
+        let any = any::<u8>;
+        prop_oneof![
+            8 => (1_u16..600).prop_map(Step::Advance),
+            1 => (3_000_u16..9_000).prop_map(Step::Advance),
+            10 => (0..JOBS).prop_map(Step::Submit),
+            2 => (0..JOBS).prop_map(Step::Cancel),
+            10 => any().prop_map(Step::Renew),
+            4 => any().prop_map(Step::Claim),
+            6 => any().prop_map(Step::Write),
+            8 => any().prop_map(Step::Follow),
+            8 => (any(), any()).prop_map(|(agent, entry)| Step::Report { agent, entry }),
+            12 => (1_u8..6).prop_map(Step::DeliverSome),
+            6 => any().prop_map(Step::Deliver),
+            4 => any().prop_map(Step::Drop),
+            3 => any().prop_map(Step::Duplicate),
+            8 => any().prop_map(|agent| Step::Order { agent, lost: false }),
+            1 => any().prop_map(|agent| Step::Order { agent, lost: true }),
+            3 => (any(), any()).prop_map(|(worker, task)| Step::Checkpoint { worker, task }),
+            2 => (any(), any(), prop::bool::weighted(0.7))
+                .prop_map(|(worker, task, well)| Step::Finish { worker, task, well }),
+            3 => (any(), any()).prop_map(|(agent, task)| Step::Evict { agent, task }),
+            1 => any().prop_map(Step::RestartEntry),
+            1 => any().prop_map(Step::RestartAgent),
+            1 => any().prop_map(Step::RestartWorker),
+            2 => (any(), 100_u16..12_000)
+                .prop_map(|(entry, millis)| Step::PauseEntry { entry, millis }),
+            2 => (any(), 100_u16..12_000)
+                .prop_map(|(agent, millis)| Step::PauseAgent { agent, millis }),
+            1 => (100_u16..12_000).prop_map(Step::StoreDown),
+            12 => Just(Step::Round),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &Step) {}
+}
+
+/// The system under test.
+pub(crate) struct System;
+
+impl StateMachineTest for System {
+    type SystemUnderTest = World;
+    type Reference = Plan;
+
+    fn init_test((): &()) -> World {
+        World::started()
+    }
+
+    fn apply(mut world: World, (): &(), step: Step) -> World {
+        world.step(step);
+        world
+    }
+
+    fn check_invariants(world: &World, (): &()) {
+        assert!(world.facts.violations().is_empty(), "{:?}", world.facts.violations());
+    }
+
+    fn teardown(mut world: World, (): ()) {
+        world.heal();
+        Self::check_invariants(&world, &());
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/system/world.rs
@@ -0,0 +1,448 @@
+//! All processes of a run, the messages between them and the steps that move them.
+
+use super::agent::Agent;
+use super::entry::{Entry, Wish};
+use super::facts::Facts;
+use super::packet::Packet;
+use super::store::Store;
+use super::worker::{NEED, Worker};
+use shallotflow_core::job::{Spec, State};
+use shallotflow_core::name::Name;
+use shallotflow_core::task::Phase;
+use shallotflow_core::time::Time;
+use shallotflow_policy::ledger::id;
+use std::time::Duration;
+
+pub(crate) const ENTRIES: usize = 3;
+pub(crate) const WORKERS: usize = 3;
+const LEDGERS: u32 = 2;
+/// Time between two rounds once failures have ended.
+const ROUND: Duration = Duration::from_millis(200);
+/// Rounds after which every accepted job must have ended.
+const ROUNDS_MAX: usize = 600;
+/// Rates of clocks, per thousand; any two differ by less than the ledger allows.
+const RATES: [u64; 6] = [1_000, 1_020, 985, 1_000, 980, 1_015];
+
+/// One step of a run.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Step {
+    /// Time passes, milliseconds.
+    Advance(u16),
+    /// A job is submitted through every entry that is awake.
+    Submit(u8),
+    /// A job is cancelled through every entry that is awake.
+    Cancel(u8),
+    /// An entry renews its lease.
+    Renew(u8),
+    /// An entry claims ledgers that nobody owns.
+    Claim(u8),
+    /// An entry runs its systems and writes what waits.
+    Write(u8),
+    /// An agent follows its worker and runs its systems.
+    Follow(u8),
+    /// An agent reports to an entry.
+    Report {
+        agent: u8,
+        entry: u8,
+    },
+    /// The oldest messages arrive.
+    DeliverSome(u8),
+    /// One message arrives out of order.
+    Deliver(u8),
+    /// One message is lost.
+    Drop(u8),
+    /// One message arrives twice.
+    Duplicate(u8),
+    /// An agent's next order reaches its worker, or is lost on its way.
+    Order {
+        agent: u8,
+        lost: bool,
+    },
+    /// A running task saves its progress.
+    Checkpoint {
+        worker: u8,
+        task: u8,
+    },
+    /// A running task ends.
+    Finish {
+        worker: u8,
+        task: u8,
+        well: bool,
+    },
+    /// An agent evicts a running task.
+    Evict {
+        agent: u8,
+        task: u8,
+    },
+    /// A process dies and is replaced.
+    RestartEntry(u8),
+    RestartAgent(u8),
+    RestartWorker(u8),
+    /// A process takes no messages for a time, milliseconds.
+    PauseEntry {
+        entry: u8,
+        millis: u16,
+    },
+    PauseAgent {
+        agent: u8,
+        millis: u16,
+    },
+    /// The store does not answer for a time, milliseconds.
+    StoreDown(u16),
+    /// Everything works for a moment.
+    Round,
+}
+
+/// A run.
+pub(crate) struct World {
+    now: Time,
+    entries: Vec<Entry>,
+    agents: Vec<Agent>,
+    workers: Vec<Worker>,
+    store: Store,
+    store_down_until: Time,
+    packets: Vec<Packet>,
+    pub(crate) facts: Facts,
+}
+
+impl Default for World {
+    fn default() -> Self {
+        let agent = |number| Agent::new(number, ENTRIES, RATES[ENTRIES + number]);
+        Self {
+            now: Time::from_millis(1_000),
+            entries: (0..ENTRIES).map(|number| Entry::new(number, RATES[number])).collect(),
+            agents: (0..WORKERS).map(agent).collect(),
+            workers: (0..WORKERS).map(Worker::new).collect(),
+            store: Store::default(),
+            store_down_until: Time::ZERO,
+            packets: Vec::new(),
+            facts: Facts::default(),
+        }
+    }
+}
+
+impl World {
+    /// A run in which entries own the ledgers and agents have reported.
+    pub(crate) fn started() -> Self {
+        let mut world = Self::default();
+        for _ in 0..2 {
+            world.step(Step::Round);
+        }
+        world
+    }
+
+    /// Carries out one step.
+    pub(crate) fn step(&mut self, step: Step) {
+        match step {
+            Step::Advance(millis) => self.advance(Duration::from_millis(millis.into())),
+            Step::Submit(job) => self.submit(job),
+            Step::Cancel(job) => self.cancel(job),
+            Step::Renew(entry) => self.renew(entry.into()),
+            Step::Claim(entry) => self.claim(entry.into()),
+            Step::Write(entry) => self.write(entry.into()),
+            Step::Follow(agent) => self.follow(agent.into()),
+            Step::Report { agent, entry } => self.report(agent.into(), entry.into()),
+            Step::DeliverSome(count) => self.deliver_some(count.into()),
+            Step::Deliver(index) => self.deliver(index.into()),
+            Step::Drop(index) => self.drop_packet(index.into()),
+            Step::Duplicate(index) => self.duplicate(index.into()),
+            Step::Order { agent, lost } => self.order(agent.into(), lost),
+            Step::Checkpoint { worker, task } => self.checkpoint(worker.into(), task.into()),
+            Step::Finish { worker, task, well } => self.finish(worker.into(), task.into(), well),
+            Step::Evict { agent, task } => self.agents[agent as usize % WORKERS].evict(task.into()),
+            Step::RestartEntry(entry) => self.entries[entry as usize % ENTRIES].restart(),
+            Step::RestartAgent(agent) => self.agents[agent as usize % WORKERS].restart(),
+            Step::RestartWorker(worker) => {
+                self.workers[worker as usize % WORKERS].restart(&mut self.facts);
+            }
+            Step::PauseEntry { entry, millis } => {
+                let until = self.now.after(Duration::from_millis(millis.into()));
+                self.entries[entry as usize % ENTRIES].paused_until = until;
+            }
+            Step::PauseAgent { agent, millis } => {
+                let until = self.now.after(Duration::from_millis(millis.into()));
+                self.agents[agent as usize % WORKERS].paused_until = until;
+            }
+            Step::StoreDown(millis) => {
+                self.store_down_until = self.now.after(Duration::from_millis(millis.into()));
+            }
+            Step::Round => self.round(),
+        }
+        self.settle();
+    }
+
+    /// Ends all failures and runs until every accepted job has ended.
+    pub(crate) fn heal(&mut self) {
+        for entry in &mut self.entries {
+            entry.paused_until = Time::ZERO;
+        }
+        for agent in &mut self.agents {
+            agent.paused_until = Time::ZERO;
+        }
+        self.store_down_until = Time::ZERO;
+        for _ in 0..ROUNDS_MAX {
+            self.round();
+            self.settle();
+            for worker in 0..WORKERS {
+                self.finish(worker, 0, true);
+            }
+            if self.open_jobs().is_empty() {
+                return;
+            }
+        }
+        for (job, state) in self.open_jobs() {
+            self.facts.lost(&job, &format!("is {state} long after the failures ended"));
+        }
+    }
+
+    /// One undisturbed exchange of everything.
+    fn round(&mut self) {
+        self.advance(ROUND);
+        for entry in 0..ENTRIES {
+            self.renew(entry);
+        }
+        self.deliver_all();
+        for entry in 0..ENTRIES {
+            self.claim(entry);
+        }
+        self.deliver_all();
+        for worker in 0..WORKERS {
+            self.follow(worker);
+            self.orders(worker);
+            self.follow(worker);
+            for entry in 0..ENTRIES {
+                self.report(worker, entry);
+            }
+        }
+        self.deliver_all();
+        for _ in 0..2 {
+            for entry in 0..ENTRIES {
+                self.write(entry);
+            }
+            self.deliver_all();
+        }
+        for worker in 0..WORKERS {
+            self.orders(worker);
+            self.follow(worker);
+            self.orders(worker);
+        }
+    }
+
+    fn advance(&mut self, span: Duration) {
+        self.now = self.now.after(span);
+    }
+
+    /// What happens by itself: leases pass at workers, replies leave, callers are told.
+    fn settle(&mut self) {
+        for (worker, agent) in self.workers.iter_mut().zip(&self.agents) {
+            worker.tick(agent.local(self.now), &mut self.facts);
+        }
+        for entry in &mut self.entries {
+            if !entry.paused_until.passed(self.now) {
+                continue;
+            }
+            self.packets.extend(entry.replies(self.now));
+            for (wish, record) in entry.told(self.now) {
+                tell(&mut self.facts, &wish, &record.id, &record.state);
+            }
+        }
+    }
+
+    fn awake(&self, entry: usize) -> bool {
+        self.entries[entry % ENTRIES].paused_until.passed(self.now)
+    }
+
+    fn submit(&mut self, job: u8) {
+        let spec = spec(job);
+        let id = id_of(job);
+        if !spec.idempotent {
+            self.facts.once.insert(id.clone());
+        }
+        for entry in self.entries.iter_mut().filter(|entry| entry.paused_until.passed(self.now)) {
+            entry.submit(id.clone(), spec.clone(), self.now);
+        }
+    }
+
+    fn cancel(&mut self, job: u8) {
+        for entry in self.entries.iter_mut().filter(|entry| entry.paused_until.passed(self.now)) {
+            entry.cancel(&id_of(job), self.now);
+        }
+    }
+
+    fn renew(&mut self, entry: usize) {
+        if !self.awake(entry) || !self.store_down_until.passed(self.now) {
+            return;
+        }
+        let packet = self.entries[entry % ENTRIES].renew(&mut self.store, self.now);
+        self.packets.push(packet);
+    }
+
+    fn claim(&mut self, entry: usize) {
+        if !self.awake(entry) {
+            return;
+        }
+        let claims = self.entries[entry % ENTRIES].claim(&mut self.store, LEDGERS, self.now);
+        self.packets.extend(claims);
+    }
+
+    fn write(&mut self, entry: usize) {
+        if !self.awake(entry) {
+            return;
+        }
+        let entry = &mut self.entries[entry % ENTRIES];
+        entry.tick(self.now);
+        self.packets.extend(entry.write());
+    }
+
+    fn follow(&mut self, agent: usize) {
+        let agent = agent % WORKERS;
+        if self.agents[agent].paused_until.passed(self.now) {
+            self.agents[agent].tick(&mut self.workers[agent], self.now);
+        }
+    }
+
+    fn report(&mut self, agent: usize, entry: usize) {
+        let agent = &mut self.agents[agent % WORKERS];
+        if agent.paused_until.passed(self.now) {
+            self.packets.extend(agent.report(entry % ENTRIES, self.now));
+        }
+    }
+
+    fn order(&mut self, agent: usize, lost: bool) {
+        let agent = agent % WORKERS;
+        if lost {
+            self.agents[agent].lose_order();
+        } else {
+            self.agents[agent].order(&mut self.workers[agent], self.now, &mut self.facts);
+        }
+    }
+
+    fn orders(&mut self, agent: usize) {
+        while self.agents[agent].has_orders() {
+            self.order(agent, false);
+        }
+    }
+
+    fn checkpoint(&mut self, worker: usize, task: usize) {
+        let worker = &mut self.workers[worker % WORKERS];
+        if let Some(key) = worker.nth(task) {
+            worker.checkpoint(&key);
+        }
+    }
+
+    fn finish(&mut self, worker: usize, task: usize, well: bool) {
+        let worker = &mut self.workers[worker % WORKERS];
+        let phase = if well { Phase::Done } else { Phase::Failed };
+        if let Some(key) = worker.nth(task) {
+            worker.finish(&key, phase, &mut self.facts);
+        }
+    }
+
+    fn deliver_all(&mut self) {
+        while !self.packets.is_empty() {
+            self.deliver_some(self.packets.len());
+        }
+    }
+
+    fn deliver_some(&mut self, count: usize) {
+        for _ in 0..count.min(self.packets.len()) {
+            let packet = self.packets.remove(0);
+            self.handle(packet);
+            self.settle();
+        }
+    }
+
+    fn deliver(&mut self, index: usize) {
+        if !self.packets.is_empty() {
+            let packet = self.packets.remove(index % self.packets.len());
+            self.handle(packet);
+        }
+    }
+
+    fn drop_packet(&mut self, index: usize) {
+        if !self.packets.is_empty() {
+            self.packets.remove(index % self.packets.len());
+        }
+    }
+
+    fn duplicate(&mut self, index: usize) {
+        if !self.packets.is_empty() {
+            let packet = self.packets[index % self.packets.len()].clone();
+            self.handle(packet);
+        }
+    }
+
+    /// Hands a message over; one for a process that is paused or a store that is down is lost.
+    fn handle(&mut self, packet: Packet) {
+        match packet {
+            Packet::Report { agent, entry, report } => {
+                if self.awake(entry) {
+                    self.entries[entry].hear(agent, &report, self.now);
+                }
+            }
+            Packet::Reply { agent, entry, incarnation, sequence, reply } => {
+                let agent = &mut self.agents[agent];
+                if agent.paused_until.passed(self.now) {
+                    agent.reply(entry, incarnation, sequence, &reply, self.now);
+                }
+            }
+            Packet::Call { entry, life, call } => {
+                if self.store_down_until.passed(self.now) {
+                    let answer = self.store.call(&call, self.now);
+                    self.packets.push(Packet::Answer { entry, life, answer });
+                }
+            }
+            Packet::Answer { entry, life, answer } => {
+                if self.awake(entry) && self.entries[entry].life == life {
+                    self.entries[entry].answer(answer, self.now);
+                }
+            }
+        }
+    }
+
+    /// Accepted jobs that have not ended, as their owners know them.
+    fn open_jobs(&self) -> Vec<(Name, String)> {
+        let accepted = self.facts.accepted.iter();
+        accepted.filter_map(|job| Some((job.clone(), self.open_state(job)?))).collect()
+    }
+
+    fn open_state(&self, job: &Name) -> Option<String> {
+        let records = self.entries.iter().filter(|entry| entry.is_valid(self.now));
+        let record = records.filter_map(|entry| entry.table.read(job).ok()).next();
+        match record {
+            None => Some("unknown to every owner".to_owned()),
+            Some(record) if record.state.is_final() => None,
+            Some(record) => Some(format!("{:?}", record.state)),
+        }
+    }
+}
+
+fn tell(facts: &mut Facts, wish: &Wish, job: &Name, state: &State) {
+    if matches!(wish, Wish::Submit) {
+        facts.accepted.insert(job.clone());
+    }
+    match state {
+        State::Done => facts.told_done(job),
+        State::Cancelled => {
+            facts.cancelled.insert(job.clone());
+        }
+        _ => {}
+    }
+}
+
+fn id_of(job: u8) -> Name {
+    id::derive("caller", &format!("key-{job}"), LEDGERS)
+}
+
+/// Odd jobs may run once only.
+fn spec(job: u8) -> Spec {
+    Spec {
+        caller: "caller".into(),
+        kind: "render".into(),
+        resources: NEED,
+        declared_run_ms: 1_000,
+        idempotent: job.is_multiple_of(2),
+        priority: job % 3,
+        payload: String::new(),
+    }
+}
