--- a/crates/cli/src/command/apply.rs
+++ b/crates/cli/src/command/apply.rs
@@ -3,7 +3,7 @@
 use super::show;
 use crate::answer::{Answer, Output, output};
 use crate::change::{Applied, Current, Edit, Session, new_id};
-use crate::connect::{StoreAddress, store_address};
+use crate::connect::{Endpoints, endpoints};
 use crate::error::{Error, Result};
 use bpaf::Bpaf;
 use serde_json::json;
@@ -17,8 +17,8 @@
 pub struct Arguments {
     #[bpaf(external)]
     pub(super) output: Output,
-    #[bpaf(external(store_address))]
-    store: StoreAddress,
+    #[bpaf(external(endpoints))]
+    store: Endpoints,
     /// Identifier of the change, to try the same change again
     #[bpaf(argument("ID"))]
     change: Option<String>,
--- a/crates/cli/src/command/drain.rs
+++ b/crates/cli/src/command/drain.rs
@@ -2,7 +2,7 @@
 
 use super::except;
 use crate::answer::{Answer, Output, output};
-use crate::connect::{StoreAddress, store_address, variable};
+use crate::connect::{Endpoints, endpoints, variable};
 use crate::error::{Error, Result};
 use bpaf::Bpaf;
 use shallotflow_core::fleet::Exception;
@@ -14,8 +14,8 @@
 pub struct Arguments {
     #[bpaf(external)]
     pub(super) output: Output,
-    #[bpaf(external(store_address))]
-    store: StoreAddress,
+    #[bpaf(external(endpoints))]
+    store: Endpoints,
     /// Why it leaves
     #[bpaf(argument("TEXT"))]
     reason: Option<String>,
--- a/crates/cli/src/command/except.rs
+++ b/crates/cli/src/command/except.rs
@@ -4,7 +4,7 @@
 use super::show::unix_now_s;
 use crate::answer::{Answer, Output, output};
 use crate::change::{Current, Edit, Session, new_id};
-use crate::connect::{StoreAddress, store_address, variable};
+use crate::connect::{Endpoints, endpoints, variable};
 use crate::error::{Error, Result};
 use bpaf::Bpaf;
 use serde_json::json;
@@ -34,8 +34,8 @@
 pub struct Add {
     #[bpaf(external)]
     output: Output,
-    #[bpaf(external(store_address))]
-    store: StoreAddress,
+    #[bpaf(external(endpoints))]
+    store: Endpoints,
     /// Failure domain where it holds
     #[bpaf(argument("DOMAIN"))]
     domain: Option<String>,
@@ -74,8 +74,8 @@
 pub struct List {
     #[bpaf(external)]
     output: Output,
-    #[bpaf(external(store_address))]
-    store: StoreAddress,
+    #[bpaf(external(endpoints))]
+    store: Endpoints,
 }
 
 /// Arguments of `except remove`.
@@ -84,8 +84,8 @@
 pub struct Remove {
     #[bpaf(external)]
     output: Output,
-    #[bpaf(external(store_address))]
-    store: StoreAddress,
+    #[bpaf(external(endpoints))]
+    store: Endpoints,
     /// Identifier of the change, to try the same change again
     #[bpaf(argument("ID"))]
     change: Option<String>,
@@ -164,7 +164,7 @@
 
 /// Adds the section of a new exception at the end of the text.
 pub(super) async fn add_section(
-    store: &StoreAddress,
+    store: &Endpoints,
     change: Option<String>,
     id: &str,
     section: &str,
@@ -188,7 +188,7 @@
 
 /// Removes the section of an exception from the text.
 pub(super) async fn remove_by_id(
-    store: &StoreAddress,
+    store: &Endpoints,
     change: Option<String>,
     id: &str,
 ) -> Result<Answer> {
@@ -219,7 +219,7 @@
     Ok(Some([&lines[..first], rest].concat().join("\n") + "\n"))
 }
 
-async fn list_all(store: &StoreAddress) -> Result<Answer> {
+async fn list_all(store: &Endpoints) -> Result<Answer> {
     let client = store.client();
     let config = Session::new(&client).read().await?.config()?;
     let rows = config.exceptions.iter().map(|exception| row(exception, unix_now_s())).collect();
--- a/crates/cli/src/command/show.rs
+++ b/crates/cli/src/command/show.rs
@@ -2,7 +2,7 @@
 
 use crate::answer::{Answer, Output, output};
 use crate::change::{Current, Session};
-use crate::connect::{StoreAddress, store_address};
+use crate::connect::{Endpoints, endpoints};
 use crate::error::Result;
 use bpaf::Bpaf;
 use serde_json::json;
@@ -18,8 +18,8 @@
 pub struct Arguments {
     #[bpaf(external)]
     pub(super) output: Output,
-    #[bpaf(external(store_address))]
-    store: StoreAddress,
+    #[bpaf(external(endpoints))]
+    store: Endpoints,
     #[bpaf(external(place))]
     place: Place,
 }
--- a/crates/cli/src/connect/mod.rs
+++ b/crates/cli/src/connect/mod.rs
@@ -9,4 +9,4 @@
 pub use callers::{Callers, callers};
 pub use http::{Reply, send};
 pub use peers::{Peers, peers};
-pub use store::{StoreAddress, store_address};
+pub use store::{Endpoints, endpoints};
--- a/crates/cli/src/connect/store.rs
+++ b/crates/cli/src/connect/store.rs
@@ -7,17 +7,17 @@
 
 /// The endpoints of the store.
 #[derive(Clone, Debug, Bpaf)]
-#[bpaf(ignore_rustdoc, generate(store_address))]
-pub struct StoreAddress {
+#[bpaf(ignore_rustdoc, generate(endpoints))]
+pub struct Endpoints {
     /// Endpoint of the store, ip:port; may be given several times
     #[bpaf(long("store"), argument("ADDRESS"), many, parse(or_variable))]
-    pub endpoints: Vec<SocketAddr>,
+    pub addresses: Vec<SocketAddr>,
 }
 
-impl StoreAddress {
+impl Endpoints {
     /// A client of the store.
     pub fn client(&self) -> Client {
-        let endpoints = self.endpoints.clone();
+        let endpoints = self.addresses.clone();
         Client::new(Settings { endpoints, ..Settings::default() })
     }
 }
--- a/crates/runtime/src/operators/listener.rs
+++ b/crates/runtime/src/operators/listener.rs
@@ -3,7 +3,7 @@
 use super::Inspect;
 use super::handler::Handler;
 use crate::program::Program;
-use crate::stop::{DumpSignal, Level, Stop};
+use crate::stop::{Dump, Level, Stop};
 use monoio::net::TcpListener;
 use shallotflow_wire::http::gate::Gate;
 use shallotflow_wire::http::limits::Limits;
@@ -63,7 +63,7 @@
 }
 
 async fn dump_on_signal(inspect: Rc<dyn Inspect>) {
-    let mut signal = DumpSignal::default();
+    let mut signal = Dump::default();
     loop {
         signal.wait().await;
         let state = inspect.dump();
--- a/crates/runtime/src/stop.rs
+++ b/crates/runtime/src/stop.rs
@@ -86,17 +86,17 @@
 
 /// Waits for SIGUSR1, in each program of a process on its own.
 #[derive(Debug)]
-pub struct DumpSignal {
+pub struct Dump {
     seen: usize,
 }
 
-impl Default for DumpSignal {
+impl Default for Dump {
     fn default() -> Self {
         Self { seen: DUMPS_ASKED.load(Ordering::SeqCst) }
     }
 }
 
-impl DumpSignal {
+impl Dump {
     /// Waits until a dump is asked for; signals that arrive meanwhile count once.
     pub async fn wait(&mut self) {
         loop {
