Give each process its port for itself and each request its identifier

Cause: the getting-started page was tried by hand while an earlier entry still ran. Both entries listened on the same port, as monoio shares ports by default, and every other request went to the one that knew no target. Both also gave out the same request identifiers, since those were counted from the process's own clock, which starts at the same value everywhere.

Change: runtime::listen binds without sharing, and every program uses it; request identifiers carry the wall-clock time of the start. The stand-ins name themselves in their logs.

A test binds a port twice and sees the second refused; another compares identifiers of two entries.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -18,9 +18,9 @@
 use monoio::net::TcpListener;
 use shallotflow_core::settings::agent::Settings;
 use shallotflow_core::time::{Clock, Monotonic, Time};
-use shallotflow_runtime::operators;
 use shallotflow_runtime::program::Program;
 use shallotflow_runtime::stop::Stop;
+use shallotflow_runtime::{listen, operators};
 use shallotflow_wire::http::gate::Gate;
 use shallotflow_wire::http::server::serve;
 use std::net::SocketAddr;
@@ -45,7 +45,7 @@
 ///
 /// Fails when an address cannot be listened on, and once a newer agent has attached.
 pub async fn run(settings: Settings, stop: Stop, ready: impl FnOnce(Bound)) -> anyhow::Result<()> {
-    let requests = listen(settings.listen)?;
+    let requests = bind(settings.listen)?;
     let program = Program::new("agent", &settings.worker, &settings.log)?;
     let operators = operators::Listener::bind(settings.operators_listen)?;
     let operators_gate = operators.gate();
@@ -92,7 +92,7 @@
     }
 }
 
-fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
-    TcpListener::bind(address)
+fn bind(address: SocketAddr) -> anyhow::Result<TcpListener> {
+    listen::bind(address)
         .with_context(|| format!("cannot listen on {address}; choose a free address"))
 }
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -10,6 +10,7 @@
 use anyhow::Context;
 use event_listener::Event;
 use monoio::net::TcpListener;
+use shallotflow_runtime::listen;
 use shallotflow_runtime::operators::Listener;
 use shallotflow_runtime::program::Program;
 use shallotflow_runtime::stop::{Level, Stop};
@@ -113,7 +114,7 @@
 }
 
 fn bind(address: SocketAddr, setting: &str) -> anyhow::Result<TcpListener> {
-    TcpListener::bind(address).with_context(|| cannot_bind(setting, address))
+    listen::bind(address).with_context(|| cannot_bind(setting, address))
 }
 
 fn cannot_bind(setting: &str, address: SocketAddr) -> String {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -17,7 +17,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Idle connections are closed here before the agent closes them.
@@ -56,7 +56,7 @@
     watch_pool: Pool,
     leaving: Cell<bool>,
     requests: Cell<u64>,
-    started: Time,
+    started_unix_us: u64,
     clock: Monotonic,
 }
 
@@ -85,7 +85,7 @@
             directory: RefCell::new(Directory::new(own)),
             leaving: Cell::new(false),
             requests: Cell::new(0),
-            started: Monotonic.now(),
+            started_unix_us: unix_now_us(),
             clock: Monotonic,
             settings,
         }
@@ -120,10 +120,15 @@
         self.leaving.set(true);
     }
 
-    /// A new identifier for a request, unique among the entries' names.
+    /// A new identifier for a request, unique among entries and their restarts.
     pub fn next_request_id(&self) -> Name {
         let number = self.requests.get() + 1;
         self.requests.set(number);
-        format!("{}-{}-{number}", self.settings.name, self.started.as_micros()).into()
+        format!("{}-{}-{number}", self.settings.name, self.started_unix_us).into()
     }
 }
+
+fn unix_now_us() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/entry/tests/callers.rs
+++ b/crates/entry/tests/callers.rs
@@ -5,7 +5,7 @@
 use http::Request;
 use shallotflow_core::outcome::Outcome;
 use shallotflow_core::problem::Code;
-use support::{Agent, echo, settings, with_entry};
+use support::{Agent, Answer, Entry, echo, settings, with_entry};
 use test_case::test_case;
 
 #[test]
@@ -72,3 +72,16 @@
         assert_eq!(answer.header("retry-after"), "5");
     });
 }
+
+#[test]
+fn request_identifiers_differ_between_restarts() {
+    with_entry(settings(), async |entry| {
+        let restarted = Entry::start(settings()).await;
+        let request = || Request::get("/nothing");
+        let first = entry.send(request(), "").await;
+        let second = restarted.send(request(), "").await;
+        let id = |answer: &Answer| answer.header("shallotflow-request-id").to_owned();
+        assert!(!id(&first).is_empty());
+        assert_ne!(id(&first), id(&second));
+    });
+}
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`executor`]: the single-threaded runtime.
 //! - [`stop`]: graceful and immediate stops, from signals or from another thread.
+//! - [`listen`]: addresses that a process listens on, each for itself.
 //! - [`logs`]: JSON lines on the standard error stream, filtered by level and target.
 //! - [`program`]: the name, log filter and metrics of one program on its thread.
 //! - [`operators`]: the operators' HTTP listener.
@@ -19,6 +20,7 @@
 //! and drains `operators_gate` before it returns. Its `main` is [`process::Process::main`].
 
 pub mod executor;
+pub mod listen;
 pub mod logs;
 pub mod operators;
 pub mod process;
--- a/crates/runtime/src/operators/listener.rs
+++ b/crates/runtime/src/operators/listener.rs
@@ -2,6 +2,7 @@
 
 use super::Inspect;
 use super::handler::Handler;
+use crate::listen;
 use crate::program::Program;
 use crate::stop::{Dump, Level, Stop};
 use monoio::net::TcpListener;
@@ -25,7 +26,7 @@
     ///
     /// Fails when the address is taken or not one of this host.
     pub fn bind(address: SocketAddr) -> std::io::Result<Self> {
-        let listener = TcpListener::bind(address)?;
+        let listener = listen::bind(address)?;
         let address = listener.local_addr()?;
         Ok(Self { listener, address, gate: Gate::default() })
     }
--- a/crates/runtime/tests/executor.rs
+++ b/crates/runtime/tests/executor.rs
@@ -1,7 +1,7 @@
 //! The runtime of a process.
 
-use shallotflow_runtime::executor;
 use shallotflow_runtime::stop::{Level, Stop};
+use shallotflow_runtime::{executor, listen};
 use std::path::Path;
 use std::time::Duration;
 
@@ -45,3 +45,16 @@
     executor::run(stop.wait(Level::Graceful)).expect("a runtime");
     raiser.join().expect("the raising thread ended");
 }
+
+#[test]
+fn a_port_belongs_to_one_listener() {
+    executor::run(async {
+        let first = listen::bind(([127, 0, 0, 1], 0).into()).expect("a free port");
+        let address = first.local_addr().expect("a bound address");
+        let second = listen::bind(address).map(|_| ()).expect_err("a taken port");
+        assert_eq!(second.kind(), std::io::ErrorKind::AddrInUse);
+        drop(first);
+        listen::bind(address).expect("a port that is free again");
+    })
+    .expect("a runtime");
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -14,6 +14,8 @@
 use event_listener::Event;
 use monoio::net::TcpListener;
 use shallotflow_core::settings::standin::Settings;
+use shallotflow_runtime::listen as port;
+use shallotflow_runtime::program::Program;
 use shallotflow_runtime::stop::{Level, Stop};
 use shallotflow_wire::http::gate::Gate;
 use shallotflow_wire::http::server::{Handler, serve};
@@ -42,6 +44,7 @@
 ///
 /// Fails when an address cannot be listened on.
 pub async fn run(settings: Settings, stop: Stop, ready: impl FnOnce(Bound)) -> anyhow::Result<()> {
+    Program::new("standin", &settings.worker, &settings.log)?;
     run_with(settings, Handles::default(), stop, ready).await
 }
 
@@ -137,6 +140,6 @@
 }
 
 fn bind(address: SocketAddr) -> anyhow::Result<TcpListener> {
-    TcpListener::bind(address)
+    port::bind(address)
         .with_context(|| format!("cannot listen on {address}; choose a free address"))
 }
