--- a/crates/runtime/src/operators/listener.rs
+++ b/crates/runtime/src/operators/listener.rs
@@ -2,8 +2,9 @@
 
 use super::Inspect;
 use super::handler::Handler;
+use crate::listen;
 use crate::program::Program;
-use crate::stop::{DumpSignal, Level, Stop};
+use crate::stop::{Dump, Level, Stop};
 use monoio::net::TcpListener;
 use shallotflow_wire::http::gate::Gate;
 use shallotflow_wire::http::limits::Limits;
@@ -25,7 +26,7 @@
     ///
     /// Fails when the address is taken or not one of this host.
     pub fn bind(address: SocketAddr) -> std::io::Result<Self> {
-        let listener = TcpListener::bind(address)?;
+        let listener = listen::bind(address)?;
         let address = listener.local_addr()?;
         Ok(Self { listener, address, gate: Gate::default() })
     }
@@ -63,7 +64,7 @@
 }
 
 async fn dump_on_signal(inspect: Rc<dyn Inspect>) {
-    let mut signal = DumpSignal::default();
+    let mut signal = Dump::default();
     loop {
         signal.wait().await;
         let state = inspect.dump();
