--- /dev/null
+++ b/crates/agent/tests/agent/leases.rs
@@ -0,0 +1,119 @@
+//! Leases, fencing and the worker's limits.
+
+use crate::support::{Agent, Entry, Script, Worker, grant, run, until, worker_settings};
+use shallotflow_standin::facts::Board;
+use shallotflow_wire::proto::{Grant, Stop, TaskPhase};
+use std::time::Duration;
+
+#[test]
+fn a_task_stops_when_no_entry_renews_its_lease() {
+    run(async {
+        let worker = Worker::start(worker_settings(), Board::default());
+        let script =
+            Script { lease_ms: 300, grants: vec![grant("j1", 60_000)], ..Script::default() };
+        let entry = Entry::start(script);
+        let _agent = Agent::start(&worker, &entry);
+        until("a start", || worker.board.facts().running("j1") == 1).await;
+        // Renewals keep it running for longer than one lease.
+        let reports = entry.script().reports.len();
+        until("renewals", || entry.script().reports.len() > reports + 10).await;
+        assert_eq!(worker.board.facts().running("j1"), 1);
+        entry.script().down = true;
+        until("its stop", || worker.board.facts().running("j1") == 0).await;
+        entry.script().down = false;
+        let ended = || {
+            let phase = entry.script().phase("j1");
+            matches!(phase, Some(TaskPhase::Lapsed | TaskPhase::Stopped))
+        };
+        until("its report", ended).await;
+    });
+}
+
+#[test]
+fn a_task_stops_by_itself_when_its_agent_is_dead() {
+    run(async {
+        let worker = Worker::start(worker_settings(), Board::default());
+        let script =
+            Script { lease_ms: 200, grants: vec![grant("j1", 60_000)], ..Script::default() };
+        let entry = Entry::start(script);
+        let mut agent = Agent::start(&worker, &entry);
+        until("a start", || worker.board.facts().running("j1") == 1).await;
+        agent.kill().await.expect("a clean end");
+        until("its stop", || worker.board.facts().running("j1") == 0).await;
+        assert_eq!(worker.board.facts().lapses, 1);
+    });
+}
+
+#[test]
+fn replies_to_other_reports_and_lower_epochs_start_nothing() {
+    run(async {
+        let worker = Worker::start(worker_settings(), Board::default());
+        let entry = Entry::start(Script::default());
+        let _agent = Agent::start(&worker, &entry);
+        until("a report", || !entry.script().reports.is_empty()).await;
+        entry.script().skew = 1;
+        entry.script().grants = vec![grant("stale", 10)];
+        until("the reply is taken", || entry.script().grants.is_empty()).await;
+        entry.script().skew = 0;
+        entry.script().grants = vec![Grant { epoch: 6, ..grant("deposed", 10) }, grant("j1", 10)];
+        until("a start", || entry.script().phase("j1") == Some(TaskPhase::Done)).await;
+        assert_eq!(worker.board.facts().starts, 1);
+        assert_eq!(entry.script().phase("stale"), None);
+        assert_eq!(entry.script().phase("deposed"), None);
+    });
+}
+
+#[test]
+fn an_owner_stops_a_task() {
+    run(async {
+        let worker = Worker::start(worker_settings(), Board::default());
+        let script = Script { grants: vec![grant("j1", 60_000)], ..Script::default() };
+        let entry = Entry::start(script);
+        let _agent = Agent::start(&worker, &entry);
+        until("a start", || worker.board.facts().running("j1") == 1).await;
+        entry.script().stops = vec![Stop { key: grant("j1", 0).key, epoch: 7 }];
+        until("its stop", || entry.script().phase("j1") == Some(TaskPhase::Stopped)).await;
+        assert_eq!(worker.board.facts().running("j1"), 0);
+    });
+}
+
+#[test]
+fn grants_beyond_the_room_are_given_back_and_never_started() {
+    run(async {
+        let worker = Worker::start(worker_settings(), Board::default());
+        let grants = (0..4).map(|job| grant(&format!("j{job}"), 2_500)).collect();
+        let entry = Entry::start(Script { grants, ..Script::default() });
+        let _agent = Agent::start(&worker, &entry);
+        let refused = || {
+            let script = entry.script();
+            let phase = |job: &str| script.phase(job) == Some(TaskPhase::Refused);
+            ["j1", "j2", "j3"].iter().all(|job| phase(job))
+        };
+        until("the refusals", refused).await;
+        let facts = worker.board.facts();
+        assert_eq!((facts.starts, facts.violations.total()), (1, 0));
+    });
+}
+
+#[test]
+fn a_task_that_outgrows_the_worker_is_evicted() {
+    run(async {
+        let mut settings = worker_settings();
+        settings.capacity.slots = 8;
+        settings.report_lag = Duration::from_millis(50);
+        let worker = Worker::start(settings, Board::default());
+        let large = |job: &str| Grant {
+            payload: r#"{"run_ms":60000,"memory_mib":700}"#.to_owned(),
+            ..grant(job, 60_000)
+        };
+        let entry =
+            Entry::start(Script { grants: vec![large("j1"), large("j2")], ..Script::default() });
+        let _agent = Agent::start(&worker, &entry);
+        until("an eviction", || worker.board.facts().evictions == 1).await;
+        let evicted = || {
+            let script = entry.script();
+            ["j1", "j2"].iter().any(|job| script.phase(job) == Some(TaskPhase::Evicted))
+        };
+        until("its report", evicted).await;
+    });
+}
--- a/crates/agent/tests/agent/main.rs
+++ b/crates/agent/tests/agent/main.rs
@@ -1,6 +1,8 @@
 //! Behaviour of an agent over real connections, beside a stand-in worker.
 
+mod leases;
 mod leaving;
+mod outcomes;
 mod path;
 mod restart;
 mod support;
