Compare with a naive scheduler and with each half of the load

Cause: no baseline. Change: a naive scheduler (random target, one FIFO a worker, jobs in memory) on the same stand-in workers, and runs with quick work or batch work alone.

--- a/crates/bench/src/cluster/cluster.rs
+++ b/crates/bench/src/cluster/cluster.rs
@@ -1,9 +1,7 @@
 //! All processes of a floor.
 
 use super::balancer::{Backend, Balancer};
-use super::{Node, Settings};
-use crate::cluster::settings::worker_name;
-use shallotflow_core::name::Name;
+use super::{Node, Settings, Worker};
 use shallotflow_core::settings::standin;
 use shallotflow_runtime::executor;
 use shallotflow_standin::Handles;
@@ -31,19 +29,6 @@
     node: Node,
 }
 
-/// A worker with its target.
-#[derive(Debug)]
-pub struct Worker {
-    /// Its name.
-    pub name: Name,
-    /// Where its control interface listens.
-    pub control: SocketAddr,
-    /// Where its target listens.
-    pub target: SocketAddr,
-    /// The process.
-    pub node: Node,
-}
-
 /// An agent.
 #[derive(Debug)]
 pub struct Agent {
@@ -105,7 +90,7 @@
             cluster.entries.push(entry);
         }
         for index in 0..site.workers {
-            let worker = cluster.start_worker(index, false)?;
+            let worker = Worker::start(&cluster.settings, &cluster.board, index, false)?;
             cluster.workers.push(worker);
             let agent = cluster.start_agent(index)?;
             cluster.agents.push(agent);
@@ -150,7 +135,8 @@
     pub fn replace_worker(&mut self, index: usize, fails_tasks: bool) -> anyhow::Result<()> {
         self.agents[index].node.kill();
         self.workers[index].node.kill();
-        self.workers[index] = self.start_worker(index, fails_tasks)?;
+        let worker = Worker::start(&self.settings, &self.board, index, fails_tasks)?;
+        self.workers[index] = worker;
         self.agents[index] = self.start_agent(index)?;
         Ok(())
     }
@@ -186,20 +172,6 @@
         Ok(Entry { backend, node })
     }
 
-    fn start_worker(&self, index: usize, fails_tasks: bool) -> anyhow::Result<Worker> {
-        let settings = self.settings.worker(index, fails_tasks);
-        let handles = Handles { board: self.board.clone(), ..Handles::default() };
-        let main = move |stop, ready| {
-            Box::pin(shallotflow_standin::run_with(settings, handles, stop, ready)) as _
-        };
-        let name = worker_name(index);
-        let (node, bound) = Node::start::<shallotflow_standin::Bound>(name.to_string(), main)?;
-        let (Some(control), Some(target)) = (bound.control, bound.target) else {
-            anyhow::bail!("{name} has no control interface or no target");
-        };
-        Ok(Worker { name, control, target, node })
-    }
-
     fn start_agent(&self, index: usize) -> anyhow::Result<Agent> {
         let settings = self.settings.agent(index, self.balancer.peers, &self.workers[index]);
         let name = format!("agent-{}", index + 1);
--- a/crates/bench/src/command/run.rs
+++ b/crates/bench/src/command/run.rs
@@ -2,7 +2,7 @@
 
 use crate::floor::Floor;
 use crate::report;
-use crate::run::{Experiment, output};
+use crate::run::{Experiment, Policy, output};
 use bpaf::Bpaf;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -20,7 +20,7 @@
     /// Seed of arrivals, service times and the processes' random choices
     #[bpaf(argument("S"), fallback(1))]
     pub seed: u64,
-    /// `ours`, or `isolated` for the same quick load without batch jobs
+    /// `ours`, `naive`, or `isolated` or `batch` for one half of the load
     #[bpaf(argument("POLICY"), fallback(Policy::Ours))]
     pub policy: Policy,
     /// Where to write the figures as JSON
@@ -31,27 +31,6 @@
     pub floor: String,
 }
 
-/// Which scheduler answers, and whether batch jobs are submitted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Policy {
-    /// The scheduler, with batch jobs.
-    Ours,
-    /// The scheduler, without batch jobs.
-    Isolated,
-}
-
-impl std::str::FromStr for Policy {
-    type Err = String;
-
-    fn from_str(text: &str) -> Result<Self, String> {
-        match text {
-            "ours" => Ok(Self::Ours),
-            "isolated" => Ok(Self::Isolated),
-            _ => Err(format!("policy {text:?} is unknown; use `ours` or `isolated`")),
-        }
-    }
-}
-
 impl Options {
     /// Runs the experiment and prints what it found.
     ///
@@ -64,7 +43,7 @@
             run: Duration::from_secs(self.seconds),
             settle: Duration::from_secs(self.settle),
             seed: self.seed,
-            batch: self.policy != Policy::Isolated,
+            policy: self.policy,
         };
         let findings = experiment.carry_out()?;
         println!("{}", report::summary(&findings.summary));
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`load`]: open-loop load and what came of it.
 //! - [`echo`]: a server that stands in for the whole system, to check the generator by itself.
 //! - [`cluster`]: the processes of a floor.
+//! - [`naive`]: a naive scheduler, as a baseline.
 //! - [`report`]: what an experiment found.
 //! - [`run`]: carries out one run and sums it up.
 //! - [`command`]: the subcommands of the program.
@@ -17,5 +18,6 @@
 pub mod echo;
 pub mod floor;
 pub mod load;
+pub mod naive;
 pub mod report;
 pub mod run;
--- a/crates/bench/src/load/generator.rs
+++ b/crates/bench/src/load/generator.rs
@@ -28,8 +28,10 @@
     pub settle: Duration,
     /// Threads that send quick requests and watchers.
     pub threads: u16,
+    /// Whether quick requests and watchers are sent.
+    pub requests: bool,
     /// Whether batch jobs are submitted.
-    pub batch: bool,
+    pub jobs: bool,
     /// The seed of arrivals and service times.
     pub seed: u64,
 }
@@ -41,7 +43,8 @@
             run: Duration::from_secs(10),
             settle: Duration::from_secs(20),
             threads: 2,
-            batch: true,
+            requests: true,
+            jobs: true,
             seed: 1,
         }
     }
@@ -160,11 +163,12 @@
         let progress = Progress::default();
         let start = Instant::now();
         let mut threads = Vec::new();
-        for thread in 0..settings.threads {
+        let senders = if settings.requests { settings.threads } else { 0 };
+        for thread in 0..senders {
             let sender = Sender::new(floor, settings, &progress, start, thread);
             threads.push(spawn(format!("load-{thread}"), move || sender.requests())?);
         }
-        if settings.batch {
+        if settings.jobs {
             let sender = Sender::new(floor, settings, &progress, start, settings.threads);
             threads.push(spawn("load-batch".to_owned(), move || sender.jobs())?);
         }
--- a/crates/bench/src/run/experiment.rs
+++ b/crates/bench/src/run/experiment.rs
@@ -1,7 +1,7 @@
 //! One load on the processes of a floor.
 
-use super::{display, summarize};
-use crate::cluster::{Cluster, Settings};
+use super::{Policy, System, display, summarize};
+use crate::cluster::Settings;
 use crate::floor::Floor;
 use crate::load::generator::{self, Outcomes, Running};
 use crate::load::token::Token;
@@ -23,8 +23,8 @@
     pub settle: Duration,
     /// The seed.
     pub seed: u64,
-    /// Whether batch jobs are submitted.
-    pub batch: bool,
+    /// Which scheduler answers, under which load.
+    pub policy: Policy,
 }
 
 /// What an experiment found.
@@ -48,13 +48,14 @@
     ///
     /// Fails when a process or a thread cannot be started, or a process fails.
     pub fn carry_out(&self) -> anyhow::Result<Findings> {
-        let cluster = Cluster::start(Settings::new(self.floor.clone(), self.seed))?;
-        let board = cluster.board.clone();
+        let system = System::start(self.policy, Settings::new(self.floor.clone(), self.seed))?;
+        let board = system.board();
         let settings = generator::Settings {
-            address: cluster.balancer.callers,
+            address: system.callers(),
             run: self.run,
             settle: self.settle,
-            batch: self.batch,
+            requests: self.policy.sends_requests(),
+            jobs: self.policy.sends_jobs(),
             seed: self.seed,
             ..generator::Settings::default()
         };
@@ -62,10 +63,9 @@
         let mut completions = Vec::new();
         display::follow(&running, self.run, || sample(&running, &board, &mut completions));
         let outcomes = running.join()?;
-        cluster.stop()?;
-        let policy = if self.batch { "ours" } else { "isolated" };
+        system.stop()?;
         let summary = Summary {
-            policy: policy.into(),
+            policy: self.policy.as_str().into(),
             ..add_facts(summarize(&self.floor, &settings, &outcomes), &board, &outcomes)
         };
         let summary = with_throughput(summary, &completions, self.run);
--- /dev/null
+++ b/crates/bench/src/run/system.rs
@@ -0,0 +1,57 @@
+//! The processes that answer a load.
+
+use super::Policy;
+use crate::cluster::{Baseline, Cluster, Settings};
+use shallotflow_standin::facts::Board;
+use std::net::SocketAddr;
+
+/// Either scheduler with its workers.
+#[derive(Debug)]
+pub enum System {
+    /// The scheduler.
+    Ours(Box<Cluster>),
+    /// The naive scheduler.
+    Naive(Baseline),
+}
+
+impl System {
+    /// Starts the processes that `policy` names.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process cannot start.
+    pub fn start(policy: Policy, settings: Settings) -> anyhow::Result<Self> {
+        match policy {
+            Policy::Naive => Ok(Self::Naive(Baseline::start(&settings)?)),
+            _ => Ok(Self::Ours(Box::new(Cluster::start(settings)?))),
+        }
+    }
+
+    /// Where callers connect.
+    pub fn callers(&self) -> SocketAddr {
+        match self {
+            Self::Ours(cluster) => cluster.balancer.callers,
+            Self::Naive(baseline) => baseline.callers,
+        }
+    }
+
+    /// What really happened.
+    pub fn board(&self) -> Board {
+        match self {
+            Self::Ours(cluster) => cluster.board.clone(),
+            Self::Naive(baseline) => baseline.board.clone(),
+        }
+    }
+
+    /// Stops every process gracefully.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process ended with an error.
+    pub fn stop(self) -> anyhow::Result<()> {
+        match self {
+            Self::Ours(cluster) => cluster.stop(),
+            Self::Naive(baseline) => baseline.stop(),
+        }
+    }
+}
--- a/crates/bench/tests/cluster.rs
+++ b/crates/bench/tests/cluster.rs
@@ -2,7 +2,7 @@
 
 use shallotflow_bench::cluster::{Cluster, Settings};
 use shallotflow_bench::floor::Floor;
-use shallotflow_bench::run::Experiment;
+use shallotflow_bench::run::{Experiment, Policy};
 use std::io::Read;
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
@@ -48,7 +48,7 @@
         run: Duration::from_secs(1),
         settle: Duration::from_secs(5),
         seed: 3,
-        batch: true,
+        policy: Policy::Ours,
     };
     let summary = experiment.carry_out().expect("findings").summary;
     let quick = summary.quick;
