--- a/crates/agent/src/report/session.rs
+++ b/crates/agent/src/report/session.rs
@@ -5,6 +5,7 @@
 use crate::batch;
 use prost::Message;
 use shallotflow_core::time::{Clock, Monotonic, Time};
+use shallotflow_policy::spread::Offer;
 use shallotflow_wire::proto;
 use shallotflow_wire::proto::scheduler_client::SchedulerClient;
 use shallotflow_wire::rpc::Channel;
@@ -27,6 +28,7 @@
     sequence: u64,
     due: Time,
     failures: u32,
+    wants_config: bool,
 }
 
 impl Session {
@@ -34,7 +36,7 @@
         let channel = Channel::new(entry);
         // The same entry may have heard this agent before, through another address.
         let sequence = Monotonic.now().as_micros();
-        Self { agent, channel, wake, sequence, due: Time::ZERO, failures: 0 }
+        Self { agent, channel, wake, sequence, due: Time::ZERO, failures: 0, wants_config: false }
     }
 
     /// Reports until the session is no longer wanted.
@@ -42,7 +44,8 @@
         let entry = self.channel.address();
         while self.is_wanted() {
             self.wait().await;
-            let Some(report) = message::report(&self.agent, self.sequence + 1) else {
+            let Some(report) = message::report(&self.agent, self.sequence + 1, self.wants_config)
+            else {
                 self.due = Monotonic.now().after(RETRY_PAUSE);
                 continue;
             };
@@ -89,14 +92,18 @@
         if reply.sequence != report.sequence {
             anyhow::bail!("reply to report {} instead of {}", reply.sequence, report.sequence);
         }
+        if !self.is_wanted() {
+            anyhow::bail!("another session with this entry has begun");
+        }
         self.take(&reply, &report, sent);
-        Ok(())
+        self.fetch_config(&mut client).await
     }
 
     fn take(&mut self, reply: &proto::ReportReply, report: &proto::ReportRequest, sent: Time) {
         let now = Monotonic.now();
         let beat = Duration::from_millis(reply.beat_ms.into());
         self.due = sent.after(if beat.is_zero() { DEFAULT_BEAT } else { beat });
+        self.wants_config = reply.want_config;
         let decisions = message::reply(reply, report, sent);
         let mut state = self.agent.state_mut();
         state.heard(self.channel.address(), reply);
@@ -109,6 +116,27 @@
         self.agent.tick();
     }
 
+    /// Fetches the configuration when a newer one than the one in force is known.
+    async fn fetch_config(&mut self, client: &mut SchedulerClient<Channel>) -> anyhow::Result<()> {
+        if !self.agent.state().config.wants() {
+            return Ok(());
+        }
+        let fetched = client.fetch_config(proto::ConfigRequest {});
+        let answer = monoio::time::timeout(REPLY_TIMEOUT, fetched).await;
+        let Ok(answer) = answer else {
+            anyhow::bail!("no configuration within {REPLY_TIMEOUT:?}; check the entry's load");
+        };
+        let config = answer?.into_inner();
+        let now = Monotonic.now();
+        self.agent.state_mut().budget.spend(config.text.len(), now);
+        let offer = self.agent.state_mut().config.offer(config.revision, &config.text);
+        if let Offer::Refused(refusal) = offer {
+            warn!("a configuration was refused", kv: { refusal = refusal.to_string() });
+        }
+        self.agent.apply_config();
+        Ok(())
+    }
+
     fn back_off(&mut self) {
         self.channel.reset();
         let pause = RETRY_PAUSE * 2_u32.saturating_pow(self.failures);
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -1,8 +1,9 @@
 //! Starts an entry and stops it.
 
-use crate::batch::Batch;
+use crate::batch::{self, Batch};
 use crate::bound::Bound;
 use crate::directory::Peer;
+use crate::session::{Presence, Session};
 use crate::state::State;
 use crate::unavailable::Unavailable;
 use crate::{Settings, callers, config, operators, peers, tick};
@@ -38,11 +39,19 @@
         peers: peers.local_addr()?,
         operators: listener.address(),
     };
-    let batch: Rc<dyn Batch> = Rc::new(Unavailable);
+    let service = start_batch(&settings, bound);
+    let batch: Rc<dyn Batch> = match &service {
+        Some(service) => Rc::new(service.clone()),
+        None => Rc::new(Unavailable),
+    };
     let own = Peer { name: settings.name.clone(), callers: bound.callers, peers: bound.peers };
     let state = Rc::new(State::new(settings, own, batch));
+    if let Some(service) = &service {
+        let session = service.session();
+        monoio::spawn(follow_entries(state.clone(), session.clone()));
+        monoio::spawn(config::follow(state.config.clone(), session.store()));
+    }
     let stop_peers = Rc::new(Event::new());
-    follow_config(&state);
     serve_callers(&state, callers);
     serve_peers(&state, peers, stop_peers.clone());
     let view = Rc::new(operators::View::new(state.clone()));
@@ -59,6 +68,9 @@
         () = leave(&state) => {}
         () = stop.wait(Level::Immediate) => {}
     }
+    if let Some(service) = service.filter(|_| stop.level() < Level::Immediate) {
+        service.stop().await;
+    }
     stop_peers.notify(usize::MAX);
     operators_gate.drain();
     drop(ticking);
@@ -66,6 +78,28 @@
     Ok(())
 }
 
+/// Starts batch work, if a store is configured.
+fn start_batch(settings: &Settings, bound: Bound) -> Option<Rc<batch::Service>> {
+    if settings.store.is_empty() {
+        return None;
+    }
+    let endpoints = settings.store.clone();
+    let store = store::Client::new(store::Settings { endpoints, ..store::Settings::default() });
+    let presence = Presence { peers: bound.peers, callers: bound.callers };
+    let name = settings.name.clone();
+    let session = Session::start(name, presence, settings.owner_lease, Rc::new(store));
+    Some(batch::Service::start(settings.clone(), session))
+}
+
+/// Keeps the directory of live entries, which agents learn from replies to their reports.
+async fn follow_entries(state: Rc<State>, session: Rc<Session>) {
+    loop {
+        let changed = session.listen();
+        state.directory.borrow_mut().set(session.live());
+        changed.await;
+    }
+}
+
 /// Finishes what is in progress, within the time that the settings allow.
 async fn leave(state: &State) {
     let deadline = state.settings.drain;
@@ -86,16 +120,6 @@
     format!("{setting} = {address} cannot be bound; choose a free address")
 }
 
-fn follow_config(state: &State) {
-    let endpoints = state.settings.store.clone();
-    if endpoints.is_empty() {
-        return;
-    }
-    let settings = store::Settings { endpoints, ..store::Settings::default() };
-    let store = Rc::new(store::Client::new(settings));
-    monoio::spawn(config::follow(state.config.clone(), store));
-}
-
 fn serve_callers(state: &Rc<State>, listener: TcpListener) {
     let front = Rc::new(callers::Front::new(state.clone()));
     let limits = state.settings.limits.clone();
