--- a/crates/bench/src/cluster/settings.rs
+++ b/crates/bench/src/cluster/settings.rs
@@ -21,6 +21,8 @@
     pub task_lease: Duration,
     /// How long a graceful stop may take.
     pub drain: Duration,
+    /// What the processes log.
+    pub log: Name,
 }
 
 impl Settings {
@@ -33,6 +35,7 @@
             owner_lease: defaults.owner_lease,
             task_lease: defaults.task_lease,
             drain: defaults.drain,
+            log: "off".into(),
         }
     }
 
@@ -45,6 +48,7 @@
             owner_lease: self.owner_lease,
             task_lease: self.task_lease,
             drain: self.drain,
+            log: self.log.clone(),
             seed: self.seed.wrapping_add(index as u64),
             ..entry::Settings::default()
         }
@@ -64,6 +68,7 @@
             target: worker.target,
             control: worker.control,
             drain: self.drain,
+            log: self.log.clone(),
             seed: self.seed.wrapping_add(1_000 + index as u64),
             ..agent::Settings::default()
         }
@@ -74,6 +79,7 @@
         let any_port = Some(SocketAddr::from(([127, 0, 0, 1], 0)));
         standin::Settings {
             store_listen: any_port,
+            log: self.log.clone(),
             control_listen: None,
             target_listen: None,
             seed: self.seed,
@@ -92,6 +98,7 @@
             disturbances: self.disturbances(),
             report_lag: floor.site.report_lag,
             drain: self.drain,
+            log: self.log.clone(),
             fails_tasks,
             seed: self.seed.wrapping_add(2_000 + index as u64),
             ..standin::Settings::default()
--- a/crates/bench/src/command/run.rs
+++ b/crates/bench/src/command/run.rs
@@ -23,6 +23,9 @@
     /// `ours`, `naive`, or `isolated` or `batch` for one half of the load
     #[bpaf(argument("POLICY"), fallback(Policy::Ours))]
     pub policy: Policy,
+    /// What the processes log: a level, then `target=level` for parts of them
+    #[bpaf(argument("FILTER"), fallback("off".to_owned()))]
+    pub log: String,
     /// Where to write the figures as JSON
     #[bpaf(argument("FILE"))]
     pub json: Option<PathBuf>,
@@ -44,6 +47,7 @@
             settle: Duration::from_secs(self.settle),
             seed: self.seed,
             policy: self.policy,
+            log: self.log.into(),
         };
         let findings = experiment.carry_out()?;
         println!("{}", report::summary(&findings.summary));
--- a/crates/bench/src/run/experiment.rs
+++ b/crates/bench/src/run/experiment.rs
@@ -25,6 +25,8 @@
     pub seed: u64,
     /// Which scheduler answers, under which load.
     pub policy: Policy,
+    /// What the processes log.
+    pub log: Name,
 }
 
 /// What an experiment found.
