Bring faults over the processes and compare with the baselines

Cause: promises under faults and the targets of the measures had no command. Change: scenarios by name (kills, pauses, store faults, load that is one), subcommands faults, compare and direct, cancelled jobs that were never started checked against the board.

--- a/crates/bench/src/cluster/cluster.rs
+++ b/crates/bench/src/cluster/cluster.rs
@@ -104,40 +104,65 @@
         &self.settings
     }
 
-    /// Replaces the entry with this index by a new one, at new addresses.
+    /// Ends the entry with this index without any goodbye.
+    pub fn kill_entry(&mut self, index: usize) {
+        self.entries[index].node.kill();
+        self.balancer.backends.remove(&self.entries[index].backend);
+    }
+
+    /// Ends the worker with this index and its agent without any goodbye.
+    pub fn kill_worker(&mut self, index: usize) {
+        self.agents[index].node.kill();
+        self.workers[index].kill();
+    }
+
+    /// Puts a new entry in the place of one that has ended, at new addresses.
     ///
     /// # Errors
     ///
     /// Fails when the new one cannot start.
     pub fn replace_entry(&mut self, index: usize) -> anyhow::Result<()> {
-        self.entries[index].node.kill();
         self.balancer.backends.remove(&self.entries[index].backend);
         self.entries[index] = self.start_entry(index)?;
         Ok(())
     }
 
-    /// Replaces the agent with this index by a new one, at new addresses.
+    /// Puts a new agent in the place of one that has ended, at new addresses.
     ///
     /// # Errors
     ///
     /// Fails when the new one cannot start.
     pub fn replace_agent(&mut self, index: usize) -> anyhow::Result<()> {
-        self.agents[index].node.kill();
         self.agents[index] = self.start_agent(index)?;
         Ok(())
     }
 
-    /// Replaces the worker with this index by a new one, with a new agent.
+    /// Puts a new worker with a new agent in the place of those that have ended.
     ///
     /// # Errors
     ///
     /// Fails when the new ones cannot start.
     pub fn replace_worker(&mut self, index: usize, fails_tasks: bool) -> anyhow::Result<()> {
-        self.agents[index].node.kill();
-        self.workers[index].node.kill();
         let worker = Worker::start(&self.settings, &self.board, index, fails_tasks)?;
         self.workers[index] = worker;
-        self.agents[index] = self.start_agent(index)?;
+        self.replace_agent(index)
+    }
+
+    /// Stops every agent, worker and entry gracefully and replaces it, one after the other.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process ends with an error or a new one cannot start.
+    pub fn roll(&mut self) -> anyhow::Result<()> {
+        for index in 0..self.agents.len() {
+            self.agents[index].node.stop()?;
+            self.workers[index].node.stop()?;
+            self.replace_worker(index, false)?;
+        }
+        for index in 0..self.entries.len() {
+            self.entries[index].node.stop()?;
+            self.replace_entry(index)?;
+        }
         Ok(())
     }
 
--- a/crates/bench/src/cluster/node.rs
+++ b/crates/bench/src/cluster/node.rs
@@ -71,6 +71,14 @@
         }
     }
 
+    /// Has the process end by itself at once, and waits for that.
+    pub fn stop_at_once(&mut self) {
+        self.switch.pause(false);
+        self.stop.raise(Level::Immediate);
+        // A process that failed or panicked has ended as well.
+        let _ = self.join();
+    }
+
     /// Freezes the process, or lets it go on.
     pub fn pause(&self, paused: bool) {
         self.switch.pause(paused);
--- a/crates/bench/src/cluster/worker.rs
+++ b/crates/bench/src/cluster/worker.rs
@@ -44,4 +44,10 @@
         };
         Ok(Self { name, control, target, node })
     }
+
+    /// Ends the worker and all that it runs at once, without any goodbye.
+    pub fn kill(&mut self) {
+        // The stand-in tells the board what ended with it, as no dying machine could.
+        self.node.stop_at_once();
+    }
 }
--- a/crates/bench/src/command/calibrate.rs
+++ b/crates/bench/src/command/calibrate.rs
@@ -41,7 +41,7 @@
         let settings =
             Settings { address: echo.address, run, seed: self.seed, ..Settings::default() };
         let running = Running::start(&floor, &settings)?;
-        display::follow(&running, run, || {});
+        display::follow(&running, run, || Ok(()))?;
         let outcomes = running.join()?;
         echo.stop()?;
         let summary = Summary { policy: "echo".into(), ..summarize(&floor, &settings, &outcomes) };
--- /dev/null
+++ b/crates/bench/src/command/compare.rs
@@ -0,0 +1,99 @@
+//! `compare`: the scheduler beside its baselines, with the targets that it should meet.
+
+use crate::floor::Floor;
+use crate::report;
+use crate::report::{Comparison, Round};
+use crate::run::{Experiment, Findings, Policy, output};
+use bpaf::Bpaf;
+use shallotflow_core::class::Class;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// How many runs, and how long each.
+#[derive(Clone, Debug, Bpaf)]
+pub struct Options {
+    /// Seeds to run, each under every policy
+    #[bpaf(argument("N"), fallback(5))]
+    pub seeds: u64,
+    /// Seconds of load in each run
+    #[bpaf(argument("N"), fallback(10))]
+    pub seconds: u64,
+    /// Seconds that jobs may take to end after that
+    #[bpaf(argument("N"), fallback(10))]
+    pub settle: u64,
+    /// How many times more jobs come in the runs that measure batch throughput
+    #[bpaf(argument("N"), fallback(4))]
+    pub saturation: u32,
+    /// Where to write the figures as JSON
+    #[bpaf(argument("FILE"))]
+    pub json: Option<PathBuf>,
+    /// `guild`, `merkjagerd` or the path of an INI file
+    #[bpaf(positional("FLOOR"))]
+    pub floor: String,
+}
+
+impl Options {
+    /// Runs every policy with every seed and prints the table with pass or short in each row.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the floor cannot be read or an experiment cannot be carried out.
+    pub fn run(self) -> anyhow::Result<ExitCode> {
+        let floor = Floor::load(&self.floor)?;
+        let mut rounds = Vec::new();
+        for seed in 1..=self.seeds {
+            eprintln!("seed {seed} of {}", self.seeds);
+            rounds.push(self.round(&floor, seed)?);
+        }
+        let comparison = Comparison::new(&floor, rounds);
+        println!("{}", report::comparison(&comparison));
+        output::json(self.json.as_deref(), &comparison)?;
+        let kept = comparison.violations().total() == 0;
+        Ok(if kept { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+    }
+
+    fn round(&self, floor: &Floor, seed: u64) -> anyhow::Result<Round> {
+        let ours = self.carry_out(floor, Policy::Ours, seed)?.summary;
+        let isolated = self.carry_out(floor, Policy::Isolated, seed)?.summary;
+        let naive = self.carry_out(floor, Policy::Naive, seed)?.summary;
+        let full = self.saturated(floor);
+        let saturated = self.carry_out(&full, Policy::Ours, seed)?;
+        let batch_alone = self.carry_out(&full, Policy::Batch, seed)?.summary;
+        let requests_slots = requests_slots(&saturated, self.seconds);
+        let saturated = saturated.summary;
+        Ok(Round { ours, isolated, naive, saturated, batch_alone, requests_slots })
+    }
+
+    fn carry_out(&self, floor: &Floor, policy: Policy, seed: u64) -> anyhow::Result<Findings> {
+        let experiment = Experiment {
+            floor: floor.clone(),
+            run: Duration::from_secs(self.seconds),
+            settle: Duration::from_secs(self.settle),
+            seed,
+            policy,
+            faults: Vec::new(),
+            log: "off".into(),
+        };
+        experiment.carry_out()
+    }
+
+    /// The floor with more jobs than its workers can run.
+    fn saturated(&self, floor: &Floor) -> Floor {
+        let mut floor = floor.clone();
+        let batch = floor.kinds.iter_mut().filter(|kind| kind.class == Class::Batch);
+        batch.for_each(|kind| kind.rate *= self.saturation);
+        floor
+    }
+}
+
+/// Slots that quick requests and watchers took on average, by their service times alone.
+fn requests_slots(findings: &Findings, seconds: u64) -> f64 {
+    let service = |tally: &crate::load::tally::Tally| {
+        let mean_us = tally.latency.mean() - tally.waited.mean();
+        tally.done as f64 * mean_us.max(0.0) / 1e6
+    };
+    let total: f64 =
+        findings.outcomes.requests.iter().map(|requests| service(&requests.tally)).sum();
+    total / seconds as f64
+}
--- /dev/null
+++ b/crates/bench/src/command/faults.rs
@@ -0,0 +1,89 @@
+//! `faults`: every fault by itself, beside a run without any.
+
+use crate::fault::{Scenario, Scenarios};
+use crate::floor::Floor;
+use crate::report;
+use crate::report::Summary;
+use crate::run::{Experiment, Policy, output};
+use bpaf::Bpaf;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Which faults to run, and for how long.
+#[derive(Clone, Debug, Bpaf)]
+pub struct Options {
+    /// Seconds of load in each run
+    #[bpaf(argument("N"), fallback(20))]
+    pub seconds: u64,
+    /// Seconds that jobs may take to end after that
+    #[bpaf(argument("N"), fallback(30))]
+    pub settle: u64,
+    /// Seed of the load and of the processes that faults hit
+    #[bpaf(argument("S"), fallback(1))]
+    pub seed: u64,
+    /// Only these faults, with commas between them
+    #[bpaf(argument("NAMES"), optional)]
+    pub only: Option<Scenarios>,
+    /// Random pairs of faults to run as well
+    #[bpaf(argument("N"), fallback(2))]
+    pub pairs: u64,
+    /// Where to write the figures as JSON
+    #[bpaf(argument("FILE"))]
+    pub json: Option<PathBuf>,
+    /// `guild`, `merkjagerd` or the path of an INI file
+    #[bpaf(positional("FLOOR"))]
+    pub floor: String,
+}
+
+impl Options {
+    /// Runs every fault and prints violations and figures beside the run without faults.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the floor cannot be read or an experiment cannot be carried out.
+    pub fn run(self) -> anyhow::Result<ExitCode> {
+        let floor = Floor::load(&self.floor)?;
+        let mut summaries = Vec::new();
+        for faults in self.plan() {
+            let names: Vec<_> = faults.iter().map(|scenario| scenario.as_str()).collect();
+            eprintln!("faults: [{}]", names.join(", "));
+            let findings = self.experiment(&floor, faults).carry_out()?;
+            summaries.push(findings.summary);
+        }
+        println!("{}", report::faults(&summaries));
+        for note in summaries.iter().flat_map(|summary| &summary.notes) {
+            println!("{note}");
+        }
+        output::json(self.json.as_deref(), &summaries)?;
+        let kept = summaries.iter().all(|summary: &Summary| summary.violations.total() == 0);
+        Ok(if kept { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+    }
+
+    /// The faults of each run, the first without any.
+    fn plan(&self) -> Vec<Vec<Scenario>> {
+        let mut plan = vec![Vec::new()];
+        let scenarios = match &self.only {
+            Some(only) => only.0.clone(),
+            None => Scenario::ALL.to_vec(),
+        };
+        plan.extend(scenarios.into_iter().map(|scenario| vec![scenario]));
+        let mut rng = SmallRng::seed_from_u64(self.seed);
+        plan.extend((0..self.pairs).map(|_| Scenario::pair(&mut rng).to_vec()));
+        plan
+    }
+
+    fn experiment(&self, floor: &Floor, faults: Vec<Scenario>) -> Experiment {
+        Experiment {
+            floor: floor.clone(),
+            run: Duration::from_secs(self.seconds),
+            settle: Duration::from_secs(self.settle),
+            seed: self.seed,
+            policy: Policy::Ours,
+            faults,
+            log: "off".into(),
+        }
+    }
+}
--- a/crates/bench/src/command/mod.rs
+++ b/crates/bench/src/command/mod.rs
@@ -1,6 +1,9 @@
 //! The subcommands of the program, one a module.
 
 pub mod calibrate;
+pub mod compare;
+pub mod direct;
+pub mod faults;
 pub mod run;
 
 use bpaf::Bpaf;
@@ -13,6 +16,15 @@
     /// Sends the load of a floor to an echo, to see what the generator itself adds
     #[bpaf(command)]
     Calibrate(#[bpaf(external(calibrate::options))] calibrate::Options),
+    /// Runs the scheduler beside its baselines and prints the targets that it meets
+    #[bpaf(command)]
+    Compare(#[bpaf(external(compare::options))] compare::Options),
+    /// Measures what the entry and the agent add to a direct call
+    #[bpaf(command)]
+    Direct(#[bpaf(external(direct::options))] direct::Options),
+    /// Runs every fault by itself, beside a run without any
+    #[bpaf(command)]
+    Faults(#[bpaf(external(faults::options))] faults::Options),
     /// Runs the processes of a floor under its load; exits with 1 when a promise was broken
     #[bpaf(command)]
     Run(#[bpaf(external(run::options))] run::Options),
@@ -27,6 +39,9 @@
     pub fn run(self) -> anyhow::Result<ExitCode> {
         match self {
             Self::Calibrate(options) => options.run(),
+            Self::Compare(options) => options.run(),
+            Self::Direct(options) => options.run(),
+            Self::Faults(options) => options.run(),
             Self::Run(options) => options.run(),
         }
     }
--- a/crates/bench/src/command/run.rs
+++ b/crates/bench/src/command/run.rs
@@ -1,5 +1,6 @@
 //! `run`: the processes of a floor under its load.
 
+use crate::fault::Scenarios;
 use crate::floor::Floor;
 use crate::report;
 use crate::run::{Experiment, Policy, output};
@@ -23,6 +24,9 @@
     /// `ours`, `naive`, or `isolated` or `batch` for one half of the load
     #[bpaf(argument("POLICY"), fallback(Policy::Ours))]
     pub policy: Policy,
+    /// Faults by name, with commas between them
+    #[bpaf(argument("NAMES"), fallback(Scenarios::default()))]
+    pub faults: Scenarios,
     /// What the processes log: a level, then `target=level` for parts of them
     #[bpaf(argument("FILTER"), fallback("off".to_owned()))]
     pub log: String,
@@ -47,6 +51,7 @@
             settle: Duration::from_secs(self.settle),
             seed: self.seed,
             policy: self.policy,
+            faults: self.faults.0,
             log: self.log.into(),
         };
         let findings = experiment.carry_out()?;
--- /dev/null
+++ b/crates/bench/src/fault/shape.rs
@@ -0,0 +1,39 @@
+//! The load that some scenarios ask for.
+
+use super::Scenario;
+use crate::floor::{Floor, Kind, Misfit};
+use shallotflow_core::class::Class;
+use std::time::Duration;
+
+const WAVE_FACTOR: u32 = 4;
+const STRAGGLER_SHARE: u32 = 150;
+const IMPOSSIBLE_SHARE: u32 = 100;
+const CANCELLED_SHARE: u32 = 700;
+const RISE: Duration = Duration::from_millis(500);
+
+/// When faults begin and end, in thousandths of a run.
+pub const BEGIN: u32 = 250;
+/// See [`BEGIN`].
+pub const END: u32 = 600;
+
+/// Changes the batch kinds of `floor` as `scenario` asks.
+pub fn apply(scenario: Scenario, floor: &mut Floor) {
+    let batch = floor.kinds.iter_mut().filter(|kind| kind.class == Class::Batch);
+    for kind in batch {
+        match scenario {
+            Scenario::NoisyWave => wave(kind),
+            Scenario::Stragglers => kind.straggler_share = STRAGGLER_SHARE,
+            Scenario::WrongSizes => kind.misfit = Misfit::WrongSizes,
+            Scenario::ImpossibleJobs => kind.impossible_share = IMPOSSIBLE_SHARE,
+            Scenario::CancelWave => kind.cancelled_share = CANCELLED_SHARE,
+            _ => {}
+        }
+    }
+}
+
+fn wave(kind: &mut Kind) {
+    kind.wave.start = BEGIN;
+    kind.wave.length = (END - BEGIN) / 2;
+    kind.wave.rise = RISE;
+    kind.wave.factor = WAVE_FACTOR;
+}
--- /dev/null
+++ b/crates/bench/src/fault/stage.rs
@@ -0,0 +1,104 @@
+//! Carries out faults on the processes of a floor.
+
+use super::Scenario;
+use crate::cluster::Cluster;
+use std::time::Duration;
+
+const SLOW_STORE: Duration = Duration::from_millis(400);
+const LOST_SHARE: f64 = 0.3;
+
+/// The processes that faults come over; the seed decides which ones.
+#[derive(Debug)]
+pub struct Stage<'a> {
+    /// The processes.
+    pub cluster: &'a mut Cluster,
+    /// Chooses the processes that a fault hits.
+    pub seed: u64,
+}
+
+impl Stage<'_> {
+    /// Begins a fault.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a replacement cannot start or a graceful stop fails.
+    pub fn begin(&mut self, scenario: Scenario) -> anyhow::Result<()> {
+        let (entry, worker) = (self.entry(), self.worker());
+        match scenario {
+            Scenario::WorkerKill => self.cluster.kill_worker(worker),
+            Scenario::AgentKill => self.cluster.agents[worker].node.kill(),
+            Scenario::EntryKill => self.cluster.kill_entry(entry),
+            Scenario::EntryPause => self.cluster.entries[entry].node.pause(true),
+            Scenario::AgentPause => self.cluster.agents[worker].node.pause(true),
+            Scenario::StoreDown => self.cluster.platform.faults.set_down(true),
+            Scenario::StoreSlow => self.cluster.platform.faults.set_slow(SLOW_STORE),
+            Scenario::StoreLostAnswers => {
+                self.cluster.platform.faults.set_lost_answers(LOST_SHARE);
+            }
+            Scenario::LeaseLapse => self.cluster.platform.faults.expire_leases(),
+            Scenario::BadWorker => {
+                self.cluster.kill_worker(worker);
+                self.cluster.replace_worker(worker, true)?;
+            }
+            Scenario::DrainAll => self.cluster.roll()?,
+            Scenario::DomainCut => self.pause_domain(true),
+            Scenario::NoisyWave
+            | Scenario::CancelWave
+            | Scenario::WrongSizes
+            | Scenario::Stragglers
+            | Scenario::ImpossibleJobs => {}
+        }
+        Ok(())
+    }
+
+    /// Ends a fault; what was killed is replaced.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a replacement cannot start.
+    pub fn end(&mut self, scenario: Scenario) -> anyhow::Result<()> {
+        let (entry, worker) = (self.entry(), self.worker());
+        let faults = &self.cluster.platform.faults;
+        match scenario {
+            Scenario::WorkerKill => self.cluster.replace_worker(worker, false)?,
+            Scenario::AgentKill => self.cluster.replace_agent(worker)?,
+            Scenario::EntryKill => self.cluster.replace_entry(entry)?,
+            Scenario::EntryPause => self.cluster.entries[entry].node.pause(false),
+            Scenario::AgentPause => self.cluster.agents[worker].node.pause(false),
+            Scenario::StoreDown => faults.set_down(false),
+            Scenario::StoreSlow => faults.set_slow(Duration::ZERO),
+            Scenario::StoreLostAnswers => faults.set_lost_answers(0.0),
+            Scenario::LeaseLapse => faults.expire_leases(),
+            Scenario::DomainCut => self.pause_domain(false),
+            Scenario::BadWorker
+            | Scenario::DrainAll
+            | Scenario::NoisyWave
+            | Scenario::CancelWave
+            | Scenario::WrongSizes
+            | Scenario::Stragglers
+            | Scenario::ImpossibleJobs => {}
+        }
+        Ok(())
+    }
+
+    fn entry(&self) -> usize {
+        self.seed as usize % self.cluster.entries.len()
+    }
+
+    fn worker(&self) -> usize {
+        (self.seed as usize).wrapping_mul(7) % self.cluster.workers.len()
+    }
+
+    /// Freezes the agents and entries of one failure domain, or lets them go on.
+    fn pause_domain(&self, paused: bool) {
+        let floor = &self.cluster.settings().floor;
+        let domain = floor.domain_of(self.entry());
+        let inside = |index: &usize| floor.domain_of(*index) == domain;
+        for index in (0..self.cluster.agents.len()).filter(inside) {
+            self.cluster.agents[index].node.pause(paused);
+        }
+        for index in (0..self.cluster.entries.len()).filter(inside) {
+            self.cluster.entries[index].node.pause(paused);
+        }
+    }
+}
--- a/crates/bench/src/floor/kind.rs
+++ b/crates/bench/src/floor/kind.rs
@@ -1,5 +1,6 @@
 //! One kind of work.
 
+use super::Crest;
 use serde::{Deserialize, Serialize};
 use shallotflow_core::class::Class;
 use shallotflow_core::name::Name;
@@ -34,6 +35,25 @@
     pub body_bytes: usize,
     /// What it declares to need.
     pub resources: Bundle,
+    /// A wave of arrivals, for jobs.
+    pub wave: Crest,
+    /// How what jobs declare differs from what they need.
+    pub misfit: Misfit,
+    /// Share of jobs that ask for more than any worker has, thousandths.
+    pub impossible_share: u32,
+    /// Share of jobs that are cancelled, thousandths.
+    pub cancelled_share: u32,
+}
+
+/// How what jobs declare differs from what they need.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Misfit {
+    /// They declare what they need.
+    #[default]
+    None,
+    /// They declare a tenth of it, or ten times as much.
+    WrongSizes,
 }
 
 impl Default for Kind {
@@ -57,6 +77,10 @@
                 memory_mib: 64,
                 accelerators: 0,
             },
+            wave: Crest::default(),
+            misfit: Misfit::None,
+            impossible_share: 0,
+            cancelled_share: 0,
         }
     }
 }
--- a/crates/bench/src/floor/mod.rs
+++ b/crates/bench/src/floor/mod.rs
@@ -13,7 +13,7 @@
 pub use crest::Crest;
 pub use description::Floor;
 pub use disturbance::Disturbance;
-pub use kind::Kind;
+pub use kind::{Kind, Misfit};
 pub use site::Site;
 
 /// The result of reading a floor.
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`echo`]: a server that stands in for the whole system, to check the generator by itself.
 //! - [`cluster`]: the processes of a floor.
 //! - [`naive`]: a naive scheduler, as a baseline.
+//! - [`fault`]: faults that come over a floor.
 //! - [`report`]: what an experiment found.
 //! - [`run`]: carries out one run and sums it up.
 //! - [`command`]: the subcommands of the program.
@@ -16,6 +17,7 @@
 pub mod cluster;
 pub mod command;
 pub mod echo;
+pub mod fault;
 pub mod floor;
 pub mod load;
 pub mod naive;
--- a/crates/bench/src/load/batch.rs
+++ b/crates/bench/src/load/batch.rs
@@ -1,16 +1,13 @@
 //! Batch jobs of one kind: submitted when they are due, then polled to their end.
 
-use super::client::{Answer, Client, caller};
+use super::client::{Answer, Client};
+use super::draft::{Draft, Drafts};
 use super::generator::Progress;
 use super::schedule::Schedule;
-use super::service::Service;
 use super::tally::latencies;
-use super::token::Token;
-use crate::floor::Kind;
 use hdrhistogram::Histogram;
-use http::{Request, StatusCode};
-use serde::{Deserialize, Serialize};
-use shallotflow_core::resources::Bundle;
+use http::{Method, Request, StatusCode};
+use serde::Deserialize;
 use shallotflow_wire::http::body::Body;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -20,26 +17,25 @@
 const FIRST_POLL: Duration = Duration::from_millis(200);
 const LONGEST_POLL: Duration = Duration::from_secs(2);
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
+const PREFIX: &str = "/jobs/";
+/// The state of a job that the system took and then denied.
+const LOST: &str = "lost";
 const OPEN_POLL: Duration = Duration::from_millis(20);
 
 /// A stream of jobs of one kind.
 pub struct Stream {
-    /// The kind.
-    pub kind: Kind,
     /// When jobs are due.
     pub schedule: Schedule,
-    /// How long each runs.
-    pub service: Service,
+    /// What they are.
+    pub drafts: Drafts,
     /// Where they go.
     pub client: Client,
     /// When the run starts.
     pub start: Instant,
     /// How long after the start jobs are given up.
     pub until: Duration,
-    /// The number of the generator thread.
-    pub thread: u16,
-    /// Distinguishes the keys of this run from those of others.
-    pub seed: u64,
+    /// When jobs that are to be cancelled are cancelled, all at once.
+    pub cancel: Duration,
     /// Counts for the display.
     pub progress: Progress,
 }
@@ -67,6 +63,8 @@
     pub lost: u64,
     /// Submissions sent again with the same key.
     pub resubmitted: u64,
+    /// Jobs that were cancelled before any start, by identifier.
+    pub never_run: Vec<String>,
     /// Time from when a job was due to when it was seen done.
     pub turnaround: Histogram<u64>,
 }
@@ -84,6 +82,7 @@
             parked: 0,
             lost: 0,
             resubmitted: 0,
+            never_run: Vec::new(),
             turnaround: latencies(),
         }
     }
@@ -102,6 +101,7 @@
         self.parked += other.parked;
         self.lost += other.lost;
         self.resubmitted += other.resubmitted;
+        self.never_run.extend_from_slice(&other.never_run);
         // Histograms with the same bounds always add up.
         let _ = self.turnaround.add(&other.turnaround);
     }
@@ -113,28 +113,12 @@
     }
 }
 
-/// The body of a submission.
-#[derive(Clone, Debug, Serialize)]
-struct Submission<'a> {
-    kind: &'a str,
-    resources: Bundle,
-    declared_run_ms: u64,
-    idempotent: bool,
-    priority: u8,
-    payload: String,
-}
-
-/// What the payload asks of the stand-in worker.
-#[derive(Clone, Debug, Serialize)]
-struct Payload {
-    run_ms: u64,
-    token: Token,
-}
-
 /// The part of a job's record that the load looks at.
 #[derive(Clone, Debug, Deserialize)]
 struct Seen {
     state: SeenState,
+    #[serde(default)]
+    attempts: u32,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -143,10 +127,8 @@
 }
 
 struct Job {
-    caller: String,
-    key: String,
+    draft: Draft,
     due: Duration,
-    body: String,
 }
 
 #[derive(Clone)]
@@ -154,6 +136,7 @@
     client: Client,
     start: Instant,
     until: Duration,
+    cancel: Duration,
     jobs: Rc<RefCell<Jobs>>,
     open: Rc<RefCell<u64>>,
     progress: Progress,
@@ -162,23 +145,17 @@
 impl Stream {
     /// Submits all jobs and follows each to its end, or until the run is given up.
     pub async fn run(self) -> Jobs {
-        let Self { kind, schedule, mut service, client, start, until, thread, seed, progress } =
-            self;
-        let context =
-            Context { client, start, until, jobs: Rc::default(), open: Rc::default(), progress };
-        for (number, due) in schedule.enumerate() {
+        let Self { schedule, drafts, client, start, until, cancel, progress } = self;
+        let (jobs, open) = (Rc::default(), Rc::default());
+        let context = Context { client, start, until, cancel, jobs, open, progress };
+        for (due, draft) in schedule.zip(drafts) {
             let now = start.elapsed();
             if due > now {
                 monoio::time::sleep(due - now).await;
             }
-            let token = Token::new(thread, number as u64);
-            let payload = Payload { run_ms: service.draw().as_millis() as u64, token };
-            let Some(body) = submission(&kind, &payload) else { continue };
             context.jobs.borrow_mut().due += 1;
             *context.open.borrow_mut() += 1;
-            let job =
-                Job { caller: caller(number as u64), key: format!("{seed}-{token}"), due, body };
-            monoio::spawn(context.clone().follow(job));
+            monoio::spawn(context.clone().follow(Job { draft, due }));
         }
         while *context.open.borrow() > 0 && start.elapsed() < until {
             monoio::time::sleep(OPEN_POLL).await;
@@ -199,10 +176,10 @@
     async fn submit(&self, job: &Job) -> Option<String> {
         while self.start.elapsed() < self.until {
             let request = Request::post("/jobs")
-                .header("shallotflow-caller", &job.caller)
-                .header("idempotency-key", &job.key)
+                .header("shallotflow-caller", &job.draft.caller)
+                .header("idempotency-key", &job.draft.key)
                 .header("content-type", "application/json")
-                .body(Body::from(job.body.clone()))
+                .body(Body::from(job.draft.body.clone()))
                 .ok()?;
             match self.client.send(request, CALL_TIMEOUT).await {
                 Ok(answer) if answer.status.is_success() => {
@@ -224,35 +201,45 @@
     async fn await_end(&self, job: &Job, location: &str) {
         let mut pause = FIRST_POLL;
         let mut parked = false;
+        let mut cancels = job.draft.cancel && self.start.elapsed() < self.cancel;
         while self.start.elapsed() < self.until {
-            monoio::time::sleep(pause).await;
+            let left = self.cancel.saturating_sub(self.start.elapsed());
+            monoio::time::sleep(if cancels { pause.min(left) } else { pause }).await;
             pause = (pause * 3 / 2).min(LONGEST_POLL);
-            match self.state(&job.caller, location).await.as_deref() {
-                Some("parked") if !parked => {
+            let method = if cancels && left < pause { Method::DELETE } else { Method::GET };
+            let seen = self.ask(&method, &job.draft.caller, location).await;
+            // A cancellation that got no answer is sent again.
+            cancels = cancels && (method == Method::GET || seen.is_none());
+            match seen {
+                Some(seen) if seen.state.state == "parked" && !parked => {
                     parked = true;
                     self.jobs.borrow_mut().parked += 1;
                 }
-                Some(state) if self.count_end(job, state) => return,
+                Some(seen) if self.count_end(job, location, &seen) => return,
                 _ => {}
             }
         }
     }
 
-    async fn state(&self, caller: &str, location: &str) -> Option<String> {
-        let request =
-            Request::get(location).header("shallotflow-caller", caller).body(Body::Empty).ok()?;
+    /// Sends a call about a job; gives what the answer says of it.
+    async fn ask(&self, method: &Method, caller: &str, location: &str) -> Option<Seen> {
+        let request = Request::builder()
+            .method(method)
+            .uri(location)
+            .header("shallotflow-caller", caller)
+            .body(Body::Empty)
+            .ok()?;
         let answer = self.client.send(request, CALL_TIMEOUT).await.ok()?;
         if answer.status == StatusCode::NOT_FOUND {
-            return Some("lost".to_owned());
+            return Some(Seen { state: SeenState { state: LOST.to_owned() }, attempts: 0 });
         }
-        let seen: Seen = serde_json::from_slice(&answer.body).ok()?;
-        Some(seen.state.state)
+        serde_json::from_slice(&answer.body).ok()
     }
 
     /// Counts a job in a final state.
-    fn count_end(&self, job: &Job, state: &str) -> bool {
+    fn count_end(&self, job: &Job, location: &str, seen: &Seen) -> bool {
         let mut jobs = self.jobs.borrow_mut();
-        match state {
+        match seen.state.state.as_str() {
             "done" => {
                 jobs.done += 1;
                 let turnaround = self.start.elapsed().saturating_sub(job.due);
@@ -260,27 +247,20 @@
                 self.progress.job_done();
             }
             "failed" => jobs.failed += 1,
-            "cancelled" => jobs.cancelled += 1,
+            "cancelled" => {
+                jobs.cancelled += 1;
+                if seen.attempts == 0 {
+                    jobs.never_run.push(location.trim_start_matches(PREFIX).to_owned());
+                }
+            }
             "unknown" => jobs.unknown += 1,
-            "lost" => jobs.lost += 1,
+            LOST => jobs.lost += 1,
             _ => return false,
         }
         true
     }
 }
 
-fn submission(kind: &Kind, payload: &Payload) -> Option<String> {
-    let submission = Submission {
-        kind: &kind.name,
-        resources: kind.resources,
-        declared_run_ms: kind.declared_run.as_millis() as u64,
-        idempotent: kind.idempotent,
-        priority: 100,
-        payload: serde_json::to_string(payload).ok()?,
-    };
-    serde_json::to_string(&submission).ok()
-}
-
 fn location(answer: &Answer) -> Option<String> {
     Some(answer.headers.get("location")?.to_str().ok()?.to_owned())
 }
--- /dev/null
+++ b/crates/bench/src/load/draft.rs
@@ -0,0 +1,142 @@
+//! The jobs of one kind, as they are submitted.
+
+use super::client::caller;
+use super::service::Service;
+use super::token::Token;
+use crate::floor::{Kind, Misfit};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde::Serialize;
+use shallotflow_core::resources::Bundle;
+
+const PER_MILLE: u32 = 1_000;
+const MISFIT_FACTOR: u32 = 10;
+const PRIORITY: u8 = 100;
+/// More memory than any worker has, mebibytes.
+const IMPOSSIBLE_MIB: u32 = u32::MAX / 2;
+
+/// One job to be submitted.
+#[derive(Clone, Debug)]
+pub struct Draft {
+    /// Who submits it.
+    pub caller: String,
+    /// Its idempotency key.
+    pub key: String,
+    /// The body of the submission.
+    pub body: String,
+    /// Whether it is cancelled if it has not ended by then.
+    pub cancel: bool,
+}
+
+/// The jobs of one kind; the same for the same seed.
+#[derive(Debug)]
+pub struct Drafts {
+    kind: Kind,
+    capacity: Bundle,
+    service: Service,
+    rng: SmallRng,
+    thread: u16,
+    seed: u64,
+    number: u64,
+}
+
+/// The body of a submission.
+#[derive(Debug, Serialize)]
+struct Submission<'a> {
+    kind: &'a str,
+    resources: Bundle,
+    declared_run_ms: u64,
+    idempotent: bool,
+    priority: u8,
+    payload: String,
+}
+
+/// What the payload asks of the stand-in worker.
+#[derive(Debug, Serialize)]
+struct Payload {
+    run_ms: u64,
+    memory_mib: u32,
+    millicores: u32,
+    token: Token,
+}
+
+impl Drafts {
+    /// Jobs of `kind` for workers with `capacity`; `seed` tells their keys from those of others.
+    pub fn new(kind: &Kind, capacity: Bundle, thread: u16, seed: u64) -> Self {
+        let stream = seed.wrapping_mul(1 << 20).wrapping_add(u64::from(thread));
+        Self {
+            kind: kind.clone(),
+            capacity,
+            service: Service::new(kind, stream),
+            rng: SmallRng::seed_from_u64(stream.wrapping_add(1)),
+            thread,
+            seed,
+            number: 0,
+        }
+    }
+
+    fn submission(&mut self, token: Token) -> serde_json::Result<String> {
+        let payload = Payload {
+            run_ms: self.service.draw().as_millis() as u64,
+            memory_mib: self.kind.resources.memory_mib,
+            millicores: self.kind.resources.millicores,
+            token,
+        };
+        let understated = self.rng.random::<bool>();
+        let submission = Submission {
+            resources: self.declared(understated),
+            declared_run_ms: self.declared_run_ms(understated),
+            kind: &self.kind.name,
+            idempotent: self.kind.idempotent,
+            priority: PRIORITY,
+            payload: serde_json::to_string(&payload)?,
+        };
+        serde_json::to_string(&submission)
+    }
+
+    fn declared(&mut self, understated: bool) -> Bundle {
+        let need = self.kind.resources;
+        if self.chance(self.kind.impossible_share) {
+            return Bundle { memory_mib: IMPOSSIBLE_MIB, ..need };
+        }
+        match (self.kind.misfit, understated) {
+            (Misfit::None, _) => need,
+            (Misfit::WrongSizes, true) => Bundle {
+                millicores: need.millicores / MISFIT_FACTOR,
+                memory_mib: need.memory_mib / MISFIT_FACTOR,
+                ..need
+            },
+            (Misfit::WrongSizes, false) => Bundle {
+                millicores: (need.millicores * MISFIT_FACTOR).min(self.capacity.millicores),
+                memory_mib: (need.memory_mib * MISFIT_FACTOR).min(self.capacity.memory_mib),
+                ..need
+            },
+        }
+    }
+
+    fn declared_run_ms(&self, understated: bool) -> u64 {
+        let declared = self.kind.declared_run.as_millis() as u64;
+        match (self.kind.misfit, understated) {
+            (Misfit::None, _) => declared,
+            (Misfit::WrongSizes, true) => (declared / u64::from(MISFIT_FACTOR)).max(1),
+            (Misfit::WrongSizes, false) => declared * u64::from(MISFIT_FACTOR),
+        }
+    }
+
+    fn chance(&mut self, share: u32) -> bool {
+        self.rng.random_ratio(share.min(PER_MILLE), PER_MILLE)
+    }
+}
+
+impl Iterator for Drafts {
+    type Item = Draft;
+
+    fn next(&mut self) -> Option<Draft> {
+        let token = Token::new(self.thread, self.number);
+        self.number += 1;
+        let body = self.submission(token).ok()?;
+        let cancel = self.chance(self.kind.cancelled_share);
+        let key = format!("{}-{token}", self.seed);
+        Some(Draft { caller: caller(token.number()), key, body, cancel })
+    }
+}
--- a/crates/bench/src/load/generator.rs
+++ b/crates/bench/src/load/generator.rs
@@ -2,10 +2,12 @@
 
 use super::batch::{self, Jobs};
 use super::client::Client;
+use super::draft::Drafts;
 use super::quick;
 use super::schedule::Schedule;
 use super::service::Service;
 use super::tally::Tally;
+use crate::fault;
 use crate::floor::{Floor, Kind};
 use shallotflow_core::class::Class;
 use shallotflow_core::name::Name;
@@ -277,15 +279,15 @@
     fn batch_stream(&self, kind: &Kind, index: usize, client: Client) -> batch::Stream {
         let seed = self.stream_seed(index);
         let run = self.settings.run;
+        let (_, cancel) = fault::window(run);
+        let thread = self.token_space(index);
         batch::Stream {
-            kind: kind.clone(),
-            schedule: Schedule::steady(f64::from(kind.rate), run, seed),
-            service: Service::new(kind, seed.wrapping_add(1)),
+            schedule: Schedule::new(f64::from(kind.rate), kind.wave.clone(), run, seed),
+            drafts: Drafts::new(kind, self.floor.capacity, thread, self.settings.seed),
             client,
             start: self.start,
             until: run + self.settings.settle,
-            thread: self.token_space(index),
-            seed: self.settings.seed,
+            cancel,
             progress: self.progress.clone(),
         }
     }
--- a/crates/bench/src/load/mod.rs
+++ b/crates/bench/src/load/mod.rs
@@ -6,10 +6,12 @@
 //! - [`tally`]: what came of the requests.
 //! - [`client`]: one exchange with an entry.
 //! - [`quick`] and [`batch`]: requests, watchers among them, and jobs.
+//! - [`draft`]: what jobs say of themselves.
 //! - [`generator`]: the threads that send the load of a floor.
 
 pub mod batch;
 pub mod client;
+pub mod draft;
 pub mod generator;
 pub mod quick;
 pub mod schedule;
--- /dev/null
+++ b/crates/bench/src/report/comparison.rs
@@ -0,0 +1,168 @@
+//! The scheduler beside its baselines, with the targets that it should meet.
+
+use super::{Summary, Violations};
+use crate::floor::Floor;
+use serde::Serialize;
+use shallotflow_core::class::Class;
+use shallotflow_core::name::Name;
+
+const ISOLATED_FACTOR: f64 = 1.25;
+const NAIVE_FACTOR: f64 = 1.0 / 3.0;
+const THROUGHPUT_SHARE: f64 = 0.9;
+const EVICTED_SHARE: f64 = 0.02;
+const CREST_SHARE: f64 = 0.99;
+
+/// The runs with one seed.
+#[derive(Clone, Debug, Serialize)]
+pub struct Round {
+    /// The scheduler under the load of the floor.
+    pub ours: Summary,
+    /// The scheduler without batch jobs.
+    pub isolated: Summary,
+    /// The naive scheduler.
+    pub naive: Summary,
+    /// The scheduler with more jobs than the workers can run.
+    pub saturated: Summary,
+    /// The same jobs without any requests.
+    pub batch_alone: Summary,
+    /// Slots that requests took on average in the saturated run.
+    pub requests_slots: f64,
+}
+
+/// One measure with its target.
+#[derive(Clone, Debug, Serialize)]
+pub struct Row {
+    /// The measure.
+    pub measure: String,
+    /// What was measured.
+    pub measured: String,
+    /// What it should be.
+    pub target: String,
+    /// Whether it is.
+    pub pass: bool,
+}
+
+/// All rounds with the medians that the targets are about.
+#[derive(Clone, Debug, Serialize)]
+pub struct Comparison {
+    /// The floor.
+    pub floor: Name,
+    /// The runs, by seed.
+    pub rounds: Vec<Round>,
+    /// The measures.
+    pub rows: Vec<Row>,
+}
+
+impl Comparison {
+    /// Compares the medians over `rounds` with the targets.
+    pub fn new(floor: &Floor, rounds: Vec<Round>) -> Self {
+        let rows = vec![
+            quick_beside_isolated(&rounds),
+            quick_beside_naive(&rounds),
+            throughput(floor, &rounds),
+            evictions(&rounds),
+            crest(&rounds),
+            head_of_line(floor, &rounds),
+        ];
+        Self { floor: floor.site.name.clone(), rounds, rows }
+    }
+
+    /// Violations in all runs of the scheduler.
+    pub fn violations(&self) -> Violations {
+        let runs = self
+            .rounds
+            .iter()
+            .flat_map(|round| [&round.ours, &round.isolated, &round.saturated, &round.batch_alone]);
+        runs.fold(Violations::default(), |sum, run| sum.plus(&run.violations))
+    }
+}
+
+fn quick_beside_isolated(rounds: &[Round]) -> Row {
+    let ours = median(rounds, |round| round.ours.quick.p99_ms);
+    let isolated = median(rounds, |round| round.isolated.quick.p99_ms);
+    Row {
+        measure: "quick p99, ms, beside isolated".into(),
+        measured: format!("{ours:.1} beside {isolated:.1}"),
+        target: format!("at most {:.1}", ISOLATED_FACTOR * isolated),
+        pass: ours <= ISOLATED_FACTOR * isolated,
+    }
+}
+
+fn quick_beside_naive(rounds: &[Round]) -> Row {
+    let ours = median(rounds, |round| round.ours.quick.p99_ms);
+    let naive = median(rounds, |round| round.naive.quick.p99_ms);
+    Row {
+        measure: "quick p99, ms, beside naive".into(),
+        measured: format!("{ours:.1} beside {naive:.1}"),
+        target: format!("at most {:.1}", NAIVE_FACTOR * naive),
+        pass: ours <= NAIVE_FACTOR * naive,
+    }
+}
+
+fn throughput(floor: &Floor, rounds: &[Round]) -> Row {
+    let slots = f64::from(floor.capacity.slots) * floor.site.workers as f64;
+    let ours = median(rounds, |round| round.saturated.batch.per_second);
+    let free = median(rounds, |round| {
+        round.batch_alone.batch.per_second * (1.0 - round.requests_slots / slots)
+    });
+    Row {
+        measure: "batch tasks per second, saturated".into(),
+        measured: format!("{ours:.1} of {free:.1}"),
+        target: format!("at least {:.1}", THROUGHPUT_SHARE * free),
+        pass: ours >= THROUGHPUT_SHARE * free,
+    }
+}
+
+fn evictions(rounds: &[Round]) -> Row {
+    let share = |run: &Summary| run.evictions as f64 / (run.batch.started.max(1)) as f64;
+    let evicted = median(rounds, |round| share(&round.ours).max(share(&round.saturated)));
+    Row {
+        measure: "evictions of starts".into(),
+        measured: percent(evicted),
+        target: format!("at most {}", percent(EVICTED_SHARE)),
+        pass: evicted <= EVICTED_SHARE,
+    }
+}
+
+fn crest(rounds: &[Round]) -> Row {
+    let ours = median(rounds, |round| round.ours.crest_in_deadline);
+    let naive = median(rounds, |round| round.naive.crest_in_deadline);
+    Row {
+        measure: "in deadline at the crest, naive beside it".into(),
+        measured: format!("{} beside {}", percent(ours), percent(naive)),
+        target: format!("at least {}", percent(CREST_SHARE)),
+        pass: ours >= CREST_SHARE,
+    }
+}
+
+fn head_of_line(floor: &Floor, rounds: &[Round]) -> Row {
+    let ours = median(rounds, |round| round.ours.head_of_line_ms_p99);
+    let naive = median(rounds, |round| round.naive.head_of_line_ms_p99);
+    let service = mean_service_ms(floor);
+    Row {
+        measure: "head-of-line wait p99, ms, naive beside it".into(),
+        measured: format!("{ours:.1} beside {naive:.1}"),
+        target: format!("at most {service:.1}"),
+        pass: ours <= service,
+    }
+}
+
+/// The mean service time of quick kinds, weighted by their rates, milliseconds.
+fn mean_service_ms(floor: &Floor) -> f64 {
+    let (total, rate) = floor.kinds_of(Class::Quick).fold((0.0, 0.0), |(total, rate), kind| {
+        let sigma = f64::from(kind.spread) / 1e3;
+        let mean_ms = kind.median.as_secs_f64() * 1e3 * (sigma * sigma / 2.0).exp();
+        (total + mean_ms * f64::from(kind.rate), rate + f64::from(kind.rate))
+    });
+    if rate == 0.0 { 0.0 } else { total / rate }
+}
+
+fn median(rounds: &[Round], measure: impl Fn(&Round) -> f64) -> f64 {
+    let mut values: Vec<f64> = rounds.iter().map(measure).collect();
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied().unwrap_or_default()
+}
+
+fn percent(share: f64) -> String {
+    format!("{:.2}%", share * 100.0)
+}
--- a/crates/bench/src/report/table.rs
+++ b/crates/bench/src/report/table.rs
@@ -1,6 +1,6 @@
 //! Tables for a terminal.
 
-use super::{Quick, Summary};
+use super::{Comparison, Quick, Summary};
 use comfy_table::presets::UTF8_BORDERS_ONLY;
 use comfy_table::{CellAlignment, Table};
 
@@ -39,19 +39,57 @@
     table.to_string()
 }
 
-/// Runs side by side, one a column.
-pub fn comparison(names: &[String], rows: &[(String, Vec<String>)]) -> String {
-    let mut header = vec!["measure"];
-    header.extend(names.iter().map(String::as_str));
-    let mut table = table(&header);
-    for (name, values) in rows {
-        let mut row = vec![name.clone()];
-        row.extend(values.iter().cloned());
-        table.add_row(row);
+/// Runs with faults, one a row.
+pub fn faults(summaries: &[Summary]) -> String {
+    let mut table = table(&[
+        "faults",
+        "violations",
+        "quick p99",
+        "in deadline",
+        "not run",
+        "unknown",
+        "jobs done",
+        "failed",
+        "unknown",
+        "open",
+        "lost",
+        "per second",
+        "evictions",
+    ]);
+    for summary in summaries {
+        let (quick, batch) = (&summary.quick, &summary.batch);
+        table.add_row([
+            joined(&summary.faults),
+            summary.violations.broken(),
+            format!("{:.1} ms", quick.p99_ms),
+            percent(quick.in_deadline),
+            quick.not_run.to_string(),
+            quick.unknown.to_string(),
+            format!("{}/{}", batch.done, batch.submitted),
+            batch.failed.to_string(),
+            batch.unknown.to_string(),
+            batch.open.to_string(),
+            batch.lost.to_string(),
+            format!("{:.1}", batch.per_second),
+            summary.evictions.to_string(),
+        ]);
     }
     table.to_string()
 }
 
+/// Measures with their targets, one a row.
+pub fn comparison(comparison: &Comparison) -> String {
+    let mut table = table(&["measure", "median", "target", "verdict"]);
+    for row in &comparison.rows {
+        let verdict = if row.pass { "pass" } else { "short" };
+        table.add_row([&*row.measure, &*row.measured, &*row.target, verdict]);
+    }
+    let broken = comparison.violations();
+    let verdict = if broken.total() == 0 { "pass" } else { "short" };
+    table.add_row(["violations", &broken.broken(), "none", verdict]);
+    format!("{} over {} seeds\n{table}", comparison.floor, comparison.rounds.len())
+}
+
 fn table(header: &[&str]) -> Table {
     let mut table = Table::new();
     table.load_style(UTF8_BORDERS_ONLY).set_header(header);
--- a/crates/bench/src/report/violations.rs
+++ b/crates/bench/src/report/violations.rs
@@ -47,6 +47,22 @@
         self.by_name().iter().map(|(_, count)| count).sum()
     }
 
+    /// The sum for each promise.
+    #[must_use]
+    pub fn plus(&self, other: &Self) -> Self {
+        Self {
+            capacity: self.capacity + other.capacity,
+            one_worker_at_a_time: self.one_worker_at_a_time + other.one_worker_at_a_time,
+            resume_once: self.resume_once + other.resume_once,
+            whole_answer: self.whole_answer + other.whole_answer,
+            not_run_means_not_run: self.not_run_means_not_run + other.not_run_means_not_run,
+            at_most_once: self.at_most_once + other.at_most_once,
+            leaving_gets_nothing: self.leaving_gets_nothing + other.leaving_gets_nothing,
+            graceful_stop: self.graceful_stop + other.graceful_stop,
+            config_never_reverts: self.config_never_reverts + other.config_never_reverts,
+        }
+    }
+
     /// The names of the promises that were broken, with their counts.
     pub fn broken(&self) -> String {
         let broken = self.by_name().into_iter().filter(|(_, count)| *count > 0);
--- a/crates/bench/src/run/display.rs
+++ b/crates/bench/src/run/display.rs
@@ -7,7 +7,15 @@
 const REFRESH: Duration = Duration::from_millis(50);
 
 /// Shows the progress of a load of length `run` until all of it has ended; calls `each` often.
-pub fn follow(running: &Running, run: Duration, mut each: impl FnMut()) {
+///
+/// # Errors
+///
+/// Fails when `each` fails.
+pub fn follow(
+    running: &Running,
+    run: Duration,
+    mut each: impl FnMut() -> anyhow::Result<()>,
+) -> anyhow::Result<()> {
     let bar = ProgressBar::new(run.as_millis() as u64);
     let style = ProgressStyle::with_template("{elapsed:>4} {bar:30} {msg}");
     bar.set_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()));
@@ -15,8 +23,9 @@
         let elapsed = running.start.elapsed().min(run);
         bar.set_position(elapsed.as_millis() as u64);
         bar.set_message(running.progress.line());
-        each();
+        each()?;
         std::thread::sleep(REFRESH);
     }
     bar.finish_and_clear();
+    Ok(())
 }
--- a/crates/bench/src/run/experiment.rs
+++ b/crates/bench/src/run/experiment.rs
@@ -2,12 +2,14 @@
 
 use super::{Policy, System, display, summarize};
 use crate::cluster::Settings;
+use crate::fault::{Director, Scenario, shape};
 use crate::floor::Floor;
 use crate::load::generator::{self, Outcomes, Running};
 use crate::load::token::Token;
 use crate::report::{Summary, Violations};
 use shallotflow_core::name::Name;
 use shallotflow_standin::facts::{Board, Facts};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(250);
@@ -25,6 +27,8 @@
     pub seed: u64,
     /// Which scheduler answers, under which load.
     pub policy: Policy,
+    /// The faults that come over the processes.
+    pub faults: Vec<Scenario>,
     /// What the processes log.
     pub log: Name,
 }
@@ -50,29 +54,50 @@
     ///
     /// Fails when a process or a thread cannot be started, or a process fails.
     pub fn carry_out(&self) -> anyhow::Result<Findings> {
-        let system = System::start(self.policy, Settings::new(self.floor.clone(), self.seed))?;
+        let floor = self.shaped();
+        let processes =
+            Settings { log: self.log.clone(), ..Settings::new(floor.clone(), self.seed) };
+        let mut system = System::start(self.policy, processes)?;
         let board = system.board();
-        let settings = generator::Settings {
-            address: system.callers(),
-            run: self.run,
-            settle: self.settle,
-            requests: self.policy.sends_requests(),
-            jobs: self.policy.sends_jobs(),
-            seed: self.seed,
-            ..generator::Settings::default()
-        };
-        let running = Running::start(&self.floor, &settings)?;
+        let settings = self.load(system.callers());
+        let running = Running::start(&floor, &settings)?;
+        let mut director = Director::new(self.faults.clone(), self.run, self.seed);
         let mut completions = Vec::new();
-        display::follow(&running, self.run, || sample(&running, &board, &mut completions));
+        display::follow(&running, self.run, || {
+            sample(&running, &board, &mut completions);
+            system.direct(&mut director, running.start.elapsed())
+        })?;
         let outcomes = running.join()?;
         system.stop()?;
         let summary = Summary {
             policy: self.policy.as_str().into(),
-            ..add_facts(summarize(&self.floor, &settings, &outcomes), &board, &outcomes)
+            faults: self.faults.iter().map(|scenario| scenario.as_str().into()).collect(),
+            ..add_facts(summarize(&floor, &settings, &outcomes), &board, &outcomes)
         };
         let summary = with_throughput(summary, &completions, self.run);
         Ok(Findings { summary, outcomes, completions })
     }
+
+    /// The floor with the load that its faults ask for.
+    fn shaped(&self) -> Floor {
+        let mut floor = self.floor.clone();
+        for scenario in &self.faults {
+            shape::apply(*scenario, &mut floor);
+        }
+        floor
+    }
+
+    fn load(&self, address: SocketAddr) -> generator::Settings {
+        generator::Settings {
+            address,
+            run: self.run,
+            settle: self.settle,
+            requests: self.policy.sends_requests(),
+            jobs: self.policy.sends_jobs(),
+            seed: self.seed,
+            ..generator::Settings::default()
+        }
+    }
 }
 
 /// Keeps how many tasks have ended well, once an interval.
@@ -111,11 +136,12 @@
     }
 }
 
-/// Requests that were said not to have run, and that a target ran.
+/// Requests and jobs that were said not to have run, and that a worker ran.
 fn ran_after_all(facts: &Facts, outcomes: &Outcomes) -> u64 {
     let refused = outcomes.requests.iter().flat_map(|requests| &requests.tally.refused);
     let ran = |token: &&Token| facts.has_run(&Name::from(token.to_string()));
-    refused.filter(ran).count() as u64
+    let begun = outcomes.jobs.never_run.iter().filter(|job| facts.has_begun(job));
+    refused.filter(ran).count() as u64 + begun.count() as u64
 }
 
 fn with_throughput(mut summary: Summary, completions: &[u64], run: Duration) -> Summary {
--- a/crates/bench/src/run/system.rs
+++ b/crates/bench/src/run/system.rs
@@ -2,8 +2,10 @@
 
 use super::Policy;
 use crate::cluster::{Baseline, Cluster, Settings};
+use crate::fault::Director;
 use shallotflow_standin::facts::Board;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Either scheduler with its workers.
 #[derive(Debug)]
@@ -43,6 +45,18 @@
         }
     }
 
+    /// Begins and ends the faults that are due; the naive scheduler runs without any.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a replacement cannot start or a graceful stop fails.
+    pub fn direct(&mut self, director: &mut Director, elapsed: Duration) -> anyhow::Result<()> {
+        match self {
+            Self::Ours(cluster) => director.direct(cluster, elapsed),
+            Self::Naive(_) => Ok(()),
+        }
+    }
+
     /// Stops every process gracefully.
     ///
     /// # Errors
--- a/crates/bench/tests/cluster.rs
+++ b/crates/bench/tests/cluster.rs
@@ -49,6 +49,7 @@
         settle: Duration::from_secs(5),
         seed: 3,
         policy: Policy::Ours,
+        faults: Vec::new(),
         log: "off".into(),
     };
     let summary = experiment.carry_out().expect("findings").summary;
--- a/crates/standin/src/facts/board.rs
+++ b/crates/standin/src/facts/board.rs
@@ -109,6 +109,11 @@
         self.answered.contains(id)
     }
 
+    /// Whether a task of `job` has started from the beginning.
+    pub fn has_begun(&self, job: &str) -> bool {
+        self.begun.contains(job)
+    }
+
     /// Keeps the details of a violation, if there is room.
     pub fn note(&mut self, note: String) {
         if self.notes.len() < MAX_NOTES {
