Give the entry operators' pages, metrics from the catalogue and a linger at its end

Cause: the entry answered health checks by itself and named metrics on its own; watchers were asked for a slot that they do not use. Change: the runtime's listener with readiness, dump and metrics; names of headers moved to the wire crate; a setting for how long a leaving entry still accepts; the least resources depend on the class.

--- a/crates/core/src/metric.rs
+++ b/crates/core/src/metric.rs
@@ -74,6 +74,12 @@
         "Steps by which batch tasks were throttled.";
     TARGETS = "shallotflow_targets", Gauge, "state",
         "Targets known to an entry, by state.";
+    EJECTIONS = "shallotflow_ejections_total", Counter, "cause",
+        "Targets set aside for failing or being slow, by cause.";
+    WATCHERS = "shallotflow_watchers", Gauge, "",
+        "Watchers that an entry holds.";
+    RELAYED = "shallotflow_relayed_total", Counter, "",
+        "Requests passed to another entry, because their kind is unknown here.";
     REPORTS = "shallotflow_reports_total", Counter, "",
         "Reports taken by an entry or sent by an agent.";
     CONFIG_REVISION = "shallotflow_config_revision", Gauge, "",
--- a/crates/entry/src/callers/answer.rs
+++ b/crates/entry/src/callers/answer.rs
@@ -1,10 +1,10 @@
 //! Answers that an entry makes itself.
 
-use super::header;
 use http::header::{ALLOW, CONTENT_TYPE, LOCATION, RETRY_AFTER};
 use http::{HeaderValue, Response, StatusCode};
 use serde::Serialize;
 use shallotflow_core::problem::Problem;
+use shallotflow_wire::header;
 use shallotflow_wire::http::body::Body;
 
 /// A problem document.
--- a/crates/entry/src/callers/ask.rs
+++ b/crates/entry/src/callers/ask.rs
@@ -1,17 +1,15 @@
 //! What a caller asks for, read from the headers of its request.
 
-use super::header;
 use http::HeaderMap;
 use shallotflow_core::class::Class;
 use shallotflow_core::name::Name;
 use shallotflow_core::problem::{Code, Problem};
 use shallotflow_core::resources::Bundle;
+use shallotflow_wire::header;
 use std::time::Duration;
 
 const ANONYMOUS: &str = "anonymous";
 const MAX_NAME_BYTES: usize = 64;
-const ONE_SLOT: Bundle =
-    Bundle { slots: 1, connections: 1, millicores: 0, memory_mib: 0, accelerators: 0 };
 
 /// Why a header was not accepted.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -56,9 +54,16 @@
     /// The resources cannot be read.
     #[error("header {name}: {0}", name = header::RESOURCES)]
     BadResources(#[from] shallotflow_core::resources::Error),
-    /// A quick request without a slot or a connection.
-    #[error("header {name}: a request needs at least one slot and one connection", name = header::RESOURCES)]
-    NoSlot,
+    /// A request that asks for less than any request of its class needs.
+    #[error("header {name} has {given}; a request of class {class} needs at least {least}", name = header::RESOURCES)]
+    TooLittle {
+        /// The class of work.
+        class: Class,
+        /// What is asked for.
+        given: Bundle,
+        /// What any request of the class needs.
+        least: Bundle,
+    },
 }
 
 /// The result of reading headers.
@@ -95,9 +100,9 @@
 }
 
 impl Ask {
-    /// Whether it asks for no more than one slot and one connection.
+    /// Whether it asks for no more than any request of its class.
     pub fn is_small(&self) -> bool {
-        self.resources == ONE_SLOT
+        self.resources == least(self.class)
     }
 
     /// Reads the headers of a request whose deadline may be at most `longest` away.
@@ -106,11 +111,12 @@
     ///
     /// Fails at the first header that is not accepted.
     pub fn read(headers: &HeaderMap, longest: Duration) -> Result<Self> {
+        let class = class(headers)?;
         Ok(Self {
             caller: name(headers, header::CALLER)?.unwrap_or_else(|| ANONYMOUS.into()),
-            class: class(headers)?,
+            class,
             idempotent: idempotent(headers)?,
-            resources: resources(headers)?,
+            resources: resources(headers, class)?,
             within: within(headers, longest)?,
             id: name(headers, header::REQUEST_ID)?,
             hops: hops(headers)?,
@@ -171,13 +177,20 @@
     }
 }
 
-fn resources(headers: &HeaderMap) -> Result<Bundle> {
-    let Some(value) = text(headers, header::RESOURCES)? else { return Ok(ONE_SLOT) };
-    let bundle: Bundle = value.parse()?;
-    if bundle.slots == 0 || bundle.connections == 0 {
-        return Err(Error::NoSlot);
+fn resources(headers: &HeaderMap, class: Class) -> Result<Bundle> {
+    let least = least(class);
+    let Some(value) = text(headers, header::RESOURCES)? else { return Ok(least) };
+    let given: Bundle = value.parse()?;
+    if !given.holds(&least) {
+        return Err(Error::TooLittle { class, given, least });
     }
-    Ok(bundle)
+    Ok(given)
+}
+
+/// What any request of `class` needs.
+fn least(class: Class) -> Bundle {
+    let slots = u32::from(class == Class::Quick);
+    Bundle { slots, connections: 1, ..Bundle::default() }
 }
 
 fn within(headers: &HeaderMap, longest: Duration) -> Result<Option<Duration>> {
--- a/crates/entry/src/callers/front.rs
+++ b/crates/entry/src/callers/front.rs
@@ -1,6 +1,6 @@
 //! Takes callers' requests apart by path and method.
 
-use super::{Ask, answer, ask, header, jobs};
+use super::{Ask, answer, ask, jobs};
 use crate::quick::{self, Payload};
 use crate::state::State;
 use futures_util::future::LocalBoxFuture;
@@ -8,6 +8,7 @@
 use shallotflow_core::class::Class;
 use shallotflow_core::name::Name;
 use shallotflow_core::problem::{Code, Problem};
+use shallotflow_wire::header;
 use shallotflow_wire::http as transport;
 use shallotflow_wire::http::body::Body;
 use shallotflow_wire::http::server::Handler;
--- a/crates/entry/src/callers/jobs.rs
+++ b/crates/entry/src/callers/jobs.rs
@@ -1,7 +1,7 @@
 //! Batch jobs over HTTP.
 
+use super::answer;
 use super::ask::{self, Ask};
-use super::{answer, header};
 use crate::quick;
 use crate::state::State;
 use http::{HeaderMap, Response, StatusCode};
@@ -10,6 +10,7 @@
 use shallotflow_core::name::Name;
 use shallotflow_core::problem::{Code, Problem};
 use shallotflow_core::resources::Bundle;
+use shallotflow_wire::header;
 use shallotflow_wire::http::body::Body;
 
 const MAX_JOB_BYTES: usize = 256 * 1024;
--- a/crates/entry/src/callers/mod.rs
+++ b/crates/entry/src/callers/mod.rs
@@ -8,7 +8,6 @@
 pub mod answer;
 mod ask;
 mod front;
-pub mod header;
 mod jobs;
 
 pub use ask::{Ask, Error, Result};
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,7 +4,7 @@
 //! - [`quick`]: quick requests and watchers on their way to an agent and back.
 //! - [`batch`]: batch jobs, in the ledgers of this entry or of another.
 //! - [`peers`]: the `tonic` service for agents and other entries.
-//! - [`operators`]: liveness and readiness for operators.
+//! - `operators`: readiness and the dump of the state.
 //! - [`directory`]: the live entries.
 //! - [`meters`]: the metrics.
 //! - [`state`]: the tables that these share.
@@ -17,7 +17,7 @@
 pub mod callers;
 pub mod directory;
 pub mod meters;
-pub mod operators;
+mod operators;
 pub mod peers;
 pub mod quick;
 pub mod state;
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,23 +1,14 @@
-//! Runs an entry from its settings.
+//! The `shallotflow-entry` program.
 
-use bpaf::Bpaf;
 use shallotflow_entry::{Settings, run};
-use shallotflow_runtime::executor;
-use shallotflow_runtime::stop::Stop;
-use std::path::PathBuf;
+use shallotflow_runtime::process::Process;
+use std::process::ExitCode;
 
-/// Runs an entry of shallotflow.
-#[derive(Clone, Debug, Bpaf)]
-#[bpaf(options, version)]
-struct Arguments {
-    /// The settings file
-    #[bpaf(argument("FILE"))]
-    config: PathBuf,
-}
-
-fn main() -> anyhow::Result<()> {
-    let Arguments { config } = arguments().run();
-    let settings = Settings::load(&config)?;
-    let stop = Stop::on_signals()?;
-    executor::run(run(settings, stop, |_| {}))?
+fn main() -> ExitCode {
+    let process = Process {
+        name: "shallotflow-entry",
+        about: "Takes callers' requests, routes quick work and owns batch ledgers",
+        load: Settings::load,
+    };
+    process.main(run)
 }
--- a/crates/entry/src/meters.rs
+++ b/crates/entry/src/meters.rs
@@ -3,36 +3,57 @@
 use foldhash::{HashMap, HashMapExt};
 use metrics::{Counter, Gauge, Histogram, counter, gauge, histogram};
 use shallotflow_core::class::Class;
+use shallotflow_core::metric;
 use shallotflow_core::name::Name;
 use shallotflow_core::outcome::Outcome;
 use shallotflow_core::problem::Code;
 use std::time::Duration;
 
+/// What the gauges show.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Levels {
+    /// Targets that may be chosen.
+    pub eligible: usize,
+    /// Targets that are leaving.
+    pub leaving: usize,
+    /// Targets that are set aside.
+    pub ejected: usize,
+    /// Watchers held.
+    pub watchers: u32,
+    /// Retries left.
+    pub retries: u64,
+}
+
 /// Handles of the metrics, so that a request looks none up by name.
 pub struct Meters {
     quick: HashMap<Name, Histogram>,
-    done: [Counter; 2],
+    done_quick: Counter,
+    done_watch: Counter,
     retries: Counter,
     relayed: Counter,
-    targets: Gauge,
+    reports: Counter,
+    eligible: Gauge,
+    leaving: Gauge,
+    ejected: Gauge,
     watchers: Gauge,
     budget: Gauge,
 }
 
 impl Default for Meters {
     fn default() -> Self {
-        let done = |class: Class| {
-            let outcome = Outcome::Done.as_str();
-            counter!("shallotflow_requests_total", "class" => class.as_str(), "outcome" => outcome)
-        };
+        let targets = |state: &'static str| gauge!(metric::TARGETS, "state" => state);
         Self {
             quick: HashMap::new(),
-            done: [done(Class::Quick), done(Class::Watch)],
-            retries: counter!("shallotflow_retries_total"),
-            relayed: counter!("shallotflow_relayed_total"),
-            targets: gauge!("shallotflow_targets"),
-            watchers: gauge!("shallotflow_watchers"),
-            budget: gauge!("shallotflow_retry_budget"),
+            done_quick: requests(Class::Quick, Outcome::Done),
+            done_watch: requests(Class::Watch, Outcome::Done),
+            retries: counter!(metric::RETRIES),
+            relayed: counter!(metric::RELAYED),
+            reports: counter!(metric::REPORTS),
+            eligible: targets("eligible"),
+            leaving: targets("leaving"),
+            ejected: targets("ejected"),
+            watchers: gauge!(metric::WATCHERS),
+            budget: gauge!(metric::RETRY_BUDGET),
         }
     }
 }
@@ -40,22 +61,24 @@
 impl Meters {
     /// Counts a request that was answered by a target after `latency`.
     pub fn done(&mut self, kind: &Name, class: Class, latency: Duration) {
-        self.done[usize::from(class == Class::Watch)].increment(1);
         if class == Class::Watch {
+            self.done_watch.increment(1);
+            return;
+        }
+        self.done_quick.increment(1);
+        if let Some(quick) = self.quick.get(kind) {
+            quick.record(latency);
             return;
         }
-        let quick = self
-            .quick
-            .entry(kind.clone())
-            .or_insert_with(|| histogram!("shallotflow_quick_seconds", "kind" => kind.to_string()));
-        quick.record(latency.as_secs_f64());
+        let quick = histogram!(metric::QUICK_LATENCY, "kind" => kind.to_string());
+        quick.record(latency);
+        self.quick.insert(kind.clone(), quick);
     }
 
     /// Counts a request that ended with a problem.
     pub fn problem(&self, class: Class, outcome: Outcome, code: Code) {
-        let (class, outcome) = (class.as_str(), outcome.as_str());
-        counter!("shallotflow_requests_total", "class" => class, "outcome" => outcome).increment(1);
-        counter!("shallotflow_refusals_total", "code" => code.as_str()).increment(1);
+        requests(class, outcome).increment(1);
+        counter!(metric::REFUSALS, "reason" => code.as_str()).increment(1);
     }
 
     /// Counts an attempt after the first.
@@ -68,22 +91,28 @@
         self.relayed.increment(1);
     }
 
+    /// Counts a report of an agent.
+    pub fn report(&self) {
+        self.reports.increment(1);
+    }
+
     /// Counts a target that was set aside.
     pub fn ejected(&self, cause: &'static str) {
-        counter!("shallotflow_ejections_total", "cause" => cause).increment(1);
+        counter!(metric::EJECTIONS, "cause" => cause).increment(1);
     }
 
-    /// Sets the gauges, and forgets the kinds that no target serves any more.
-    pub fn tick(
-        &mut self,
-        targets: usize,
-        watchers: u32,
-        budget: u64,
-        known: impl Fn(&str) -> bool,
-    ) {
-        self.targets.set(targets as f64);
-        self.watchers.set(watchers);
-        self.budget.set(budget as f64);
+    /// Sets the gauges, and forgets the handles of kinds that no target serves any more.
+    pub fn tick(&mut self, levels: &Levels, known: impl Fn(&str) -> bool) {
+        self.eligible.set(levels.eligible as f64);
+        self.leaving.set(levels.leaving as f64);
+        self.ejected.set(levels.ejected as f64);
+        self.watchers.set(levels.watchers);
+        self.budget.set(levels.retries as f64);
         self.quick.retain(|kind, _| known(kind));
     }
 }
+
+fn requests(class: Class, outcome: Outcome) -> Counter {
+    let (class, outcome) = (class.as_str(), outcome.as_str());
+    counter!(metric::REQUESTS, "class" => class, "outcome" => outcome)
+}
--- a/crates/entry/src/operators/mod.rs
+++ b/crates/entry/src/operators/mod.rs
@@ -1,39 +1,29 @@
-//! Liveness and readiness for operators.
+//! What operators see of an entry: its readiness and the dump of its state.
+
+mod dump;
 
 use crate::state::State;
-use futures_util::future::LocalBoxFuture;
-use http::{Request, Response, StatusCode};
-use shallotflow_wire::http::body::Body;
-use shallotflow_wire::http::server::Handler;
-use std::net::SocketAddr;
+use shallotflow_runtime::operators::{Inspect, NotReady};
 use std::rc::Rc;
 
-/// Answers operators and the platform's health checks.
-pub struct Front {
+/// An entry as its operators see it.
+pub(crate) struct View {
     state: Rc<State>,
 }
 
-impl Front {
-    /// A front over the tables of an entry.
-    pub fn new(state: Rc<State>) -> Self {
+impl View {
+    pub(crate) fn new(state: Rc<State>) -> Self {
         Self { state }
     }
 }
 
-impl Handler for Front {
-    fn call(
-        &self,
-        request: Request<Body>,
-        _: SocketAddr,
-    ) -> LocalBoxFuture<'static, Response<Body>> {
-        let (status, text) = match request.uri().path() {
-            "/healthz" => (StatusCode::OK, "alive"),
-            "/readyz" if self.state.is_leaving() => (StatusCode::SERVICE_UNAVAILABLE, "leaving"),
-            "/readyz" => (StatusCode::OK, "ready"),
-            _ => (StatusCode::NOT_FOUND, "not found"),
-        };
-        let mut response = Response::new(Body::from(text));
-        *response.status_mut() = status;
-        Box::pin(async move { response })
+impl Inspect for View {
+    fn ready(&self) -> Result<(), NotReady> {
+        // An entry without targets passes requests on to another one.
+        Ok(())
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        dump::write(&self.state)
     }
 }
--- a/crates/entry/src/peers/report.rs
+++ b/crates/entry/src/peers/report.rs
@@ -17,6 +17,7 @@
     state: &State,
     request: proto::ReportRequest,
 ) -> Result<proto::ReportReply> {
+    state.meters.borrow().report();
     let announcement = announcement(&request)?;
     hear(state, announcement, request.load.as_ref())?;
     let sequence = request.sequence;
--- a/crates/entry/src/quick/targets.rs
+++ b/crates/entry/src/quick/targets.rs
@@ -5,13 +5,13 @@
 use super::place::Place;
 use super::ticket::Ticket;
 use super::{Request, Result};
-use crate::callers::header;
 use crate::state::State;
 use crate::tick;
 use http::{HeaderValue, Response};
 use shallotflow_core::problem::{Code, Problem};
 use shallotflow_core::time::Time;
 use shallotflow_policy::{outlier, retry, route, share};
+use shallotflow_wire::header;
 use shallotflow_wire::http::body::Body;
 use std::rc::Rc;
 
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -3,77 +3,84 @@
 use crate::batch::Batch;
 use crate::bound::Bound;
 use crate::directory::Peer;
+use crate::operators::View;
 use crate::state::State;
 use crate::unavailable::Unavailable;
-use crate::{Settings, callers, operators, peers, tick};
+use crate::{Settings, callers, peers, tick};
 use anyhow::Context;
 use event_listener::Event;
 use monoio::net::TcpListener;
+use shallotflow_runtime::operators::Listener;
+use shallotflow_runtime::program::Program;
 use shallotflow_runtime::stop::{Level, Stop};
-use shallotflow_wire::http::gate::Gate;
-use shallotflow_wire::http::limits::Limits;
 use shallotflow_wire::proto::scheduler_server::SchedulerServer;
 use shallotflow_wire::{http, rpc};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
-
-/// How long a leaving entry keeps accepting, so that balancers see that it is not ready.
-const LEAVE_LINGER: Duration = Duration::from_millis(500);
 
 /// Runs an entry until `stop` is raised; `ready` gets the bound addresses.
 ///
 /// # Errors
 ///
-/// Fails when an address cannot be bound.
+/// Fails when an address cannot be bound or the log filter is not valid.
 pub async fn run(settings: Settings, stop: Stop, ready: impl FnOnce(Bound)) -> anyhow::Result<()> {
+    let program = Program::new("entry", &settings.name, &settings.log)?;
+    let _recording = program.record();
     let callers = bind(settings.callers_listen, "callers_listen")?;
     let peers = bind(settings.peers_listen, "peers_listen")?;
-    let operators = bind(settings.operators_listen, "operators_listen")?;
+    let operators = Listener::bind(settings.operators_listen)
+        .with_context(|| taken(settings.operators_listen, "operators_listen"))?;
     let bound = Bound {
         callers: callers.local_addr()?,
         peers: peers.local_addr()?,
-        operators: operators.local_addr()?,
+        operators: operators.address(),
     };
     let batch: Rc<dyn Batch> = Rc::new(Unavailable);
     let own = Peer { name: settings.name.clone(), callers: bound.callers, peers: bound.peers };
     let state = Rc::new(State::new(settings, own, batch));
+    let limits = state.settings.limits.clone();
+    let view = Rc::new(View::new(state.clone()));
+    monoio::spawn(operators.serve(program.clone(), view, limits, stop.clone()));
     let stop_peers = Rc::new(Event::new());
     serve_callers(&state, callers);
     serve_peers(&state, peers, stop_peers.clone());
-    let operators_gate = serve_operators(&state, operators);
-    let ticking = monoio::spawn(tick::run(state.clone()));
-    spdlog::info!("entry started", kv: {
-        callers = bound.callers.to_string(), peers = bound.peers.to_string()
-    });
     ready(bound);
-    stop.wait(Level::Graceful).await;
     monoio::select! {
-        () = leave(&state) => {}
-        () = stop.wait(Level::Immediate) => {}
+        () = leave(&state, &stop) => {}
+        () = tick::run(state.clone()) => {}
     }
     stop_peers.notify(usize::MAX);
-    operators_gate.drain();
-    drop(ticking);
+    state.gate.cut();
+    state.gate.wait_closed().await;
     spdlog::info!("entry stopped");
     Ok(())
 }
 
-/// Finishes what is in progress, within the time that the settings allow.
-async fn leave(state: &State) {
-    let deadline = state.settings.drain;
-    state.leave();
-    monoio::time::sleep(LEAVE_LINGER.min(deadline)).await;
-    state.gate.drain();
-    if monoio::time::timeout(deadline, state.gate.wait_closed()).await.is_err() {
-        let left = state.gate.active();
-        spdlog::warn!("requests are cut off at the end of the drain time", kv: { left });
+/// Waits for a stop, then finishes what is in progress, within the time that the settings allow.
+async fn leave(state: &State, stop: &Stop) {
+    stop.wait(Level::Graceful).await;
+    spdlog::info!("entry leaves");
+    let finishing = async {
+        monoio::time::sleep(state.settings.linger).await;
+        state.gate.drain();
+        let closed = monoio::time::timeout(state.settings.drain, state.gate.wait_closed()).await;
+        if closed.is_err() {
+            let left = state.gate.active();
+            spdlog::warn!("requests are cut off at the end of the drain time", kv: { left });
+        }
+    };
+    monoio::select! {
+        () = finishing => {}
+        () = stop.wait(Level::Immediate) => {}
     }
 }
 
 fn bind(address: SocketAddr, setting: &str) -> anyhow::Result<TcpListener> {
-    TcpListener::bind(address)
-        .with_context(|| format!("{setting} = {address} cannot be bound; choose a free address"))
+    TcpListener::bind(address).with_context(|| taken(address, setting))
+}
+
+fn taken(address: SocketAddr, setting: &str) -> String {
+    format!("{setting} = {address} cannot be bound; choose a free address of this host")
 }
 
 fn serve_callers(state: &Rc<State>, listener: TcpListener) {
@@ -87,10 +94,3 @@
     monoio::spawn(calls.run(state.clone()));
     monoio::spawn(rpc::serve(listener, SchedulerServer::new(service), stop));
 }
-
-fn serve_operators(state: &Rc<State>, listener: TcpListener) -> Gate {
-    let gate = Gate::default();
-    let front = Rc::new(operators::Front::new(state.clone()));
-    monoio::spawn(http::server::serve(listener, front, Limits::default(), gate.clone()));
-    gate
-}
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -51,7 +51,6 @@
     pub directory: RefCell<Directory>,
     quick_pool: Pool,
     watch_pool: Pool,
-    leaving: Cell<bool>,
     requests: Cell<u64>,
     started: Time,
     clock: Monotonic,
@@ -79,7 +78,6 @@
             watch_pool: Pool::new(watch, CONNECT_TIMEOUT, POOL_PER_TARGET),
             gate: Gate::default(),
             directory: RefCell::new(Directory::new(own)),
-            leaving: Cell::new(false),
             requests: Cell::new(0),
             started: Monotonic.now(),
             clock: Monotonic,
@@ -106,16 +104,6 @@
         self.watch_pool.forget(address);
     }
 
-    /// Whether the entry is leaving and asks balancers to stop choosing it.
-    pub fn is_leaving(&self) -> bool {
-        self.leaving.get()
-    }
-
-    /// Marks the entry as leaving.
-    pub fn leave(&self) {
-        self.leaving.set(true);
-    }
-
     /// A new identifier for a request, unique among the entries' names.
     pub fn next_request_id(&self) -> Name {
         let number = self.requests.get() + 1;
--- a/crates/entry/src/tick.rs
+++ b/crates/entry/src/tick.rs
@@ -1,5 +1,6 @@
 //! The systems that run over the tables each tick.
 
+use crate::meters::Levels;
 use crate::state::State;
 use shallotflow_core::class::Class;
 use shallotflow_policy::outlier::Change;
@@ -7,14 +8,17 @@
 use std::time::Duration;
 
 const TICK: Duration = Duration::from_millis(50);
+const TICKS_PER_MEASUREMENT: u64 = 20;
 
 /// Runs the systems until the future is dropped.
 pub async fn run(state: Rc<State>) {
-    loop {
+    for number in 1_u64.. {
         monoio::time::sleep(TICK).await;
         expire(&state);
         set_aside(&state);
-        measure(&state);
+        if number.is_multiple_of(TICKS_PER_MEASUREMENT) {
+            measure(&state);
+        }
     }
 }
 
@@ -55,8 +59,12 @@
 
 fn measure(state: &State) {
     let routes = state.routes.borrow();
-    let watchers = state.shares.borrow().total(Class::Watch);
-    let budget = state.retries.borrow().left();
-    let known = |kind: &str| routes.members(kind) > 0;
-    state.meters.borrow_mut().tick(routes.len(), watchers, budget, known);
+    let levels = Levels {
+        eligible: routes.eligible(),
+        leaving: routes.leaving(),
+        ejected: routes.ejected(),
+        watchers: state.shares.borrow().total(Class::Watch),
+        retries: state.retries.borrow().left(),
+    };
+    state.meters.borrow_mut().tick(&levels, |kind| routes.members(kind) > 0);
 }
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -35,7 +35,7 @@
 
 /// Settings by which no target expires during a test.
 pub(crate) fn settings() -> Settings {
-    Settings { beat: PATIENCE, ..Settings::default() }
+    Settings { beat: PATIENCE, linger: Duration::from_millis(50), ..Settings::default() }
 }
 
 /// Runs `test` beside an entry with `settings`.
--- a/crates/policy/src/route/table.rs
+++ b/crates/policy/src/route/table.rs
@@ -82,6 +82,21 @@
         self.by_worker.is_empty()
     }
 
+    /// The number of targets that may be chosen.
+    pub fn eligible(&self) -> usize {
+        self.count(Place::is_eligible)
+    }
+
+    /// The number of targets that are leaving.
+    pub fn leaving(&self) -> usize {
+        self.count(|place| place.leaving)
+    }
+
+    /// The number of targets that are set aside.
+    pub fn ejected(&self) -> usize {
+        self.count(|place| place.ejected)
+    }
+
     /// The targets in no order.
     pub fn ids(&self) -> impl Iterator<Item = Id> + '_ {
         self.by_worker.values().map(|&index| self.id(index))
@@ -454,6 +469,10 @@
         u32::try_from(index).expect("fewer than 2^32 failure domains")
     }
 
+    fn count(&self, counts: impl Fn(&Place) -> bool) -> usize {
+        self.places.iter().flatten().filter(|place| counts(place)).count()
+    }
+
     fn id(&self, index: u32) -> Id {
         Id { index, generation: self.rows[index as usize].generation }
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,12 +3,14 @@
 //! - [`proto`]: the messages and services between the processes, generated from
 //!   `proto/shallotflow.proto`.
 //! - [`rpc`]: `tonic` clients and servers over the process's own runtime.
+//! - [`header`]: names of the HTTP headers.
 //! - [`http`]: HTTP/1.1 connections with limits, streamed bodies and graceful shutdown.
 //! - [`control`]: messages of a worker's control interface.
 //! - [`convert`]: between messages and domain types.
 
 pub mod control;
 pub mod convert;
+pub mod header;
 pub mod http;
 pub mod rpc;
 
