Wake waiting connections only when a gate drains

Cause: the profile of an entry under load showed 15% of the samples in event-listener: each end of a request notified every connection that waited for its next one, so that the cost of a request grew with the open connections. Change: draining and emptying have events of their own; the end of a request notifies only when it was the last one.

--- a/crates/wire/src/http/gate.rs
+++ b/crates/wire/src/http/gate.rs
@@ -1,6 +1,6 @@
 //! Counts exchanges in progress and tells connections when to close.
 
-use event_listener::{Event, EventListener};
+use event_listener::Event;
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -16,14 +16,17 @@
     connections: Cell<usize>,
     draining: Cell<bool>,
     cut: Cell<bool>,
-    changed: Event,
+    /// Notified when the gate drains or is cut; every idle connection listens.
+    asked: Event,
+    /// Notified when a count reaches zero.
+    emptied: Event,
 }
 
 impl Gate {
     /// Asks connections to close after the exchange in progress.
     pub fn drain(&self) {
         self.inner.draining.set(true);
-        self.inner.changed.notify(usize::MAX);
+        self.inner.asked.notify(usize::MAX);
     }
 
     /// Whether [`Gate::drain`] was called.
@@ -52,28 +55,28 @@
     /// Waits until the gate drains.
     pub async fn wait_draining(&self) {
         while !self.is_draining() {
-            self.listen().await;
+            self.inner.asked.listen().await;
         }
     }
 
     /// Waits until [`Gate::cut`] is called.
     pub(super) async fn wait_cut(&self) {
         while !self.inner.cut.get() {
-            self.listen().await;
+            self.inner.asked.listen().await;
         }
     }
 
     /// Waits until no exchange is in progress.
     pub async fn wait_idle(&self) {
         while self.active() > 0 {
-            self.listen().await;
+            self.inner.emptied.listen().await;
         }
     }
 
     /// Waits until no connection is open.
     pub async fn wait_closed(&self) {
         while self.connections() > 0 {
-            self.listen().await;
+            self.inner.emptied.listen().await;
         }
     }
 
@@ -84,10 +87,6 @@
     pub(super) fn connect(&self) -> Pass {
         Pass::new(self, |inner| &inner.connections)
     }
-
-    fn listen(&self) -> EventListener {
-        self.inner.changed.listen()
-    }
 }
 
 /// Holds one place in a count of a [`Gate`] until it is dropped.
@@ -108,6 +107,8 @@
     fn drop(&mut self) {
         let cell = (self.count)(&self.gate.inner);
         cell.set(cell.get() - 1);
-        self.gate.inner.changed.notify(usize::MAX);
+        if cell.get() == 0 {
+            self.gate.inner.emptied.notify(usize::MAX);
+        }
     }
 }
