--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`callers`]: the callers' HTTP interface.
 //! - [`quick`]: quick requests and watchers on their way to an agent and back.
 //! - [`batch`]: batch jobs, in the ledgers of this entry or of another.
+//! - [`config`]: the fleet configuration, from the store or from agents.
 //! - [`peers`]: the `tonic` service for agents and other entries.
 //! - `operators`: readiness and the dump of the state.
 //! - [`directory`]: the live entries.
@@ -15,6 +16,7 @@
 pub mod batch;
 pub mod bound;
 pub mod callers;
+pub mod config;
 pub mod directory;
 pub mod meters;
 mod operators;
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,4 +1,4 @@
-//! The `shallotflow-entry` program.
+//! Runs an entry from its settings.
 
 use shallotflow_entry::{Settings, run};
 use shallotflow_runtime::process::Process;
@@ -7,7 +7,7 @@
 fn main() -> ExitCode {
     let process = Process {
         name: "shallotflow-entry",
-        about: "Takes callers' requests, routes quick work and owns batch ledgers",
+        about: "Takes callers' requests, routes quick work and owns batch ledgers.",
         load: Settings::load,
     };
     process.main(run)
--- a/crates/entry/src/operators/dump.rs
+++ b/crates/entry/src/operators/dump.rs
@@ -1,5 +1,6 @@
 //! The state of an entry as JSON.
 
+use crate::Settings;
 use crate::state::State;
 use serde::Serialize;
 use shallotflow_core::class::Class;
@@ -11,8 +12,9 @@
 /// The whole state.
 #[derive(Serialize)]
 struct Dump {
-    name: Name,
-    domain: Name,
+    settings: Settings,
+    exchanges: usize,
+    connections: usize,
     requests_in_progress: u32,
     callers_in_progress: u32,
     watchers: u32,
@@ -20,6 +22,7 @@
     idle_connections: usize,
     entries: Vec<SocketAddr>,
     targets: Vec<Target>,
+    config: serde_json::Value,
     batch: serde_json::Value,
 }
 
@@ -30,6 +33,7 @@
     domain: Name,
     address: SocketAddr,
     kinds: Vec<Name>,
+    boot: u64,
     incarnation: u64,
     sequence: u64,
     capacity: Bundle,
@@ -47,8 +51,9 @@
     let shares = state.shares.borrow();
     let idle = |class| state.pool(class).idle();
     let dump = Dump {
-        name: state.settings.name.clone(),
-        domain: state.settings.domain.clone(),
+        settings: state.settings.clone(),
+        exchanges: state.gate.active(),
+        connections: state.gate.connections(),
         requests_in_progress: shares.total(Class::Quick),
         callers_in_progress: shares.callers(Class::Quick),
         watchers: shares.total(Class::Watch),
@@ -56,6 +61,7 @@
         idle_connections: idle(Class::Quick) + idle(Class::Watch),
         entries: state.directory.borrow().addresses().collect(),
         targets: targets(state),
+        config: state.config.dump(),
         batch: state.batch.dump(),
     };
     serde_json::to_value(dump).unwrap_or_default()
@@ -75,6 +81,7 @@
     let target = announcement.target.clone();
     let id = routes.find(&target.worker);
     Target {
+        boot: announcement.boot,
         incarnation: announcement.incarnation,
         sequence: announcement.sequence,
         capacity: announcement.capacity,
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -6,13 +6,14 @@
 use crate::operators::View;
 use crate::state::State;
 use crate::unavailable::Unavailable;
-use crate::{Settings, callers, peers, tick};
+use crate::{Settings, callers, config, peers, tick};
 use anyhow::Context;
 use event_listener::Event;
 use monoio::net::TcpListener;
 use shallotflow_runtime::operators::Listener;
 use shallotflow_runtime::program::Program;
 use shallotflow_runtime::stop::{Level, Stop};
+use shallotflow_store::client as store;
 use shallotflow_wire::proto::scheduler_server::SchedulerServer;
 use shallotflow_wire::{http, rpc};
 use std::net::SocketAddr;
@@ -25,7 +26,6 @@
 /// Fails when an address cannot be bound or the log filter is not valid.
 pub async fn run(settings: Settings, stop: Stop, ready: impl FnOnce(Bound)) -> anyhow::Result<()> {
     let program = Program::new("entry", &settings.name, &settings.log)?;
-    let _recording = program.record();
     let callers = bind(settings.callers_listen, "callers_listen")?;
     let peers = bind(settings.peers_listen, "peers_listen")?;
     let operators = Listener::bind(settings.operators_listen)
@@ -40,8 +40,10 @@
     let state = Rc::new(State::new(settings, own, batch));
     let limits = state.settings.limits.clone();
     let view = Rc::new(View::new(state.clone()));
+    let operators_gate = operators.gate();
     monoio::spawn(operators.serve(program.clone(), view, limits, stop.clone()));
     let stop_peers = Rc::new(Event::new());
+    follow_config(&state);
     serve_callers(&state, callers);
     serve_peers(&state, peers, stop_peers.clone());
     ready(bound);
@@ -51,7 +53,9 @@
     }
     stop_peers.notify(usize::MAX);
     state.gate.cut();
+    operators_gate.cut();
     state.gate.wait_closed().await;
+    operators_gate.wait_closed().await;
     spdlog::info!("entry stopped");
     Ok(())
 }
@@ -83,6 +87,16 @@
     format!("{setting} = {address} cannot be bound; choose a free address of this host")
 }
 
+fn follow_config(state: &State) {
+    let endpoints = state.settings.store.clone();
+    if endpoints.is_empty() {
+        return;
+    }
+    let settings = store::Settings { endpoints, ..store::Settings::default() };
+    let store = Rc::new(store::Client::new(settings));
+    monoio::spawn(config::follow(state.config.clone(), store));
+}
+
 fn serve_callers(state: &Rc<State>, listener: TcpListener) {
     let front = Rc::new(callers::Front::new(state.clone()));
     let limits = state.settings.limits.clone();
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::Settings;
 use crate::batch::Batch;
+use crate::config::Keeper;
 use crate::directory::{Directory, Peer};
 use crate::meters::Meters;
 use rand::SeedableRng;
@@ -29,6 +30,8 @@
     pub settings: Settings,
     /// Batch work.
     pub batch: Rc<dyn Batch>,
+    /// The fleet configuration.
+    pub config: Rc<Keeper>,
     /// Targets as the choice sees them.
     pub routes: RefCell<route::Table>,
     /// Targets as they announced themselves.
@@ -66,6 +69,7 @@
         let watch = Limits { stall: settings.longest_deadline, ..quick.clone() };
         Self {
             batch,
+            config: Rc::default(),
             routes: RefCell::new(routes),
             members: RefCell::new(member::Table::new(members)),
             retries: RefCell::new(retry::Budget::new(retry::Settings::default())),
