--- a/crates/policy/src/share/settings.rs
+++ b/crates/policy/src/share/settings.rs
@@ -24,7 +24,7 @@
         Self {
             watchers: 4_096,
             always: 8,
-            excess_milli: 2_000,
+            excess_milli: 1_250,
             pressure_milli: 250,
             hopeless_milli: 1_500,
         }
--- /dev/null
+++ b/crates/policy/tests/retry.rs
@@ -0,0 +1,75 @@
+//! Retries: what may be tried again, and how often at most.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use shallotflow_core::outcome::Outcome;
+use shallotflow_core::time::Time;
+use shallotflow_policy::retry::{Attempt, Budget, Settings, Verdict, decide};
+
+fn outcome() -> impl Strategy<Value = Outcome> {
+    prop_oneof![Just(Outcome::Done), Just(Outcome::NotRun), Just(Outcome::Unknown)]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(7), failure_persistence: None, cases: 256,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_request_that_may_have_run_is_never_tried_again_unless_idempotent(
+        outcome in outcome(),
+        idempotent in any::<bool>(),
+        replayable in any::<bool>(),
+        number in 1_u32..5,
+        deadline in 0_u64..2_000,
+        now in 0_u64..2_000,
+    ) {
+        let mut budget = Budget::new(Settings::default());
+        let deadline = Time::from_millis(deadline);
+        let attempt = Attempt { outcome, idempotent, replayable, number, deadline };
+        let now = Time::from_millis(now);
+        if decide(&attempt, &mut budget, now) == Verdict::Again {
+            prop_assert_ne!(outcome, Outcome::Done);
+            prop_assert!(outcome == Outcome::NotRun || idempotent);
+            prop_assert!(replayable);
+            prop_assert!(now < deadline);
+            prop_assert!(number < Settings::default().attempts);
+        }
+    }
+
+    #[test]
+    fn retries_never_exceed_what_was_saved_earned_and_allowed_by_time(
+        steps in prop::collection::vec((any::<bool>(), 0_u64..20_000), 1..600),
+    ) {
+        let settings = Settings { share_milli: 100, floor_per_second: 5, burst: 10, attempts: 3 };
+        let mut budget = Budget::new(settings.clone());
+        let (mut earned, mut spent, mut now) = (0_u64, 0_u64, 0_u64);
+        for (is_request, elapsed_us) in steps {
+            now += elapsed_us;
+            if is_request {
+                budget.earn();
+                earned += 1;
+            } else {
+                spent += u64::from(budget.spend(Time::from_micros(now)));
+            }
+            let most = 10.0 + earned as f64 * 0.1 + now as f64 * 5.0 / 1e6;
+            prop_assert!(spent as f64 <= most + 1e-6, "{spent} retries, at most {most}");
+        }
+    }
+}
+
+#[test]
+fn an_empty_budget_ends_the_retries() {
+    let settings = Settings { share_milli: 0, floor_per_second: 0, burst: 2, attempts: 9 };
+    let mut budget = Budget::new(settings);
+    let attempt = Attempt {
+        outcome: Outcome::NotRun,
+        idempotent: false,
+        replayable: true,
+        number: 1,
+        deadline: Time::NEVER,
+    };
+    let verdicts = [(); 3].map(|()| decide(&attempt, &mut budget, Time::ZERO));
+    assert_eq!(verdicts, [Verdict::Again, Verdict::Again, Verdict::OverBudget]);
+}
--- /dev/null
+++ b/crates/policy/tests/share.rs
@@ -0,0 +1,86 @@
+//! Shares of callers, shedding and the bound on memory.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use shallotflow_core::class::Class;
+use shallotflow_policy::share::{Claim, Refusal, Settings, Table, admit};
+use std::collections::HashMap;
+use std::time::Duration;
+use test_case::test_case;
+
+const LEFT: Duration = Duration::from_millis(1_000);
+
+fn claim(caller: &str, class: Class, wait_ms: u64) -> Claim<'_> {
+    Claim { caller, class, wait: Duration::from_millis(wait_ms), left: LEFT }
+}
+
+/// A table in which one caller has many requests in progress and another has few.
+fn uneven() -> Table {
+    let mut table = Table::new(1);
+    (0..90).for_each(|_| table.enter("greedy", Class::Quick));
+    (0..10).for_each(|_| table.enter("modest", Class::Quick));
+    table
+}
+
+#[test_case("greedy", 0, Ok(()); "nobody waits")]
+#[test_case("greedy", 400, Err(Refusal::OverShare); "others wait")]
+#[test_case("modest", 400, Ok(()); "a modest caller goes on")]
+#[test_case("new", 400, Ok(()); "a new caller gets in")]
+#[test_case("modest", 1_600, Err(Refusal::Hopeless); "beyond the deadline")]
+fn sheds_the_greedy_caller_first(caller: &str, wait_ms: u64, expected: Result<(), Refusal>) {
+    let given = admit(&claim(caller, Class::Quick, wait_ms), &uneven(), &Settings::default());
+    assert_eq!(given, expected);
+}
+
+#[test]
+fn a_caller_alone_may_use_everything() {
+    let mut table = Table::new(1);
+    (0..1_000).for_each(|_| table.enter("only", Class::Quick));
+    let given = admit(&claim("only", Class::Quick, 400), &table, &Settings::default());
+    assert_eq!(given, Ok(()));
+}
+
+#[test]
+fn watchers_have_a_cap_of_their_own() {
+    let settings = Settings { watchers: 20, ..Settings::default() };
+    let mut table = uneven();
+    (0..20).for_each(|number| table.enter(&format!("caller-{number}"), Class::Watch));
+    let watch = admit(&claim("next", Class::Watch, 0), &table, &settings);
+    assert_eq!(watch, Err(Refusal::Watchers));
+    assert_eq!(admit(&claim("next", Class::Quick, 0), &table, &settings), Ok(()));
+    table.leave("caller-3", Class::Watch);
+    assert_eq!(admit(&claim("next", Class::Watch, 0), &table, &settings), Ok(()));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(7), failure_persistence: None, cases: 64,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn counts_are_never_lower_than_an_exact_map_and_end_at_zero(
+        steps in prop::collection::vec((0_u16..3_000, any::<bool>()), 1..2_000),
+        seed in any::<u64>(),
+    ) {
+        let mut table = Table::new(seed);
+        let mut exact: HashMap<String, u32> = HashMap::new();
+        for (caller, enters) in steps {
+            let caller = format!("caller-{caller}");
+            let count = exact.entry(caller.clone()).or_default();
+            if enters {
+                table.enter(&caller, Class::Quick);
+                *count += 1;
+            } else if *count > 0 {
+                table.leave(&caller, Class::Quick);
+                *count -= 1;
+            }
+            prop_assert!(table.of(&caller, Class::Quick) >= *count);
+        }
+        prop_assert_eq!(table.total(Class::Quick), exact.values().sum::<u32>());
+        for (caller, count) in exact {
+            (0..count).for_each(|_| table.leave(&caller, Class::Quick));
+        }
+        prop_assert_eq!((table.total(Class::Quick), table.callers(Class::Quick)), (0, 0));
+    }
+}
