--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -1,9 +1,10 @@
 //! Starts an entry and stops it.
 
-use crate::batch::Batch;
+use crate::batch::{self, Batch};
 use crate::bound::Bound;
 use crate::directory::Peer;
 use crate::operators::View;
+use crate::session::{Presence, Session};
 use crate::state::State;
 use crate::unavailable::Unavailable;
 use crate::{Settings, callers, config, peers, tick};
@@ -35,15 +36,23 @@
         peers: peers.local_addr()?,
         operators: operators.address(),
     };
-    let batch: Rc<dyn Batch> = Rc::new(Unavailable);
+    let service = start_batch(&settings, bound);
+    let batch: Rc<dyn Batch> = match &service {
+        Some(service) => Rc::new(service.clone()),
+        None => Rc::new(Unavailable),
+    };
     let own = Peer { name: settings.name.clone(), callers: bound.callers, peers: bound.peers };
     let state = Rc::new(State::new(settings, own, batch));
+    if let Some(service) = &service {
+        let session = service.session();
+        monoio::spawn(follow_entries(state.clone(), session.clone()));
+        monoio::spawn(config::follow(state.config.clone(), session.store()));
+    }
     let limits = state.settings.limits.clone();
     let view = Rc::new(View::new(state.clone()));
     let operators_gate = operators.gate();
     monoio::spawn(operators.serve(program.clone(), view, limits, stop.clone()));
     let stop_peers = Rc::new(Event::new());
-    follow_config(&state);
     serve_callers(&state, callers);
     serve_peers(&state, peers, stop_peers.clone());
     ready(bound);
@@ -51,6 +60,9 @@
         () = leave(&state, &stop) => {}
         () = tick::run(state.clone()) => {}
     }
+    if let Some(service) = service.filter(|_| stop.level() < Level::Immediate) {
+        service.stop().await;
+    }
     stop_peers.notify(usize::MAX);
     state.gate.cut();
     operators_gate.cut();
@@ -87,14 +99,26 @@
     format!("{setting} = {address} cannot be bound; choose a free address of this host")
 }
 
-fn follow_config(state: &State) {
-    let endpoints = state.settings.store.clone();
-    if endpoints.is_empty() {
-        return;
+/// Starts batch work, if a store is configured.
+fn start_batch(settings: &Settings, bound: Bound) -> Option<Rc<batch::Service>> {
+    if settings.store.is_empty() {
+        return None;
+    }
+    let endpoints = settings.store.clone();
+    let store = store::Client::new(store::Settings { endpoints, ..store::Settings::default() });
+    let presence = Presence { peers: bound.peers, callers: bound.callers };
+    let name = settings.name.clone();
+    let session = Session::start(name, presence, settings.owner_lease, Rc::new(store));
+    Some(batch::Service::start(settings.clone(), session))
+}
+
+/// Keeps the directory of live entries, which agents learn from replies to their reports.
+async fn follow_entries(state: Rc<State>, session: Rc<Session>) {
+    loop {
+        let changed = session.listen();
+        state.directory.borrow_mut().set(session.live());
+        changed.await;
     }
-    let settings = store::Settings { endpoints, ..store::Settings::default() };
-    let store = Rc::new(store::Client::new(settings));
-    monoio::spawn(config::follow(state.config.clone(), store));
 }
 
 fn serve_callers(state: &Rc<State>, listener: TcpListener) {
