--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -3,10 +3,11 @@
 use crate::batch::{self, Batch};
 use crate::bound::Bound;
 use crate::directory::Peer;
+use crate::operators::View;
 use crate::session::{Presence, Session};
 use crate::state::State;
 use crate::unavailable::Unavailable;
-use crate::{Settings, callers, config, operators, peers, tick};
+use crate::{Settings, callers, config, peers, tick};
 use anyhow::Context;
 use event_listener::Event;
 use monoio::net::TcpListener;
@@ -19,26 +20,22 @@
 use shallotflow_wire::{http, rpc};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
-
-/// How long a leaving entry keeps accepting, so that balancers see that it is not ready.
-const LEAVE_LINGER: Duration = Duration::from_millis(500);
 
 /// Runs an entry until `stop` is raised; `ready` gets the bound addresses.
 ///
 /// # Errors
 ///
-/// Fails when an address cannot be bound.
+/// Fails when an address cannot be bound or the log filter is not valid.
 pub async fn run(settings: Settings, stop: Stop, ready: impl FnOnce(Bound)) -> anyhow::Result<()> {
     let program = Program::new("entry", &settings.name, &settings.log)?;
     let callers = bind(settings.callers_listen, "callers_listen")?;
     let peers = bind(settings.peers_listen, "peers_listen")?;
-    let listener = Listener::bind(settings.operators_listen)
-        .with_context(|| cannot_bind("operators_listen", settings.operators_listen))?;
+    let operators = Listener::bind(settings.operators_listen)
+        .with_context(|| taken(settings.operators_listen, "operators_listen"))?;
     let bound = Bound {
         callers: callers.local_addr()?,
         peers: peers.local_addr()?,
-        operators: listener.address(),
+        operators: operators.address(),
     };
     let service = start_batch(&settings, bound);
     let batch: Rc<dyn Batch> = match &service {
@@ -52,33 +49,57 @@
         monoio::spawn(follow_entries(state.clone(), session.clone()));
         monoio::spawn(config::follow(state.config.clone(), session.store()));
     }
+    let limits = state.settings.limits.clone();
+    let view = Rc::new(View::new(state.clone()));
+    let operators_gate = operators.gate();
+    monoio::spawn(operators.serve(program.clone(), view, limits, stop.clone()));
     let stop_peers = Rc::new(Event::new());
     serve_callers(&state, callers);
     serve_peers(&state, peers, stop_peers.clone());
-    let view = Rc::new(operators::View::new(state.clone()));
-    let limits = state.settings.limits.clone();
-    let operators_gate = listener.gate();
-    monoio::spawn(listener.serve(program, view, limits, stop.clone()));
-    let ticking = monoio::spawn(tick::run(state.clone()));
-    spdlog::info!("entry started", kv: {
-        callers = bound.callers.to_string(), peers = bound.peers.to_string()
-    });
     ready(bound);
-    stop.wait(Level::Graceful).await;
     monoio::select! {
-        () = leave(&state) => {}
-        () = stop.wait(Level::Immediate) => {}
+        () = leave(&state, &stop) => {}
+        () = tick::run(state.clone()) => {}
     }
     if let Some(service) = service.filter(|_| stop.level() < Level::Immediate) {
         service.stop().await;
     }
     stop_peers.notify(usize::MAX);
-    operators_gate.drain();
-    drop(ticking);
+    state.gate.cut();
+    operators_gate.cut();
+    state.gate.wait_closed().await;
+    operators_gate.wait_closed().await;
     spdlog::info!("entry stopped");
     Ok(())
 }
 
+/// Waits for a stop, then finishes what is in progress, within the time that the settings allow.
+async fn leave(state: &State, stop: &Stop) {
+    stop.wait(Level::Graceful).await;
+    spdlog::info!("entry leaves");
+    let finishing = async {
+        monoio::time::sleep(state.settings.linger).await;
+        state.gate.drain();
+        let closed = monoio::time::timeout(state.settings.drain, state.gate.wait_closed()).await;
+        if closed.is_err() {
+            let left = state.gate.active();
+            spdlog::warn!("requests are cut off at the end of the drain time", kv: { left });
+        }
+    };
+    monoio::select! {
+        () = finishing => {}
+        () = stop.wait(Level::Immediate) => {}
+    }
+}
+
+fn bind(address: SocketAddr, setting: &str) -> anyhow::Result<TcpListener> {
+    listen::bind(address).with_context(|| taken(address, setting))
+}
+
+fn taken(address: SocketAddr, setting: &str) -> String {
+    format!("{setting} = {address} cannot be bound; choose a free address of this host")
+}
+
 /// Starts batch work, if a store is configured.
 fn start_batch(settings: &Settings, bound: Bound) -> Option<Rc<batch::Service>> {
     if settings.store.is_empty() {
@@ -101,26 +122,6 @@
     }
 }
 
-/// Finishes what is in progress, within the time that the settings allow.
-async fn leave(state: &State) {
-    let deadline = state.settings.drain;
-    state.leave();
-    monoio::time::sleep(LEAVE_LINGER.min(deadline)).await;
-    state.gate.drain();
-    if monoio::time::timeout(deadline, state.gate.wait_closed()).await.is_err() {
-        let left = state.gate.active();
-        spdlog::warn!("requests are cut off at the end of the drain time", kv: { left });
-    }
-}
-
-fn bind(address: SocketAddr, setting: &str) -> anyhow::Result<TcpListener> {
-    listen::bind(address).with_context(|| cannot_bind(setting, address))
-}
-
-fn cannot_bind(setting: &str, address: SocketAddr) -> String {
-    format!("{setting} = {address} cannot be bound; choose a free address")
-}
-
 fn serve_callers(state: &Rc<State>, listener: TcpListener) {
     let front = Rc::new(callers::Front::new(state.clone()));
     let limits = state.settings.limits.clone();
