Apply the fleet configuration to requests, jobs and retries at entries

Cause: only agents looked values up. Keys for requests had no effect, an exception on a kind for a worker's key was accepted and never held, and the quota key had no mechanism behind it.

Change: entries resolve the default deadline, the caller's share, the priority of jobs and the retry budget; the entry setting default_deadline gives way to quick_deadline. Each key has a scope, and an exception whose conditions can never match for one of its keys is refused. Defaults of the share and the retry budget are those that the entry used so far (200%, 15%).

Tests over TCP show a deadline by kind and a priority by caller in force; refusals are checked word for word, and the resolution is compared with the naive rule for both scopes.

--- a/crates/cli/src/command/submit.rs
+++ b/crates/cli/src/command/submit.rs
@@ -39,9 +39,9 @@
     runs: Duration,
     /// It may run again after it may have run
     idempotent: bool,
-    /// Higher starts first; from 200 on it is urgent; 0 if not given
-    #[bpaf(argument("PRIORITY"), fallback(0))]
-    priority: u8,
+    /// Higher starts first; from 200 on it is urgent; that of the fleet configuration if not given
+    #[bpaf(argument("PRIORITY"))]
+    priority: Option<u8>,
     /// The body handed to the worker
     #[bpaf(argument("TEXT"), fallback(String::new()))]
     payload: String,
--- a/crates/core/src/fleet/exception.rs
+++ b/crates/core/src/fleet/exception.rs
@@ -1,6 +1,6 @@
 //! One exception.
 
-use super::{Condition, Values};
+use super::{Condition, Scope, Values};
 use crate::ini::codec::{Codec, Label, Line, Maybe, Moment};
 use crate::ini::{Document, Fault, Key, Result, Section, Table, key};
 use crate::name::Name;
@@ -103,6 +103,9 @@
         if overrides.is_empty() {
             return Err(conflict("overrides nothing", "add a key of the defaults"));
         }
+        if let Some(fault) = mismatch(&id, &draft.condition, &overrides) {
+            return Err(at_header(fault));
+        }
         let Some(reason) = draft.reason else {
             let (section, key) = (section.name.clone(), "reason".to_owned());
             return Err(at_header(Fault::Missing { section, key }));
@@ -149,6 +152,21 @@
     }
 }
 
+/// The first override that the condition can never reach.
+fn mismatch(id: &str, condition: &Condition, overrides: &[Name]) -> Option<Fault> {
+    overrides.iter().find_map(|key| {
+        let scope = Scope::of(key);
+        let name = scope.mismatch(condition)?;
+        let (applies, accepted) = (scope.as_str(), scope.conditions().join("`, `"));
+        Some(Fault::Conflict {
+            message: format!(
+                "exception `{id}` overrides `{key}`, which applies to {applies}, by `{name}`"
+            ),
+            remedy: format!("give conditions on `{accepted}` only"),
+        })
+    })
+}
+
 /// Adds the rows of an exception's own keys to the reference page.
 pub(crate) fn push_reference(page: &mut String) {
     crate::settings::reference::push_keys(page, KEYS.iter(), &Draft::default());
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -23,6 +23,9 @@
 //!    one that names a kind, then one that names a domain;
 //! 3. of those that name the same, the one that stands later in the text wins.
 //!
+//! [`Scope`] tells which conditions can match for which keys; others are refused, as they would
+//! never hold.
+//!
 //! An exception whose expiry has passed is ignored; it ends without a change of the text.
 
 mod changes;
@@ -31,6 +34,7 @@
 mod exception;
 pub mod key;
 mod merge;
+mod scope;
 mod subject;
 mod values;
 
@@ -39,6 +43,7 @@
 pub use config::Config;
 pub use exception::Exception;
 pub use merge::{Clash, merge};
+pub use scope::Scope;
 pub use subject::Subject;
 pub use values::Values;
 
--- a/crates/core/src/fleet/values.rs
+++ b/crates/core/src/fleet/values.rs
@@ -1,6 +1,6 @@
 //! The values that defaults and exceptions set.
 
-use crate::ini::codec::{Count, Flag, Maybe, Percent, Span};
+use crate::ini::codec::{Count, Flag, Percent, Span};
 use crate::ini::{Key, Table, key};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -13,7 +13,7 @@
     pub reserve: u32,
     /// Whether batch work may start.
     pub batch: bool,
-    /// Share of the quick capacity that one caller may use under overload, thousandths.
+    /// How much of its fair share a caller may have in progress while requests wait, thousandths.
     pub caller_share: u32,
     /// Most watching requests held at a worker.
     pub watch_cap: u32,
@@ -23,8 +23,6 @@
     pub retry_budget: u32,
     /// Priority of batch work that names none.
     pub priority: u8,
-    /// Most slots that a caller's batch work holds in the fleet, if there is a quota.
-    pub quota_slots: Option<u32>,
     /// Whether the worker leaves: it takes no new work and finishes or checkpoints the rest.
     pub drain: bool,
 }
@@ -34,12 +32,11 @@
         Self {
             reserve: 250,
             batch: true,
-            caller_share: 500,
+            caller_share: 2_000,
             watch_cap: 32,
             quick_deadline: Duration::from_secs(2),
-            retry_budget: 100,
+            retry_budget: 150,
             priority: 100,
-            quota_slots: None,
             drain: false,
         }
     }
@@ -48,12 +45,11 @@
 const KEYS: &[Key<Values>] = &[
     key!("defaults", reserve: Percent, "Share of a worker's slots always kept for quick work.", 0..=1000),
     key!("defaults", batch: Flag, "Whether batch work may start."),
-    key!("defaults", caller_share: Percent, "Share of the quick capacity that one caller may use under overload.", 1..=1000),
+    key!("defaults", caller_share: Percent, "How much of its fair share a caller may have in progress while requests wait.", 1000..=100_000),
     key!("defaults", watch_cap: Count<u32>, "Most watching requests held at a worker.", 0..=1_000_000),
     key!("defaults", quick_deadline: Span, "Deadline of a quick request that names none.", Duration::from_millis(1)..=Duration::from_secs(3600)),
     key!("defaults", retry_budget: Percent, "Retries allowed, as a share of quick requests.", 0..=1000),
     key!("defaults", priority: Count<u8>, "Priority of batch work that names none; from 200 on it is urgent."),
-    key!("defaults", quota_slots: Maybe<Count<u32>>, "Most slots that a caller's batch work holds in the fleet; empty for no quota."),
     key!("defaults", drain: Flag, "Whether the worker leaves: no new work, and what runs is finished or checkpointed."),
 ];
 
--- a/crates/core/src/settings/entry.rs
+++ b/crates/core/src/settings/entry.rs
@@ -34,8 +34,6 @@
     pub task_lease: Duration,
     /// The longest time between two reports of an agent.
     pub beat: Duration,
-    /// The deadline of a quick request that names none.
-    pub default_deadline: Duration,
     /// The farthest deadline that a request may name.
     pub longest_deadline: Duration,
     /// How long a graceful stop may take.
@@ -62,7 +60,6 @@
             owner_lease: Duration::from_secs(5),
             task_lease: Duration::from_secs(5),
             beat: Duration::from_millis(500),
-            default_deadline: Duration::from_secs(2),
             longest_deadline: Duration::from_secs(600),
             drain: Duration::from_secs(30),
             log: "info".into(),
@@ -84,7 +81,6 @@
     key!("entry", owner_lease: Span, "How long a ledger stays owned without a renewal at the store.", ms(200)..=s(300)),
     key!("entry", task_lease: Span, "How long a task runs after the report that last renewed it.", ms(200)..=s(300)),
     key!("entry", beat: Span, "Longest time between two reports of an agent.", ms(10)..=s(60)),
-    key!("entry", default_deadline: Span, "Deadline of a quick request that names none.", ms(1)..=s(3600)),
     key!("entry", longest_deadline: Span, "Farthest deadline that a request may name.", ms(1)..=s(24 * 3600)),
     key!("entry", drain: Span, "How long a graceful stop may take.", ms(0)..=s(3600)),
     key!("entry", log: Line, "What it logs: a level, then `target=level` for parts of it."),
@@ -131,11 +127,6 @@
             let fault = Fault::Conflict { message, remedy: remedy.to_owned() };
             Err(document.error(document.line_of("entry", key), fault))
         };
-        if self.default_deadline > self.longest_deadline {
-            let (default, longest) = (self.default_deadline, self.longest_deadline);
-            let message = format!("default_deadline {default:?} exceeds {longest:?}");
-            return conflict("default_deadline", message, "raise `longest_deadline` or lower it");
-        }
         if self.task_lease < self.beat * 2 {
             let (lease, beat) = (self.task_lease, self.beat);
             let message = format!("task_lease {lease:?} is less than two beats of {beat:?}");
--- a/crates/core/src/settings/reference.rs
+++ b/crates/core/src/settings/reference.rs
@@ -21,6 +21,7 @@
         "\n### `[exception ID]`\n\nAn exception also takes every key of `[defaults]`. It needs a \
          reason, a condition\n(`domain`, `worker`, `kind` or `caller`) and an override.\n\n",
     );
+    push_scopes(&mut page);
     fleet::push_reference(&mut page);
     page
 }
@@ -52,3 +53,18 @@
         page.push_str(&format!("| `{name}` | {meaning} | {expected} | {range} | {default} |\n"));
     }
 }
+
+fn push_scopes(page: &mut String) {
+    page.push_str("| keys | apply to | conditions that may be given |\n|---|---|---|\n");
+    for scope in fleet::Scope::ALL {
+        let keys: Vec<_> = fleet::Values::TABLE
+            .names("defaults")
+            .filter(|key| fleet::Scope::of(key) == scope)
+            .map(|key| format!("`{key}`"))
+            .collect();
+        let conditions = scope.conditions().join("`, `");
+        let (keys, scope) = (keys.join(", "), scope.as_str());
+        page.push_str(&format!("| {keys} | {scope} | `{conditions}` |\n"));
+    }
+    page.push('\n');
+}
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -8,7 +8,8 @@
 use test_case::test_case;
 
 const NAMES: [&str; 3] = ["a", "b", "c"];
-const KEYS: [&str; 4] = ["reserve", "batch", "watch_cap", "quota_slots"];
+const WORKER_KEYS: [&str; 3] = ["reserve", "batch", "watch_cap"];
+const REQUEST_KEYS: [&str; 3] = ["priority", "caller_share", "quick_deadline"];
 
 #[test_case(
     "[exception x]\nworker = w\nbatch = false",
@@ -47,6 +48,14 @@
     "[exception x]\nexpires = tomorrow",
     "fleet.ini:2: `tomorrow` is not a time in UTC, such as `2026-12-31T18:00:00Z`; correct the value of `expires`"
 )]
+#[test_case(
+    "[exception x]\nkind = k\nreserve = 1%\nreason = r",
+    "fleet.ini:1: exception `x` overrides `reserve`, which applies to workers, by `kind`; give conditions on `domain`, `worker` only"
+)]
+#[test_case(
+    "[exception x]\nworker = w\npriority = 1\nreason = r",
+    "fleet.ini:1: exception `x` overrides `priority`, which applies to requests and jobs, by `worker`; give conditions on `domain`, `kind`, `caller` only"
+)]
 fn refuses_with_place_and_remedy(text: &str, message: &str) {
     let error = Config::parse("fleet.ini", text).expect_err("an invalid configuration");
     assert_eq!(error.to_string(), message);
@@ -55,7 +64,7 @@
 #[test]
 fn narrower_conditions_win_and_expired_ones_end() {
     let text = "[defaults]\nreserve = 10%\n\
-                [exception both]\ndomain = d\nkind = k\nreserve = 40%\nreason = r\n\
+                [exception both]\ndomain = d\nworker = x\nreserve = 40%\nreason = r\n\
                 [exception worker]\nworker = w\nreserve = 30%\nreason = r\n\
                 [exception domain]\ndomain = d\nreserve = 20%\nbatch = false\nreason = r\n\
                 expires = 2026-12-31T18:00:00Z\n";
@@ -64,7 +73,7 @@
     assert_eq!(expiry, 1_798_740_000);
     let reserve = |subject: Subject<'_>, now| config.resolve(&subject, now).reserve;
     let place = Subject { domain: "d", worker: "w", ..Subject::default() };
-    assert_eq!(reserve(Subject { kind: "k", ..place }, 0), 400);
+    assert_eq!(reserve(Subject { worker: "x", ..place }, 0), 400);
     assert_eq!(reserve(place, 0), 300);
     let domain = Subject { worker: "other", ..place };
     assert_eq!(reserve(domain, expiry - 1), 200);
@@ -76,60 +85,78 @@
     proptest::sample::select(&NAMES).prop_map(Into::into)
 }
 
-fn condition() -> impl Strategy<Value = Condition> {
+/// A condition with the keys that it can reach.
+fn reach() -> impl Strategy<Value = (Condition, Vec<&'static str>)> {
     let maybe = || proptest::option::of(name());
-    (maybe(), maybe(), maybe(), maybe())
-        .prop_map(|(domain, worker, kind, caller)| Condition { domain, worker, kind, caller })
-        .prop_filter("a condition names something", |condition| !condition.is_empty())
+    let keys = |keys| proptest::sample::subsequence(keys, 1..=3);
+    let worker = (maybe(), maybe(), keys(&WORKER_KEYS[..])).prop_map(|(domain, worker, keys)| {
+        (Condition { domain, worker, ..Condition::default() }, keys)
+    });
+    let request = (maybe(), maybe(), maybe(), keys(&REQUEST_KEYS[..])).prop_map(
+        |(domain, kind, caller, keys)| (Condition { domain, kind, caller, worker: None }, keys),
+    );
+    prop_oneof![worker, request]
+        .prop_filter("a condition names something", |(condition, _)| !condition.is_empty())
 }
 
 fn values() -> impl Strategy<Value = Values> {
-    let ranges = (0..=1000_u32, any::<bool>(), 0..100_u32, proptest::option::of(0..9_u32));
-    (ranges, 1..100_000_u64).prop_map(|((reserve, batch, watch_cap, quota_slots), ms)| Values {
-        reserve,
-        batch,
-        watch_cap,
-        quota_slots,
-        quick_deadline: Duration::from_millis(ms),
-        ..Values::default()
+    let worker = (0..=1000_u32, any::<bool>(), 0..100_u32);
+    let request = (any::<u8>(), 1000..9999_u32, 1..100_000_u64);
+    (worker, request).prop_map(|((reserve, batch, watch_cap), (priority, caller_share, ms))| {
+        Values {
+            reserve,
+            batch,
+            watch_cap,
+            priority,
+            caller_share,
+            quick_deadline: Duration::from_millis(ms),
+            ..Values::default()
+        }
     })
 }
 
+fn exception(index: usize, draft: Draft) -> Exception {
+    let Draft { reach: (condition, keys), values: all, expires_unix_s, reason } = draft;
+    // Only overridden keys are written, so the others keep their built-in values.
+    let mut values = Values::default();
+    for key in &keys {
+        let key = Values::TABLE.key("defaults", key).expect("a known key");
+        (key.copy)(&all, &mut values);
+    }
+    Exception {
+        id: format!("e{index}").into(),
+        condition,
+        overrides: keys.into_iter().map(Into::into).collect(),
+        values,
+        reason: reason.as_str().into(),
+        author: None,
+        expires_unix_s,
+    }
+}
+
+#[derive(Debug)]
+struct Draft {
+    reach: (Condition, Vec<&'static str>),
+    values: Values,
+    expires_unix_s: Option<u64>,
+    reason: String,
+}
+
 fn config() -> impl Strategy<Value = Config> {
-    let keys = proptest::sample::subsequence(&KEYS, 1..=KEYS.len());
     let expiry = proptest::option::of(0..20_u64);
-    let exception = (condition(), values(), keys, expiry, "[a-z;#=\\[\\]]{1,9}");
-    let exceptions = proptest::collection::vec(exception, 0..8);
-    (values(), exceptions).prop_map(|(defaults, drafts)| {
-        let exceptions = drafts.into_iter().enumerate().map(|(index, draft)| {
-            let (condition, all, keys, expires_unix_s, reason) = draft;
-            // Only overridden keys are written, so the others keep their built-in values.
-            let mut values = Values::default();
-            for key in &keys {
-                match *key {
-                    "reserve" => values.reserve = all.reserve,
-                    "batch" => values.batch = all.batch,
-                    "watch_cap" => values.watch_cap = all.watch_cap,
-                    _ => values.quota_slots = all.quota_slots,
-                }
-            }
-            Exception {
-                id: format!("e{index}").into(),
-                condition,
-                overrides: keys.into_iter().map(Into::into).collect(),
-                values,
-                reason: reason.as_str().into(),
-                author: None,
-                expires_unix_s,
-            }
-        });
-        Config { defaults, exceptions: exceptions.collect() }
+    let draft = (reach(), values(), expiry, "[a-z;#=\\[\\]]{1,9}").prop_map(
+        |(reach, values, expires_unix_s, reason)| Draft { reach, values, expires_unix_s, reason },
+    );
+    (values(), proptest::collection::vec(draft, 0..8)).prop_map(|(defaults, drafts)| {
+        let drafts = drafts.into_iter().enumerate();
+        let exceptions = drafts.map(|(index, draft)| exception(index, draft)).collect();
+        Config { defaults, exceptions }
     })
 }
 
 /// Ranks by the documented rule, key by key, without sorting.
-fn naive_reserve(config: &Config, subject: &Subject<'_>, now: u64) -> u32 {
-    let mut best: Option<(Vec<bool>, u32)> = None;
+fn naive(config: &Config, subject: &Subject<'_>, now: u64, key: &str) -> Values {
+    let mut best: Option<(Vec<bool>, &Exception)> = None;
     for exception in &config.exceptions {
         let Condition { domain, worker, kind, caller } = &exception.condition;
         let pairs = [
@@ -140,7 +167,7 @@
         ];
         let matches = pairs.iter().all(|(want, is)| want.as_deref().is_none_or(|w| w == *is));
         let ended = exception.expires_unix_s.is_some_and(|expires| expires <= now);
-        if !matches || ended || !exception.overrides.contains(&"reserve".into()) {
+        if !matches || ended || !exception.overrides.contains(&key.into()) {
             continue;
         }
         let given: Vec<bool> = pairs.iter().map(|(want, _)| want.is_some()).collect();
@@ -149,10 +176,10 @@
             count(&given) > count(other) || (count(&given) == count(other) && given >= *other)
         });
         if wins {
-            best = Some((given, exception.values.reserve));
+            best = Some((given, exception));
         }
     }
-    best.map_or(config.defaults.reserve, |(_, reserve)| reserve)
+    best.map_or(config.defaults.clone(), |(_, exception)| exception.values.clone())
 }
 
 proptest! {
@@ -164,8 +191,9 @@
     fn resolves_like_the_naive_rule(config in config(), names in [name(), name(), name(), name()], now in 0..20_u64) {
         let [domain, worker, kind, caller] = &names;
         let subject = Subject { domain, worker, kind, caller };
-        let resolved = config.resolve(&subject, now).reserve;
-        prop_assert_eq!(resolved, naive_reserve(&config, &subject, now));
+        let resolved = config.resolve(&subject, now);
+        prop_assert_eq!(resolved.reserve, naive(&config, &subject, now, "reserve").reserve);
+        prop_assert_eq!(resolved.priority, naive(&config, &subject, now, "priority").priority);
     }
 
     #[test]
--- a/crates/entry/src/callers/front.rs
+++ b/crates/entry/src/callers/front.rs
@@ -13,6 +13,7 @@
 use shallotflow_wire::http::server::Handler;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 const RETRY_AFTER_S: u32 = 1;
 
@@ -103,7 +104,7 @@
 ) -> Response<Body> {
     let within = ask.within.unwrap_or(match ask.class {
         Class::Watch => state.settings.longest_deadline,
-        Class::Quick | Class::Batch => state.settings.default_deadline,
+        Class::Quick | Class::Batch => default_deadline(&state, &kind, &ask.caller),
     });
     let deadline = state.now().after(within);
     let payload = match Payload::read(body).await {
@@ -114,6 +115,12 @@
     quick::dispatch(state, request).await
 }
 
+/// The deadline of a quick request that names none.
+fn default_deadline(state: &State, kind: &str, caller: &str) -> Duration {
+    let values = state.values(kind, caller);
+    values.quick_deadline.min(state.settings.longest_deadline)
+}
+
 fn parse(path: &str) -> Result<Route, Problem> {
     let mut segments = path.split('/').skip(1);
     let route = match (segments.next(), segments.next(), segments.next()) {
--- a/crates/entry/src/quick/targets.rs
+++ b/crates/entry/src/quick/targets.rs
@@ -85,7 +85,9 @@
         wait: *wait,
         left: request.deadline.left(state.now()),
     };
-    let admitted = share::admit(&claim, &state.shares.borrow(), &state.share_settings);
+    let excess_milli = state.values(&request.kind, claim.caller).caller_share;
+    let settings = share::Settings { excess_milli, ..state.share_settings.clone() };
+    let admitted = share::admit(&claim, &state.shares.borrow(), &settings);
     admitted.map_err(|refusal| shed(refusal, &claim))
 }
 
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -8,6 +8,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use shallotflow_core::class::Class;
+use shallotflow_core::fleet::{Subject, Values};
 use shallotflow_core::name::Name;
 use shallotflow_core::time::{Clock, Monotonic, Time};
 use shallotflow_policy::{member, outlier, retry, route, share};
@@ -120,6 +121,11 @@
         self.leaving.set(true);
     }
 
+    /// The values of the fleet configuration for work of `kind` from `caller`.
+    pub fn values(&self, kind: &str, caller: &str) -> Values {
+        self.config.resolve(&Subject { domain: &self.settings.domain, worker: "", kind, caller })
+    }
+
     /// A new identifier for a request, unique among entries and their restarts.
     pub fn next_request_id(&self) -> Name {
         let number = self.requests.get() + 1;
--- a/crates/entry/src/tick.rs
+++ b/crates/entry/src/tick.rs
@@ -12,12 +12,19 @@
 pub async fn run(state: Rc<State>) {
     loop {
         monoio::time::sleep(TICK).await;
+        configure(&state);
         expire(&state);
         set_aside(&state);
         measure(&state);
     }
 }
 
+/// Puts values of the fleet configuration in force; exceptions may have come or ended.
+fn configure(state: &State) {
+    let share_milli = state.values("", "").retry_budget;
+    state.retries.borrow_mut().set_share(share_milli);
+}
+
 /// Drops targets that have been silent for too long.
 fn expire(state: &State) {
     let silent = state.members.borrow_mut().expire(state.now());
--- a/crates/entry/tests/config.rs
+++ b/crates/entry/tests/config.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use futures_util::future::LocalBoxFuture;
 use monoio::net::TcpListener;
 use shallotflow_core::fleet::key;
 use shallotflow_entry::Settings;
@@ -10,6 +11,7 @@
 use shallotflow_store::client;
 use shallotflow_store::store::Store;
 use shallotflow_store::transaction::Transaction;
+use shallotflow_wire::http::body::Body;
 use shallotflow_wire::proto;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -119,3 +121,48 @@
         assert_eq!((reply.config_revision, reply.want_config), (0, true));
     });
 }
+
+#[test]
+fn values_in_force_apply_to_requests_and_jobs() {
+    run(async || {
+        let store = store(Faults::default()).await;
+        let entry = entry(store).await;
+        let text = "[exception slow-kind]\nkind = render\nquick_deadline = 60ms\nreason = r\n\
+                    [exception urgent]\ncaller = exporter\npriority = 210\nreason = r\n";
+        let revision = write(store, text).await;
+        wait_for(&entry, revision).await;
+        let agent = support::Agent::start("worker-1", "render", never);
+        agent.report(&entry).await;
+        // Without the exception the default deadline would let the test hang far longer.
+        let answer = entry.send(http::Request::post("/run/render"), "").await;
+        assert_eq!(answer.problem().code.as_str(), "timed-out");
+        let submit = http::Request::post("/jobs")
+            .header("idempotency-key", "k1")
+            .header("shallotflow-caller", "exporter");
+        let job = "{\"kind\":\"print\",\"declared_run_ms\":1,\"resources\":{\"slots\":1}}";
+        let answer = submitted(&entry, submit, job).await;
+        assert_eq!(answer["spec"]["priority"], 210);
+    });
+}
+
+fn never(_: u64, _: http::Request<Body>) -> LocalBoxFuture<'static, http::Response<Body>> {
+    Box::pin(std::future::pending())
+}
+
+/// Submits until the entry owns the job's ledger.
+async fn submitted(
+    entry: &Entry,
+    request: http::request::Builder,
+    job: &'static str,
+) -> serde_json::Value {
+    let (head, ()) = request.body(()).expect("a request").into_parts();
+    loop {
+        let mut again = http::Request::builder().method(head.method.clone()).uri(head.uri.clone());
+        *again.headers_mut().expect("valid headers") = head.headers.clone();
+        let answer = entry.send(again, job).await;
+        if answer.status() == 202 {
+            return serde_json::from_slice(&answer.body).expect("a record");
+        }
+        monoio::time::sleep(POLL).await;
+    }
+}
