Keep limits and the reading of settings in one place

Cause: the keys of [limits] and the steps of reading stood in each settings module. A lone carriage return counted as a line end in the parser, but not where the command line cuts an exception out of a text, so the wrong lines could have been removed.

Change: with_limits! adds the keys of [limits] to a table, and Table reads files and checks values against each other. Control characters other than tabs and line ends are refused with their line. A drain limit that nobody used is gone from runtime::stop.

--- a/crates/core/src/fleet/exception.rs
+++ b/crates/core/src/fleet/exception.rs
@@ -47,7 +47,7 @@
     key!("exception", expires: Maybe<Moment>, "When it ends by itself."),
 ];
 
-const TABLE: Table<Draft> = Table { keys: KEYS };
+const TABLE: Table<Draft> = Table { keys: KEYS, check: |_, _| Ok(()) };
 
 impl Exception {
     /// The word that starts the header of an exception.
--- a/crates/core/src/ini/document.rs
+++ b/crates/core/src/ini/document.rs
@@ -37,6 +37,9 @@
     /// Fails on lines that are neither header, key nor comment, and on anything given twice.
     pub fn parse(file: &str, text: &str) -> Result<Self> {
         let mut document = Self { file: file.into(), sections: Vec::new() };
+        if let Some((line, control)) = first_control(text) {
+            return Err(document.error(line, Fault::Control(control)));
+        }
         let mut parser = Parser::new(text).auto_trim(true);
         loop {
             // The parser does not count a last line without a line end, so count before it.
@@ -98,3 +101,14 @@
 fn header_fault(header: &str) -> Fault {
     Fault::Header(header.trim().to_owned())
 }
+
+/// The first control character that is neither a tab nor part of a line end, with its line.
+fn first_control(text: &str) -> Option<(u32, char)> {
+    for (line, content) in (1..).zip(text.split('\n')) {
+        let content = content.strip_suffix('\r').unwrap_or(content);
+        if let Some(control) = content.chars().find(|c| c.is_control() && *c != '\t') {
+            return Some((line, control));
+        }
+    }
+    None
+}
--- a/crates/core/src/ini/fault.rs
+++ b/crates/core/src/ini/fault.rs
@@ -9,6 +9,9 @@
     /// The file cannot be read.
     #[error("the file cannot be read ({0}); check the path and its permissions")]
     Unreadable(String),
+    /// A character that would end a line elsewhere, or that a terminal acts on.
+    #[error("the text has the control character {0:?}; save it with plain line feeds")]
+    Control(char),
     /// A header without its closing bracket.
     #[error("`{0}` is not a section header; write it as `[name]`")]
     Header(String),
--- a/crates/core/src/ini/mod.rs
+++ b/crates/core/src/ini/mod.rs
@@ -4,7 +4,8 @@
 //! line of a declarative table: it parses a value into a field, prints it back, and describes
 //! itself for the reference pages. [`codec`] has the kinds of values.
 //!
-//! A line that starts with `;` or `#` is a comment. Sections and keys appear at most once.
+//! A line that starts with `;` or `#` is a comment. Sections and keys appear at most once. Lines
+//! end with a line feed, after a carriage return or not; other control characters are refused.
 
 pub mod codec;
 mod document;
--- a/crates/core/src/ini/table.rs
+++ b/crates/core/src/ini/table.rs
@@ -1,12 +1,42 @@
 //! All keys of one kind of file.
 
 use super::{Document, Entry, Fault, Key, Result, Section};
+use std::path::Path;
 
 /// The keys of a file, in the order of its reference page.
 #[derive(Debug)]
 pub struct Table<T: 'static> {
     /// The keys.
     pub keys: &'static [Key<T>],
+    /// Checks values against each other after all were read.
+    pub check: fn(&T, &Document) -> Result<()>,
+}
+
+impl<T: Default> Table<T> {
+    /// Reads the file at `path`; keys that it leaves out keep their defaults.
+    ///
+    /// # Errors
+    ///
+    /// Names the file, the line and the remedy.
+    pub fn load(&self, path: &Path) -> Result<T> {
+        self.make(&Document::load(path)?)
+    }
+
+    /// Reads `text`; `file` is the name that messages carry.
+    ///
+    /// # Errors
+    ///
+    /// Names the file, the line and the remedy.
+    pub fn parse(&self, file: &str, text: &str) -> Result<T> {
+        self.make(&Document::parse(file, text)?)
+    }
+
+    fn make(&self, document: &Document) -> Result<T> {
+        let mut target = T::default();
+        self.read(document, &mut target)?;
+        (self.check)(&target, document)?;
+        Ok(target)
+    }
 }
 
 impl<T> Table<T> {
--- a/crates/core/src/settings/entry.rs
+++ b/crates/core/src/settings/entry.rs
@@ -1,6 +1,6 @@
 //! Settings of an entry.
 
-use super::limits::Limits;
+use super::limits::{Limits, with_limits};
 use super::span::{ms, s};
 use crate::ini::codec::{Address, Count, Label, Line, List, Size, Span};
 use crate::ini::{self, Document, Fault, Key, Table, key};
@@ -70,7 +70,7 @@
 }
 
 /// The keys of the settings file.
-pub const KEYS: &[Key<Settings>] = &[
+pub const KEYS: &[Key<Settings>] = with_limits![
     key!("entry", name: Label, "The name of this entry, unique among entries."),
     key!("entry", domain: Label, "The failure domain it runs in."),
     key!("entry", callers_listen: Address, "Where callers connect; port 0 takes a free one."),
@@ -85,17 +85,11 @@
     key!("entry", drain: Span, "How long a graceful stop may take.", ms(0)..=s(3600)),
     key!("entry", log: Line, "What it logs: a level, then `target=level` for parts of it."),
     key!("entry", seed: Count<u64>, "Seed of its random choices."),
-    key!("limits", limits.head_bytes: Size<usize>, "Largest head of a message.", 1024..=1024 * 1024),
-    key!("limits", limits.body_bytes: Size<u64>, "Largest body of a message.", 0..=1 << 30),
-    key!("limits", limits.idle: Span, "Longest wait for the next request on an idle connection.", ms(100)..=s(3600)),
-    key!("limits", limits.head: Span, "Longest time from the first byte of a head to its last.", ms(100)..=s(60)),
-    key!("limits", limits.stall: Span, "Longest pause within a body.", ms(100)..=s(600)),
-    key!("limits", limits.connections: Count<usize>, "Most connections at a time.", 1..=1_000_000),
 ];
 
 impl Settings {
     /// The keys as a table.
-    pub const TABLE: Table<Self> = Table { keys: KEYS };
+    pub const TABLE: Table<Self> = Table { keys: KEYS, check: Self::check };
 
     /// Reads the settings file at `path`; keys that it leaves out keep their defaults.
     ///
@@ -103,7 +97,7 @@
     ///
     /// Names the file, the line and the remedy.
     pub fn load(path: &Path) -> ini::Result<Self> {
-        Self::read(&Document::load(path)?)
+        Self::TABLE.load(path)
     }
 
     /// Reads settings from `text`; `file` is the name that messages carry.
@@ -112,14 +106,7 @@
     ///
     /// Names the file, the line and the remedy.
     pub fn parse(file: &str, text: &str) -> ini::Result<Self> {
-        Self::read(&Document::parse(file, text)?)
-    }
-
-    fn read(document: &Document) -> ini::Result<Self> {
-        let mut settings = Self::default();
-        Self::TABLE.read(document, &mut settings)?;
-        settings.check(document)?;
-        Ok(settings)
+        Self::TABLE.parse(file, text)
     }
 
     fn check(&self, document: &Document) -> ini::Result<()> {
--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -7,7 +7,7 @@
 //! key!("entry", owner_lease: Span, "How long a ledger stays owned.", span::ms(500)..=span::s(60)),
 //! ```
 //!
-//! The line gives the section, the field (or `outer.field`), the codec of [`crate::ini::codec`],
+//! The tables start with `with_limits!`, which adds the keys of `[limits]`. The line gives the section, the field (or `outer.field`), the codec of [`crate::ini::codec`],
 //! what it means, and a range if one applies. Parsing, printing and the reference page follow
 //! from it; `cargo run -p shallotflow-codegen` writes the page again.
 
--- a/crates/core/src/settings/standin.rs
+++ b/crates/core/src/settings/standin.rs
@@ -1,9 +1,9 @@
 //! Settings of the stand-ins of the platform.
 
-use super::limits::Limits;
+use super::limits::{Limits, with_limits};
 use super::span::{ms, s};
 use crate::ini::codec::{Address, Count, Label, Line, List, Maybe, Size, Span};
-use crate::ini::{self, Document, Key, Table, key};
+use crate::ini::{self, Key, Table, key};
 use crate::name::Name;
 use crate::resources::Bundle;
 use serde::{Deserialize, Serialize};
@@ -80,7 +80,7 @@
 }
 
 /// The keys of the settings file.
-pub const KEYS: &[Key<Settings>] = &[
+pub const KEYS: &[Key<Settings>] = with_limits![
     key!("standin", store_listen: Maybe<Address>, "Where the store listens; empty to leave it out."),
     key!("standin", control_listen: Maybe<Address>, "Where the worker's control interface listens; empty to leave it out."),
     key!("standin", target_listen: Maybe<Address>, "Where the target listens; empty to leave it out."),
@@ -97,17 +97,11 @@
     key!("capacity", capacity.millicores: Count<u32>, "Thousandths of a processor."),
     key!("capacity", capacity.memory_mib: Count<u32>, "Memory in mebibytes."),
     key!("capacity", capacity.accelerators: Count<u32>, "Whole accelerators."),
-    key!("limits", limits.head_bytes: Size<usize>, "Largest head of a message.", 1024..=1024 * 1024),
-    key!("limits", limits.body_bytes: Size<u64>, "Largest body of a message.", 0..=1 << 30),
-    key!("limits", limits.idle: Span, "Longest wait for the next request on an idle connection.", ms(100)..=s(3600)),
-    key!("limits", limits.head: Span, "Longest time from the first byte of a head to its last.", ms(100)..=s(60)),
-    key!("limits", limits.stall: Span, "Longest pause within a body.", ms(100)..=s(600)),
-    key!("limits", limits.connections: Count<usize>, "Most connections at a time.", 1..=1_000_000),
 ];
 
 impl Settings {
     /// The keys as a table.
-    pub const TABLE: Table<Self> = Table { keys: KEYS };
+    pub const TABLE: Table<Self> = Table { keys: KEYS, check: |_, _| Ok(()) };
 
     /// Reads the settings file at `path`; keys that it leaves out keep their defaults.
     ///
@@ -115,7 +109,7 @@
     ///
     /// Names the file, the line and the remedy.
     pub fn load(path: &Path) -> ini::Result<Self> {
-        Self::read(&Document::load(path)?)
+        Self::TABLE.load(path)
     }
 
     /// Reads settings from `text`; `file` is the name that messages carry.
@@ -124,13 +118,7 @@
     ///
     /// Names the file, the line and the remedy.
     pub fn parse(file: &str, text: &str) -> ini::Result<Self> {
-        Self::read(&Document::parse(file, text)?)
-    }
-
-    fn read(document: &Document) -> ini::Result<Self> {
-        let mut settings = Self::default();
-        Self::TABLE.read(document, &mut settings)?;
-        Ok(settings)
+        Self::TABLE.parse(file, text)
     }
 }
 
--- a/crates/core/tests/settings.rs
+++ b/crates/core/tests/settings.rs
@@ -66,6 +66,7 @@
     "[entry]\nbeat = 4s",
     "entry.ini:1: task_lease 5s is less than two beats of 4s; raise it, or lower `beat`"
 )]
+#[test_case("[entry]\nname = e\rbeat = 5s", "entry.ini:2: the text has the control character '\\r'; save it with plain line feeds"; "a lone carriage return")]
 fn refuses_with_place_and_remedy(text: &str, message: &str) {
     let error = entry::Settings::parse("entry.ini", text).expect_err("invalid settings");
     assert_eq!(error.to_string(), message);
--- a/crates/runtime/src/stop.rs
+++ b/crates/runtime/src/stop.rs
@@ -75,15 +75,6 @@
     }
 }
 
-impl Stop {
-    /// Waits for a graceful stop, then makes it an immediate one once `drain` has passed.
-    pub async fn limit_drain(&self, drain: Duration) {
-        self.wait(Level::Graceful).await;
-        monoio::time::sleep(drain).await;
-        self.raise(Level::Immediate);
-    }
-}
-
 /// Waits for SIGUSR1, in each program of a process on its own.
 #[derive(Debug)]
 pub struct Dump {
