--- a/crates/bench/src/command/run.rs
+++ b/crates/bench/src/command/run.rs
@@ -1,8 +1,9 @@
 //! `run`: the processes of a floor under its load.
 
+use crate::fault::Scenarios;
 use crate::floor::Floor;
 use crate::report;
-use crate::run::{Experiment, output};
+use crate::run::{Experiment, Policy, output};
 use bpaf::Bpaf;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -20,9 +21,15 @@
     /// Seed of arrivals, service times and the processes' random choices
     #[bpaf(argument("S"), fallback(1))]
     pub seed: u64,
-    /// `ours`, or `isolated` for the same quick load without batch jobs
+    /// `ours`, `naive`, or `isolated` or `batch` for one half of the load
     #[bpaf(argument("POLICY"), fallback(Policy::Ours))]
     pub policy: Policy,
+    /// Faults by name, with commas between them
+    #[bpaf(argument("NAMES"), fallback(Scenarios::default()))]
+    pub faults: Scenarios,
+    /// What the processes log: a level, then `target=level` for parts of them
+    #[bpaf(argument("FILTER"), fallback("off".to_owned()))]
+    pub log: String,
     /// Where to write the figures as JSON
     #[bpaf(argument("FILE"))]
     pub json: Option<PathBuf>,
@@ -31,27 +38,6 @@
     pub floor: String,
 }
 
-/// Which scheduler answers, and whether batch jobs are submitted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Policy {
-    /// The scheduler, with batch jobs.
-    Ours,
-    /// The scheduler, without batch jobs.
-    Isolated,
-}
-
-impl std::str::FromStr for Policy {
-    type Err = String;
-
-    fn from_str(text: &str) -> Result<Self, String> {
-        match text {
-            "ours" => Ok(Self::Ours),
-            "isolated" => Ok(Self::Isolated),
-            _ => Err(format!("policy {text:?} is unknown; use `ours` or `isolated`")),
-        }
-    }
-}
-
 impl Options {
     /// Runs the experiment and prints what it found.
     ///
@@ -64,7 +50,9 @@
             run: Duration::from_secs(self.seconds),
             settle: Duration::from_secs(self.settle),
             seed: self.seed,
-            batch: self.policy != Policy::Isolated,
+            policy: self.policy,
+            faults: self.faults.0,
+            log: self.log.into(),
         };
         let findings = experiment.carry_out()?;
         println!("{}", report::summary(&findings.summary));
--- a/crates/bench/src/load/generator.rs
+++ b/crates/bench/src/load/generator.rs
@@ -2,10 +2,12 @@
 
 use super::batch::{self, Jobs};
 use super::client::Client;
+use super::draft::Drafts;
 use super::quick;
 use super::schedule::Schedule;
 use super::service::Service;
 use super::tally::Tally;
+use crate::fault;
 use crate::floor::{Floor, Kind};
 use shallotflow_core::class::Class;
 use shallotflow_core::name::Name;
@@ -28,8 +30,10 @@
     pub settle: Duration,
     /// Threads that send quick requests and watchers.
     pub threads: u16,
+    /// Whether quick requests and watchers are sent.
+    pub requests: bool,
     /// Whether batch jobs are submitted.
-    pub batch: bool,
+    pub jobs: bool,
     /// The seed of arrivals and service times.
     pub seed: u64,
 }
@@ -41,7 +45,8 @@
             run: Duration::from_secs(10),
             settle: Duration::from_secs(20),
             threads: 2,
-            batch: true,
+            requests: true,
+            jobs: true,
             seed: 1,
         }
     }
@@ -160,11 +165,12 @@
         let progress = Progress::default();
         let start = Instant::now();
         let mut threads = Vec::new();
-        for thread in 0..settings.threads {
+        let senders = if settings.requests { settings.threads } else { 0 };
+        for thread in 0..senders {
             let sender = Sender::new(floor, settings, &progress, start, thread);
             threads.push(spawn(format!("load-{thread}"), move || sender.requests())?);
         }
-        if settings.batch {
+        if settings.jobs {
             let sender = Sender::new(floor, settings, &progress, start, settings.threads);
             threads.push(spawn("load-batch".to_owned(), move || sender.jobs())?);
         }
@@ -273,15 +279,15 @@
     fn batch_stream(&self, kind: &Kind, index: usize, client: Client) -> batch::Stream {
         let seed = self.stream_seed(index);
         let run = self.settings.run;
+        let (_, cancel) = fault::window(run);
+        let thread = self.token_space(index);
         batch::Stream {
-            kind: kind.clone(),
-            schedule: Schedule::steady(f64::from(kind.rate), run, seed),
-            service: Service::new(kind, seed.wrapping_add(1)),
+            schedule: Schedule::new(f64::from(kind.rate), kind.wave.clone(), run, seed),
+            drafts: Drafts::new(kind, self.floor.capacity, thread, self.settings.seed),
             client,
             start: self.start,
             until: run + self.settings.settle,
-            thread: self.token_space(index),
-            seed: self.settings.seed,
+            cancel,
             progress: self.progress.clone(),
         }
     }
--- a/crates/core/src/settings/entry.rs
+++ b/crates/core/src/settings/entry.rs
@@ -36,6 +36,8 @@
     pub beat: Duration,
     /// The farthest deadline that a request may name.
     pub longest_deadline: Duration,
+    /// How long a leaving entry still accepts connections, so that balancers see that it leaves.
+    pub linger: Duration,
     /// How long a graceful stop may take.
     pub drain: Duration,
     /// What it logs: a level, then `target=level` for parts of it.
@@ -61,6 +63,7 @@
             task_lease: Duration::from_secs(5),
             beat: Duration::from_millis(500),
             longest_deadline: Duration::from_secs(600),
+            linger: Duration::from_millis(500),
             drain: Duration::from_secs(30),
             log: "info".into(),
             limits: Limits::default(),
@@ -82,6 +85,7 @@
     key!("entry", task_lease: Span, "How long a task runs after the report that last renewed it.", ms(200)..=s(300)),
     key!("entry", beat: Span, "Longest time between two reports of an agent.", ms(10)..=s(60)),
     key!("entry", longest_deadline: Span, "Farthest deadline that a request may name.", ms(1)..=s(24 * 3600)),
+    key!("entry", linger: Span, "How long a leaving entry still accepts connections, so that balancers see that it leaves.", ms(0)..=s(60)),
     key!("entry", drain: Span, "How long a graceful stop may take.", ms(0)..=s(3600)),
     key!("entry", log: Line, "What it logs: a level, then `target=level` for parts of it."),
     key!("entry", seed: Count<u64>, "Seed of its random choices."),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,7 +5,7 @@
 //! - [`batch`]: batch jobs, in the ledgers of this entry or of another.
 //! - [`config`]: the fleet configuration, from the store or from agents.
 //! - [`peers`]: the `tonic` service for agents and other entries.
-//! - [`operators`]: liveness and readiness for operators.
+//! - `operators`: readiness and the dump of the state.
 //! - [`directory`]: the live entries.
 //! - [`meters`]: the metrics.
 //! - [`session`]: the entry's lease and presence at the store.
@@ -20,7 +20,7 @@
 pub mod config;
 pub mod directory;
 pub mod meters;
-pub mod operators;
+mod operators;
 pub mod peers;
 pub mod quick;
 pub mod session;
