Tell refused arguments apart by the exit code, and show an invalid text

Cause: the argument parser exits with 1, while the pages say 2 for refused arguments. A text that something else wrote and that is not valid could not even be shown, and an unknown state of jobs listed nothing.

Change: exit codes follow the documented table; `show` prints the text as it is; `jobs` refuses unknown states; `apply` reads its file once, so that what was checked is what is written.

Tests give the exit codes of five command lines and replace an invalid text.

--- a/crates/cli/src/command/apply.rs
+++ b/crates/cli/src/command/apply.rs
@@ -8,6 +8,7 @@
 use bpaf::Bpaf;
 use serde_json::json;
 use shallotflow_core::fleet::{Config, merge};
+use shallotflow_core::ini;
 use shallotflow_core::name::Name;
 use std::path::PathBuf;
 
@@ -38,9 +39,8 @@
 ///
 /// Refuses an invalid file before any write, and names what another edit changed.
 pub(super) async fn run(arguments: Arguments) -> Result<Answer> {
-    let ours = Config::load(&arguments.file)?;
-    let text = std::fs::read_to_string(&arguments.file)
-        .map_err(|error| Error::System(format!("{}: {error}", arguments.file.display())))?;
+    let text = ini::read_text(&arguments.file)?;
+    let ours = Config::parse(&arguments.file.display().to_string(), &text)?;
     let store = arguments.store.client();
     let session = Session::new(&store);
     let base = arguments.base.or_else(|| show::base(&text));
--- a/crates/cli/src/command/jobs.rs
+++ b/crates/cli/src/command/jobs.rs
@@ -6,7 +6,7 @@
 use crate::error::{Error, Result};
 use bpaf::Bpaf;
 use serde_json::json;
-use shallotflow_core::job::Record;
+use shallotflow_core::job::{Record, State};
 use shallotflow_wire::proto;
 
 const DEFAULT_LIMIT: u32 = 100;
@@ -20,13 +20,19 @@
     #[bpaf(external(peers))]
     peers: Peers,
     /// Only jobs in this state: queued, started, done, failed, cancelled, unknown or parked
-    #[bpaf(argument("STATE"), fallback(String::new()))]
+    #[bpaf(argument::<String>("STATE"), parse(state), fallback(String::new()))]
     state: String,
     /// Most jobs to list from each entry; 100 if not given
     #[bpaf(argument("COUNT"), fallback(DEFAULT_LIMIT))]
     limit: u32,
 }
 
+fn state(name: String) -> std::result::Result<String, String> {
+    let known = State::NAMES.contains(&name.as_str());
+    let refused = || format!("`{name}` is no state; use one of {}", State::NAMES.join(", "));
+    known.then(|| name.clone()).ok_or_else(refused)
+}
+
 /// Lists the jobs of the ledgers that the given entries own.
 ///
 /// # Errors
--- a/crates/cli/src/command/show.rs
+++ b/crates/cli/src/command/show.rs
@@ -56,11 +56,10 @@
 pub(super) async fn run(arguments: Arguments) -> Result<Answer> {
     let store = arguments.store.client();
     let current = Session::new(&store).read().await?;
-    let config = current.config()?;
     if arguments.place.names_something() {
-        return Ok(resolved(&config, &arguments.place));
+        return Ok(resolved(&current.config()?, &arguments.place));
     }
-    Ok(whole(&current, &config))
+    Ok(whole(&current))
 }
 
 /// The revision that `text` says it is an edit of.
@@ -74,9 +73,14 @@
     kept.collect()
 }
 
-fn whole(current: &Current, config: &Config) -> Answer {
+/// The text in force; it is shown as it is, so that an invalid one can be mended.
+fn whole(current: &Current) -> Answer {
     let revision = current.revision;
-    let text = if current.text.is_empty() { config.print() } else { current.text.clone() };
+    let config = current.config().ok();
+    let text = match &config {
+        Some(config) if current.text.is_empty() => config.print(),
+        _ => current.text.clone(),
+    };
     Answer {
         text: format!("{BASE_COMMENT}{revision}\n{}\n", text.trim_end()),
         json: json!({ "revision": revision, "text": text, "config": config }),
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -16,30 +16,42 @@
 pub mod reference;
 
 use answer::{Answer, Output};
-use command::Command;
+use bpaf::{Args, ParseFailure};
+use command::{Command, command};
 use error::{Error, Result};
-use std::process::ExitCode;
 
-/// Runs a command to its end on a runtime of this thread.
-///
-/// # Errors
-///
-/// Gives the error of the command.
-pub fn execute(command: Command) -> Result<Answer> {
+/// Columns of help texts and messages about arguments.
+const COLUMNS: usize = 100;
+const EXIT_REFUSED: u8 = 2;
+
+/// Runs the command that `arguments` name, prints its result, and gives the exit code.
+pub fn main(arguments: Args<'_>) -> u8 {
+    match command().run_inner(arguments) {
+        Ok(command) => {
+            let output = command.output();
+            print(execute(command), output)
+        }
+        Err(failure) => {
+            failure.print_message(COLUMNS);
+            if matches!(failure, ParseFailure::Stderr(_)) { EXIT_REFUSED } else { 0 }
+        }
+    }
+}
+
+fn execute(command: Command) -> Result<Answer> {
     let run = shallotflow_runtime::executor::run(command.run());
     run.map_err(|error| Error::System(error.to_string()))?
 }
 
-/// Prints the result of a command and gives its exit code.
-pub fn print(result: Result<Answer>, output: Output) -> ExitCode {
+fn print(result: Result<Answer>, output: Output) -> u8 {
     match result {
         Ok(answer) => {
             print!("{}", answer.render(output));
-            ExitCode::SUCCESS
+            0
         }
         Err(error) => {
             eprint!("{}", error.render(output));
-            ExitCode::from(error.exit_code())
+            error.exit_code()
         }
     }
 }
--- a/crates/cli/tests/config.rs
+++ b/crates/cli/tests/config.rs
@@ -6,7 +6,7 @@
 use shallotflow_cli::change::{Current, Edit, Session};
 use shallotflow_cli::command::command;
 use shallotflow_cli::error::Error;
-use shallotflow_core::fleet::Changes;
+use shallotflow_core::fleet::{Changes, key};
 use shallotflow_standin::store::Faults;
 use shallotflow_store::client::{Client, Settings};
 use shallotflow_store::error as store_error;
@@ -227,6 +227,21 @@
     });
 }
 
+#[test]
+fn an_invalid_text_from_elsewhere_is_shown_and_can_be_replaced() {
+    with_store(async |store| {
+        let settings = Settings { endpoints: vec![store.address], ..Settings::default() };
+        let client = Client::new(settings);
+        let write = Transaction::default().put(key::TEXT, "[default]\n");
+        store::Store::commit(&client, write).await.expect("a written text");
+        assert!(shown(&store).await.ends_with("\n[default]\n"));
+        let error = store.run(&["show", "--worker=w1"]).await.expect_err("an invalid text");
+        assert!(error.to_string().contains("store:1: section `default` is unknown"), "{error}");
+        store.apply(&["apply", "--replace", &file("mended.ini", FIRST)]).await;
+        assert!(shown(&store).await.ends_with(FIRST));
+    });
+}
+
 #[test]
 fn a_drain_needs_a_reason_and_ends() {
     with_store(async |store| {
--- a/crates/cli/tests/processes.rs
+++ b/crates/cli/tests/processes.rs
@@ -10,6 +10,7 @@
 use shallotflow_wire::proto::scheduler_client::SchedulerClient;
 use shallotflow_wire::rpc::Channel;
 use support::{run, with_store};
+use test_case::test_case;
 
 async fn entry() -> Bound {
     let (ready, bound) = oneshot::channel();
@@ -89,3 +90,12 @@
         assert!(error.to_string().contains("127.0.0.1:1"), "{error}");
     });
 }
+
+#[test_case(&["--help"], 0; "help")]
+#[test_case(&["frobnicate"], 2; "an unknown command")]
+#[test_case(&["jobs", "--peers=127.0.0.1:1", "--state=open"], 2; "an unknown state")]
+#[test_case(&["check", "no-such-file.ini"], 2; "no file")]
+#[test_case(&["show", "--store=127.0.0.1:1"], 1; "no store")]
+fn the_exit_code_tells_what_went_wrong(words: &[&str], code: u8) {
+    assert_eq!(shallotflow_cli::main(words.into()), code);
+}
--- a/crates/core/src/ini/document.rs
+++ b/crates/core/src/ini/document.rs
@@ -5,6 +5,19 @@
 use ini_core::{Item, Parser};
 use std::path::Path;
 
+/// Reads the text of the file at `path`.
+///
+/// # Errors
+///
+/// Fails when the file cannot be read as text.
+pub fn read_text(path: &Path) -> Result<String> {
+    std::fs::read_to_string(path).map_err(|error| Error {
+        file: path.display().to_string().into(),
+        line: 0,
+        fault: Fault::Unreadable(error.to_string()),
+    })
+}
+
 /// An INI text taken apart, without knowledge of its keys.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Document {
@@ -21,13 +34,7 @@
     ///
     /// Fails when the file cannot be read or is not an INI text.
     pub fn load(path: &Path) -> Result<Self> {
-        let file = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|error| Error {
-            file: file.as_str().into(),
-            line: 0,
-            fault: Fault::Unreadable(error.to_string()),
-        })?;
-        Self::parse(&file, &text)
+        Self::parse(&path.display().to_string(), &read_text(path)?)
     }
 
     /// Takes apart `text`; `file` is the name that messages carry.
--- a/crates/core/src/ini/mod.rs
+++ b/crates/core/src/ini/mod.rs
@@ -16,7 +16,7 @@
 mod section;
 mod table;
 
-pub use document::Document;
+pub use document::{Document, read_text};
 pub use entry::Entry;
 pub use error::Error;
 pub use fault::Fault;
--- a/crates/core/src/job/state.rs
+++ b/crates/core/src/job/state.rs
@@ -38,6 +38,10 @@
 }
 
 impl State {
+    /// The names of all states.
+    pub const NAMES: [&str; 7] =
+        ["queued", "started", "done", "failed", "cancelled", "unknown", "parked"];
+
     /// Whether the job never changes its state again.
     pub fn is_final(&self) -> bool {
         matches!(self, Self::Done | Self::Failed { .. } | Self::Cancelled | Self::Unknown { .. })
--- a/crates/runtime/src/process.rs
+++ b/crates/runtime/src/process.rs
@@ -2,15 +2,17 @@
 
 use crate::executor;
 use crate::stop::{Level, Stop};
-use bpaf::{Parser, construct, long};
+use bpaf::{Args, ParseFailure, Parser, construct, long};
 use shallotflow_core::ini;
 use std::fmt::Debug;
 use std::future::Future;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-/// Exit code when the settings are refused.
-pub const EXIT_SETTINGS: u8 = 2;
+/// Exit code when arguments or settings are refused.
+pub const EXIT_REFUSED: u8 = 2;
+/// Columns of help texts and messages about arguments.
+const COLUMNS: usize = 100;
 
 /// A program that is started from a settings file.
 pub struct Process<S> {
@@ -33,12 +35,19 @@
     {
         let config = long("config").help("INI file with the settings").argument("FILE");
         let arguments = construct!(config).to_options().descr(self.about);
-        let path: PathBuf = arguments.run();
+        let path: PathBuf = match arguments.run_inner(Args::current_args()) {
+            Ok(path) => path,
+            Err(failure) => {
+                failure.print_message(COLUMNS);
+                let refused = matches!(failure, ParseFailure::Stderr(_));
+                return ExitCode::from(if refused { EXIT_REFUSED } else { 0 });
+            }
+        };
         let settings = match (self.load)(&path) {
             Ok(settings) => settings,
             Err(error) => {
                 eprintln!("{error}");
-                return ExitCode::from(EXIT_SETTINGS);
+                return ExitCode::from(EXIT_REFUSED);
             }
         };
         match execute(settings, run) {
