Count a request only after it was admitted; cap watchers by a setting

Cause: a request was counted before it was admitted, so that it competed with itself: of two watchers that the cap allowed, the second was refused. Change: the count begins after the admission; the cap on watchers is a setting of the entry.

--- a/crates/core/src/settings/entry.rs
+++ b/crates/core/src/settings/entry.rs
@@ -38,6 +38,8 @@
     pub default_deadline: Duration,
     /// The farthest deadline that a request may name.
     pub longest_deadline: Duration,
+    /// Most watchers that the entry holds at a time.
+    pub watchers: u32,
     /// How long a leaving entry still accepts connections, so that balancers see that it leaves.
     pub linger: Duration,
     /// How long a graceful stop may take.
@@ -66,6 +68,7 @@
             beat: Duration::from_millis(500),
             default_deadline: Duration::from_secs(2),
             longest_deadline: Duration::from_secs(600),
+            watchers: 4_096,
             linger: Duration::from_millis(500),
             drain: Duration::from_secs(30),
             log: "info".into(),
@@ -89,6 +92,7 @@
     key!("entry", beat: Span, "Longest time between two reports of an agent.", ms(10)..=s(60)),
     key!("entry", default_deadline: Span, "Deadline of a quick request that names none.", ms(1)..=s(3600)),
     key!("entry", longest_deadline: Span, "Farthest deadline that a request may name.", ms(1)..=s(24 * 3600)),
+    key!("entry", watchers: Count<u32>, "Most watchers that the entry holds at a time.", 0..=1_000_000),
     key!("entry", linger: Span, "How long a leaving entry still accepts connections, so that balancers see that it leaves.", ms(0)..=s(60)),
     key!("entry", drain: Span, "How long a graceful stop may take.", ms(0)..=s(3600)),
     key!("entry", log: Line, "What it logs: a level, then `target=level` for parts of it."),
--- a/crates/entry/src/quick/dispatch.rs
+++ b/crates/entry/src/quick/dispatch.rs
@@ -1,6 +1,5 @@
 //! Serves a request and counts how it ended.
 
-use super::ticket::Ticket;
 use super::{Request, relay, targets};
 use crate::callers::answer;
 use crate::state::State;
@@ -12,12 +11,11 @@
 /// Sends `request` to a target here, or to another entry if none is known here.
 pub async fn dispatch(state: Rc<State>, request: Request) -> Response<Body> {
     let (began, class, kind) = (state.now(), request.ask.class, request.kind.clone());
-    let ticket = Rc::new(Ticket::new(state.clone(), request.ask.caller.clone(), class));
     let known = state.routes.borrow().members(&kind) > 0;
     let result = if known {
-        targets::serve(&state, request, &ticket).await
+        targets::serve(&state, request).await
     } else if request.ask.hops == 0 {
-        relay::serve(&state, request, &ticket).await
+        relay::serve(&state, request).await
     } else {
         Err(unknown_kind(&kind))
     };
--- a/crates/entry/src/quick/relay.rs
+++ b/crates/entry/src/quick/relay.rs
@@ -15,20 +15,17 @@
 const ENTRIES: usize = 2;
 
 /// Passes `request` to another entry, and to a second one if the first did not run it.
-pub(super) async fn serve(
-    state: &Rc<State>,
-    mut request: Request,
-    ticket: &Rc<Ticket>,
-) -> Result<Response<Body>> {
+pub(super) async fn serve(state: &Rc<State>, mut request: Request) -> Result<Response<Body>> {
     let entries = state.directory.borrow().sample(ENTRIES, &mut state.rng.borrow_mut());
+    let ticket = Ticket::start(state, &request);
     let mut problem = unknown_kind(&request.kind);
     for entry in entries {
         state.meters.borrow().relayed();
-        let failure = match attempt(state, &mut request, &Place::Entry(entry.callers), ticket).await
-        {
-            Ok(response) => return Ok(response),
-            Err(failure) => failure,
-        };
+        let failure =
+            match attempt(state, &mut request, &Place::Entry(entry.callers), &ticket).await {
+                Ok(response) => return Ok(response),
+                Err(failure) => failure,
+            };
         problem = failure.problem;
         let not_run = problem.outcome == Outcome::NotRun;
         if !not_run || !failure.transient || !request.payload.is_replayable() {
--- a/crates/entry/src/quick/targets.rs
+++ b/crates/entry/src/quick/targets.rs
@@ -20,24 +20,16 @@
 const FAIR_FACTOR: u32 = 4;
 
 /// Sends `request` to a target, and to others while the retry budget allows it.
-pub(super) async fn serve(
-    state: &Rc<State>,
-    mut request: Request,
-    ticket: &Rc<Ticket>,
-) -> Result<Response<Body>> {
+pub(super) async fn serve(state: &Rc<State>, mut request: Request) -> Result<Response<Body>> {
     check_size(state, &request)?;
     state.retries.borrow_mut().earn();
     let mut tried = Vec::new();
-    let mut last: Option<Failure> = None;
+    let mut place = choose(state, &request, &mut tried).ok_or_else(|| no_target(&request.kind))?;
+    admit(state, &request, &place)?;
+    let ticket = Ticket::start(state, &request);
     loop {
-        let Some(place) = choose(state, &request, &mut tried) else {
-            return Err(last.map_or_else(|| no_target(&request.kind), |last| last.problem));
-        };
-        if last.is_none() {
-            admit(state, &request, &place)?;
-        }
         let began = state.now();
-        let result = attempt(state, &mut request, &place, ticket).await;
+        let result = attempt(state, &mut request, &place, &ticket).await;
         record(state, &request, &place, began, &result);
         let failure = match result {
             Ok(response) => return Ok(name_worker(response, &place)),
@@ -46,8 +38,9 @@
         if !may_retry(state, &request, &failure, tried.len()) {
             return Err(failure.problem);
         }
+        let Some(next) = choose(state, &request, &mut tried) else { return Err(failure.problem) };
         state.meters.borrow().retry();
-        last = Some(failure);
+        place = next;
     }
 }
 
--- a/crates/entry/src/quick/ticket.rs
+++ b/crates/entry/src/quick/ticket.rs
@@ -1,5 +1,6 @@
 //! Counts a request of a caller until its answer is complete or given up.
 
+use super::Request;
 use crate::state::State;
 use shallotflow_core::class::Class;
 use shallotflow_core::name::Name;
@@ -13,9 +14,11 @@
 }
 
 impl Ticket {
-    pub(super) fn new(state: Rc<State>, caller: Name, class: Class) -> Self {
+    /// Counts a request that was just admitted.
+    pub(super) fn start(state: &Rc<State>, request: &Request) -> Rc<Self> {
+        let (caller, class) = (request.ask.caller.clone(), request.ask.class);
         state.shares.borrow_mut().enter(&caller, class);
-        Self { state, caller, class }
+        Rc::new(Self { state: state.clone(), caller, class })
     }
 }
 
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -76,7 +76,10 @@
             rng: RefCell::new(SmallRng::seed_from_u64(settings.seed)),
             outliers: RefCell::new(outlier::Table::new(outlier::Settings::default())),
             shares: RefCell::new(share::Table::new(settings.seed)),
-            share_settings: share::Settings::default(),
+            share_settings: share::Settings {
+                watchers: settings.watchers,
+                ..share::Settings::default()
+            },
             meters: RefCell::default(),
             quick_pool: Pool::new(quick, CONNECT_TIMEOUT, POOL_PER_TARGET),
             watch_pool: Pool::new(watch, CONNECT_TIMEOUT, POOL_PER_TARGET),
--- /dev/null
+++ b/crates/entry/tests/hop.rs
@@ -0,0 +1,60 @@
+//! One hop between entries for a kind that only the other one knows.
+
+mod support;
+
+use event_listener::Event;
+use http::Request;
+use monoio::net::TcpListener;
+use shallotflow_core::outcome::Outcome;
+use shallotflow_core::problem::Code;
+use shallotflow_entry::Settings;
+use shallotflow_standin::store::{Counters, Faults, Server, serve};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use support::{Agent, Entry, echo, settings};
+
+fn store() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    let server = Server::new(Faults::default(), Counters::default(), 7);
+    monoio::spawn(serve(listener, server, Rc::new(Event::new())));
+    address
+}
+
+/// Two entries that know each other through the store.
+async fn pair() -> [Entry; 2] {
+    let store = vec![store()];
+    let settings = |name: &str| Settings { name: name.into(), store: store.clone(), ..settings() };
+    let entries =
+        [Entry::start(settings("entry-1")).await, Entry::start(settings("entry-2")).await];
+    for entry in &entries {
+        let agent = Agent::start("worker-0", "probe", echo);
+        while agent.report(entry).await.entries.len() < 2 {
+            monoio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+    entries
+}
+
+#[test]
+fn a_kind_that_only_the_other_entry_knows_is_served() {
+    support::run(async {
+        let [first, second] = pair().await;
+        let agent = Agent::start("worker-1", "preview", echo);
+        agent.report(&second).await;
+        let answer = first.send(Request::post("/run/preview"), "across").await;
+        assert_eq!((answer.status(), &answer.body[..]), (200, &b"across"[..]));
+        assert_eq!(answer.header("shallotflow-worker"), "worker-1");
+        assert_eq!(agent.calls.get(), 1);
+    });
+}
+
+#[test]
+fn a_kind_that_nobody_knows_crosses_one_hop_and_is_refused() {
+    support::run(async {
+        let [first, _second] = pair().await;
+        let problem = first.send(Request::post("/run/preview"), "x").await.problem();
+        assert_eq!((problem.code, problem.outcome), (Code::UnknownKind, Outcome::NotRun));
+    });
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -40,9 +40,13 @@
 
 /// Runs `test` beside an entry with `settings`.
 pub(crate) fn with_entry(settings: Settings, test: impl AsyncFnOnce(&Entry)) {
+    run(async { test(&Entry::start(settings).await).await });
+}
+
+/// Runs `test` on a runtime of its own.
+pub(crate) fn run(test: impl Future<Output = ()>) {
     executor::run(async {
-        let entry = Entry::start(settings).await;
-        let ended = monoio::time::timeout(PATIENCE, test(&entry)).await;
+        let ended = monoio::time::timeout(PATIENCE, test).await;
         ended.expect("the test ends in time");
     })
     .expect("a runtime");
