Let the fleet configuration set deadlines, retry budget, shares and priority at an entry

Cause: the values quick_deadline, retry_budget, caller_share and priority of the fleet configuration were accepted and had no effect. Change: a request or job that names none gets the deadline or priority in force for its kind and caller; the retry budget follows within a second; an exception's share is both the caller's part of the whole and its weight beside others.

--- a/crates/entry/src/callers/front.rs
+++ b/crates/entry/src/callers/front.rs
@@ -102,9 +102,9 @@
     head: request::Parts,
     body: Body,
 ) -> Response<Body> {
-    let within = ask.within.unwrap_or(match ask.class {
+    let within = ask.within.unwrap_or_else(|| match ask.class {
         Class::Watch => state.settings.longest_deadline,
-        Class::Quick | Class::Batch => state.settings.default_deadline,
+        Class::Quick | Class::Batch => state.quick_deadline(&kind, &ask.caller),
     });
     let deadline = state.now().after(within);
     let payload = match Payload::read(body).await {
--- a/crates/entry/src/callers/jobs.rs
+++ b/crates/entry/src/callers/jobs.rs
@@ -26,8 +26,7 @@
     declared_run_ms: u64,
     #[serde(default)]
     idempotent: bool,
-    #[serde(default)]
-    priority: u8,
+    priority: Option<u8>,
     #[serde(default)]
     payload: String,
 }
@@ -43,7 +42,7 @@
         Ok(key) => key,
         Err(problem) => return answer::problem(&problem),
     };
-    let spec = match spec(ask, body).await {
+    let spec = match spec(state, ask, body).await {
         Ok(spec) => spec,
         Err(problem) => return answer::problem(&problem),
     };
@@ -85,7 +84,7 @@
     key.ok_or_else(|| Problem::not_run(Code::KeyMissing, missing))
 }
 
-async fn spec(ask: &Ask, body: Body) -> Result<Spec, Problem> {
+async fn spec(state: &State, ask: &Ask, body: Body) -> Result<Spec, Problem> {
     let body = body.collect(MAX_JOB_BYTES).await.map_err(|error| quick::caller_problem(&error))?;
     let malformed = |detail| Problem::not_run(Code::Malformed, detail);
     let draft: Draft = serde_json::from_slice(&body)
@@ -93,13 +92,15 @@
     if !ask::is_name(&draft.kind) {
         return Err(malformed(format!("kind {:?} is not a name", draft.kind)));
     }
+    let usual = || state.values(&draft.kind, &ask.caller).priority;
+    let priority = draft.priority.unwrap_or_else(usual);
     Ok(Spec {
         caller: ask.caller.clone(),
         kind: draft.kind,
         resources: draft.resources,
         declared_run_ms: draft.declared_run_ms,
         idempotent: draft.idempotent,
-        priority: draft.priority,
+        priority,
         payload: draft.payload,
     })
 }
--- a/crates/entry/src/quick/targets.rs
+++ b/crates/entry/src/quick/targets.rs
@@ -8,6 +8,7 @@
 use crate::state::State;
 use crate::tick;
 use http::{HeaderValue, Response};
+use shallotflow_core::class::Class;
 use shallotflow_core::problem::{Code, Problem};
 use shallotflow_core::time::Time;
 use shallotflow_policy::{outlier, retry, route, share};
@@ -16,6 +17,7 @@
 use std::rc::Rc;
 
 const RETRY_AFTER_S: u32 = 1;
+const WHOLE_MILLI: u32 = 1_000;
 /// A timeout is the target's fault when it had this many times the time that was expected.
 const FAIR_FACTOR: u32 = 4;
 
@@ -72,12 +74,20 @@
 /// Sheds a request early, before anything is sent.
 fn admit(state: &State, request: &Request, place: &Place) -> Result<()> {
     let Place::Target { wait, .. } = place else { return Ok(()) };
-    let claim = share::Claim {
-        caller: &request.ask.caller,
+    let (kind, caller) = (&*request.kind, &*request.ask.caller);
+    let mut claim = share::Claim {
+        caller,
         class: request.ask.class,
         wait: *wait,
         left: request.deadline.left(state.now()),
+        share_milli: WHOLE_MILLI,
+        weight_milli: WHOLE_MILLI,
     };
+    if claim.class == Class::Watch || claim.is_pressed(&state.share_settings) {
+        let (usual, own) = (state.values(kind, ""), state.values(kind, caller));
+        claim.share_milli = own.caller_share;
+        claim.weight_milli = own.caller_share * WHOLE_MILLI / usual.caller_share.max(1);
+    }
     let admitted = share::admit(&claim, &state.shares.borrow(), &state.share_settings);
     admitted.map_err(|refusal| shed(refusal, &claim))
 }
@@ -123,7 +133,7 @@
         Err(_) => return,
     };
     routes.record(*id, failed);
-    if request.ask.class == shallotflow_core::class::Class::Watch && !failed {
+    if request.ask.class == Class::Watch && !failed {
         return;
     }
     if !failed {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -8,6 +8,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use shallotflow_core::class::Class;
+use shallotflow_core::fleet::{Subject, Values};
 use shallotflow_core::name::Name;
 use shallotflow_core::time::{Clock, Monotonic, Time};
 use shallotflow_policy::{member, outlier, retry, route, share};
@@ -97,6 +98,21 @@
         self.clock.now()
     }
 
+    /// The values of the fleet configuration for work of `caller` on `kind` at this entry.
+    pub fn values(&self, kind: &str, caller: &str) -> Values {
+        let domain = &self.settings.domain;
+        self.config.resolve(&Subject { domain, worker: "", kind, caller })
+    }
+
+    /// The time for a quick request that names no deadline.
+    pub fn quick_deadline(&self, kind: &str, caller: &str) -> Duration {
+        // Without a fleet configuration the entry's own setting applies.
+        if self.config.revision() == 0 {
+            return self.settings.default_deadline;
+        }
+        self.values(kind, caller).quick_deadline
+    }
+
     /// Connections to agents and other entries for requests of `class`.
     pub fn pool(&self, class: Class) -> &Pool {
         match class {
--- a/crates/entry/src/tick.rs
+++ b/crates/entry/src/tick.rs
@@ -17,6 +17,7 @@
         expire(&state);
         set_aside(&state);
         if number.is_multiple_of(TICKS_PER_MEASUREMENT) {
+            apply_config(&state);
             measure(&state);
         }
     }
@@ -57,6 +58,13 @@
     }
 }
 
+/// Puts the retry budget of the fleet configuration in force.
+fn apply_config(state: &State) {
+    if state.config.revision() > 0 {
+        state.retries.borrow_mut().set_share(state.values("", "").retry_budget);
+    }
+}
+
 fn measure(state: &State) {
     let routes = state.routes.borrow();
     let levels = Levels {
--- a/crates/entry/tests/config.rs
+++ b/crates/entry/tests/config.rs
@@ -119,3 +119,22 @@
         assert_eq!((reply.config_revision, reply.want_config), (0, true));
     });
 }
+
+#[test]
+fn the_deadline_of_the_fleet_applies_to_a_request_that_names_none() {
+    run(async || {
+        let store = store(Faults::default()).await;
+        let entry = entry(store).await;
+        let revision = write(store, "[defaults]\nquick_deadline = 50ms\n").await;
+        wait_for(&entry, revision).await;
+        let agent = support::Agent::start("worker-1", "preview", |_, request| {
+            Box::pin(async move {
+                monoio::time::sleep(HANG).await;
+                http::Response::new(request.into_body())
+            })
+        });
+        agent.report(&entry).await;
+        let answer = entry.send(http::Request::post("/run/preview"), "x").await;
+        assert_eq!(answer.problem().code, shallotflow_core::problem::Code::TimedOut);
+    });
+}
--- a/crates/policy/src/retry/budget.rs
+++ b/crates/policy/src/retry/budget.rs
@@ -27,6 +27,11 @@
         &self.settings
     }
 
+    /// Sets the retries earned by a request, thousandths.
+    pub fn set_share(&mut self, share_milli: u32) {
+        self.settings.share_milli = share_milli;
+    }
+
     /// Whole retries left.
     pub fn left(&self) -> u64 {
         self.level_micro / TOKEN_MICRO
--- a/crates/policy/src/share/admit.rs
+++ b/crates/policy/src/share/admit.rs
@@ -15,6 +15,17 @@
     pub wait: Duration,
     /// The time left until its deadline.
     pub left: Duration,
+    /// The share of what is in progress that the caller may have, thousandths.
+    pub share_milli: u32,
+    /// How much the caller counts beside one to which no exception applies, thousandths.
+    pub weight_milli: u32,
+}
+
+impl Claim<'_> {
+    /// Whether quick requests wait long enough for shares to apply.
+    pub fn is_pressed(&self, settings: &Settings) -> bool {
+        self.wait > part(self.left, settings.pressure_milli)
+    }
 }
 
 /// Why a request is refused.
@@ -44,8 +55,7 @@
     if claim.wait > part(claim.left, settings.hopeless_milli) {
         return Err(Refusal::Hopeless);
     }
-    let pressed = claim.wait > part(claim.left, settings.pressure_milli);
-    if pressed && is_over_share(claim, table, settings, settings.always) {
+    if claim.is_pressed(settings) && is_over_share(claim, table, settings) {
         return Err(Refusal::OverShare);
     }
     Ok(())
@@ -61,22 +71,27 @@
         return Err(Refusal::Watchers);
     }
     let pressed = held >= settings.watchers / 2;
-    if pressed && is_over_share(claim, table, settings, settings.always) {
+    if pressed && is_over_share(claim, table, settings) {
         return Err(Refusal::OverShare);
     }
     Ok(())
 }
 
 /// Whether one more request would exceed the caller's share of those in progress.
-fn is_over_share(claim: &Claim<'_>, table: &Table, settings: &Settings, always: u32) -> bool {
+///
+/// A caller alone may have everything. Otherwise it may have its part of what is in progress, and
+/// no more than its weight gives it beside the other callers.
+fn is_over_share(claim: &Claim<'_>, table: &Table, settings: &Settings) -> bool {
     let own = table.of(claim.caller, claim.class);
     let callers = table.callers(claim.class) + u32::from(own == 0);
     if callers <= 1 {
         return false;
     }
-    let fair = u64::from(table.total(claim.class)) / u64::from(callers);
-    let most = fair * u64::from(settings.excess_milli) / 1_000;
-    u64::from(own) >= most.max(u64::from(always))
+    let total = u64::from(table.total(claim.class));
+    let absolute = total * u64::from(claim.share_milli) / 1_000;
+    let fair = total * u64::from(claim.weight_milli) / 1_000 / u64::from(callers);
+    let fair = fair * u64::from(settings.excess_milli) / 1_000;
+    u64::from(own) >= absolute.min(fair).max(settings.always.into())
 }
 
 fn part(span: Duration, milli: u32) -> Duration {
--- a/crates/policy/tests/share.rs
+++ b/crates/policy/tests/share.rs
@@ -11,7 +11,8 @@
 const LEFT: Duration = Duration::from_millis(1_000);
 
 fn claim(caller: &str, class: Class, wait_ms: u64) -> Claim<'_> {
-    Claim { caller, class, wait: Duration::from_millis(wait_ms), left: LEFT }
+    let wait = Duration::from_millis(wait_ms);
+    Claim { caller, class, wait, left: LEFT, share_milli: 1_000, weight_milli: 1_000 }
 }
 
 /// A table in which one caller has many requests in progress and another has few.
@@ -32,6 +33,17 @@
     assert_eq!(given, expected);
 }
 
+#[test_case(1_000, 1_800, Ok(()); "an exception gives it more")]
+#[test_case(800, 1_800, Err(Refusal::OverShare); "but never more than its part of the whole")]
+fn a_weight_gives_a_caller_more_than_others(
+    share_milli: u32,
+    weight_milli: u32,
+    expected: Result<(), Refusal>,
+) {
+    let claim = Claim { share_milli, weight_milli, ..claim("greedy", Class::Quick, 400) };
+    assert_eq!(admit(&claim, &uneven(), &Settings::default()), expected);
+}
+
 #[test]
 fn a_caller_alone_may_use_everything() {
     let mut table = Table::new(1);
