--- a/crates/core/src/fleet/values.rs
+++ b/crates/core/src/fleet/values.rs
@@ -13,7 +13,7 @@
     pub reserve: u32,
     /// Whether batch work may start.
     pub batch: bool,
-    /// How much of its fair share a caller may have in progress while requests wait, thousandths.
+    /// Share of the quick capacity that one caller may use under overload, thousandths.
     pub caller_share: u32,
     /// Most watching requests held at a worker.
     pub watch_cap: u32,
@@ -32,7 +32,7 @@
         Self {
             reserve: 250,
             batch: true,
-            caller_share: 2_000,
+            caller_share: 500,
             watch_cap: 32,
             quick_deadline: Duration::from_secs(2),
             retry_budget: 150,
@@ -45,7 +45,7 @@
 const KEYS: &[Key<Values>] = &[
     key!("defaults", reserve: Percent, "Share of a worker's slots always kept for quick work.", 0..=1000),
     key!("defaults", batch: Flag, "Whether batch work may start."),
-    key!("defaults", caller_share: Percent, "How much of its fair share a caller may have in progress while requests wait.", 1000..=100_000),
+    key!("defaults", caller_share: Percent, "Share of the quick capacity that one caller may use under overload.", 1..=1000),
     key!("defaults", watch_cap: Count<u32>, "Most watching requests held at a worker.", 0..=1_000_000),
     key!("defaults", quick_deadline: Span, "Deadline of a quick request that names none.", Duration::from_millis(1)..=Duration::from_secs(3600)),
     key!("defaults", retry_budget: Percent, "Retries allowed, as a share of quick requests.", 0..=1000),
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -101,7 +101,7 @@
 
 fn values() -> impl Strategy<Value = Values> {
     let worker = (0..=1000_u32, any::<bool>(), 0..100_u32);
-    let request = (any::<u8>(), 1000..9999_u32, 1..100_000_u64);
+    let request = (any::<u8>(), 1..=1000_u32, 1..100_000_u64);
     (worker, request).prop_map(|((reserve, batch, watch_cap), (priority, caller_share, ms))| {
         Values {
             reserve,
--- a/crates/entry/src/callers/front.rs
+++ b/crates/entry/src/callers/front.rs
@@ -14,7 +14,6 @@
 use shallotflow_wire::http::server::Handler;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 const RETRY_AFTER_S: u32 = 1;
 
@@ -103,9 +102,9 @@
     head: request::Parts,
     body: Body,
 ) -> Response<Body> {
-    let within = ask.within.unwrap_or(match ask.class {
+    let within = ask.within.unwrap_or_else(|| match ask.class {
         Class::Watch => state.settings.longest_deadline,
-        Class::Quick | Class::Batch => default_deadline(&state, &kind, &ask.caller),
+        Class::Quick | Class::Batch => state.quick_deadline(&kind, &ask.caller),
     });
     let deadline = state.now().after(within);
     let payload = match Payload::read(body).await {
@@ -116,12 +115,6 @@
     quick::dispatch(state, request).await
 }
 
-/// The deadline of a quick request that names none.
-fn default_deadline(state: &State, kind: &str, caller: &str) -> Duration {
-    let values = state.values(kind, caller);
-    values.quick_deadline.min(state.settings.longest_deadline)
-}
-
 fn parse(path: &str) -> Result<Route, Problem> {
     let mut segments = path.split('/').skip(1);
     let route = match (segments.next(), segments.next(), segments.next()) {
--- a/crates/entry/src/callers/jobs.rs
+++ b/crates/entry/src/callers/jobs.rs
@@ -92,14 +92,15 @@
     if !ask::is_name(&draft.kind) {
         return Err(malformed(format!("kind {:?} is not a name", draft.kind)));
     }
-    let default = state.values(&draft.kind, &ask.caller);
+    let usual = || state.values(&draft.kind, &ask.caller).priority;
+    let priority = draft.priority.unwrap_or_else(usual);
     Ok(Spec {
         caller: ask.caller.clone(),
         kind: draft.kind,
         resources: draft.resources,
         declared_run_ms: draft.declared_run_ms,
         idempotent: draft.idempotent,
-        priority: draft.priority.unwrap_or(default.priority),
+        priority,
         payload: draft.payload,
     })
 }
--- a/crates/entry/src/quick/targets.rs
+++ b/crates/entry/src/quick/targets.rs
@@ -8,6 +8,7 @@
 use crate::state::State;
 use crate::tick;
 use http::{HeaderValue, Response};
+use shallotflow_core::class::Class;
 use shallotflow_core::problem::{Code, Problem};
 use shallotflow_core::time::Time;
 use shallotflow_policy::{outlier, retry, route, share};
@@ -16,28 +17,21 @@
 use std::rc::Rc;
 
 const RETRY_AFTER_S: u32 = 1;
+const WHOLE_MILLI: u32 = 1_000;
 /// A timeout is the target's fault when it had this many times the time that was expected.
 const FAIR_FACTOR: u32 = 4;
 
 /// Sends `request` to a target, and to others while the retry budget allows it.
-pub(super) async fn serve(
-    state: &Rc<State>,
-    mut request: Request,
-    ticket: &Rc<Ticket>,
-) -> Result<Response<Body>> {
+pub(super) async fn serve(state: &Rc<State>, mut request: Request) -> Result<Response<Body>> {
     check_size(state, &request)?;
     state.retries.borrow_mut().earn();
     let mut tried = Vec::new();
-    let mut last: Option<Failure> = None;
+    let mut place = choose(state, &request, &mut tried).ok_or_else(|| no_target(&request.kind))?;
+    admit(state, &request, &place)?;
+    let ticket = Ticket::start(state, &request);
     loop {
-        let Some(place) = choose(state, &request, &mut tried) else {
-            return Err(last.map_or_else(|| no_target(&request.kind), |last| last.problem));
-        };
-        if last.is_none() {
-            admit(state, &request, &place)?;
-        }
         let began = state.now();
-        let result = attempt(state, &mut request, &place, ticket).await;
+        let result = attempt(state, &mut request, &place, &ticket).await;
         record(state, &request, &place, began, &result);
         let failure = match result {
             Ok(response) => return Ok(name_worker(response, &place)),
@@ -46,8 +40,9 @@
         if !may_retry(state, &request, &failure, tried.len()) {
             return Err(failure.problem);
         }
+        let Some(next) = choose(state, &request, &mut tried) else { return Err(failure.problem) };
         state.meters.borrow().retry();
-        last = Some(failure);
+        place = next;
     }
 }
 
@@ -79,15 +74,21 @@
 /// Sheds a request early, before anything is sent.
 fn admit(state: &State, request: &Request, place: &Place) -> Result<()> {
     let Place::Target { wait, .. } = place else { return Ok(()) };
-    let claim = share::Claim {
-        caller: &request.ask.caller,
+    let (kind, caller) = (&*request.kind, &*request.ask.caller);
+    let mut claim = share::Claim {
+        caller,
         class: request.ask.class,
         wait: *wait,
         left: request.deadline.left(state.now()),
+        share_milli: WHOLE_MILLI,
+        weight_milli: WHOLE_MILLI,
     };
-    let excess_milli = state.values(&request.kind, claim.caller).caller_share;
-    let settings = share::Settings { excess_milli, ..state.share_settings.clone() };
-    let admitted = share::admit(&claim, &state.shares.borrow(), &settings);
+    if claim.class == Class::Watch || claim.is_pressed(&state.share_settings) {
+        let (usual, own) = (state.values(kind, ""), state.values(kind, caller));
+        claim.share_milli = own.caller_share;
+        claim.weight_milli = own.caller_share * WHOLE_MILLI / usual.caller_share.max(1);
+    }
+    let admitted = share::admit(&claim, &state.shares.borrow(), &state.share_settings);
     admitted.map_err(|refusal| shed(refusal, &claim))
 }
 
@@ -132,7 +133,7 @@
         Err(_) => return,
     };
     routes.record(*id, failed);
-    if request.ask.class == shallotflow_core::class::Class::Watch && !failed {
+    if request.ask.class == Class::Watch && !failed {
         return;
     }
     if !failed {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -77,7 +77,10 @@
             rng: RefCell::new(SmallRng::seed_from_u64(settings.seed)),
             outliers: RefCell::new(outlier::Table::new(outlier::Settings::default())),
             shares: RefCell::new(share::Table::new(settings.seed)),
-            share_settings: share::Settings::default(),
+            share_settings: share::Settings {
+                watchers: settings.watchers,
+                ..share::Settings::default()
+            },
             meters: RefCell::default(),
             quick_pool: Pool::new(quick, CONNECT_TIMEOUT, POOL_PER_TARGET),
             watch_pool: Pool::new(watch, CONNECT_TIMEOUT, POOL_PER_TARGET),
@@ -95,6 +98,17 @@
         self.clock.now()
     }
 
+    /// The values of the fleet configuration for work of `caller` on `kind` at this entry.
+    pub fn values(&self, kind: &str, caller: &str) -> Values {
+        let domain = &self.settings.domain;
+        self.config.resolve(&Subject { domain, worker: "", kind, caller })
+    }
+
+    /// The time for a quick request that names no deadline.
+    pub fn quick_deadline(&self, kind: &str, caller: &str) -> Duration {
+        self.values(kind, caller).quick_deadline.min(self.settings.longest_deadline)
+    }
+
     /// Connections to agents and other entries for requests of `class`.
     pub fn pool(&self, class: Class) -> &Pool {
         match class {
@@ -109,11 +123,6 @@
         self.watch_pool.forget(address);
     }
 
-    /// The values of the fleet configuration for work of `kind` from `caller`.
-    pub fn values(&self, kind: &str, caller: &str) -> Values {
-        self.config.resolve(&Subject { domain: &self.settings.domain, worker: "", kind, caller })
-    }
-
     /// A new identifier for a request, unique among entries and their restarts.
     pub fn next_request_id(&self) -> Name {
         let number = self.requests.get() + 1;
--- a/crates/entry/src/tick.rs
+++ b/crates/entry/src/tick.rs
@@ -14,21 +14,15 @@
 pub async fn run(state: Rc<State>) {
     for number in 1_u64.. {
         monoio::time::sleep(TICK).await;
-        configure(&state);
         expire(&state);
         set_aside(&state);
         if number.is_multiple_of(TICKS_PER_MEASUREMENT) {
+            apply_config(&state);
             measure(&state);
         }
     }
 }
 
-/// Puts values of the fleet configuration in force; exceptions may have come or ended.
-fn configure(state: &State) {
-    let share_milli = state.values("", "").retry_budget;
-    state.retries.borrow_mut().set_share(share_milli);
-}
-
 /// Drops targets that have been silent for too long.
 fn expire(state: &State) {
     let silent = state.members.borrow_mut().expire(state.now());
@@ -64,6 +58,13 @@
     }
 }
 
+/// Puts the retry budget of the fleet configuration in force.
+fn apply_config(state: &State) {
+    if state.config.revision() > 0 {
+        state.retries.borrow_mut().set_share(state.values("", "").retry_budget);
+    }
+}
+
 fn measure(state: &State) {
     let routes = state.routes.borrow();
     let levels = Levels {
--- a/crates/entry/tests/config.rs
+++ b/crates/entry/tests/config.rs
@@ -195,3 +195,22 @@
         assert_eq!(reply.text.len(), added.len());
     });
 }
+
+#[test]
+fn the_deadline_of_the_fleet_applies_to_a_request_that_names_none() {
+    run(async || {
+        let store = store(Faults::default()).await;
+        let entry = entry(store).await;
+        let revision = write(store, "[defaults]\nquick_deadline = 50ms\n").await;
+        wait_for(&entry, revision).await;
+        let agent = support::Agent::start("worker-1", "preview", |_, request| {
+            Box::pin(async move {
+                monoio::time::sleep(HANG).await;
+                http::Response::new(request.into_body())
+            })
+        });
+        agent.report(&entry).await;
+        let answer = entry.send(http::Request::post("/run/preview"), "x").await;
+        assert_eq!(answer.problem().code, shallotflow_core::problem::Code::TimedOut);
+    });
+}
--- a/crates/policy/src/retry/budget.rs
+++ b/crates/policy/src/retry/budget.rs
@@ -27,7 +27,7 @@
         &self.settings
     }
 
-    /// Changes how much each request earns, thousandths; what was saved up stays.
+    /// Sets the retries earned by a request, thousandths.
     pub fn set_share(&mut self, share_milli: u32) {
         self.settings.share_milli = share_milli;
     }
