Resume a job that runs once at most once from each checkpoint

Cause: the fuzz with whole exchanges found two runs from one checkpoint. A task resumed from it was stopped before a newer one and resumed from it again; and a delayed report, first of its agent at a new owner, put an older checkpoint back. Change: the record says whether an attempt started from its checkpoint, and a running task's checkpoint is taken only from a report that has seen the owner. Ruled out: a second owner; each run had one.

--- a/crates/policy/src/ledger/commit.rs
+++ b/crates/policy/src/ledger/commit.rs
@@ -201,7 +201,7 @@
     let line = Line {
         id: record.id.clone(),
         creation: has_spec.then(|| Creation::of(&record)),
-        progress: has_status.then(|| Progress::of(&record)),
+        progress: has_status.then(|| Progress::of(&record, job.spent)),
     };
     let text = encode(&line);
     let (spec_bytes, status_bytes) = sizes(&line, text.len());
@@ -272,8 +272,9 @@
     fn job(self, id: Name) -> Option<Job> {
         let (creation, spec_at) = self.creation?;
         let (progress, status_at) = self.progress?;
+        let spent = progress.spent;
         let record = creation.record(id, progress);
         let committed = Some(record.clone());
-        Some(Job { committed, spec_at, status_at, ..Job::new(record) })
+        Some(Job { committed, spec_at, status_at, spent, ..Job::new(record) })
     }
 }
--- a/crates/policy/src/ledger/grant.rs
+++ b/crates/policy/src/ledger/grant.rs
@@ -74,6 +74,7 @@
         job.record.state = State::Started { worker: report.worker.clone(), boot: report.boot };
         job.granted = Some(Granted { incarnation: report.incarnation, sequence: report.sequence });
         job.heard = false;
+        job.spent = job.record.checkpoint.is_some();
         attempt = job.record.attempts;
         taken = need(&job.record.spec.resources);
     });
--- a/crates/policy/src/ledger/hear.rs
+++ b/crates/policy/src/ledger/hear.rs
@@ -122,7 +122,7 @@
     let reason = &status.reason;
     let id = &status.key.job;
     match status.phase {
-        Phase::Accepted | Phase::Running => return note_active(table, status),
+        Phase::Accepted | Phase::Running => return note_active(table, report, status),
         Phase::Done => note_success(table, &report.worker),
         Phase::Failed => note_failure(table, &report.worker, moment),
         _ => {}
@@ -132,7 +132,7 @@
         match status.phase {
             Phase::Done => job.finish(moment),
             Phase::Failed => job.fail(reason, &settings, moment),
-            Phase::Refused => job.requeue(moment),
+            Phase::Refused => job.unstart(moment),
             Phase::Evicted => job.interrupt("evicted without a checkpoint", moment),
             Phase::Stopped => job.interrupt("stopped without a checkpoint", moment),
             Phase::Lapsed if has_restarted(job, report) => {
@@ -149,16 +149,24 @@
     matches!(job.record.state, State::Started { boot, .. } if boot != report.boot)
 }
 
-fn note_active(table: &mut Table, status: &Status) {
+/// Notes that a task is held, and acknowledges its checkpoint.
+fn note_active(table: &mut Table, report: &Report, status: &Status) {
+    let fenced = has_seen_owner(table, report, status.key.ledger);
     let Some(job) = table.jobs.get_mut(&status.key.job) else { return };
     job.heard = true;
-    if status.checkpoint.is_some() && job.record.checkpoint != status.checkpoint {
-        table.update(&status.key.job, |job| {
-            job.acknowledge(&status.checkpoint);
-        });
+    // A report from before this owner's time may name an older checkpoint than the record.
+    let is_new = status.checkpoint.is_some() && job.record.checkpoint != status.checkpoint;
+    if fenced && is_new {
+        table.update(&status.key.job, |job| job.acknowledge(&status.checkpoint));
     }
 }
 
+/// Whether the agent takes no more grants of earlier owners of `ledger`.
+fn has_seen_owner(table: &Table, report: &Report, ledger: u32) -> bool {
+    let shard = table.shards.get(&ledger);
+    shard.is_some_and(|shard| report.epoch(ledger) >= shard.epoch)
+}
+
 fn note_success(table: &mut Table, worker: &Name) {
     let Some(worker) = table.workers.get_mut(worker) else { return };
     worker.failures = 0;
@@ -188,7 +196,7 @@
         match absence(table, &id, report) {
             Absence::Unproved => {}
             Absence::NeverStarted => {
-                table.update(&id, |job| job.requeue(moment));
+                table.update(&id, |job| job.unstart(moment));
             }
             Absence::Lost => {
                 let reason = format!("worker {} holds it no more", report.worker);
@@ -211,11 +219,12 @@
 fn absence(table: &Table, id: &Name, report: &Report) -> Absence {
     let Some(job) = table.jobs.get(id) else { return Absence::Unproved };
     let Some(granted) = job.granted else {
-        // An agent that has seen this owner's epoch takes no more grants of earlier owners.
         let ledger = id::ledger(id).unwrap_or_default();
-        let epoch = table.shards.get(&ledger).map_or(u64::MAX, |shard| shard.epoch);
-        let fenced = report.epoch(ledger) >= epoch;
-        return if fenced { Absence::Lost } else { Absence::Unproved };
+        return if has_seen_owner(table, report, ledger) {
+            Absence::Lost
+        } else {
+            Absence::Unproved
+        };
     };
     if (granted.incarnation, granted.sequence) >= (report.incarnation, report.sequence) {
         return Absence::Unproved;
--- a/crates/policy/src/ledger/job.rs
+++ b/crates/policy/src/ledger/job.rs
@@ -24,6 +24,8 @@
     pub(super) granted: Option<Granted>,
     /// Whether a report has listed the current attempt.
     pub(super) heard: bool,
+    /// Whether an attempt has started from the checkpoint of the record.
+    pub(super) spent: bool,
     /// When it may be granted again after a failure.
     pub(super) not_before: Time,
     /// The worker on which it failed last.
@@ -57,12 +59,21 @@
             status_at: Place::default(),
             granted: None,
             heard: false,
+            spent: false,
             not_before: Time::ZERO,
             avoid: None,
             expired: false,
         }
     }
 
+    /// Whether it may run again after it was surely stopped.
+    ///
+    /// A job that is not idempotent starts at most once from each checkpoint.
+    pub(super) fn is_resumable(&self) -> bool {
+        let has_fresh_checkpoint = self.record.checkpoint.is_some() && !self.spent;
+        self.record.spec.idempotent || has_fresh_checkpoint
+    }
+
     /// The bytes that it keeps alive in the log.
     pub(super) fn live_bytes(&self) -> usize {
         if self.expired { 0 } else { self.spec_at.bytes + self.status_at.bytes }
--- a/crates/policy/src/ledger/line.rs
+++ b/crates/policy/src/ledger/line.rs
@@ -42,6 +42,9 @@
     /// The last acknowledged checkpoint.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub checkpoint: Option<Name>,
+    /// Whether an attempt has started from the checkpoint.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub spent: bool,
     /// Whether a cancellation was asked for.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub cancelled: bool,
@@ -73,13 +76,14 @@
 }
 
 impl Progress {
-    /// The changing part of `record`.
-    pub fn of(record: &Record) -> Self {
+    /// The changing part of `record`; `spent` says whether an attempt started from its checkpoint.
+    pub fn of(record: &Record, spent: bool) -> Self {
         Self {
             state: record.state.clone(),
             attempts: record.attempts,
             failures: record.failures,
             checkpoint: record.checkpoint.clone(),
+            spent,
             cancelled: record.cancelled,
             finished_unix_ms: record.finished_unix_ms,
         }
--- a/crates/policy/src/ledger/transition.rs
+++ b/crates/policy/src/ledger/transition.rs
@@ -3,6 +3,7 @@
 use super::job::Job;
 use super::{Moment, Settings};
 use shallotflow_core::job::State;
+use shallotflow_core::name::Name;
 
 impl Job {
     /// Puts the job in the final state `state`.
@@ -17,8 +18,14 @@
         self.end(State::Done, moment);
     }
 
-    /// The attempt surely never started, or was stopped with all its work kept.
-    pub(super) fn requeue(&mut self, moment: Moment) {
+    /// The attempt surely never started.
+    pub(super) fn unstart(&mut self, moment: Moment) {
+        self.spent = false;
+        self.requeue(moment);
+    }
+
+    /// The job waits for its next attempt, unless it was cancelled.
+    fn requeue(&mut self, moment: Moment) {
         if self.record.cancelled {
             return self.end(State::Cancelled, moment);
         }
@@ -28,8 +35,7 @@
 
     /// The attempt surely stopped before its end by something other than the job.
     pub(super) fn interrupt(&mut self, reason: &str, moment: Moment) {
-        let may_resume = self.record.spec.idempotent || self.record.checkpoint.is_some();
-        if self.record.cancelled || may_resume {
+        if self.record.cancelled || self.is_resumable() {
             return self.requeue(moment);
         }
         self.end(State::Unknown { reason: reason.to_owned() }, moment);
@@ -63,16 +69,12 @@
         self.requeue(moment);
     }
 
-    /// Takes over a checkpoint that the worker holds; returns whether it is a new one.
-    pub(super) fn acknowledge(
-        &mut self,
-        checkpoint: &Option<shallotflow_core::name::Name>,
-    ) -> bool {
-        let is_new = checkpoint.is_some() && self.record.checkpoint != *checkpoint;
-        if is_new {
+    /// Takes over a checkpoint that the worker holds.
+    pub(super) fn acknowledge(&mut self, checkpoint: &Option<Name>) {
+        if checkpoint.is_some() && self.record.checkpoint != *checkpoint {
             self.record.checkpoint.clone_from(checkpoint);
+            self.spent = false;
         }
-        is_new
     }
 
     fn leave(&mut self) {
--- a/crates/policy/tests/ledger_fuzz/agent.rs
+++ b/crates/policy/tests/ledger_fuzz/agent.rs
@@ -125,7 +125,6 @@
         let checkpoint: Name = format!("{}-{}", self.worker, self.checkpoints).into();
         let Some(task) = self.tasks.get_mut(pick % count) else { return };
         let id = &task.record.id;
-        let from = task.record.checkpoint.as_ref();
         let status = &mut task.status;
         match (status.phase, work) {
             (Phase::Accepted, Work::Start) => {
@@ -141,20 +140,27 @@
                 status.phase = Phase::Done;
             }
             (Phase::Running, Work::Fail) => {
-                oracle.fail(id, from, settings);
+                oracle.fail(id, settings);
                 status.phase = Phase::Failed;
                 status.reason = "broken".to_owned();
             }
             (Phase::Running, Work::Evict) => {
                 self.checkpoints += 1;
                 status.checkpoint = Some(checkpoint);
-                oracle.evict(id);
+                oracle.interrupt(id);
                 status.phase = Phase::Evicted;
             }
             _ => {}
         }
     }
 
+    /// Starts whatever it has accepted.
+    pub(crate) fn start_all(&mut self, settings: &Settings, oracle: &mut Oracle) {
+        for pick in 0..self.tasks.len() {
+            self.work(pick, Work::Start, settings, oracle);
+        }
+    }
+
     /// Finishes whatever it holds.
     pub(crate) fn work_all(&mut self, settings: &Settings, oracle: &mut Oracle) {
         for pick in 0..self.tasks.len() {
@@ -176,26 +182,20 @@
     }
 
     /// The agent restarts: it finds what runs at the worker, but forgets what has ended.
-    pub(crate) fn restart(&mut self, oracle: &mut Oracle) {
+    pub(crate) fn restart(&mut self) {
         self.incarnation += 1;
         self.sequence.clear();
         self.outstanding.clear();
         self.epochs.clear();
-        self.tasks.retain(|task| {
-            let runs = task.status.phase == Phase::Running;
-            if task.status.phase.has_ended() {
-                oracle.forget_end(&task.record.id, task.record.checkpoint.as_ref());
-            }
-            runs
-        });
+        self.tasks.retain(|task| task.status.phase == Phase::Running);
     }
 
     /// The worker restarts and loses everything.
     pub(crate) fn reboot(&mut self, oracle: &mut Oracle) {
-        self.restart(oracle);
+        self.restart();
         self.boot += 1;
         for task in self.tasks.drain(..) {
-            oracle.interrupt(&task.record.id, task.record.checkpoint.as_ref());
+            oracle.interrupt(&task.record.id);
         }
     }
 
@@ -230,7 +230,7 @@
     match task.status.phase {
         Phase::Accepted => task.status.phase = Phase::Refused,
         Phase::Running => {
-            oracle.interrupt(&task.record.id, task.record.checkpoint.as_ref());
+            oracle.interrupt(&task.record.id);
             task.status.phase = phase;
         }
         _ => {}
--- a/crates/policy/tests/ledger_fuzz/main.rs
+++ b/crates/policy/tests/ledger_fuzz/main.rs
@@ -37,6 +37,7 @@
         steps in proptest::collection::vec(step::step(), STEPS)
     ) {
         let mut world = World::new();
+        world.begin();
         for step in steps {
             world.apply(step);
         }
--- a/crates/policy/tests/ledger_fuzz/oracle.rs
+++ b/crates/policy/tests/ledger_fuzz/oracle.rs
@@ -12,7 +12,7 @@
     running_on: Option<Name>,
     /// Starts from the beginning.
     starts: u32,
-    /// Checkpoints of evictions, with the run that resumed from each and has not ended otherwise.
+    /// Checkpoints that a run resumed from.
     resumed: BTreeSet<Name>,
     /// Whether a run came to its end.
     done: bool,
@@ -42,7 +42,8 @@
         match &record.checkpoint {
             Some(checkpoint) => {
                 let fresh = facts.resumed.insert(checkpoint.clone());
-                assert!(fresh, "{id} resumes twice from {checkpoint}");
+                let allowed = fresh || record.spec.idempotent;
+                assert!(allowed, "{id} resumes twice from {checkpoint}");
             }
             None => facts.starts += 1,
         }
@@ -50,23 +51,14 @@
         assert!(!repeated, "{id} starts twice though it is not idempotent");
     }
 
-    /// A run ends early; what it resumed from may be resumed from again.
-    pub(crate) fn interrupt(&mut self, id: &Name, resumed_from: Option<&Name>) {
-        let facts = self.jobs.entry(id.clone()).or_default();
-        facts.running_on = None;
-        if let Some(checkpoint) = resumed_from {
-            facts.resumed.remove(checkpoint);
-        }
-    }
-
-    /// A run is evicted with a checkpoint of its own; what it resumed from is used up.
-    pub(crate) fn evict(&mut self, id: &Name) {
+    /// A run ends before its end.
+    pub(crate) fn interrupt(&mut self, id: &Name) {
         self.jobs.entry(id.clone()).or_default().running_on = None;
     }
 
     /// A run fails.
-    pub(crate) fn fail(&mut self, id: &Name, resumed_from: Option<&Name>, settings: &Settings) {
-        self.interrupt(id, resumed_from);
+    pub(crate) fn fail(&mut self, id: &Name, settings: &Settings) {
+        self.interrupt(id);
         let facts = self.jobs.entry(id.clone()).or_default();
         facts.failures += 1;
         assert!(facts.failures <= settings.failures_max, "{id} fails without bound");
@@ -79,13 +71,6 @@
         facts.done = true;
     }
 
-    /// The end of a run is lost with its worker or agent before anyone heard of it.
-    pub(crate) fn forget_end(&mut self, id: &Name, resumed_from: Option<&Name>) {
-        if let Some(checkpoint) = resumed_from {
-            self.jobs.entry(id.clone()).or_default().resumed.remove(checkpoint);
-        }
-    }
-
     /// A caller submits a job.
     pub(crate) fn submit(&mut self, id: &Name) {
         self.jobs.entry(id.clone()).or_default().refused = false;
--- a/crates/policy/tests/ledger_fuzz/step.rs
+++ b/crates/policy/tests/ledger_fuzz/step.rs
@@ -13,6 +13,12 @@
     Withdraw { job: u8 },
     /// A caller cancels a job at its owner.
     Cancel { job: u8 },
+    /// An agent and an entry exchange a report and its answer, up to some stage.
+    Exchange { agent: u8, entry: u8, stages: u8 },
+    /// Every entry that runs renews its lease, claims ledgers and runs its timed systems.
+    Keep,
+    /// A worker starts every task that its agent has accepted.
+    Start { agent: u8 },
     /// An agent reports to an entry; a report still outstanding there is abandoned.
     Report { agent: u8, entry: u8 },
     /// A message arrives.
@@ -84,22 +90,27 @@
         1 => Just(Work::Evict),
     ];
     prop_oneof![
-        6 => (1..400_u16).prop_map(Step::Advance),
-        1 => (400..3_000_u16).prop_map(Step::Advance),
-        6 => n().prop_map(|job| Step::Submit { job }),
+        24 => (n(), n(), 1..6_u8)
+            .prop_map(|(agent, entry, stages)| Step::Exchange { agent, entry, stages }),
+        24 => (n(), n()).prop_map(|(agent, entry)| Step::Exchange { agent, entry, stages: 5 }),
+        14 => Just(Step::Keep),
+        10 => n().prop_map(|agent| Step::Start { agent }),
+        12 => (1..250_u16).prop_map(Step::Advance),
+        1 => (250..1_500_u16).prop_map(Step::Advance),
+        3 => n().prop_map(|job| Step::Submit { job }),
         1 => n().prop_map(|job| Step::Withdraw { job }),
         2 => n().prop_map(|job| Step::Cancel { job }),
-        16 => (n(), n()).prop_map(|(agent, entry)| Step::Report { agent, entry }),
-        24 => n().prop_map(|message| Step::Deliver { message }),
+        4 => (n(), n()).prop_map(|(agent, entry)| Step::Report { agent, entry }),
+        8 => n().prop_map(|message| Step::Deliver { message }),
         2 => n().prop_map(|message| Step::Duplicate { message }),
-        2 => n().prop_map(|message| Step::Drop { message }),
-        14 => (n(), n()).prop_map(|(entry, report)| Step::Answer { entry, report }),
-        20 => (n(), n(), fate)
+        1 => n().prop_map(|message| Step::Drop { message }),
+        4 => (n(), n()).prop_map(|(entry, report)| Step::Answer { entry, report }),
+        8 => (n(), n(), fate)
             .prop_map(|(entry, ledger, fate)| Step::Write { entry, ledger, fate }),
         3 => n().prop_map(|write| Step::Late { write }),
-        8 => n().prop_map(|entry| Step::Renew { entry }),
-        6 => n().prop_map(|entry| Step::Claim { entry }),
-        4 => n().prop_map(|entry| Step::Tick { entry }),
+        1 => n().prop_map(|entry| Step::Renew { entry }),
+        1 => n().prop_map(|entry| Step::Claim { entry }),
+        1 => n().prop_map(|entry| Step::Tick { entry }),
         14 => (n(), n(), work).prop_map(|(agent, task, work)| Step::Work { agent, task, work }),
         1 => n().prop_map(|agent| Step::RestartAgent { agent }),
         1 => n().prop_map(|agent| Step::Reboot { agent }),
--- a/crates/policy/tests/ledger_fuzz/world.rs
+++ b/crates/policy/tests/ledger_fuzz/world.rs
@@ -85,12 +85,27 @@
         }
     }
 
+    /// Lets entries claim ledgers and callers submit every job.
+    pub(crate) fn begin(&mut self) {
+        self.keep();
+        for job in 0..JOBS {
+            self.submit(job);
+        }
+    }
+
     pub(crate) fn apply(&mut self, step: Step) {
         match step {
             Step::Advance(millis) => self.advance(u64::from(millis)),
             Step::Submit { job } => self.submit(usize::from(job) % JOBS),
             Step::Withdraw { job } => self.withdraw(usize::from(job) % JOBS),
             Step::Cancel { job } => self.cancel(usize::from(job) % JOBS),
+            Step::Exchange { agent, entry, stages } => {
+                self.exchange(pick(agent, AGENTS), pick(entry, ENTRIES), stages);
+            }
+            Step::Keep => self.keep(),
+            Step::Start { agent } => {
+                self.agents[pick(agent, AGENTS)].start_all(&self.settings, &mut self.oracle);
+            }
             Step::Report { agent, entry } => self.report(pick(agent, AGENTS), pick(entry, ENTRIES)),
             Step::Deliver { message } => {
                 if let Some(index) = some(message, self.messages.len()) {
@@ -126,7 +141,7 @@
                 agent.work(usize::from(task), work, &self.settings, &mut self.oracle);
             }
             Step::RestartAgent { agent } => {
-                self.agents[pick(agent, AGENTS)].restart(&mut self.oracle);
+                self.agents[pick(agent, AGENTS)].restart();
             }
             Step::Reboot { agent } => self.agents[pick(agent, AGENTS)].reboot(&mut self.oracle),
             Step::Kill { entry } => {
@@ -158,11 +173,7 @@
 
     fn round(&mut self) {
         self.advance(ROUND_MS);
-        for entry in 0..ENTRIES {
-            self.renew(entry);
-            self.claim(entry);
-            self.tick(entry);
-        }
+        self.keep();
         for job in 0..JOBS {
             self.submit(job);
         }
@@ -188,6 +199,44 @@
         self.read_all();
     }
 
+    fn keep(&mut self) {
+        for entry in 0..ENTRIES {
+            self.renew(entry);
+            self.claim(entry);
+            self.tick(entry);
+        }
+    }
+
+    /// Report, arrival, commits, answer and its arrival, of which the first `stages` happen.
+    fn exchange(&mut self, agent: usize, entry: usize, stages: u8) {
+        self.report(agent, entry);
+        if stages < 2 {
+            return;
+        }
+        let asked = self.entries[entry].pending.len();
+        if let Some(message) = self.messages.pop() {
+            self.deliver(message);
+        }
+        let heard = self.entries[entry].pending.len() > asked;
+        if stages < 3 || !heard {
+            return;
+        }
+        for ledger in 0..LEDGERS {
+            self.write(entry, ledger, Fate::Answered);
+        }
+        if stages < 4 {
+            return;
+        }
+        let messages = self.messages.len();
+        self.answer_at(entry, asked);
+        if stages < 5 || self.messages.len() == messages {
+            return;
+        }
+        if let Some(message) = self.messages.pop() {
+            self.deliver(message);
+        }
+    }
+
     fn deliver_all(&mut self) {
         while !self.messages.is_empty() {
             let message = self.messages.remove(0);
@@ -287,9 +336,14 @@
     }
 
     fn answer(&mut self, number: usize, report: u8) {
+        if let Some(index) = some(report, self.entries[number].pending.len()) {
+            self.answer_at(number, index);
+        }
+    }
+
+    fn answer_at(&mut self, number: usize, index: usize) {
         let acts = self.acts(number);
         let entry = &mut self.entries[number];
-        let Some(index) = some(report, entry.pending.len()) else { return };
         if entry.paused {
             return;
         }
