--- a/crates/codegen/tests/docs.rs
+++ b/crates/codegen/tests/docs.rs
@@ -7,12 +7,12 @@
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs")
 }
 
-fn pages(directory: &Path, found: &mut Vec<PathBuf>) {
+fn files(directory: &Path, extension: &str, found: &mut Vec<PathBuf>) {
     for entry in std::fs::read_dir(directory).expect("a readable directory") {
         let path = entry.expect("a readable entry").path();
         if path.is_dir() {
-            pages(&path, found);
-        } else if path.extension().is_some_and(|extension| extension == "md") {
+            files(&path, extension, found);
+        } else if path.extension().is_some_and(|own| own == extension) {
             found.push(path);
         }
     }
@@ -33,9 +33,29 @@
     let canonical = |path: &PathBuf| path.canonicalize().ok();
     let listed: BTreeSet<PathBuf> = links(&summary).iter().filter_map(canonical).collect();
     let mut all = Vec::new();
-    pages(&docs(), &mut all);
+    files(&docs(), "md", &mut all);
     for page in all.iter().filter(|page| **page != summary) {
         let page = canonical(page).expect("an existing page");
         assert!(listed.contains(&page), "SUMMARY.md leaves out {}", page.display());
     }
 }
+
+#[test]
+fn every_documented_metric_is_recorded() {
+    let crates = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    let catalogue =
+        std::fs::read_to_string(crates.join("core/src/metric.rs")).expect("a catalogue");
+    let mut sources = Vec::new();
+    files(&crates, "rs", &mut sources);
+    let recording: Vec<String> = sources
+        .iter()
+        .filter(|path| !path.ends_with("core/src/metric.rs"))
+        .map(|path| std::fs::read_to_string(path).expect("a source"))
+        .collect();
+    let constants =
+        catalogue.lines().filter_map(|line| line.trim().split_once(" = \"shallotflow_"));
+    for (constant, _) in constants {
+        let used = format!("metric::{constant}");
+        assert!(recording.iter().any(|source| source.contains(&used)), "{used} is never recorded");
+    }
+}
--- a/crates/entry/src/batch/service.rs
+++ b/crates/entry/src/batch/service.rs
@@ -2,7 +2,7 @@
 
 use super::remote::Remote;
 use super::writer::{self, Fate};
-use super::{Batch, Decision, Result, Submission, claim, convert, problem};
+use super::{Batch, Decision, Result, Submission, claim, convert, meters, problem};
 use crate::Settings;
 use crate::session::Session;
 use event_listener::Event;
@@ -278,6 +278,7 @@
     while !service.stopping.get() {
         monoio::time::sleep(TICK).await;
         service.table.borrow_mut().tick(moment());
+        meters::levels(&service.table.borrow());
         if service.table.borrow().unwritten().next().is_some() {
             service.changed.notify(usize::MAX);
         }
@@ -306,7 +307,10 @@
             continue;
         };
         match writer::write(&service.session, &segment, is_owner).await {
-            Fate::Written => service.table.borrow_mut().applied(&segment),
+            Fate::Written => {
+                let tally = service.table.borrow_mut().applied(&segment);
+                meters::committed(&tally);
+            }
             Fate::Deposed => claim::drop_one(&service, ledger, epoch),
         }
         service.committed.notify(usize::MAX);
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -16,6 +16,7 @@
 use shallotflow_runtime::program::Program;
 use shallotflow_runtime::stop::{Level, Stop};
 use shallotflow_store::client as store;
+use shallotflow_store::counted::Counted;
 use shallotflow_wire::proto::scheduler_server::SchedulerServer;
 use shallotflow_wire::{http, rpc};
 use std::net::SocketAddr;
@@ -107,6 +108,7 @@
     }
     let endpoints = settings.store.clone();
     let store = store::Client::new(store::Settings { endpoints, ..store::Settings::default() });
+    let store = Counted::new(Rc::new(store));
     let presence = Presence { peers: bound.peers, callers: bound.callers };
     let name = settings.name.clone();
     let session = Session::start(name, presence, settings.owner_lease, Rc::new(store));
--- a/crates/policy/src/ledger/commit.rs
+++ b/crates/policy/src/ledger/commit.rs
@@ -4,7 +4,7 @@
 use super::line::{Creation, Line, Progress};
 use super::log::Stored;
 use super::shard::{Flying, Shard, Written};
-use super::{Error, Result, Segment, Table};
+use super::{Error, Result, Segment, Table, Tally};
 use serde::{Deserialize, Serialize};
 use shallotflow_core::name::Name;
 use std::collections::BTreeMap;
@@ -62,13 +62,14 @@
         Some(segment)
     }
 
-    /// Notes that `segment` is in the store.
-    pub fn applied(&mut self, segment: &Segment) {
-        let Some(shard) = self.shards.get_mut(&segment.ledger) else { return };
+    /// Notes that `segment` is in the store, and counts what came there with it.
+    pub fn applied(&mut self, segment: &Segment) -> Tally {
+        let mut tally = Tally::default();
+        let Some(shard) = self.shards.get_mut(&segment.ledger) else { return tally };
         if shard.epoch != segment.epoch {
-            return;
+            return tally;
         }
-        let Some(flying) = shard.flying.take() else { return };
+        let Some(flying) = shard.flying.take() else { return tally };
         let jobs = flying.entries.iter().map(|entry| entry.record.id.clone()).collect();
         shard.log.insert(flying.sequence, Stored { bytes: flying.bytes, jobs });
         for replaced in flying.replaced {
@@ -76,6 +77,9 @@
         }
         for entry in flying.entries {
             let Some(job) = self.jobs.get_mut(&entry.record.id) else { continue };
+            if entry.has_status {
+                tally.count(job.committed.as_ref(), &entry.record);
+            }
             settle(shard, job, entry, flying.sequence);
         }
         shard.committed = flying.covers;
@@ -84,6 +88,7 @@
                 self.jobs.remove(&id);
             }
         }
+        tally
     }
 }
 
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -5,10 +5,12 @@
 //! - [`transaction`]: comparisons and writes that are applied together or not at all.
 //! - [`watch`]: changes under a prefix, in order and without gaps.
 //! - [`error`]: what is known of a call that gave no result.
+//! - [`counted`]: a store whose calls are counted in metrics.
 //! - [`client`]: the trait over the gRPC interface of etcd v3.
 //! - [`proto`]: the messages of that interface.
 
 pub mod client;
+pub mod counted;
 pub mod error;
 pub mod pair;
 pub mod store;
