Refuse wrong log filters and missing keys with their line

Cause: a wrong log filter was found only when a process started, without its place. An entry without a name took that of every other unnamed entry, and an agent without its target's address started and could reach nothing.

Change: the filter's grammar moves to core, so that settings check it; tables name the keys that a file has to give, and the reference page shows them as required.

Tests check the messages word for word.

--- a/crates/core/src/fleet/exception.rs
+++ b/crates/core/src/fleet/exception.rs
@@ -47,7 +47,7 @@
     key!("exception", expires: Maybe<Moment>, "When it ends by itself."),
 ];
 
-const TABLE: Table<Draft> = Table { keys: KEYS, check: |_, _| Ok(()) };
+const TABLE: Table<Draft> = Table { keys: KEYS, required: &[], check: |_, _| Ok(()) };
 
 impl Exception {
     /// The word that starts the header of an exception.
@@ -169,5 +169,5 @@
 
 /// Adds the rows of an exception's own keys to the reference page.
 pub(crate) fn push_reference(page: &mut String) {
-    crate::settings::reference::push_keys(page, KEYS.iter(), &Draft::default());
+    crate::settings::reference::push_keys(page, &TABLE, SECTION, &Draft::default());
 }
--- a/crates/core/src/fleet/values.rs
+++ b/crates/core/src/fleet/values.rs
@@ -55,5 +55,5 @@
 
 impl Values {
     /// The keys as a table; exceptions override the same keys.
-    pub const TABLE: Table<Self> = Table { keys: KEYS, check: |_, _| Ok(()) };
+    pub const TABLE: Table<Self> = Table { keys: KEYS, required: &[], check: |_, _| Ok(()) };
 }
--- a/crates/core/src/ini/codec.rs
+++ b/crates/core/src/ini/codec.rs
@@ -1,6 +1,7 @@
 //! Kinds of values: how each is written and read.
 
 use super::Fault;
+use crate::log;
 use crate::name::Name;
 use chrono::{DateTime, SecondsFormat, Utc};
 use std::marker::PhantomData;
@@ -173,6 +174,23 @@
     }
 }
 
+/// A log filter; see [`crate::log`].
+#[derive(Debug)]
+pub struct Filter;
+
+impl Codec for Filter {
+    type Value = Name;
+    const EXPECTED: &'static str = "a log filter, such as `info` or `info,shallotflow_entry=debug`";
+
+    fn parse(text: &str) -> Option<Name> {
+        text.parse::<log::Filter>().ok().map(|filter| filter.as_str().into())
+    }
+
+    fn print(value: &Name) -> String {
+        value.to_string()
+    }
+}
+
 /// An address of the form ip:port.
 #[derive(Debug)]
 pub struct Address;
--- a/crates/core/src/ini/document.rs
+++ b/crates/core/src/ini/document.rs
@@ -77,6 +77,20 @@
         section.entry(key).map_or(section.line, |entry| entry.line)
     }
 
+    /// Checks that a key is given with a value.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault::Missing`] at the line of the section.
+    pub fn require(&self, section: &str, key: &str) -> Result<()> {
+        let entry = self.section(section).and_then(|section| section.entry(key));
+        if entry.is_some_and(|entry| !entry.value.is_empty()) {
+            return Ok(());
+        }
+        let fault = Fault::Missing { section: section.to_owned(), key: key.to_owned() };
+        Err(self.error(self.line_of(section, key), fault))
+    }
+
     /// A fault at a line of this document.
     pub fn error(&self, line: u32, fault: Fault) -> Error {
         Error { file: self.file.clone(), line, fault }
--- a/crates/core/src/ini/mod.rs
+++ b/crates/core/src/ini/mod.rs
@@ -22,7 +22,7 @@
 pub use fault::Fault;
 pub use key::Key;
 pub use section::Section;
-pub use table::Table;
+pub use table::{Required, Table};
 
 pub(crate) use key::key;
 
--- a/crates/core/src/ini/table.rs
+++ b/crates/core/src/ini/table.rs
@@ -3,11 +3,22 @@
 use super::{Document, Entry, Fault, Key, Result, Section};
 use std::path::Path;
 
+/// A key that a file has to give.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Required {
+    /// Its section.
+    pub section: &'static str,
+    /// Its name.
+    pub key: &'static str,
+}
+
 /// The keys of a file, in the order of its reference page.
 #[derive(Debug)]
 pub struct Table<T: 'static> {
     /// The keys.
     pub keys: &'static [Key<T>],
+    /// The keys that a file has to give, without a default that could be meant.
+    pub required: &'static [Required],
     /// Checks values against each other after all were read.
     pub check: fn(&T, &Document) -> Result<()>,
 }
@@ -35,6 +46,9 @@
         let mut target = T::default();
         self.read(document, &mut target)?;
         (self.check)(&target, document)?;
+        for Required { section, key } in self.required {
+            document.require(section, key)?;
+        }
         Ok(target)
     }
 }
@@ -109,6 +123,11 @@
         self.keys.iter().find(|key| key.section == section && key.name == name)
     }
 
+    /// Whether a file has to give this key.
+    pub fn requires(&self, section: &str, name: &str) -> bool {
+        self.required.iter().any(|required| required.section == section && required.key == name)
+    }
+
     /// The names of the keys of a section.
     pub fn names(&self, section: &str) -> impl Iterator<Item = &'static str> + Clone {
         self.keys.iter().filter(move |key| key.section == section).map(|key| key.name)
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`problem`]: errors as callers see them, with their remedies.
 //! - [`fleet`]: defaults and exceptions that hold in the whole fleet.
 //! - [`ini`]: INI documents with line numbers, and typed keys over them.
+//! - [`log`]: which log records are written.
 //! - [`metric`]: the metrics that the processes record.
 //! - [`settings`]: how each process runs.
 //! - [`job`]: batch jobs, from submission to their last state.
@@ -19,6 +20,7 @@
 pub mod fleet;
 pub mod ini;
 pub mod job;
+pub mod log;
 pub mod metric;
 pub mod name;
 pub mod outcome;
--- a/crates/runtime/src/logs/filter.rs
+++ b/crates/core/src/log/filter.rs
@@ -1,6 +1,6 @@
-//! Which records are written.
+//! A level for every target, and levels for some of them.
 
-use spdlog::{Level, LevelFilter};
+use super::{Level, Result};
 use std::str::FromStr;
 
 /// Why a filter is refused.
@@ -14,29 +14,26 @@
     General(String),
 }
 
-/// A level for every target, and levels for some of them.
+/// Decides which records are written.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Filter {
     text: String,
-    general: LevelFilter,
+    general: Level,
     rules: Vec<Rule>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Rule {
     target: String,
-    level: LevelFilter,
+    level: Level,
 }
 
 impl Filter {
     /// Whether a record of `level` from `target` is written.
     pub fn allows(&self, level: Level, target: &str) -> bool {
         let matching = self.rules.iter().filter(|rule| rule.covers(target));
-        let limit = match matching.max_by_key(|rule| rule.target.len()) {
-            Some(rule) => rule.level,
-            None => self.general,
-        };
-        limit.test(level)
+        let longest = matching.max_by_key(|rule| rule.target.len());
+        level <= longest.map_or(self.general, |rule| rule.level)
     }
 
     /// The filter as it was written.
@@ -57,7 +54,7 @@
 impl FromStr for Filter {
     type Err = Error;
 
-    fn from_str(text: &str) -> Result<Self, Error> {
+    fn from_str(text: &str) -> Result<Self> {
         let mut general = None;
         let mut rules = Vec::new();
         for part in text.split(',').map(str::trim) {
@@ -73,10 +70,7 @@
     }
 }
 
-fn level(name: &str) -> Result<LevelFilter, Error> {
+fn level(name: &str) -> Result<Level> {
     let name = name.trim();
-    if name == "off" {
-        return Ok(LevelFilter::Off);
-    }
-    name.parse().map(LevelFilter::MoreSevereEqual).map_err(|_| Error::Level(name.to_owned()))
+    Level::parse(name).ok_or_else(|| Error::Level(name.to_owned()))
 }
--- a/crates/core/src/settings/agent.rs
+++ b/crates/core/src/settings/agent.rs
@@ -2,8 +2,8 @@
 
 use super::limits::{Limits, with_limits};
 use super::span::{ms, s};
-use crate::ini::codec::{Address, Count, Label, Line, List, Size, Span};
-use crate::ini::{self, Key, Table, key};
+use crate::ini::codec::{Address, Count, Filter, Label, List, Size, Span};
+use crate::ini::{self, Key, Required, Table, key};
 use crate::name::Name;
 use serde::{Deserialize, Serialize};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -60,6 +60,13 @@
     }
 }
 
+const REQUIRED: &[Required] = &[
+    Required { section: "agent", key: "worker" },
+    Required { section: "agent", key: "entries" },
+    Required { section: "agent", key: "target" },
+    Required { section: "agent", key: "control" },
+];
+
 /// The keys of the settings file.
 pub const KEYS: &[Key<Settings>] = with_limits![
     key!("agent", worker: Label, "The worker that it stands beside."),
@@ -71,13 +78,13 @@
     key!("agent", control: Address, "The worker's control interface."),
     key!("agent", report_to: Count<usize>, "How many entries it reports to at most.", 1..=64),
     key!("agent", drain: Span, "How long a graceful stop may take.", ms(0)..=s(3600)),
-    key!("agent", log: Line, "What it logs: a level, then `target=level` for parts of it."),
+    key!("agent", log: Filter, "What it logs: a level, then `target=level` for parts of it."),
     key!("agent", seed: Count<u64>, "Seed of its random choices."),
 ];
 
 impl Settings {
     /// The keys as a table.
-    pub const TABLE: Table<Self> = Table { keys: KEYS, check: |_, _| Ok(()) };
+    pub const TABLE: Table<Self> = Table { keys: KEYS, required: REQUIRED, check: |_, _| Ok(()) };
 
     /// Reads the settings file at `path`; keys that it leaves out keep their defaults.
     ///
--- a/crates/core/src/settings/entry.rs
+++ b/crates/core/src/settings/entry.rs
@@ -2,8 +2,8 @@
 
 use super::limits::{Limits, with_limits};
 use super::span::{ms, s};
-use crate::ini::codec::{Address, Count, Label, Line, List, Size, Span};
-use crate::ini::{self, Document, Fault, Key, Table, key};
+use crate::ini::codec::{Address, Count, Filter, Label, List, Size, Span};
+use crate::ini::{self, Document, Fault, Key, Required, Table, key};
 use crate::name::Name;
 use serde::{Deserialize, Serialize};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -75,6 +75,8 @@
     }
 }
 
+const REQUIRED: &[Required] = &[Required { section: "entry", key: "name" }];
+
 /// The keys of the settings file.
 pub const KEYS: &[Key<Settings>] = with_limits![
     key!("entry", name: Label, "The name of this entry, unique among entries."),
@@ -91,13 +93,13 @@
     key!("entry", watchers: Count<u32>, "Most watchers that the entry holds at a time.", 0..=1_000_000),
     key!("entry", linger: Span, "How long a leaving entry still accepts connections, so that balancers see that it leaves.", ms(0)..=s(60)),
     key!("entry", drain: Span, "How long a graceful stop may take.", ms(0)..=s(3600)),
-    key!("entry", log: Line, "What it logs: a level, then `target=level` for parts of it."),
+    key!("entry", log: Filter, "What it logs: a level, then `target=level` for parts of it."),
     key!("entry", seed: Count<u64>, "Seed of its random choices."),
 ];
 
 impl Settings {
     /// The keys as a table.
-    pub const TABLE: Table<Self> = Table { keys: KEYS, check: Self::check };
+    pub const TABLE: Table<Self> = Table { keys: KEYS, required: REQUIRED, check: Self::check };
 
     /// Reads the settings file at `path`; keys that it leaves out keep their defaults.
     ///
--- a/crates/core/src/settings/reference.rs
+++ b/crates/core/src/settings/reference.rs
@@ -31,21 +31,18 @@
     page.push_str(&format!("\n## {program}\n"));
     for section in table.sections() {
         page.push_str(&format!("\n### `[{section}]`\n\n"));
-        push_keys(page, table.keys.iter().filter(|key| key.section == section), &defaults);
+        push_keys(page, table, section, &defaults);
     }
 }
 
-/// Adds a table with one row a key.
-pub(crate) fn push_keys<'a, T: 'a>(
-    page: &mut String,
-    keys: impl Iterator<Item = &'a Key<T>>,
-    defaults: &T,
-) {
+/// Adds a table with one row for each key of a section.
+pub(crate) fn push_keys<T>(page: &mut String, table: &Table<T>, section: &str, defaults: &T) {
     page.push_str("| key | meaning | takes | range | default |\n|---|---|---|---|---|\n");
-    for key in keys {
+    for key in table.keys.iter().filter(|key| key.section == section) {
         let range = (key.range)()
             .map_or("any".to_owned(), |(lowest, highest)| format!("`{lowest}` to `{highest}`"));
         let default = match (key.print)(defaults) {
+            _ if table.requires(section, key.name) => "required".to_owned(),
             text if text.is_empty() => "empty".to_owned(),
             text => format!("`{text}`"),
         };
--- a/crates/core/src/settings/standin.rs
+++ b/crates/core/src/settings/standin.rs
@@ -2,7 +2,7 @@
 
 use super::limits::{Limits, with_limits};
 use super::span::{ms, s};
-use crate::ini::codec::{Address, Count, Label, Line, List, Maybe, Size, Span};
+use crate::ini::codec::{Address, Count, Filter, Label, List, Maybe, Size, Span};
 use crate::ini::{self, Key, Table, key};
 use crate::name::Name;
 use crate::resources::Bundle;
@@ -90,7 +90,7 @@
     key!("standin", report_lag: Span, "Time from the moment that a usage sample describes until it is reported.", ms(0)..=s(3600)),
     key!("standin", leaving_grace: Span, "Time after which a leaving target counts a start as a violation.", ms(0)..=s(3600)),
     key!("standin", drain: Span, "How long a graceful stop waits for requests in progress.", ms(0)..=s(3600)),
-    key!("standin", log: Line, "What it logs: a level, then `target=level` for parts of it."),
+    key!("standin", log: Filter, "What it logs: a level, then `target=level` for parts of it."),
     key!("standin", seed: Count<u64>, "Seed of service times."),
     key!("capacity", capacity.slots: Count<u32>, "Places for running tasks."),
     key!("capacity", capacity.connections: Count<u32>, "Open connections."),
@@ -101,7 +101,7 @@
 
 impl Settings {
     /// The keys as a table.
-    pub const TABLE: Table<Self> = Table { keys: KEYS, check: |_, _| Ok(()) };
+    pub const TABLE: Table<Self> = Table { keys: KEYS, required: &[], check: |_, _| Ok(()) };
 
     /// Reads the settings file at `path`; keys that it leaves out keep their defaults.
     ///
--- a/crates/core/tests/settings.rs
+++ b/crates/core/tests/settings.rs
@@ -66,6 +66,15 @@
     "[entry]\nbeat = 4s",
     "entry.ini:1: task_lease 5s is less than two beats of 4s; raise it, or lower `beat`"
 )]
+#[test_case(
+    "[entry]\nlog = verbose",
+    "entry.ini:2: `verbose` is not a log filter, such as `info` or `info,shallotflow_entry=debug`; correct the value of `log`"
+)]
+#[test_case(
+    "[entry]\nbeat = 1s",
+    "entry.ini:1: section `entry` has no `name`; add a line `name = …`"
+)]
+#[test_case("", "entry.ini:1: section `entry` has no `name`; add a line `name = …`"; "an empty file")]
 #[test_case("[entry]\nname = e\rbeat = 5s", "entry.ini:2: the text has the control character '\\r'; save it with plain line feeds"; "a lone carriage return")]
 fn refuses_with_place_and_remedy(text: &str, message: &str) {
     let error = entry::Settings::parse("entry.ini", text).expect_err("invalid settings");
@@ -86,6 +95,9 @@
     let agent =
         agent::Settings { entries: vec![([10, 0, 0, 1], 7001).into()], ..Default::default() };
     let printed = agent::Settings::TABLE.print(&agent);
+    let missing = agent::Settings::parse("agent.ini", &printed.replace("target", "; target"));
+    let message = missing.expect_err("no target").to_string();
+    assert_eq!(message, "agent.ini:1: section `agent` has no `target`; add a line `target = …`");
     assert_eq!(agent::Settings::parse("printed", &printed).expect("printed settings"), agent);
     let standin = standin::Settings { kinds: vec!["a".into(), "b".into()], ..Default::default() };
     let printed = standin::Settings::TABLE.print(&standin);
--- a/crates/runtime/src/logs/mod.rs
+++ b/crates/runtime/src/logs/mod.rs
@@ -1,15 +1,12 @@
 //! Logs as JSON lines on the standard error stream.
 //!
 //! A line has `time`, `level`, `process`, `program`, `target` and `message`, followed by the
-//! key-values of the call; a request's identifier goes under `request`. The filter is a level,
-//! then `target=level` for parts of the program, separated by commas, such as
-//! `info,shallotflow_entry::batch=debug`; the longest matching target decides.
+//! key-values of the call; a request's identifier goes under `request`. [`shallotflow_core::log`]
+//! has the form of the filter.
 
-mod filter;
 mod format;
 mod sink;
 
-pub use filter::{Error, Filter};
 pub use format::Json;
 pub use sink::Filtered;
 
@@ -21,9 +18,6 @@
 /// The environment variable whose filter goes before that of the settings.
 pub const FILTER_VARIABLE: &str = "SHALLOTFLOW_LOG";
 
-/// The result of reading a filter.
-pub type Result<T> = std::result::Result<T, Error>;
-
 /// Installs the logger of this process once; later calls do nothing.
 pub(crate) fn install() {
     static INSTALLED: Once = Once::new();
--- a/crates/runtime/src/logs/sink.rs
+++ b/crates/runtime/src/logs/sink.rs
@@ -2,6 +2,7 @@
 
 use super::format::target;
 use crate::program;
+use shallotflow_core::log::Level;
 use spdlog::Record;
 use spdlog::formatter::Formatter;
 use spdlog::sink::{Sink, SinkPropAccess};
@@ -40,7 +41,7 @@
 
 impl Sink for Filtered {
     fn log(&self, record: &Record<'_>) -> spdlog::Result<()> {
-        if program::allows(record.level(), target(record)) {
+        if program::allows(level(record.level()), target(record)) {
             self.inner.log(record)?;
         }
         Ok(())
@@ -50,3 +51,14 @@
         self.inner.flush()
     }
 }
+
+fn level(level: spdlog::Level) -> Level {
+    match level {
+        spdlog::Level::Critical => Level::Critical,
+        spdlog::Level::Error => Level::Error,
+        spdlog::Level::Warn => Level::Warn,
+        spdlog::Level::Info => Level::Info,
+        spdlog::Level::Debug => Level::Debug,
+        spdlog::Level::Trace => Level::Trace,
+    }
+}
--- a/crates/runtime/src/program.rs
+++ b/crates/runtime/src/program.rs
@@ -1,14 +1,14 @@
 //! The identity, log filter and metrics of one program on its thread.
 
-use crate::logs::{self, Filter};
+use crate::logs;
 use crate::recorder;
 use metrics::{Recorder, SharedString};
 use metrics_exporter_prometheus::{
     BuildError, Matcher, PrometheusBuilder, PrometheusHandle, PrometheusRecorder,
 };
+use shallotflow_core::log::{self, Filter, Level};
 use shallotflow_core::metric::{self, Kind};
 use shallotflow_core::name::Name;
-use spdlog::{Level, LevelFilter};
 use std::cell::RefCell;
 use std::rc::Rc;
 
@@ -42,7 +42,7 @@
 pub enum Error {
     /// The log filter is not valid.
     #[error("the log filter is not valid: {0}")]
-    Filter(#[from] logs::Error),
+    Filter(#[from] log::Error),
     /// The metrics library refuses its settings.
     #[error("metrics cannot be recorded ({0}); report this as a defect")]
     Metrics(#[from] BuildError),
@@ -128,8 +128,7 @@
 
 /// Whether the program on this thread writes such a record; without a program, from `info` up.
 pub(crate) fn allows(level: Level, target: &str) -> bool {
-    current(|current| current.filter.allows(level, target))
-        .unwrap_or_else(|| LevelFilter::MoreSevereEqual(Level::Info).test(level))
+    current(|current| current.filter.allows(level, target)).unwrap_or(level <= Level::Info)
 }
 
 /// The recorder of the program on this thread.
--- a/crates/runtime/tests/operators.rs
+++ b/crates/runtime/tests/operators.rs
@@ -4,7 +4,7 @@
 use serde_json::{Value, json};
 use shallotflow_core::metric;
 use shallotflow_runtime::executor;
-use shallotflow_runtime::logs::{self, Filter};
+use shallotflow_runtime::logs;
 use shallotflow_runtime::operators::{Inspect, Listener, NotReady};
 use shallotflow_runtime::program::Program;
 use shallotflow_runtime::stop::{Level, Stop};
@@ -16,7 +16,6 @@
 use std::rc::Rc;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use test_case::test_case;
 
 const CONNECT: Duration = Duration::from_secs(10);
 
@@ -114,16 +113,6 @@
     }
 }
 
-#[test_case("info", spdlog::Level::Debug, "shallotflow_entry", false)]
-#[test_case("info,shallotflow_entry=debug", spdlog::Level::Debug, "shallotflow_entry::batch", true)]
-#[test_case("info,shallotflow_entry=debug", spdlog::Level::Debug, "shallotflow_entry_x", false)]
-#[test_case("off,a=trace,a::b=error", spdlog::Level::Warn, "a::b::c", false; "longest target")]
-#[test_case("off", spdlog::Level::Critical, "a", false; "off")]
-fn filters_by_level_and_target(text: &str, level: spdlog::Level, target: &str, allowed: bool) {
-    let filter: Filter = text.parse().expect("a valid filter");
-    assert_eq!(filter.allows(level, target), allowed);
-}
-
 #[derive(Clone, Default)]
 struct Lines(Arc<Mutex<Vec<u8>>>);
 
