Give codecs and the actions on exceptions a file each

A new test races six editors through a store that loses half of its answers: every change ends as its editor was told, none twice.

--- /dev/null
+++ b/crates/cli/src/command/except/list.rs
@@ -0,0 +1,61 @@
+//! `shallotflow except list`.
+
+use super::super::show::unix_now_s;
+use crate::answer::{Answer, Output, output};
+use crate::change::Session;
+use crate::connect::{Endpoints, endpoints};
+use crate::error::Result;
+use bpaf::Bpaf;
+use serde_json::json;
+use shallotflow_core::fleet::{Exception, Values};
+use shallotflow_core::ini::codec::{Codec, Moment};
+
+/// Arguments of `except list`.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc, generate(list))]
+pub struct List {
+    #[bpaf(external)]
+    pub(super) output: Output,
+    #[bpaf(external(endpoints))]
+    store: Endpoints,
+}
+
+/// Lists the exceptions.
+///
+/// # Errors
+///
+/// Fails when the store does not answer.
+pub(super) async fn run(arguments: List) -> Result<Answer> {
+    let client = arguments.store.client();
+    let config = Session::new(&client).read().await?.config()?;
+    let rows = config.exceptions.iter().map(|exception| row(exception, unix_now_s())).collect();
+    let head = ["ID", "WHERE", "VALUES", "REASON", "AUTHOR", "EXPIRES"];
+    Ok(Answer::table(&head, rows, "no exceptions", json!(config.exceptions)))
+}
+
+fn row(exception: &Exception, now: u64) -> Vec<String> {
+    let condition = &exception.condition;
+    let names = [
+        ("domain", &condition.domain),
+        ("worker", &condition.worker),
+        ("kind", &condition.kind),
+        ("caller", &condition.caller),
+    ];
+    let names = names.iter().filter_map(|(key, name)| Some(format!("{key}={}", name.as_ref()?)));
+    let values = exception.overrides.iter().filter_map(|name| {
+        let key = Values::TABLE.key("defaults", name)?;
+        Some(format!("{name}={}", (key.print)(&exception.values)))
+    });
+    let expires = exception.expires_unix_s.map_or_else(String::new, |expires| {
+        let ended = if exception.is_in_force(now) { "" } else { " (ended)" };
+        format!("{}{ended}", Moment::print(&expires))
+    });
+    vec![
+        exception.id.to_string(),
+        names.collect::<Vec<_>>().join(" "),
+        values.collect::<Vec<_>>().join(" "),
+        exception.reason.to_string(),
+        exception.author.as_deref().unwrap_or_default().to_owned(),
+        expires,
+    ]
+}
--- a/crates/cli/tests/config.rs
+++ b/crates/cli/tests/config.rs
@@ -117,6 +117,45 @@
     });
 }
 
+#[test]
+fn racing_changes_with_lost_answers_end_as_they_were_told() {
+    with_store(async |store| {
+        store.faults.set_lost_answers(0.5);
+        let editors = (0..6).map(|editor| {
+            let store = &store;
+            async move {
+                let mut told = Vec::new();
+                for step in 0..3 {
+                    let id = format!("e{editor}-{step}");
+                    let words = ["except", "add", "--worker=w1", "--reason=r", &id, "batch=false"];
+                    told.push((id.clone(), store.run(&words).await));
+                }
+                // The first of the three goes again.
+                let first = format!("e{editor}-0");
+                told.push((first.clone(), store.run(&["except", "remove", &first]).await));
+                told
+            }
+        });
+        let told: Vec<_> =
+            futures_util::future::join_all(editors).await.into_iter().flatten().collect();
+        store.faults.set_lost_answers(0.0);
+        let listed = store.run(&["except", "list"]).await.expect("a list");
+        let ids: Vec<&str> = listed
+            .json
+            .as_array()
+            .expect("a list")
+            .iter()
+            .filter_map(|exception| exception["id"].as_str())
+            .collect();
+        for (id, result) in &told {
+            // Reads are answered, so that every change is settled.
+            result.as_ref().unwrap_or_else(|error| panic!("{id}: {error}"));
+            assert_eq!(ids.contains(&id.as_str()), !id.ends_with("-0"), "{id}");
+        }
+        assert_eq!(ids.len(), 12, "nothing is listed twice: {ids:?}");
+    });
+}
+
 #[test]
 fn a_lost_answer_is_settled_by_reading_back() {
     with_store(async |store| {
--- /dev/null
+++ b/crates/core/src/ini/codec/maybe.rs
@@ -0,0 +1,21 @@
+//! Values that may be absent.
+
+use super::Codec;
+use std::marker::PhantomData;
+
+/// A value that may be absent, written as an empty text.
+#[derive(Debug)]
+pub struct Maybe<C>(PhantomData<C>);
+
+impl<C: Codec> Codec for Maybe<C> {
+    type Value = Option<C::Value>;
+    const EXPECTED: &'static str = C::EXPECTED;
+
+    fn parse(text: &str) -> Option<Option<C::Value>> {
+        if text.is_empty() { Some(None) } else { C::parse(text).map(Some) }
+    }
+
+    fn print(value: &Option<C::Value>) -> String {
+        value.as_ref().map(C::print).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/core/src/ini/codec/moment.rs
@@ -0,0 +1,23 @@
+//! Points in time.
+
+use super::Codec;
+use chrono::{DateTime, SecondsFormat, Utc};
+
+/// A point in time of the form `2026-12-31T18:00:00Z`, kept in seconds since 1970.
+#[derive(Debug)]
+pub struct Moment;
+
+impl Codec for Moment {
+    type Value = u64;
+    const EXPECTED: &'static str = "a time in UTC, such as `2026-12-31T18:00:00Z`";
+
+    fn parse(text: &str) -> Option<u64> {
+        let time = DateTime::parse_from_rfc3339(text).ok()?;
+        u64::try_from(time.timestamp()).ok()
+    }
+
+    fn print(value: &u64) -> String {
+        let time = i64::try_from(*value).ok().and_then(|s| DateTime::from_timestamp(s, 0));
+        time.unwrap_or(DateTime::<Utc>::MAX_UTC).to_rfc3339_opts(SecondsFormat::Secs, true)
+    }
+}
--- a/crates/core/src/ini/mod.rs
+++ b/crates/core/src/ini/mod.rs
@@ -13,6 +13,7 @@
 mod error;
 mod fault;
 mod key;
+mod required;
 mod section;
 mod table;
 
@@ -21,8 +22,9 @@
 pub use error::Error;
 pub use fault::Fault;
 pub use key::Key;
+pub use required::Required;
 pub use section::Section;
-pub use table::{Required, Table};
+pub use table::Table;
 
 pub(crate) use key::key;
 
--- a/crates/core/src/ini/table.rs
+++ b/crates/core/src/ini/table.rs
@@ -1,17 +1,8 @@
 //! All keys of one kind of file.
 
-use super::{Document, Entry, Fault, Key, Result, Section};
+use super::{Document, Entry, Fault, Key, Required, Result, Section};
 use std::path::Path;
 
-/// A key that a file has to give.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Required {
-    /// Its section.
-    pub section: &'static str,
-    /// Its name.
-    pub key: &'static str,
-}
-
 /// The keys of a file, in the order of its reference page.
 #[derive(Debug)]
 pub struct Table<T: 'static> {
