--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -11,6 +11,7 @@
 use anyhow::Context;
 use event_listener::Event;
 use monoio::net::TcpListener;
+use shallotflow_runtime::listen;
 use shallotflow_runtime::operators::Listener;
 use shallotflow_runtime::program::Program;
 use shallotflow_runtime::stop::{Level, Stop};
@@ -92,7 +93,7 @@
 }
 
 fn bind(address: SocketAddr, setting: &str) -> anyhow::Result<TcpListener> {
-    TcpListener::bind(address).with_context(|| taken(address, setting))
+    listen::bind(address).with_context(|| taken(address, setting))
 }
 
 fn taken(address: SocketAddr, setting: &str) -> String {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -18,7 +18,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Idle connections are closed here before the agent closes them.
@@ -56,7 +56,7 @@
     quick_pool: Pool,
     watch_pool: Pool,
     requests: Cell<u64>,
-    started: Time,
+    started_unix_us: u64,
     clock: Monotonic,
 }
 
@@ -87,7 +87,7 @@
             gate: Gate::default(),
             directory: RefCell::new(Directory::new(own)),
             requests: Cell::new(0),
-            started: Monotonic.now(),
+            started_unix_us: unix_now_us(),
             clock: Monotonic,
             settings,
         }
@@ -127,10 +127,15 @@
         self.watch_pool.forget(address);
     }
 
-    /// A new identifier for a request, unique among the entries' names.
+    /// A new identifier for a request, unique among entries and their restarts.
     pub fn next_request_id(&self) -> Name {
         let number = self.requests.get() + 1;
         self.requests.set(number);
-        format!("{}-{}-{number}", self.settings.name, self.started.as_micros()).into()
+        format!("{}-{}-{number}", self.settings.name, self.started_unix_us).into()
     }
 }
+
+fn unix_now_us() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
+}
