--- a/crates/policy/src/route/settings.rs
+++ b/crates/policy/src/route/settings.rs
@@ -16,6 +16,6 @@
 
 impl Default for Settings {
     fn default() -> Self {
-        Self { remote_us: 2_000, prior_service_us: 10_000, pairs: 2 }
+        Self { remote_us: 2_000, prior_service_us: 10_000, pairs: 4 }
     }
 }
