Reserve for the mean demand of quick work, not for chance meetings

Change: demand is averaged over 200 ms before its crest is kept, and 1.5 standard deviations of random arrivals are added; the spare slot is gone. Throttling has milder steps and goes back by a step only if quick work would stay fast then. A worker offers batch room only for tasks that the slowdown of quick work leaves.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -312,7 +312,8 @@
         if self.leaving || self.draining || !self.values.batch {
             return Bundle::default();
         }
-        self.admission.batch_offer(&self.reserve(now))
+        let room = self.admission.batch_offer(&self.reserve(now));
+        Bundle { slots: room.slots.min(self.tolerated(now)), ..room }
     }
 
     /// Room kept free for quick work.
@@ -338,7 +339,9 @@
             return self.leases.refuse(key, "the configuration lets no batch work start here");
         }
         let Some(task) = self.leases.get(key) else { return };
-        let need = self.need(&task.grant.kind, &task.grant.resources);
+        let kind = task.grant.kind.clone();
+        let need = self.need(&kind, &task.grant.resources);
+        self.granted(&kind, now);
         let id = self.next_id();
         // The lease table withdraws the task when its lease passes.
         let deadline = Time::NEVER;
--- a/crates/agent/src/colocation/room.rs
+++ b/crates/agent/src/colocation/room.rs
@@ -17,6 +17,8 @@
 const FULL_SHARE: u32 = 1_000;
 /// How long a kind of quick work counts as present after its last request.
 const PRESENCE: Duration = Duration::from_secs(1);
+/// Weight of a new grant in the mean of grants: one over this number.
+const GRANTS: u32 = 8;
 /// Most kinds of quick work that are looked at.
 const MAX_KINDS: usize = 64;
 
@@ -31,6 +33,8 @@
     pub(crate) shares: HashMap<Key, u32>,
     /// Kinds of running requests.
     pub(crate) requests: HashMap<Id, Name>,
+    /// What a granted task adds to quick work, on average; thousandths.
+    typical_milli: u32,
     /// When each kind of quick work was last seen.
     present: HashMap<Name, Time>,
 }
@@ -46,6 +50,7 @@
             estimates: estimate::Table::new(estimate::Settings::default()),
             shares: HashMap::new(),
             requests: HashMap::new(),
+            typical_milli: 0,
             present: HashMap::new(),
         }
     }
@@ -130,6 +135,25 @@
             .collect()
     }
 
+    /// Notes what kind of task was granted.
+    pub(crate) fn granted(&mut self, kind: &Name, now: Time) {
+        let added = milli(self.room.added(kind, now));
+        let mean = (self.room.typical_milli * (GRANTS - 1) + added) / GRANTS;
+        self.room.typical_milli = mean;
+    }
+
+    /// How many more batch tasks may start beside the quick work that is present.
+    pub(crate) fn tolerated(&self, now: Time) -> u32 {
+        if self.room.present.is_empty() {
+            return u32::MAX;
+        }
+        let waiting = self.admission.queue(Class::Batch).len() as u32;
+        let running = self.admission.running(Class::Batch);
+        let typical = self.room.typical_milli;
+        let slowdown = self.slowdown_milli(now).saturating_add(waiting * typical);
+        self.room.controller.admits(slowdown, typical, running + waiting as usize)
+    }
+
     /// Whether a running task runs many times longer than its kind usually does.
     pub(crate) fn is_straggler(&self, task: &Task) -> bool {
         let elapsed = Duration::from_millis(task.run_ms);
--- a/crates/policy/src/evict/controller.rs
+++ b/crates/policy/src/evict/controller.rs
@@ -37,6 +37,17 @@
         self.settings.shares_milli.get(self.step).copied().unwrap_or(FULL_SHARE)
     }
 
+    /// How many more tasks, each adding `added_milli` to the run time of quick work, may start
+    /// beside quick work of the slowdown `slowdown_milli`; the first one always may.
+    pub fn admits(&self, slowdown_milli: u32, added_milli: u32, running: usize) -> u32 {
+        if added_milli <= self.settings.harmless_milli {
+            return u32::MAX;
+        }
+        let slack = self.settings.slow_milli.saturating_sub(slowdown_milli);
+        let fitting = slack / added_milli;
+        if running == 0 { fitting.max(1) } else { fitting }
+    }
+
     /// Looks at the pressure and gives back what must change.
     pub fn tick(
         &mut self,
@@ -44,7 +55,7 @@
         candidates: &[Candidate],
         now: Time,
     ) -> Vec<Command> {
-        let exhausted = self.adjust(pressure, now);
+        let exhausted = self.adjust(pressure, candidates, now);
         let mut commands = self.throttle(candidates);
         let shortage = self.shortage(pressure);
         let evicted = self.choose(&shortage, exhausted, candidates, now);
@@ -53,8 +64,8 @@
     }
 
     /// Steps up or down; `true` when the last step has not helped.
-    fn adjust(&mut self, pressure: &Pressure, now: Time) -> bool {
-        if pressure.slowdown_milli < self.settings.calm_milli {
+    fn adjust(&mut self, pressure: &Pressure, candidates: &[Candidate], now: Time) -> bool {
+        if self.is_calm(pressure, candidates) {
             let since = *self.calm_since.get_or_insert(now);
             if self.step > 0 && since.after(self.settings.step_down).passed(now) {
                 self.step -= 1;
@@ -79,8 +90,7 @@
     fn throttle(&self, candidates: &[Candidate]) -> Vec<Command> {
         let mut commands = Vec::new();
         for task in candidates.iter().filter(|task| !task.stopping) {
-            let harmless = task.added_milli <= self.settings.harmless_milli;
-            let share = if harmless { FULL_SHARE } else { self.share_milli() };
+            let share = if self.is_harmless(task) { FULL_SHARE } else { self.share_milli() };
             if task.share_milli != share {
                 commands.push(Command::Throttle(task.key.clone(), share));
             }
@@ -88,6 +98,21 @@
         commands
     }
 
+    /// Whether quick work would stay fast with batch work throttled a step less.
+    fn is_calm(&self, pressure: &Pressure, candidates: &[Candidate]) -> bool {
+        let shares = &self.settings.shares_milli;
+        let share = |step: usize| u64::from(shares.get(step).copied().unwrap_or(FULL_SHARE));
+        let gained = share(self.step.saturating_sub(1)).saturating_sub(share(self.step));
+        let harmful = candidates.iter().filter(|task| !self.is_harmless(task));
+        let added: u64 = harmful.map(|task| u64::from(task.added_milli)).sum();
+        let expected = u64::from(pressure.slowdown_milli) + added * gained / u64::from(FULL_SHARE);
+        expected < u64::from(self.settings.calm_milli)
+    }
+
+    fn is_harmless(&self, task: &Candidate) -> bool {
+        task.added_milli <= self.settings.harmless_milli
+    }
+
     /// The room that batch work must give up.
     fn shortage(&self, pressure: &Pressure) -> Bundle {
         if pressure.wait < self.settings.wait {
--- a/crates/policy/src/evict/settings.rs
+++ b/crates/policy/src/evict/settings.rs
@@ -11,7 +11,7 @@
     pub wait: Duration,
     /// Slowdown of quick work, thousandths, at which batch work is throttled a step further.
     pub slow_milli: u32,
-    /// Slowdown of quick work, thousandths, below which it is throttled a step less.
+    /// Slowdown of quick work, thousandths, below which a step less would have to keep it.
     pub calm_milli: u32,
     /// Processor shares of batch work by step, thousandths.
     pub shares_milli: Vec<u32>,
@@ -31,9 +31,9 @@
     fn default() -> Self {
         Self {
             wait: Duration::from_millis(10),
-            slow_milli: 1_200,
-            calm_milli: 1_080,
-            shares_milli: vec![1_000, 600, 350, 150],
+            slow_milli: 1_300,
+            calm_milli: 1_250,
+            shares_milli: vec![1_000, 800, 600, 400, 250],
             harmless_milli: 30,
             step_up: Duration::from_millis(50),
             step_down: Duration::from_secs(1),
--- a/crates/policy/src/reserve/crest.rs
+++ b/crates/policy/src/reserve/crest.rs
@@ -1,31 +1,27 @@
 //! The recent crest of quick work.
 
 use super::Settings;
+use super::amounts::Amounts;
 use shallotflow_core::resources::Bundle;
 use shallotflow_core::time::Time;
+use std::time::Duration;
 
-/// A decaying maximum of demand in each dimension.
+/// A decaying maximum of the averaged demand in each dimension.
 #[derive(Clone, Debug)]
 pub struct Crest {
     settings: Settings,
-    peak: Peak,
+    /// What was in demand since the last update.
+    demand: Amounts,
+    mean: Amounts,
+    peak: Amounts,
     updated: Time,
 }
 
-/// Amounts of each resource, in fractions while they decay.
-#[derive(Clone, Copy, Debug, Default)]
-struct Peak {
-    slots: f64,
-    connections: f64,
-    millicores: f64,
-    memory_mib: f64,
-    accelerators: f64,
-}
-
 impl Crest {
     /// A crest before any demand.
     pub fn new(settings: Settings) -> Self {
-        Self { settings, peak: Peak::default(), updated: Time::ZERO }
+        let none = Amounts::default();
+        Self { settings, demand: none, mean: none, peak: none, updated: Time::ZERO }
     }
 
     /// Keeps at least `floor_milli` thousandths of the slots from now on.
@@ -33,21 +29,30 @@
         self.settings.floor_milli = floor_milli;
     }
 
-    /// Takes the demand of quick work now: what runs and what waits.
+    /// Takes the demand of quick work from now on: what runs and what waits.
     pub fn observe(&mut self, demand: &Bundle, now: Time) {
-        let left = self.left(now);
-        self.peak = self.peak.scaled(left).at_least(demand);
+        let passed = now.since(self.updated);
+        let followed = 1.0 - decay(passed, self.settings.window);
+        self.mean = self.mean.toward(self.demand, followed);
+        self.peak = self.peak.scaled(self.left(now)).max(self.mean);
+        self.demand = demand.into();
         self.updated = self.updated.max(now);
     }
 
     /// The room to keep free at `now` on a worker of `capacity`.
     pub fn kept(&self, capacity: &Bundle, now: Time) -> Bundle {
         let peak = self.peak.scaled(self.left(now));
-        let headroom = f64::from(self.settings.headroom_milli) / 1_000.0;
-        let mut kept = peak.scaled(headroom).rounded();
-        kept.slots += self.settings.spare_slots;
+        let mut kept = peak.scaled(self.headroom(peak.slots)).rounded();
         kept.slots = kept.slots.max(share(capacity.slots, self.settings.floor_milli));
-        self.ceiling(capacity).least(&kept)
+        self.least(capacity, &kept)
+    }
+
+    /// The factor that adds the deviations of a Poisson process of this mean.
+    fn headroom(&self, mean: f64) -> f64 {
+        if mean <= 0.0 {
+            return 1.0;
+        }
+        1.0 + f64::from(self.settings.deviations_milli) / 1_000.0 / mean.sqrt()
     }
 
     /// The part of the peak that is left at `now`.
@@ -56,59 +61,23 @@
         (-now.since(self.updated).as_secs_f64() / half_life).exp2()
     }
 
-    fn ceiling(&self, capacity: &Bundle) -> Ceiling {
+    /// `kept`, but no more than the ceiling.
+    fn least(&self, capacity: &Bundle, kept: &Bundle) -> Bundle {
         let part = |amount| share(amount, self.settings.ceiling_milli);
-        Ceiling(Bundle {
+        let ceiling = Bundle {
             slots: part(capacity.slots),
             connections: part(capacity.connections),
             millicores: part(capacity.millicores),
             memory_mib: part(capacity.memory_mib),
             accelerators: part(capacity.accelerators),
-        })
-    }
-}
-
-/// The most that is kept in each dimension.
-struct Ceiling(Bundle);
-
-impl Ceiling {
-    fn least(&self, kept: &Bundle) -> Bundle {
-        // What exceeds the ceiling is taken off again.
-        kept.minus(&kept.minus(&self.0))
+        };
+        kept.minus(&kept.minus(&ceiling))
     }
 }
 
-impl Peak {
-    fn scaled(self, factor: f64) -> Self {
-        Self {
-            slots: self.slots * factor,
-            connections: self.connections * factor,
-            millicores: self.millicores * factor,
-            memory_mib: self.memory_mib * factor,
-            accelerators: self.accelerators * factor,
-        }
-    }
-
-    fn at_least(self, demand: &Bundle) -> Self {
-        Self {
-            slots: self.slots.max(demand.slots.into()),
-            connections: self.connections.max(demand.connections.into()),
-            millicores: self.millicores.max(demand.millicores.into()),
-            memory_mib: self.memory_mib.max(demand.memory_mib.into()),
-            accelerators: self.accelerators.max(demand.accelerators.into()),
-        }
-    }
-
-    fn rounded(self) -> Bundle {
-        // The casts saturate.
-        Bundle {
-            slots: self.slots.round() as u32,
-            connections: self.connections.round() as u32,
-            millicores: self.millicores.round() as u32,
-            memory_mib: self.memory_mib.round() as u32,
-            accelerators: self.accelerators.round() as u32,
-        }
-    }
+/// What is left after `passed` of a quantity that decays with the time constant `constant`.
+fn decay(passed: Duration, constant: Duration) -> f64 {
+    (-passed.as_secs_f64() / constant.as_secs_f64().max(f64::MIN_POSITIVE)).exp()
 }
 
 /// `milli` thousandths of `amount`.
--- a/crates/policy/src/reserve/settings.rs
+++ b/crates/policy/src/reserve/settings.rs
@@ -7,10 +7,11 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Settings {
-    /// Thousandths of the recent crest that are kept.
-    pub headroom_milli: u32,
-    /// Slots that are kept beyond that.
-    pub spare_slots: u32,
+    /// Time over which demand is averaged.
+    pub window: Duration,
+    /// Standard deviations of the demand, taken as a Poisson process, that are kept beyond its
+    /// crest; thousandths.
+    pub deviations_milli: u32,
     /// Thousandths of the worker's slots that are always kept.
     pub floor_milli: u32,
     /// Thousandths of the worker that are kept at most.
@@ -22,11 +23,11 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            headroom_milli: 1_250,
-            spare_slots: 1,
-            floor_milli: 125,
+            window: Duration::from_millis(200),
+            deviations_milli: 1_500,
+            floor_milli: 250,
             ceiling_milli: 900,
-            half_life: Duration::from_secs(20),
+            half_life: Duration::from_secs(10),
         }
     }
 }
