--- a/crates/runtime/tests/executor.rs
+++ b/crates/runtime/tests/executor.rs
@@ -1,8 +1,11 @@
 //! The runtime of a process.
 
+use event_listener::Event;
+use futures_channel::oneshot;
 use shallotflow_runtime::executor;
 use shallotflow_runtime::stop::{Level, Stop};
 use std::path::Path;
+use std::rc::Rc;
 use std::time::Duration;
 
 fn descriptors() -> Vec<String> {
@@ -45,3 +48,23 @@
     executor::run(stop.wait(Level::Graceful)).expect("a runtime");
     raiser.join().expect("the raising thread ended");
 }
+
+#[test]
+fn a_runtime_ends_with_tasks_that_wake_others_when_they_are_dropped() {
+    let ended = executor::run(async {
+        let event = Rc::new(Event::new());
+        let (sender, receiver) = oneshot::channel::<()>();
+        monoio::spawn(async move { drop(receiver.await) });
+        let waiting = event.clone();
+        monoio::spawn(async move {
+            waiting.listen().await;
+            drop(sender);
+        });
+        // Spawned tasks run until they wait.
+        monoio::time::sleep(Duration::from_millis(5)).await;
+        // The task that holds the sender is queued, and does not run before the end.
+        event.notify(usize::MAX);
+        true
+    });
+    assert!(ended.expect("a runtime"));
+}
