--- a/crates/runtime/tests/executor.rs
+++ b/crates/runtime/tests/executor.rs
@@ -54,7 +54,7 @@
     let ended = executor::run(async {
         let event = Rc::new(Event::new());
         let (sender, receiver) = oneshot::channel::<()>();
-        monoio::spawn(async move { drop(receiver.await) });
+        monoio::spawn(async move { receiver.await.is_ok() });
         let waiting = event.clone();
         monoio::spawn(async move {
             waiting.listen().await;
