--- a/crates/bench/src/command/run.rs
+++ b/crates/bench/src/command/run.rs
@@ -3,7 +3,7 @@
 use crate::fault::Scenarios;
 use crate::floor::Floor;
 use crate::report;
-use crate::run::{Experiment, Policy, output};
+use crate::run::{Experiment, Findings, Policy, output};
 use bpaf::Bpaf;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -33,6 +33,9 @@
     /// Where to write the figures as JSON
     #[bpaf(argument("FILE"))]
     pub json: Option<PathBuf>,
+    /// Where to write a page with plots; runs the baselines as well
+    #[bpaf(argument("FILE"))]
+    pub html: Option<PathBuf>,
     /// `guild`, `merkjagerd` or the path of an INI file
     #[bpaf(positional("FLOOR"))]
     pub floor: String,
@@ -60,6 +63,19 @@
             println!("{note}");
         }
         output::json(self.json.as_deref(), &findings.summary)?;
+        if let Some(path) = &self.html {
+            output::html(path, &page(&experiment, findings.clone())?)?;
+        }
         Ok(output::verdict(&findings.summary))
     }
 }
+
+/// The page of `findings` beside the baselines with the same seed.
+fn page(experiment: &Experiment, findings: Findings) -> anyhow::Result<String> {
+    let mut runs = vec![findings];
+    for policy in [Policy::Isolated, Policy::Naive] {
+        let baseline = Experiment { policy, faults: Vec::new(), ..experiment.clone() };
+        runs.push(baseline.carry_out()?);
+    }
+    Ok(report::page(&experiment.floor, experiment.run, &runs)?)
+}
--- a/crates/bench/src/report/mod.rs
+++ b/crates/bench/src/report/mod.rs
@@ -2,6 +2,8 @@
 
 mod batch;
 mod comparison;
+mod page;
+mod plot;
 mod quick;
 mod summary;
 mod table;
@@ -9,8 +11,20 @@
 
 pub use batch::Batch;
 pub use comparison::{Comparison, Round, Row};
+pub use page::page;
 pub use quick::Quick;
 pub(crate) use quick::percentile_ms;
 pub use summary::Summary;
 pub use table::{comparison, faults, summary};
 pub use violations::Violations;
+
+/// Why a report cannot be made.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A plot cannot be drawn.
+    #[error("a plot cannot be drawn ({0}); write the figures as JSON instead")]
+    Plot(String),
+}
+
+/// The result of making a report.
+pub type Result<T> = std::result::Result<T, Error>;
--- a/crates/bench/src/run/experiment.rs
+++ b/crates/bench/src/run/experiment.rs
@@ -40,12 +40,21 @@
     pub summary: Summary,
     /// What came of each request.
     pub outcomes: Outcomes,
-    /// Tasks that had ended well by the end of each sampling interval.
-    pub completions: Vec<u64>,
+    /// Counts at the end of each sampling interval.
+    pub samples: Vec<Sample>,
+}
+
+/// What the stand-ins had counted at one moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sample {
+    /// Tasks that had ended well.
+    pub completions: u64,
+    /// Tasks that had been evicted.
+    pub evictions: u64,
 }
 
 impl Experiment {
-    /// The time between two samples of [`Findings::completions`].
+    /// The time between two of [`Findings::samples`].
     pub const SAMPLE_INTERVAL: Duration = SAMPLE_INTERVAL;
 
     /// Starts the processes, sends the load, stops the processes gracefully and sums up.
@@ -62,9 +71,9 @@
         let settings = self.load(system.callers());
         let running = Running::start(&floor, &settings)?;
         let mut director = Director::new(self.faults.clone(), self.run, self.seed);
-        let mut completions = Vec::new();
+        let mut samples = Vec::new();
         display::follow(&running, self.run, || {
-            sample(&running, &board, &mut completions);
+            sample(&running, &board, &mut samples);
             system.direct(&mut director, running.start.elapsed())
         })?;
         let outcomes = running.join()?;
@@ -74,8 +83,8 @@
             faults: self.faults.iter().map(|scenario| scenario.as_str().into()).collect(),
             ..add_facts(summarize(&floor, &settings, &outcomes), &board, &outcomes)
         };
-        let summary = with_throughput(summary, &completions, self.run);
-        Ok(Findings { summary, outcomes, completions })
+        let summary = with_throughput(summary, &samples, self.run);
+        Ok(Findings { summary, outcomes, samples })
     }
 
     /// The floor with the load that its faults ask for.
@@ -100,11 +109,13 @@
     }
 }
 
-/// Keeps how many tasks have ended well, once an interval.
-fn sample(running: &Running, board: &Board, completions: &mut Vec<u64>) {
-    let due = SAMPLE_INTERVAL * (completions.len() as u32 + 1);
-    if running.start.elapsed() >= due {
-        completions.push(board.facts().completions);
+/// Keeps what the stand-ins have counted, once an interval.
+fn sample(running: &Running, board: &Board, samples: &mut Vec<Sample>) {
+    let elapsed = running.start.elapsed();
+    let facts = board.facts();
+    let now = Sample { completions: facts.completions, evictions: facts.evictions };
+    while elapsed >= SAMPLE_INTERVAL * (samples.len() as u32 + 1) {
+        samples.push(now);
     }
 }
 
@@ -144,11 +155,11 @@
     refused.filter(ran).count() as u64 + begun.count() as u64
 }
 
-fn with_throughput(mut summary: Summary, completions: &[u64], run: Duration) -> Summary {
+fn with_throughput(mut summary: Summary, samples: &[Sample], run: Duration) -> Summary {
     let last = (run.as_millis() / SAMPLE_INTERVAL.as_millis()) as usize;
-    let at_end = completions.get(last.saturating_sub(1)).or(completions.last());
-    if let Some(done) = at_end {
-        summary.batch.per_second = *done as f64 / run.as_secs_f64();
+    let at_end = samples.get(last.saturating_sub(1)).or(samples.last());
+    if let Some(sample) = at_end {
+        summary.batch.per_second = sample.completions as f64 / run.as_secs_f64();
     }
     summary
 }
--- a/crates/bench/src/run/mod.rs
+++ b/crates/bench/src/run/mod.rs
@@ -7,7 +7,7 @@
 mod sum;
 mod system;
 
-pub use experiment::{Experiment, Findings};
+pub use experiment::{Experiment, Findings, Sample};
 pub use policy::Policy;
 pub use sum::summarize;
 pub use system::System;
--- a/crates/bench/src/run/output.rs
+++ b/crates/bench/src/run/output.rs
@@ -18,6 +18,15 @@
     std::fs::write(path, text).with_context(|| format!("cannot write {}", path.display()))
 }
 
+/// Writes a page to `path`.
+///
+/// # Errors
+///
+/// Fails when the file cannot be written.
+pub fn html(path: &Path, page: &str) -> anyhow::Result<()> {
+    std::fs::write(path, page).with_context(|| format!("cannot write {}", path.display()))
+}
+
 /// Success only when no promise was broken.
 pub fn verdict(summary: &Summary) -> ExitCode {
     if summary.violations.total() == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
--- a/crates/bench/tests/report.rs
+++ b/crates/bench/tests/report.rs
@@ -1,6 +1,14 @@
-//! The names of the figures.
+//! The names of the figures, and the page.
 
-use shallotflow_bench::report::{Summary, Violations};
+use shallotflow_bench::floor::Floor;
+use shallotflow_bench::load::generator::{Outcomes, Requests};
+use shallotflow_bench::load::tally::{Ending, Tally};
+use shallotflow_bench::load::token::Token;
+use shallotflow_bench::report::{Summary, Violations, page};
+use shallotflow_bench::run::{Findings, Sample};
+use shallotflow_core::class::Class;
+use shallotflow_core::outcome::Outcome;
+use std::time::Duration;
 
 #[test]
 fn the_figures_have_the_names_that_readers_rely_on() {
@@ -24,3 +32,29 @@
     assert_eq!(violations.total(), 3);
     assert_eq!(violations.broken(), "capacity 2, at-most-once 1");
 }
+
+#[test]
+fn the_page_stands_alone_and_marks_the_crest() {
+    let floor = Floor::load("guild").expect("a valid floor");
+    let mut tally = Tally::default();
+    tally.sent(Duration::ZERO, Duration::ZERO);
+    tally.ended(&Ending {
+        token: Token::new(0, 1),
+        due: Duration::ZERO,
+        latency: Duration::from_millis(3),
+        waited: Duration::ZERO,
+        outcome: Outcome::Done,
+        whole: true,
+        in_time: true,
+    });
+    let requests = vec![Requests { kind: "a".into(), class: Class::Quick, tally }];
+    let findings = Findings {
+        summary: Summary { policy: "ours".into(), ..Summary::default() },
+        outcomes: Outcomes { requests, ..Outcomes::default() },
+        samples: vec![Sample::default(), Sample { completions: 1, evictions: 0 }],
+    };
+    let page = page(&floor, Duration::from_secs(1), &[findings]).expect("a page");
+    assert_eq!(page.matches("<svg").count(), 4);
+    assert!(page.contains("crest") && page.contains("ours"));
+    assert!(!page.contains("src=") && !page.contains("href="));
+}
