Measure what each agent, target and task adds

Change: subcommand slopes: floors of 10 to 160 agents without load (processor time by thread, memory, store calls, bytes on the loopback) and the policy's tables of targets and jobs at growing sizes, with a line through the points. Not run yet in this commit.

--- a/crates/bench/src/command/mod.rs
+++ b/crates/bench/src/command/mod.rs
@@ -5,6 +5,7 @@
 pub mod direct;
 pub mod faults;
 pub mod run;
+pub mod slopes;
 
 use bpaf::Bpaf;
 use std::process::ExitCode;
@@ -28,6 +29,9 @@
     /// Runs the processes of a floor under its load; exits with 1 when a promise was broken
     #[bpaf(command)]
     Run(#[bpaf(external(run::options))] run::Options),
+    /// Measures what each agent, target and task adds
+    #[bpaf(command)]
+    Slopes(#[bpaf(external(slopes::options))] slopes::Options),
 }
 
 impl Command {
@@ -43,6 +47,7 @@
             Self::Direct(options) => options.run(),
             Self::Faults(options) => options.run(),
             Self::Run(options) => options.run(),
+            Self::Slopes(options) => options.run(),
         }
     }
 }
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`fault`]: faults that come over a floor.
 //! - [`report`]: what an experiment found.
 //! - [`run`]: carries out one run and sums it up.
+//! - [`slope`]: what each agent, target and task adds.
 //! - [`command`]: the subcommands of the program.
 
 pub mod cluster;
@@ -23,3 +24,4 @@
 pub mod naive;
 pub mod report;
 pub mod run;
+pub mod slope;
--- a/crates/bench/src/report/mod.rs
+++ b/crates/bench/src/report/mod.rs
@@ -15,7 +15,7 @@
 pub use quick::Quick;
 pub(crate) use quick::percentile_ms;
 pub use summary::Summary;
-pub use table::{comparison, faults, summary};
+pub use table::{comparison, faults, rows, summary};
 pub use violations::Violations;
 
 /// Why a report cannot be made.
--- a/crates/bench/src/report/table.rs
+++ b/crates/bench/src/report/table.rs
@@ -90,6 +90,15 @@
     format!("{} over {} seeds\n{table}", comparison.floor, comparison.rounds.len())
 }
 
+/// Any rows below a header.
+pub fn rows(header: &[&str], rows: &[Vec<String>]) -> String {
+    let mut table = table(header);
+    for row in rows {
+        table.add_row(row);
+    }
+    table.to_string()
+}
+
 fn table(header: &[&str]) -> Table {
     let mut table = Table::new();
     table.load_style(UTF8_BORDERS_ONLY).set_header(header);
