--- a/crates/runtime/tests/executor.rs
+++ b/crates/runtime/tests/executor.rs
@@ -2,8 +2,8 @@
 
 use event_listener::Event;
 use futures_channel::oneshot;
-use shallotflow_runtime::executor;
 use shallotflow_runtime::stop::{Level, Stop};
+use shallotflow_runtime::{executor, listen};
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
@@ -68,3 +68,16 @@
     });
     assert!(ended.expect("a runtime"));
 }
+
+#[test]
+fn a_port_belongs_to_one_listener() {
+    executor::run(async {
+        let first = listen::bind(([127, 0, 0, 1], 0).into()).expect("a free port");
+        let address = first.local_addr().expect("a bound address");
+        let second = listen::bind(address).map(|_| ()).expect_err("a taken port");
+        assert_eq!(second.kind(), std::io::ErrorKind::AddrInUse);
+        drop(first);
+        listen::bind(address).expect("a port that is free again");
+    })
+    .expect("a runtime");
+}
