Close the descriptors of a killed thread before it is joined

Change: the thread closes its own table at its end. Conclusion: after kill returns, nothing of the process is open.

--- a/crates/bench/src/cluster/descriptors.rs
+++ b/crates/bench/src/cluster/descriptors.rs
@@ -18,14 +18,27 @@
 pub(super) fn separate() -> std::io::Result<()> {
     // SAFETY: the thread has just started and owns no descriptor.
     unsafe { unshare_unsafe(UnshareFlags::FILES) }?;
-    for descriptor in inherited()? {
-        // SAFETY: copies of descriptors of other threads, which keep their own.
+    close()
+}
+
+/// Closes every descriptor of this thread's own table but the standard streams.
+///
+/// The system does so at the end of the thread, but possibly after the thread was joined.
+///
+/// # Errors
+///
+/// Fails when the system does not list the table.
+#[allow(unsafe_code)]
+pub(super) fn close() -> std::io::Result<()> {
+    for descriptor in open()? {
+        // SAFETY: called at the start and at the end of a thread with a table of its own, when
+        // nothing on it uses a descriptor; other threads keep theirs.
         unsafe { rustix::io::close(descriptor) };
     }
     Ok(())
 }
 
-fn inherited() -> std::io::Result<Vec<RawFd>> {
+fn open() -> std::io::Result<Vec<RawFd>> {
     let mut descriptors = Vec::new();
     for entry in std::fs::read_dir(DIRECTORY)? {
         let name = entry?.file_name();
--- a/crates/bench/src/cluster/node.rs
+++ b/crates/bench/src/cluster/node.rs
@@ -39,7 +39,7 @@
         let (own_stop, own_switch) = (stop.clone(), switch.clone());
         let body = move || {
             descriptors::separate()?;
-            executor::run(async move {
+            let ended = executor::run(async move {
                 // The receiver waits for this one message.
                 let ready = Box::new(move |bound| drop(tell.send(bound)));
                 let running = main(own_stop, ready);
@@ -47,7 +47,9 @@
                     result = running => result,
                     () = own_switch.obey() => Ok(()),
                 }
-            })?
+            })?;
+            descriptors::close()?;
+            ended
         };
         let thread = std::thread::Builder::new().name(name.clone()).spawn(body)?;
         let mut node = Self { name, stop, switch, thread: Some(thread) };
