--- a/crates/bench/src/command/compare.rs
+++ b/crates/bench/src/command/compare.rs
@@ -23,7 +23,7 @@
     #[bpaf(argument("N"), fallback(10))]
     pub settle: u64,
     /// How many times more jobs come in the runs that measure batch throughput
-    #[bpaf(argument("N"), fallback(4))]
+    #[bpaf(argument("N"), fallback(5))]
     pub saturation: u32,
     /// Where to write the figures as JSON
     #[bpaf(argument("FILE"))]
--- a/crates/bench/src/load/batch.rs
+++ b/crates/bench/src/load/batch.rs
@@ -15,7 +15,7 @@
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 const FIRST_POLL: Duration = Duration::from_millis(200);
-const LONGEST_POLL: Duration = Duration::from_secs(2);
+const LONGEST_POLL: Duration = Duration::from_millis(400);
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 const PREFIX: &str = "/jobs/";
 /// The state of a job that the system took and then denied.
