--- a/crates/bench/src/fault/director.rs
+++ b/crates/bench/src/fault/director.rs
@@ -1,5 +1,6 @@
 //! Begins and ends the faults of a run when they are due.
 
+use super::race::{Race, Verdict};
 use super::shape::{BEGIN, END};
 use super::{Scenario, Stage};
 use crate::cluster::Cluster;
@@ -8,13 +9,15 @@
 const PER_MILLE: u32 = 1_000;
 
 /// The faults of one run, all within one window of time.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Director {
     scenarios: Vec<Scenario>,
     begin: Duration,
     end: Duration,
     seed: u64,
     state: State,
+    race: Option<Race>,
+    verdict: Verdict,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,7 +31,8 @@
     /// Faults of a run of length `run`.
     pub fn new(scenarios: Vec<Scenario>, run: Duration, seed: u64) -> Self {
         let (begin, end) = window(run);
-        Self { scenarios, begin, end, seed, state: State::Before }
+        let (state, verdict) = (State::Before, Verdict::default());
+        Self { scenarios, begin, end, seed, state, race: None, verdict }
     }
 
     /// Begins and ends what is due at `elapsed`.
@@ -43,15 +47,31 @@
             for scenario in &self.scenarios {
                 stage.begin(*scenario)?;
             }
+            if self.scenarios.contains(&Scenario::ConfigRace) {
+                self.race = Some(start_race(stage.cluster)?);
+            }
         }
         if self.state == State::During && elapsed >= self.end {
             self.state = State::After;
             for scenario in &self.scenarios {
                 stage.end(*scenario)?;
             }
+            if let Some(race) = self.race.take() {
+                self.verdict = race.end()?;
+            }
         }
         Ok(())
     }
+
+    /// What the watch over the configuration found, if there was one.
+    pub fn verdict(&self) -> &Verdict {
+        &self.verdict
+    }
+}
+
+fn start_race(cluster: &Cluster) -> std::io::Result<Race> {
+    let entries = cluster.entries.iter().map(|entry| entry.backend.peers).collect();
+    Race::start(cluster.platform.address, entries)
 }
 
 /// When the faults of a run of length `run` begin and end.
--- a/crates/bench/src/fault/scenario.rs
+++ b/crates/bench/src/fault/scenario.rs
@@ -38,6 +38,8 @@
     Stragglers,
     /// Some jobs ask for more than any worker has.
     ImpossibleJobs,
+    /// Operators change the configuration at the same moment.
+    ConfigRace,
     /// Every process is stopped gracefully and replaced, one after the other.
     DrainAll,
     /// All processes of a failure domain cannot be reached.
@@ -46,7 +48,7 @@
 
 impl Scenario {
     /// Every scenario.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::WorkerKill,
         Self::AgentKill,
         Self::EntryKill,
@@ -62,6 +64,7 @@
         Self::WrongSizes,
         Self::Stragglers,
         Self::ImpossibleJobs,
+        Self::ConfigRace,
         Self::DrainAll,
         Self::DomainCut,
     ];
@@ -84,6 +87,7 @@
             Self::WrongSizes => "wrong-sizes",
             Self::Stragglers => "stragglers",
             Self::ImpossibleJobs => "impossible-jobs",
+            Self::ConfigRace => "config-race",
             Self::DrainAll => "drain-all",
             Self::DomainCut => "domain-cut",
         }
--- a/crates/bench/src/fault/stage.rs
+++ b/crates/bench/src/fault/stage.rs
@@ -46,7 +46,8 @@
             | Scenario::CancelWave
             | Scenario::WrongSizes
             | Scenario::Stragglers
-            | Scenario::ImpossibleJobs => {}
+            | Scenario::ImpossibleJobs
+            | Scenario::ConfigRace => {}
         }
         Ok(())
     }
@@ -76,7 +77,8 @@
             | Scenario::CancelWave
             | Scenario::WrongSizes
             | Scenario::Stragglers
-            | Scenario::ImpossibleJobs => {}
+            | Scenario::ImpossibleJobs
+            | Scenario::ConfigRace => {}
         }
         Ok(())
     }
--- a/crates/bench/src/report/summary.rs
+++ b/crates/bench/src/report/summary.rs
@@ -32,6 +32,8 @@
     pub evictions: u64,
     /// Time that quick requests spent beyond their own service time, 99th percentile.
     pub head_of_line_ms_p99: f64,
+    /// Changes of the configuration that were accepted.
+    pub config_changes: u64,
     /// Broken promises, by name.
     pub violations: Violations,
     /// The first broken promises in words.
--- a/crates/bench/src/run/experiment.rs
+++ b/crates/bench/src/run/experiment.rs
@@ -2,7 +2,7 @@
 
 use super::{Policy, System, display, summarize};
 use crate::cluster::Settings;
-use crate::fault::{Director, Scenario, shape};
+use crate::fault::{Director, Scenario, Verdict, shape};
 use crate::floor::Floor;
 use crate::load::generator::{self, Outcomes, Running};
 use crate::load::token::Token;
@@ -83,6 +83,7 @@
             faults: self.faults.iter().map(|scenario| scenario.as_str().into()).collect(),
             ..add_facts(summarize(&floor, &settings, &outcomes), &board, &outcomes)
         };
+        let summary = with_verdict(summary, director.verdict());
         let summary = with_throughput(summary, &samples, self.run);
         Ok(Findings { summary, outcomes, samples })
     }
@@ -155,6 +156,13 @@
     refused.filter(ran).count() as u64 + begun.count() as u64
 }
 
+fn with_verdict(mut summary: Summary, verdict: &Verdict) -> Summary {
+    summary.config_changes = verdict.accepted;
+    summary.violations.config_never_reverts = verdict.reverted;
+    summary.notes.extend_from_slice(&verdict.notes);
+    summary
+}
+
 fn with_throughput(mut summary: Summary, samples: &[Sample], run: Duration) -> Summary {
     let last = (run.as_millis() / SAMPLE_INTERVAL.as_millis()) as usize;
     let at_end = samples.get(last.saturating_sub(1)).or(samples.last());
