Count a task as lost when its worker restarted before it was listed

Cause: a job whose grant had arrived and started was granted again when its worker restarted before the next report, because only a listed task was taken for started. Change: a restart of the worker since the grant makes an unlisted task lost. The fuzz restarts workers without their agents, stops entries gracefully, and checks that grants and settled ends are in the store before they leave.

--- a/crates/policy/src/ledger/hear.rs
+++ b/crates/policy/src/ledger/hear.rs
@@ -229,7 +229,8 @@
     if (granted.incarnation, granted.sequence) >= (report.incarnation, report.sequence) {
         return Absence::Unproved;
     }
-    if granted.incarnation == report.incarnation && !job.heard {
+    let same_agent = granted.incarnation == report.incarnation;
+    if same_agent && !job.heard && !has_restarted(job, report) {
         return Absence::NeverStarted;
     }
     Absence::Lost
--- a/crates/policy/tests/ledger_fuzz/agent.rs
+++ b/crates/policy/tests/ledger_fuzz/agent.rs
@@ -190,9 +190,11 @@
         self.tasks.retain(|task| task.status.phase == Phase::Running);
     }
 
-    /// The worker restarts and loses everything.
-    pub(crate) fn reboot(&mut self, oracle: &mut Oracle) {
-        self.restart();
+    /// The worker restarts and loses everything, with its agent or without.
+    pub(crate) fn reboot(&mut self, with_agent: bool, oracle: &mut Oracle) {
+        if with_agent {
+            self.restart();
+        }
         self.boot += 1;
         for task in self.tasks.drain(..) {
             oracle.interrupt(&task.record.id);
--- a/crates/policy/tests/ledger_fuzz/step.rs
+++ b/crates/policy/tests/ledger_fuzz/step.rs
@@ -43,8 +43,10 @@
     Work { agent: u8, task: u8, work: Work },
     /// An agent restarts; its worker keeps what runs.
     RestartAgent { agent: u8 },
-    /// A worker restarts and loses everything.
-    Reboot { agent: u8 },
+    /// A worker restarts and loses everything, with its agent or without.
+    Reboot { agent: u8, with_agent: bool },
+    /// An entry stops gracefully and starts anew.
+    Leave { entry: u8 },
     /// An entry is killed and starts anew.
     Kill { entry: u8 },
     /// An entry is paused, or goes on.
@@ -97,6 +99,7 @@
         10 => n().prop_map(|agent| Step::Start { agent }),
         12 => (1..250_u16).prop_map(Step::Advance),
         1 => (250..1_500_u16).prop_map(Step::Advance),
+        1 => (990..1_060_u16).prop_map(Step::Advance),
         3 => n().prop_map(|job| Step::Submit { job }),
         1 => n().prop_map(|job| Step::Withdraw { job }),
         2 => n().prop_map(|job| Step::Cancel { job }),
@@ -113,7 +116,9 @@
         1 => n().prop_map(|entry| Step::Tick { entry }),
         14 => (n(), n(), work).prop_map(|(agent, task, work)| Step::Work { agent, task, work }),
         1 => n().prop_map(|agent| Step::RestartAgent { agent }),
-        1 => n().prop_map(|agent| Step::Reboot { agent }),
+        1 => (n(), any::<bool>())
+            .prop_map(|(agent, with_agent)| Step::Reboot { agent, with_agent }),
+        2 => n().prop_map(|entry| Step::Leave { entry }),
         1 => n().prop_map(|entry| Step::Kill { entry }),
         2 => n().prop_map(|entry| Step::Pause { entry }),
     ]
--- a/crates/policy/tests/ledger_fuzz/store.rs
+++ b/crates/policy/tests/ledger_fuzz/store.rs
@@ -1,7 +1,8 @@
 //! A fake of the store: owners under leases, and segments written once.
 
 use shallotflow_core::name::Name;
-use shallotflow_policy::ledger::Segment;
+use shallotflow_policy::ledger::line::{Line, Progress};
+use shallotflow_policy::ledger::{Segment, id};
 use std::collections::BTreeMap;
 
 /// The owner's key of a ledger.
@@ -49,6 +50,27 @@
         true
     }
 
+    /// Whether a lease is there.
+    pub(crate) fn has_lease(&self, session: u64) -> bool {
+        self.leases.contains_key(&session)
+    }
+
+    /// Ends a lease with its owners' keys.
+    pub(crate) fn revoke(&mut self, session: u64) {
+        self.leases.remove(&session);
+        self.owners.retain(|_, owner| owner.session != session);
+    }
+
+    /// What the segments say last of a job.
+    pub(crate) fn progress(&self, job: &Name) -> Option<Progress> {
+        let ledger = id::ledger(job)?;
+        let segments = self.segments.range((ledger, 0)..=(ledger, u64::MAX)).rev();
+        segments.flat_map(|(_, body)| body.lines().skip(1)).find_map(|text| {
+            let line: Line = serde_json::from_str(text).expect("a readable line");
+            line.progress.filter(|_| line.id == *job)
+        })
+    }
+
     /// Makes a session the owner of a ledger without one; returns the epoch.
     pub(crate) fn claim(&mut self, ledger: u32, name: &Name, session: u64) -> Option<u64> {
         if self.owners.contains_key(&ledger) || !self.leases.contains_key(&session) {
--- a/crates/policy/tests/ledger_fuzz/world.rs
+++ b/crates/policy/tests/ledger_fuzz/world.rs
@@ -4,7 +4,7 @@
 use crate::oracle::Oracle;
 use crate::step::{Fate, Step};
 use crate::store::Store;
-use shallotflow_core::job::Spec;
+use shallotflow_core::job::{Spec, State};
 use shallotflow_core::name::Name;
 use shallotflow_core::resources::Bundle;
 use shallotflow_core::time::Time;
@@ -143,7 +143,10 @@
             Step::RestartAgent { agent } => {
                 self.agents[pick(agent, AGENTS)].restart();
             }
-            Step::Reboot { agent } => self.agents[pick(agent, AGENTS)].reboot(&mut self.oracle),
+            Step::Reboot { agent, with_agent } => {
+                self.agents[pick(agent, AGENTS)].reboot(with_agent, &mut self.oracle);
+            }
+            Step::Leave { entry } => self.leave(pick(entry, ENTRIES)),
             Step::Kill { entry } => {
                 let number = pick(entry, ENTRIES);
                 self.entries[number] = Entry::new(number, &self.settings);
@@ -353,6 +356,16 @@
         }
         let reply = entry.table.reply(&asked.pending);
         assert!(reply.grants.len() <= asked.room as usize, "more is granted than there is room");
+        for grant in &reply.grants {
+            let recorded = self.store.progress(&grant.key.job).expect("a recorded job");
+            assert_eq!(recorded.attempts, grant.key.attempt, "a grant leaves unrecorded");
+        }
+        for key in &reply.settled {
+            let recorded = self.store.progress(&key.job).expect("a recorded job");
+            let open = matches!(recorded.state, State::Started { .. });
+            let ended = recorded.attempts > key.attempt || !open;
+            assert!(ended, "{} is settled before its end is recorded", key.job);
+        }
         let (agent, answered) = (asked.agent, asked.answered);
         self.messages.push(Message::Reply { agent, entry: number, answered, reply });
     }
@@ -407,7 +420,9 @@
             return;
         }
         let moment = self.moment();
-        let names: Vec<Name> = self.entries.iter().map(|entry| entry.name.clone()).collect();
+        let live = |entry: &&Entry| self.store.has_lease(entry.session);
+        let names: Vec<Name> =
+            self.entries.iter().filter(live).map(|entry| entry.name.clone()).collect();
         let entry = &mut self.entries[number];
         let mut owners = self.store.owners();
         owners.retain(|ledger, name| {
@@ -431,6 +446,15 @@
         }
     }
 
+    /// An entry gives its ledgers back while it still owns them, then starts anew.
+    fn leave(&mut self, number: usize) {
+        if !self.acts(number) {
+            return;
+        }
+        self.store.revoke(self.entries[number].session);
+        self.entries[number] = Entry::new(number, &self.settings);
+    }
+
     fn tick(&mut self, entry: usize) {
         if self.acts(entry) {
             let moment = self.moment();
