Fuzz jobs of different sizes and what was refused as not run

Cause: planted faults in the bound on failures, in the room and in withdrawn submissions went unnoticed. Change: jobs take one or two slots, two failures are the bound, and a job that was refused as not run stays refused.

--- a/crates/policy/tests/ledger_fuzz/agent.rs
+++ b/crates/policy/tests/ledger_fuzz/agent.rs
@@ -206,15 +206,16 @@
     }
 
     fn room(&self) -> u32 {
-        let held = self.tasks.iter().filter(|task| !task.status.phase.has_ended()).count();
-        SLOTS.saturating_sub(held as u32)
+        let held = self.tasks.iter().filter(|task| !task.status.phase.has_ended());
+        SLOTS.saturating_sub(held.map(|task| task.record.spec.resources.slots).sum())
     }
 
     fn accept(&mut self, key: &Key, record: &Record, lease_end_ms: u64) {
         if self.tasks.iter().any(|task| task.status.key == *key) {
             return;
         }
-        let phase = if self.room() == 0 { Phase::Refused } else { Phase::Accepted };
+        let fits = record.spec.resources.slots <= self.room();
+        let phase = if fits { Phase::Accepted } else { Phase::Refused };
         let checkpoint = record.checkpoint.clone();
         let status = Status { key: key.clone(), phase, checkpoint, reason: String::new() };
         self.tasks.push(Task { record: record.clone(), status, lease_end_ms });
--- a/crates/policy/tests/ledger_fuzz/oracle.rs
+++ b/crates/policy/tests/ledger_fuzz/oracle.rs
@@ -94,8 +94,13 @@
         assert!(!done || facts.done, "{} is done though no run came to its end", record.id);
     }
 
-    /// Whether a caller was told of the job's end.
-    pub(crate) fn has_end(&self, id: &Name) -> bool {
-        self.jobs.get(id).is_some_and(|facts| facts.answered.is_some())
+    /// Whether a caller was told that its submission was not run.
+    pub(crate) fn is_refused(&self, id: &Name) -> bool {
+        self.jobs.get(id).is_some_and(|facts| facts.refused)
+    }
+
+    /// Whether a caller was told of the job's end, or that it was not run.
+    pub(crate) fn is_settled(&self, id: &Name) -> bool {
+        self.jobs.get(id).is_some_and(|facts| facts.refused || facts.answered.is_some())
     }
 }
--- a/crates/policy/tests/ledger_fuzz/world.rs
+++ b/crates/policy/tests/ledger_fuzz/world.rs
@@ -67,6 +67,7 @@
         let settings = Settings {
             task_lease: Duration::from_millis(LEASE_MS),
             retry_delay: Duration::from_millis(50),
+            failures_max: 2,
             aside_span: Duration::from_millis(200),
             segment_bytes: 700,
             segments_min: 4,
@@ -166,11 +167,11 @@
         }
         for _ in 0..ROUNDS {
             self.round();
-            if self.ids.iter().all(|id| self.oracle.has_end(id)) {
+            if self.ids.iter().all(|id| self.oracle.is_settled(id)) {
                 return;
             }
         }
-        let open: Vec<&Name> = self.ids.iter().filter(|id| !self.oracle.has_end(id)).collect();
+        let open: Vec<&Name> = self.ids.iter().filter(|id| !self.oracle.is_settled(id)).collect();
         panic!("jobs without an end: {open:?}");
     }
 
@@ -178,7 +179,10 @@
         self.advance(ROUND_MS);
         self.keep();
         for job in 0..JOBS {
-            self.submit(job);
+            // Whoever was told that a job was not run leaves it at that.
+            if !self.oracle.is_refused(&self.ids[job]) {
+                self.submit(job);
+            }
         }
         for agent in 0..AGENTS {
             for entry in 0..ENTRIES {
@@ -355,7 +359,8 @@
             return;
         }
         let reply = entry.table.reply(&asked.pending);
-        assert!(reply.grants.len() <= asked.room as usize, "more is granted than there is room");
+        let granted: u32 = reply.grants.iter().map(|grant| grant.record.spec.resources.slots).sum();
+        assert!(granted <= asked.room, "{granted} slots are granted, {} are free", asked.room);
         for grant in &reply.grants {
             let recorded = self.store.progress(&grant.key.job).expect("a recorded job");
             assert_eq!(recorded.attempts, grant.key.attempt, "a grant leaves unrecorded");
@@ -503,11 +508,11 @@
 
 fn spec(job: usize) -> Spec {
     Spec {
-        caller: format!("caller-{}", job % 3).into(),
+        caller: format!("caller-{}", job % 4).into(),
         kind: "render".into(),
-        resources: Bundle { slots: 1, ..Bundle::default() },
+        resources: Bundle { slots: 1 + (job % 2) as u32, ..Bundle::default() },
         declared_run_ms: 10,
-        idempotent: job.is_multiple_of(2),
+        idempotent: job.is_multiple_of(3),
         priority: if job.is_multiple_of(5) { Spec::URGENT } else { 0 },
         payload: "pattern".to_owned(),
     }
