--- a/crates/entry/src/batch/mod.rs
+++ b/crates/entry/src/batch/mod.rs
@@ -6,6 +6,7 @@
 
 mod claim;
 mod convert;
+mod meters;
 mod problem;
 mod remote;
 mod service;
--- a/crates/entry/src/batch/service.rs
+++ b/crates/entry/src/batch/service.rs
@@ -1,5 +1,6 @@
 //! The ledgers that this entry owns, and the calls on them.
 
+use super::meters::Meters;
 use super::remote::Remote;
 use super::writer::{self, Fate};
 use super::{Batch, Decision, Result, Submission, claim, convert, problem};
@@ -275,9 +276,11 @@
 }
 
 async fn tick(service: Rc<Service>) {
+    let meters = Meters::new();
     while !service.stopping.get() {
         monoio::time::sleep(TICK).await;
         service.table.borrow_mut().tick(moment());
+        meters.publish(&mut service.table.borrow_mut());
         if service.table.borrow().unwritten().next().is_some() {
             service.changed.notify(usize::MAX);
         }
--- a/crates/policy/src/ledger/commit.rs
+++ b/crates/policy/src/ledger/commit.rs
@@ -76,6 +76,7 @@
         }
         for entry in flying.entries {
             let Some(job) = self.jobs.get_mut(&entry.record.id) else { continue };
+            self.totals.count(job.committed.as_ref(), &entry);
             settle(shard, job, entry, flying.sequence);
         }
         shard.committed = flying.covers;
--- a/crates/policy/src/ledger/expire.rs
+++ b/crates/policy/src/ledger/expire.rs
@@ -4,8 +4,15 @@
 use shallotflow_core::name::Name;
 use shallotflow_core::time::Time;
 
+/// How often in the length of a task lease lost tasks are looked for.
+const LOOKS_PER_LEASE: u32 = 20;
+
 /// Gives up the tasks of workers whose leases have surely passed.
 pub(super) fn run(table: &mut Table, moment: Moment) {
+    if !table.expires_at.passed(moment.now) {
+        return;
+    }
+    table.expires_at = moment.now.after(table.settings.task_lease / LOOKS_PER_LEASE);
     forget_workers(table, moment);
     let silent = |name: &&Name| lease_end(table, name).passed(moment.now);
     let silent: Vec<Name> = table.placed.keys().filter(silent).cloned().collect();
@@ -35,6 +42,7 @@
     let before = table.workers.len();
     table.workers.retain(|_, worker| !worker.forgotten_at.passed(moment.now));
     if table.workers.len() < before {
+        table.free_slots = table.workers.values().map(|worker| u64::from(worker.room.slots)).sum();
         table.recount_shapes();
     }
 }
--- a/crates/policy/src/ledger/grant.rs
+++ b/crates/policy/src/ledger/grant.rs
@@ -43,10 +43,9 @@
     if worker.failures >= table.settings.aside_failures {
         return 1;
     }
-    let live = table.workers.values().filter(|worker| !worker.lease_end.passed(moment.now));
-    let total: usize = live.map(|worker| worker.room.slots as usize).sum();
-    let slots = worker.room.slots as usize;
-    (table.backlog.len() * slots).div_ceil(total.max(1)).min(slots)
+    let slots = u64::from(worker.room.slots);
+    let share = (table.backlog.len() as u64 * slots).div_ceil(table.free_slots.max(1));
+    share.min(slots) as usize
 }
 
 fn select(table: &Table, name: &Name, moment: Moment) -> Option<Name> {
@@ -79,6 +78,7 @@
         taken = need(&job.record.spec.resources);
     });
     if let Some(worker) = table.workers.get_mut(&report.worker) {
+        table.free_slots -= u64::from(worker.room.slots.min(taken.slots));
         worker.room = worker.room.minus(&taken);
     }
     let ledger = id::ledger(id).unwrap_or_default();
--- a/crates/policy/src/ledger/hear.rs
+++ b/crates/policy/src/ledger/hear.rs
@@ -78,7 +78,9 @@
         if !worker.precedes(report) {
             return false;
         }
+        self.free_slots -= u64::from(worker.room.slots);
         worker.refresh(report, &self.settings, moment.now);
+        self.free_slots += u64::from(worker.room.slots);
         let shape = Shape::of(worker);
         if !self.shapes.contains(&shape) {
             self.recount_shapes();
--- a/crates/policy/src/ledger/mod.rs
+++ b/crates/policy/src/ledger/mod.rs
@@ -34,6 +34,7 @@
 mod status;
 mod summary;
 mod table;
+mod totals;
 mod transition;
 mod worker;
 
@@ -55,3 +56,4 @@
 pub use status::Status;
 pub use summary::Summary;
 pub use table::Table;
+pub use totals::Totals;
--- a/crates/policy/src/ledger/table.rs
+++ b/crates/policy/src/ledger/table.rs
@@ -6,7 +6,7 @@
 use super::shard::Shard;
 use super::worker::Worker;
 use super::{
-    Error, Key, Mark, Moment, Result, Settings, Summary, commit, expire, id, park, retain,
+    Error, Key, Mark, Moment, Result, Settings, Summary, Totals, commit, expire, id, park, retain,
 };
 use shallotflow_core::job::{Record, Spec, State};
 use shallotflow_core::name::Name;
@@ -30,6 +30,12 @@
     pub(super) shapes: Vec<Shape>,
     /// Waiting jobs that were not yet compared with the capacities.
     pub(super) unchecked: VecDeque<Name>,
+    /// The slots that batch work may take on all workers.
+    pub(super) free_slots: u64,
+    /// When lost tasks are looked for again.
+    pub(super) expires_at: Time,
+    /// What was committed since it was last asked for.
+    pub(super) totals: Totals,
     /// From when on enough workers have reported to park a job.
     pub(super) parks_from: Time,
 }
@@ -186,6 +192,11 @@
             .take(limit)
     }
 
+    /// What was committed since the last call.
+    pub fn take_totals(&mut self) -> Totals {
+        std::mem::take(&mut self.totals)
+    }
+
     /// How many jobs wait for a worker.
     pub fn waiting(&self) -> usize {
         self.backlog.len()
--- /dev/null
+++ b/crates/policy/src/ledger/totals.rs
@@ -0,0 +1,38 @@
+//! What has happened since it was last asked for.
+
+use super::shard::Written;
+use shallotflow_core::job::{Record, State};
+
+/// Committed starts and ends.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Totals {
+    /// Starts.
+    pub started: u64,
+    /// Jobs that ended well.
+    pub done: u64,
+    /// Jobs that failed on every allowed attempt.
+    pub failed: u64,
+    /// Jobs that were cancelled.
+    pub cancelled: u64,
+    /// Jobs of which nobody knows how far they ran.
+    pub unknown: u64,
+}
+
+impl Totals {
+    /// Counts what a commit adds to the record that was committed before.
+    pub(super) fn count(&mut self, before: Option<&Record>, written: &Written) {
+        let after = &written.record;
+        let attempts = before.map_or(0, |before| before.attempts);
+        self.started += u64::from(after.attempts.saturating_sub(attempts));
+        if before.is_some_and(|before| before.state.is_final()) {
+            return;
+        }
+        match after.state {
+            State::Done => self.done += 1,
+            State::Failed { .. } => self.failed += 1,
+            State::Cancelled => self.cancelled += 1,
+            State::Unknown { .. } => self.unknown += 1,
+            State::Queued | State::Started { .. } | State::Parked { .. } => {}
+        }
+    }
+}
--- a/crates/store/src/client/mod.rs
+++ b/crates/store/src/client/mod.rs
@@ -17,6 +17,7 @@
 use rpc::kv_client::KvClient;
 use rpc::lease_client::LeaseClient;
 use rpc::watch_client::WatchClient;
+use shallotflow_core::metric;
 use shallotflow_wire::rpc::Channel;
 use std::cell::Cell;
 use std::time::Duration;
@@ -39,9 +40,22 @@
         Self { settings, channels, current: Cell::new(0) }
     }
 
+    /// Makes a call and counts it under `name`.
+    async fn call<T>(
+        &self,
+        name: &'static str,
+        repeatable: bool,
+        send: impl AsyncFn(Channel) -> std::result::Result<Response<T>, Status>,
+    ) -> Result<T> {
+        let reply = self.try_endpoints(repeatable, send).await;
+        let result = reply.as_ref().err().map_or("ok", Error::kind);
+        metrics::counter!(metric::STORE_CALLS, "call" => name, "result" => result).increment(1);
+        reply
+    }
+
     /// Calls endpoints in turn until one takes the call; a call that may have been applied is
     /// tried elsewhere only if `repeatable`.
-    async fn call<T>(
+    async fn try_endpoints<T>(
         &self,
         repeatable: bool,
         send: impl AsyncFn(Channel) -> std::result::Result<Response<T>, Status>,
@@ -82,7 +96,7 @@
     }
 
     async fn fetch(&self, request: rpc::RangeRequest) -> Result<rpc::RangeResponse> {
-        self.call(true, async |channel| kv(channel).range(request.clone()).await).await
+        self.call("range", true, async |channel| kv(channel).range(request.clone()).await).await
     }
 }
 
@@ -106,7 +120,9 @@
         let key = transaction.compares.first().map_or("", |compare| compare.key()).to_owned();
         let lease = convert::lease(&transaction);
         let request = convert::transaction(transaction);
-        let reply = self.call(false, async |channel| kv(channel).txn(request.clone()).await).await;
+        let reply = self
+            .call("commit", false, async |channel| kv(channel).txn(request.clone()).await)
+            .await;
         let reply = reply.map_err(|error| match error {
             Error::LeaseGone { .. } => Error::LeaseGone { id: lease },
             other => other,
@@ -120,15 +136,16 @@
     async fn grant(&self, ttl: Duration) -> Result<i64> {
         let seconds = i64::try_from(ttl.as_millis().div_ceil(1_000)).unwrap_or(i64::MAX);
         let request = rpc::LeaseGrantRequest { ttl: seconds, id: 0 };
-        let reply =
-            self.call(true, async |channel| lease(channel).lease_grant(request).await).await?;
+        let reply = self
+            .call("grant", true, async |channel| lease(channel).lease_grant(request).await)
+            .await?;
         Ok(reply.id)
     }
 
     async fn keep_alive(&self, id: i64) -> Result<()> {
         let request = rpc::LeaseKeepAliveRequest { id };
         let reply = self
-            .call(true, async |channel| {
+            .call("keep-alive", true, async |channel| {
                 let requests = futures_util::stream::iter([request]);
                 let reply = lease(channel).lease_keep_alive(requests).await?;
                 let first = reply.into_inner().next().await;
@@ -144,8 +161,9 @@
 
     async fn revoke(&self, id: i64) -> Result<()> {
         let request = rpc::LeaseRevokeRequest { id };
-        let reply =
-            self.call(true, async |channel| lease(channel).lease_revoke(request).await).await;
+        let reply = self
+            .call("revoke", true, async |channel| lease(channel).lease_revoke(request).await)
+            .await;
         match reply {
             Ok(_) | Err(Error::LeaseGone { .. }) => Ok(()),
             Err(error) => Err(error),
@@ -157,7 +175,7 @@
         let create =
             rpc::WatchCreateRequest { key: prefix.into(), range_end, start_revision: revision };
         let reply = self
-            .call(true, async |channel| {
+            .call("watch", true, async |channel| {
                 let requests = stream::requests(create.clone());
                 watch(channel).watch(requests).await
             })
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -51,6 +51,18 @@
         Self::Unknown { reason: format!("no answer within {} ms", limit.as_millis()) }
     }
 
+    /// The kind, as metrics name it.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::NotApplied { .. } => "not-applied",
+            Self::Unavailable { .. } => "unavailable",
+            Self::Unknown { .. } => "unknown",
+            Self::LeaseGone { .. } => "lease-gone",
+            Self::Compacted { .. } => "compacted",
+            Self::Rejected { .. } => "rejected",
+        }
+    }
+
     /// Whether a write may have been applied all the same.
     pub fn may_be_applied(&self) -> bool {
         matches!(self, Self::Unknown { .. })
