--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -38,7 +38,12 @@
     }
 }
 
-fn execute(command: Command) -> Result<Answer> {
+/// Runs `command` to its end on a runtime of its own.
+///
+/// # Errors
+///
+/// Fails when the system gives no runtime, or with the error of the command.
+pub fn execute(command: Command) -> Result<Answer> {
     let run = shallotflow_runtime::executor::run(command.run());
     run.map_err(|error| Error::System(error.to_string()))?
 }
--- a/crates/policy/src/ledger/hear.rs
+++ b/crates/policy/src/ledger/hear.rs
@@ -81,7 +81,9 @@
         if !worker.precedes(report) {
             return false;
         }
+        self.free_slots -= u64::from(worker.room.slots);
         worker.refresh(report, &self.settings, moment.now);
+        self.free_slots += u64::from(worker.room.slots);
         let shape = Shape::of(worker);
         if !self.shapes.contains(&shape) {
             self.recount_shapes();
@@ -235,7 +237,8 @@
         return Absence::Unproved;
     }
     let same = granted.incarnation == report.incarnation;
-    if (same || planted::is_on(Fault::AbsenceProvesTooMuch)) && !job.heard {
+    let same = same || planted::is_on(Fault::AbsenceProvesTooMuch);
+    if same && !job.heard && !has_restarted(job, report) {
         return Absence::NeverStarted;
     }
     Absence::Lost
--- a/crates/policy/src/ledger/mod.rs
+++ b/crates/policy/src/ledger/mod.rs
@@ -34,7 +34,7 @@
 mod status;
 mod summary;
 mod table;
-mod tally;
+mod totals;
 mod transition;
 mod worker;
 
@@ -56,4 +56,4 @@
 pub use status::Status;
 pub use summary::Summary;
 pub use table::Table;
-pub use tally::Tally;
+pub use totals::Totals;
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -51,8 +51,8 @@
         Self::Unknown { reason: format!("no answer within {} ms", limit.as_millis()) }
     }
 
-    /// The name used in metrics.
-    pub fn as_str(&self) -> &'static str {
+    /// The kind, as metrics name it.
+    pub fn kind(&self) -> &'static str {
         match self {
             Self::NotApplied { .. } => "not-applied",
             Self::Unavailable { .. } => "unavailable",
