--- a/crates/bench/src/run/experiment.rs
+++ b/crates/bench/src/run/experiment.rs
@@ -77,13 +77,17 @@
             system.direct(&mut director, running.start.elapsed())
         })?;
         let outcomes = running.join()?;
+        // The final stop checkpoints what still runs; those are no evictions of the run.
+        let counted = board.facts().clone();
         system.stop()?;
         let summary = Summary {
             policy: self.policy.as_str().into(),
             faults: self.faults.iter().map(|scenario| scenario.as_str().into()).collect(),
+            evictions: counted.evictions,
             ..add_facts(summarize(&floor, &settings, &outcomes), &board, &outcomes)
         };
-        let summary = with_verdict(summary, director.verdict());
+        let mut summary = with_verdict(summary, director.verdict());
+        summary.batch.started = counted.starts;
         let summary = with_throughput(summary, &samples, self.run);
         Ok(Findings { summary, outcomes, samples })
     }
@@ -131,7 +135,6 @@
     let mut summary =
         Summary { evictions: facts.evictions, violations, notes: facts.notes.clone(), ..summary };
     summary.batch.duplicates = facts.duplicates;
-    summary.batch.started = facts.starts;
     summary
 }
 
