Test waves of jobs and an outage longer than the leases

Cause: the cost of a wave and a lapse of every lease at once were not shown. Change: two tests over TCP; the first counts the calls to the store.

--- a/crates/entry/tests/batch.rs
+++ b/crates/entry/tests/batch.rs
@@ -3,6 +3,7 @@
 mod fleet;
 
 use fleet::{Agent, Entry, job, run};
+use futures_util::future::join_all;
 use shallotflow_core::job::Spec;
 use shallotflow_core::outcome::Outcome;
 use shallotflow_core::problem::Code;
@@ -193,3 +194,50 @@
         assert_eq!(agent.granted.len(), 11);
     });
 }
+
+#[test]
+fn a_wave_of_jobs_and_of_cancellations_takes_few_writes() {
+    run(async |store| {
+        let entry = Entry::start("a", &store);
+        let client = entry.client();
+        client.insist("warm", &job("guild")).await;
+        let before = store.counters.read();
+        let keys: Vec<String> = (0..200).map(|key| key.to_string()).collect();
+        let spec = job("guild");
+        let submitted = join_all(keys.iter().map(|key| client.submit(key, &spec))).await;
+        let records: Vec<_> =
+            submitted.into_iter().map(|result| result.expect("a recorded job").0).collect();
+        let created = store.counters.read().since(&before);
+        assert!(created.writes < 50, "{created:?} for {} jobs", records.len());
+        let before = store.counters.read();
+        let cancelled = join_all(records.iter().map(|record| client.cancel(&record.id))).await;
+        for result in cancelled {
+            assert_eq!(result.expect("a recorded job").state.as_str(), "cancelled");
+        }
+        let ended = store.counters.read().since(&before);
+        assert!(ended.writes < 50, "{ended:?} for {} jobs", records.len());
+        println!("{} jobs: created {created:?}, cancelled {ended:?}", records.len());
+    });
+}
+
+#[test]
+fn a_long_outage_neither_loses_nor_doubles_what_ran() {
+    run(async |store| {
+        let entry = Entry::start("a", &store);
+        let client = entry.client();
+        let (record, _) = client.insist("1", &job("guild")).await;
+        let mut agent = Agent::new("w", entry.client());
+        agent.hold(1).await;
+        store.faults.set_down(true);
+        while !agent.report().await.owned.is_empty() {}
+        agent.set(TaskPhase::Lapsed, "half");
+        store.faults.set_down(false);
+        while agent.granted.len() < 2 {
+            agent.report().await;
+        }
+        assert_eq!(agent.granted[1].checkpoint, "half");
+        agent.set(TaskPhase::Done, "");
+        agent.hold(0).await;
+        assert_eq!(client.wait(&record.id, "done").await.attempts, 2);
+    });
+}
--- a/crates/entry/tests/fleet/mod.rs
+++ b/crates/entry/tests/fleet/mod.rs
@@ -29,6 +29,7 @@
 pub(crate) struct Store {
     pub(crate) address: SocketAddr,
     pub(crate) faults: Faults,
+    pub(crate) counters: Counters,
 }
 
 /// An entry on a thread of its own; dropping it kills the entry.
@@ -41,12 +42,12 @@
 /// Runs `test` with a store.
 pub(crate) fn run(test: impl AsyncFnOnce(Store)) {
     executor::run(async {
-        let faults = Faults::default();
+        let (faults, counters) = (Faults::default(), Counters::default());
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("a bound address");
-        let server = Server::new(faults.clone(), Counters::default(), 7);
+        let server = Server::new(faults.clone(), counters.clone(), 7);
         monoio::spawn(serve(listener, server, Rc::new(Event::new())));
-        let test = test(Store { address, faults });
+        let test = test(Store { address, faults, counters });
         monoio::time::timeout(PATIENCE, test).await.expect("the test ends in time");
     })
     .expect("a runtime");
