Hear a refusal that comes before the whole body was sent

Cause: an agent that refuses a large request answers and closes; the entry saw its write fail and reported the request as unknown, although the refusal lay in its receive buffer. Change: after a failed write the connection looks for an answer for 200 ms; it is never reused.

--- a/crates/entry/tests/targets.rs
+++ b/crates/entry/tests/targets.rs
@@ -338,3 +338,15 @@
         assert_eq!(working.calls.get(), u64::from(status == 200));
     });
 }
+
+#[test]
+fn a_refusal_in_the_middle_of_a_large_body_means_not_run() {
+    with_entry(settings(), async |entry| {
+        let agent = Agent::start("worker-1", "preview", refuse);
+        agent.report(entry).await;
+        let large = bytes::Bytes::from(vec![b'x'; 12_000_000]);
+        let answer = entry.send_body(Request::post("/run/preview"), Body::Full(large)).await;
+        let problem = answer.problem();
+        assert_eq!((problem.code, problem.outcome), (Code::Overloaded, Outcome::NotRun));
+    });
+}
--- a/crates/wire/src/http/client.rs
+++ b/crates/wire/src/http/client.rs
@@ -6,7 +6,7 @@
 use super::server::asks_close;
 use super::writer::Writer;
 use super::{Error, Result};
-use http::{Request, Response};
+use http::{Request, Response, response};
 use monoio::io::Splitable;
 use monoio::net::TcpStream;
 use monoio::time::timeout;
@@ -15,6 +15,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// How long to look for an answer on a connection that takes no more of the request.
+const EARLY_ANSWER: Duration = Duration::from_millis(200);
+
 /// A connection that carries one exchange at a time.
 pub struct Connection {
     reader: Slot,
@@ -53,24 +56,38 @@
             return Err(Error::Truncated);
         };
         let (head, mut body) = request.into_parts();
-        self.writer.request(&head, &mut body).await?;
-        let response = loop {
-            if !reader.wait_first_byte().await? {
-                return Err(Error::Truncated);
-            }
-            let response = reader.head(ResponseHeadDecoder, self.limits.head).await?;
-            if !response.status.is_informational() {
-                break response;
+        let written = self.writer.request(&head, &mut body).await;
+        let response = match &written {
+            Ok(()) => self.head(&mut reader).await?,
+            // A peer that refuses early answers and closes before it has taken the whole body.
+            Err(Error::Io(_)) => {
+                let early = timeout(EARLY_ANSWER, self.head(&mut reader)).await;
+                let Ok(Ok(response)) = early else { return Err(written.unwrap_err()) };
+                response
             }
+            Err(_) => return Err(written.unwrap_err()),
         };
         let limit = self.limits.body_bytes;
         let framing = response_framing(&head.method, response.status, &response.headers, limit)?;
-        let slot =
-            if asks_close(&response.headers) { Slot::default() } else { self.reader.clone() };
+        let reusable = written.is_ok() && !asks_close(&response.headers);
+        let slot = if reusable { self.reader.clone() } else { Slot::default() };
         let body = Body::Incoming(Incoming::new(reader, framing, slot));
         Ok(Response::from_parts(response, body))
     }
 
+    /// Reads the head of the final response.
+    async fn head(&self, reader: &mut Reader) -> Result<response::Parts> {
+        loop {
+            if !reader.wait_first_byte().await? {
+                return Err(Error::Truncated);
+            }
+            let response = reader.head(ResponseHeadDecoder, self.limits.head).await?;
+            if !response.status.is_informational() {
+                return Ok(response);
+            }
+        }
+    }
+
     /// Whether the last response was read to its end and nothing follows it.
     pub fn is_reusable(&self) -> bool {
         self.reader.borrow().as_ref().is_some_and(|reader| !reader.has_leftover())
