--- a/crates/policy/src/ledger/hear.rs
+++ b/crates/policy/src/ledger/hear.rs
@@ -236,9 +236,8 @@
     if (granted.incarnation, granted.sequence) >= (report.incarnation, report.sequence) {
         return Absence::Unproved;
     }
-    let same = granted.incarnation == report.incarnation;
-    let same = same || planted::is_on(Fault::AbsenceProvesTooMuch);
-    if same && !job.heard && !has_restarted(job, report) {
+    let same_agent = granted.incarnation == report.incarnation;
+    if same_agent && !job.heard && !has_restarted(job, report) {
         return Absence::NeverStarted;
     }
     Absence::Lost
--- a/crates/policy/src/planted.rs
+++ b/crates/policy/src/planted.rs
@@ -16,9 +16,8 @@
     LeaseEndsEarly,
     /// A job that may run once runs again after its worker was lost.
     RerunOfUnknown,
-    /// A task that a report of the agent's earlier incarnation was answered with counts as never
-    /// started.
-    AbsenceProvesTooMuch,
+    /// A job that may run once resumes from the same checkpoint again.
+    CheckpointSpentTwice,
     /// A cancelled job is queued again when its attempt ends.
     CancelForgotten,
     /// An owner acknowledges the end of a task before the end is committed.
--- a/crates/policy/tests/system/facts.rs
+++ b/crates/policy/tests/system/facts.rs
@@ -19,6 +19,7 @@
     running: BTreeMap<Name, (usize, Key)>,
     started: BTreeSet<Key>,
     fresh_starts: BTreeMap<Name, u32>,
+    resumed: BTreeSet<(Name, Name)>,
     ends: BTreeMap<Name, u32>,
     acknowledged: BTreeSet<Name>,
     broken: Vec<(&'static str, String)>,
@@ -40,6 +41,7 @@
         if self.acknowledged.contains(job) {
             self.broken("end-is-kept", format!("{key} starts after its end was acknowledged"));
         }
+        self.resume(key, checkpoint);
         let fresh = self.fresh_starts.entry(job.clone()).or_default();
         *fresh += u32::from(checkpoint.is_none());
         let again = *fresh > 1 || self.ends.contains_key(job);
@@ -48,6 +50,14 @@
         }
     }
 
+    /// A job that may run once resumes from each checkpoint once at most.
+    fn resume(&mut self, key: &Key, checkpoint: Option<&Name>) {
+        let Some(checkpoint) = checkpoint.filter(|_| self.once.contains(&key.job)) else { return };
+        if !self.resumed.insert((key.job.clone(), checkpoint.clone())) {
+            self.broken("resume-once", format!("{key} resumes from {checkpoint} again"));
+        }
+    }
+
     /// A task runs no more.
     pub(crate) fn stop(&mut self, key: &Key) {
         if self.running.get(&key.job).is_some_and(|(_, running)| running == key) {
--- a/crates/policy/tests/system/planted.rs
+++ b/crates/policy/tests/system/planted.rs
@@ -41,7 +41,7 @@
 #[test_case(Fault::GrantBeforeLeaseEnd, &["one-worker-at-a-time"])]
 #[test_case(Fault::LeaseEndsEarly, &["one-worker-at-a-time"])]
 #[test_case(Fault::RerunOfUnknown, &["at-most-once"])]
-#[test_case(Fault::AbsenceProvesTooMuch, &["at-most-once"])]
+#[test_case(Fault::CheckpointSpentTwice, &["resume-once"])]
 #[test_case(Fault::CancelForgotten, &["cancelled-never-starts", "nothing-lost"])]
 #[test_case(Fault::SettledBeforeCommit, &["end-is-kept"])]
 #[test_case(Fault::RetryOfFailed, &["at-most-once"])]
