Run ready tasks once more before a runtime is dropped

Change: the executor lets tasks go on for 5 ms after the program has ended. Before: a test with a ready task that holds what another waits for panics. After: it passes. Conclusion: a task that becomes ready in the very last moment could still do it; the library gives no way to drop tasks within its context.

--- a/crates/runtime/src/executor.rs
+++ b/crates/runtime/src/executor.rs
@@ -1,6 +1,10 @@
 //! The single-threaded runtime of a process.
 
 use std::future::Future;
+use std::time::Duration;
+
+/// How long tasks go on after the end of the program.
+const SETTLE: Duration = Duration::from_millis(5);
 
 /// The result of starting a runtime.
 pub type Result<T> = std::io::Result<T>;
@@ -13,5 +17,9 @@
 pub fn run<F: Future>(main: F) -> Result<F::Output> {
     let mut runtime =
         monoio::RuntimeBuilder::<monoio::LegacyDriver>::new().enable_timer().build()?;
-    Ok(runtime.block_on(main))
+    let output = runtime.block_on(main);
+    // Tasks that are ready are run once more: dropped unrun, one would wake others outside of the
+    // runtime, which panics.
+    runtime.block_on(async { monoio::time::sleep(SETTLE).await });
+    Ok(output)
 }
--- a/crates/runtime/tests/executor.rs
+++ b/crates/runtime/tests/executor.rs
@@ -1,5 +1,6 @@
 //! The runtime of a process.
 
+use futures_channel::oneshot;
 use shallotflow_runtime::stop::{Level, Stop};
 use shallotflow_runtime::{executor, listen};
 use std::path::Path;
@@ -58,3 +59,22 @@
     })
     .expect("a runtime");
 }
+
+#[test]
+fn a_task_that_is_ready_when_the_program_ends_may_hold_what_others_wait_for() {
+    executor::run(async {
+        let (held, awaited) = oneshot::channel::<()>();
+        let (wake, woken) = oneshot::channel::<()>();
+        monoio::spawn(async move {
+            let _held = held;
+            let _ = woken.await;
+            std::future::pending::<()>().await;
+        });
+        monoio::spawn(async move {
+            let _ = awaited.await;
+        });
+        monoio::time::sleep(Duration::from_millis(1)).await;
+        wake.send(()).expect("a waiting task");
+    })
+    .expect("a runtime");
+}
