Evict only for what quick work does not turn over by itself

Change: room that running quick work leaves within about one service time is taken off the shortage, and the wait that counts is 20 ms instead of 10.

--- a/crates/policy/src/admission/table.rs
+++ b/crates/policy/src/admission/table.rs
@@ -192,10 +192,11 @@
         self.used().minus(&self.capacity)
     }
 
-    /// What waiting quick work needs beyond the free room.
+    /// What waiting quick work needs beyond the free room and the room that running quick work
+    /// leaves to it within about one service time.
     pub fn quick_shortage(&self) -> Bundle {
         let free = self.capacity.minus(&self.used());
-        self.quick.need().minus(&free)
+        self.quick.need().minus(&free).minus(&self.used.quick)
     }
 
     /// Takes back work that waits, because its caller gave up.
--- a/crates/policy/src/evict/pressure.rs
+++ b/crates/policy/src/evict/pressure.rs
@@ -8,7 +8,7 @@
 pub struct Pressure {
     /// How long the oldest quick request has waited for room.
     pub wait: Duration,
-    /// What the waiting quick requests need beyond the free room.
+    /// What the waiting quick requests need beyond the room that is free or soon will be.
     pub shortage: Bundle,
     /// What all running work uses beyond the worker's capacity.
     pub excess: Bundle,
--- a/crates/policy/src/evict/settings.rs
+++ b/crates/policy/src/evict/settings.rs
@@ -30,7 +30,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            wait: Duration::from_millis(10),
+            wait: Duration::from_millis(20),
             slow_milli: 1_300,
             calm_milli: 1_250,
             shares_milli: vec![1_000, 800, 600, 400, 250],
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -230,3 +230,18 @@
     assert_eq!(table.tick(now, &Bundle::default()), vec![refused]);
     assert_eq!(table.offer(ticket(2, Class::Quick, 9), Duration::ZERO, now), Err(Refusal::Leaving));
 }
+
+#[test]
+fn quick_work_is_short_of_room_only_beyond_its_own_turnover() {
+    let now = Time::from_millis(1);
+    let mut table = Table::new(settings(), CAPACITY);
+    table.offer(ticket(1, Class::Quick, 1_000), Duration::ZERO, now).expect("room to wait");
+    for id in 2..=4 {
+        table.offer(ticket(id, Class::Batch, 1_000), Duration::ZERO, now).expect("room to wait");
+    }
+    table.tick(now, &Bundle::default());
+    table.offer(ticket(5, Class::Quick, 1_000), Duration::ZERO, now).expect("room to wait");
+    assert_eq!(table.quick_shortage().slots, 0, "the running request leaves its slot soon");
+    table.offer(ticket(6, Class::Quick, 1_000), Duration::ZERO, now).expect("room to wait");
+    assert_eq!(table.quick_shortage().slots, 1);
+}
