--- a/crates/entry/src/batch/service.rs
+++ b/crates/entry/src/batch/service.rs
@@ -1,8 +1,9 @@
 //! The ledgers that this entry owns, and the calls on them.
 
+use super::meters::Meters;
 use super::remote::Remote;
 use super::writer::{self, Fate};
-use super::{Batch, Decision, Result, Submission, claim, convert, meters, problem};
+use super::{Batch, Decision, Result, Submission, claim, convert, problem};
 use crate::Settings;
 use crate::session::Session;
 use event_listener::Event;
@@ -275,10 +276,11 @@
 }
 
 async fn tick(service: Rc<Service>) {
+    let meters = Meters::new();
     while !service.stopping.get() {
         monoio::time::sleep(TICK).await;
         service.table.borrow_mut().tick(moment());
-        meters::levels(&service.table.borrow());
+        meters.publish(&mut service.table.borrow_mut());
         if service.table.borrow().unwritten().next().is_some() {
             service.changed.notify(usize::MAX);
         }
@@ -307,10 +309,7 @@
             continue;
         };
         match writer::write(&service.session, &segment, is_owner).await {
-            Fate::Written => {
-                let tally = service.table.borrow_mut().applied(&segment);
-                meters::committed(&tally);
-            }
+            Fate::Written => service.table.borrow_mut().applied(&segment),
             Fate::Deposed => claim::drop_one(&service, ledger, epoch),
         }
         service.committed.notify(usize::MAX);
--- a/crates/policy/src/ledger/hear.rs
+++ b/crates/policy/src/ledger/hear.rs
@@ -78,7 +78,9 @@
         if !worker.precedes(report) {
             return false;
         }
+        self.free_slots -= u64::from(worker.room.slots);
         worker.refresh(report, &self.settings, moment.now);
+        self.free_slots += u64::from(worker.room.slots);
         let shape = Shape::of(worker);
         if !self.shapes.contains(&shape) {
             self.recount_shapes();
@@ -229,7 +231,8 @@
     if (granted.incarnation, granted.sequence) >= (report.incarnation, report.sequence) {
         return Absence::Unproved;
     }
-    if granted.incarnation == report.incarnation && !job.heard {
+    let same_agent = granted.incarnation == report.incarnation;
+    if same_agent && !job.heard && !has_restarted(job, report) {
         return Absence::NeverStarted;
     }
     Absence::Lost
--- a/crates/policy/tests/ledger_fuzz/world.rs
+++ b/crates/policy/tests/ledger_fuzz/world.rs
@@ -4,7 +4,7 @@
 use crate::oracle::Oracle;
 use crate::step::{Fate, Step};
 use crate::store::Store;
-use shallotflow_core::job::Spec;
+use shallotflow_core::job::{Spec, State};
 use shallotflow_core::name::Name;
 use shallotflow_core::resources::Bundle;
 use shallotflow_core::time::Time;
@@ -67,6 +67,7 @@
         let settings = Settings {
             task_lease: Duration::from_millis(LEASE_MS),
             retry_delay: Duration::from_millis(50),
+            failures_max: 2,
             aside_span: Duration::from_millis(200),
             segment_bytes: 700,
             segments_min: 4,
@@ -143,7 +144,10 @@
             Step::RestartAgent { agent } => {
                 self.agents[pick(agent, AGENTS)].restart();
             }
-            Step::Reboot { agent } => self.agents[pick(agent, AGENTS)].reboot(&mut self.oracle),
+            Step::Reboot { agent, with_agent } => {
+                self.agents[pick(agent, AGENTS)].reboot(with_agent, &mut self.oracle);
+            }
+            Step::Leave { entry } => self.leave(pick(entry, ENTRIES)),
             Step::Kill { entry } => {
                 let number = pick(entry, ENTRIES);
                 self.entries[number] = Entry::new(number, &self.settings);
@@ -163,11 +167,11 @@
         }
         for _ in 0..ROUNDS {
             self.round();
-            if self.ids.iter().all(|id| self.oracle.has_end(id)) {
+            if self.ids.iter().all(|id| self.oracle.is_settled(id)) {
                 return;
             }
         }
-        let open: Vec<&Name> = self.ids.iter().filter(|id| !self.oracle.has_end(id)).collect();
+        let open: Vec<&Name> = self.ids.iter().filter(|id| !self.oracle.is_settled(id)).collect();
         panic!("jobs without an end: {open:?}");
     }
 
@@ -175,7 +179,10 @@
         self.advance(ROUND_MS);
         self.keep();
         for job in 0..JOBS {
-            self.submit(job);
+            // Whoever was told that a job was not run leaves it at that.
+            if !self.oracle.is_refused(&self.ids[job]) {
+                self.submit(job);
+            }
         }
         for agent in 0..AGENTS {
             for entry in 0..ENTRIES {
@@ -352,7 +359,18 @@
             return;
         }
         let reply = entry.table.reply(&asked.pending);
-        assert!(reply.grants.len() <= asked.room as usize, "more is granted than there is room");
+        let granted: u32 = reply.grants.iter().map(|grant| grant.record.spec.resources.slots).sum();
+        assert!(granted <= asked.room, "{granted} slots are granted, {} are free", asked.room);
+        for grant in &reply.grants {
+            let recorded = self.store.progress(&grant.key.job).expect("a recorded job");
+            assert_eq!(recorded.attempts, grant.key.attempt, "a grant leaves unrecorded");
+        }
+        for key in &reply.settled {
+            let recorded = self.store.progress(&key.job).expect("a recorded job");
+            let open = matches!(recorded.state, State::Started { .. });
+            let ended = recorded.attempts > key.attempt || !open;
+            assert!(ended, "{} is settled before its end is recorded", key.job);
+        }
         let (agent, answered) = (asked.agent, asked.answered);
         self.messages.push(Message::Reply { agent, entry: number, answered, reply });
     }
@@ -407,7 +425,9 @@
             return;
         }
         let moment = self.moment();
-        let names: Vec<Name> = self.entries.iter().map(|entry| entry.name.clone()).collect();
+        let live = |entry: &&Entry| self.store.has_lease(entry.session);
+        let names: Vec<Name> =
+            self.entries.iter().filter(live).map(|entry| entry.name.clone()).collect();
         let entry = &mut self.entries[number];
         let mut owners = self.store.owners();
         owners.retain(|ledger, name| {
@@ -431,6 +451,15 @@
         }
     }
 
+    /// An entry gives its ledgers back while it still owns them, then starts anew.
+    fn leave(&mut self, number: usize) {
+        if !self.acts(number) {
+            return;
+        }
+        self.store.revoke(self.entries[number].session);
+        self.entries[number] = Entry::new(number, &self.settings);
+    }
+
     fn tick(&mut self, entry: usize) {
         if self.acts(entry) {
             let moment = self.moment();
@@ -479,11 +508,11 @@
 
 fn spec(job: usize) -> Spec {
     Spec {
-        caller: format!("caller-{}", job % 3).into(),
+        caller: format!("caller-{}", job % 4).into(),
         kind: "render".into(),
-        resources: Bundle { slots: 1, ..Bundle::default() },
+        resources: Bundle { slots: 1 + (job % 2) as u32, ..Bundle::default() },
         declared_run_ms: 10,
-        idempotent: job.is_multiple_of(2),
+        idempotent: job.is_multiple_of(3),
         priority: if job.is_multiple_of(5) { Spec::URGENT } else { 0 },
         payload: "pattern".to_owned(),
     }
