Read an exception in short steps

Cause: reading an exception took one function of fifty lines.

Change: a draft reads line by line, tells why the exception could never hold, and becomes the exception. No behaviour changes; the refusals are still checked word for word.

--- a/crates/core/src/fleet/config.rs
+++ b/crates/core/src/fleet/config.rs
@@ -1,7 +1,7 @@
 //! The whole configuration.
 
 use super::{Exception, Subject, Values};
-use crate::ini::{Document, Fault, Result};
+use crate::ini::{Document, Fault, Result, Section};
 use serde::{Deserialize, Serialize};
 use std::path::Path;
 
@@ -39,8 +39,8 @@
         let document = Document::parse(file, text)?;
         if text.len() > Self::TEXT_BYTES {
             let message = format!("the text has {} bytes, over {}", text.len(), Self::TEXT_BYTES);
-            let remedy = "remove exceptions that are no longer needed".to_owned();
-            return Err(document.error(1, Fault::Conflict { message, remedy }));
+            let remedy = "remove exceptions that are no longer needed";
+            return Err(document.error(1, Fault::conflict(message, remedy)));
         }
         Self::read(&document)
     }
@@ -83,34 +83,37 @@
     fn read(document: &Document) -> Result<Self> {
         let mut config = Self::default();
         for section in &document.sections {
-            let name = section.name.as_str();
-            if name == "defaults" {
-                for entry in &section.entries {
-                    Values::TABLE
-                        .read_entry(name, entry, &mut config.defaults)
-                        .map_err(|fault| document.error(entry.line, fault))?;
-                }
-                continue;
-            }
-            let Some(id) = exception_id(name) else {
-                let fault = Fault::unknown_section(name, ["defaults", "exception ID"]);
-                return Err(document.error(section.line, fault));
-            };
-            let exception = Exception::read(document, section, id)?;
-            if config.exception(&exception.id).is_some() {
-                let message = format!("exception `{}` stands twice", exception.id);
-                let remedy = "give each its own identifier".to_owned();
-                return Err(document.error(section.line, Fault::Conflict { message, remedy }));
-            }
-            config.exceptions.push(exception);
+            config.read_section(document, section)?;
         }
         if config.exceptions.len() > Self::EXCEPTIONS {
             let message = format!("there are {} exceptions", config.exceptions.len());
             let remedy = format!("keep at most {}", Self::EXCEPTIONS);
-            return Err(document.error(1, Fault::Conflict { message, remedy }));
+            return Err(document.error(1, Fault::conflict(message, remedy)));
         }
         Ok(config)
     }
+
+    fn read_section(&mut self, document: &Document, section: &Section) -> Result<()> {
+        let name = section.name.as_str();
+        if name == "defaults" {
+            return section.entries.iter().try_for_each(|entry| {
+                let read = Values::TABLE.read_entry(name, entry, &mut self.defaults);
+                read.map_err(|fault| document.error(entry.line, fault))
+            });
+        }
+        let Some(id) = exception_id(name) else {
+            let fault = Fault::unknown_section(name, ["defaults", "exception ID"]);
+            return Err(document.error(section.line, fault));
+        };
+        let exception = Exception::read(document, section, id)?;
+        if self.exception(&exception.id).is_some() {
+            let message = format!("exception `{}` stands twice", exception.id);
+            let fault = Fault::conflict(message, "give each its own identifier");
+            return Err(document.error(section.line, fault));
+        }
+        self.exceptions.push(exception);
+        Ok(())
+    }
 }
 
 fn exception_id(section: &str) -> Option<&str> {
--- a/crates/core/src/fleet/exception.rs
+++ b/crates/core/src/fleet/exception.rs
@@ -1,8 +1,9 @@
 //! One exception.
 
-use super::{Condition, Scope, Values};
-use crate::ini::codec::{Codec, Label, Line, Maybe, Moment};
-use crate::ini::{Document, Fault, Key, Result, Section, Table, key};
+use super::draft::Draft;
+use super::{Condition, Values};
+use crate::ini::codec::{self, Label};
+use crate::ini::{Document, Fault, Key, Result, Section};
 use crate::name::Name;
 use serde::{Deserialize, Serialize};
 
@@ -26,36 +27,13 @@
     pub expires_unix_s: Option<u64>,
 }
 
-/// What an exception says besides its overrides, as it is being read.
-#[derive(Debug, Default)]
-struct Draft {
-    condition: Condition,
-    reason: Option<Name>,
-    author: Option<Name>,
-    expires: Option<u64>,
-}
-
-const SECTION: &str = "exception";
-
-const KEYS: &[Key<Draft>] = &[
-    key!("exception", condition.domain: Maybe<Label>, "The failure domain where it holds."),
-    key!("exception", condition.worker: Maybe<Label>, "The worker for which it holds."),
-    key!("exception", condition.kind: Maybe<Label>, "The kind of work for which it holds."),
-    key!("exception", condition.caller: Maybe<Label>, "The caller for which it holds."),
-    key!("exception", reason: Maybe<Line>, "Why it is needed; required."),
-    key!("exception", author: Maybe<Line>, "Who added it."),
-    key!("exception", expires: Maybe<Moment>, "When it ends by itself."),
-];
-
-const TABLE: Table<Draft> = Table { keys: KEYS, required: &[], check: |_, _| Ok(()) };
-
 impl Exception {
     /// The word that starts the header of an exception.
-    pub const SECTION: &'static str = SECTION;
+    pub const SECTION: &'static str = "exception";
 
     /// The header of the exception `id`, without its brackets.
     pub fn header(id: &str) -> String {
-        format!("{SECTION} {id}")
+        format!("{} {id}", Self::SECTION)
     }
 
     /// Whether it holds at `unix_now_s`, in seconds since 1970.
@@ -70,40 +48,13 @@
     /// Fails on unknown keys, refused values, and when reason, condition or overrides are missing.
     pub(super) fn read(document: &Document, section: &Section, id: &str) -> Result<Self> {
         let at_header = |fault| document.error(section.line, fault);
-        let Some(id) = Label::parse(id) else {
-            return Err(at_header(Fault::Syntax {
-                key: SECTION.to_owned(),
-                value: id.to_owned(),
-                expected: Label::EXPECTED.to_owned(),
-            }));
-        };
+        let id = codec::read::<Label>(Self::SECTION, id).map_err(at_header)?;
         let mut draft = Draft::default();
-        let mut values = Values::default();
-        let mut overrides = Vec::new();
         for entry in &section.entries {
-            let read = if let Some(key) = TABLE.key(SECTION, &entry.key) {
-                (key.read)(&mut draft, &entry.value)
-            } else if let Some(key) = Values::TABLE.key("defaults", &entry.key) {
-                overrides.push(key.name.into());
-                (key.read)(&mut values, &entry.value)
-            } else {
-                let known = TABLE.names(SECTION).chain(Values::TABLE.names("defaults"));
-                Err(Fault::unknown_key(&section.name, &entry.key, known))
-            };
+            let read = draft.read_entry(&section.name, entry);
             read.map_err(|fault| document.error(entry.line, fault))?;
         }
-        let conflict = |message: &str, remedy: &str| {
-            let message = format!("exception `{id}` {message}");
-            at_header(Fault::Conflict { message, remedy: remedy.to_owned() })
-        };
-        if draft.condition.is_empty() {
-            let remedy = "add `domain`, `worker`, `kind` or `caller`, or change the defaults";
-            return Err(conflict("matches everything", remedy));
-        }
-        if overrides.is_empty() {
-            return Err(conflict("overrides nothing", "add a key of the defaults"));
-        }
-        if let Some(fault) = mismatch(&id, &draft.condition, &overrides) {
+        if let Some(fault) = draft.fault(&id) {
             return Err(at_header(fault));
         }
         let Some(reason) = draft.reason else {
@@ -113,8 +64,8 @@
         Ok(Self {
             id,
             condition: draft.condition,
-            overrides,
-            values,
+            overrides: draft.overrides,
+            values: draft.values,
             reason,
             author: draft.author,
             expires_unix_s: draft.expires,
@@ -128,10 +79,11 @@
             reason: Some(self.reason.clone()),
             author: self.author.clone(),
             expires: self.expires_unix_s,
+            ..Draft::default()
         };
         let mut text = format!("[{}]\n", Self::header(&self.id));
-        let conditions = KEYS.iter().map(|key| (key.name, (key.print)(&draft)));
-        for (name, value) in conditions.filter(|(_, value)| !value.is_empty()) {
+        let own = Draft::TABLE.keys.iter().map(|key| (key.name, (key.print)(&draft)));
+        for (name, value) in own.filter(|(_, value)| !value.is_empty()) {
             text.push_str(&format!("{name} = {value}\n"));
         }
         for key in self.keys() {
@@ -151,23 +103,3 @@
         self.overrides.iter().filter_map(|name| Values::TABLE.key("defaults", name))
     }
 }
-
-/// The first override that the condition can never reach.
-fn mismatch(id: &str, condition: &Condition, overrides: &[Name]) -> Option<Fault> {
-    overrides.iter().find_map(|key| {
-        let scope = Scope::of(key);
-        let name = scope.mismatch(condition)?;
-        let (applies, accepted) = (scope.as_str(), scope.conditions().join("`, `"));
-        Some(Fault::Conflict {
-            message: format!(
-                "exception `{id}` overrides `{key}`, which applies to {applies}, by `{name}`"
-            ),
-            remedy: format!("give conditions on `{accepted}` only"),
-        })
-    })
-}
-
-/// Adds the rows of an exception's own keys to the reference page.
-pub(crate) fn push_reference(page: &mut String) {
-    crate::settings::reference::push_keys(page, &TABLE, SECTION, &Draft::default());
-}
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -31,6 +31,7 @@
 mod changes;
 mod condition;
 mod config;
+mod draft;
 mod exception;
 pub mod key;
 mod merge;
@@ -47,4 +48,4 @@
 pub use subject::Subject;
 pub use values::Values;
 
-pub(crate) use exception::push_reference;
+pub(crate) use draft::push_reference;
--- a/crates/core/src/ini/fault.rs
+++ b/crates/core/src/ini/fault.rs
@@ -96,6 +96,11 @@
 }
 
 impl Fault {
+    /// Values that contradict each other.
+    pub fn conflict(message: impl Into<String>, remedy: impl Into<String>) -> Self {
+        Self::Conflict { message: message.into(), remedy: remedy.into() }
+    }
+
     /// A section that is none of `known`.
     pub fn unknown_section<'a>(name: &str, known: impl IntoIterator<Item = &'a str>) -> Self {
         Self::UnknownSection { name: name.to_owned(), known: quoted(known) }
--- a/crates/core/src/settings/entry.rs
+++ b/crates/core/src/settings/entry.rs
@@ -121,8 +121,8 @@
 
     fn check(&self, document: &Document) -> ini::Result<()> {
         let conflict = |key: &str, message: String, remedy: &str| {
-            let fault = Fault::Conflict { message, remedy: remedy.to_owned() };
-            Err(document.error(document.line_of("entry", key), fault))
+            let line = document.line_of("entry", key);
+            Err(document.error(line, Fault::conflict(message, remedy)))
         };
         if self.task_lease < self.beat * 2 {
             let (lease, beat) = (self.task_lease, self.beat);
