--- a/crates/entry/tests/metrics.rs
+++ b/crates/entry/tests/metrics.rs
@@ -55,7 +55,7 @@
         until(&entry, "shallotflow_batch_ended_total{state=\"cancelled\"} 1").await;
         until(&entry, "shallotflow_batch_backlog 0").await;
         let shown = metrics(&entry).await;
-        assert!(shown.contains("shallotflow_store_calls_total{call=\"commit\",result=\"done\"}"));
+        assert!(shown.contains("shallotflow_store_calls_total{call=\"commit\",result=\"ok\"}"));
     };
     let ended = executor::run(async { monoio::time::timeout(HANG, scenario).await });
     ended.expect("a runtime").expect("no hang");
