Split the table of targets by job

Change: the kinds, the draw, a target and its place have files of their own. Conclusion: the same tests of the policy pass unchanged. In the same run of the entry's tests 'a_kind_that_nobody_knows_crosses_one_hop_and_is_refused' crashed within the runtime at its end; the cause is being looked for.

--- a/crates/policy/src/route/kind.rs
+++ b/crates/policy/src/route/kind.rs
@@ -21,6 +21,11 @@
 }
 
 impl Kind {
+    /// A kind without members.
+    pub(super) fn new(name: Name) -> Self {
+        Self { name, eligible: Vec::new(), members: 0, ejected: 0, usual_us: 0 }
+    }
+
     /// Takes the time that a request took.
     pub(super) fn learn(&mut self, latency: Duration) {
         let sample = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX >> USUAL_SHIFT);
--- a/crates/policy/src/route/mod.rs
+++ b/crates/policy/src/route/mod.rs
@@ -5,16 +5,21 @@
 //! number of targets. The load that a target reports is corrected by what this entry itself has
 //! sent since.
 
+mod draw;
 mod id;
 mod kind;
+mod kinds;
 mod load;
+mod place;
 mod row;
 mod settings;
 mod table;
+mod target;
 mod wish;
 
 pub use id::Id;
 pub use load::Load;
 pub use settings::Settings;
-pub use table::{Table, Target};
+pub use table::Table;
+pub use target::Target;
 pub use wish::{Choice, Wish};
--- a/crates/policy/src/route/table.rs
+++ b/crates/policy/src/route/table.rs
@@ -1,58 +1,32 @@
 //! The table of targets.
 
-use super::kind::{Kind, Membership};
-use super::row::{Cost, Row};
-use super::{Choice, Id, Load, Settings, Wish};
+use super::draw::Draw;
+use super::kind::Membership;
+use super::kinds::Kinds;
+use super::place::Place;
+use super::row::Row;
+use super::{Choice, Id, Load, Settings, Target, Wish};
 use foldhash::{HashMap, HashMapExt};
-use rand::Rng;
 use rand::rngs::SmallRng;
 use shallotflow_core::class::Class;
 use shallotflow_core::name::Name;
 use shallotflow_core::time::Time;
-use std::net::SocketAddr;
 use std::time::Duration;
 
-/// A target as it announces itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Target {
-    /// The worker.
-    pub worker: Name,
-    /// Its failure domain.
-    pub domain: Name,
-    /// Where its agent takes requests.
-    pub address: SocketAddr,
-    /// The kinds that it serves.
-    pub kinds: Vec<Name>,
-}
-
-/// What the choice does not read.
-#[derive(Debug)]
-struct Place {
-    target: Target,
-    memberships: Vec<Membership>,
-    leaving: bool,
-    ejected: bool,
-}
-
-impl Place {
-    fn is_eligible(&self) -> bool {
-        !self.leaving && !self.ejected
-    }
-}
+/// The number of the entry's own failure domain.
+const OWN_DOMAIN: u32 = 0;
 
 /// The targets of an entry, in columns indexed by kind.
 #[derive(Debug)]
 pub struct Table {
     settings: Settings,
-    domain: u32,
+    /// The failure domains that targets name; the entry's own comes first.
     domains: Vec<Name>,
     rows: Vec<Row>,
     places: Vec<Option<Place>>,
     free: Vec<u32>,
     by_worker: HashMap<Name, u32>,
-    kinds: Vec<Kind>,
-    free_kinds: Vec<usize>,
-    by_kind: HashMap<Name, usize>,
+    kinds: Kinds,
 }
 
 impl Table {
@@ -60,15 +34,12 @@
     pub fn new(settings: Settings, domain: Name) -> Self {
         Self {
             settings,
-            domain: 0,
             domains: vec![domain],
             rows: Vec::new(),
             places: Vec::new(),
             free: Vec::new(),
             by_worker: HashMap::new(),
-            kinds: Vec::new(),
-            free_kinds: Vec::new(),
-            by_kind: HashMap::new(),
+            kinds: Kinds::new(),
         }
     }
 
@@ -129,7 +100,7 @@
 
     /// How many targets announce `kind`, eligible or not.
     pub fn members(&self, kind: &str) -> usize {
-        self.by_kind.get(kind).map_or(0, |&kind| self.kinds[kind].members)
+        self.kinds.get(kind).map_or(0, |kind| kind.members)
     }
 
     /// Adds a target, or replaces what the target of the same worker announced before.
@@ -252,85 +223,29 @@
 
     /// Takes the time that a request of `kind` took at any target.
     pub fn learn(&mut self, kind: &str, latency: Duration) {
-        if let Some(&kind) = self.by_kind.get(kind) {
-            self.kinds[kind].learn(latency);
+        if let Some(kind) = self.kinds.get_mut(kind) {
+            kind.learn(latency);
         }
     }
 
     /// The time that a request of `kind` takes of late, zero when none has been answered.
     pub fn usual(&self, kind: &str) -> Duration {
-        let usual_us = self.by_kind.get(kind).map_or(0, |&kind| self.kinds[kind].usual_us);
+        let usual_us = self.kinds.get(kind).map_or(0, |kind| kind.usual_us);
         Duration::from_micros(usual_us)
     }
 
     /// Chooses a target; `None` when every target of the kind is gone, set aside or tried.
     pub fn choose(&self, now: Time, wish: &Wish<'_>, rng: &mut SmallRng) -> Option<Choice> {
-        let kind = &self.kinds[*self.by_kind.get(wish.kind)?];
-        let eligible = &kind.eligible;
-        if eligible.len() <= wish.tried.len() + 1 {
-            return self.choose_of_few(now, eligible, wish);
-        }
-        let mut best: Option<(u32, Cost)> = None;
-        for _ in 0..self.settings.pairs.max(1) {
-            for _ in 0..2 {
-                let index = eligible[rng.random_range(0..eligible.len())];
-                best = self.better(now, best, index, wish);
-            }
-            if best.is_some_and(|(_, cost)| cost.wait_us == 0) {
-                break;
-            }
-        }
-        // Every draw hit a target that was tried or that is proving itself.
-        let best = best.or_else(|| self.first_untried(now, eligible, wish, rng));
-        best.map(|(index, cost)| self.choice(index, cost))
-    }
-
-    fn choose_of_few(&self, now: Time, eligible: &[u32], wish: &Wish<'_>) -> Option<Choice> {
-        let best = eligible.iter().fold(None, |best, &index| self.better(now, best, index, wish));
-        best.map(|(index, cost)| self.choice(index, cost))
-    }
-
-    fn first_untried(
-        &self,
-        now: Time,
-        eligible: &[u32],
-        wish: &Wish<'_>,
-        rng: &mut SmallRng,
-    ) -> Option<(u32, Cost)> {
-        let start = rng.random_range(0..eligible.len());
-        let around = eligible[start..].iter().chain(&eligible[..start]);
-        // Targets on probation are bounded by a share, so few steps suffice.
-        around.map(|&index| self.better(now, None, index, wish)).find(Option::is_some).flatten()
-    }
-
-    fn better(
-        &self,
-        now: Time,
-        best: Option<(u32, Cost)>,
-        index: u32,
-        wish: &Wish<'_>,
-    ) -> Option<(u32, Cost)> {
-        let row = &self.rows[index as usize];
-        let busy_probing = row.probing && row.outstanding > 0;
-        if busy_probing || wish.tried.iter().any(|tried| tried.index == index) {
-            return best;
-        }
-        let cost = self.cost(now, row, wish.class);
-        match best {
-            Some((_, other)) if other.total_us <= cost.total_us => best,
-            _ => Some((index, cost)),
-        }
-    }
-
-    fn cost(&self, now: Time, row: &Row, class: Class) -> Cost {
-        if class == Class::Watch {
-            return Cost { wait_us: 0, total_us: row.held().into() };
-        }
-        row.cost(now, row.domain == self.domain, &self.settings)
-    }
-
-    fn choice(&self, index: u32, cost: Cost) -> Choice {
-        Choice { id: self.id(index), wait: cost.wait(), total: cost.total() }
+        let draw = Draw {
+            settings: &self.settings,
+            rows: &self.rows,
+            eligible: &self.kinds.get(wish.kind)?.eligible,
+            domain: OWN_DOMAIN,
+            wish,
+            now,
+        };
+        let (index, cost) = draw.run(rng)?;
+        Some(Choice { id: self.id(index), wait: cost.wait(), total: cost.total() })
     }
 
     fn insert(&mut self, target: Target) -> Id {
@@ -343,8 +258,7 @@
         let row = &mut self.rows[index as usize];
         *row = Row { generation: row.generation, domain, ..Row::default() };
         self.by_worker.insert(target.worker.clone(), index);
-        let place = Place { target, memberships: Vec::new(), leaving: false, ejected: false };
-        self.places[index as usize] = Some(place);
+        self.places[index as usize] = Some(Place::new(target));
         self.join_kinds(index);
         self.id(index)
     }
@@ -379,12 +293,8 @@
         let mut names = place.target.kinds.clone();
         names.sort_unstable();
         names.dedup();
-        let kinds: Vec<usize> = names.iter().map(|name| self.intern_kind(name)).collect();
-        for &kind in &kinds {
-            self.kinds[kind].members += 1;
-            self.kinds[kind].ejected += usize::from(ejected);
-        }
-        let memberships = kinds.into_iter().map(|kind| Membership { kind, position: 0 }).collect();
+        let kinds = names.iter().map(|name| self.kinds.join(name, ejected));
+        let memberships = kinds.map(|kind| Membership { kind, position: 0 }).collect();
         if let Some(place) = self.places[index as usize].as_mut() {
             place.memberships = memberships;
         }
@@ -401,13 +311,7 @@
         let Some(place) = self.places[index as usize].as_mut() else { return };
         let ejected = place.ejected;
         for membership in std::mem::take(&mut place.memberships) {
-            let kind = &mut self.kinds[membership.kind];
-            kind.members -= 1;
-            kind.ejected -= usize::from(ejected);
-            if kind.members == 0 {
-                self.by_kind.remove(&kind.name);
-                self.free_kinds.push(membership.kind);
-            }
+            self.kinds.leave(membership.kind, ejected);
         }
     }
 
@@ -440,26 +344,6 @@
         }
     }
 
-    fn intern_kind(&mut self, name: &Name) -> usize {
-        if let Some(&kind) = self.by_kind.get(name) {
-            return kind;
-        }
-        let new =
-            Kind { name: name.clone(), eligible: Vec::new(), members: 0, ejected: 0, usual_us: 0 };
-        let kind = match self.free_kinds.pop() {
-            Some(kind) => {
-                self.kinds[kind] = new;
-                kind
-            }
-            None => {
-                self.kinds.push(new);
-                self.kinds.len() - 1
-            }
-        };
-        self.by_kind.insert(name.clone(), kind);
-        kind
-    }
-
     fn intern_domain(&mut self, name: &Name) -> u32 {
         let known = self.domains.iter().position(|domain| domain == name);
         let index = known.unwrap_or_else(|| {
