Never store an empty configuration text

Cause: in reports an empty text stands for one that is not sent, so an entry that starts during an outage of the store could never learn an empty configuration from agents.

Change: an empty text is stored as `[defaults]`, which means the same. A test applies an empty file.

--- a/crates/cli/src/change/session.rs
+++ b/crates/cli/src/change/session.rs
@@ -15,6 +15,8 @@
 const MAX_RIVALS: u32 = 20;
 /// How often the store is asked whether a change with a lost answer was applied.
 const MAX_READ_BACKS: u32 = 10;
+/// The text without any value: in reports an empty text stands for one that is not sent.
+const EMPTY: &str = "[defaults]\n";
 const READ_BACK_PAUSE: Duration = Duration::from_millis(300);
 
 /// A change that is in the store.
@@ -88,6 +90,7 @@
             let Edit { text, merged } = edit(&current).map_err(|error| doubt.settle(error, &id))?;
             // No text reaches the store unchecked.
             Config::parse("new", &text)?;
+            let text = if text.is_empty() { EMPTY.to_owned() } else { text };
             match self.commit(&current, &id, text).await {
                 Ok(revision) => return Ok(Applied { id, revision, merged }),
                 Err(StoreError::NotApplied { .. }) => {}
--- a/crates/cli/tests/config.rs
+++ b/crates/cli/tests/config.rs
@@ -75,6 +75,14 @@
     });
 }
 
+#[test]
+fn an_empty_file_gives_a_text_that_can_be_reported() {
+    with_store(async |store| {
+        let revision = store.apply(&["apply", &file("empty.ini", "")]).await;
+        assert_eq!(shown(&store).await, format!("; revision {revision}\n[defaults]\n"));
+    });
+}
+
 #[test]
 fn a_file_without_a_base_does_not_replace_what_is_in_force() {
     with_store(async |store| {
