Save batch tasks before their leases pass

Cause: a task whose owner fell silent ran to the end of its lease and was stopped there. What it had done since its last checkpoint was lost, and a job that is not idempotent and had none became unknown; a store outage longer than the leases did that to every such job. Change: in the last quarter of a lease that nobody renews the agent checkpoints and stops the task. Conclusion: a silent owner costs a job the rest of a lease, and no work.

--- a/crates/agent/src/batch/carry.rs
+++ b/crates/agent/src/batch/carry.rs
@@ -22,6 +22,9 @@
             Command::Withdraw(key) => agent.state_mut().withdraw_task(&key),
             Command::Renew(key, deadline) => renewed.push((key, deadline)),
             Command::Acknowledge(key) => acknowledged.push(key),
+            Command::Save(key) => {
+                monoio::spawn(stop(agent.clone(), key, true));
+            }
             Command::Stop(key) => {
                 monoio::spawn(stop(agent.clone(), key, false));
             }
--- a/crates/policy/src/lease/table.rs
+++ b/crates/policy/src/lease/table.rs
@@ -57,7 +57,8 @@
         commands
     }
 
-    /// Ends tasks whose lease has passed, and gives back those that have waited for `patience`.
+    /// Saves tasks whose lease is about to pass, ends those whose lease has passed, and gives back
+    /// those that have waited for `patience`.
     pub fn tick(&mut self, patience: Duration, now: Time) -> Vec<Command> {
         let mut commands = Vec::new();
         for (key, task) in &mut self.tasks {
@@ -72,6 +73,9 @@
             } else if lapsed && !task.stopping {
                 task.stopping = true;
                 commands.push(Command::Stop(key.clone()));
+            } else if task.phase == Phase::Running && task.save_at.passed(now) && !task.stopping {
+                task.stopping = true;
+                commands.push(Command::Save(key.clone()));
             }
         }
         commands
@@ -154,6 +158,8 @@
             priority: 0,
         };
         let mut task = Task::new(grant, held.deadline, held.started);
+        // How much of its lease is left is not known before the next renewal.
+        task.save_at = Time::NEVER;
         task.sent = true;
         task.started = held.started;
         self.tasks.insert(key.clone(), task);
@@ -183,7 +189,7 @@
             if task.phase.is_final() || task.stopping || task.deadline.passed(now) {
                 continue;
             }
-            task.deadline = task.deadline.max(deadline);
+            task.extend(deadline, now);
             if task.sent {
                 commands.push(Command::Renew(key.clone(), task.deadline));
             }
--- a/crates/policy/src/lease/task.rs
+++ b/crates/policy/src/lease/task.rs
@@ -4,6 +4,9 @@
 use shallotflow_core::task::Phase;
 use shallotflow_core::time::Time;
 
+/// The last part of a lease, one in so many, is left for saving the task.
+const SAVE_PART: u32 = 4;
+
 /// A task that its owner has not settled yet.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Task {
@@ -15,6 +18,8 @@
     pub deadline: Time,
     /// When it was granted, or found at the worker.
     pub accepted: Time,
+    /// When it is saved unless its lease is renewed before.
+    pub save_at: Time,
     /// Whether a start was sent to the worker.
     pub sent: bool,
     /// Whether a stop was ordered.
@@ -39,6 +44,7 @@
             phase: Phase::Accepted,
             deadline,
             accepted: now,
+            save_at: save_at(deadline, now),
             sent: false,
             stopping: false,
             started: Time::NEVER,
@@ -53,8 +59,19 @@
         self.sent && !self.phase.is_final()
     }
 
+    /// Extends its lease; a lease is never made shorter.
+    pub(super) fn extend(&mut self, deadline: Time, now: Time) {
+        self.deadline = self.deadline.max(deadline);
+        self.save_at = save_at(self.deadline, now);
+    }
+
     pub(super) fn refuse(&mut self, reason: &str) {
         self.phase = Phase::Refused;
         self.reason = reason.to_owned();
     }
 }
+
+/// When to save a task whose lease, renewed at `now`, ends at `deadline`.
+fn save_at(deadline: Time, now: Time) -> Time {
+    deadline.before(deadline.left(now) / SAVE_PART)
+}
--- a/crates/policy/tests/lease.rs
+++ b/crates/policy/tests/lease.rs
@@ -174,6 +174,7 @@
                                 prop_assert!(current && oracle.sent.contains(&key));
                             }
                             Command::Withdraw(key) => prop_assert!(!oracle.sent.contains(&key)),
+                            Command::Save(key) => prop_assert!(false, "{key} saved by a reply"),
                             Command::Acknowledge(key) => {
                                 prop_assert!(oracle.sent.remove(&key));
                             }
@@ -218,3 +219,22 @@
     let until = renewal.sent.after(LEASE);
     assert_eq!(table.reply(&renewal, renewal.sent), vec![Command::Renew(key(1, 1), until)]);
 }
+
+#[test]
+fn a_running_task_is_saved_before_its_lease_passes_unless_it_is_renewed() {
+    let mut table = Table::default();
+    let task = key(1, 1);
+    let owned = Owned { ledger: 1, epoch: 1 };
+    let sent = Time::from_millis(1_000);
+    table.reply(&Reply { grants: vec![grant(task.clone(), 1)], ..reply(sent, owned) }, sent);
+    assert!(table.send(&task, sent));
+    table.observe(&task, &seen(Phase::Running));
+
+    let renewed = sent.after(LEASE / 2);
+    table.reply(&Reply { reported: vec![task.clone()], ..reply(renewed, owned) }, renewed);
+    assert!(table.tick(PATIENCE, sent.after(LEASE)).is_empty());
+
+    let end = renewed.after(LEASE);
+    assert_eq!(table.tick(PATIENCE, end.before(LEASE / 10)), vec![Command::Save(task)]);
+    assert!(table.tick(PATIENCE, end).is_empty(), "it is being stopped already");
+}
--- a/crates/policy/tests/system/agent.rs
+++ b/crates/policy/tests/system/agent.rs
@@ -256,6 +256,7 @@
                     continue;
                 }
                 lease::Command::Renew(key, deadline) => Order::Renew { key, deadline },
+                lease::Command::Save(key) => Order::Stop { key, checkpoint: true },
                 lease::Command::Stop(key) => Order::Stop { key, checkpoint: false },
                 lease::Command::Acknowledge(key) => Order::Acknowledge { key },
             };
