--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -23,14 +23,19 @@
 //!    one that names a kind, then one that names a domain;
 //! 3. of those that name the same, the one that stands later in the text wins.
 //!
+//! [`Scope`] tells which conditions can match for which keys; others are refused, as they would
+//! never hold.
+//!
 //! An exception whose expiry has passed is ignored; it ends without a change of the text.
 
 mod changes;
 mod condition;
 mod config;
+mod draft;
 mod exception;
 pub mod key;
 mod merge;
+mod scope;
 mod subject;
 mod values;
 
@@ -39,7 +44,8 @@
 pub use config::Config;
 pub use exception::Exception;
 pub use merge::{Clash, merge};
+pub use scope::Scope;
 pub use subject::Subject;
 pub use values::Values;
 
-pub(crate) use exception::push_reference;
+pub(crate) use draft::push_reference;
--- a/crates/core/src/fleet/values.rs
+++ b/crates/core/src/fleet/values.rs
@@ -1,6 +1,6 @@
 //! The values that defaults and exceptions set.
 
-use crate::ini::codec::{Count, Flag, Maybe, Percent, Span};
+use crate::ini::codec::{Count, Flag, Percent, Span};
 use crate::ini::{Key, Table, key};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -23,8 +23,6 @@
     pub retry_budget: u32,
     /// Priority of batch work that names none.
     pub priority: u8,
-    /// Most slots that a caller's batch work holds in the fleet, if there is a quota.
-    pub quota_slots: Option<u32>,
     /// Whether the worker leaves: it takes no new work and finishes or checkpoints the rest.
     pub drain: bool,
 }
@@ -37,9 +35,8 @@
             caller_share: 500,
             watch_cap: 32,
             quick_deadline: Duration::from_secs(2),
-            retry_budget: 100,
+            retry_budget: 150,
             priority: 100,
-            quota_slots: None,
             drain: false,
         }
     }
@@ -53,11 +50,10 @@
     key!("defaults", quick_deadline: Span, "Deadline of a quick request that names none.", Duration::from_millis(1)..=Duration::from_secs(3600)),
     key!("defaults", retry_budget: Percent, "Retries allowed, as a share of quick requests.", 0..=1000),
     key!("defaults", priority: Count<u8>, "Priority of batch work that names none; from 200 on it is urgent."),
-    key!("defaults", quota_slots: Maybe<Count<u32>>, "Most slots that a caller's batch work holds in the fleet; empty for no quota."),
     key!("defaults", drain: Flag, "Whether the worker leaves: no new work, and what runs is finished or checkpointed."),
 ];
 
 impl Values {
     /// The keys as a table; exceptions override the same keys.
-    pub const TABLE: Table<Self> = Table { keys: KEYS };
+    pub const TABLE: Table<Self> = Table { keys: KEYS, required: &[], check: |_, _| Ok(()) };
 }
--- a/crates/entry/src/quick/relay.rs
+++ b/crates/entry/src/quick/relay.rs
@@ -15,16 +15,21 @@
 const ENTRIES: usize = 2;
 
 /// Passes `request` to another entry, and to a second one if the first did not run it.
-pub(super) async fn serve(
-    state: &Rc<State>,
-    mut request: Request,
-    ticket: &Rc<Ticket>,
-) -> Result<Response<Body>> {
+pub(super) async fn serve(state: &Rc<State>, mut request: Request) -> Result<Response<Body>> {
     let entries = state.directory.borrow().sample(ENTRIES, &mut state.rng.borrow_mut());
+    let ticket = Ticket::start(state, &request);
     let mut problem = unknown_kind(&request.kind);
+    let until = request.deadline;
     for entry in entries {
         state.meters.borrow().relayed();
-        let failure = match attempt(state, &mut request, &Place::Entry(entry.callers), ticket).await
+        let failure = match attempt(
+            state,
+            &mut request,
+            &Place::Entry(entry.callers),
+            until,
+            &ticket,
+        )
+        .await
         {
             Ok(response) => return Ok(response),
             Err(failure) => failure,
--- a/crates/entry/src/quick/targets.rs
+++ b/crates/entry/src/quick/targets.rs
@@ -8,6 +8,8 @@
 use crate::state::State;
 use crate::tick;
 use http::{HeaderValue, Response};
+use shallotflow_core::class::Class;
+use shallotflow_core::outcome::Outcome;
 use shallotflow_core::problem::{Code, Problem};
 use shallotflow_core::time::Time;
 use shallotflow_policy::{outlier, retry, route, share};
@@ -16,28 +18,22 @@
 use std::rc::Rc;
 
 const RETRY_AFTER_S: u32 = 1;
+const WHOLE_MILLI: u32 = 1_000;
 /// A timeout is the target's fault when it had this many times the time that was expected.
 const FAIR_FACTOR: u32 = 4;
 
 /// Sends `request` to a target, and to others while the retry budget allows it.
-pub(super) async fn serve(
-    state: &Rc<State>,
-    mut request: Request,
-    ticket: &Rc<Ticket>,
-) -> Result<Response<Body>> {
+pub(super) async fn serve(state: &Rc<State>, mut request: Request) -> Result<Response<Body>> {
     check_size(state, &request)?;
     state.retries.borrow_mut().earn();
     let mut tried = Vec::new();
-    let mut last: Option<Failure> = None;
+    let mut place = choose(state, &request, &mut tried).ok_or_else(|| no_target(&request.kind))?;
+    admit(state, &request, &place)?;
+    let ticket = Ticket::start(state, &request);
     loop {
-        let Some(place) = choose(state, &request, &mut tried) else {
-            return Err(last.map_or_else(|| no_target(&request.kind), |last| last.problem));
-        };
-        if last.is_none() {
-            admit(state, &request, &place)?;
-        }
         let began = state.now();
-        let result = attempt(state, &mut request, &place, ticket).await;
+        let until = patience(state, &request, &place, tried.len());
+        let result = attempt(state, &mut request, &place, until, &ticket).await;
         record(state, &request, &place, began, &result);
         let failure = match result {
             Ok(response) => return Ok(name_worker(response, &place)),
@@ -46,8 +42,9 @@
         if !may_retry(state, &request, &failure, tried.len()) {
             return Err(failure.problem);
         }
+        let Some(next) = choose(state, &request, &mut tried) else { return Err(failure.problem) };
         state.meters.borrow().retry();
-        last = Some(failure);
+        place = next;
     }
 }
 
@@ -79,12 +76,20 @@
 /// Sheds a request early, before anything is sent.
 fn admit(state: &State, request: &Request, place: &Place) -> Result<()> {
     let Place::Target { wait, .. } = place else { return Ok(()) };
-    let claim = share::Claim {
-        caller: &request.ask.caller,
+    let (kind, caller) = (&*request.kind, &*request.ask.caller);
+    let mut claim = share::Claim {
+        caller,
         class: request.ask.class,
         wait: *wait,
         left: request.deadline.left(state.now()),
+        share_milli: WHOLE_MILLI,
+        weight_milli: WHOLE_MILLI,
     };
+    if claim.class == Class::Watch || claim.is_pressed(&state.share_settings) {
+        let (usual, own) = (state.values(kind, ""), state.values(kind, caller));
+        claim.share_milli = own.caller_share;
+        claim.weight_milli = own.caller_share * WHOLE_MILLI / usual.caller_share.max(1);
+    }
     let admitted = share::admit(&claim, &state.shares.borrow(), &state.share_settings);
     admitted.map_err(|refusal| shed(refusal, &claim))
 }
@@ -130,7 +135,7 @@
         Err(_) => return,
     };
     routes.record(*id, failed);
-    if request.ask.class == shallotflow_core::class::Class::Watch && !failed {
+    if request.ask.class == Class::Watch && !failed {
         return;
     }
     if !failed {
@@ -143,16 +148,28 @@
     }
 }
 
+fn patience(state: &State, request: &Request, place: &Place, attempts: usize) -> Time {
+    let Place::Target { total, .. } = place else { return request.deadline };
+    // The outcome is not known before the attempt, and does not count here.
+    let attempt = started(request, Outcome::Unknown, attempts);
+    let expected = state.routes.borrow().usual(&request.kind).max(*total);
+    retry::patience(&attempt, expected, state.retries.borrow().settings(), state.now())
+}
+
 fn may_retry(state: &State, request: &Request, failure: &Failure, attempts: usize) -> bool {
-    let attempt = retry::Attempt {
-        outcome: failure.problem.outcome,
+    let attempt = started(request, failure.problem.outcome, attempts);
+    let mut budget = state.retries.borrow_mut();
+    failure.transient && retry::decide(&attempt, &mut budget, state.now()) == retry::Verdict::Again
+}
+
+fn started(request: &Request, outcome: Outcome, attempts: usize) -> retry::Attempt {
+    retry::Attempt {
+        outcome,
         idempotent: request.ask.idempotent,
         replayable: request.payload.is_replayable(),
         number: u32::try_from(attempts).unwrap_or(u32::MAX),
         deadline: request.deadline,
-    };
-    let mut budget = state.retries.borrow_mut();
-    failure.transient && retry::decide(&attempt, &mut budget, state.now()) == retry::Verdict::Again
+    }
 }
 
 fn no_target(kind: &str) -> Problem {
--- a/crates/policy/src/ledger/grant.rs
+++ b/crates/policy/src/ledger/grant.rs
@@ -43,10 +43,9 @@
     if worker.failures >= table.settings.aside_failures {
         return 1;
     }
-    let live = table.workers.values().filter(|worker| !worker.lease_end.passed(moment.now));
-    let total: usize = live.map(|worker| worker.room.slots as usize).sum();
-    let slots = worker.room.slots as usize;
-    (table.backlog.len() * slots).div_ceil(total.max(1)).min(slots)
+    let slots = u64::from(worker.room.slots);
+    let share = (table.backlog.len() as u64 * slots).div_ceil(table.free_slots.max(1));
+    share.min(slots) as usize
 }
 
 fn select(table: &Table, name: &Name, moment: Moment) -> Option<Name> {
@@ -74,10 +73,12 @@
         job.record.state = State::Started { worker: report.worker.clone(), boot: report.boot };
         job.granted = Some(Granted { incarnation: report.incarnation, sequence: report.sequence });
         job.heard = false;
+        job.spent = job.record.checkpoint.is_some();
         attempt = job.record.attempts;
         taken = need(&job.record.spec.resources);
     });
     if let Some(worker) = table.workers.get_mut(&report.worker) {
+        table.free_slots -= u64::from(worker.room.slots.min(taken.slots));
         worker.room = worker.room.minus(&taken);
     }
     let ledger = id::ledger(id).unwrap_or_default();
--- a/crates/policy/src/ledger/table.rs
+++ b/crates/policy/src/ledger/table.rs
@@ -6,8 +6,9 @@
 use super::shard::Shard;
 use super::worker::Worker;
 use super::{
-    Error, Key, Mark, Moment, Result, Settings, Summary, commit, expire, id, park, retain,
+    Error, Key, Mark, Moment, Result, Settings, Summary, Totals, commit, expire, id, park, retain,
 };
+use crate::planted::{self, Fault};
 use shallotflow_core::job::{Record, Spec, State};
 use shallotflow_core::name::Name;
 use shallotflow_core::time::Time;
@@ -30,6 +31,12 @@
     pub(super) shapes: Vec<Shape>,
     /// Waiting jobs that were not yet compared with the capacities.
     pub(super) unchecked: VecDeque<Name>,
+    /// The slots that batch work may take on all workers.
+    pub(super) free_slots: u64,
+    /// When lost tasks are looked for again.
+    pub(super) expires_at: Time,
+    /// What was committed since it was last asked for.
+    pub(super) totals: Totals,
     /// From when on enough workers have reported to park a job.
     pub(super) parks_from: Time,
 }
@@ -53,7 +60,10 @@
         moment: Moment,
     ) -> Result<()> {
         self.close(ledger);
-        let inherited_end = moment.now.after(self.settings.lease_wait());
+        let inherited_end = match planted::is_on(Fault::GrantBeforeLeaseEnd) {
+            true => moment.now,
+            false => moment.now.after(self.settings.lease_wait()),
+        };
         self.parks_from = self.parks_from.max(inherited_end);
         let mut shard = Shard::new(epoch, inherited_end);
         let jobs = commit::replay(ledger, segments, &mut shard)?;
@@ -186,6 +196,11 @@
             .take(limit)
     }
 
+    /// What was committed since the last call.
+    pub fn take_totals(&mut self) -> Totals {
+        std::mem::take(&mut self.totals)
+    }
+
     /// How many jobs wait for a worker.
     pub fn waiting(&self) -> usize {
         self.backlog.len()
--- a/crates/policy/tests/retry.rs
+++ b/crates/policy/tests/retry.rs
@@ -4,12 +4,41 @@
 use proptest::test_runner::RngSeed;
 use shallotflow_core::outcome::Outcome;
 use shallotflow_core::time::Time;
-use shallotflow_policy::retry::{Attempt, Budget, Settings, Verdict, decide};
+use shallotflow_policy::planted::{self, Fault};
+use shallotflow_policy::retry::{Attempt, Budget, Settings, Verdict, decide, patience};
+use std::time::Duration;
+use test_case::test_case;
 
 fn outcome() -> impl Strategy<Value = Outcome> {
     prop_oneof![Just(Outcome::Done), Just(Outcome::NotRun), Just(Outcome::Unknown)]
 }
 
+/// Checks what follows `attempt` at `now`.
+fn check(attempt: &Attempt, now: Time) -> Result<(), TestCaseError> {
+    let mut budget = Budget::new(Settings::default());
+    if decide(attempt, &mut budget, now) == Verdict::Again {
+        prop_assert_ne!(attempt.outcome, Outcome::Done);
+        prop_assert!(attempt.outcome == Outcome::NotRun || attempt.idempotent);
+        prop_assert!(attempt.replayable);
+        prop_assert!(now < attempt.deadline);
+        prop_assert!(attempt.number < Settings::default().attempts);
+    }
+    Ok(())
+}
+
+#[test]
+fn a_planted_retry_of_an_unknown_outcome_is_found() {
+    let attempt = Attempt {
+        outcome: Outcome::Unknown,
+        idempotent: false,
+        replayable: true,
+        number: 1,
+        deadline: Time::from_millis(1_000),
+    };
+    check(&attempt, Time::ZERO).expect("no retry");
+    planted::with(Fault::RetryOfUnknown, || check(&attempt, Time::ZERO)).expect_err("a retry");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: RngSeed::Fixed(7), failure_persistence: None, cases: 256,
@@ -25,17 +54,9 @@
         deadline in 0_u64..2_000,
         now in 0_u64..2_000,
     ) {
-        let mut budget = Budget::new(Settings::default());
         let deadline = Time::from_millis(deadline);
         let attempt = Attempt { outcome, idempotent, replayable, number, deadline };
-        let now = Time::from_millis(now);
-        if decide(&attempt, &mut budget, now) == Verdict::Again {
-            prop_assert_ne!(outcome, Outcome::Done);
-            prop_assert!(outcome == Outcome::NotRun || idempotent);
-            prop_assert!(replayable);
-            prop_assert!(now < deadline);
-            prop_assert!(number < Settings::default().attempts);
-        }
+        check(&attempt, Time::from_millis(now))?;
     }
 
     #[test]
@@ -73,3 +94,24 @@
     let verdicts = [(); 3].map(|()| decide(&attempt, &mut budget, Time::ZERO));
     assert_eq!(verdicts, [Verdict::Again, Verdict::Again, Verdict::OverBudget]);
 }
+
+#[test_case(true, true, 1, 1_000; "half of the time for one that may be tried again")]
+#[test_case(false, true, 1, 2_000; "all of it when not idempotent")]
+#[test_case(true, false, 1, 2_000; "all of it when it cannot be sent again")]
+#[test_case(true, true, 3, 2_000; "all of it for the last attempt")]
+fn a_silent_target_gets_a_part_of_the_time(
+    idempotent: bool,
+    replayable: bool,
+    number: u32,
+    until_ms: u64,
+) {
+    let deadline = Time::from_millis(2_000);
+    let outcome = Outcome::Unknown;
+    let attempt = Attempt { outcome, idempotent, replayable, number, deadline };
+    let settings = Settings::default();
+    let until = patience(&attempt, Duration::from_millis(10), &settings, Time::ZERO);
+    assert_eq!(until, Time::from_millis(until_ms));
+    // A request that is expected to take long is not cut short.
+    let until = patience(&attempt, Duration::from_millis(300), &settings, Time::ZERO);
+    assert_eq!(until, deadline);
+}
