Test jobs, lost answers and a killed agent on a tiny floor

Cause: the end-to-end test had no jobs. Change: it has; a second one loses answers of the store and kills an agent.

--- a/crates/bench/src/command/faults.rs
+++ b/crates/bench/src/command/faults.rs
@@ -49,15 +49,16 @@
         let mut summaries = Vec::new();
         for faults in self.plan() {
             let names: Vec<_> = faults.iter().map(|scenario| scenario.as_str()).collect();
-            eprintln!("faults: [{}]", names.join(", "));
-            let findings = self.experiment(&floor, faults).carry_out()?;
-            summaries.push(findings.summary);
+            let summary = self.experiment(&floor, faults).carry_out()?.summary;
+            let broken = summary.violations.broken();
+            eprintln!("[{}] violations: {broken}", names.join(", "));
+            summaries.push(summary);
         }
+        output::json(self.json.as_deref(), &summaries)?;
         println!("{}", report::faults(&summaries));
         for note in summaries.iter().flat_map(|summary| &summary.notes) {
             println!("{note}");
         }
-        output::json(self.json.as_deref(), &summaries)?;
         let kept = summaries.iter().all(|summary: &Summary| summary.violations.total() == 0);
         Ok(if kept { ExitCode::SUCCESS } else { ExitCode::FAILURE })
     }
--- a/crates/bench/tests/cluster.rs
+++ b/crates/bench/tests/cluster.rs
@@ -1,6 +1,7 @@
 //! Processes as threads: a whole floor under load, kills and pauses.
 
 use shallotflow_bench::cluster::{Cluster, Settings};
+use shallotflow_bench::fault::Scenario;
 use shallotflow_bench::floor::Floor;
 use shallotflow_bench::run::{Experiment, Policy};
 use std::io::Read;
@@ -28,6 +29,12 @@
 rate = 30
 median = 50ms
 deadline = 10s
+[kind render]
+class = batch
+rate = 10
+median = 20ms
+declared_run = 20ms
+idempotent = false
 ";
 
 /// Stops a hang; no test waits for it.
@@ -46,7 +53,7 @@
     let experiment = Experiment {
         floor: tiny(),
         run: Duration::from_secs(1),
-        settle: Duration::from_secs(5),
+        settle: HANG,
         seed: 3,
         policy: Policy::Ours,
         faults: Vec::new(),
@@ -58,6 +65,27 @@
     assert_eq!(quick.sent, quick.done + quick.not_run + quick.unknown);
     assert!(quick.done > 0);
     assert!(summary.watch.done > 0);
+    assert!(summary.batch.submitted > 0);
+    assert_eq!(summary.batch.done, summary.batch.submitted);
+    assert_eq!(summary.batch.duplicates, 0);
+    assert_eq!(summary.violations.total(), 0, "{:?}", summary.notes);
+}
+
+#[test]
+fn lost_answers_and_a_killed_agent_break_no_promise() {
+    let experiment = Experiment {
+        floor: tiny(),
+        run: Duration::from_secs(2),
+        settle: HANG,
+        seed: 5,
+        policy: Policy::Ours,
+        faults: vec![Scenario::StoreLostAnswers, Scenario::AgentKill],
+        log: "off".into(),
+    };
+    let summary = experiment.carry_out().expect("findings").summary;
+    assert!(summary.quick.done > 0);
+    assert!(summary.batch.done > 0);
+    assert_eq!(summary.batch.lost, 0);
     assert_eq!(summary.violations.total(), 0, "{:?}", summary.notes);
 }
 
