Measure how many requests a second one entry passes on

Cause: the target of 20,000 a second for one entry had no command. Change: subcommand peak, a closed loop of requests without service time on one entry; two files are named after their modules.

--- a/crates/bench/src/cluster/mod.rs
+++ b/crates/bench/src/cluster/mod.rs
@@ -9,7 +9,6 @@
 mod baseline;
 mod descriptors;
 pub mod node;
-#[path = "cluster.rs"]
 mod processes;
 mod settings;
 mod switch;
--- a/crates/bench/src/command/mod.rs
+++ b/crates/bench/src/command/mod.rs
@@ -4,6 +4,7 @@
 pub mod compare;
 pub mod direct;
 pub mod faults;
+pub mod peak;
 pub mod run;
 pub mod slopes;
 
@@ -26,6 +27,9 @@
     /// Runs every fault by itself, beside a run without any
     #[bpaf(command)]
     Faults(#[bpaf(external(faults::options))] faults::Options),
+    /// Measures how many quick requests a second one entry passes on
+    #[bpaf(command)]
+    Peak(#[bpaf(external(peak::options))] peak::Options),
     /// Runs the processes of a floor under its load; exits with 1 when a promise was broken
     #[bpaf(command)]
     Run(#[bpaf(external(run::options))] run::Options),
@@ -46,6 +50,7 @@
             Self::Compare(options) => options.run(),
             Self::Direct(options) => options.run(),
             Self::Faults(options) => options.run(),
+            Self::Peak(options) => options.run(),
             Self::Run(options) => options.run(),
             Self::Slopes(options) => options.run(),
         }
--- /dev/null
+++ b/crates/bench/src/command/peak.rs
@@ -0,0 +1,150 @@
+//! `peak`: how many quick requests a second one entry passes on.
+
+use crate::cluster::{Cluster, Settings};
+use crate::floor::Floor;
+use crate::load::client::Client;
+use crate::load::token::Token;
+use crate::slope::usage;
+use bpaf::Bpaf;
+use http::Request;
+use shallotflow_core::outcome::Outcome;
+use shallotflow_runtime::executor;
+use shallotflow_wire::http::body::Body;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+const BODY_BYTES: usize = 64;
+const TARGET_PER_SECOND: f64 = 20_000.0;
+
+/// How many callers, and for how long.
+#[derive(Clone, Debug, Bpaf)]
+pub struct Options {
+    /// Seconds of load
+    #[bpaf(argument("N"), fallback(5))]
+    pub seconds: u64,
+    /// Threads of callers
+    #[bpaf(argument("N"), fallback(3))]
+    pub threads: u16,
+    /// Connections of each thread, each with one request at a time
+    #[bpaf(argument("N"), fallback(16))]
+    pub connections: u16,
+    /// Workers behind the entry
+    #[bpaf(argument("N"), fallback(6))]
+    pub workers: usize,
+    /// `guild`, `merkjagerd` or the path of an INI file
+    #[bpaf(positional("FLOOR"))]
+    pub floor: String,
+}
+
+/// Requests of one thread.
+#[derive(Clone, Copy, Debug, Default)]
+struct Count {
+    done: u64,
+    other: u64,
+}
+
+impl Options {
+    /// Keeps one entry busy with requests of no service time and prints its rate.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the floor cannot be read or a process cannot start.
+    pub fn run(self) -> anyhow::Result<ExitCode> {
+        let mut floor = Floor::load(&self.floor)?;
+        floor.site.workers = self.workers;
+        floor.site.entries = 1;
+        let kind = floor.kinds.first().map(|kind| kind.name.to_string()).unwrap_or_default();
+        let cluster = Cluster::start(Settings::new(floor, 1))?;
+        let entry = cluster.entries[0].backend.callers;
+        let before = usage::processor_time("entry-")?;
+        let start = Instant::now();
+        let until = start + Duration::from_secs(self.seconds);
+        let mut threads = Vec::new();
+        for thread in 0..self.threads {
+            threads.push(self.spawn(thread, entry, kind.clone(), until)?);
+        }
+        let mut sum = Count::default();
+        for thread in threads {
+            let count = thread.join().map_err(|_| anyhow::anyhow!("a caller panicked"))??;
+            sum.done += count.done;
+            sum.other += count.other;
+        }
+        let seconds = start.elapsed().as_secs_f64();
+        let spent = usage::processor_time("entry-")?.saturating_sub(before).as_secs_f64();
+        cluster.stop()?;
+        print(&sum, seconds, spent);
+        Ok(ExitCode::SUCCESS)
+    }
+
+    fn spawn(
+        &self,
+        thread: u16,
+        entry: SocketAddr,
+        kind: String,
+        until: Instant,
+    ) -> std::io::Result<JoinHandle<std::io::Result<Count>>> {
+        let connections = self.connections;
+        let body = move || executor::run(callers(thread, connections, entry, kind, until));
+        std::thread::Builder::new().name(format!("caller-{thread}")).spawn(body)
+    }
+}
+
+fn print(sum: &Count, seconds: f64, spent: f64) {
+    let rate = sum.done as f64 / seconds;
+    let per_processor = sum.done as f64 / spent.max(f64::MIN_POSITIVE);
+    let verdict = if per_processor >= TARGET_PER_SECOND { "pass" } else { "short" };
+    println!("{rate:.0} requests done a second, {} not done", sum.other);
+    println!("the entry used {:.2} of a processor", spent / seconds);
+    println!(
+        "{per_processor:.0} a second of its processor time, at least {TARGET_PER_SECOND:.0}: {verdict}"
+    );
+}
+
+async fn callers(
+    thread: u16,
+    connections: u16,
+    entry: SocketAddr,
+    kind: String,
+    until: Instant,
+) -> Count {
+    let caller = |connection| call_until(thread, connection, entry, kind.clone(), until);
+    let counts = futures_util::future::join_all((0..connections).map(caller)).await;
+    counts.into_iter().fold(Count::default(), |sum, count| Count {
+        done: sum.done + count.done,
+        other: sum.other + count.other,
+    })
+}
+
+/// Sends one request after the other.
+async fn call_until(
+    thread: u16,
+    connection: u16,
+    entry: SocketAddr,
+    kind: String,
+    until: Instant,
+) -> Count {
+    let client = Client::new(entry);
+    let mut count = Count::default();
+    while Instant::now() < until {
+        let token = Token::new(thread << 8 | connection, count.done + count.other);
+        let body = token.body(BODY_BYTES);
+        let request = Request::post(format!("/run/{kind}"))
+            .header("shallotflow-caller", format!("caller-{connection}"))
+            .header("shallotflow-idempotent", "true")
+            .header("standin-run-ms", "0")
+            .body(Body::Full(body.clone()));
+        let Ok(request) = request else { return count };
+        match client.send(request, CALL_TIMEOUT).await {
+            Ok(answer)
+                if answer.outcome() == Outcome::Done && token.matches(&body, &answer.body) =>
+            {
+                count.done += 1;
+            }
+            _ => count.other += 1,
+        }
+    }
+    count
+}
--- a/crates/bench/src/floor/mod.rs
+++ b/crates/bench/src/floor/mod.rs
@@ -3,7 +3,6 @@
 //! A floor is an INI file. Two are embedded, `guild` and `merkjagerd`; any other name is a path.
 
 mod crest;
-#[path = "floor.rs"]
 mod description;
 mod disturbance;
 mod kind;
