Let tasks outlive the lease of their owner by default

Cause: both leases were 5 s. A killed owner's key ends up to 5 s after its last renewal, its heir claims within 0.5 s and hears agents within a beat, while tasks stop 5 s after the last renewed report. So a dead entry could stop every task of its ledgers. Change: task_lease is 10 s unless set. A lost worker's tasks wait as much longer.

--- a/crates/core/src/settings/entry.rs
+++ b/crates/core/src/settings/entry.rs
@@ -62,7 +62,7 @@
             store: Vec::new(),
             ledgers: 8,
             owner_lease: Duration::from_secs(5),
-            task_lease: Duration::from_secs(5),
+            task_lease: Duration::from_secs(10),
             beat: Duration::from_millis(500),
             default_deadline: Duration::from_secs(2),
             longest_deadline: Duration::from_secs(600),
