Hand surplus ledgers over also while jobs come in

Cause: a release waited for a moment without changes, which a busy ledger may never have, so a new entry could stay without ledgers. Change: the release waits up to a second, then goes on; changes that are not written by then are reported as unknown to their callers, and agents report theirs to the next owner. Ruled out: losing a recorded change; the epoch fences what is still on its way.

--- a/crates/entry/src/batch/claim.rs
+++ b/crates/entry/src/batch/claim.rs
@@ -10,6 +10,11 @@
 use shallotflow_store::transaction::Transaction;
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
+
+/// How long a release waits for changes to be written.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
+const RELEASE_POLL: Duration = Duration::from_millis(5);
 
 /// Gives up ledgers of an ended lease, then claims and releases up to the even share.
 pub(super) async fn run(service: &Rc<Service>) {
@@ -122,11 +127,15 @@
 }
 
 /// Hands a ledger over: stops acting as its owner, then deletes the owner's key.
+///
+/// Waits a little for changes to be written. Those that are not by then are lost to this entry, and
+/// whoever waits for one hears that its fate is unknown; agents report theirs to the next owner.
 async fn release(service: &Service, ledger: u32) {
     let owned = service.table.borrow().owned().find(|(owned, _)| *owned == ledger);
     let Some((_, epoch)) = owned else { return };
-    if service.table.borrow().is_writing_ledger(ledger) {
-        return;
+    let deadline = Monotonic.now().after(RELEASE_TIMEOUT);
+    while is_writing(service, ledger) && !deadline.passed(Monotonic.now()) {
+        monoio::time::sleep(RELEASE_POLL).await;
     }
     service.table.borrow_mut().close(ledger);
     service.wake();
@@ -145,6 +154,10 @@
     }
 }
 
+fn is_writing(service: &Service, ledger: u32) -> bool {
+    service.table.borrow().is_writing_ledger(ledger)
+}
+
 async fn give_back(service: &Service, ledger: u32, epoch: u64) {
     let key = keys::owner(ledger);
     let revision = i64::try_from(epoch).unwrap_or(i64::MAX);
--- a/crates/entry/tests/batch.rs
+++ b/crates/entry/tests/batch.rs
@@ -241,3 +241,23 @@
         assert_eq!(client.wait(&record.id, "done").await.attempts, 2);
     });
 }
+
+#[test]
+fn a_busy_owner_hands_surplus_ledgers_to_a_new_entry() {
+    run(async |store| {
+        let a = Entry::start("a", &store);
+        let client = a.client();
+        client.insist("warm", &job("guild")).await;
+        let b = Entry::start("b", &store);
+        let mut agent = Agent::new("w", b.client());
+        let mut key = 0;
+        while agent.report().await.owned.len() < 2 {
+            let keys: Vec<String> = (key..key + 20).map(|key| key.to_string()).collect();
+            let spec = job("guild");
+            join_all(keys.iter().map(|key| client.insist(key, &spec))).await;
+            key += 20;
+        }
+        let (record, _) = client.insist("after", &job("guild")).await;
+        assert_eq!(b.client().wait(&record.id, record.state.as_str()).await.id, record.id);
+    });
+}
