--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -8,6 +8,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use shallotflow_core::class::Class;
+use shallotflow_core::fleet::{Subject, Values};
 use shallotflow_core::name::Name;
 use shallotflow_core::time::{Clock, Monotonic, Time};
 use shallotflow_policy::{member, outlier, retry, route, share};
@@ -19,7 +20,7 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
 
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Idle connections are closed here before the agent closes them.
 const POOL_IDLE: Duration = Duration::from_secs(30);
 const POOL_PER_TARGET: usize = 64;
@@ -76,7 +77,10 @@
             rng: RefCell::new(SmallRng::seed_from_u64(settings.seed)),
             outliers: RefCell::new(outlier::Table::new(outlier::Settings::default())),
             shares: RefCell::new(share::Table::new(settings.seed)),
-            share_settings: share::Settings::default(),
+            share_settings: share::Settings {
+                watchers: settings.watchers,
+                ..share::Settings::default()
+            },
             meters: RefCell::default(),
             quick_pool: Pool::new(quick, CONNECT_TIMEOUT, POOL_PER_TARGET),
             watch_pool: Pool::new(watch, CONNECT_TIMEOUT, POOL_PER_TARGET),
@@ -94,6 +98,17 @@
         self.clock.now()
     }
 
+    /// The values of the fleet configuration for work of `caller` on `kind` at this entry.
+    pub fn values(&self, kind: &str, caller: &str) -> Values {
+        let domain = &self.settings.domain;
+        self.config.resolve(&Subject { domain, worker: "", kind, caller })
+    }
+
+    /// The time for a quick request that names no deadline.
+    pub fn quick_deadline(&self, kind: &str, caller: &str) -> Duration {
+        self.values(kind, caller).quick_deadline.min(self.settings.longest_deadline)
+    }
+
     /// Connections to agents and other entries for requests of `class`.
     pub fn pool(&self, class: Class) -> &Pool {
         match class {
--- a/crates/policy/src/ledger/commit.rs
+++ b/crates/policy/src/ledger/commit.rs
@@ -62,7 +62,7 @@
         Some(segment)
     }
 
-    /// Notes that `segment` is in the store.
+    /// Notes that `segment` is in the store, and counts what came there with it.
     pub fn applied(&mut self, segment: &Segment) {
         let Some(shard) = self.shards.get_mut(&segment.ledger) else { return };
         if shard.epoch != segment.epoch {
