--- a/crates/core/src/settings/reference.rs
+++ b/crates/core/src/settings/reference.rs
@@ -21,6 +21,7 @@
         "\n### `[exception ID]`\n\nAn exception also takes every key of `[defaults]`. It needs a \
          reason, a condition\n(`domain`, `worker`, `kind` or `caller`) and an override.\n\n",
     );
+    push_scopes(&mut page);
     fleet::push_reference(&mut page);
     page
 }
@@ -30,21 +31,18 @@
     page.push_str(&format!("\n## {program}\n"));
     for section in table.sections() {
         page.push_str(&format!("\n### `[{section}]`\n\n"));
-        push_keys(page, table.keys.iter().filter(|key| key.section == section), &defaults);
+        push_keys(page, table, section, &defaults);
     }
 }
 
-/// Adds a table with one row a key.
-pub(crate) fn push_keys<'a, T: 'a>(
-    page: &mut String,
-    keys: impl Iterator<Item = &'a Key<T>>,
-    defaults: &T,
-) {
+/// Adds a table with one row for each key of a section.
+pub(crate) fn push_keys<T>(page: &mut String, table: &Table<T>, section: &str, defaults: &T) {
     page.push_str("| key | meaning | takes | range | default |\n|---|---|---|---|---|\n");
-    for key in keys {
+    for key in table.keys.iter().filter(|key| key.section == section) {
         let range = (key.range)()
             .map_or("any".to_owned(), |(lowest, highest)| format!("`{lowest}` to `{highest}`"));
         let default = match (key.print)(defaults) {
+            _ if table.requires(section, key.name) => "required".to_owned(),
             text if text.is_empty() => "empty".to_owned(),
             text => format!("`{text}`"),
         };
@@ -52,3 +50,18 @@
         page.push_str(&format!("| `{name}` | {meaning} | {expected} | {range} | {default} |\n"));
     }
 }
+
+fn push_scopes(page: &mut String) {
+    page.push_str("| keys | apply to | conditions that may be given |\n|---|---|---|\n");
+    for scope in fleet::Scope::ALL {
+        let keys: Vec<_> = fleet::Values::TABLE
+            .names("defaults")
+            .filter(|key| fleet::Scope::of(key) == scope)
+            .map(|key| format!("`{key}`"))
+            .collect();
+        let conditions = scope.conditions().join("`, `");
+        let (keys, scope) = (keys.join(", "), scope.as_str());
+        page.push_str(&format!("| {keys} | {scope} | `{conditions}` |\n"));
+    }
+    page.push('\n');
+}
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -106,11 +106,7 @@
 
     /// The time for a quick request that names no deadline.
     pub fn quick_deadline(&self, kind: &str, caller: &str) -> Duration {
-        // Without a fleet configuration the entry's own setting applies.
-        if self.config.revision() == 0 {
-            return self.settings.default_deadline;
-        }
-        self.values(kind, caller).quick_deadline
+        self.values(kind, caller).quick_deadline.min(self.settings.longest_deadline)
     }
 
     /// Connections to agents and other entries for requests of `class`.
--- a/crates/policy/src/ledger/commit.rs
+++ b/crates/policy/src/ledger/commit.rs
@@ -62,7 +62,7 @@
         Some(segment)
     }
 
-    /// Notes that `segment` is in the store.
+    /// Notes that `segment` is in the store, and counts what came there with it.
     pub fn applied(&mut self, segment: &Segment) {
         let Some(shard) = self.shards.get_mut(&segment.ledger) else { return };
         if shard.epoch != segment.epoch {
@@ -76,6 +76,7 @@
         }
         for entry in flying.entries {
             let Some(job) = self.jobs.get_mut(&entry.record.id) else { continue };
+            self.totals.count(job.committed.as_ref(), &entry);
             settle(shard, job, entry, flying.sequence);
         }
         shard.committed = flying.covers;
@@ -201,7 +202,7 @@
     let line = Line {
         id: record.id.clone(),
         creation: has_spec.then(|| Creation::of(&record)),
-        progress: has_status.then(|| Progress::of(&record)),
+        progress: has_status.then(|| Progress::of(&record, job.spent)),
     };
     let text = encode(&line);
     let (spec_bytes, status_bytes) = sizes(&line, text.len());
@@ -272,8 +273,9 @@
     fn job(self, id: Name) -> Option<Job> {
         let (creation, spec_at) = self.creation?;
         let (progress, status_at) = self.progress?;
+        let spent = progress.spent;
         let record = creation.record(id, progress);
         let committed = Some(record.clone());
-        Some(Job { committed, spec_at, status_at, ..Job::new(record) })
+        Some(Job { committed, spec_at, status_at, spent, ..Job::new(record) })
     }
 }
--- a/crates/policy/src/ledger/hear.rs
+++ b/crates/policy/src/ledger/hear.rs
@@ -5,6 +5,7 @@
 use super::shape::Shape;
 use super::worker::Worker;
 use super::{Grant, Key, Mark, Moment, Pending, Phase, Reply, Report, Status, Table, grant, id};
+use crate::planted::{self, Fault};
 use shallotflow_core::job::State;
 use shallotflow_core::name::Name;
 use std::collections::BTreeSet;
@@ -33,7 +34,9 @@
         if !pending.taken {
             return Reply::default();
         }
-        let settled = pending.settled.iter().filter(|item| self.is_committed(item.mark));
+        let early = planted::is_on(Fault::SettledBeforeCommit);
+        let committed = |item: &&Item| early || self.is_committed(item.mark);
+        let settled = pending.settled.iter().filter(committed);
         let stops = pending.stops.iter();
         Reply {
             grants: pending.grants.iter().filter_map(|item| self.release(pending, item)).collect(),
@@ -60,7 +63,7 @@
 
     /// The grant of `item`, unless it is uncommitted or the job has moved on.
     fn release(&self, pending: &Pending, item: &Item) -> Option<Grant> {
-        if !self.is_committed(item.mark) {
+        if !self.is_committed(item.mark) && !planted::is_on(Fault::GrantBeforeCommit) {
             return None;
         }
         let record = &self.jobs.get(&item.key.job)?.record;
@@ -78,7 +81,9 @@
         if !worker.precedes(report) {
             return false;
         }
+        self.free_slots -= u64::from(worker.room.slots);
         worker.refresh(report, &self.settings, moment.now);
+        self.free_slots += u64::from(worker.room.slots);
         let shape = Shape::of(worker);
         if !self.shapes.contains(&shape) {
             self.recount_shapes();
@@ -100,7 +105,9 @@
         return;
     }
     let current = table.jobs.get(&key.job).is_some_and(|job| {
-        job.record.attempts == key.attempt && is_started_on(&job.record.state, &report.worker)
+        let late_end = status.phase == Phase::Done && job.record.state == State::Queued;
+        let started = is_started_on(&job.record.state, &report.worker);
+        job.record.attempts == key.attempt && (started || late_end)
     });
     if current {
         advance(table, report, status, moment);
@@ -122,7 +129,7 @@
     let reason = &status.reason;
     let id = &status.key.job;
     match status.phase {
-        Phase::Accepted | Phase::Running => return note_active(table, status),
+        Phase::Accepted | Phase::Running => return note_active(table, report, status),
         Phase::Done => note_success(table, &report.worker),
         Phase::Failed => note_failure(table, &report.worker, moment),
         _ => {}
@@ -132,7 +139,7 @@
         match status.phase {
             Phase::Done => job.finish(moment),
             Phase::Failed => job.fail(reason, &settings, moment),
-            Phase::Refused => job.requeue(moment),
+            Phase::Refused => job.unstart(moment),
             Phase::Evicted => job.interrupt("evicted without a checkpoint", moment),
             Phase::Stopped => job.interrupt("stopped without a checkpoint", moment),
             Phase::Lapsed if has_restarted(job, report) => {
@@ -149,16 +156,24 @@
     matches!(job.record.state, State::Started { boot, .. } if boot != report.boot)
 }
 
-fn note_active(table: &mut Table, status: &Status) {
+/// Notes that a task is held, and acknowledges its checkpoint.
+fn note_active(table: &mut Table, report: &Report, status: &Status) {
+    let fenced = has_seen_owner(table, report, status.key.ledger);
     let Some(job) = table.jobs.get_mut(&status.key.job) else { return };
     job.heard = true;
-    if status.checkpoint.is_some() && job.record.checkpoint != status.checkpoint {
-        table.update(&status.key.job, |job| {
-            job.acknowledge(&status.checkpoint);
-        });
+    // A report from before this owner's time may name an older checkpoint than the record.
+    let is_new = status.checkpoint.is_some() && job.record.checkpoint != status.checkpoint;
+    if fenced && is_new {
+        table.update(&status.key.job, |job| job.acknowledge(&status.checkpoint));
     }
 }
 
+/// Whether the agent takes no more grants of earlier owners of `ledger`.
+fn has_seen_owner(table: &Table, report: &Report, ledger: u32) -> bool {
+    let shard = table.shards.get(&ledger);
+    shard.is_some_and(|shard| report.epoch(ledger) >= shard.epoch)
+}
+
 fn note_success(table: &mut Table, worker: &Name) {
     let Some(worker) = table.workers.get_mut(worker) else { return };
     worker.failures = 0;
@@ -188,7 +203,7 @@
         match absence(table, &id, report) {
             Absence::Unproved => {}
             Absence::NeverStarted => {
-                table.update(&id, |job| job.requeue(moment));
+                table.update(&id, |job| job.unstart(moment));
             }
             Absence::Lost => {
                 let reason = format!("worker {} holds it no more", report.worker);
@@ -211,16 +226,18 @@
 fn absence(table: &Table, id: &Name, report: &Report) -> Absence {
     let Some(job) = table.jobs.get(id) else { return Absence::Unproved };
     let Some(granted) = job.granted else {
-        // An agent that has seen this owner's epoch takes no more grants of earlier owners.
         let ledger = id::ledger(id).unwrap_or_default();
-        let epoch = table.shards.get(&ledger).map_or(u64::MAX, |shard| shard.epoch);
-        let fenced = report.epoch(ledger) >= epoch;
-        return if fenced { Absence::Lost } else { Absence::Unproved };
+        return if has_seen_owner(table, report, ledger) {
+            Absence::Lost
+        } else {
+            Absence::Unproved
+        };
     };
     if (granted.incarnation, granted.sequence) >= (report.incarnation, report.sequence) {
         return Absence::Unproved;
     }
-    if granted.incarnation == report.incarnation && !job.heard {
+    let same_agent = granted.incarnation == report.incarnation;
+    if same_agent && !job.heard && !has_restarted(job, report) {
         return Absence::NeverStarted;
     }
     Absence::Lost
--- a/crates/policy/src/ledger/transition.rs
+++ b/crates/policy/src/ledger/transition.rs
@@ -2,7 +2,9 @@
 
 use super::job::Job;
 use super::{Moment, Settings};
+use crate::planted::{self, Fault};
 use shallotflow_core::job::State;
+use shallotflow_core::name::Name;
 
 impl Job {
     /// Puts the job in the final state `state`.
@@ -17,9 +19,15 @@
         self.end(State::Done, moment);
     }
 
-    /// The attempt surely never started, or was stopped with all its work kept.
-    pub(super) fn requeue(&mut self, moment: Moment) {
-        if self.record.cancelled {
+    /// The attempt surely never started.
+    pub(super) fn unstart(&mut self, moment: Moment) {
+        self.spent = false;
+        self.requeue(moment);
+    }
+
+    /// The job waits for its next attempt, unless it was cancelled.
+    fn requeue(&mut self, moment: Moment) {
+        if self.record.cancelled && !planted::is_on(Fault::CancelForgotten) {
             return self.end(State::Cancelled, moment);
         }
         self.record.state = State::Queued;
@@ -28,8 +36,7 @@
 
     /// The attempt surely stopped before its end by something other than the job.
     pub(super) fn interrupt(&mut self, reason: &str, moment: Moment) {
-        let may_resume = self.record.spec.idempotent || self.record.checkpoint.is_some();
-        if self.record.cancelled || may_resume {
+        if self.record.cancelled || self.is_resumable() {
             return self.requeue(moment);
         }
         self.end(State::Unknown { reason: reason.to_owned() }, moment);
@@ -42,7 +49,7 @@
         if self.record.cancelled {
             return self.requeue(moment);
         }
-        if !self.record.spec.idempotent {
+        if !self.record.spec.idempotent && !planted::is_on(Fault::RerunOfUnknown) {
             return self.end(State::Unknown { reason: reason.to_owned() }, moment);
         }
         self.fail(reason, settings, moment);
@@ -52,7 +59,8 @@
     pub(super) fn fail(&mut self, reason: &str, settings: &Settings, moment: Moment) {
         self.record.failures += 1;
         let exhausted = self.record.failures >= settings.failures_max;
-        let may_retry = self.record.spec.idempotent && !exhausted;
+        let rerun = planted::is_on(Fault::RetryOfFailed) || planted::is_on(Fault::RerunOfUnknown);
+        let may_retry = (self.record.spec.idempotent || rerun) && !exhausted;
         if !self.record.cancelled && !may_retry {
             return self.end(State::Failed { reason: reason.to_owned() }, moment);
         }
@@ -63,16 +71,12 @@
         self.requeue(moment);
     }
 
-    /// Takes over a checkpoint that the worker holds; returns whether it is a new one.
-    pub(super) fn acknowledge(
-        &mut self,
-        checkpoint: &Option<shallotflow_core::name::Name>,
-    ) -> bool {
-        let is_new = checkpoint.is_some() && self.record.checkpoint != *checkpoint;
-        if is_new {
+    /// Takes over a checkpoint that the worker holds.
+    pub(super) fn acknowledge(&mut self, checkpoint: &Option<Name>) {
+        if checkpoint.is_some() && self.record.checkpoint != *checkpoint {
             self.record.checkpoint.clone_from(checkpoint);
+            self.spent = false;
         }
-        is_new
     }
 
     fn leave(&mut self) {
--- a/crates/policy/tests/system/facts.rs
+++ b/crates/policy/tests/system/facts.rs
@@ -19,7 +19,9 @@
     running: BTreeMap<Name, (usize, Key)>,
     started: BTreeSet<Key>,
     fresh_starts: BTreeMap<Name, u32>,
+    resumed: BTreeSet<(Name, Name)>,
     ends: BTreeMap<Name, u32>,
+    acknowledged: BTreeSet<Name>,
     broken: Vec<(&'static str, String)>,
 }
 
@@ -36,6 +38,10 @@
         if self.cancelled.contains(job) {
             self.broken("cancelled-never-starts", format!("{key} starts after it was cancelled"));
         }
+        if self.acknowledged.contains(job) {
+            self.broken("end-is-kept", format!("{key} starts after its end was acknowledged"));
+        }
+        self.resume(key, checkpoint);
         let fresh = self.fresh_starts.entry(job.clone()).or_default();
         *fresh += u32::from(checkpoint.is_none());
         let again = *fresh > 1 || self.ends.contains_key(job);
@@ -44,6 +50,14 @@
         }
     }
 
+    /// A job that may run once resumes from each checkpoint once at most.
+    fn resume(&mut self, key: &Key, checkpoint: Option<&Name>) {
+        let Some(checkpoint) = checkpoint.filter(|_| self.once.contains(&key.job)) else { return };
+        if !self.resumed.insert((key.job.clone(), checkpoint.clone())) {
+            self.broken("resume-once", format!("{key} resumes from {checkpoint} again"));
+        }
+    }
+
     /// A task runs no more.
     pub(crate) fn stop(&mut self, key: &Key) {
         if self.running.get(&key.job).is_some_and(|(_, running)| running == key) {
@@ -57,6 +71,11 @@
         *self.ends.entry(key.job.clone()).or_default() += 1;
     }
 
+    /// A worker was told that it may forget a task that ran to its end.
+    pub(crate) fn acknowledge(&mut self, key: &Key) {
+        self.acknowledged.insert(key.job.clone());
+    }
+
     /// A worker holds `used` of `capacity`.
     pub(crate) fn load(&mut self, worker: usize, used: &Bundle, capacity: &Bundle) {
         if !capacity.holds(used) {
