End a killed agent without a last act, and never drop a runtime

Change: an immediate stop leaves nothing behind it; the executor forgets the runtime instead of dropping it, as the process ends then.

--- a/crates/agent/src/leave.rs
+++ b/crates/agent/src/leave.rs
@@ -15,6 +15,9 @@
 /// Leaves once `stop` is raised; ends at once when it is raised again.
 pub(crate) async fn leave(agent: Agent, stop: Stop, gate: Gate) {
     stop.wait(Level::Graceful).await;
+    if stop.level() == Level::Immediate {
+        return;
+    }
     let finishing = async {
         let drain = agent.settings().drain;
         if monoio::time::timeout(drain, finish(&agent)).await.is_err() {
--- a/crates/runtime/src/executor.rs
+++ b/crates/runtime/src/executor.rs
@@ -18,8 +18,10 @@
     let mut runtime =
         monoio::RuntimeBuilder::<monoio::LegacyDriver>::new().enable_timer().build()?;
     let output = runtime.block_on(main);
-    // Tasks that are ready are run once more: dropped unrun, one would wake others outside of the
-    // runtime, which panics.
+    // Tasks that are ready get a moment to close what they hold.
     runtime.block_on(async { monoio::time::sleep(SETTLE).await });
+    // A task that is dropped with the runtime may wake another one outside of it, which panics.
+    // The system takes back what the tasks hold when the process ends.
+    std::mem::forget(runtime);
     Ok(output)
 }
