Split the agent's tables from the agent

Change: agent.rs has the handle, state.rs the tables; no field is shared between them any more. Nothing else changes.

--- a/crates/agent/src/batch/carry.rs
+++ b/crates/agent/src/batch/carry.rs
@@ -77,7 +77,7 @@
 }
 
 /// Ends a task that was admitted and never sent; one that was sent is left to the worker's list.
-fn give_up(state: &mut crate::agent::State, key: &Key) {
+fn give_up(state: &mut crate::state::State, key: &Key) {
     let sent = state.leases.get(key).is_some_and(|task| task.sent);
     if !sent {
         state.leases.refuse(key, "the worker was not attached, or the lease had passed");
--- a/crates/agent/src/colocation/room.rs
+++ b/crates/agent/src/colocation/room.rs
@@ -1,6 +1,6 @@
 //! The tables of colocation.
 
-use crate::agent::State;
+use crate::state::State;
 use foldhash::{HashMap, HashMapExt};
 use shallotflow_core::class::Class;
 use shallotflow_core::name::Name;
--- a/crates/agent/src/colocation/usage.rs
+++ b/crates/agent/src/colocation/usage.rs
@@ -1,6 +1,7 @@
 //! Learns from the worker's usage reports, which describe moments that have passed.
 
-use crate::agent::{Agent, State};
+use crate::agent::Agent;
+use crate::state::State;
 use crate::worker::Attachment;
 use shallotflow_core::name::Name;
 use shallotflow_core::resources::Bundle;
--- a/crates/agent/src/config.rs
+++ b/crates/agent/src/config.rs
@@ -1,6 +1,7 @@
 //! The fleet configuration as it applies to this worker.
 
-use crate::agent::{Agent, State};
+use crate::agent::Agent;
+use crate::state::State;
 use shallotflow_core::fleet::{Subject, Values};
 use shallotflow_core::metric;
 use std::time::{SystemTime, UNIX_EPOCH};
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -11,6 +11,7 @@
 mod leave;
 mod report;
 pub mod request;
+mod state;
 pub mod worker;
 
 use crate::agent::Agent;
--- a/crates/agent/src/report/fleet.rs
+++ b/crates/agent/src/report/fleet.rs
@@ -2,7 +2,8 @@
 
 use super::Wake;
 use super::session::Session;
-use crate::agent::{Agent, State};
+use crate::agent::Agent;
+use crate::state::State;
 use foldhash::fast::FixedState;
 use shallotflow_wire::proto;
 use std::collections::BTreeSet;
--- a/crates/agent/src/request/load.rs
+++ b/crates/agent/src/request/load.rs
@@ -1,6 +1,6 @@
 //! The load that rides on answers and reports.
 
-use crate::agent::State;
+use crate::state::State;
 use shallotflow_core::class::Class;
 use shallotflow_core::time::Time;
 use shallotflow_wire::proto;
