--- a/crates/cli/tests/config.rs
+++ b/crates/cli/tests/config.rs
@@ -6,7 +6,7 @@
 use shallotflow_cli::change::{Current, Edit, Session};
 use shallotflow_cli::command::command;
 use shallotflow_cli::error::Error;
-use shallotflow_core::fleet::Changes;
+use shallotflow_core::fleet::{Changes, key};
 use shallotflow_standin::store::Faults;
 use shallotflow_store::client::{Client, Settings};
 use shallotflow_store::error as store_error;
@@ -117,6 +117,45 @@
     });
 }
 
+#[test]
+fn racing_changes_with_lost_answers_end_as_they_were_told() {
+    with_store(async |store| {
+        store.faults.set_lost_answers(0.5);
+        let editors = (0..6).map(|editor| {
+            let store = &store;
+            async move {
+                let mut told = Vec::new();
+                for step in 0..3 {
+                    let id = format!("e{editor}-{step}");
+                    let words = ["except", "add", "--worker=w1", "--reason=r", &id, "batch=false"];
+                    told.push((id.clone(), store.run(&words).await));
+                }
+                // The first of the three goes again.
+                let first = format!("e{editor}-0");
+                told.push((first.clone(), store.run(&["except", "remove", &first]).await));
+                told
+            }
+        });
+        let told: Vec<_> =
+            futures_util::future::join_all(editors).await.into_iter().flatten().collect();
+        store.faults.set_lost_answers(0.0);
+        let listed = store.run(&["except", "list"]).await.expect("a list");
+        let ids: Vec<&str> = listed
+            .json
+            .as_array()
+            .expect("a list")
+            .iter()
+            .filter_map(|exception| exception["id"].as_str())
+            .collect();
+        for (id, result) in &told {
+            // Reads are answered, so that every change is settled.
+            result.as_ref().unwrap_or_else(|error| panic!("{id}: {error}"));
+            assert_eq!(ids.contains(&id.as_str()), !id.ends_with("-0"), "{id}");
+        }
+        assert_eq!(ids.len(), 12, "nothing is listed twice: {ids:?}");
+    });
+}
+
 #[test]
 fn a_lost_answer_is_settled_by_reading_back() {
     with_store(async |store| {
@@ -227,6 +266,21 @@
     });
 }
 
+#[test]
+fn an_invalid_text_from_elsewhere_is_shown_and_can_be_replaced() {
+    with_store(async |store| {
+        let settings = Settings { endpoints: vec![store.address], ..Settings::default() };
+        let client = Client::new(settings);
+        let write = Transaction::default().put(key::TEXT, "[default]\n");
+        store::Store::commit(&client, write).await.expect("a written text");
+        assert!(shown(&store).await.ends_with("\n[default]\n"));
+        let error = store.run(&["show", "--worker=w1"]).await.expect_err("an invalid text");
+        assert!(error.to_string().contains("store:1: section `default` is unknown"), "{error}");
+        store.apply(&["apply", "--replace", &file("mended.ini", FIRST)]).await;
+        assert!(shown(&store).await.ends_with(FIRST));
+    });
+}
+
 #[test]
 fn a_drain_needs_a_reason_and_ends() {
     with_store(async |store| {
--- a/crates/core/src/ini/document.rs
+++ b/crates/core/src/ini/document.rs
@@ -5,6 +5,19 @@
 use ini_core::{Item, Parser};
 use std::path::Path;
 
+/// Reads the text of the file at `path`.
+///
+/// # Errors
+///
+/// Fails when the file cannot be read as text.
+pub fn read_text(path: &Path) -> Result<String> {
+    std::fs::read_to_string(path).map_err(|error| Error {
+        file: path.display().to_string().into(),
+        line: 0,
+        fault: Fault::Unreadable(error.to_string()),
+    })
+}
+
 /// An INI text taken apart, without knowledge of its keys.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Document {
@@ -21,13 +34,7 @@
     ///
     /// Fails when the file cannot be read or is not an INI text.
     pub fn load(path: &Path) -> Result<Self> {
-        let file = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|error| Error {
-            file: file.as_str().into(),
-            line: 0,
-            fault: Fault::Unreadable(error.to_string()),
-        })?;
-        Self::parse(&file, &text)
+        Self::parse(&path.display().to_string(), &read_text(path)?)
     }
 
     /// Takes apart `text`; `file` is the name that messages carry.
@@ -37,6 +44,9 @@
     /// Fails on lines that are neither header, key nor comment, and on anything given twice.
     pub fn parse(file: &str, text: &str) -> Result<Self> {
         let mut document = Self { file: file.into(), sections: Vec::new() };
+        if let Some((line, control)) = first_control(text) {
+            return Err(document.error(line, Fault::Control(control)));
+        }
         let mut parser = Parser::new(text).auto_trim(true);
         loop {
             // The parser does not count a last line without a line end, so count before it.
@@ -67,6 +77,20 @@
         section.entry(key).map_or(section.line, |entry| entry.line)
     }
 
+    /// Checks that a key is given with a value.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault::Missing`] at the line of the section.
+    pub fn require(&self, section: &str, key: &str) -> Result<()> {
+        let entry = self.section(section).and_then(|section| section.entry(key));
+        if entry.is_some_and(|entry| !entry.value.is_empty()) {
+            return Ok(());
+        }
+        let fault = Fault::Missing { section: section.to_owned(), key: key.to_owned() };
+        Err(self.error(self.line_of(section, key), fault))
+    }
+
     /// A fault at a line of this document.
     pub fn error(&self, line: u32, fault: Fault) -> Error {
         Error { file: self.file.clone(), line, fault }
@@ -98,3 +122,14 @@
 fn header_fault(header: &str) -> Fault {
     Fault::Header(header.trim().to_owned())
 }
+
+/// The first control character that is neither a tab nor part of a line end, with its line.
+fn first_control(text: &str) -> Option<(u32, char)> {
+    for (line, content) in (1..).zip(text.split('\n')) {
+        let content = content.strip_suffix('\r').unwrap_or(content);
+        if let Some(control) = content.chars().find(|c| c.is_control() && *c != '\t') {
+            return Some((line, control));
+        }
+    }
+    None
+}
--- a/crates/core/src/ini/table.rs
+++ b/crates/core/src/ini/table.rs
@@ -1,12 +1,47 @@
 //! All keys of one kind of file.
 
-use super::{Document, Entry, Fault, Key, Result, Section};
+use super::{Document, Entry, Fault, Key, Required, Result, Section};
+use std::path::Path;
 
 /// The keys of a file, in the order of its reference page.
 #[derive(Debug)]
 pub struct Table<T: 'static> {
     /// The keys.
     pub keys: &'static [Key<T>],
+    /// The keys that a file has to give, without a default that could be meant.
+    pub required: &'static [Required],
+    /// Checks values against each other after all were read.
+    pub check: fn(&T, &Document) -> Result<()>,
+}
+
+impl<T: Default> Table<T> {
+    /// Reads the file at `path`; keys that it leaves out keep their defaults.
+    ///
+    /// # Errors
+    ///
+    /// Names the file, the line and the remedy.
+    pub fn load(&self, path: &Path) -> Result<T> {
+        self.make(&Document::load(path)?)
+    }
+
+    /// Reads `text`; `file` is the name that messages carry.
+    ///
+    /// # Errors
+    ///
+    /// Names the file, the line and the remedy.
+    pub fn parse(&self, file: &str, text: &str) -> Result<T> {
+        self.make(&Document::parse(file, text)?)
+    }
+
+    fn make(&self, document: &Document) -> Result<T> {
+        let mut target = T::default();
+        self.read(document, &mut target)?;
+        (self.check)(&target, document)?;
+        for Required { section, key } in self.required {
+            document.require(section, key)?;
+        }
+        Ok(target)
+    }
 }
 
 impl<T> Table<T> {
@@ -79,6 +114,11 @@
         self.keys.iter().find(|key| key.section == section && key.name == name)
     }
 
+    /// Whether a file has to give this key.
+    pub fn requires(&self, section: &str, name: &str) -> bool {
+        self.required.iter().any(|required| required.section == section && required.key == name)
+    }
+
     /// The names of the keys of a section.
     pub fn names(&self, section: &str) -> impl Iterator<Item = &'static str> + Clone {
         self.keys.iter().filter(move |key| key.section == section).map(|key| key.name)
