Tick an idle agent ten times less often

Cause: an agent has 4.3% of a core for control, and woke up every 5 ms with nothing to decide. Change: an agent without work ticks every 50 ms; new work runs its own tick at once, as before. The processor time of either is not measured here. Conclusion: the agent's tests pass.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -29,7 +29,9 @@
 use std::time::Duration;
 
 const CONFIG_INTERVAL: Duration = Duration::from_secs(1);
+/// The time between two ticks while something runs or waits.
 const TICK_INTERVAL: Duration = Duration::from_millis(5);
+const IDLE_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The addresses that an agent listens on.
 #[derive(Clone, Copy, Debug)]
@@ -89,7 +91,8 @@
             // An exception may have ended.
             agent.apply_config();
         }
-        monoio::time::sleep(TICK_INTERVAL).await;
+        let busy = agent.state().is_busy();
+        monoio::time::sleep(if busy { TICK_INTERVAL } else { IDLE_INTERVAL }).await;
     }
 }
 
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -152,6 +152,12 @@
         self.admission.leave();
     }
 
+    /// Whether anything runs or waits.
+    pub(crate) fn is_busy(&self) -> bool {
+        let tasks = self.leases.tasks().next().is_some();
+        tasks || !self.waiting.is_empty() || !self.admission.used().is_empty()
+    }
+
     /// Whether nothing is in progress and all entries know that the agent is leaving.
     pub(crate) fn is_idle(&self) -> bool {
         let told = self.sessions.keys().all(|entry| self.told_leaving.contains(entry));
