Count the reports that an agent sends

Cause: the metric names agents and entries, and only entries counted. Change: the agent counts each report that was answered. Conclusion: its tests pass; starts stay counted by entries alone, so that a sum over the fleet counts each once.

--- a/crates/agent/src/report/session.rs
+++ b/crates/agent/src/report/session.rs
@@ -4,6 +4,7 @@
 use crate::agent::Agent;
 use crate::batch;
 use prost::Message;
+use shallotflow_core::metric;
 use shallotflow_core::time::{Clock, Monotonic, Time};
 use shallotflow_policy::spread::Offer;
 use shallotflow_wire::proto;
@@ -90,6 +91,7 @@
             anyhow::bail!("no reply within {REPLY_TIMEOUT:?}; check the entry's load");
         };
         let reply = answer?.into_inner();
+        metrics::counter!(metric::REPORTS).increment(1);
         self.agent.state_mut().budget.spend(reply.encoded_len(), Monotonic.now());
         if reply.sequence != report.sequence {
             anyhow::bail!("reply to report {} instead of {}", reply.sequence, report.sequence);
