Measure the wait of quick requests up to their start at the target

Change: the stand-in of a target says when it started a request, on the clock that all threads share, and the wait ends there.

--- a/crates/bench/src/command/compare.rs
+++ b/crates/bench/src/command/compare.rs
@@ -87,7 +87,7 @@
     }
 }
 
-/// Slots that quick requests and watchers took on average, by their service times alone.
+/// Slots that quick requests and watchers took on average, from their starts to their ends.
 fn requests_slots(findings: &Findings, seconds: u64) -> f64 {
     let service = |tally: &crate::load::tally::Tally| {
         let mean_us = tally.latency.mean() - tally.waited.mean();
--- a/crates/bench/src/load/quick.rs
+++ b/crates/bench/src/load/quick.rs
@@ -12,6 +12,7 @@
 use shallotflow_core::class::Class;
 use shallotflow_core::outcome::Outcome;
 use shallotflow_core::resources::Bundle;
+use shallotflow_core::time::{Clock, Monotonic, Time};
 use shallotflow_wire::http::body::Body;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -19,6 +20,8 @@
 
 /// How long a caller waits beyond the deadline that it gave.
 const GRACE: Duration = Duration::from_millis(500);
+/// When a stand-in of a target started a request, by the clock of this process.
+const STARTED_HEADER: &str = "standin-started-us";
 const OPEN_POLL: Duration = Duration::from_millis(20);
 
 /// A stream of requests of one kind.
@@ -81,15 +84,22 @@
     async fn fire(self, kind: &Kind, client: &Client, start: Instant) -> Ending {
         let spent = start.elapsed().saturating_sub(self.due);
         let limit = (kind.deadline + GRACE).saturating_sub(spent);
+        let sent = Monotonic.now();
         let answer = match request(kind, &self) {
             Some(request) => client.send(request, limit).await,
             None => Err(Failure::NotSent),
         };
         let latency = start.elapsed().saturating_sub(self.due);
-        self.ending(kind, latency, &answer)
+        self.ending(kind, sent, latency, &answer)
     }
 
-    fn ending(&self, kind: &Kind, latency: Duration, answer: &Result<Answer>) -> Ending {
+    fn ending(
+        &self,
+        kind: &Kind,
+        sent: Time,
+        latency: Duration,
+        answer: &Result<Answer>,
+    ) -> Ending {
         let outcome = match answer {
             Ok(answer) => answer.outcome(),
             Err(failure) => failure.outcome(),
@@ -102,12 +112,25 @@
             token: self.token,
             due: self.due,
             latency,
-            waited: latency.saturating_sub(self.service),
+            waited: self.waited(sent, latency, answer),
             outcome,
             whole,
             in_time: latency <= kind.deadline,
         }
     }
+
+    /// Time from the sending of the request to its start at the target.
+    fn waited(&self, sent: Time, latency: Duration, answer: &Result<Answer>) -> Duration {
+        match answer.as_ref().ok().and_then(started) {
+            Some(started) => started.since(sent),
+            None => latency.saturating_sub(self.service),
+        }
+    }
+}
+
+fn started(answer: &Answer) -> Option<Time> {
+    let value = answer.headers.get(STARTED_HEADER)?.to_str().ok()?;
+    value.parse().ok().map(Time::from_micros)
 }
 
 fn request(kind: &Kind, shot: &Shot) -> Option<Request<Body>> {
--- a/crates/bench/src/load/tally.rs
+++ b/crates/bench/src/load/tally.rs
@@ -32,7 +32,7 @@
     pub due: Duration,
     /// Time from then to the end of the answer.
     pub latency: Duration,
-    /// Part of the latency beyond the service time that the request asked for.
+    /// Part of the latency before the request started at a target.
     pub waited: Duration,
     /// What the system said of it.
     pub outcome: Outcome,
@@ -74,7 +74,7 @@
     pub broken: u64,
     /// Latency of requests done, from the time they were due.
     pub latency: Latencies,
-    /// Time that requests done spent beyond their service time.
+    /// Time that requests done waited before they started at a target.
     pub waited: Latencies,
     /// How late the generator itself sent requests.
     pub lag: Latencies,
--- a/crates/bench/src/report/summary.rs
+++ b/crates/bench/src/report/summary.rs
@@ -30,7 +30,7 @@
     pub batch: Batch,
     /// Tasks that were checkpointed and stopped to make room.
     pub evictions: u64,
-    /// Time that quick requests spent beyond their own service time, 99th percentile.
+    /// Time from the sending of quick requests to their start at a target, 99th percentile.
     pub head_of_line_ms_p99: f64,
     /// Changes of the configuration that were accepted.
     pub config_changes: u64,
--- a/crates/standin/src/target/serve.rs
+++ b/crates/standin/src/target/serve.rs
@@ -5,6 +5,7 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use shallotflow_core::name::Name;
 use shallotflow_core::resources::Bundle;
+use shallotflow_core::time::{Clock, Monotonic};
 use shallotflow_wire::control::INCARNATION_HEADER;
 use shallotflow_wire::http::body::Body;
 use shallotflow_wire::http::server::Handler;
@@ -20,6 +21,9 @@
 /// Run time of the request alone, milliseconds; for tests.
 const RUN_MS_HEADER: &str = "standin-run-ms";
 
+/// When the request started, microseconds of the process's clock; for tests on one process.
+const STARTED_HEADER: &str = "standin-started-us";
+
 /// Answers `POST /run/<kind>` with the body that it was sent.
 pub struct Target {
     floor: Floor,
@@ -71,12 +75,14 @@
             .and_then(|text| text.parse().ok())
             .map(Duration::from_millis),
     };
+    let started = Monotonic.now();
     if let Err(fault) = floor.run_request(incarnation, admission).await {
         let mut response = refuse(StatusCode::CONFLICT, &fault.to_string());
         response.headers_mut().insert(OUTCOME_HEADER, HeaderValue::from_static("not-run"));
         return response;
     }
     let mut response = Response::new(Body::Full(body));
+    response.headers_mut().insert(STARTED_HEADER, started.as_micros().into());
     if let Some(id) = headers.get(REQUEST_ID_HEADER) {
         response.headers_mut().insert(REQUEST_ID_HEADER, id.clone());
     }
