--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -11,6 +11,7 @@
 mod leave;
 mod report;
 pub mod request;
+mod state;
 pub mod worker;
 
 use crate::agent::Agent;
@@ -28,7 +29,9 @@
 use std::time::Duration;
 
 const CONFIG_INTERVAL: Duration = Duration::from_secs(1);
+/// The time between two ticks while something runs or waits.
 const TICK_INTERVAL: Duration = Duration::from_millis(5);
+const IDLE_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The addresses that an agent listens on.
 #[derive(Clone, Copy, Debug)]
@@ -88,7 +91,8 @@
             // An exception may have ended.
             agent.apply_config();
         }
-        monoio::time::sleep(TICK_INTERVAL).await;
+        let busy = agent.state().is_busy();
+        monoio::time::sleep(if busy { TICK_INTERVAL } else { IDLE_INTERVAL }).await;
     }
 }
 
