--- a/crates/bench/src/cluster/balancer.rs
+++ b/crates/bench/src/cluster/balancer.rs
@@ -1,6 +1,7 @@
 //! The platform's balancer: passes connections to the entries that are ready, in turn.
 
 use super::Node;
+use super::backends::{Backend, Backends};
 use crate::load::client::Client;
 use http::{Request, StatusCode};
 use monoio::io::{Splitable, copy};
@@ -9,69 +10,12 @@
 use shallotflow_runtime::stop::{Level, Stop};
 use shallotflow_wire::http::body::Body;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 const PROBE_INTERVAL: Duration = Duration::from_millis(200);
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// One entry behind the balancer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Backend {
-    /// Where callers connect.
-    pub callers: SocketAddr,
-    /// Where agents and other entries connect.
-    pub peers: SocketAddr,
-    /// Where its readiness is asked for.
-    pub operators: SocketAddr,
-}
-
-/// The entries behind the balancer; clones share them, across threads.
-#[derive(Clone, Debug, Default)]
-pub struct Backends {
-    members: Arc<Mutex<Vec<Member>>>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Member {
-    backend: Backend,
-    ready: bool,
-}
-
-impl Backends {
-    /// Adds an entry; it gets connections once it says that it is ready.
-    pub fn add(&self, backend: Backend) {
-        self.lock().push(Member { backend, ready: false });
-    }
-
-    /// Takes an entry out.
-    pub fn remove(&self, backend: &Backend) {
-        self.lock().retain(|member| member.backend != *backend);
-    }
-
-    fn all(&self) -> Vec<Backend> {
-        self.lock().iter().map(|member| member.backend).collect()
-    }
-
-    fn ready(&self) -> Vec<Backend> {
-        let members = self.lock();
-        members.iter().filter(|member| member.ready).map(|member| member.backend).collect()
-    }
-
-    fn set_ready(&self, backend: &Backend, ready: bool) {
-        let mut members = self.lock();
-        let found = members.iter_mut().find(|member| member.backend == *backend);
-        if let Some(member) = found {
-            member.ready = ready;
-        }
-    }
-
-    fn lock(&self) -> MutexGuard<'_, Vec<Member>> {
-        self.members.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 /// A running balancer.
 #[derive(Debug)]
 pub struct Balancer {
--- a/crates/bench/src/cluster/mod.rs
+++ b/crates/bench/src/cluster/mod.rs
@@ -1,10 +1,12 @@
 //! The processes of a floor, as threads of this one.
 //!
 //! - [`node`]: a process on a thread that can be killed, paused and stopped.
+//! - [`backends`]: the entries behind the balancer.
 //! - [`balancer`]: the platform's balancer in front of the entries.
 //! - [`Baseline`]: the workers of a floor under the naive scheduler.
 //! - [`Cluster`]: all processes of a floor, each replaceable while a run goes on.
 
+pub mod backends;
 pub mod balancer;
 mod baseline;
 mod descriptors;
--- a/crates/bench/src/cluster/processes.rs
+++ b/crates/bench/src/cluster/processes.rs
@@ -1,6 +1,7 @@
 //! All processes of a floor.
 
-use super::balancer::{Backend, Balancer};
+use super::backends::Backend;
+use super::balancer::Balancer;
 use super::{Node, Settings, Worker};
 use shallotflow_core::settings::standin;
 use shallotflow_runtime::executor;
--- a/crates/bench/src/load/generator.rs
+++ b/crates/bench/src/load/generator.rs
@@ -1,21 +1,18 @@
 //! The threads that send the load of a floor.
 
-use super::batch::{self, Jobs};
+use super::batch;
 use super::client::Client;
 use super::draft::Drafts;
+use super::outcomes::{Outcomes, Requests};
+use super::progress::Progress;
 use super::quick;
 use super::schedule::Schedule;
 use super::service::Service;
-use super::tally::Tally;
 use crate::fault;
 use crate::floor::{Floor, Kind};
 use shallotflow_core::class::Class;
-use shallotflow_core::name::Name;
-use shallotflow_core::outcome::Outcome;
 use shallotflow_runtime::executor;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -52,100 +49,6 @@
     }
 }
 
-/// Counts that the display reads while a run goes on; clones share them.
-#[derive(Clone, Debug, Default)]
-pub struct Progress {
-    counts: Arc<Counts>,
-}
-
-#[derive(Debug, Default)]
-struct Counts {
-    sent: AtomicU64,
-    done: AtomicU64,
-    not_run: AtomicU64,
-    unknown: AtomicU64,
-    submitted: AtomicU64,
-    finished: AtomicU64,
-}
-
-impl Progress {
-    pub(super) fn sent(&self) {
-        self.counts.sent.fetch_add(1, Ordering::Relaxed);
-    }
-
-    pub(super) fn ended(&self, outcome: Outcome) {
-        let count = match outcome {
-            Outcome::Done => &self.counts.done,
-            Outcome::NotRun => &self.counts.not_run,
-            Outcome::Unknown => &self.counts.unknown,
-        };
-        count.fetch_add(1, Ordering::Relaxed);
-    }
-
-    pub(super) fn job_submitted(&self) {
-        self.counts.submitted.fetch_add(1, Ordering::Relaxed);
-    }
-
-    pub(super) fn job_done(&self) {
-        self.counts.finished.fetch_add(1, Ordering::Relaxed);
-    }
-
-    /// The counts as one line.
-    pub fn line(&self) -> String {
-        let count = |count: &AtomicU64| count.load(Ordering::Relaxed);
-        format!(
-            "requests {} sent {} done {} not run {} unknown | jobs {} taken {} done",
-            count(&self.counts.sent),
-            count(&self.counts.done),
-            count(&self.counts.not_run),
-            count(&self.counts.unknown),
-            count(&self.counts.submitted),
-            count(&self.counts.finished),
-        )
-    }
-}
-
-/// What came of the requests of one kind.
-#[derive(Clone, Debug)]
-pub struct Requests {
-    /// The kind.
-    pub kind: Name,
-    /// Its class.
-    pub class: Class,
-    /// The counts.
-    pub tally: Tally,
-}
-
-/// What came of a load.
-#[derive(Clone, Debug, Default)]
-pub struct Outcomes {
-    /// Quick requests and watchers, by kind.
-    pub requests: Vec<Requests>,
-    /// Jobs of all kinds.
-    pub jobs: Jobs,
-}
-
-impl Outcomes {
-    fn merge(&mut self, other: Self) {
-        for requests in other.requests {
-            match self.requests.iter_mut().find(|own| own.kind == requests.kind) {
-                Some(own) => own.tally.merge(requests.tally),
-                None => self.requests.push(requests),
-            }
-        }
-        self.jobs.merge(&other.jobs);
-    }
-
-    /// The counts of all requests of one class.
-    pub fn of_class(&self, class: Class) -> Tally {
-        let mut sum = Tally::default();
-        for requests in self.requests.iter().filter(|requests| requests.class == class) {
-            sum.merge(requests.tally.clone());
-        }
-        sum
-    }
-}
-
 /// A load that is being sent.
 pub struct Running {
     threads: Vec<JoinHandle<std::io::Result<Outcomes>>>,
--- /dev/null
+++ b/crates/bench/src/load/progress.rs
@@ -0,0 +1,58 @@
+//! Counts that are shown while a load goes on.
+
+use shallotflow_core::outcome::Outcome;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Counts that the display reads while a run goes on; clones share them.
+#[derive(Clone, Debug, Default)]
+pub struct Progress {
+    counts: Arc<Counts>,
+}
+
+#[derive(Debug, Default)]
+struct Counts {
+    sent: AtomicU64,
+    done: AtomicU64,
+    not_run: AtomicU64,
+    unknown: AtomicU64,
+    submitted: AtomicU64,
+    finished: AtomicU64,
+}
+
+impl Progress {
+    pub(super) fn sent(&self) {
+        self.counts.sent.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(super) fn ended(&self, outcome: Outcome) {
+        let count = match outcome {
+            Outcome::Done => &self.counts.done,
+            Outcome::NotRun => &self.counts.not_run,
+            Outcome::Unknown => &self.counts.unknown,
+        };
+        count.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(super) fn job_submitted(&self) {
+        self.counts.submitted.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(super) fn job_done(&self) {
+        self.counts.finished.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// The counts as one line.
+    pub fn line(&self) -> String {
+        let count = |count: &AtomicU64| count.load(Ordering::Relaxed);
+        format!(
+            "requests {} sent {} done {} not run {} unknown | jobs {} taken {} done",
+            count(&self.counts.sent),
+            count(&self.counts.done),
+            count(&self.counts.not_run),
+            count(&self.counts.unknown),
+            count(&self.counts.submitted),
+            count(&self.counts.finished),
+        )
+    }
+}
--- a/crates/bench/src/load/quick.rs
+++ b/crates/bench/src/load/quick.rs
@@ -5,7 +5,7 @@
 use super::tally::{Ending, Tally};
 use super::token::Token;
 use crate::floor::Kind;
-use crate::load::generator::Progress;
+use crate::load::progress::Progress;
 use crate::load::service::Service;
 use bytes::Bytes;
 use http::Request;
--- a/crates/bench/src/run/sum.rs
+++ b/crates/bench/src/run/sum.rs
@@ -1,7 +1,8 @@
 //! Sums up what a load found.
 
 use crate::floor::Floor;
-use crate::load::generator::{Outcomes, Settings};
+use crate::load::generator::Settings;
+use crate::load::outcomes::Outcomes;
 use crate::load::tally::Tally;
 use crate::report::{Batch, Quick, Summary, Violations, percentile_ms};
 use shallotflow_core::class::Class;
--- a/crates/bench/tests/report.rs
+++ b/crates/bench/tests/report.rs
@@ -1,7 +1,7 @@
 //! The names of the figures, and the page.
 
 use shallotflow_bench::floor::Floor;
-use shallotflow_bench::load::generator::{Outcomes, Requests};
+use shallotflow_bench::load::outcomes::{Outcomes, Requests};
 use shallotflow_bench::load::tally::{Ending, Tally};
 use shallotflow_bench::load::token::Token;
 use shallotflow_bench::report::{Summary, Violations, page};
