--- a/crates/policy/tests/ledger_fuzz/main.rs
+++ b/crates/policy/tests/ledger_fuzz/main.rs
@@ -21,7 +21,7 @@
     let cases = std::env::var("LEDGER_CASES").ok().and_then(|cases| cases.parse().ok());
     let seed = std::env::var("LEDGER_SEED").ok().and_then(|seed| seed.parse().ok());
     ProptestConfig {
-        cases: cases.unwrap_or(300),
+        cases: cases.unwrap_or(1_000),
         rng_seed: RngSeed::Fixed(seed.unwrap_or(7)),
         failure_persistence: None,
         max_shrink_iters: 20_000,
