Keep a small buffer on connections that wait for a message

Cause: each connection held a read buffer of 16 KB, also while idle, so that an entry with 5,000 idle callers' connections took 107,708 KB, above the 64 MB that a node may spend on control. Change: a waiting connection reads into 2 KB; a body that follows is read into 16 KB, given back with the next wait.

--- a/crates/wire/src/http/reader.rs
+++ b/crates/wire/src/http/reader.rs
@@ -12,7 +12,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-const READ_BYTES: usize = 16 * 1024;
+/// The buffer of a connection that waits for a message; most heads fit in it.
+const HEAD_READ_BYTES: usize = 2 * 1024;
+/// The buffer of a connection whose body is being received.
+const BODY_READ_BYTES: usize = 16 * 1024;
 const MAX_CHUNK_BYTES: usize = 1024 * 1024;
 
 /// The reading half of a connection with what was read ahead.
@@ -35,7 +38,7 @@
 
 impl Reader {
     pub(super) fn new(io: OwnedReadHalf<TcpStream>, limits: Rc<Limits>) -> Self {
-        Self { io, buffer: BytesMut::new(), scratch: vec![0; READ_BYTES], limits }
+        Self { io, buffer: BytesMut::new(), scratch: Vec::new(), limits }
     }
 
     /// Whether bytes were read ahead of the message that was asked for.
@@ -53,7 +56,9 @@
         if !self.buffer.is_empty() {
             return Ok(true);
         }
-        Ok(self.fill().await? > 0)
+        self.scratch.truncate(HEAD_READ_BYTES);
+        self.scratch.shrink_to_fit();
+        Ok(self.fill(HEAD_READ_BYTES).await? > 0)
     }
 
     /// Reads a whole head; its first byte has arrived.
@@ -80,7 +85,7 @@
                 _ if held > limit => return Err(Error::HeadTooLarge(limit)),
                 _ => {}
             }
-            if self.fill().await? == 0 {
+            if self.fill(HEAD_READ_BYTES).await? == 0 {
                 return Err(Error::Truncated);
             }
         }
@@ -149,14 +154,15 @@
 
     async fn fill_in_time(&mut self) -> Result<usize> {
         let limit = self.limits.stall;
-        timeout(limit, self.fill()).await.map_err(|_| Error::Slow)?
+        timeout(limit, self.fill(BODY_READ_BYTES)).await.map_err(|_| Error::Slow)?
     }
 
-    async fn fill(&mut self) -> Result<usize> {
+    /// Reads once, at most `size` bytes or as many as an earlier read asked for.
+    async fn fill(&mut self, size: usize) -> Result<usize> {
+        // A read that was given up took the buffer with it.
         let mut scratch = std::mem::take(&mut self.scratch);
-        if scratch.is_empty() {
-            // A read that was given up took the buffer with it.
-            scratch = vec![0; READ_BYTES];
+        if scratch.len() < size {
+            scratch.resize(size, 0);
         }
         let (result, scratch) = self.io.read(scratch).await;
         self.scratch = scratch;
