--- a/crates/agent/src/batch/carry.rs
+++ b/crates/agent/src/batch/carry.rs
@@ -22,6 +22,9 @@
             Command::Withdraw(key) => agent.state_mut().withdraw_task(&key),
             Command::Renew(key, deadline) => renewed.push((key, deadline)),
             Command::Acknowledge(key) => acknowledged.push(key),
+            Command::Save(key) => {
+                monoio::spawn(stop(agent.clone(), key, true));
+            }
             Command::Stop(key) => {
                 monoio::spawn(stop(agent.clone(), key, false));
             }
@@ -77,7 +80,7 @@
 }
 
 /// Ends a task that was admitted and never sent; one that was sent is left to the worker's list.
-fn give_up(state: &mut crate::agent::State, key: &Key) {
+fn give_up(state: &mut crate::state::State, key: &Key) {
     let sent = state.leases.get(key).is_some_and(|task| task.sent);
     if !sent {
         state.leases.refuse(key, "the worker was not attached, or the lease had passed");
