Leave out a key that nothing uses

Cause: the key of the configuration is named where it is followed. Change: the second name is gone, and one comment says what it means. Conclusion: the tests of entry, store, stand-in and generator pass.

--- a/crates/entry/src/session/keys.rs
+++ b/crates/entry/src/session/keys.rs
@@ -4,8 +4,6 @@
 
 /// What every entry watches: the live entries and the owners of ledgers.
 pub const FLEET: &str = "/shallotflow/fleet/";
-/// The operators' configuration.
-pub const CONFIG: &str = "/shallotflow/config";
 
 const ENTRIES: &str = "/shallotflow/fleet/entries/";
 const OWNERS: &str = "/shallotflow/fleet/owners/";
--- a/crates/entry/src/session/mod.rs
+++ b/crates/entry/src/session/mod.rs
@@ -83,7 +83,7 @@
         self.lease.get().filter(|lease| !lease.deadline.passed(now))
     }
 
-    /// The lease that was taken last, which may have ended, or nothing once it surely has.
+    /// The lease that was taken last; nothing once the store has said that it ended.
     pub fn last_lease(&self) -> Option<Lease> {
         self.lease.get()
     }
