--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,7 +5,7 @@
 //! - [`batch`]: batch jobs, in the ledgers of this entry or of another.
 //! - [`config`]: the fleet configuration, from the store or from agents.
 //! - [`peers`]: the `tonic` service for agents and other entries.
-//! - `operators`: readiness and the dump of the state.
+//! - `listeners`, `operators`: the listeners, readiness and the dump of the state.
 //! - [`directory`]: the live entries.
 //! - [`meters`]: the metrics.
 //! - [`session`]: the entry's lease and presence at the store.
@@ -20,7 +20,6 @@
 pub mod config;
 pub mod directory;
 pub mod meters;
-mod operators;
 pub mod peers;
 pub mod quick;
 pub mod session;
@@ -28,6 +27,8 @@
 pub mod tick;
 pub mod unavailable;
 
+mod listeners;
+mod operators;
 mod serve;
 
 pub use bound::Bound;
--- /dev/null
+++ b/crates/entry/src/listeners.rs
@@ -0,0 +1,96 @@
+//! The listeners of an entry, from their binding to their closing.
+
+use crate::bound::Bound;
+use crate::operators::View;
+use crate::state::State;
+use crate::{Settings, callers, peers};
+use anyhow::Context;
+use event_listener::Event;
+use monoio::net::TcpListener;
+use shallotflow_runtime::operators::Listener;
+use shallotflow_runtime::program::Program;
+use shallotflow_runtime::stop::Stop;
+use shallotflow_wire::http::gate::Gate;
+use shallotflow_wire::proto::scheduler_server::SchedulerServer;
+use shallotflow_wire::{http, rpc};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Bound listeners that do not accept yet.
+pub(crate) struct Listeners {
+    callers: TcpListener,
+    peers: TcpListener,
+    operators: Listener,
+}
+
+/// Listeners that accept.
+pub(crate) struct Open {
+    state: Rc<State>,
+    stop_peers: Rc<Event>,
+    operators: Gate,
+}
+
+impl Listeners {
+    /// Binds the addresses that the settings name.
+    ///
+    /// # Errors
+    ///
+    /// Names the setting whose address cannot be bound.
+    pub(crate) fn bind(settings: &Settings) -> anyhow::Result<Self> {
+        let operators = settings.operators_listen;
+        Ok(Self {
+            callers: bind(settings.callers_listen, "callers_listen")?,
+            peers: bind(settings.peers_listen, "peers_listen")?,
+            operators: Listener::bind(operators)
+                .with_context(|| taken(operators, "operators_listen"))?,
+        })
+    }
+
+    /// The bound addresses.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the system does not tell them.
+    pub(crate) fn bound(&self) -> std::io::Result<Bound> {
+        Ok(Bound {
+            callers: self.callers.local_addr()?,
+            peers: self.peers.local_addr()?,
+            operators: self.operators.address(),
+        })
+    }
+
+    /// Accepts callers, agents, other entries and operators.
+    pub(crate) fn open(self, state: &Rc<State>, program: Program, stop: &Stop) -> Open {
+        let limits = state.settings.limits.clone();
+        let operators = self.operators.gate();
+        let view = Rc::new(View::new(state.clone()));
+        monoio::spawn(self.operators.serve(program, view, limits.clone(), stop.clone()));
+        let front = Rc::new(callers::Front::new(state.clone()));
+        monoio::spawn(http::server::serve(self.callers, front, limits, state.gate.clone()));
+        let stop_peers = Rc::new(Event::new());
+        let (service, calls) = peers::channel();
+        monoio::spawn(calls.run(state.clone()));
+        let service = SchedulerServer::new(service);
+        monoio::spawn(rpc::serve(self.peers, service, stop_peers.clone()));
+        Open { state: state.clone(), stop_peers, operators }
+    }
+}
+
+impl Open {
+    /// Breaks off what is still open, and waits until it is closed.
+    pub(crate) async fn close(self) {
+        self.stop_peers.notify(usize::MAX);
+        self.state.gate.cut();
+        self.operators.cut();
+        self.state.gate.wait_closed().await;
+        self.operators.wait_closed().await;
+    }
+}
+
+fn bind(address: SocketAddr, setting: &str) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address).with_context(|| taken(address, setting))
+}
+
+fn taken(address: SocketAddr, setting: &str) -> String {
+    format!("{setting} = {address} cannot be bound; choose a free address of this host")
+}
