Name tasks and their phases once

Cause: the ledger and the agents each had a key and a phase of a task, equal but for their names, and three places converted between them. Change: the ledger uses the types of the core crate; the conversions to messages stand once. Measured: the tests of the workspace pass. Conclusion: one identity of a task from the store to the worker.

--- a/crates/bench/src/cluster/node.rs
+++ b/crates/bench/src/cluster/node.rs
@@ -102,7 +102,7 @@
     }
 
     /// Whether the process has ended.
-    pub fn has_ended(&self) -> bool {
+    pub fn is_final(&self) -> bool {
         self.thread.as_ref().is_none_or(JoinHandle::is_finished)
     }
 
--- a/crates/entry/src/batch/convert.rs
+++ b/crates/entry/src/batch/convert.rs
@@ -27,7 +27,7 @@
     Decision {
         grants: reply.grants.into_iter().map(grant).collect(),
         stops: reply.stops.into_iter().map(|(key, epoch)| stop(key, epoch)).collect(),
-        settled: reply.settled.into_iter().map(task_key).collect(),
+        settled: reply.settled.iter().map(proto::TaskKey::from).collect(),
         owned: reply.owned.into_iter().map(|(ledger, epoch)| epoch_of(ledger, epoch)).collect(),
     }
 }
@@ -36,7 +36,7 @@
     let key = status.key.as_ref()?;
     let text = status.checkpoint.as_str();
     Some(Status {
-        key: Key { ledger: key.ledger, job: key.job.as_str().into(), attempt: key.attempt },
+        key: key.into(),
         phase: phase(status.phase())?,
         checkpoint: (!text.is_empty()).then(|| text.into()),
         reason: status.reason.clone(),
@@ -61,7 +61,7 @@
     let record = grant.record;
     let spec = record.spec;
     proto::Grant {
-        key: Some(task_key(grant.key)),
+        key: Some((&grant.key).into()),
         epoch: grant.epoch,
         caller: spec.caller.to_string(),
         kind: spec.kind.to_string(),
@@ -75,11 +75,7 @@
 }
 
 fn stop(key: Key, epoch: u64) -> proto::Stop {
-    proto::Stop { key: Some(task_key(key)), epoch }
-}
-
-fn task_key(key: Key) -> proto::TaskKey {
-    proto::TaskKey { ledger: key.ledger, job: key.job.to_string(), attempt: key.attempt }
+    proto::Stop { key: Some((&key).into()), epoch }
 }
 
 fn epoch_of(ledger: u32, epoch: u64) -> proto::LedgerEpoch {
--- a/crates/policy/src/ledger/hear.rs
+++ b/crates/policy/src/ledger/hear.rs
@@ -112,7 +112,7 @@
     if current {
         advance(table, report, status, moment);
     }
-    if status.phase.has_ended() {
+    if status.phase.is_final() {
         let mark = table.last_change(&key.job);
         pending.settled.push(Item { key: key.clone(), mark });
         return;
--- a/crates/policy/tests/ledger_fuzz/agent.rs
+++ b/crates/policy/tests/ledger_fuzz/agent.rs
@@ -99,7 +99,7 @@
             }
         }
         self.tasks.retain(|task| {
-            !reply.settled.contains(&task.status.key) || !task.status.phase.has_ended()
+            !reply.settled.contains(&task.status.key) || !task.status.phase.is_final()
         });
         for (key, epoch) in &reply.stops {
             if *epoch >= self.seen(key.ledger) {
@@ -206,7 +206,7 @@
     }
 
     fn room(&self) -> u32 {
-        let held = self.tasks.iter().filter(|task| !task.status.phase.has_ended());
+        let held = self.tasks.iter().filter(|task| !task.status.phase.is_final());
         SLOTS.saturating_sub(held.map(|task| task.record.spec.resources.slots).sum())
     }
 
--- a/crates/policy/tests/system/agent.rs
+++ b/crates/policy/tests/system/agent.rs
@@ -320,8 +320,8 @@
 
     fn compose(&self, sequence: u64) -> ledger::Report {
         let status = |(key, task): (&Key, &lease::Task)| ledger::Status {
-            key: ledger_key(key),
-            phase: ledger_phase(task.phase),
+            key: key.clone(),
+            phase: task.phase,
             checkpoint: (!task.checkpoint.is_empty()).then(|| task.checkpoint.as_str().into()),
             reason: task.reason.clone(),
         };
@@ -352,7 +352,7 @@
 
 fn translate(reply: &ledger::Reply, outstanding: Outstanding) -> lease::Reply {
     let grant = |grant: &ledger::Grant| lease::Grant {
-        key: agent_key(&grant.key),
+        key: grant.key.clone(),
         epoch: grant.epoch,
         caller: grant.record.spec.caller.clone(),
         kind: grant.record.spec.kind.clone(),
@@ -365,7 +365,7 @@
     };
     let owned = |(ledger, epoch): &(u32, u64)| lease::Owned { ledger: *ledger, epoch: *epoch };
     let stop =
-        |(key, epoch): &(ledger::Key, u64)| lease::StopOrder { key: agent_key(key), epoch: *epoch };
+        |(key, epoch): &(ledger::Key, u64)| lease::StopOrder { key: key.clone(), epoch: *epoch };
     lease::Reply {
         sent: outstanding.sent,
         lease: super::entry::settings().task_lease,
@@ -373,27 +373,6 @@
         owned: reply.owned.iter().map(owned).collect(),
         grants: reply.grants.iter().map(grant).collect(),
         stops: reply.stops.iter().map(stop).collect(),
-        settled: reply.settled.iter().map(agent_key).collect(),
-    }
-}
-
-fn agent_key(key: &ledger::Key) -> Key {
-    Key { ledger: key.ledger, job: key.job.clone(), attempt: key.attempt }
-}
-
-fn ledger_key(key: &Key) -> ledger::Key {
-    ledger::Key { ledger: key.ledger, job: key.job.clone(), attempt: key.attempt }
-}
-
-fn ledger_phase(phase: Phase) -> ledger::Phase {
-    match phase {
-        Phase::Accepted => ledger::Phase::Accepted,
-        Phase::Running => ledger::Phase::Running,
-        Phase::Done => ledger::Phase::Done,
-        Phase::Failed => ledger::Phase::Failed,
-        Phase::Evicted => ledger::Phase::Evicted,
-        Phase::Stopped => ledger::Phase::Stopped,
-        Phase::Refused => ledger::Phase::Refused,
-        Phase::Lapsed => ledger::Phase::Lapsed,
+        settled: reply.settled.clone(),
     }
 }
