Name headers and check links once

Cause: agents and stand-ins had header names of their own beside those of the wire crate, and the pages linked to files that nothing checked. Change: header names come from the wire crate; a test follows every link; the default limit is 8,000 connections. Measured: the tests of agent, stand-in and command line pass.

--- a/crates/agent/src/request/forward.rs
+++ b/crates/agent/src/request/forward.rs
@@ -1,8 +1,8 @@
 //! Sends a request to the target and takes its answer.
 
+use super::Result;
 use super::carried::{Carried, Reservation};
 use super::head::Head;
-use super::{OUTCOME_HEADER, Result};
 use crate::agent::Agent;
 use futures_channel::oneshot;
 use http::{HeaderValue, Request, Response, StatusCode};
@@ -14,6 +14,7 @@
 use shallotflow_core::time::{Clock, Monotonic};
 use shallotflow_policy::admission::Id;
 use shallotflow_wire::control::INCARNATION_HEADER;
+use shallotflow_wire::header;
 use shallotflow_wire::http::body::Body;
 use shallotflow_wire::http::client::Connection;
 use shallotflow_wire::http::limits::Limits;
@@ -122,7 +123,7 @@
 
 /// Whether the worker fenced the request off before the target saw it.
 fn says_not_run(response: &Response<Body>) -> bool {
-    let outcome = response.headers().get(OUTCOME_HEADER);
+    let outcome = response.headers().get(header::OUTCOME);
     response.status() == StatusCode::CONFLICT
         && outcome.is_some_and(|outcome| outcome == Outcome::NotRun.as_str())
 }
--- a/crates/agent/src/request/head.rs
+++ b/crates/agent/src/request/head.rs
@@ -8,11 +8,10 @@
 use shallotflow_core::problem::{Code, Problem};
 use shallotflow_core::resources::Bundle;
 use shallotflow_core::time::Time;
+use shallotflow_wire::header;
 use std::time::Duration;
 
 const RUN_PREFIX: &str = "/run/";
-const CLASS_HEADER: &str = "shallotflow-class";
-const DEADLINE_HEADER: &str = "shallotflow-deadline-ms";
 const DEFAULT_DEADLINE_MS: u64 = 2_000;
 const MAX_DEADLINE_MS: u64 = 24 * 60 * 60 * 1_000;
 
@@ -42,21 +41,21 @@
 }
 
 fn class(headers: &HeaderMap) -> Result<Class> {
-    match text(headers, CLASS_HEADER)? {
+    match text(headers, header::CLASS)? {
         None | Some("quick") => Ok(Class::Quick),
         Some("watch") => Ok(Class::Watch),
-        Some(other) => Err(bad(CLASS_HEADER, other, "quick or watch")),
+        Some(other) => Err(bad(header::CLASS, other, "quick or watch")),
     }
 }
 
 fn deadline(headers: &HeaderMap) -> Result<Duration> {
-    let Some(text) = text(headers, DEADLINE_HEADER)? else {
+    let Some(text) = text(headers, header::DEADLINE_MS)? else {
         return Ok(Duration::from_millis(DEFAULT_DEADLINE_MS));
     };
     match text.parse() {
         Ok(millis @ 1..=MAX_DEADLINE_MS) => Ok(Duration::from_millis(millis)),
         _ => {
-            let detail = format!("{DEADLINE_HEADER} is {text:?}");
+            let detail = format!("{} is {text:?}", header::DEADLINE_MS);
             Err(Problem::not_run(Code::BadDeadline, detail))
         }
     }
--- a/crates/agent/src/request/mod.rs
+++ b/crates/agent/src/request/mod.rs
@@ -16,6 +16,3 @@
 
 /// The result of a step of a request; a failure is answered as it is.
 pub(crate) type Result<T> = std::result::Result<T, Problem>;
-
-/// What is known of the request that an answer belongs to.
-const OUTCOME_HEADER: &str = "shallotflow-outcome";
--- a/crates/agent/src/request/serve.rs
+++ b/crates/agent/src/request/serve.rs
@@ -3,7 +3,7 @@
 use super::forward::forward;
 use super::head::Head;
 use super::load::load;
-use super::{OUTCOME_HEADER, Result, carried};
+use super::{Result, carried};
 use crate::agent::Agent;
 use futures_util::future::LocalBoxFuture;
 use http::{HeaderValue, Request, Response, StatusCode};
@@ -12,12 +12,11 @@
 use shallotflow_core::problem::{Code, Problem};
 use shallotflow_core::time::{Clock, Monotonic};
 use shallotflow_policy::admission::{Id, Refusal};
+use shallotflow_wire::header;
 use shallotflow_wire::http::body::Body;
 use shallotflow_wire::http::server::Handler;
 use std::net::SocketAddr;
 
-const WORKER_HEADER: &str = "shallotflow-worker";
-const LOAD_HEADER: &str = "shallotflow-load";
 /// Bodies up to this length are read before a slot is asked for.
 const BUFFERED_BYTES: u64 = 64 * 1024;
 
@@ -127,7 +126,7 @@
     let headers = response.headers_mut();
     let media_type = HeaderValue::from_static(Problem::MEDIA_TYPE);
     headers.insert(http::header::CONTENT_TYPE, media_type);
-    headers.insert(OUTCOME_HEADER, HeaderValue::from_static(problem.outcome.as_str()));
+    headers.insert(header::OUTCOME, HeaderValue::from_static(problem.outcome.as_str()));
     response
 }
 
@@ -143,7 +142,7 @@
             headers.insert(name, value);
         }
     };
-    set(LOAD_HEADER, &load);
-    set(WORKER_HEADER, &agent.settings().worker);
-    headers.entry(OUTCOME_HEADER).or_insert(HeaderValue::from_static(Outcome::Done.as_str()));
+    set(header::LOAD, &load);
+    set(header::WORKER, &agent.settings().worker);
+    headers.entry(header::OUTCOME).or_insert(HeaderValue::from_static(Outcome::Done.as_str()));
 }
--- a/crates/cli/src/command/submit.rs
+++ b/crates/cli/src/command/submit.rs
@@ -10,6 +10,7 @@
 use serde_json::json;
 use shallotflow_core::ini::codec::{Codec, Span};
 use shallotflow_core::resources::Bundle;
+use shallotflow_wire::header;
 use shallotflow_wire::http::body::Body;
 use std::time::Duration;
 
@@ -98,7 +99,7 @@
         let request = Request::post("/jobs")
             .header("content-type", "application/json")
             .header("idempotency-key", key)
-            .header("shallotflow-caller", &self.caller)
+            .header(header::CALLER, &self.caller)
             .body(Body::from(body.to_string()));
         request.map_err(|error| Error::Argument(format!("key or caller is not accepted: {error}")))
     }
--- a/crates/codegen/tests/docs.rs
+++ b/crates/codegen/tests/docs.rs
@@ -27,6 +27,17 @@
     local.map(|target| directory.join(target.split('#').next().unwrap_or_default())).collect()
 }
 
+#[test]
+fn every_link_leads_to_a_file() {
+    let mut all = vec![docs().join("../README.md"), docs().join("../CONTRIBUTING.md")];
+    files(&docs(), "md", &mut all);
+    for page in all {
+        for link in links(&page) {
+            assert!(link.exists(), "{} links to {}", page.display(), link.display());
+        }
+    }
+}
+
 #[test]
 fn the_summary_lists_every_page() {
     let summary = docs().join("SUMMARY.md");
--- a/crates/core/src/settings/limits.rs
+++ b/crates/core/src/settings/limits.rs
@@ -29,7 +29,7 @@
             idle: Duration::from_secs(60),
             head: Duration::from_secs(5),
             stall: Duration::from_secs(10),
-            connections: 10_000,
+            connections: 8_000,
         }
     }
 }
--- a/crates/standin/src/target/serve.rs
+++ b/crates/standin/src/target/serve.rs
@@ -7,6 +7,7 @@
 use shallotflow_core::resources::Bundle;
 use shallotflow_core::time::{Clock, Monotonic};
 use shallotflow_wire::control::INCARNATION_HEADER;
+use shallotflow_wire::header;
 use shallotflow_wire::http::body::Body;
 use shallotflow_wire::http::server::Handler;
 use std::cell::Cell;
@@ -15,9 +16,7 @@
 use std::time::Duration;
 
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
-const OUTCOME_HEADER: &str = "shallotflow-outcome";
 const RUN_PREFIX: &str = "/run/";
-const REQUEST_ID_HEADER: &str = "shallotflow-request-id";
 /// Run time of the request alone, milliseconds; for tests.
 const RUN_MS_HEADER: &str = "standin-run-ms";
 
@@ -65,12 +64,12 @@
     let id = ticket.map_or_else(|| format!("direct.{direct}").into(), Name::from);
     let admission = Admission {
         id,
-        request_id: text(headers, REQUEST_ID_HEADER).map(Name::from),
+        request_id: text(headers, header::REQUEST_ID).map(Name::from),
         kind,
         resources: text(headers, Bundle::HEADER)
             .and_then(|text| text.parse().ok())
             .unwrap_or_default(),
-        idempotent: text(headers, "shallotflow-idempotent") == Some("true"),
+        idempotent: text(headers, header::IDEMPOTENT) == Some("true"),
         run: text(headers, RUN_MS_HEADER)
             .and_then(|text| text.parse().ok())
             .map(Duration::from_millis),
@@ -78,13 +77,13 @@
     let started = Monotonic.now();
     if let Err(fault) = floor.run_request(incarnation, admission).await {
         let mut response = refuse(StatusCode::CONFLICT, &fault.to_string());
-        response.headers_mut().insert(OUTCOME_HEADER, HeaderValue::from_static("not-run"));
+        response.headers_mut().insert(header::OUTCOME, HeaderValue::from_static("not-run"));
         return response;
     }
     let mut response = Response::new(Body::Full(body));
     response.headers_mut().insert(STARTED_HEADER, started.as_micros().into());
-    if let Some(id) = headers.get(REQUEST_ID_HEADER) {
-        response.headers_mut().insert(REQUEST_ID_HEADER, id.clone());
+    if let Some(id) = headers.get(header::REQUEST_ID) {
+        response.headers_mut().insert(header::REQUEST_ID, id.clone());
     }
     response
 }
