Build the rows on quick latency in one place

Cause: three rows of the comparison repeated the same bound on a latency beside a baseline. Change: one function makes the row; the measures, factors and texts are as they were. Conclusion: a fourth baseline is one call.

--- a/crates/bench/src/report/comparison.rs
+++ b/crates/bench/src/report/comparison.rs
@@ -83,33 +83,28 @@
 fn quick_beside_isolated(rounds: &[Round]) -> Row {
     let ours = median(rounds, |round| round.ours.quick.p99_ms);
     let isolated = median(rounds, |round| round.isolated.quick.p99_ms);
-    Row {
-        measure: "quick p99, ms, beside isolated".into(),
-        measured: format!("{ours:.1} beside {isolated:.1}"),
-        target: format!("at most {:.1}", ISOLATED_FACTOR * isolated),
-        pass: ours <= ISOLATED_FACTOR * isolated,
-    }
+    quick("quick p99, ms, beside isolated", ours, isolated, ISOLATED_FACTOR)
 }
 
 fn quick_beside_naive(rounds: &[Round]) -> Row {
     let ours = median(rounds, |round| round.ours.quick.p99_ms);
     let naive = median(rounds, |round| round.naive.quick.p99_ms);
-    Row {
-        measure: "quick p99, ms, beside naive".into(),
-        measured: format!("{ours:.1} beside {naive:.1}"),
-        target: format!("at most {:.1}", NAIVE_FACTOR * naive),
-        pass: ours <= NAIVE_FACTOR * naive,
-    }
+    quick("quick p99, ms, beside naive", ours, naive, NAIVE_FACTOR)
 }
 
 fn saturated_beside_naive(rounds: &[Round]) -> Row {
     let ours = median(rounds, |round| round.saturated.quick.p99_ms);
     let naive = median(rounds, |round| round.naive_saturated.quick.p99_ms);
+    quick("quick p99, ms, beside naive, saturated", ours, naive, NAIVE_FACTOR)
+}
+
+/// A latency that may be at most `factor` times that of a baseline.
+fn quick(measure: &str, ours: f64, baseline: f64, factor: f64) -> Row {
     Row {
-        measure: "quick p99, ms, beside naive, saturated".into(),
-        measured: format!("{ours:.1} beside {naive:.1}"),
-        target: format!("at most {:.1}", NAIVE_FACTOR * naive),
-        pass: ours <= NAIVE_FACTOR * naive,
+        measure: measure.into(),
+        measured: format!("{ours:.1} beside {baseline:.1}"),
+        target: format!("at most {:.1}", factor * baseline),
+        pass: ours <= factor * baseline,
     }
 }
 
