--- a/crates/codegen/src/lib.rs
+++ b/crates/codegen/src/lib.rs
@@ -21,6 +21,11 @@
 pub const SCHEMAS: &[Schema] = &[
     Schema { directory: "wire/proto", input: "shallotflow.proto", output: "wire/src/generated" },
     Schema { directory: "store/proto", input: "rpc.proto", output: "store/src/generated" },
+    Schema {
+        directory: "scheduler/proto",
+        input: "peers.proto",
+        output: "scheduler/src/generated",
+    },
 ];
 
 /// Writes the code of `schema` into `out`.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,11 +13,13 @@
 //! - [`log`]: which log records are written.
 //! - [`metric`]: the metrics that the processes record.
 //! - [`settings`]: how each process runs.
+//! - [`graph`]: batch work as graphs of steps and tasks.
 //! - [`job`]: batch jobs, from submission to their last state.
 //! - [`task`]: single attempts of jobs at a worker.
 
 pub mod class;
 pub mod fleet;
+pub mod graph;
 pub mod ini;
 pub mod job;
 pub mod log;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`lease`]: batch tasks of one worker under leases, fenced by epochs.
 //! - [`ledger`]: batch jobs under an owner: grants, recovery, cancellation and retention.
 //! - [`member`]: which targets and entries are alive.
+//! - [`plan`]: graphs of tasks on many workers, decided by one owner.
 //! - [`planted`]: faults that tests switch on to show that a check can fail.
 //! - [`outlier`]: setting failing and slow workers aside, within a bound.
 //! - [`reserve`]: room kept free for quick work, following the recent peak.
@@ -27,6 +28,7 @@
 pub mod ledger;
 pub mod member;
 pub mod outlier;
+pub mod plan;
 pub mod planted;
 pub mod reserve;
 pub mod retry;
--- /dev/null
+++ b/crates/policy/src/plan/accept.rs
@@ -0,0 +1,60 @@
+//! The system that takes jobs in and cancels them.
+
+use super::{Job, Phase, Progress, Table};
+use shallotflow_core::graph::{self, Id, State};
+use shallotflow_core::time::Time;
+
+impl Table {
+    /// Takes in a job that the store holds; one that is known already changes nothing.
+    ///
+    /// `fresh` says that no predecessor can have known the job, so that all its tasks may start.
+    pub fn accept(&mut self, id: Id, job: graph::Job, fresh: bool, now: Time) -> bool {
+        self.load(id, job, None, fresh, now)
+    }
+
+    /// Takes in a job with what the store holds of its progress.
+    pub fn load(
+        &mut self,
+        id: Id,
+        job: graph::Job,
+        progress: Option<&Progress>,
+        fresh: bool,
+        now: Time,
+    ) -> bool {
+        if self.jobs.contains_key(&id) {
+            return false;
+        }
+        let mut job = Job::new(id, job, now);
+        if let Some(queue) = self.queues.get(&job.queue.name) {
+            job.queue = queue.clone();
+        }
+        for row in &mut job.rows {
+            row.ready = now;
+            if !fresh && self.uncertain {
+                row.phase = Phase::Uncertain;
+            }
+        }
+        if let Some(progress) = progress {
+            job.restore(progress);
+            job.begun = progress.state != State::Queued;
+        }
+        job.recount();
+        let ended = job.ended;
+        if ended.is_some() {
+            job.forget = now.after(self.settings.retention);
+        } else {
+            self.active.insert(id);
+        }
+        let done = job.is_done();
+        self.jobs.insert(id, job);
+        if ended.is_none() && done {
+            self.end(id, State::Completed, "every task is done", now);
+        }
+        true
+    }
+
+    /// Ends a job for its caller; the cancel is recorded already.
+    pub fn cancel(&mut self, id: Id, now: Time) {
+        self.end(id, State::Cancelled, "the caller cancelled it", now);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/plan/hear.rs
@@ -0,0 +1,370 @@
+//! The system that takes agents' reports in.
+
+use super::message::{Answer, End, How, Kind, Outcome, Report, Run, Standing};
+use super::{Event, Phase, Table, Worker};
+use shallotflow_core::graph::{State, Task};
+use shallotflow_core::name::Name;
+use shallotflow_core::time::Time;
+
+/// How far the numbers of runs of one owner lie above those of its predecessor.
+const RUNS_PER_EPOCH: u64 = 1_024;
+
+impl Table {
+    /// Takes a report in. One that was overtaken by a later one changes nothing.
+    pub fn hear(&mut self, report: Report, now: Time) {
+        let agent = report.agent.clone();
+        let worker = self.workers.entry(agent.clone()).or_default();
+        if worker.process != report.process {
+            // What the former process received but did not carry out is withdrawn when the lists
+            // of the new one are complete.
+            worker.process = report.process;
+            worker.outbox.clear();
+            worker.ordered = 0;
+            worker.sequence = 0;
+            worker.synced = false;
+        }
+        if report.sequence <= worker.sequence {
+            return;
+        }
+        worker.sequence = report.sequence;
+        worker.heard = now;
+        worker.empty = now.after(self.settings.lease);
+        while worker.outbox.front().is_some_and(|order| order.number <= report.received) {
+            worker.outbox.pop_front();
+        }
+        self.meet(&agent, &report, now);
+        for end in report.ends {
+            self.take_end(&agent, end, now);
+        }
+        for answer in &report.answers {
+            self.take_answer(&agent, answer, now);
+        }
+        if let Some(running) = &report.running {
+            self.take_running(&agent, running, report.complete, now);
+        }
+        self.confirm(&agent);
+    }
+
+    /// Compares the worker with the one that was known.
+    fn meet(&mut self, agent: &Name, report: &Report, now: Time) {
+        let Some(profile) = &report.worker else { return };
+        let Some(worker) = self.workers.get_mut(agent) else { return };
+        let known = worker.profile.replace(profile.clone());
+        let reborn = known.is_some_and(|known| known.lifetime != profile.lifetime);
+        if reborn {
+            worker.ends.clear();
+            worker.recorded = 0;
+            worker.failing.clear();
+            worker.aside = Time::ZERO;
+            worker.asides = 0;
+            self.lose(agent, "the worker started again", now);
+        } else if profile.standing == Standing::Empty {
+            self.lose(agent, "the last lease has ended", now);
+        }
+    }
+
+    /// The runs of `agent` are over. Starts that were not answered may still be carried out in a
+    /// new life of the worker, so they are withdrawn there first.
+    pub(super) fn lose(&mut self, agent: &Name, reason: &'static str, now: Time) {
+        let Some(worker) = self.workers.get(agent) else { return };
+        let tasks: Vec<Task> = worker.placed.keys().copied().collect();
+        if tasks.is_empty() {
+            return;
+        }
+        let reborn = worker.synced
+            && worker.profile.as_ref().is_some_and(|p| p.standing != Standing::Empty)
+            && !worker.empty.passed(now);
+        self.events.push(Event::Lost { agent: agent.clone(), reason, runs: tasks.len() });
+        for task in tasks {
+            let row = self.jobs.get(&task.job).and_then(|job| Some(&job.rows[job.number(&task)?]));
+            match row.map(|row| row.phase.clone()) {
+                Some(Phase::Starting { run, .. }) if reborn => {
+                    self.stop(task, "its start may still be carried out");
+                    debug_assert!(run > 0);
+                }
+                Some(Phase::Stopping { run, .. }) if reborn => {
+                    self.order_stop(agent, task, run, "its start may still be carried out");
+                }
+                _ => self.release(task, now, now),
+            }
+        }
+    }
+
+    fn take_end(&mut self, agent: &Name, end: End, now: Time) {
+        let Some(worker) = self.workers.get_mut(agent) else { return };
+        if end.number <= worker.recorded || worker.ends.contains_key(&end.number) {
+            return;
+        }
+        worker.ends.insert(end.number, None);
+        let End { task, run, how, .. } = end;
+        self.events.push(Event::End { task, run, agent: agent.clone(), how });
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let Some(number) = job.number(&task) else { return };
+        job.begun = true;
+        let lasting = job.step(&task).lasting;
+        let attempts = job.queue.attempts.max(1) as usize;
+        let row = &mut job.rows[number];
+        row.last_run = row.last_run.max(run);
+        let current = row.is_current(agent, run);
+        if row.phase != Phase::Done && end.checkpoint.is_some() {
+            row.checkpoint = end.checkpoint;
+        }
+        match how {
+            How::Done if !lasting => self.finish(agent, task, number, current, now),
+            How::Failed => {
+                let again = row.failed.contains(&run);
+                if !again && !lasting {
+                    row.failed.push(run);
+                }
+                row.failed_at = Some(agent.clone());
+                row.misses = row.misses.saturating_add(1);
+                let misses = row.misses;
+                let exhausted = row.failed.len() >= attempts && !lasting;
+                if current {
+                    let retry = if lasting { self.backoff(misses, now) } else { now };
+                    self.release(task, now, retry);
+                }
+                self.touch(task.job, now);
+                if exhausted {
+                    self.end(task.job, State::Failed, "a task failed in all its attempts", now);
+                }
+                self.suspect(agent, task, now);
+            }
+            _ => {
+                if current {
+                    self.release(task, now, now);
+                }
+                if matches!(how, How::Done | How::Stopped | How::Lapsed) {
+                    self.touch(task.job, now);
+                }
+            }
+        }
+        let version = self.jobs.get(&task.job).map_or(0, |job| job.version);
+        let recorded = self.jobs.get(&task.job).is_none_or(|job| job.recorded >= version);
+        if let Some(worker) = self.workers.get_mut(agent) {
+            worker.ends.insert(end.number, (!recorded).then_some((task.job, version)));
+        }
+    }
+
+    /// The work of `task` is done, by whichever run.
+    fn finish(&mut self, agent: &Name, task: Task, number: usize, current: bool, now: Time) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        if job.rows[number].phase == Phase::Done {
+            return;
+        }
+        let other = job.rows[number].current().map(|(other, run)| (other.clone(), run));
+        if let Some((other, run)) = other {
+            if let Some(worker) = self.workers.get_mut(&other) {
+                worker.placed.remove(&task);
+            }
+            if !current {
+                self.order_stop(&other, task, run, "another run has done its work");
+            }
+        }
+        if let Some(worker) = self.workers.get_mut(agent) {
+            worker.failing.clear();
+            worker.asides = 0;
+        }
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let row = &mut job.rows[number];
+        row.phase = Phase::Done;
+        row.checkpoint = None;
+        job.count_done(&task);
+        let done = job.is_done();
+        self.touch(task.job, now);
+        if done {
+            self.end(task.job, State::Completed, "every task is done", now);
+        }
+        self.mark_ready(task, now);
+    }
+
+    /// Notes when the steps that waited for that of `task` opened.
+    fn mark_ready(&mut self, task: Task, now: Time) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        for step in 0..job.spec.steps.len() {
+            let follows = job.spec.steps[step].after.contains(&task.step);
+            if follows && job.is_open(task.occurrence, step) {
+                let range = job.range(task.occurrence, step);
+                for row in &mut job.rows[range] {
+                    row.ready = now;
+                }
+            }
+        }
+    }
+
+    /// Sets a worker aside on which the tasks of several jobs failed, one after the other.
+    fn suspect(&mut self, agent: &Name, task: Task, now: Time) {
+        let workers = self.workers.len();
+        let aside = self.workers.values().filter(|worker| !worker.aside.passed(now)).count();
+        let Some(worker) = self.workers.get_mut(agent) else { return };
+        worker.failing.insert(task.job);
+        let failures = u32::try_from(worker.failing.len()).unwrap_or(u32::MAX);
+        // With a third of the workers aside, the fault is elsewhere.
+        if failures < self.settings.failures || aside * 3 >= workers {
+            return;
+        }
+        let pause = self.settings.aside.saturating_mul(1 << worker.asides.min(4));
+        worker.aside = now.after(pause);
+        worker.asides += 1;
+        worker.failing.clear();
+        let pause_ms = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX);
+        self.events.push(Event::Aside { agent: agent.clone(), failures, pause_ms });
+    }
+
+    fn take_answer(&mut self, agent: &Name, answer: &Answer, now: Time) {
+        let Answer { task, run, outcome } = *answer;
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let Some(number) = job.number(&task) else { return };
+        let row = &mut job.rows[number];
+        if !row.is_current(agent, run) {
+            return;
+        }
+        if outcome != Outcome::Started {
+            self.events.push(Event::Answer { task, run, agent: agent.clone(), outcome });
+        }
+        match (&row.phase, outcome) {
+            (Phase::Starting { .. }, Outcome::Started) => {
+                row.phase = Phase::Running { agent: agent.clone(), run };
+                row.stalls = now.after(self.settings.stall);
+                row.misses = 0;
+                job.begun = true;
+            }
+            (_, Outcome::Started) => {}
+            (Phase::Starting { .. }, Outcome::Old) => {
+                // Whether it has run and ended shows when the stop is answered.
+                self.stop(task, "the worker knows the run or a later one");
+            }
+            (Phase::Stopping { .. }, outcome) if outcome != Outcome::Absent => {}
+            (_, outcome) => {
+                row.misses = row.misses.saturating_add(1);
+                let misses = row.misses;
+                let retry = match outcome {
+                    Outcome::Absent => now,
+                    _ => self.backoff(misses, now),
+                };
+                self.release(task, now, retry);
+                if matches!(outcome, Outcome::NoRoom | Outcome::Unhealthy | Outcome::NotReady) {
+                    let full = now.after(self.settings.pause.saturating_mul(4));
+                    if let Some(worker) = self.workers.get_mut(agent) {
+                        worker.full = full;
+                    }
+                }
+            }
+        }
+    }
+
+    fn take_running(&mut self, agent: &Name, running: &[Run], complete: bool, now: Time) {
+        for run in running {
+            self.take_run(agent, run, now);
+        }
+        let Some(worker) = self.workers.get_mut(agent) else { return };
+        if !complete || worker.synced {
+            return;
+        }
+        worker.synced = true;
+        let lost: Vec<Task> = worker
+            .placed
+            .keys()
+            .filter(|task| !running.iter().any(|run| run.task == **task))
+            .copied()
+            .collect();
+        for task in lost {
+            let row = self.jobs.get(&task.job).and_then(|job| Some(&job.rows[job.number(&task)?]));
+            match row.map(|row| row.phase.clone()) {
+                Some(Phase::Starting { .. }) => self.stop(task, "its agent started again"),
+                Some(Phase::Stopping { run, .. }) => {
+                    self.order_stop(agent, task, run, "its agent started again");
+                }
+                _ => self.release(task, now, now),
+            }
+        }
+        self.missing.remove(agent);
+        self.settle(now);
+    }
+
+    /// Takes one run of a worker's list in.
+    fn take_run(&mut self, agent: &Name, run: &Run, now: Time) {
+        let Run { task, run: number, .. } = *run;
+        let stall = self.settings.stall;
+        let known = self.jobs.get_mut(&task.job).filter(|job| job.ended.is_none());
+        let Some(job) = known else {
+            return self.stop_unknown(agent, task, number, "its job has ended or is not known");
+        };
+        let Some(place) = job.number(&task) else {
+            return self.stop_unknown(agent, task, number, "its job has no such task");
+        };
+        let row = &mut job.rows[place];
+        row.last_run = row.last_run.max(number);
+        match &row.phase {
+            Phase::Uncertain => {
+                row.phase = Phase::Running { agent: agent.clone(), run: number };
+                row.stalls = now.after(stall);
+                job.begun = true;
+                self.occupy(agent, task);
+                self.events.push(Event::Adopted { task, run: number, agent: agent.clone() });
+            }
+            _ if !row.is_current(agent, number) => {
+                return self.stop_unknown(agent, task, number, "another run goes on or is done");
+            }
+            Phase::Starting { .. } => {
+                row.phase = Phase::Running { agent: agent.clone(), run: number };
+                row.stalls = now.after(stall);
+                job.begun = true;
+            }
+            _ => {}
+        }
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let row = &mut job.rows[place];
+        // A run that is slowed down on purpose does not stall.
+        if run.percent != row.percent || run.pace < 100 {
+            row.percent = run.percent;
+            row.stalls = now.after(stall);
+        }
+        if run.checkpoint.is_some() {
+            row.checkpoint.clone_from(&run.checkpoint);
+        }
+        if let Some(placed) =
+            self.workers.get_mut(agent).and_then(|worker| worker.placed.get_mut(&task))
+        {
+            placed.figure = run.figure;
+            placed.pace = run.pace;
+        }
+    }
+
+    fn stop_unknown(&mut self, agent: &Name, task: Task, run: u32, reason: &'static str) {
+        let Some(worker) = self.workers.get(agent) else { return };
+        let stop = |order: &super::message::Order| {
+            order.task == task && order.run == run && order.kind == Kind::Stop
+        };
+        let row = self.jobs.get(&task.job).and_then(|job| Some(&job.rows[job.number(&task)?]));
+        let stopping = row.is_some_and(|row| {
+            matches!(row.phase, Phase::Stopping { .. }) && row.is_current(agent, run)
+        });
+        if !stopping && !worker.outbox.iter().any(stop) {
+            self.order_stop(agent, task, run, reason);
+        }
+    }
+
+    /// Moves the watermark up to which the worker may forget its ends.
+    pub(super) fn confirm(&mut self, agent: &Name) {
+        let Self { workers, jobs, .. } = self;
+        let Some(Worker { ends, recorded, .. }) = workers.get_mut(agent) else { return };
+        while let Some((number, needs)) = ends.first_key_value() {
+            let kept = needs.is_none_or(|(id, version)| {
+                jobs.get(&id).is_none_or(|job| job.recorded >= version)
+            });
+            if !kept {
+                break;
+            }
+            *recorded = *number;
+            ends.pop_first();
+        }
+    }
+
+    /// The number of the next run of a task whose last one was `last`.
+    pub(super) fn next_run(&self, last: u32) -> u32 {
+        let base = self.epoch.saturating_sub(1).saturating_mul(RUNS_PER_EPOCH);
+        let base = u32::try_from(base).unwrap_or(u32::MAX - 1);
+        last.max(base) + 1
+    }
+}
--- /dev/null
+++ b/crates/policy/src/plan/message/reply.rs
@@ -0,0 +1,22 @@
+use super::Order;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// The owner's answer to a report.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reply {
+    /// The owner; a lower one than the agent knows is not obeyed.
+    pub epoch: u64,
+    /// Whether the answering entry owns the table. If not, `owner` says who does.
+    pub owned: bool,
+    /// Where the owner takes reports, as far as the entry knows.
+    pub owner: Option<SocketAddr>,
+    /// The report that is answered; the agent may renew leases from when it sent it.
+    pub sequence: u64,
+    /// Orders that the agent has not received yet.
+    pub orders: Vec<Order>,
+    /// Ends up to this number are recorded; the worker may forget them.
+    pub recorded: u64,
+    /// Where the entries take reports.
+    pub entries: Vec<SocketAddr>,
+}
--- /dev/null
+++ b/crates/policy/src/plan/mod.rs
@@ -0,0 +1,40 @@
+//! Graphs of tasks on many workers, decided by one owner.
+//!
+//! The owner keeps one [`Table`] of jobs and workers. Agents report what their workers run and what
+//! has ended; callers hand in and cancel jobs; systems run over the table each tick and leave
+//! orders for agents and records for the store.
+//!
+//! - [`message`]: what agents and the owner tell each other.
+//! - [`Settings`]: limits and weights of the decisions.
+//! - [`Progress`]: what the store keeps of a job that has begun.
+//! - [`Event`]: what was decided, for the log.
+//! - `accept`, `hear`, `expire`, `place`, `record`: the systems.
+//!
+//! A start is not recorded before it is ordered. Workers fence, number their runs and list what
+//! runs and what has ended until told that the end is recorded, so a new owner learns from the
+//! lists what its predecessor started. Tasks that an agent that has not reported yet may still
+//! run stay [`Phase::Uncertain`] until it reports or its last lease must have ended.
+
+mod accept;
+mod event;
+mod expire;
+mod hear;
+mod job;
+pub mod message;
+mod place;
+mod progress;
+mod record;
+mod room;
+mod row;
+mod settings;
+mod table;
+mod worker;
+
+pub use event::Event;
+pub use job::Job;
+pub use progress::Progress;
+pub use record::Record;
+pub use row::{Phase, Row};
+pub use settings::Settings;
+pub use table::Table;
+pub use worker::Worker;
--- /dev/null
+++ b/crates/policy/src/plan/place.rs
@@ -0,0 +1,248 @@
+//! The system that gives waiting tasks to workers.
+//!
+//! Under load, tasks wait in the order of their queue's priority, then of their arrival. A task
+//! goes to the worker whose processors are expected to be used least with it, among those that can
+//! hold it. Tasks that fill are placed only while the processors of a worker are not promised in
+//! full: beyond that, each more would slow down all that are there.
+
+use super::message::{Kind, Profile};
+use super::room::{Room, Rooms};
+use super::{Event, Phase, Table};
+use shallotflow_core::graph::{Id, Step, Task};
+use shallotflow_core::name::Name;
+use shallotflow_core::resources::Bundle;
+use shallotflow_core::time::Time;
+
+/// Score of a worker on which the task has failed, above that of any other.
+const FAILED_HERE: f64 = 10.0;
+/// Score of a worker that is set aside, above all others.
+const SET_ASIDE: f64 = 100.0;
+
+/// A place for a task.
+struct Place {
+    task: Task,
+    agent: Name,
+    pressure: f64,
+}
+
+impl Table {
+    /// Starts what can start at `now`, at agents that the store lists as possible holders of runs:
+    /// a successor waits for those.
+    pub fn place(&mut self, now: Time, holders: &[Name]) {
+        let mut rooms = self.rooms(now);
+        rooms.retain(|agent, _| holders.contains(agent));
+        if rooms.is_empty() {
+            return;
+        }
+        let mut order: Vec<(u32, Time, Id)> = self
+            .active
+            .iter()
+            .filter_map(|id| self.jobs.get(id))
+            .map(|job| (job.queue.priority, job.heard, job.id))
+            .collect();
+        order.sort_unstable();
+        for (_, _, id) in order {
+            for places in self.places(id, &mut rooms, now) {
+                self.start(places, now);
+            }
+        }
+    }
+
+    fn rooms(&self, now: Time) -> Rooms {
+        let takes = |(agent, worker): (&Name, &super::Worker)| {
+            if !worker.takes_tasks(now, self.settings.quiet) {
+                return None;
+            }
+            let capacity = worker.profile.as_ref()?.capacity;
+            Some((agent.clone(), Room::of(worker, capacity, &self.settings)))
+        };
+        self.workers.iter().filter_map(takes).collect()
+    }
+
+    /// Places for the waiting tasks of a job, as far as there is room; a gang is placed as a whole.
+    fn places(&self, id: Id, rooms: &mut Rooms, now: Time) -> Vec<Place> {
+        let Some(job) = self.jobs.get(&id) else { return Vec::new() };
+        let mut places = Vec::new();
+        for occurrence in 0..job.spec.occurrences() {
+            if job.spec.due_ms(occurrence) > self.wall_ms {
+                break;
+            }
+            for (number, step) in job.spec.steps.iter().enumerate() {
+                if !job.is_open(occurrence, number) {
+                    continue;
+                }
+                let range = job.range(occurrence, number);
+                let waits = |row: &super::Row| row.phase == Phase::Waiting && row.retry.passed(now);
+                let waiting: Vec<usize> =
+                    range.clone().filter(|place| waits(&job.rows[*place])).collect();
+                if waiting.is_empty() || (step.gang && waiting.len() < range.len()) {
+                    continue;
+                }
+                let mut tried = step.gang.then(|| rooms.clone());
+                let rooms_here = tried.as_mut().unwrap_or(rooms);
+                let mut found = Vec::new();
+                for place in waiting {
+                    let task = job.task(place);
+                    let Some((agent, pressure)) =
+                        self.choose(&task, step, job, &found, rooms_here, now)
+                    else {
+                        break;
+                    };
+                    take(rooms_here, &agent, step);
+                    found.push(Place { task, agent, pressure });
+                }
+                if let Some(tried) = tried {
+                    if found.len() < range.len() {
+                        continue;
+                    }
+                    *rooms = tried;
+                }
+                places.extend(found);
+            }
+        }
+        places
+    }
+
+    /// The worker for `task`, and the expected use of its processors with it.
+    fn choose(
+        &self,
+        task: &Task,
+        step: &Step,
+        job: &super::Job,
+        found: &[Place],
+        rooms: &Rooms,
+        now: Time,
+    ) -> Option<(Name, f64)> {
+        let row = &job.rows[job.number(task)?];
+        let need = self.counted(step);
+        let mut best: Option<(f64, &Name, f64)> = None;
+        for (agent, room) in rooms {
+            if !room.free.holds(&need) {
+                continue;
+            }
+            let worker = self.workers.get(agent)?;
+            let Some(profile) = &worker.profile else { continue };
+            if !self.suits(profile, step, job) {
+                continue;
+            }
+            if step.per_worker > 0 {
+                let same = |other: &&Task| {
+                    other.job == task.job
+                        && other.step == task.step
+                        && other.occurrence == task.occurrence
+                };
+                let here = worker.placed.keys().filter(same).count();
+                let planned = found.iter().filter(|place| place.agent == *agent);
+                let planned = planned.map(|place| &place.task).filter(same).count();
+                if here + planned >= step.per_worker as usize {
+                    continue;
+                }
+            }
+            let pressure = room.pressure(self.expected(step));
+            if step.fills && pressure > self.settings.fill_limit && room.filling > 0 {
+                continue;
+            }
+            let mut score = pressure;
+            let far = step.near.is_some() && step.near != profile.rack;
+            if far {
+                score *= self.settings.spread_factor;
+            }
+            if step.same_rack {
+                let elsewhere = |place: &&Place| {
+                    let rack = self.workers.get(&place.agent).and_then(|w| w.profile.as_ref());
+                    rack.is_some_and(|other| other.rack != profile.rack)
+                };
+                if found.iter().any(|place| elsewhere(&place)) {
+                    score += self.settings.spread_factor;
+                }
+            }
+            if row.failed_at.as_ref() == Some(agent) {
+                score += FAILED_HERE;
+            }
+            if !worker.aside.passed(now) {
+                score += SET_ASIDE;
+            }
+            if best.is_none_or(|(lowest, ..)| score < lowest) {
+                best = Some((score, agent, pressure));
+            }
+        }
+        let (score, agent, pressure) = best?;
+        // A worker that fails what it starts is no help while others are only full.
+        (score < SET_ASIDE).then(|| (agent.clone(), pressure))
+    }
+
+    fn suits(&self, profile: &Profile, step: &Step, job: &super::Job) -> bool {
+        profile.service == job.queue.service
+            && step.requires.as_ref().is_none_or(|label| profile.labels.contains(label))
+    }
+
+    /// What a task of `step` takes of a worker's room.
+    fn counted(&self, step: &Step) -> Bundle {
+        if step.fills { Bundle { millicores: 0, ..step.need } } else { step.need }
+    }
+
+    /// Processors that a task of `step` is expected to use, thousandths.
+    fn expected(&self, step: &Step) -> f64 {
+        let millicores = f64::from(step.need.millicores);
+        if step.target_ms > 0 { millicores * self.settings.serving_use } else { millicores }
+    }
+
+    fn start(&mut self, place: Place, now: Time) {
+        let Place { task, agent, pressure } = place;
+        let Some(job) = self.jobs.get(&task.job) else { return };
+        let Some(number) = job.number(&task) else { return };
+        let step = job.step(&task);
+        let last = if step.gang {
+            let range = job.range(task.occurrence, usize::from(task.step));
+            // The members of a gang share the number of the run, and none has started yet.
+            let last = |row: &super::Row| match row.phase {
+                Phase::Starting { run, .. } => run - 1,
+                _ => row.last_run,
+            };
+            job.rows[range].iter().map(last).max().unwrap_or(0)
+        } else {
+            job.rows[number].last_run
+        };
+        let run = self.next_run(last);
+        let checkpoint = if step.gang {
+            // Each member's checkpoint holds for all, and all must go on from the same one.
+            let range = job.range(task.occurrence, usize::from(task.step));
+            job.rows[range].iter().find_map(|row| row.checkpoint.clone())
+        } else {
+            job.rows[number].checkpoint.clone()
+        };
+        let order = Kind::Start {
+            text: job.spec.text.clone(),
+            checkpoint,
+            fills: step.fills,
+            target_ms: step.target_ms,
+        };
+        let withdraw = now.after(self.settings.unanswered);
+        self.occupy(&agent, task);
+        let Some(worker) = self.workers.get_mut(&agent) else { return };
+        worker.order(task, run, order);
+        let report_age_ms = u64::try_from(now.since(worker.heard).as_millis()).unwrap_or(u64::MAX);
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let row = &mut job.rows[number];
+        row.last_run = run;
+        row.phase = Phase::Starting { agent: agent.clone(), run, withdraw };
+        row.percent = 0;
+        let waited_ms = u64::try_from(now.since(row.ready).as_millis()).unwrap_or(u64::MAX);
+        let event = Event::Start { task, run, agent, waited_ms, report_age_ms, pressure };
+        self.events.push(event);
+    }
+}
+
+/// Takes the room of a task of `step` at `agent`.
+fn take(rooms: &mut Rooms, agent: &Name, step: &Step) {
+    let Some(room) = rooms.get_mut(agent) else { return };
+    let counted = if step.fills { Bundle { millicores: 0, ..step.need } } else { step.need };
+    room.free = room.free.minus(&counted);
+    room.used += f64::from(step.need.millicores);
+    if step.fills {
+        room.filling += 1;
+    }
+    if step.target_ms > 0 {
+        room.serving += 1;
+    }
+}
--- /dev/null
+++ b/crates/policy/src/plan/table.rs
@@ -0,0 +1,213 @@
+use super::message::{Kind, Order, Reply};
+use super::worker::Placed;
+use super::{Event, Job, Phase, Settings, Worker};
+use foldhash::{HashMap, HashMapExt};
+use shallotflow_core::graph::{Id, Queue, State, Task};
+use shallotflow_core::name::Name;
+use shallotflow_core::time::Time;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The jobs and workers of one owner.
+#[derive(Debug)]
+pub struct Table {
+    pub(super) settings: Settings,
+    pub(super) epoch: u64,
+    pub(super) jobs: HashMap<Id, Job>,
+    /// Jobs that have not ended.
+    pub(super) active: BTreeSet<Id>,
+    pub(super) workers: BTreeMap<Name, Worker>,
+    /// Queues by name, as the newest configuration has them.
+    pub(super) queues: HashMap<Name, Queue>,
+    /// Jobs whose changes are not recorded, with when they are due.
+    pub(super) dirty: BTreeMap<Id, Time>,
+    /// Agents that may hold runs of predecessors, and when they surely hold none.
+    pub(super) missing: BTreeMap<Name, Time>,
+    pub(super) uncertain: bool,
+    pub(super) events: Vec<Event>,
+    /// The wall clock, milliseconds since 1970, as of the last tick.
+    pub(super) wall_ms: u64,
+}
+
+impl Table {
+    /// An empty table of the owner numbered `epoch`.
+    ///
+    /// `agents` are those that may hold runs of predecessors; they are waited for until they
+    /// report or until their leases have ended.
+    pub fn new(settings: Settings, epoch: u64, agents: Vec<Name>, now: Time) -> Self {
+        let empty = now.after(settings.lease);
+        Self {
+            settings,
+            epoch,
+            jobs: HashMap::new(),
+            active: BTreeSet::new(),
+            workers: BTreeMap::new(),
+            queues: HashMap::new(),
+            dirty: BTreeMap::new(),
+            uncertain: !agents.is_empty(),
+            missing: agents.into_iter().map(|agent| (agent, empty)).collect(),
+            events: Vec::new(),
+            wall_ms: 0,
+        }
+    }
+
+    /// The number of the owner, which workers check.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// The job `id`.
+    pub fn job(&self, id: Id) -> Option<&Job> {
+        self.jobs.get(&id)
+    }
+
+    /// All jobs.
+    pub fn jobs(&self) -> impl Iterator<Item = &Job> {
+        self.jobs.values()
+    }
+
+    /// All workers by their agents.
+    pub fn workers(&self) -> &BTreeMap<Name, Worker> {
+        &self.workers
+    }
+
+    /// The state of `id` in `queue` that callers may be shown, if the owner knows the job.
+    pub fn shown(&self, queue: &str, id: Id) -> Option<State> {
+        self.jobs.get(&id).filter(|job| &*job.queue.name == queue).map(Job::shown)
+    }
+
+    /// Jobs of `queue` that wait for their first task to start.
+    pub fn waiting(&self, queue: &str) -> usize {
+        let active = self.active.iter().filter_map(|id| self.jobs.get(id));
+        active.filter(|job| &*job.queue.name == queue && !job.begun).count()
+    }
+
+    /// Agents that may hold runs of this owner: those that a successor has to wait for.
+    pub fn holders(&self) -> Vec<Name> {
+        let synced = self.workers.iter().filter(|(_, worker)| worker.synced);
+        let mut holders: BTreeSet<Name> = synced.map(|(agent, _)| agent.clone()).collect();
+        holders.extend(self.missing.keys().cloned());
+        holders.into_iter().collect()
+    }
+
+    /// Takes over the queues of a newer configuration.
+    pub fn set_queues(&mut self, queues: Vec<Queue>) {
+        self.queues = queues.into_iter().map(|queue| (queue.name.clone(), queue)).collect();
+        for id in &self.active {
+            let Some(job) = self.jobs.get_mut(id) else { continue };
+            if let Some(queue) = self.queues.get(&job.queue.name) {
+                job.queue = queue.clone();
+            }
+        }
+    }
+
+    /// The answer to the last report of `agent`, with orders that it has not received.
+    pub fn reply(&self, agent: &str) -> Reply {
+        let Some(worker) = self.workers.get(agent) else {
+            return Reply { epoch: self.epoch, owned: true, ..Reply::default() };
+        };
+        Reply {
+            epoch: self.epoch,
+            owned: true,
+            sequence: worker.sequence,
+            orders: worker.outbox.iter().cloned().collect(),
+            recorded: worker.recorded,
+            ..Reply::default()
+        }
+    }
+
+    /// Whether `agent` has orders to fetch, or ends to forget above `recorded`.
+    pub fn has_news(&self, agent: &str, recorded: u64) -> bool {
+        let Some(worker) = self.workers.get(agent) else { return false };
+        !worker.outbox.is_empty() || worker.recorded > recorded
+    }
+
+    /// Takes what was decided since the last call.
+    pub fn take_events(&mut self) -> Vec<Event> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// Ends the current run of `task`, if there is one; it may end in another way meanwhile.
+    pub(super) fn stop(&mut self, task: Task, reason: &'static str) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let Some(number) = job.number(&task) else { return };
+        let row = &mut job.rows[number];
+        let (agent, run) = match &row.phase {
+            Phase::Starting { agent, run, .. } | Phase::Running { agent, run } => {
+                (agent.clone(), *run)
+            }
+            _ => return,
+        };
+        row.phase = Phase::Stopping { agent: agent.clone(), run };
+        self.order_stop(&agent, task, run, reason);
+    }
+
+    pub(super) fn order_stop(&mut self, agent: &Name, task: Task, run: u32, reason: &'static str) {
+        if let Some(worker) = self.workers.get_mut(agent) {
+            worker.order(task, run, Kind::Stop);
+        }
+        self.events.push(Event::Stop { task, run, agent: agent.clone(), reason });
+    }
+
+    /// The current run of `task` is over; it waits again from `retry` on.
+    pub(super) fn release(&mut self, task: Task, now: Time, retry: Time) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let Some(number) = job.number(&task) else { return };
+        let row = &mut job.rows[number];
+        let agent = row.current().map(|(agent, _)| agent.clone());
+        row.phase = Phase::Waiting;
+        row.retry = retry;
+        row.ready = now;
+        row.percent = 0;
+        if let Some(worker) = agent.and_then(|agent| self.workers.get_mut(&agent)) {
+            worker.placed.remove(&task);
+        }
+    }
+
+    /// When a task that missed may be tried again; the pause doubles with each miss.
+    pub(super) fn backoff(&self, misses: u32, now: Time) -> Time {
+        let pause = self.settings.pause.saturating_mul(1 << misses.min(8));
+        now.after(pause.min(self.settings.longest_pause))
+    }
+
+    /// Decides that `id` has ended as `state`; its runs are stopped.
+    pub(super) fn end(&mut self, id: Id, state: State, reason: &'static str, now: Time) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if job.ended.is_some() {
+            return;
+        }
+        job.ended = Some(state);
+        job.ended_ms = self.wall_ms;
+        job.forget = now.after(self.settings.retention);
+        let current = |(number, row): (usize, &super::Row)| row.current().map(|_| number);
+        let running: Vec<_> = job.rows.iter().enumerate().filter_map(current).collect();
+        let running: Vec<_> = running.into_iter().map(|number| job.task(number)).collect();
+        self.active.remove(&id);
+        self.events.push(Event::Job { job: id, state, reason });
+        for task in running {
+            self.stop(task, reason);
+        }
+        self.touch(id, now);
+    }
+
+    /// Notes that `task` takes room at `agent`.
+    pub(super) fn occupy(&mut self, agent: &Name, task: Task) {
+        let Some(job) = self.jobs.get(&task.job) else { return };
+        let step = job.step(&task);
+        let placed = Placed {
+            need: step.need,
+            fills: step.fills,
+            image: step.image.clone(),
+            target_ms: step.target_ms,
+            figure: 0,
+            pace: 100,
+        };
+        if let Some(worker) = self.workers.get_mut(agent) {
+            worker.placed.insert(task, placed);
+        }
+    }
+
+    /// Orders that `agent` has not received.
+    pub fn orders(&self, agent: &str) -> Vec<Order> {
+        self.workers.get(agent).map(|w| w.outbox.iter().cloned().collect()).unwrap_or_default()
+    }
+}
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -1,5 +1,6 @@
 //! What every process shares: its runtime, its stop signal, logs, metrics and operators' listener.
 //!
+//! - [`clock`]: clocks that keep running while the host is suspended.
 //! - [`executor`]: the single-threaded runtime.
 //! - [`stop`]: graceful and immediate stops, from signals or from another thread.
 //! - [`listen`]: addresses that a process listens on, each for itself.
@@ -19,6 +20,7 @@
 //!
 //! and drains `operators_gate` before it returns. Its `main` is [`process::Process::main`].
 
+pub mod clock;
 pub mod executor;
 pub mod listen;
 pub mod logs;
--- /dev/null
+++ b/crates/scheduler/src/agent/desk.rs
@@ -0,0 +1,449 @@
+//! What the agent knows and owes; no I/O.
+
+use super::{Control, Error, Lists, Settings};
+use shallotflow_core::graph::Task;
+use shallotflow_core::name::Name;
+use shallotflow_core::time::Time;
+use shallotflow_policy::plan::message::{
+    Answer, End, Lifetime, Order, Outcome, Profile, Reply, Report, Run, Standing,
+};
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+/// A run by its task and number.
+pub(super) type Key = (Task, u32);
+
+/// Ends that one list holds at most.
+const ENDS_PER_LIST: usize = 500;
+/// Reports whose sending times are kept, so that their replies can be matched.
+const SENT_KEPT: usize = 64;
+/// Margin on the end of a lease, for the time that a call is under way.
+const LEASE_MARGIN: Duration = Duration::from_millis(60);
+
+/// A run at the worker.
+pub(super) struct Held {
+    pub(super) run: Run,
+    pub(super) fills: bool,
+    pub(super) target_ms: u32,
+    started: Time,
+}
+
+/// Something that has to reach the owner.
+struct Owed<T> {
+    item: T,
+    /// The first report that carried it.
+    first: Option<u64>,
+    confirmed: bool,
+}
+
+/// The agent's table.
+pub(super) struct Desk {
+    settings: Settings,
+    agent: Name,
+    process: u64,
+    epoch: u64,
+    sequence: u64,
+    profile: Option<Profile>,
+    registration: u64,
+    leaves: Option<Time>,
+    left: bool,
+    lifetime: Option<Lifetime>,
+    running: BTreeMap<Key, Held>,
+    ends: BTreeMap<u64, Owed<End>>,
+    answers: Vec<Owed<Answer>>,
+    received: u64,
+    recorded: u64,
+    sent: VecDeque<(u64, Time)>,
+    authorised: Time,
+    granted: Time,
+    offset_ms: Option<i64>,
+    failures: u32,
+    complete: bool,
+    listed: Option<Time>,
+    /// Runs that are withdrawn, with when the worker confirmed the stop.
+    withdrawn: BTreeMap<Key, Option<Time>>,
+    /// What is known of runs that were ordered, for their pace.
+    traits: BTreeMap<Key, (bool, u32)>,
+}
+
+impl Desk {
+    pub(super) fn new(settings: Settings, agent: Name, process: u64, now: Time) -> Self {
+        // A former process of the agent may have renewed leases just before it ended.
+        let granted = now.after(settings.lease * (100 + settings.drift_percent) / 100);
+        Self {
+            settings,
+            agent,
+            process,
+            epoch: 0,
+            sequence: 0,
+            profile: None,
+            registration: 0,
+            leaves: None,
+            left: false,
+            lifetime: None,
+            running: BTreeMap::new(),
+            ends: BTreeMap::new(),
+            answers: Vec::new(),
+            received: 0,
+            recorded: 0,
+            sent: VecDeque::new(),
+            authorised: Time::ZERO,
+            granted,
+            offset_ms: None,
+            failures: 0,
+            complete: false,
+            listed: None,
+            withdrawn: BTreeMap::new(),
+            traits: BTreeMap::new(),
+        }
+    }
+
+    pub(super) fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    pub(super) fn lifetime(&self) -> Option<&Lifetime> {
+        self.lifetime.as_ref()
+    }
+
+    pub(super) fn recorded(&self) -> u64 {
+        self.recorded
+    }
+
+    pub(super) fn is_complete(&self) -> bool {
+        self.complete
+    }
+
+    pub(super) fn is_busy(&self) -> bool {
+        !self.running.is_empty() || !self.withdrawn.is_empty()
+    }
+
+    pub(super) fn running(&self) -> &BTreeMap<Key, Held> {
+        &self.running
+    }
+
+    pub(super) fn is_withdrawn(&self, key: &Key) -> bool {
+        self.withdrawn.contains_key(key)
+    }
+
+    /// Whether the worker takes new tasks.
+    pub(super) fn takes_tasks(&self) -> bool {
+        self.profile.as_ref().is_some_and(|profile| profile.standing == Standing::Ready)
+    }
+
+    /// Takes a registration of the worker in; `false` when it is older than what is known.
+    pub(super) fn register(&mut self, profile: Profile, registration: u64, now: Time) -> bool {
+        let older =
+            self.lifetime.as_ref().is_some_and(|own| own.born_ms > profile.lifetime.born_ms);
+        let same = self.lifetime.as_ref() == Some(&profile.lifetime);
+        if older || (same && registration <= self.registration) {
+            return false;
+        }
+        if !same {
+            self.begin(profile.lifetime.clone());
+        }
+        self.leaves = match profile.standing {
+            Standing::Draining { remaining_ms } => {
+                Some(now.after(Duration::from_millis(remaining_ms)))
+            }
+            _ => None,
+        };
+        self.registration = registration;
+        self.profile = Some(profile);
+        true
+    }
+
+    /// The worker as it registered last.
+    pub(super) fn registered(&self) -> Option<(Lifetime, Standing)> {
+        let profile = self.profile.as_ref()?;
+        Some((profile.lifetime.clone(), profile.standing))
+    }
+
+    /// The worker `id` has said that it leaves now; `false` when it is another one.
+    pub(super) fn deregister(&mut self, id: &str) -> bool {
+        let own = self.lifetime.as_ref().is_some_and(|own| &*own.id == id);
+        self.left |= own;
+        own
+    }
+
+    /// The state, for operators.
+    pub(super) fn dump(&self, now: Time) -> serde_json::Value {
+        serde_json::json!({
+            "agent": &*self.agent,
+            "epoch": self.epoch,
+            "worker": self.profile(now),
+            "running": self.running.values().map(|held| &held.run).collect::<Vec<_>>(),
+            "ends": self.ends.len(),
+            "recorded": self.recorded,
+            "complete": self.complete,
+            "authorised_left_ms": self.authorised.left(now).as_millis(),
+            "lease_left_ms": self.granted.left(now).as_millis(),
+        })
+    }
+
+    /// Another life of the worker began; it holds and knows nothing of before.
+    fn begin(&mut self, lifetime: Lifetime) {
+        let first = self.lifetime.is_none();
+        if let Some(profile) = &mut self.profile {
+            profile.lifetime = lifetime.clone();
+            profile.standing = Standing::Ready;
+        }
+        self.lifetime = Some(lifetime);
+        self.registration = 0;
+        self.leaves = None;
+        self.left = false;
+        self.offset_ms = None;
+        self.failures = 0;
+        self.listed = None;
+        if !first {
+            self.running.clear();
+            self.ends.clear();
+            self.recorded = 0;
+            self.granted = Time::ZERO;
+            self.complete = false;
+        }
+    }
+
+    /// The end of the lease that may be given now, on the worker's clock, milliseconds.
+    pub(super) fn lease_ms(&mut self, now: Time) -> Option<u64> {
+        let offset = self.offset_ms?;
+        if self.authorised.passed(now) {
+            return None;
+        }
+        let left = self.authorised.left(now);
+        let drift = left * self.settings.drift_percent / 100;
+        self.granted = self.granted.max(self.authorised.after(drift).after(LEASE_MARGIN));
+        let own = i64::try_from(self.authorised.as_millis()).unwrap_or(i64::MAX);
+        u64::try_from(own.saturating_add(offset)).ok()
+    }
+
+    /// Takes the worker's lists in; `sent` is when they were asked for, `epoch` for which owner.
+    pub(super) fn looked(&mut self, lists: Lists, epoch: u64, sent: Time, now: Time) {
+        if self.lifetime.as_ref() != Some(&lists.lifetime) {
+            let older = |own: &Lifetime| own.born_ms > lists.lifetime.born_ms;
+            if self.lifetime.as_ref().is_some_and(older) {
+                return;
+            }
+            self.begin(lists.lifetime.clone());
+        }
+        self.failures = 0;
+        self.heard_clock(lists.clock_ms, now);
+        let page_full = lists.ends.len() >= ENDS_PER_LIST;
+        for end in lists.ends {
+            if end.number <= self.recorded {
+                continue;
+            }
+            self.running.remove(&(end.task, end.run));
+            self.traits.remove(&(end.task, end.run));
+            self.withdrawn.remove(&(end.task, end.run));
+            let owed = |end| Owed { item: end, first: None, confirmed: false };
+            self.ends.entry(end.number).or_insert_with(|| owed(end));
+        }
+        let recorded = self.recorded;
+        self.ends.retain(|number, _| *number > recorded);
+        self.take_running(lists.running, sent);
+        let gone: Vec<Key> = self
+            .withdrawn
+            .iter()
+            .filter(|(key, stopped)| {
+                let before = stopped.is_some_and(|stopped| stopped < sent);
+                before && !self.running.contains_key(key) && !page_full
+            })
+            .map(|(key, _)| *key)
+            .collect();
+        for (task, run) in gone {
+            self.withdrawn.remove(&(task, run));
+            self.answer(task, run, Outcome::Absent);
+        }
+        if epoch == self.epoch && epoch > 0 {
+            self.complete = true;
+        }
+    }
+
+    fn take_running(&mut self, running: Vec<Run>, sent: Time) {
+        let paces: BTreeMap<Key, u8> =
+            self.running.iter().map(|(key, held)| (*key, held.run.pace)).collect();
+        // A run that was started after the lists were asked for may not be in them yet.
+        self.running.retain(|_, held| held.started >= sent);
+        for mut run in running {
+            let key = (run.task, run.run);
+            run.pace = paces.get(&key).copied().unwrap_or(100);
+            let (fills, target_ms) = self.traits.get(&key).copied().unwrap_or_default();
+            let held = Held { run, fills, target_ms, started: Time::ZERO };
+            self.running.insert(key, held);
+        }
+    }
+
+    /// Notes that a look gave nothing.
+    pub(super) fn look_failed(&mut self, error: &Error) {
+        match error {
+            // Another life answers; the next look reads its lists.
+            Error::OtherLifetime => self.complete = false,
+            Error::Fenced => {}
+            _ => self.failures = self.failures.saturating_add(1),
+        }
+    }
+
+    pub(super) fn is_silent(&self) -> bool {
+        self.failures >= self.settings.silent_looks
+    }
+
+    fn heard_clock(&mut self, clock_ms: u64, now: Time) {
+        let clock = i64::try_from(clock_ms).unwrap_or(i64::MAX);
+        let own = i64::try_from(now.as_millis()).unwrap_or(i64::MAX);
+        self.offset_ms = Some(clock.saturating_sub(own));
+    }
+
+    /// A start was answered with success.
+    pub(super) fn started(&mut self, order: &Order, fills: bool, target_ms: u32, now: Time) {
+        let key = (order.task, order.run);
+        let ended = self.ends.values().any(|end| (end.item.task, end.item.run) == key);
+        if !ended {
+            let run = Run {
+                task: order.task,
+                run: order.run,
+                checkpoint: None,
+                percent: 0,
+                figure: 0,
+                pace: 100,
+            };
+            self.traits.insert(key, (fills, target_ms));
+            self.running.insert(key, Held { run, fills, target_ms, started: now });
+        }
+        self.answer(order.task, order.run, Outcome::Started);
+    }
+
+    /// Owes the owner an answer.
+    pub(super) fn answer(&mut self, task: Task, run: u32, outcome: Outcome) {
+        let answer = Answer { task, run, outcome };
+        self.answers.push(Owed { item: answer, first: None, confirmed: false });
+    }
+
+    /// A run is being withdrawn; `false` when that goes on already.
+    pub(super) fn withdraw(&mut self, key: Key) -> bool {
+        if self.withdrawn.contains_key(&key) {
+            return false;
+        }
+        self.withdrawn.insert(key, None);
+        true
+    }
+
+    /// The worker confirmed the stop of a withdrawn run.
+    pub(super) fn stopped(&mut self, key: Key, now: Time) {
+        if let Some(stopped) = self.withdrawn.get_mut(&key) {
+            *stopped = Some(now);
+        }
+    }
+
+    /// The stop of a withdrawn run need not be repeated.
+    pub(super) fn give_up_withdrawal(&mut self, key: Key) {
+        self.withdrawn.remove(&key);
+    }
+
+    pub(super) fn set_pace(&mut self, key: Key, percent: u8) {
+        if let Some(held) = self.running.get_mut(&key) {
+            held.run.pace = percent;
+        }
+    }
+
+    /// The next report.
+    pub(super) fn report(&mut self, now: Time) -> Report {
+        self.sequence += 1;
+        let sequence = self.sequence;
+        self.sent.push_back((sequence, now));
+        if self.sent.len() > SENT_KEPT {
+            self.sent.pop_front();
+        }
+        let mut report = Report {
+            agent: self.agent.clone(),
+            process: self.process,
+            epoch: self.epoch,
+            sequence,
+            worker: self.profile(now),
+            complete: self.complete,
+            running: None,
+            ends: Vec::new(),
+            answers: Vec::new(),
+            received: self.received,
+        };
+        if !self.complete {
+            return report;
+        }
+        for owed in self.ends.values_mut().filter(|owed| !owed.confirmed) {
+            owed.first.get_or_insert(sequence);
+            report.ends.push(owed.item.clone());
+        }
+        for owed in &mut self.answers {
+            owed.first.get_or_insert(sequence);
+            report.answers.push(owed.item);
+        }
+        let due = |listed: Time| listed.after(self.settings.list_interval).passed(now);
+        if self.listed.is_none_or(due) {
+            self.listed = Some(now);
+            report.running = Some(self.running.values().map(|held| held.run.clone()).collect());
+        }
+        report
+    }
+
+    fn profile(&self, now: Time) -> Option<Profile> {
+        let mut profile = self.profile.clone()?;
+        if self.left && self.failures > 0 {
+            profile.standing = Standing::Empty;
+        } else if self.is_silent() {
+            let empty = self.granted.passed(now);
+            profile.standing = if empty { Standing::Empty } else { Standing::Silent };
+        } else if let Some(leaves) = self.leaves {
+            let left = leaves.left(now).as_millis();
+            let remaining_ms = u64::try_from(left).unwrap_or(u64::MAX);
+            profile.standing = Standing::Draining { remaining_ms };
+        }
+        Some(profile)
+    }
+
+    /// Takes a reply of an owner in; returns the orders that are new.
+    pub(super) fn replied(&mut self, reply: Reply) -> Vec<Order> {
+        if !reply.owned || reply.epoch < self.epoch {
+            return Vec::new();
+        }
+        if reply.epoch > self.epoch {
+            self.obey(reply.epoch);
+            return Vec::new();
+        }
+        let sequence = reply.sequence;
+        let sent = self.sent.iter().find(|(number, _)| *number == sequence);
+        if let Some((_, sent)) = sent {
+            self.authorised = self.authorised.max(sent.after(self.settings.lease));
+        }
+        let told = |first: Option<u64>| first.is_some_and(|first| first <= sequence);
+        self.answers.retain(|owed| !told(owed.first));
+        for owed in self.ends.values_mut().filter(|owed| told(owed.first)) {
+            owed.confirmed = true;
+        }
+        self.recorded = self.recorded.max(reply.recorded);
+        let known = self.received;
+        let fresh: Vec<Order> =
+            reply.orders.into_iter().filter(|order| order.number > known).collect();
+        if let Some(last) = fresh.last() {
+            self.received = last.number;
+        }
+        fresh
+    }
+
+    /// A later owner is there: nothing that was told to the former one counts.
+    fn obey(&mut self, epoch: u64) {
+        self.epoch = epoch;
+        self.sequence = 0;
+        self.sent.clear();
+        self.received = 0;
+        self.complete = false;
+        self.listed = None;
+        self.answers.clear();
+        for owed in self.ends.values_mut() {
+            owed.first = None;
+            owed.confirmed = false;
+        }
+    }
+}
+
+/// The worker's calls as the loops share them.
+pub(super) type Caller = std::rc::Rc<dyn Control>;
--- /dev/null
+++ b/crates/scheduler/src/agent/lists.rs
@@ -0,0 +1,14 @@
+use shallotflow_policy::plan::message::{End, Lifetime, Run};
+
+/// What a worker says of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Lists {
+    /// Which life of the worker it is.
+    pub lifetime: Lifetime,
+    /// The worker's clock, milliseconds.
+    pub clock_ms: u64,
+    /// What runs.
+    pub running: Vec<Run>,
+    /// What has ended and was not confirmed, oldest first.
+    pub ends: Vec<End>,
+}
--- /dev/null
+++ b/crates/scheduler/src/agent/look.rs
@@ -0,0 +1,124 @@
+//! The loop that looks at the worker, renews leases and sets paces.
+
+use super::pace::{Controller, Served, changes};
+use super::{Agent, Error};
+use shallotflow_core::time::Clock;
+use shallotflow_runtime::clock::Boottime;
+use std::rc::Rc;
+
+/// Looks at the worker for ever; each look waits for an end for a while.
+pub(super) async fn follow(agent: Rc<Agent>) {
+    let mut pace = Controller::default();
+    loop {
+        match look(&agent).await {
+            Ok(()) => set_paces(&agent, &mut pace),
+            Err(error) => {
+                let before = agent.desk.borrow().is_silent();
+                agent.desk.borrow_mut().look_failed(&error);
+                if agent.desk.borrow().is_silent() != before {
+                    spdlog::warn!("worker lost", kv: { reason = error.to_string() });
+                    agent.news.notify(usize::MAX);
+                }
+                monoio::time::sleep(agent.settings.look_pause).await;
+            }
+        }
+    }
+}
+
+async fn look(agent: &Rc<Agent>) -> Result<(), Error> {
+    let sent = Boottime.now();
+    let (lifetime, lease, recorded, epoch, busy, complete, silent) = {
+        let mut desk = agent.desk.borrow_mut();
+        let lease = desk.lease_ms(sent);
+        let lifetime = desk.lifetime().cloned();
+        let complete = desk.is_complete();
+        let busy = desk.is_busy();
+        (lifetime, lease, desk.recorded(), desk.epoch(), busy, complete, desk.is_silent())
+    };
+    if lifetime.is_none() {
+        // The worker has not registered since this process began.
+        monoio::select! {
+            () = attention(agent, agent.settings.idle_wait) => {}
+            () = monoio::time::sleep(agent.settings.idle_wait) => {}
+        }
+        return Ok(());
+    }
+    let wait = match (complete, busy) {
+        // The owner waits for the lists, or a lease has no clock to count on yet.
+        (false, _) => std::time::Duration::ZERO,
+        (true, true) => agent.settings.look_wait,
+        (true, false) => agent.settings.idle_wait,
+    };
+    let wait = if lease.is_none() { wait.min(agent.settings.look_wait) } else { wait };
+    let limit = wait + agent.settings.call_limit;
+    let looking = agent.control.look(lifetime.as_ref(), lease, recorded, epoch, wait, limit);
+    let lists = monoio::select! {
+        lists = looking => lists?,
+        // Something was ordered meanwhile; a look that is under way would miss it.
+        () = attention(agent, wait) => return Ok(()),
+    };
+    let news = {
+        let mut desk = agent.desk.borrow_mut();
+        let ends = lists.ends.iter().any(|end| end.number > recorded);
+        desk.looked(lists, epoch, sent, Boottime.now());
+        ends || !complete || silent
+    };
+    if silent {
+        spdlog::info!("worker regained");
+    }
+    if news {
+        agent.news.notify(usize::MAX);
+    }
+    if !complete && epoch == 0 {
+        // Without an owner there is nothing to hurry for.
+        monoio::time::sleep(agent.settings.look_pause).await;
+    }
+    Ok(())
+}
+
+async fn attention(agent: &Rc<Agent>, wait: std::time::Duration) {
+    if wait.is_zero() {
+        return std::future::pending().await;
+    }
+    agent.attention.listen().await;
+}
+
+/// Lets tasks that fill work as fast as the tasks beside them allow.
+fn set_paces(agent: &Rc<Agent>, pace: &mut Controller) {
+    let desk = agent.desk.borrow();
+    let served: Vec<Served> = desk
+        .running()
+        .values()
+        .filter(|held| held.target_ms > 0 && held.run.percent == 100)
+        .map(|held| Served { tail_ms: held.run.figure, target_ms: held.target_ms })
+        .collect();
+    let fills = desk.running().iter().filter(|(_, held)| held.fills);
+    let fills: Vec<_> = fills.map(|(key, held)| (*key, held.run.pace)).collect();
+    let percent = pace.decide(&served, Boottime.now());
+    let changed = changes(&fills, percent);
+    let (lifetime, epoch) = (desk.lifetime().cloned(), desk.epoch());
+    drop(desk);
+    let Some(lifetime) = lifetime else { return };
+    if !changed.is_empty() {
+        let tail = served.iter().map(|served| (served.tail_ms, served.target_ms)).max();
+        let (tail_ms, target_ms) = tail.unwrap_or_default();
+        let details = serde_json::json!({
+            "percent": percent, "runs": changed.len(), "tail_ms": tail_ms, "target_ms": target_ms,
+        });
+        crate::log::decision("pace", &details);
+    }
+    for key in changed {
+        agent.desk.borrow_mut().set_pace(key, percent);
+        let (agent, lifetime) = (agent.clone(), lifetime.clone());
+        monoio::spawn(async move {
+            let (task, run) = key;
+            let limit = agent.settings.call_limit;
+            let set = agent.control.pace(&lifetime, task, run, percent, epoch, limit).await;
+            if let Err(error) = set {
+                // The next look sees the pace as not set and sets it again.
+                spdlog::debug!("pace not set", kv: { reason = error.to_string() });
+                agent.desk.borrow_mut().set_pace(key, u8::MAX);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/entry/elect.rs
@@ -0,0 +1,158 @@
+//! When the table is claimed or given up.
+//!
+//! The table has one owner at a time by the revision of one key. A claim takes no waiting: workers
+//! refuse the orders of an owner with a lower number, and the store refuses its records. So an
+//! entry claims as soon as the owner has given up, or its presence has ended and it does not answer
+//! or has itself lost the store.
+
+use super::holder::Holder;
+use super::{Entry, keys, membership, own};
+use shallotflow_core::time::Clock;
+use shallotflow_runtime::clock::Boottime;
+use shallotflow_store::error::Error;
+use shallotflow_store::transaction::Transaction;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Pause between two looks at who owns the table.
+const INTERVAL: Duration = Duration::from_millis(100);
+
+/// Claims the table and gives it up as needed, for ever.
+pub(super) async fn follow(entry: Rc<Entry>) {
+    loop {
+        let changed = entry.changed.listen();
+        monoio::select! {
+            _ = changed => {}
+            () = monoio::time::sleep(INTERVAL) => {}
+        }
+        if entry.reign.borrow().is_some() {
+            check(&entry);
+        } else if !entry.stopping.get() && should_claim(&entry).await {
+            claim(&entry).await;
+        }
+    }
+}
+
+/// Gives the table up when this entry is cut off while others are not.
+fn check(entry: &Rc<Entry>) {
+    let now = Boottime.now();
+    let contact = entry.contact.get();
+    if now < contact.after(entry.settings.store_quiet) {
+        return;
+    }
+    let known = entry.known.borrow();
+    let others = known.entries.len() > 1;
+    let reach = known.others_reach_store > contact;
+    let miss = now < known.others_miss_store.after(entry.settings.store_quiet);
+    let alone = contact.after(entry.settings.alone).passed(now) && others && !miss;
+    drop(known);
+    if reach {
+        entry.give_up("the store answers other entries only");
+    } else if alone {
+        entry.give_up("neither the store nor another entry answers");
+    }
+}
+
+async fn should_claim(entry: &Rc<Entry>) -> bool {
+    let now = Boottime.now();
+    let (holder, present, rank) = {
+        let known = entry.known.borrow();
+        if !known.read || now > entry.contact.get().after(entry.settings.store_quiet) {
+            return false;
+        }
+        let holder = known.holder.clone();
+        let present = holder.as_ref().is_some_and(|holder| {
+            known.entries.get(&holder.entry).is_some_and(|own| own.process == holder.process)
+        });
+        let rank = known.entries.keys().take_while(|name| **name < entry.name).count();
+        (holder, present, rank)
+    };
+    let Some(holder) = holder else {
+        stagger(entry, rank).await;
+        return entry.known.borrow().holder.is_none();
+    };
+    let former_self = holder.entry == entry.name;
+    if present && !former_self {
+        return false;
+    }
+    if !holder.entry.is_empty() && !former_self {
+        let owner = entry.client(holder.address);
+        let standing = membership::ask(entry, &owner).await;
+        let quiet = u64::try_from(entry.settings.store_quiet.as_millis()).unwrap_or(u64::MAX);
+        let sound = standing.is_some_and(|(epoch, owned, store_age_ms)| {
+            owned && epoch == holder.epoch && store_age_ms < quiet
+        });
+        if sound {
+            return false;
+        }
+    }
+    if !former_self {
+        stagger(entry, rank).await;
+    }
+    let known = entry.known.borrow();
+    known.holder.as_ref().is_some_and(|known| *known == holder)
+}
+
+/// Entries claim one after the other, so that most claims find the table taken.
+async fn stagger(entry: &Rc<Entry>, rank: usize) {
+    let rank = u32::try_from(rank).unwrap_or(u32::MAX).min(8);
+    monoio::time::sleep(entry.settings.claim_stagger * rank).await;
+}
+
+async fn claim(entry: &Rc<Entry>) {
+    if let Err(error) = try_claim(entry).await {
+        spdlog::warn!("claim failed", kv: { reason = error.to_string() });
+        entry.give_up("the claim could not be completed");
+        monoio::time::sleep(entry.settings.store_pause).await;
+    }
+}
+
+async fn try_claim(entry: &Rc<Entry>) -> Result<(), Error> {
+    let current = entry.store.get(keys::OWNER).await;
+    entry.note(&current);
+    let current = current?;
+    let (epoch, revision) = match &current {
+        None => (0, 0),
+        Some(pair) => {
+            let holder = serde_json::from_slice::<Holder>(&pair.value);
+            let holder = holder.map_err(|error| Error::Rejected { reason: error.to_string() })?;
+            // Only the owner that was found gone may be replaced.
+            let seen = entry.known.borrow().holder.clone();
+            if seen.is_some_and(|seen| seen != holder) {
+                entry.hear_of(holder);
+                return Ok(());
+            }
+            (holder.epoch, pair.mod_revision)
+        }
+    };
+    let holder = Holder {
+        epoch: epoch + 1,
+        entry: entry.name.clone(),
+        process: entry.process,
+        address: entry.address,
+    };
+    let value = serde_json::to_vec(&holder).unwrap_or_default();
+    let transaction =
+        Transaction::default().written_by(keys::OWNER, revision).put(keys::OWNER, value);
+    let revision = match entry.commit(transaction).await {
+        Ok(revision) => revision,
+        Err(Error::NotApplied { .. }) => return Ok(()),
+        Err(error) if error.may_be_applied() => {
+            let Some(revision) = read_claim(entry, &holder).await? else { return Ok(()) };
+            revision
+        }
+        Err(error) => return Err(error),
+    };
+    entry.hear_of(holder.clone());
+    own::load(entry, &holder, revision).await
+}
+
+/// The revision of a claim whose answer was lost, if it was carried out.
+async fn read_claim(entry: &Rc<Entry>, holder: &Holder) -> Result<Option<i64>, Error> {
+    let pair = entry.store.get(keys::OWNER).await;
+    entry.note(&pair);
+    let own = |value: &[u8]| {
+        serde_json::from_slice::<Holder>(value).is_ok_and(|stored| stored == *holder)
+    };
+    Ok(pair?.filter(|pair| own(&pair.value)).map(|pair| pair.mod_revision))
+}
--- /dev/null
+++ b/crates/scheduler/src/entry/membership.rs
@@ -0,0 +1,169 @@
+//! The entry's presence at the store, and who is there beside it.
+
+use super::Entry;
+use super::holder::{Holder, Presence};
+use super::keys;
+use crate::peers::{Answer, Question};
+use shallotflow_core::time::Clock;
+use shallotflow_runtime::clock::Boottime;
+use shallotflow_store::error::Error;
+use shallotflow_store::pair::Pair;
+use shallotflow_store::transaction::Transaction;
+use shallotflow_store::watch::Change;
+use std::rc::Rc;
+
+/// Keeps the entry's presence at the store, for ever.
+pub(super) async fn announce(entry: Rc<Entry>) {
+    let mut lease = None;
+    let mut lost = false;
+    loop {
+        if entry.stopping.get() {
+            return;
+        }
+        match renew(&entry, &mut lease).await {
+            Ok(()) => {
+                if lost {
+                    spdlog::info!("store regained");
+                    lost = false;
+                }
+                monoio::time::sleep(entry.settings.renewal).await;
+            }
+            Err(error) => {
+                if !lost {
+                    spdlog::warn!("store lost", kv: { reason = error.to_string() });
+                    lost = true;
+                }
+                monoio::time::sleep(entry.settings.store_pause).await;
+            }
+        }
+    }
+}
+
+async fn renew(entry: &Rc<Entry>, lease: &mut Option<i64>) -> Result<(), Error> {
+    // The key may be gone though the lease is kept; the watch shows that.
+    let announced = entry
+        .known
+        .borrow()
+        .entries
+        .get(&entry.name)
+        .is_some_and(|presence| presence.process == entry.process);
+    if let (Some(id), true) = (*lease, announced) {
+        let kept = entry.store.keep_alive(id).await;
+        entry.note(&kept);
+        match kept {
+            Err(Error::LeaseGone { .. }) => {}
+            other => return other,
+        }
+    }
+    let id = entry.store.grant(entry.settings.presence).await;
+    entry.note(&id);
+    let id = id?;
+    let presence = Presence { process: entry.process, address: entry.address };
+    let value = serde_json::to_vec(&presence).unwrap_or_default();
+    let key = format!("{}{}", keys::ENTRIES, entry.name);
+    entry.commit(Transaction::default().put_leased(key, value, id)).await?;
+    *lease = Some(id);
+    entry.known.borrow_mut().entries.insert(entry.name.clone(), presence);
+    Ok(())
+}
+
+/// Follows who owns the table and who is there, for ever.
+pub(super) async fn follow(entry: Rc<Entry>) {
+    loop {
+        if let Err(error) = watch(&entry).await {
+            spdlog::debug!("membership unknown", kv: { reason = error.to_string() });
+        }
+        monoio::time::sleep(entry.settings.store_pause).await;
+    }
+}
+
+async fn watch(entry: &Rc<Entry>) -> Result<(), Error> {
+    let snapshot = entry.store.range(keys::MEMBERSHIP).await;
+    entry.note(&snapshot);
+    let snapshot = snapshot?;
+    entry.known.borrow_mut().entries.clear();
+    for pair in &snapshot.pairs {
+        take(entry, pair);
+    }
+    entry.known.borrow_mut().read = true;
+    entry.changed.notify(usize::MAX);
+    let mut watch = entry.store.watch(keys::MEMBERSHIP, snapshot.revision + 1).await?;
+    loop {
+        let update = watch.next().await;
+        entry.note(&update);
+        for change in update?.changes {
+            match change {
+                Change::Put(pair) => take(entry, &pair),
+                Change::Delete { key, .. } => {
+                    if let Some(name) = key.strip_prefix(keys::ENTRIES) {
+                        entry.known.borrow_mut().entries.remove(name);
+                        crate::log::decision("entry gone", &name);
+                    }
+                }
+            }
+        }
+        entry.changed.notify(usize::MAX);
+    }
+}
+
+fn take(entry: &Rc<Entry>, pair: &Pair) {
+    if Entry::is_owner_key(&pair.key) {
+        match serde_json::from_slice::<Holder>(&pair.value) {
+            Ok(holder) => entry.hear_of(holder),
+            Err(error) => {
+                spdlog::error!("owner unreadable", kv: { reason = error.to_string() });
+            }
+        }
+    } else if let Some(name) = pair.key.strip_prefix(keys::ENTRIES) {
+        match serde_json::from_slice::<Presence>(&pair.value) {
+            Ok(presence) => {
+                entry.known.borrow_mut().entries.insert(name.into(), presence);
+            }
+            Err(error) => {
+                spdlog::error!("entry unreadable", kv: { name, reason = error.to_string() });
+            }
+        }
+    }
+}
+
+/// Asks the owner how it stands, again and again.
+///
+/// The owner learns in turn whether the store answers others, and of later owners.
+pub(super) async fn ask_owner(entry: Rc<Entry>) {
+    loop {
+        monoio::time::sleep(entry.settings.standing_interval).await;
+        let Some(owner) = entry.owner() else { continue };
+        ask(&entry, &owner).await;
+    }
+}
+
+/// Asks `peer` how it stands; `None` without an answer.
+pub(super) async fn ask(
+    entry: &Rc<Entry>,
+    peer: &crate::peers::Client,
+) -> Option<(u64, bool, u64)> {
+    let epoch = entry.known.borrow().holder.as_ref().map_or(0, |holder| holder.epoch);
+    let question = Question::Standing { epoch, store_age_ms: entry.store_age_ms() };
+    match peer.ask(&question, entry.settings.ask_limit).await {
+        Ok(Answer::Standing { epoch, owned, store_age_ms, .. }) => {
+            note_standing(entry, store_age_ms);
+            Some((epoch, owned, store_age_ms))
+        }
+        Ok(_) => None,
+        Err(error) => {
+            spdlog::debug!("owner silent", kv: { reason = error.to_string() });
+            None
+        }
+    }
+}
+
+/// Notes how another entry stands with the store.
+pub(super) fn note_standing(entry: &Rc<Entry>, store_age_ms: u64) {
+    let now = Boottime.now();
+    let mut known = entry.known.borrow_mut();
+    if u128::from(store_age_ms) < entry.settings.store_quiet.as_millis() {
+        known.others_reach_store = now;
+    } else {
+        known.others_miss_store = now;
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/entry/settings.rs
@@ -0,0 +1,47 @@
+use std::time::Duration;
+
+/// The limits of an entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Length of the lease of the entry's presence; the shortest that the store grants.
+    pub presence: Duration,
+    /// Pause between two renewals of it; a third of its length.
+    pub renewal: Duration,
+    /// Longest time that the reply to a report waits for orders.
+    pub reply_wait: Duration,
+    /// Limit of a question to another entry; a hundred round trips between failure domains.
+    pub ask_limit: Duration,
+    /// Pause between two questions to the owner how it stands.
+    pub standing_interval: Duration,
+    /// An owner whom the store has not answered for this long gives up if another entry is
+    /// answered.
+    pub store_quiet: Duration,
+    /// An owner whom neither the store nor an entry has answered for this long gives up.
+    pub alone: Duration,
+    /// Pause between two looks at the deadlines.
+    pub tick: Duration,
+    /// Pause after a failed call to the store.
+    pub store_pause: Duration,
+    /// Longest time for which a job is tried to be stored before its caller is told.
+    pub submit_limit: Duration,
+    /// Pause between the claims of two entries that see an owner gone, by their rank.
+    pub claim_stagger: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            presence: Duration::from_millis(1_000),
+            renewal: Duration::from_millis(330),
+            reply_wait: Duration::from_millis(400),
+            ask_limit: Duration::from_millis(250),
+            standing_interval: Duration::from_millis(400),
+            store_quiet: Duration::from_millis(1_500),
+            alone: Duration::from_millis(2_500),
+            tick: Duration::from_millis(25),
+            store_pause: Duration::from_millis(60),
+            submit_limit: Duration::from_millis(1_500),
+            claim_stagger: Duration::from_millis(60),
+        }
+    }
+}
