Learn which images disturb which, and slow only the culprits

Cause: tasks that fill add much to the tail latency of some serving images and little to others; one pace for all of them slowed the harmless ones too.

Change: disturbance::Rates learns what each pair adds; the owner places tasks that fill where they harm least and serving tasks of one image together; the agent slows down only images that explain a miss.

Ruled out: the use of processors as the cause. Regression over listed figures shows pairs that add 5 to 10 targets for a whole worker beside others that add nothing at the same use.

--- a/crates/core/src/graph/id.rs
+++ b/crates/core/src/graph/id.rs
@@ -1,5 +1,5 @@
 use super::{Error, Result};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use std::fmt;
 use std::str::FromStr;
 
@@ -7,8 +7,9 @@
 const DIGITS: usize = 16;
 
 /// The caller's identifier of a job: 16 hexadecimal digits.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
+///
+/// Readable formats hold the digits, others the number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Id(pub u64);
 
 impl FromStr for Id {
@@ -28,3 +29,22 @@
         write!(f, "{:016x}", self.0)
     }
 }
+
+impl Serialize for Id {
+    fn serialize<S: Serializer>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error> {
+        if serializer.is_human_readable() {
+            return serializer.collect_str(self);
+        }
+        self.0.serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for Id {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> std::result::Result<Self, D::Error> {
+        if !deserializer.is_human_readable() {
+            return u64::deserialize(deserializer).map(Self);
+        }
+        let text = String::deserialize(deserializer)?;
+        text.parse().map_err(serde::de::Error::custom)
+    }
+}
--- a/crates/policy/src/plan/hear.rs
+++ b/crates/policy/src/plan/hear.rs
@@ -29,6 +29,9 @@
         worker.sequence = report.sequence;
         worker.heard = now;
         worker.empty = now.after(self.settings.lease);
+        if report.running.is_some() {
+            worker.listed = report.sequence;
+        }
         while worker.outbox.front().is_some_and(|order| order.number <= report.received) {
             worker.outbox.pop_front();
         }
@@ -41,6 +44,7 @@
         }
         if let Some(running) = &report.running {
             self.take_running(&agent, running, report.complete, now);
+            self.learn(&agent);
         }
         self.confirm(&agent);
     }
--- a/crates/policy/src/plan/message/mod.rs
+++ b/crates/policy/src/plan/message/mod.rs
@@ -5,6 +5,7 @@
 
 mod answer;
 mod end;
+mod harm;
 mod lifetime;
 mod order;
 mod profile;
@@ -14,6 +15,7 @@
 
 pub use answer::{Answer, Outcome};
 pub use end::{End, How};
+pub use harm::Harm;
 pub use lifetime::Lifetime;
 pub use order::{Kind, Order};
 pub use profile::{Profile, Standing};
--- a/crates/policy/src/plan/message/order.rs
+++ b/crates/policy/src/plan/message/order.rs
@@ -12,6 +12,10 @@
         text: Arc<str>,
         /// Where to go on, if the task has saved its progress.
         checkpoint: Option<Name>,
+        /// What it runs, if that is known.
+        image: Option<Name>,
+        /// Processors that it asks for, thousandths.
+        millicores: u32,
         /// Whether it uses only what others leave, and may be slowed down for them.
         fills: bool,
         /// Bound of its tail latency, milliseconds; 0 for a task that serves nobody.
--- a/crates/policy/src/plan/message/reply.rs
+++ b/crates/policy/src/plan/message/reply.rs
@@ -1,9 +1,9 @@
-use super::Order;
+use super::{Harm, Order};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// The owner's answer to a report.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Reply {
     /// The owner; a lower one than the agent knows is not obeyed.
     pub epoch: u64,
@@ -17,6 +17,8 @@
     pub orders: Vec<Order>,
     /// Ends up to this number are recorded; the worker may forget them.
     pub recorded: u64,
+    /// How the images at the worker disturb each other, when the report listed what runs.
+    pub harm: Vec<Harm>,
     /// Where the entries take reports.
     pub entries: Vec<SocketAddr>,
 }
--- a/crates/policy/src/plan/mod.rs
+++ b/crates/policy/src/plan/mod.rs
@@ -8,7 +8,7 @@
 //! - [`Settings`]: limits and weights of the decisions.
 //! - [`Progress`]: what the store keeps of a job that has begun.
 //! - [`Event`]: what was decided, for the log.
-//! - `accept`, `hear`, `expire`, `place`, `record`: the systems.
+//! - `accept`, `hear`, `expire`, `harm`, `place`, `record`: the systems.
 //!
 //! A start is not recorded before it is ordered. Workers fence, number their runs and list what
 //! runs and what has ended until told that the end is recorded, so a new owner learns from the
@@ -18,6 +18,7 @@
 mod accept;
 mod event;
 mod expire;
+mod harm;
 mod hear;
 mod job;
 pub mod message;
--- a/crates/policy/src/plan/place.rs
+++ b/crates/policy/src/plan/place.rs
@@ -18,6 +18,12 @@
 /// Score of a worker that is set aside, above all others.
 const SET_ASIDE: f64 = 100.0;
 
+/// Weight of an expected miss of a serving task's target against the use of processors.
+const HARM_WEIGHT: f64 = 2.0;
+/// The expected measure of a serving task from which on harm counts, as a share of its target;
+/// its load swings by about the rest.
+const HARM_FROM: f64 = 0.8;
+
 /// A place for a task.
 struct Place {
     task: Task,
@@ -139,10 +145,17 @@
                 }
             }
             let pressure = room.pressure(self.expected(step));
-            if step.fills && pressure > self.settings.fill_limit && room.filling > 0 {
+            if step.fills && pressure > self.settings.fill_limit && !room.filling.is_empty() {
                 continue;
             }
-            let mut score = pressure;
+            let mut score = if step.target_ms > 0 {
+                room.strangeness(step.image.as_ref())
+            } else if step.fills {
+                let share = f64::from(step.need.millicores) / f64::from(room.capacity.millicores);
+                pressure + HARM_WEIGHT * self.excess(room, step.image.as_ref(), share)
+            } else {
+                pressure
+            };
             let far = step.near.is_some() && step.near != profile.rack;
             if far {
                 score *= self.settings.spread_factor;
@@ -171,6 +184,18 @@
         (score < SET_ASIDE).then(|| (agent.clone(), pressure))
     }
 
+    /// How far the serving tasks of a room would miss their targets with one more task that fills.
+    fn excess(&self, room: &Room, image: Option<&Name>, share: f64) -> f64 {
+        let Some(image) = image else { return 0.0 };
+        let excess = room.serving.keys().map(|victim| {
+            let before = self.rates.expected(victim, &room.filling);
+            let added = self.rates.added(victim, image) * share;
+            // What is missed already counts only by what is added.
+            (before + added - HARM_FROM).clamp(0.0, added)
+        });
+        excess.fold(0.0, f64::max)
+    }
+
     fn suits(&self, profile: &Profile, step: &Step, job: &super::Job) -> bool {
         profile.service == job.queue.service
             && step.requires.as_ref().is_none_or(|label| profile.labels.contains(label))
@@ -214,6 +239,8 @@
         let order = Kind::Start {
             text: job.spec.text.clone(),
             checkpoint,
+            image: step.image.clone(),
+            millicores: step.need.millicores,
             fills: step.fills,
             target_ms: step.target_ms,
         };
@@ -239,10 +266,5 @@
     let counted = if step.fills { Bundle { millicores: 0, ..step.need } } else { step.need };
     room.free = room.free.minus(&counted);
     room.used += f64::from(step.need.millicores);
-    if step.fills {
-        room.filling += 1;
-    }
-    if step.target_ms > 0 {
-        room.serving += 1;
-    }
+    room.host(step.image.as_ref(), step.need.millicores, step.fills, step.target_ms > 0);
 }
--- a/crates/policy/src/plan/room.rs
+++ b/crates/policy/src/plan/room.rs
@@ -4,6 +4,11 @@
 use shallotflow_core::resources::Bundle;
 use std::collections::BTreeMap;
 
+/// Cost of each serving task of another image at a worker, against that of its processors.
+const STRANGER: f64 = 0.2;
+/// Gain of each serving task of the same image.
+const KIN: f64 = 0.1;
+
 /// What a worker can still take during one pass of placing.
 #[derive(Clone, Debug)]
 pub(super) struct Room {
@@ -11,25 +16,43 @@
     pub(super) free: Bundle,
     /// Processors that its runs are expected to use, thousandths.
     pub(super) used: f64,
-    /// Runs by image, for what disturbs what.
-    pub(super) serving: u32,
-    pub(super) filling: u32,
+    /// Serving tasks by image.
+    pub(super) serving: BTreeMap<Name, u32>,
+    /// Tasks that fill, by image, with their shares of the processors.
+    pub(super) filling: Vec<(Name, f64)>,
 }
 
 impl Room {
     pub(super) fn of(worker: &Worker, capacity: Bundle, settings: &Settings) -> Self {
-        let mut taken = Bundle::default();
-        for placed in worker.placed.values() {
-            taken = taken.plus(&counted(placed));
-        }
-        let serving = worker.placed.values().filter(|placed| placed.target_ms > 0).count();
-        let filling = worker.placed.values().filter(|placed| placed.fills).count();
-        Self {
+        let mut room = Self {
             capacity,
-            free: capacity.minus(&taken),
+            free: capacity,
             used: worker.expected_use(settings.serving_use),
-            serving: u32::try_from(serving).unwrap_or(u32::MAX),
-            filling: u32::try_from(filling).unwrap_or(u32::MAX),
+            serving: BTreeMap::new(),
+            filling: Vec::new(),
+        };
+        for placed in worker.placed.values() {
+            room.free = room.free.minus(&counted(placed));
+            let millicores = placed.need.millicores;
+            room.host(placed.image.as_ref(), millicores, placed.fills, placed.target_ms > 0);
+        }
+        room
+    }
+
+    /// Notes one more run.
+    pub(super) fn host(
+        &mut self,
+        image: Option<&Name>,
+        millicores: u32,
+        fills: bool,
+        serves: bool,
+    ) {
+        let image = image.cloned().unwrap_or_else(|| Name::from(""));
+        if fills {
+            let share = f64::from(millicores) / f64::from(self.capacity.millicores.max(1));
+            self.filling.push((image, share));
+        } else if serves {
+            *self.serving.entry(image).or_default() += 1;
         }
     }
 
@@ -37,6 +60,16 @@
     pub(super) fn pressure(&self, more: f64) -> f64 {
         (self.used + more) / f64::from(self.capacity.millicores.max(1))
     }
+
+    /// How little a serving task of `image` fits in here.
+    ///
+    /// A task that fills disturbs some images much and others little. With few images at each
+    /// worker, most tasks that fill find a worker where they do no harm.
+    pub(super) fn strangeness(&self, image: Option<&Name>) -> f64 {
+        let kin = image.and_then(|image| self.serving.get(image)).copied().unwrap_or(0);
+        let strangers = self.serving.values().sum::<u32>() - kin;
+        STRANGER * f64::from(strangers) - KIN * f64::from(kin) + self.pressure(0.0)
+    }
 }
 
 /// The rooms of workers by their agents.
--- a/crates/policy/src/plan/table.rs
+++ b/crates/policy/src/plan/table.rs
@@ -1,6 +1,7 @@
 use super::message::{Kind, Order, Reply};
 use super::worker::Placed;
 use super::{Event, Job, Phase, Settings, Worker};
+use crate::disturbance::Rates;
 use foldhash::{HashMap, HashMapExt};
 use shallotflow_core::graph::{Id, Queue, State, Task};
 use shallotflow_core::name::Name;
@@ -23,6 +24,8 @@
     /// Agents that may hold runs of predecessors, and when they surely hold none.
     pub(super) missing: BTreeMap<Name, Time>,
     pub(super) uncertain: bool,
+    /// How images disturb each other.
+    pub(super) rates: Rates,
     pub(super) events: Vec<Event>,
     /// The wall clock, milliseconds since 1970, as of the last tick.
     pub(super) wall_ms: u64,
@@ -45,6 +48,7 @@
             dirty: BTreeMap::new(),
             uncertain: !agents.is_empty(),
             missing: agents.into_iter().map(|agent| (agent, empty)).collect(),
+            rates: Rates::default(),
             events: Vec::new(),
             wall_ms: 0,
         }
@@ -111,6 +115,7 @@
             sequence: worker.sequence,
             orders: worker.outbox.iter().cloned().collect(),
             recorded: worker.recorded,
+            harm: if worker.listed == worker.sequence { self.harm(worker) } else { Vec::new() },
             ..Reply::default()
         }
     }
--- a/crates/policy/src/plan/worker.rs
+++ b/crates/policy/src/plan/worker.rs
@@ -35,6 +35,8 @@
     pub empty: Time,
     /// The last report's number.
     pub sequence: u64,
+    /// The last report that listed what runs.
+    pub listed: u64,
     /// Ends up to this number are recorded.
     pub recorded: u64,
     /// When the worker gets tasks again.
--- a/crates/scheduler/src/agent/desk.rs
+++ b/crates/scheduler/src/agent/desk.rs
@@ -4,6 +4,7 @@
 use shallotflow_core::graph::Task;
 use shallotflow_core::name::Name;
 use shallotflow_core::time::Time;
+use shallotflow_policy::disturbance::Rates;
 use shallotflow_policy::plan::message::{
     Answer, End, Lifetime, Order, Outcome, Profile, Reply, Report, Run, Standing,
 };
@@ -23,9 +24,17 @@
 /// A run at the worker.
 pub(super) struct Held {
     pub(super) run: Run,
+    pub(super) traits: Traits,
+    started: Time,
+}
+
+/// What the agent knows of a run's step.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Traits {
+    pub(super) image: Option<Name>,
+    pub(super) millicores: u32,
     pub(super) fills: bool,
     pub(super) target_ms: u32,
-    started: Time,
 }
 
 /// Something that has to reach the owner.
@@ -63,7 +72,8 @@
     /// Runs that are withdrawn, with when the worker confirmed the stop.
     withdrawn: BTreeMap<Key, Option<Time>>,
     /// What is known of runs that were ordered, for their pace.
-    traits: BTreeMap<Key, (bool, u32)>,
+    traits: BTreeMap<Key, Traits>,
+    rates: Rates,
 }
 
 impl Desk {
@@ -95,6 +105,7 @@
             listed: None,
             withdrawn: BTreeMap::new(),
             traits: BTreeMap::new(),
+            rates: Rates::default(),
         }
     }
 
@@ -122,6 +133,15 @@
         &self.running
     }
 
+    pub(super) fn rates(&self) -> &Rates {
+        &self.rates
+    }
+
+    /// Processors of the worker, thousandths.
+    pub(super) fn millicores(&self) -> u32 {
+        self.profile.as_ref().map_or(1, |profile| profile.capacity.millicores.max(1))
+    }
+
     pub(super) fn is_withdrawn(&self, key: &Key) -> bool {
         self.withdrawn.contains_key(key)
     }
@@ -268,8 +288,8 @@
         for mut run in running {
             let key = (run.task, run.run);
             run.pace = paces.get(&key).copied().unwrap_or(100);
-            let (fills, target_ms) = self.traits.get(&key).copied().unwrap_or_default();
-            let held = Held { run, fills, target_ms, started: Time::ZERO };
+            let traits = self.traits.get(&key).cloned().unwrap_or_default();
+            let held = Held { run, traits, started: Time::ZERO };
             self.running.insert(key, held);
         }
     }
@@ -295,7 +315,7 @@
     }
 
     /// A start was answered with success.
-    pub(super) fn started(&mut self, order: &Order, fills: bool, target_ms: u32, now: Time) {
+    pub(super) fn started(&mut self, order: &Order, traits: Traits, now: Time) {
         let key = (order.task, order.run);
         let ended = self.ends.values().any(|end| (end.item.task, end.item.run) == key);
         if !ended {
@@ -307,8 +327,8 @@
                 figure: 0,
                 pace: 100,
             };
-            self.traits.insert(key, (fills, target_ms));
-            self.running.insert(key, Held { run, fills, target_ms, started: now });
+            self.traits.insert(key, traits.clone());
+            self.running.insert(key, Held { run, traits, started: now });
         }
         self.answer(order.task, order.run, Outcome::Started);
     }
@@ -420,6 +440,9 @@
             owed.confirmed = true;
         }
         self.recorded = self.recorded.max(reply.recorded);
+        for harm in &reply.harm {
+            self.rates.set(&harm.victim, harm.neighbor.as_ref(), f64::from(harm.added));
+        }
         let known = self.received;
         let fresh: Vec<Order> =
             reply.orders.into_iter().filter(|order| order.number > known).collect();
--- a/crates/scheduler/src/agent/look.rs
+++ b/crates/scheduler/src/agent/look.rs
@@ -1,9 +1,12 @@
 //! The loop that looks at the worker, renews leases and sets paces.
 
-use super::pace::{Controller, Served, changes};
+use super::desk::{Held, Key};
+use super::pace::{Controller, Served};
 use super::{Agent, Error};
+use shallotflow_core::name::Name;
 use shallotflow_core::time::Clock;
 use shallotflow_runtime::clock::Boottime;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 /// Looks at the worker for ever; each look waits for an end for a while.
@@ -84,30 +87,39 @@
 }
 
 /// Lets tasks that fill work as fast as the tasks beside them allow.
-fn set_paces(agent: &Rc<Agent>, pace: &mut Controller) {
+fn set_paces(agent: &Rc<Agent>, controller: &mut Controller) {
     let desk = agent.desk.borrow();
-    let served: Vec<Served> = desk
-        .running()
-        .values()
-        .filter(|held| held.target_ms > 0 && held.run.percent == 100)
-        .map(|held| Served { tail_ms: held.run.figure, target_ms: held.target_ms })
-        .collect();
-    let fills = desk.running().iter().filter(|(_, held)| held.fills);
-    let fills: Vec<_> = fills.map(|(key, held)| (*key, held.run.pace)).collect();
-    let percent = pace.decide(&served, Boottime.now());
-    let changed = changes(&fills, percent);
+    let image = |held: &Held| held.traits.image.clone().unwrap_or_else(|| Name::from(""));
+    let mut served = Vec::new();
+    let mut fills: BTreeMap<Name, f64> = BTreeMap::new();
+    for held in desk.running().values() {
+        let target_ms = held.traits.target_ms;
+        if held.traits.fills {
+            let share = f64::from(held.traits.millicores) / f64::from(desk.millicores());
+            *fills.entry(image(held)).or_default() += share;
+        } else if target_ms > 0 && held.run.percent == 100 {
+            served.push(Served { image: image(held), tail_ms: held.run.figure, target_ms });
+        }
+    }
+    let paces = controller.decide(&served, &fills, desk.rates(), Boottime.now());
+    let change = |(key, held): (&Key, &Held)| {
+        let percent = paces.get(&image(held)).copied().unwrap_or(100);
+        (held.traits.fills && held.run.pace != percent).then_some((*key, percent))
+    };
+    let changed: Vec<(Key, u8)> = desk.running().iter().filter_map(change).collect();
     let (lifetime, epoch) = (desk.lifetime().cloned(), desk.epoch());
     drop(desk);
     let Some(lifetime) = lifetime else { return };
     if !changed.is_empty() {
-        let tail = served.iter().map(|served| (served.tail_ms, served.target_ms)).max();
-        let (tail_ms, target_ms) = tail.unwrap_or_default();
+        let worst = served.iter().max_by_key(|own| own.tail_ms * 100 / own.target_ms.max(1));
+        let (tail_ms, target_ms) =
+            worst.map(|own| (own.tail_ms, own.target_ms)).unwrap_or_default();
         let details = serde_json::json!({
-            "percent": percent, "runs": changed.len(), "tail_ms": tail_ms, "target_ms": target_ms,
+            "paces": paces, "runs": changed.len(), "tail_ms": tail_ms, "target_ms": target_ms,
         });
         crate::log::decision("pace", &details);
     }
-    for key in changed {
+    for (key, percent) in changed {
         agent.desk.borrow_mut().set_pace(key, percent);
         let (agent, lifetime) = (agent.clone(), lifetime.clone());
         monoio::spawn(async move {
--- a/crates/scheduler/src/agent/order.rs
+++ b/crates/scheduler/src/agent/order.rs
@@ -1,6 +1,6 @@
 //! Carries out the owner's orders.
 
-use super::desk::Key;
+use super::desk::{Key, Traits};
 use super::{Agent, Error, Start};
 use shallotflow_core::time::Clock;
 use shallotflow_policy::plan::message::{Kind, Order, Outcome};
@@ -21,7 +21,15 @@
 }
 
 async fn start(agent: &Rc<Agent>, order: &Order, epoch: u64) {
-    let Kind::Start { text, checkpoint, fills, target_ms } = &order.kind else { return };
+    let Kind::Start { text, checkpoint, image, millicores, fills, target_ms } = &order.kind else {
+        return;
+    };
+    let traits = Traits {
+        image: image.clone(),
+        millicores: *millicores,
+        fills: *fills,
+        target_ms: *target_ms,
+    };
     let key = (order.task, order.run);
     let mut unanswered = false;
     for _ in 0..agent.settings.start_tries {
@@ -44,7 +52,7 @@
         let outcome = match agent.control.start(&lifetime, &start, limit).await {
             Ok(_) => {
                 let mut desk = agent.desk.borrow_mut();
-                return desk.started(order, *fills, *target_ms, Boottime.now());
+                return desk.started(order, traits, Boottime.now());
             }
             Err(Error::Unknown(_)) => {
                 unanswered = true;
