Let tasks that fill wait for a worker where they do no harm

Cause: a serving task over its target loses more than a task that fills gains (a window of a lasting job against a sixteenth of a render).

--- a/crates/policy/src/plan/place.rs
+++ b/crates/policy/src/plan/place.rs
@@ -24,6 +24,9 @@
 /// its load swings by about the rest.
 const HARM_FROM: f64 = 0.8;
 
+/// An expected miss that is within the error of what is known.
+const HARM_BORNE: f64 = 0.05;
+
 /// A place for a task.
 struct Place {
     task: Task,
@@ -121,6 +124,7 @@
     ) -> Option<(Name, f64)> {
         let row = &job.rows[job.number(task)?];
         let need = self.counted(step);
+        let impatient = row.ready.after(self.settings.patience).passed(now);
         let mut best: Option<(f64, &Name, f64)> = None;
         for (agent, room) in rooms {
             if !room.free.holds(&need) {
@@ -152,7 +156,12 @@
                 room.strangeness(step.image.as_ref())
             } else if step.fills {
                 let share = f64::from(step.need.millicores) / f64::from(room.capacity.millicores);
-                pressure + HARM_WEIGHT * self.excess(room, step.image.as_ref(), share)
+                let excess = self.excess(room, step.image.as_ref(), share);
+                // A serving task that misses its target loses more than a task that fills gains.
+                if excess > HARM_BORNE && !impatient {
+                    continue;
+                }
+                pressure + HARM_WEIGHT * excess
             } else {
                 pressure
             };
--- a/crates/scheduler/src/agent/pace.rs
+++ b/crates/scheduler/src/agent/pace.rs
@@ -11,7 +11,7 @@
 /// The share of a target at which a task that fills begins its work.
 const BEGIN: f64 = 0.9;
 /// Steps down while a target is missed, percent.
-const STEPS: [u8; 4] = [50, 20, 5, 0];
+const STEPS: [u8; 2] = [25, 0];
 /// A step up once targets are kept, percent.
 const UP: u8 = 20;
 /// Shortest time between two steps: the worker's figures cover half a second.
