Count what serving tasks are expected to use alike within a pass

Cause: within one pass a serving task was counted with all that it asks for, between passes with what it is expected to use; tasks that fill found workers full that were not, and waited.

Also: one member's end ends its gang, and a gang's failures count together.

--- a/crates/policy/src/plan/hear.rs
+++ b/crates/policy/src/plan/hear.rs
@@ -5,6 +5,7 @@
 use shallotflow_core::graph::{State, Task};
 use shallotflow_core::name::Name;
 use shallotflow_core::time::Time;
+use std::collections::BTreeSet;
 
 /// How far the numbers of runs of one owner lie above those of its predecessor.
 const RUNS_PER_EPOCH: u64 = 1_024;
@@ -114,7 +115,12 @@
             row.checkpoint = end.checkpoint;
         }
         match how {
-            How::Done if !lasting => self.finish(agent, task, number, current, now),
+            How::Done if !lasting => {
+                // One member's end represents all of its gang.
+                for member in self.members(task) {
+                    self.finish(agent, member, run, now);
+                }
+            }
             How::Failed => {
                 let again = row.failed.contains(&run);
                 if !again && !lasting {
@@ -123,7 +129,7 @@
                 row.failed_at = Some(agent.clone());
                 row.misses = row.misses.saturating_add(1);
                 let misses = row.misses;
-                let exhausted = row.failed.len() >= attempts && !lasting;
+                let exhausted = !lasting && self.failures(task) >= attempts;
                 if current {
                     let retry = if lasting { self.backoff(misses, now) } else { now };
                     self.release(task, now, retry);
@@ -150,19 +156,40 @@
         }
     }
 
-    /// The work of `task` is done, by whichever run.
-    fn finish(&mut self, agent: &Name, task: Task, number: usize, current: bool, now: Time) {
-        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+    /// The members of the gang of `task`; a task that is in no gang stands for itself.
+    fn members(&self, task: Task) -> Vec<Task> {
+        let Some(job) = self.jobs.get(&task.job) else { return Vec::new() };
+        if !job.step(&task).gang {
+            return vec![task];
+        }
+        let range = job.range(task.occurrence, usize::from(task.step));
+        range.map(|number| job.task(number)).collect()
+    }
+
+    /// How often `task`, or its gang, has failed.
+    fn failures(&self, task: Task) -> usize {
+        let Some(job) = self.jobs.get(&task.job) else { return 0 };
+        let members = self.members(task).into_iter().filter_map(|member| job.number(&member));
+        let runs = members.flat_map(|number| job.rows[number].failed.iter().copied());
+        runs.collect::<BTreeSet<u32>>().len()
+    }
+
+    /// The work of `task` is done, by whichever run; `run` at `agent` has ended.
+    fn finish(&mut self, agent: &Name, task: Task, run: u32, now: Time) {
+        let Some(job) = self.jobs.get(&task.job) else { return };
+        let Some(number) = job.number(&task) else { return };
+        let gang = job.step(&task).gang;
         if job.rows[number].phase == Phase::Done {
             return;
         }
         let other = job.rows[number].current().map(|(other, run)| (other.clone(), run));
-        if let Some((other, run)) = other {
+        if let Some((other, number)) = other {
             if let Some(worker) = self.workers.get_mut(&other) {
                 worker.placed.remove(&task);
             }
-            if !current {
-                self.order_stop(&other, task, run, "another run has done its work");
+            let ended = number == run && (gang || other == *agent);
+            if !ended {
+                self.order_stop(&other, task, number, "another run has done its work");
             }
         }
         if let Some(worker) = self.workers.get_mut(agent) {
--- a/crates/policy/src/plan/place.rs
+++ b/crates/policy/src/plan/place.rs
@@ -97,7 +97,7 @@
                     else {
                         break;
                     };
-                    take(rooms_here, &agent, step);
+                    take(rooms_here, &agent, step, self.expected(step));
                     found.push(Place { task, agent, pressure });
                 }
                 if let Some(tried) = tried {
@@ -269,11 +269,11 @@
     }
 }
 
-/// Takes the room of a task of `step` at `agent`.
-fn take(rooms: &mut Rooms, agent: &Name, step: &Step) {
+/// Takes the room of a task of `step` at `agent`, and the processors that it is expected to use.
+fn take(rooms: &mut Rooms, agent: &Name, step: &Step, expected: f64) {
     let Some(room) = rooms.get_mut(agent) else { return };
     let counted = if step.fills { Bundle { millicores: 0, ..step.need } } else { step.need };
     room.free = room.free.minus(&counted);
-    room.used += f64::from(step.need.millicores);
+    room.used += expected;
     room.host(step.image.as_ref(), step.need.millicores, step.fills, step.target_ms > 0);
 }
--- a/crates/policy/src/plan/room.rs
+++ b/crates/policy/src/plan/room.rs
@@ -6,6 +6,8 @@
 
 /// Cost of each serving task of another image at a worker, against that of its processors.
 const STRANGER: f64 = 0.2;
+/// Cost of a worker whose processors are used in full.
+const USE: f64 = 0.2;
 /// Gain of each serving task of the same image.
 const KIN: f64 = 0.1;
 
@@ -68,7 +70,7 @@
     pub(super) fn strangeness(&self, image: Option<&Name>) -> f64 {
         let kin = image.and_then(|image| self.serving.get(image)).copied().unwrap_or(0);
         let strangers = self.serving.values().sum::<u32>() - kin;
-        STRANGER * f64::from(strangers) - KIN * f64::from(kin) + self.pressure(0.0)
+        STRANGER * f64::from(strangers) - KIN * f64::from(kin) + USE * self.pressure(0.0)
     }
 }
 
