Learn twice as often, and count harm below the target

Cause: a serving task's load swings by half of its mean, so a neighbor that leaves it at 0.8 of its target on average pushes it over at each crest.

--- a/crates/policy/src/plan/event.rs
+++ b/crates/policy/src/plan/event.rs
@@ -15,6 +15,8 @@
         run: u32,
         /// The agent.
         agent: Name,
+        /// The queue of the job.
+        queue: Name,
         /// How long the task had been ready, milliseconds.
         waited_ms: u64,
         /// How long ago the agent reported, milliseconds.
--- a/crates/policy/src/plan/place.rs
+++ b/crates/policy/src/plan/place.rs
@@ -22,7 +22,7 @@
 const HARM_WEIGHT: f64 = 2.0;
 /// The expected measure of a serving task from which on harm counts, as a share of its target;
 /// its load swings by about the rest.
-const HARM_FROM: f64 = 0.8;
+const HARM_FROM: f64 = 0.65;
 
 /// An expected miss that is within the error of what is known.
 const HARM_BORNE: f64 = 0.05;
@@ -264,7 +264,8 @@
         row.phase = Phase::Starting { agent: agent.clone(), run, withdraw };
         row.percent = 0;
         let waited_ms = u64::try_from(now.since(row.ready).as_millis()).unwrap_or(u64::MAX);
-        let event = Event::Start { task, run, agent, waited_ms, report_age_ms, pressure };
+        let queue = job.queue.name.clone();
+        let event = Event::Start { task, run, agent, queue, waited_ms, report_age_ms, pressure };
         self.events.push(event);
     }
 }
--- a/crates/scheduler/src/agent/pace.rs
+++ b/crates/scheduler/src/agent/pace.rs
@@ -9,7 +9,7 @@
 /// The share of a target above which the tasks that fill beside it get no faster.
 const NEAR: f64 = 0.85;
 /// The share of a target at which a task that fills begins its work.
-const BEGIN: f64 = 0.9;
+const BEGIN: f64 = 0.7;
 /// Steps down while a target is missed, percent.
 const STEPS: [u8; 2] = [25, 0];
 /// A step up once targets are kept, percent.
--- a/crates/scheduler/src/agent/settings.rs
+++ b/crates/scheduler/src/agent/settings.rs
@@ -39,7 +39,7 @@
             start_tries: 2,
             report_limit: Duration::from_millis(900),
             report_pause: Duration::from_millis(60),
-            list_interval: Duration::from_millis(900),
+            list_interval: Duration::from_millis(450),
             drift_percent: 2,
         }
     }
