Order jobs by what can still end in time

Cause: in a burst of large jobs, order of arrival let each wait until little of its objective was left, and nearly all ended late.

Change: plan::urgency. Jobs that can still end within their objective go first; of these, begun ones, then the newest.

Ruled out: lack of workers.

--- a/crates/policy/src/plan/job.rs
+++ b/crates/policy/src/plan/job.rs
@@ -125,6 +125,11 @@
         }
     }
 
+    /// Whether a task may be placed at `now`, as far as its own state goes.
+    pub(super) fn may_place(&self, now: Time) -> bool {
+        self.rows.iter().any(|row| row.phase == Phase::Waiting && row.retry.passed(now))
+    }
+
     /// Whether all tasks are done.
     pub fn is_done(&self) -> bool {
         self.left.iter().all(|left| *left == 0)
--- a/crates/policy/src/plan/mod.rs
+++ b/crates/policy/src/plan/mod.rs
@@ -8,7 +8,7 @@
 //! - [`Settings`]: limits and weights of the decisions.
 //! - [`Progress`]: what the store keeps of a job that has begun.
 //! - [`Event`]: what was decided, for the log.
-//! - `accept`, `hear`, `expire`, `harm`, `place`, `record`: the systems.
+//! - `accept`, `hear`, `expire`, `harm`, `place`, `record`, `urgency`: the systems.
 //!
 //! A start is not recorded before it is ordered. Workers fence, number their runs and list what
 //! runs and what has ended until told that the end is recorded, so a new owner learns from the
@@ -29,6 +29,7 @@
 mod row;
 mod settings;
 mod table;
+mod urgency;
 mod worker;
 
 pub use event::Event;
--- a/crates/policy/src/plan/place.rs
+++ b/crates/policy/src/plan/place.rs
@@ -1,12 +1,13 @@
 //! The system that gives waiting tasks to workers.
 //!
-//! Under load, tasks wait in the order of their queue's priority, then of their arrival. A task
+//! The order of jobs is that of `urgency`. A task
 //! goes to the worker whose processors are expected to be used least with it, among those that can
 //! hold it. Tasks that fill are placed only while the processors of a worker are not promised in
 //! full: beyond that, each more would slow down all that are there.
 
 use super::message::{Kind, Profile};
 use super::room::{Room, Rooms};
+use super::urgency::Urgency;
 use super::{Event, Phase, Table};
 use shallotflow_core::graph::{Id, Step, Task};
 use shallotflow_core::name::Name;
@@ -43,14 +44,15 @@
         if rooms.is_empty() {
             return;
         }
-        let mut order: Vec<(u32, Time, Id)> = self
+        let mut order: Vec<(Urgency, Id)> = self
             .active
             .iter()
             .filter_map(|id| self.jobs.get(id))
-            .map(|job| (job.queue.priority, job.heard, job.id))
+            .filter(|job| job.may_place(now))
+            .map(|job| (job.urgency(now), job.id))
             .collect();
         order.sort_unstable();
-        for (_, _, id) in order {
+        for (_, id) in order {
             for places in self.places(id, &mut rooms, now) {
                 self.start(places, now);
             }
