Do not wait for agents beside which no worker runs

Cause: a new owner waited 6.4 s for the lists of an agent whose worker had left; all tasks of known jobs stood still meanwhile. A worker that crashed kept its runs until its lease ended, though its port was closed.

Change: two refused connections in a row show that no worker runs; agents say so, owners count its runs as over, and such agents are no holders of runs. An agent that starts again reads its worker's lists before the worker registers anew.

--- a/crates/policy/src/plan/hear.rs
+++ b/crates/policy/src/plan/hear.rs
@@ -30,6 +30,7 @@
         worker.sequence = report.sequence;
         worker.heard = now;
         worker.empty = now.after(self.settings.lease);
+        worker.vacant = report.vacant;
         if report.running.is_some() {
             worker.listed = report.sequence;
         }
@@ -37,6 +38,11 @@
             worker.outbox.pop_front();
         }
         self.meet(&agent, &report, now);
+        if report.vacant {
+            self.lose(&agent, "no worker runs beside the agent", now);
+            self.missing.remove(&agent);
+            self.settle(now);
+        }
         for end in report.ends {
             self.take_end(&agent, end, now);
         }
@@ -77,6 +83,7 @@
             return;
         }
         let reborn = worker.synced
+            && !worker.vacant
             && worker.profile.as_ref().is_some_and(|p| p.standing != Standing::Empty)
             && !worker.empty.passed(now);
         self.events.push(Event::Lost { agent: agent.clone(), reason, runs: tasks.len() });
--- a/crates/policy/src/plan/message/report.rs
+++ b/crates/policy/src/plan/message/report.rs
@@ -15,6 +15,8 @@
     pub sequence: u64,
     /// The worker, once it has registered.
     pub worker: Option<Profile>,
+    /// Whether no worker runs beside the agent, so that nothing runs there.
+    pub vacant: bool,
     /// Whether `running` and `ends` are complete and the worker refuses older owners.
     pub complete: bool,
     /// What runs at the worker; left out when nothing in it changed that matters.
--- a/crates/policy/src/plan/table.rs
+++ b/crates/policy/src/plan/table.rs
@@ -87,7 +87,7 @@
 
     /// Agents that may hold runs of this owner: those that a successor has to wait for.
     pub fn holders(&self) -> Vec<Name> {
-        let synced = self.workers.iter().filter(|(_, worker)| worker.synced);
+        let synced = self.workers.iter().filter(|(_, worker)| worker.may_hold());
         let mut holders: BTreeSet<Name> = synced.map(|(agent, _)| agent.clone()).collect();
         holders.extend(self.missing.keys().cloned());
         holders.into_iter().collect()
--- a/crates/policy/src/plan/worker.rs
+++ b/crates/policy/src/plan/worker.rs
@@ -27,6 +27,8 @@
     pub process: u64,
     /// The worker, once it has registered.
     pub profile: Option<Profile>,
+    /// Whether no worker runs beside the agent.
+    pub vacant: bool,
     /// Whether its complete lists were heard since this owner began.
     pub synced: bool,
     /// When the agent reported last.
@@ -63,7 +65,17 @@
     pub fn takes_tasks(&self, now: Time, quiet: std::time::Duration) -> bool {
         let ready =
             self.profile.as_ref().is_some_and(|profile| profile.standing == Standing::Ready);
-        ready && self.synced && now < self.heard.after(quiet) && self.full.passed(now)
+        ready
+            && self.synced
+            && !self.vacant
+            && now < self.heard.after(quiet)
+            && self.full.passed(now)
+    }
+
+    /// Whether runs of this owner may be there, now or soon.
+    pub(super) fn may_hold(&self) -> bool {
+        let empty = self.profile.as_ref().is_some_and(|p| p.standing == Standing::Empty);
+        self.synced && ((!empty && !self.vacant) || !self.placed.is_empty())
     }
 
     /// What its runs need of what is counted: tasks that fill take memory, no processors.
--- a/crates/policy/tests/plan/floor.rs
+++ b/crates/policy/tests/plan/floor.rs
@@ -214,6 +214,7 @@
                 rack: None,
                 standing: self.standing,
             }),
+            vacant: false,
             complete: true,
             running: Some(self.running.values().cloned().collect()),
             ends: self.ends.clone(),
--- a/crates/policy/tests/plan/recovery.rs
+++ b/crates/policy/tests/plan/recovery.rs
@@ -111,3 +111,27 @@
     assert!(floor.running().is_empty());
     assert_eq!(floor.table.shown("renders", id(1)), Some(State::Failed));
 }
+
+#[test]
+fn an_agent_beside_no_worker_is_not_waited_for() {
+    let mut floor = Floor::owner(2, 2, vec![name(0), name(1)]);
+    floor.table.accept(id(1), job(vec![step(1, 1_000)]), false, floor.now);
+    floor.report(0);
+    let hand = floor.hands.get_mut(&name(1)).expect("a worker");
+    let mut report = hand.report(&name(1), 2);
+    (report.worker, report.vacant, report.complete) = (None, true, false);
+    (report.running, report.ends) = (None, Vec::new());
+    floor.table.hear(report, floor.now);
+    floor.turn();
+    assert_eq!(floor.running(), [task(1, 0, 0)]);
+}
+
+#[test]
+fn a_worker_that_has_left_is_no_holder_of_runs() {
+    let mut floor = Floor::new(2);
+    assert_eq!(floor.table.holders(), [name(0), name(1)]);
+    floor.hands.get_mut(&name(1)).expect("a worker").standing =
+        shallotflow_policy::plan::message::Standing::Empty;
+    floor.report_all();
+    assert_eq!(floor.table.holders(), [name(0)]);
+}
--- a/crates/scheduler/src/agent/control.rs
+++ b/crates/scheduler/src/agent/control.rs
@@ -33,6 +33,9 @@
     /// No connection could be made; nothing was done.
     #[error("the worker accepts no connections; wait until it registers again")]
     Unreachable,
+    /// No worker runs at the address; nothing was done, and nothing runs there.
+    #[error("no worker runs at its address; wait until one registers")]
+    Vacant,
     /// No answer came; the call may have been carried out, or may be carried out later.
     #[error("the worker's answer was lost ({0}); repeat or withdraw the order")]
     Unknown(String),
--- a/crates/scheduler/src/agent/desk.rs
+++ b/crates/scheduler/src/agent/desk.rs
@@ -18,6 +18,8 @@
 const ENDS_PER_LIST: usize = 500;
 /// Reports whose sending times are kept, so that their replies can be matched.
 const SENT_KEPT: usize = 64;
+/// Looks in a row that have to find nothing listening before the worker counts as gone.
+const VACANT_LOOKS: u32 = 2;
 /// Margin on the end of a lease, for the time that a call is under way.
 const LEASE_MARGIN: Duration = Duration::from_millis(60);
 
@@ -67,6 +69,8 @@
     granted: Time,
     offset_ms: Option<i64>,
     failures: u32,
+    /// Looks in a row that found no worker at the address.
+    vacant: u32,
     complete: bool,
     listed: Option<Time>,
     /// Runs that are withdrawn, with when the worker confirmed the stop.
@@ -101,6 +105,7 @@
             granted,
             offset_ms: None,
             failures: 0,
+            vacant: 0,
             complete: false,
             listed: None,
             withdrawn: BTreeMap::new(),
@@ -162,6 +167,8 @@
         if !same {
             self.begin(profile.lifetime.clone());
         }
+        self.lifetime = Some(profile.lifetime.clone());
+        self.vacant = 0;
         self.leaves = match profile.standing {
             Standing::Draining { remaining_ms } => {
                 Some(now.after(Duration::from_millis(remaining_ms)))
@@ -247,6 +254,7 @@
             self.begin(lists.lifetime.clone());
         }
         self.failures = 0;
+        self.vacant = 0;
         self.heard_clock(lists.clock_ms, now);
         let page_full = lists.ends.len() >= ENDS_PER_LIST;
         for end in lists.ends {
@@ -300,10 +308,19 @@
             // Another life answers; the next look reads its lists.
             Error::OtherLifetime => self.complete = false,
             Error::Fenced => {}
+            Error::Vacant => {
+                self.vacant = self.vacant.saturating_add(1);
+                self.failures = self.failures.saturating_add(1);
+            }
             _ => self.failures = self.failures.saturating_add(1),
         }
     }
 
+    /// Whether no worker runs beside the agent.
+    pub(super) fn is_vacant(&self) -> bool {
+        self.vacant >= VACANT_LOOKS
+    }
+
     pub(super) fn is_silent(&self) -> bool {
         self.failures >= self.settings.silent_looks
     }
@@ -380,13 +397,14 @@
             epoch: self.epoch,
             sequence,
             worker: self.profile(now),
-            complete: self.complete,
+            vacant: self.is_vacant(),
+            complete: self.complete && !self.is_vacant(),
             running: None,
             ends: Vec::new(),
             answers: Vec::new(),
             received: self.received,
         };
-        if !self.complete {
+        if !report.complete {
             return report;
         }
         for owed in self.ends.values_mut().filter(|owed| !owed.confirmed) {
--- a/crates/scheduler/src/agent/look.rs
+++ b/crates/scheduler/src/agent/look.rs
@@ -16,9 +16,13 @@
         match look(&agent).await {
             Ok(()) => set_paces(&agent, &mut pace),
             Err(error) => {
-                let before = agent.desk.borrow().is_silent();
+                let state = |agent: &Agent| {
+                    let desk = agent.desk.borrow();
+                    (desk.is_silent(), desk.is_vacant())
+                };
+                let before = state(&agent);
                 agent.desk.borrow_mut().look_failed(&error);
-                if agent.desk.borrow().is_silent() != before {
+                if state(&agent) != before {
                     spdlog::warn!("worker lost", kv: { reason = error.to_string() });
                     agent.news.notify(usize::MAX);
                 }
@@ -38,14 +42,6 @@
         let busy = desk.is_busy();
         (lifetime, lease, desk.recorded(), desk.epoch(), busy, complete, desk.is_silent())
     };
-    if lifetime.is_none() {
-        // The worker has not registered since this process began.
-        monoio::select! {
-            () = attention(agent, agent.settings.idle_wait) => {}
-            () = monoio::time::sleep(agent.settings.idle_wait) => {}
-        }
-        return Ok(());
-    }
     let wait = match (complete, busy) {
         // The owner waits for the lists, or a lease has no clock to count on yet.
         (false, _) => std::time::Duration::ZERO,
@@ -74,7 +70,10 @@
     }
     if !complete && epoch == 0 {
         // Without an owner there is nothing to hurry for.
-        monoio::time::sleep(agent.settings.look_pause).await;
+        monoio::select! {
+            () = attention(agent, agent.settings.idle_wait) => {}
+            () = monoio::time::sleep(agent.settings.look_pause) => {}
+        }
     }
     Ok(())
 }
--- a/crates/scheduler/src/agent/order.rs
+++ b/crates/scheduler/src/agent/order.rs
@@ -59,7 +59,9 @@
                 continue;
             }
             // The worker answers again soon or its lease ends; another one may be free now.
-            Err(Error::Unreachable | Error::OtherLifetime | Error::Fenced) => Outcome::NotReady,
+            Err(Error::Unreachable | Error::Vacant | Error::OtherLifetime | Error::Fenced) => {
+                Outcome::NotReady
+            }
             Err(Error::Old) => Outcome::Old,
             Err(Error::Late) => Outcome::Late,
             Err(Error::NoRoom) => Outcome::NoRoom,
--- a/crates/wire/src/http/client.rs
+++ b/crates/wire/src/http/client.rs
@@ -30,9 +30,12 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Connect`] when no connection could be made.
+    /// [`Error::Connect`] or [`Error::Refused`] when no connection could be made.
     pub async fn open(address: SocketAddr, limits: Rc<Limits>, limit: Duration) -> Result<Self> {
-        let failed = |_| Error::Connect(address.to_string());
+        let failed = |error: std::io::Error| match error.kind() {
+            std::io::ErrorKind::ConnectionRefused => Error::Refused(address.to_string()),
+            _ => Error::Connect(address.to_string()),
+        };
         let stream = timeout(limit, TcpStream::connect(address))
             .await
             .map_err(|_| Error::Connect(address.to_string()))?
--- a/crates/wire/src/http/mod.rs
+++ b/crates/wire/src/http/mod.rs
@@ -19,6 +19,9 @@
     /// No connection could be made; nothing was sent.
     #[error("{0} does not accept connections; check that the process runs there")]
     Connect(String),
+    /// The host answered that no process listens there; nothing was sent.
+    #[error("nothing listens at {0}; start the process or wait until it is back")]
+    Refused(String),
     /// The peer closed the connection in the middle of a message.
     #[error("the peer closed the connection before the message was whole; retry if idempotent")]
     Truncated,
--- a/crates/wire/src/http/pool.rs
+++ b/crates/wire/src/http/pool.rs
@@ -34,7 +34,8 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Connect`] when no connection could be made; nothing was sent then.
+    /// [`Error::Connect`] or [`Error::Refused`] when no connection could be made; nothing was sent
+    /// then.
     pub async fn take(&self, address: SocketAddr) -> Result<Connection> {
         while let Some(parked) = self.pop(address) {
             let mut connection = parked.connection;
@@ -69,7 +70,7 @@
 
     /// Whether `error` was met before anything was sent.
     pub fn not_sent(error: &Error) -> bool {
-        matches!(error, Error::Connect(_))
+        matches!(error, Error::Connect(_) | Error::Refused(_))
     }
 
     fn pop(&self, address: SocketAddr) -> Option<Parked> {
