Pack serving tasks on few workers

Cause: spread over all workers, serving tasks left none where a harmful task that fills could run freely; each ran slowed down, and disturbed all the same.

--- a/crates/policy/src/plan/room.rs
+++ b/crates/policy/src/plan/room.rs
@@ -5,9 +5,9 @@
 use std::collections::BTreeMap;
 
 /// Cost of each serving task of another image at a worker, against that of its processors.
-const STRANGER: f64 = 0.2;
+const STRANGER: f64 = 0.05;
 /// Cost of a worker whose processors are used in full.
-const USE: f64 = 0.2;
+const USE: f64 = -1.0;
 /// Gain of each serving task of the same image.
 const KIN: f64 = 0.1;
 
