--- a/crates/runtime/src/stop.rs
+++ b/crates/runtime/src/stop.rs
@@ -11,6 +11,9 @@
 /// Times that SIGUSR1 arrived.
 static DUMPS_ASKED: AtomicUsize = AtomicUsize::new(0);
 
+/// Times that SIGHUP arrived.
+static RELOADS_ASKED: AtomicUsize = AtomicUsize::new(0);
+
 /// How far a process was asked to stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Level {
@@ -31,7 +34,8 @@
 impl Stop {
     /// A stop that SIGTERM and SIGINT raise: the first gracefully, the second at once.
     ///
-    /// SIGUSR1 then asks every program of the process for a dump of its state.
+    /// SIGUSR1 then asks every program of the process for a dump of its state, and SIGHUP to read
+    /// its settings again.
     ///
     /// # Errors
     ///
@@ -50,6 +54,9 @@
         register(signal_hook::consts::SIGUSR1, || {
             DUMPS_ASKED.fetch_add(1, Ordering::SeqCst);
         })?;
+        register(signal_hook::consts::SIGHUP, || {
+            RELOADS_ASKED.fetch_add(1, Ordering::SeqCst);
+        })?;
         Ok(stop)
     }
 
@@ -101,6 +108,26 @@
     }
 }
 
+/// Tells whether SIGHUP has arrived since it was asked last.
+#[derive(Debug)]
+pub struct Reload {
+    seen: usize,
+}
+
+impl Default for Reload {
+    fn default() -> Self {
+        Self { seen: RELOADS_ASKED.load(Ordering::SeqCst) }
+    }
+}
+
+impl Reload {
+    /// Whether a reload is asked for; signals that arrived meanwhile count once.
+    pub fn take(&mut self) -> bool {
+        let asked = RELOADS_ASKED.load(Ordering::SeqCst);
+        std::mem::replace(&mut self.seen, asked) != asked
+    }
+}
+
 #[allow(unsafe_code)]
 fn register(signal: i32, action: impl Fn() + Sync + Send + 'static) -> std::io::Result<()> {
     // SAFETY: the actions only touch atomics, which is safe within a signal handler.
--- a/crates/scheduler/src/agent/order.rs
+++ b/crates/scheduler/src/agent/order.rs
@@ -48,7 +48,7 @@
             lease_ms,
             epoch,
         };
-        let limit = agent.settings.call_limit;
+        let limit = agent.settings.start_limit;
         let outcome = match agent.control.start(&lifetime, &start, limit).await {
             Ok(_) => {
                 let mut desk = agent.desk.borrow_mut();
--- a/crates/scheduler/src/agent/settings.rs
+++ b/crates/scheduler/src/agent/settings.rs
@@ -11,6 +11,8 @@
     pub idle_wait: Duration,
     /// Limit of a call to the worker beside what it waits for; some hundred times its usual time.
     pub call_limit: Duration,
+    /// Limit of a start; an answer usually takes a few milliseconds, and a start can be repeated.
+    pub start_limit: Duration,
     /// Pause after a look that failed.
     pub look_pause: Duration,
     /// Looks that fail in a row before the worker counts as silent.
@@ -34,9 +36,10 @@
             look_wait: Duration::from_millis(400),
             idle_wait: Duration::from_millis(1_500),
             call_limit: Duration::from_millis(350),
+            start_limit: Duration::from_millis(120),
             look_pause: Duration::from_millis(100),
             silent_looks: 3,
-            start_tries: 2,
+            start_tries: 4,
             report_limit: Duration::from_millis(900),
             report_pause: Duration::from_millis(60),
             list_interval: Duration::from_millis(450),
--- a/crates/scheduler/src/entry/settings.rs
+++ b/crates/scheduler/src/entry/settings.rs
@@ -40,7 +40,7 @@
             alone: Duration::from_millis(2_500),
             tick: Duration::from_millis(25),
             store_pause: Duration::from_millis(60),
-            submit_limit: Duration::from_millis(1_500),
+            submit_limit: Duration::from_millis(800),
             claim_stagger: Duration::from_millis(60),
         }
     }
--- a/crates/scheduler/src/entry/submit.rs
+++ b/crates/scheduler/src/entry/submit.rs
@@ -10,6 +10,9 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+/// A store that did not answer for this long is not tried with new jobs; three renewals of the
+/// entry's presence.
+const STORE_GONE_MS: u64 = 1_200;
 /// When a refused caller may come back, milliseconds; the store's usual outages last seconds.
 const RETRY_MS: u64 = 1_000;
 
@@ -43,6 +46,10 @@
                 return refused;
             }
         };
+        if self.store_age_ms() > STORE_GONE_MS {
+            // Nothing is sent, so that the refusal is true; the entry's presence probes the store.
+            return refused;
+        }
         let deadline = Boottime.now().after(self.settings.submit_limit);
         let mut unknown = false;
         loop {
@@ -56,7 +63,7 @@
                     let lost = error.may_be_applied();
                     spdlog::debug!("job not stored", kv: { reason = error.to_string(), lost });
                     // Another entry may have more luck; what may be stored stays with this one.
-                    if !unknown && self.store_age_ms() > RETRY_MS {
+                    if !unknown && self.store_age_ms() > STORE_GONE_MS {
                         return refused;
                     }
                 }
@@ -202,7 +209,7 @@
                     }
                 }
             }
-            let hopeless = self.store_age_ms() > RETRY_MS;
+            let hopeless = self.store_age_ms() > STORE_GONE_MS;
             if hopeless || deadline.passed(Boottime.now()) {
                 return Cancellation::Unknown;
             }
