--- a/crates/policy/src/disturbance/rates.rs
+++ b/crates/policy/src/disturbance/rates.rs
@@ -1,4 +1,4 @@
-use foldhash::{HashMap, HashMapExt};
+use foldhash::HashMap;
 use shallotflow_core::name::Name;
 
 /// What a victim's measure is expected to be before anything is known, as a share of its target.
@@ -67,7 +67,7 @@
         let norm = 1.0 + neighbors.iter().map(|(_, share)| scaled(*share).powi(2)).sum::<f64>();
         let base = self.base(victim) + BASE_RATE * error / norm;
         self.bases.insert(victim.clone(), base.clamp(0.0, LARGEST));
-        let own = self.added.entry(victim.clone()).or_insert_with(HashMap::new);
+        let own = self.added.entry(victim.clone()).or_default();
         for (name, share) in neighbors {
             let added = own.entry(name.clone()).or_insert(0.0);
             *added = (*added + RATE * error * scaled(*share) / norm / TYPICAL_SHARE).max(0.0);
--- a/crates/scheduler/src/agent/desk.rs
+++ b/crates/scheduler/src/agent/desk.rs
@@ -1,6 +1,6 @@
-//! What the agent knows and owes; no I/O.
+//! What the agent knows and owes; no I/O and no clock.
 
-use super::{Control, Error, Lists, Settings};
+use super::{Error, Lists, Settings};
 use shallotflow_core::graph::Task;
 use shallotflow_core::name::Name;
 use shallotflow_core::time::Time;
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 /// A run by its task and number.
-pub(super) type Key = (Task, u32);
+pub type Key = (Task, u32);
 
 /// Ends that one list holds at most.
 const ENDS_PER_LIST: usize = 500;
@@ -24,19 +24,25 @@
 const LEASE_MARGIN: Duration = Duration::from_millis(60);
 
 /// A run at the worker.
-pub(super) struct Held {
-    pub(super) run: Run,
-    pub(super) traits: Traits,
+pub struct Held {
+    /// The run as the worker listed it last.
+    pub run: Run,
+    /// What is known of its step.
+    pub traits: Traits,
     started: Time,
 }
 
 /// What the agent knows of a run's step.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Traits {
-    pub(super) image: Option<Name>,
-    pub(super) millicores: u32,
-    pub(super) fills: bool,
-    pub(super) target_ms: u32,
+pub struct Traits {
+    /// What it runs.
+    pub image: Option<Name>,
+    /// Processors that it asks for, thousandths.
+    pub millicores: u32,
+    /// Whether it uses only what others leave.
+    pub fills: bool,
+    /// Bound of its tail latency, milliseconds; 0 for a task that serves nobody.
+    pub target_ms: u32,
 }
 
 /// Something that has to reach the owner.
@@ -48,7 +54,7 @@
 }
 
 /// The agent's table.
-pub(super) struct Desk {
+pub struct Desk {
     settings: Settings,
     agent: Name,
     process: u64,
@@ -81,7 +87,8 @@
 }
 
 impl Desk {
-    pub(super) fn new(settings: Settings, agent: Name, process: u64, now: Time) -> Self {
+    /// A desk of the agent named `agent`; `process` tells its processes apart.
+    pub fn new(settings: Settings, agent: Name, process: u64, now: Time) -> Self {
         // A former process of the agent may have renewed leases just before it ended.
         let granted = now.after(settings.lease * (100 + settings.drift_percent) / 100);
         Self {
@@ -114,50 +121,58 @@
         }
     }
 
-    pub(super) fn epoch(&self) -> u64 {
+    /// The number of the owner that is obeyed; 0 before one is found.
+    pub fn epoch(&self) -> u64 {
         self.epoch
     }
 
-    pub(super) fn lifetime(&self) -> Option<&Lifetime> {
+    /// The life of the worker that is known.
+    pub fn lifetime(&self) -> Option<&Lifetime> {
         self.lifetime.as_ref()
     }
 
-    pub(super) fn recorded(&self) -> u64 {
+    /// Ends up to this number are recorded; the worker may forget them.
+    pub fn recorded(&self) -> u64 {
         self.recorded
     }
 
-    pub(super) fn is_complete(&self) -> bool {
+    /// Whether the lists were read since the owner that is obeyed was found.
+    pub fn is_complete(&self) -> bool {
         self.complete
     }
 
-    pub(super) fn is_busy(&self) -> bool {
+    /// Whether something runs or is being withdrawn.
+    pub fn is_busy(&self) -> bool {
         !self.running.is_empty() || !self.withdrawn.is_empty()
     }
 
-    pub(super) fn running(&self) -> &BTreeMap<Key, Held> {
+    /// What runs.
+    pub fn running(&self) -> &BTreeMap<Key, Held> {
         &self.running
     }
 
-    pub(super) fn rates(&self) -> &Rates {
+    /// How images disturb each other, as the owner said.
+    pub fn rates(&self) -> &Rates {
         &self.rates
     }
 
     /// Processors of the worker, thousandths.
-    pub(super) fn millicores(&self) -> u32 {
+    pub fn millicores(&self) -> u32 {
         self.profile.as_ref().map_or(1, |profile| profile.capacity.millicores.max(1))
     }
 
-    pub(super) fn is_withdrawn(&self, key: &Key) -> bool {
+    /// Whether the run is being withdrawn.
+    pub fn is_withdrawn(&self, key: &Key) -> bool {
         self.withdrawn.contains_key(key)
     }
 
     /// Whether the worker takes new tasks.
-    pub(super) fn takes_tasks(&self) -> bool {
+    pub fn takes_tasks(&self) -> bool {
         self.profile.as_ref().is_some_and(|profile| profile.standing == Standing::Ready)
     }
 
     /// Takes a registration of the worker in; `false` when it is older than what is known.
-    pub(super) fn register(&mut self, profile: Profile, registration: u64, now: Time) -> bool {
+    pub fn register(&mut self, profile: Profile, registration: u64, now: Time) -> bool {
         let older =
             self.lifetime.as_ref().is_some_and(|own| own.born_ms > profile.lifetime.born_ms);
         let same = self.lifetime.as_ref() == Some(&profile.lifetime);
@@ -181,20 +196,20 @@
     }
 
     /// The worker as it registered last.
-    pub(super) fn registered(&self) -> Option<(Lifetime, Standing)> {
+    pub fn registered(&self) -> Option<(Lifetime, Standing)> {
         let profile = self.profile.as_ref()?;
         Some((profile.lifetime.clone(), profile.standing))
     }
 
     /// The worker `id` has said that it leaves now; `false` when it is another one.
-    pub(super) fn deregister(&mut self, id: &str) -> bool {
+    pub fn deregister(&mut self, id: &str) -> bool {
         let own = self.lifetime.as_ref().is_some_and(|own| &*own.id == id);
         self.left |= own;
         own
     }
 
     /// The state, for operators.
-    pub(super) fn dump(&self, now: Time) -> serde_json::Value {
+    pub fn dump(&self, now: Time) -> serde_json::Value {
         serde_json::json!({
             "agent": &*self.agent,
             "epoch": self.epoch,
@@ -232,7 +247,7 @@
     }
 
     /// The end of the lease that may be given now, on the worker's clock, milliseconds.
-    pub(super) fn lease_ms(&mut self, now: Time) -> Option<u64> {
+    pub fn lease_ms(&mut self, now: Time) -> Option<u64> {
         let offset = self.offset_ms?;
         if self.authorised.passed(now) {
             return None;
@@ -245,7 +260,7 @@
     }
 
     /// Takes the worker's lists in; `sent` is when they were asked for, `epoch` for which owner.
-    pub(super) fn looked(&mut self, lists: Lists, epoch: u64, sent: Time, now: Time) {
+    pub fn looked(&mut self, lists: Lists, epoch: u64, sent: Time, now: Time) {
         if self.lifetime.as_ref() != Some(&lists.lifetime) {
             let older = |own: &Lifetime| own.born_ms > lists.lifetime.born_ms;
             if self.lifetime.as_ref().is_some_and(older) {
@@ -303,7 +318,7 @@
     }
 
     /// Notes that a look gave nothing.
-    pub(super) fn look_failed(&mut self, error: &Error) {
+    pub fn look_failed(&mut self, error: &Error) {
         match error {
             // Another life answers; the next look reads its lists.
             Error::OtherLifetime => self.complete = false,
@@ -317,11 +332,12 @@
     }
 
     /// Whether no worker runs beside the agent.
-    pub(super) fn is_vacant(&self) -> bool {
+    pub fn is_vacant(&self) -> bool {
         self.vacant >= VACANT_LOOKS
     }
 
-    pub(super) fn is_silent(&self) -> bool {
+    /// Whether the worker has not answered for several looks.
+    pub fn is_silent(&self) -> bool {
         self.failures >= self.settings.silent_looks
     }
 
@@ -332,7 +348,7 @@
     }
 
     /// A start was answered with success.
-    pub(super) fn started(&mut self, order: &Order, traits: Traits, now: Time) {
+    pub fn started(&mut self, order: &Order, traits: Traits, now: Time) {
         let key = (order.task, order.run);
         let ended = self.ends.values().any(|end| (end.item.task, end.item.run) == key);
         if !ended {
@@ -351,13 +367,13 @@
     }
 
     /// Owes the owner an answer.
-    pub(super) fn answer(&mut self, task: Task, run: u32, outcome: Outcome) {
+    pub fn answer(&mut self, task: Task, run: u32, outcome: Outcome) {
         let answer = Answer { task, run, outcome };
         self.answers.push(Owed { item: answer, first: None, confirmed: false });
     }
 
     /// A run is being withdrawn; `false` when that goes on already.
-    pub(super) fn withdraw(&mut self, key: Key) -> bool {
+    pub fn withdraw(&mut self, key: Key) -> bool {
         if self.withdrawn.contains_key(&key) {
             return false;
         }
@@ -366,25 +382,26 @@
     }
 
     /// The worker confirmed the stop of a withdrawn run.
-    pub(super) fn stopped(&mut self, key: Key, now: Time) {
+    pub fn stopped(&mut self, key: Key, now: Time) {
         if let Some(stopped) = self.withdrawn.get_mut(&key) {
             *stopped = Some(now);
         }
     }
 
     /// The stop of a withdrawn run need not be repeated.
-    pub(super) fn give_up_withdrawal(&mut self, key: Key) {
+    pub fn give_up_withdrawal(&mut self, key: Key) {
         self.withdrawn.remove(&key);
     }
 
-    pub(super) fn set_pace(&mut self, key: Key, percent: u8) {
+    /// Notes the pace that was set for a run.
+    pub fn set_pace(&mut self, key: Key, percent: u8) {
         if let Some(held) = self.running.get_mut(&key) {
             held.run.pace = percent;
         }
     }
 
     /// The next report.
-    pub(super) fn report(&mut self, now: Time) -> Report {
+    pub fn report(&mut self, now: Time) -> Report {
         self.sequence += 1;
         let sequence = self.sequence;
         self.sent.push_back((sequence, now));
@@ -439,7 +456,7 @@
     }
 
     /// Takes a reply of an owner in; returns the orders that are new.
-    pub(super) fn replied(&mut self, reply: Reply) -> Vec<Order> {
+    pub fn replied(&mut self, reply: Reply) -> Vec<Order> {
         if !reply.owned || reply.epoch < self.epoch {
             return Vec::new();
         }
@@ -485,6 +502,3 @@
         }
     }
 }
-
-/// The worker's calls as the loops share them.
-pub(super) type Caller = std::rc::Rc<dyn Control>;
--- a/crates/scheduler/src/agent/mod.rs
+++ b/crates/scheduler/src/agent/mod.rs
@@ -2,18 +2,20 @@
 //!
 //! - [`Control`]: the calls that a worker takes.
 //! - [`Lists`]: what a worker says it runs and what has ended.
-//! - [`Agent`]: the agent's table and its loops.
+//! - [`Agent`]: the agent's loops.
+//! - [`desk`]: what it knows and owes.
+//! - [`pace`]: how fast tasks that fill may work.
 //! - [`Settings`]: its limits.
 //!
 //! The agent renews the leases of what runs only up to the time that the owner's last reply
 //! allows, so that a worker that is cut off empties itself.
 
 mod control;
-mod desk;
+pub mod desk;
 mod lists;
 mod look;
 mod order;
-mod pace;
+pub mod pace;
 mod report;
 mod settings;
 mod shared;
--- a/crates/scheduler/src/agent/pace.rs
+++ b/crates/scheduler/src/agent/pace.rs
@@ -25,10 +25,13 @@
 
 /// A serving task as the controller sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct Served {
-    pub(super) image: Name,
-    pub(super) tail_ms: u32,
-    pub(super) target_ms: u32,
+pub struct Served {
+    /// What it runs.
+    pub image: Name,
+    /// Its tail latency over about the last half second, milliseconds.
+    pub tail_ms: u32,
+    /// The bound of its tail latency, milliseconds.
+    pub target_ms: u32,
 }
 
 impl Served {
@@ -43,7 +46,7 @@
 /// The load of serving tasks swings within seconds: a missed target slows the culprits at once, and
 /// a kept one lets them get faster in small steps, so that the pace does not follow each swing.
 #[derive(Debug, Default)]
-pub(super) struct Controller {
+pub struct Controller {
     paces: BTreeMap<Name, u8>,
     next: Time,
     missed: Option<Time>,
@@ -52,7 +55,7 @@
 impl Controller {
     /// The pace of each image for the next half second, percent; `fills` are the images with their
     /// shares of the worker at full speed.
-    pub(super) fn decide(
+    pub fn decide(
         &mut self,
         served: &[Served],
         fills: &BTreeMap<Name, f64>,
--- a/crates/scheduler/src/agent/shared.rs
+++ b/crates/scheduler/src/agent/shared.rs
@@ -1,4 +1,4 @@
-use super::desk::{Caller, Desk};
+use super::desk::Desk;
 use super::{Control, Settings, look, report};
 use event_listener::Event;
 use shallotflow_core::name::Name;
@@ -13,7 +13,7 @@
 pub struct Agent {
     pub(super) settings: Settings,
     pub(super) desk: RefCell<Desk>,
-    pub(super) control: Caller,
+    pub(super) control: Rc<dyn Control>,
     pub(super) store: Rc<dyn Store>,
     /// Notified when the owner has to hear something.
     pub(super) news: Event,
--- a/crates/scheduler/src/entry/elect.rs
+++ b/crates/scheduler/src/entry/elect.rs
@@ -3,7 +3,7 @@
 //! The table has one owner at a time by the revision of one key. A claim takes no waiting: workers
 //! refuse the orders of an owner with a lower number, and the store refuses its records. So an
 //! entry claims as soon as the owner has given up, or its presence has ended and it does not answer
-//! or has itself lost the store.
+//! or has itself lost the store. The strongest machine claims first.
 
 use super::holder::Holder;
 use super::{Entry, keys, membership, own};
@@ -11,6 +11,7 @@
 use shallotflow_runtime::clock::Boottime;
 use shallotflow_store::error::Error;
 use shallotflow_store::transaction::Transaction;
+use std::cmp::Reverse;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -55,6 +56,9 @@
 
 async fn should_claim(entry: &Rc<Entry>) -> bool {
     let now = Boottime.now();
+    if now < entry.claims_from.get() {
+        return false;
+    }
     let (holder, present, rank) = {
         let known = entry.known.borrow();
         if !known.read || now > entry.contact.get().after(entry.settings.store_quiet) {
@@ -64,10 +68,17 @@
         let present = holder.as_ref().is_some_and(|holder| {
             known.entries.get(&holder.entry).is_some_and(|own| own.process == holder.process)
         });
-        let rank = known.entries.keys().take_while(|name| **name < entry.name).count();
-        (holder, present, rank)
+        let disowned =
+            known.disowned.is_some_and(|since| since.after(entry.settings.disowned).passed(now));
+        let own = (Reverse(entry.settings.strength), &entry.name);
+        let before = known
+            .entries
+            .iter()
+            .filter(|(name, presence)| (Reverse(presence.strength), *name) < own);
+        (holder, present && !disowned, before.count())
     };
     let Some(holder) = holder else {
+        monoio::time::sleep(entry.settings.first_claim).await;
         stagger(entry, rank).await;
         return entry.known.borrow().holder.is_none();
     };
@@ -103,7 +114,8 @@
     if let Err(error) = try_claim(entry).await {
         spdlog::warn!("claim failed", kv: { reason = error.to_string() });
         entry.give_up("the claim could not be completed");
-        monoio::time::sleep(entry.settings.store_pause).await;
+        let pause = entry.settings.claim_pause;
+        entry.claims_from.set(Boottime.now().after(pause));
     }
 }
 
@@ -144,7 +156,12 @@
         Err(error) => return Err(error),
     };
     entry.hear_of(holder.clone());
-    own::load(entry, &holder, revision).await
+    let loaded = own::load(entry, &holder, revision).await;
+    if loaded.is_err() {
+        // Another entry may have more luck with the store.
+        own::release_claim(entry, holder.epoch, revision).await;
+    }
+    loaded
 }
 
 /// The revision of a claim whose answer was lost, if it was carried out.
--- a/crates/scheduler/src/entry/holder.rs
+++ b/crates/scheduler/src/entry/holder.rs
@@ -22,4 +22,7 @@
     pub process: u64,
     /// Where it takes calls.
     pub address: SocketAddr,
+    /// How much its machine can do, against others; the strongest entry claims first.
+    #[serde(default)]
+    pub strength: u32,
 }
--- a/crates/scheduler/src/entry/membership.rs
+++ b/crates/scheduler/src/entry/membership.rs
@@ -58,7 +58,11 @@
     let id = entry.store.grant(entry.settings.presence).await;
     entry.note(&id);
     let id = id?;
-    let presence = Presence { process: entry.process, address: entry.address };
+    let presence = Presence {
+        process: entry.process,
+        address: entry.address,
+        strength: entry.settings.strength,
+    };
     let value = serde_json::to_vec(&presence).unwrap_or_default();
     let key = format!("{}{}", keys::ENTRIES, entry.name);
     entry.commit(Transaction::default().put_leased(key, value, id)).await?;
@@ -133,7 +137,12 @@
     loop {
         monoio::time::sleep(entry.settings.standing_interval).await;
         let Some(owner) = entry.owner() else { continue };
-        ask(&entry, &owner).await;
+        let standing = ask(&entry, &owner).await;
+        let Some((epoch, owned, _)) = standing else { continue };
+        let now = Boottime.now();
+        let mut known = entry.known.borrow_mut();
+        let current = known.holder.as_ref().is_some_and(|holder| holder.epoch == epoch);
+        known.disowned = (current && !owned).then(|| known.disowned.unwrap_or(now));
     }
 }
 
--- a/crates/scheduler/src/entry/own.rs
+++ b/crates/scheduler/src/entry/own.rs
@@ -310,22 +310,27 @@
     Ok(())
 }
 
-/// Records what is left and gives the table up for another entry to claim at once.
+/// Gives the table up for another entry to claim at once.
+///
+/// What is not recorded yet stays with the workers, which list the ends until told.
 pub(super) async fn release(entry: &Entry) {
     let (epoch, revision) = {
         let reign = entry.reign.borrow();
         let Some(reign) = reign.as_ref() else { return };
         (reign.table.epoch(), reign.revision)
     };
+    release_claim(entry, epoch, revision).await;
+    entry.give_up("the process stops");
+}
+
+/// Says that nobody owns the table that was claimed as `revision`.
+pub(super) async fn release_claim(entry: &Entry, epoch: u64, revision: i64) {
     let holder =
         Holder { epoch, entry: Name::from(""), process: entry.process, address: entry.address };
     let value = serde_json::to_vec(&holder).unwrap_or_default();
     let transaction =
         Transaction::default().written_by(keys::OWNER, revision).put(keys::OWNER, value);
-    // The records that are not written yet stay with the workers, which list the ends until told.
-    let result = entry.commit(transaction).await;
-    entry.give_up("the process stops");
-    match result {
+    match entry.commit(transaction).await {
         Ok(_) => entry.hear_of(holder),
         Err(error) => spdlog::warn!("table not released", kv: { reason = error.to_string() }),
     }
--- a/crates/scheduler/src/entry/settings.rs
+++ b/crates/scheduler/src/entry/settings.rs
@@ -3,6 +3,15 @@
 /// The limits of an entry.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
+    /// How much the entry's machine can do, against others.
+    pub strength: u32,
+    /// How long an entry that finds no owner at all waits for stronger ones to announce
+    /// themselves; all processes of a new system start within this time.
+    pub first_claim: Duration,
+    /// How long an entry claims nothing after a claim that it could not complete.
+    pub claim_pause: Duration,
+    /// An owner that says for this long that it does not own the table may be replaced.
+    pub disowned: Duration,
     /// Length of the lease of the entry's presence; the shortest that the store grants.
     pub presence: Duration,
     /// Pause between two renewals of it; a third of its length.
@@ -31,6 +40,10 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
+            strength: 1,
+            first_claim: Duration::from_millis(700),
+            claim_pause: Duration::from_millis(2_000),
+            disowned: Duration::from_millis(2_000),
             presence: Duration::from_millis(1_000),
             renewal: Duration::from_millis(330),
             reply_wait: Duration::from_millis(400),
--- a/crates/scheduler/src/entry/shared.rs
+++ b/crates/scheduler/src/entry/shared.rs
@@ -26,6 +26,8 @@
     pub(super) read: bool,
     /// The entries that are there.
     pub(super) entries: BTreeMap<Name, Presence>,
+    /// Since when the owner says that it does not own the table.
+    pub(super) disowned: Option<Time>,
     /// When another entry last said that the store answers it.
     pub(super) others_reach_store: Time,
     /// When another entry last said that the store does not answer it either.
@@ -53,6 +55,8 @@
     /// Notified when the owner has something to record.
     pub(super) dirty: Event,
     pub(super) stopping: Cell<bool>,
+    /// Before this, the entry claims nothing.
+    pub(super) claims_from: Cell<Time>,
     clients: RefCell<HashMap<SocketAddr, Client>>,
 }
 
@@ -81,6 +85,7 @@
             ordered: Event::new(),
             dirty: Event::new(),
             stopping: Cell::new(false),
+            claims_from: Cell::new(Time::ZERO),
             clients: RefCell::new(HashMap::new()),
         })
     }
@@ -195,6 +200,7 @@
             self.reign.borrow().as_ref().is_some_and(|reign| holder.epoch > reign.table.epoch());
         crate::log::decision("owner", &holder);
         known.holder = Some(holder);
+        known.disowned = None;
         drop(known);
         if replaced {
             self.give_up("another entry is the owner");
