--- a/crates/policy/src/plan/expire.rs
+++ b/crates/policy/src/plan/expire.rs
@@ -32,12 +32,16 @@
         let over: Vec<Name> = self
             .workers
             .iter()
-            .filter(|(_, worker)| worker.empty.passed(now))
+            .filter(|(_, worker)| worker.synced && worker.empty.passed(now))
             .map(|(agent, _)| agent.clone())
             .collect();
         for agent in over {
             self.lose(&agent, "its agent did not report for the length of a lease", now);
-            self.workers.remove(&agent);
+            // The entry stays: the agent's process goes on counting orders and ends when it is back.
+            if let Some(worker) = self.workers.get_mut(&agent) {
+                worker.synced = false;
+                worker.outbox.clear();
+            }
         }
     }
 
--- a/crates/policy/src/plan/hear.rs
+++ b/crates/policy/src/plan/hear.rs
@@ -28,6 +28,7 @@
             return;
         }
         worker.sequence = report.sequence;
+        worker.ordered = worker.ordered.max(report.received);
         worker.heard = now;
         worker.empty = now.after(self.settings.lease);
         worker.vacant = report.vacant;
--- a/crates/policy/src/plan/message/reply.rs
+++ b/crates/policy/src/plan/message/reply.rs
@@ -17,6 +17,9 @@
     pub orders: Vec<Order>,
     /// Ends up to this number are recorded; the worker may forget them.
     pub recorded: u64,
+    /// The life of the worker that `recorded` counts the ends of: when it began, milliseconds since
+    /// 1970. A later life counts anew.
+    pub born_ms: u64,
     /// How the images at the worker disturb each other, when the report listed what runs.
     pub harm: Vec<Harm>,
     /// Where the entries take reports.
--- a/crates/policy/tests/plan/lists.rs
+++ b/crates/policy/tests/plan/lists.rs
@@ -109,3 +109,16 @@
     floor.turn();
     assert!(floor.running().is_empty());
 }
+
+#[test]
+fn an_agent_that_was_given_up_takes_orders_again_when_it_is_back() {
+    let mut floor = Floor::new(1);
+    floor.table.accept(id(1), job(vec![step(2, 1_000)]), true, floor.now);
+    floor.turn();
+    floor.hands.get_mut(&name(0)).expect("a worker").running.clear();
+    floor.wait(Duration::from_secs(8));
+    floor.tick();
+    floor.report_all();
+    floor.turn();
+    assert_eq!(floor.running().len(), 2, "orders are counted on, not anew");
+}
--- a/crates/scheduler/src/agent/desk.rs
+++ b/crates/scheduler/src/agent/desk.rs
@@ -474,7 +474,9 @@
         for owed in self.ends.values_mut().filter(|owed| told(owed.first)) {
             owed.confirmed = true;
         }
-        self.recorded = self.recorded.max(reply.recorded);
+        if self.lifetime.as_ref().is_some_and(|own| own.born_ms == reply.born_ms) {
+            self.recorded = self.recorded.max(reply.recorded);
+        }
         for harm in &reply.harm {
             self.rates.set(&harm.victim, harm.neighbor.as_ref(), f64::from(harm.added));
         }
--- a/crates/scheduler/src/entry/elect.rs
+++ b/crates/scheduler/src/entry/elect.rs
@@ -43,11 +43,11 @@
     }
     let known = entry.known.borrow();
     let others = known.entries.len() > 1;
-    let reach = known.others_reach_store > contact;
-    let miss = now < known.others_miss_store.after(entry.settings.store_quiet);
-    let alone = contact.after(entry.settings.alone).passed(now) && others && !miss;
+    let cut_off = entry.is_cut_off(&known);
+    let heard = now < known.others_heard.after(entry.settings.store_quiet);
+    let alone = contact.after(entry.settings.alone).passed(now) && others && !heard;
     drop(known);
-    if reach {
+    if cut_off {
         entry.give_up("the store answers other entries only");
     } else if alone {
         entry.give_up("neither the store nor another entry answers");
@@ -120,8 +120,9 @@
 }
 
 async fn try_claim(entry: &Rc<Entry>) -> Result<(), Error> {
+    let sent = Boottime.now();
     let current = entry.store.get(keys::OWNER).await;
-    entry.note(&current);
+    entry.note(&current, sent);
     let current = current?;
     let (epoch, revision) = match &current {
         None => (0, 0),
@@ -166,8 +167,9 @@
 
 /// The revision of a claim whose answer was lost, if it was carried out.
 async fn read_claim(entry: &Rc<Entry>, holder: &Holder) -> Result<Option<i64>, Error> {
+    let sent = Boottime.now();
     let pair = entry.store.get(keys::OWNER).await;
-    entry.note(&pair);
+    entry.note(&pair, sent);
     let own = |value: &[u8]| {
         serde_json::from_slice::<Holder>(value).is_ok_and(|stored| stored == *holder)
     };
--- a/crates/scheduler/src/entry/membership.rs
+++ b/crates/scheduler/src/entry/membership.rs
@@ -48,15 +48,17 @@
         .get(&entry.name)
         .is_some_and(|presence| presence.process == entry.process);
     if let (Some(id), true) = (*lease, announced) {
+        let sent = Boottime.now();
         let kept = entry.store.keep_alive(id).await;
-        entry.note(&kept);
+        entry.note(&kept, sent);
         match kept {
             Err(Error::LeaseGone { .. }) => {}
             other => return other,
         }
     }
+    let sent = Boottime.now();
     let id = entry.store.grant(entry.settings.presence).await;
-    entry.note(&id);
+    entry.note(&id, sent);
     let id = id?;
     let presence = Presence {
         process: entry.process,
@@ -82,8 +84,9 @@
 }
 
 async fn watch(entry: &Rc<Entry>) -> Result<(), Error> {
+    let sent = Boottime.now();
     let snapshot = entry.store.range(keys::MEMBERSHIP).await;
-    entry.note(&snapshot);
+    entry.note(&snapshot, sent);
     let snapshot = snapshot?;
     entry.known.borrow_mut().entries.clear();
     for pair in &snapshot.pairs {
@@ -93,8 +96,9 @@
     entry.changed.notify(usize::MAX);
     let mut watch = entry.store.watch(keys::MEMBERSHIP, snapshot.revision + 1).await?;
     loop {
+        let sent = Boottime.now();
         let update = watch.next().await;
-        entry.note(&update);
+        entry.note(&update, sent);
         for change in update?.changes {
             match change {
                 Change::Put(pair) => take(entry, &pair),
@@ -170,9 +174,7 @@
 pub(super) fn note_standing(entry: &Rc<Entry>, store_age_ms: u64) {
     let now = Boottime.now();
     let mut known = entry.known.borrow_mut();
-    if u128::from(store_age_ms) < entry.settings.store_quiet.as_millis() {
-        known.others_reach_store = now;
-    } else {
-        known.others_miss_store = now;
-    }
+    let contact = now.before(std::time::Duration::from_millis(store_age_ms));
+    known.others_contact = known.others_contact.max(contact);
+    known.others_heard = now;
 }
--- a/crates/scheduler/src/entry/own.rs
+++ b/crates/scheduler/src/entry/own.rs
@@ -29,18 +29,21 @@
 
 /// Reads the store and becomes the owner that `holder` names.
 pub(super) async fn load(entry: &Rc<Entry>, holder: &Holder, revision: i64) -> Result<(), Error> {
+    let sent = Boottime.now();
     let agents = entry.store.get(keys::AGENTS).await;
-    entry.note(&agents);
+    entry.note(&agents, sent);
     let holders: Vec<Name> = match agents? {
         Some(pair) => serde_json::from_slice(&pair.value)
             .map_err(|error| Error::Rejected { reason: error.to_string() })?,
         None => Vec::new(),
     };
+    let sent = Boottime.now();
     let asked = entry.store.range(keys::CALLERS).await;
-    entry.note(&asked);
+    entry.note(&asked, sent);
     let asked = asked?;
+    let sent = Boottime.now();
     let progress = entry.store.range(keys::PROGRESS).await;
-    entry.note(&progress);
+    entry.note(&progress, sent);
     let progress = progress?;
     if entry.known.borrow().holder.as_ref() != Some(holder) {
         return Ok(());
@@ -111,8 +114,9 @@
         match hear_from(&entry, epoch, &mut revision).await {
             Ok(()) => return,
             Err(Error::Compacted { .. }) => {
+                let sent = Boottime.now();
                 let snapshot = entry.store.range(keys::CALLERS).await;
-                entry.note(&snapshot);
+                entry.note(&snapshot, sent);
                 if let Ok(snapshot) = snapshot {
                     let pairs = snapshot.pairs.into_iter().map(Change::Put).collect();
                     take_changes(&entry, epoch, pairs);
@@ -130,8 +134,9 @@
 async fn hear_from(entry: &Rc<Entry>, epoch: u64, revision: &mut i64) -> Result<(), Error> {
     let mut watch = entry.store.watch(keys::CALLERS, *revision + 1).await?;
     loop {
+        let sent = Boottime.now();
         let update = watch.next().await;
-        entry.note(&update);
+        entry.note(&update, sent);
         let update = update?;
         *revision = update.revision.max(*revision);
         if !take_changes(entry, epoch, update.changes) {
@@ -173,7 +178,9 @@
             let Some(reign) = reign.as_mut() else { continue };
             let now = Boottime.now();
             let forgotten = reign.table.expire(now, wall_ms());
-            reign.table.place(now, &reign.holders);
+            if entry.may_place(now) {
+                reign.table.place(now, &reign.holders);
+            }
             let events = reign.table.take_events();
             if !events.is_empty() {
                 entry.ordered.notify(usize::MAX);
@@ -287,8 +294,9 @@
 
 /// Reads back what a commit may have written, and whether this entry is still the owner.
 async fn reread(entry: &Rc<Entry>, epoch: u64, records: &[Record]) -> Result<(), Error> {
+    let sent = Boottime.now();
     let owner = entry.store.get(keys::OWNER).await;
-    entry.note(&owner);
+    entry.note(&owner, sent);
     if let Some(pair) = owner? {
         match serde_json::from_slice::<Holder>(&pair.value) {
             Ok(holder) if holder.epoch != epoch => {
@@ -300,8 +308,9 @@
         }
     }
     for record in records {
+        let sent = Boottime.now();
         let pair = entry.store.get(&keys::progress(record.job)).await;
-        entry.note(&pair);
+        entry.note(&pair, sent);
         let revision = pair?.map_or(0, |pair| pair.mod_revision);
         if let Some(reign) = &mut *entry.reign.borrow_mut() {
             reign.revisions.insert(record.job, revision);
--- a/crates/scheduler/src/entry/settings.rs
+++ b/crates/scheduler/src/entry/settings.rs
@@ -27,6 +27,9 @@
     pub store_quiet: Duration,
     /// An owner whom neither the store nor an entry has answered for this long gives up.
     pub alone: Duration,
+    /// By how much the times may differ at which the store last answered two entries that it
+    /// stopped answering together; two renewals.
+    pub contact_slack: Duration,
     /// Pause between two looks at the deadlines.
     pub tick: Duration,
     /// Pause after a failed call to the store.
@@ -49,8 +52,9 @@
             reply_wait: Duration::from_millis(400),
             ask_limit: Duration::from_millis(250),
             standing_interval: Duration::from_millis(400),
-            store_quiet: Duration::from_millis(1_500),
+            store_quiet: Duration::from_millis(1_100),
             alone: Duration::from_millis(2_500),
+            contact_slack: Duration::from_millis(800),
             tick: Duration::from_millis(25),
             store_pause: Duration::from_millis(60),
             submit_limit: Duration::from_millis(800),
--- a/crates/scheduler/src/entry/shared.rs
+++ b/crates/scheduler/src/entry/shared.rs
@@ -28,10 +28,10 @@
     pub(super) entries: BTreeMap<Name, Presence>,
     /// Since when the owner says that it does not own the table.
     pub(super) disowned: Option<Time>,
-    /// When another entry last said that the store answers it.
-    pub(super) others_reach_store: Time,
-    /// When another entry last said that the store does not answer it either.
-    pub(super) others_miss_store: Time,
+    /// When the store last answered another entry, by that entry's word.
+    pub(super) others_contact: Time,
+    /// When another entry last said how it stands.
+    pub(super) others_heard: Time,
 }
 
 /// One entry; its loops and calls share it.
@@ -44,7 +44,7 @@
     pub(super) known: RefCell<Known>,
     pub(super) reign: RefCell<Option<Reign>>,
     pub(super) queues: RefCell<Vec<Queue>>,
-    /// When the store answered last.
+    /// When the last call that the store answered was sent.
     pub(super) contact: Cell<Time>,
     /// Notified when membership changed.
     pub(super) changed: Event,
@@ -145,8 +145,8 @@
         u64::try_from(age).unwrap_or(u64::MAX)
     }
 
-    /// Notes whether a call shows that the store answers.
-    pub(super) fn note<T>(&self, result: &Result<T, Error>) {
+    /// Notes whether a call that was sent at `sent` shows that the store answers.
+    pub(super) fn note<T>(&self, result: &Result<T, Error>, sent: Time) {
         let answered = match result {
             Ok(_) => true,
             Err(error) => matches!(
@@ -155,14 +155,15 @@
             ),
         };
         if answered {
-            self.contact.set(Boottime.now());
+            self.contact.set(self.contact.get().max(sent));
         }
     }
 
     /// Commits, and notes whether the store answers.
     pub(super) async fn commit(&self, transaction: Transaction) -> Result<i64, Error> {
+        let sent = Boottime.now();
         let result = self.store.commit(transaction).await;
-        self.note(&result);
+        self.note(&result, sent);
         result
     }
 
@@ -187,6 +188,25 @@
         others.map(|(_, presence)| presence.address).collect()
     }
 
+    /// Whether this owner can be sure enough that it has no successor to start tasks.
+    ///
+    /// A successor may have done the work already of what still waits here. There is none while the
+    /// entry's presence is fresh, and none while the store answers the other entries as little.
+    pub(super) fn may_place(&self, now: Time) -> bool {
+        let contact = self.contact.get();
+        if now < contact.after(self.settings.presence) {
+            return true;
+        }
+        let known = self.known.borrow();
+        let heard = now < known.others_heard.after(self.settings.presence);
+        known.entries.len() <= 1 || (heard && !self.is_cut_off(&known))
+    }
+
+    /// Whether the store answers other entries while it does not answer this one.
+    pub(super) fn is_cut_off(&self, known: &Known) -> bool {
+        known.others_contact > self.contact.get().after(self.settings.contact_slack)
+    }
+
     /// Takes a word on who owns the table in, if it is newer; gives the table up to a later owner.
     pub(super) fn hear_of(&self, holder: Holder) {
         let mut known = self.known.borrow_mut();
--- a/crates/scheduler/src/entry/submit.rs
+++ b/crates/scheduler/src/entry/submit.rs
@@ -77,8 +77,9 @@
 
     /// A job with this identifier is stored; it is the same one if its queue is.
     async fn known_job(&self, id: Id, job: &Job) -> Submission {
+        let sent = Boottime.now();
         let pair = self.store.get(&keys::job(id)).await;
-        self.note(&pair);
+        self.note(&pair, sent);
         let stored = match pair {
             Ok(Some(pair)) => unpack::<Job>(&pair.value).ok(),
             Ok(None) => None,
@@ -184,8 +185,9 @@
         let mut exists = known.is_some();
         loop {
             if !exists {
+                let sent = Boottime.now();
                 let pair = self.store.get(&keys::job(id)).await;
-                self.note(&pair);
+                self.note(&pair, sent);
                 match pair {
                     Ok(Some(pair)) => {
                         let own = unpack::<Job>(&pair.value);
--- /dev/null
+++ b/crates/scheduler/tests/path/worker.rs
@@ -0,0 +1,192 @@
+//! A worker as the platform describes it: fences, numbered runs, leases and lists.
+
+use super::oracle::Oracle;
+use super::planted::Planted;
+use shallotflow_core::graph::Task;
+use shallotflow_core::name::Name;
+use shallotflow_policy::plan::message::{End, How, Lifetime, Run};
+use shallotflow_scheduler::agent::{Error, Lists, Result};
+use std::collections::BTreeMap;
+
+/// Most leases that a worker grants, milliseconds.
+pub(crate) const LEASE_MS: u64 = 6_000;
+
+struct Going {
+    run: u32,
+    until: u64,
+    fails: bool,
+}
+
+pub(crate) struct Worker {
+    pub(crate) number: usize,
+    born: u64,
+    /// When this life began, on the world's clock.
+    since: u64,
+    fence: u64,
+    lease: u64,
+    running: BTreeMap<Task, Going>,
+    highest: BTreeMap<Task, u32>,
+    ends: Vec<End>,
+    last_end: u64,
+    pub(crate) lost: usize,
+    planted: Option<Planted>,
+}
+
+impl Worker {
+    pub(crate) fn new(number: usize, planted: Option<Planted>) -> Self {
+        Self {
+            number,
+            born: 1,
+            since: 0,
+            fence: 0,
+            lease: 0,
+            running: BTreeMap::new(),
+            highest: BTreeMap::new(),
+            ends: Vec::new(),
+            last_end: 0,
+            lost: 0,
+            planted,
+        }
+    }
+
+    pub(crate) fn lifetime(&self) -> Lifetime {
+        Lifetime { id: Name::from(format!("w{}", self.number)), born_ms: self.born }
+    }
+
+    /// Steady milliseconds of this life, one in fifty slower than the world's.
+    fn clock(&self, now: u64) -> u64 {
+        (now - self.since) * 98 / 100
+    }
+
+    /// It starts again and knows nothing of before.
+    pub(crate) fn restart(&mut self, now: u64, oracle: &mut Oracle) {
+        for task in self.running.keys() {
+            oracle.over(self.number, *task);
+        }
+        self.lost += self.running.len();
+        *self = Self {
+            born: self.born + 1,
+            since: now,
+            lost: self.lost,
+            ..Self::new(self.number, self.planted)
+        };
+    }
+
+    /// Tasks end, and everything does when the lease has.
+    pub(crate) fn tick(&mut self, now: u64, oracle: &mut Oracle) {
+        let over: Vec<Task> =
+            self.running.iter().filter(|(_, going)| going.until <= now).map(|(t, _)| *t).collect();
+        for task in over {
+            let how = if self.running[&task].fails { How::Failed } else { How::Done };
+            self.end(task, how, oracle);
+        }
+        if self.clock(now) >= self.lease {
+            for task in self.running.keys().copied().collect::<Vec<_>>() {
+                self.lost += 1;
+                self.end(task, How::Lapsed, oracle);
+            }
+        }
+    }
+
+    fn end(&mut self, task: Task, how: How, oracle: &mut Oracle) {
+        let Some(going) = self.running.remove(&task) else { return };
+        self.last_end += 1;
+        let (number, run) = (self.last_end, going.run);
+        self.ends.push(End { number, task, run, how, checkpoint: None });
+        let highest = self.highest.entry(task).or_default();
+        *highest = run.max(*highest);
+        oracle.over(self.number, task);
+        if how == How::Done {
+            oracle.done(task);
+        }
+    }
+
+    fn obey(&mut self, epoch: u64) -> Result<()> {
+        if epoch < self.fence && self.planted != Some(Planted::OldFence) {
+            return Err(Error::Fenced);
+        }
+        self.fence = self.fence.max(epoch);
+        Ok(())
+    }
+
+    fn renew(&mut self, lease: u64, now: u64) {
+        self.lease = self.lease.max(lease.min(self.clock(now) + LEASE_MS));
+    }
+
+    pub(crate) fn start(
+        &mut self,
+        (task, run): (Task, u32),
+        lease: u64,
+        epoch: u64,
+        (takes, fails): (u64, bool),
+        now: u64,
+        oracle: &mut Oracle,
+    ) -> Result<u64> {
+        self.obey(epoch)?;
+        if lease <= self.clock(now) {
+            return Err(Error::Late);
+        }
+        if self.running.get(&task).is_some_and(|going| going.run == run) {
+            self.renew(lease, now);
+            return Ok(self.clock(now));
+        }
+        let known = self.highest.get(&task).copied().unwrap_or(0);
+        if run <= known || self.running.contains_key(&task) {
+            self.renew(lease, now);
+            return Err(Error::Old);
+        }
+        self.renew(lease, now);
+        self.running.insert(task, Going { run, until: now + takes, fails });
+        oracle.start(self.number, task, super::world::ATTEMPTS);
+        Ok(self.clock(now))
+    }
+
+    pub(crate) fn stop(
+        &mut self,
+        (task, run): (Task, u32),
+        epoch: u64,
+        now: u64,
+        oracle: &mut Oracle,
+    ) -> Result<u64> {
+        self.obey(epoch)?;
+        if self.running.get(&task).is_some_and(|going| going.run == run) {
+            self.end(task, How::Stopped, oracle);
+        }
+        let highest = self.highest.entry(task).or_default();
+        *highest = run.max(*highest);
+        Ok(self.clock(now))
+    }
+
+    pub(crate) fn look(
+        &mut self,
+        lease: Option<u64>,
+        recorded: u64,
+        epoch: u64,
+        now: u64,
+        oracle: &mut Oracle,
+    ) -> Result<Lists> {
+        self.obey(epoch)?;
+        if let Some(lease) = lease {
+            self.renew(lease, now);
+        }
+        for end in self.ends.iter().filter(|end| end.number <= recorded) {
+            oracle.forgotten(end.task, end.how == How::Done, end.how == How::Failed);
+        }
+        self.ends.retain(|end| end.number > recorded);
+        let row = |(task, going): (&Task, &Going)| Run {
+            task: *task,
+            run: going.run,
+            checkpoint: None,
+            // Progress is shown, so that no run counts as stalled.
+            percent: u8::try_from(now / 100 % 100).unwrap_or(0),
+            figure: 0,
+            pace: 100,
+        };
+        Ok(Lists {
+            lifetime: self.lifetime(),
+            clock_ms: self.clock(now),
+            running: self.running.iter().map(row).collect(),
+            ends: self.ends.clone(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/scheduler/tests/path/world.rs
@@ -0,0 +1,535 @@
+//! Owners, agents, workers and the store in virtual time.
+
+use super::oracle::Oracle;
+use super::planted::Planted;
+use super::worker::Worker;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use shallotflow_core::graph::{Id, Job, Queue, Spec, State, Step, Task};
+use shallotflow_core::name::Name;
+use shallotflow_core::resources::Bundle;
+use shallotflow_core::time::Time;
+use shallotflow_policy::plan::message::{Kind, Order, Outcome, Profile, Standing};
+use shallotflow_policy::plan::{self, Progress, Table};
+use shallotflow_scheduler::agent::desk::{Desk, Traits};
+use shallotflow_scheduler::agent::{self, Error};
+use std::collections::{BTreeMap, BTreeSet};
+
+pub(crate) const ATTEMPTS: u32 = 2;
+const WORKERS: usize = 3;
+const TICK_MS: u64 = 20;
+/// Faults come in this time, milliseconds; then all has to end.
+const FAULTY_MS: u64 = 30_000;
+const CALM_MS: u64 = 60_000;
+const QUEUE: &str = "q";
+
+/// How often what goes wrong, for each call or tick.
+#[derive(Clone, Copy)]
+pub(crate) struct Chaos {
+    call_lost: f64,
+    call_late: f64,
+    agent_restart: f64,
+    agent_cut: f64,
+    worker_restart: f64,
+    owner_replaced: f64,
+    store_away: f64,
+    fails: f64,
+}
+
+impl Default for Chaos {
+    fn default() -> Self {
+        Self {
+            call_lost: 0.08,
+            call_late: 0.05,
+            agent_restart: 0.001,
+            agent_cut: 0.001,
+            worker_restart: 0.0006,
+            owner_replaced: 0.002,
+            store_away: 0.002,
+            fails: 0.05,
+        }
+    }
+}
+
+impl Chaos {
+    pub(crate) fn calm() -> Self {
+        Self {
+            call_lost: 0.0,
+            call_late: 0.0,
+            agent_restart: 0.0,
+            agent_cut: 0.0,
+            worker_restart: 0.0,
+            owner_replaced: 0.0,
+            store_away: 0.0,
+            fails: 0.0,
+        }
+    }
+}
+
+/// A call that is carried out later.
+struct Late {
+    at: u64,
+    worker: usize,
+    born: u64,
+    call: Call,
+}
+
+#[derive(Clone)]
+enum Call {
+    Start { task: Task, run: u32, lease: u64, epoch: u64 },
+    Stop { task: Task, run: u32, epoch: u64 },
+}
+
+struct Agent {
+    desk: Desk,
+    process: u64,
+    cut_until: u64,
+    /// Which owner it reports to.
+    target: usize,
+    orders: Vec<(Order, u64, u32, bool)>,
+}
+
+struct Owner {
+    table: Table,
+    alive_until: u64,
+}
+
+pub(crate) struct World {
+    rng: SmallRng,
+    chaos: Chaos,
+    planted: Option<Planted>,
+    now: u64,
+    owners: Vec<Owner>,
+    agents: Vec<Agent>,
+    workers: Vec<Worker>,
+    late: Vec<Late>,
+    oracle: Oracle,
+    jobs: BTreeMap<Id, (Job, u64)>,
+    cancels: BTreeSet<Id>,
+    progress: BTreeMap<Id, Progress>,
+    holders: Vec<Name>,
+    store_away_until: u64,
+}
+
+fn agent_name(number: usize) -> Name {
+    format!("a{number}").into()
+}
+
+impl World {
+    pub(crate) fn new(seed: u64, chaos: Chaos, planted: Option<Planted>) -> Self {
+        let now = 100_000;
+        let agent = |number| Agent {
+            desk: Desk::new(settings(), agent_name(number), 1, Time::from_millis(now)),
+            process: 1,
+            cut_until: 0,
+            target: 0,
+            orders: Vec::new(),
+        };
+        let table = Table::new(plan::Settings::default(), 1, Vec::new(), Time::from_millis(now));
+        Self {
+            rng: SmallRng::seed_from_u64(seed),
+            chaos,
+            planted,
+            now,
+            owners: vec![Owner { table, alive_until: u64::MAX }],
+            agents: (0..WORKERS).map(agent).collect(),
+            workers: (0..WORKERS).map(|number| Worker::new(number, planted)).collect(),
+            late: Vec::new(),
+            oracle: Oracle::default(),
+            jobs: BTreeMap::new(),
+            cancels: BTreeSet::new(),
+            progress: BTreeMap::new(),
+            holders: Vec::new(),
+            store_away_until: 0,
+        }
+    }
+
+    pub(crate) fn lost_runs(&self) -> usize {
+        self.workers.iter().map(|worker| worker.lost).sum()
+    }
+
+    pub(crate) fn run(&mut self) -> Result<(), String> {
+        let begin = self.now;
+        while self.now < begin + FAULTY_MS + CALM_MS {
+            self.now += TICK_MS;
+            let faulty = self.now < begin + FAULTY_MS;
+            if faulty {
+                self.disturb();
+                self.ask(self.now - begin);
+            } else if self.now == begin + FAULTY_MS {
+                self.chaos = Chaos { fails: self.chaos.fails, ..Chaos::calm() };
+                self.store_away_until = 0;
+                for agent in &mut self.agents {
+                    agent.cut_until = 0;
+                }
+            }
+            self.carry_late();
+            for worker in &mut self.workers {
+                worker.tick(self.now, &mut self.oracle);
+            }
+            for number in 0..WORKERS {
+                self.agent(number);
+            }
+            self.decide();
+            if let Some(broken) = self.oracle.broken.take() {
+                return Err(format!("at {} ms: {broken}", self.now - begin));
+            }
+        }
+        self.check_end()
+    }
+
+    fn check_end(&self) -> Result<(), String> {
+        let table = &self.owners.last().expect("an owner").table;
+        for id in self.jobs.keys() {
+            let state = table.shown(QUEUE, *id);
+            if !state.is_some_and(State::is_final) {
+                let job = table.job(*id);
+                let rows = job.map(|job| job.rows.iter().map(|row| &row.phase).collect::<Vec<_>>());
+                return Err(format!("{id} never ended: {state:?} {rows:?}"));
+            }
+            let tasks = tasks_of(*id, &self.jobs[id].0);
+            if let Some(task) = tasks.into_iter().find(|task| self.oracle.is_running(*task)) {
+                return Err(format!("{task} runs though its job has ended"));
+            }
+        }
+        Ok(())
+    }
+
+    fn chance(&mut self, share: f64) -> bool {
+        share > 0.0 && self.rng.random_bool(share)
+    }
+
+    fn disturb(&mut self) {
+        let now = self.now;
+        if self.chance(self.chaos.store_away) {
+            self.store_away_until = now + self.rng.random_range(500..6_000);
+        }
+        for number in 0..WORKERS {
+            if self.chance(self.chaos.worker_restart) {
+                self.workers[number].restart(now, &mut self.oracle);
+            }
+            if self.chance(self.chaos.agent_cut) {
+                self.agents[number].cut_until = now + self.rng.random_range(500..12_000);
+            }
+            if self.chance(self.chaos.agent_restart) {
+                let process = self.agents[number].process + 1;
+                let desk =
+                    Desk::new(settings(), agent_name(number), process, Time::from_millis(now));
+                let target = self.rng.random_range(0..self.owners.len());
+                let cut_until = self.agents[number].cut_until;
+                self.agents[number] =
+                    Agent { desk, process, cut_until, target, orders: Vec::new() };
+            }
+        }
+        if now >= self.store_away_until && self.chance(self.chaos.owner_replaced) {
+            self.replace_owner();
+        }
+    }
+
+    /// A successor reads the store; the former owner goes on for a while, unheard by the store.
+    fn replace_owner(&mut self) {
+        let now = Time::from_millis(self.now);
+        let lives = self.now + self.rng.random_range(0..4_000);
+        let former = self.owners.last_mut().expect("an owner");
+        former.alive_until = lives;
+        let epoch = former.table.epoch() + 1;
+        let missing = match self.planted {
+            Some(Planted::NoWaitForAgents) => Vec::new(),
+            _ => self.holders.clone(),
+        };
+        let mut table = Table::new(plan::Settings::default(), epoch, missing, now);
+        for (id, (job, _)) in &self.jobs {
+            table.load(*id, job.clone(), self.progress.get(id), false, now);
+            if self.cancels.contains(id) {
+                table.cancel(*id, now);
+            }
+        }
+        self.owners.push(Owner { table, alive_until: u64::MAX });
+    }
+
+    /// Callers hand jobs in and cancel some.
+    fn ask(&mut self, since: u64) {
+        let now = Time::from_millis(self.now);
+        if self.now < self.store_away_until {
+            return;
+        }
+        if since % 1_000 == 0 && since < FAULTY_MS - 8_000 {
+            let id = Id(since);
+            let first = self.rng.random_range(1..4);
+            let count = self.rng.random_range(1..4);
+            let step = |count, after| Step {
+                count,
+                after,
+                need: Bundle { millicores: 1_000, memory_mib: 10, ..Bundle::default() },
+                estimate_ms: 500,
+                ..Step::default()
+            };
+            let spec = Spec {
+                text: "work".into(),
+                steps: vec![step(first, vec![]), step(count, vec![0])],
+                ..Spec::default()
+            };
+            let queue = Queue {
+                name: QUEUE.into(),
+                service: "s".into(),
+                attempts: ATTEMPTS,
+                ..Queue::default()
+            };
+            let job = Job { queue, spec, accepted_ms: self.now };
+            self.oracle.accept(id, first);
+            self.jobs.insert(id, (job.clone(), self.now));
+            // The newest owner hears of it; a former one may not, since the store is its only word.
+            self.owners.last_mut().expect("an owner").table.accept(id, job, true, now);
+        }
+        if self.rng.random_bool(0.001) {
+            let ids: Vec<Id> = self.jobs.keys().copied().collect();
+            if ids.is_empty() {
+                return;
+            }
+            let id = ids[self.rng.random_range(0..ids.len())];
+            self.cancels.insert(id);
+            self.oracle.cancel(id);
+            self.owners.last_mut().expect("an owner").table.cancel(id, now);
+        }
+    }
+
+    /// Calls that were held up reach their workers, whichever life those are in.
+    fn carry_late(&mut self) {
+        let now = self.now;
+        let (due, rest): (Vec<Late>, Vec<Late>) =
+            std::mem::take(&mut self.late).into_iter().partition(|late| late.at <= now);
+        self.late = rest;
+        for late in due {
+            // The call names the life that it is meant for.
+            if self.workers[late.worker].lifetime().born_ms == late.born {
+                // Nobody hears the answer.
+                let _ = self.execute(late.worker, late.call);
+            }
+        }
+    }
+
+    fn execute(&mut self, worker: usize, call: Call) -> agent::Result<u64> {
+        let takes = self.rng.random_range(100..2_000);
+        let fails = self.chance(self.chaos.fails);
+        let worker = &mut self.workers[worker];
+        match call {
+            Call::Start { task, run, lease, epoch } => {
+                worker.start((task, run), lease, epoch, (takes, fails), self.now, &mut self.oracle)
+            }
+            Call::Stop { task, run, epoch } => {
+                worker.stop((task, run), epoch, self.now, &mut self.oracle)
+            }
+        }
+    }
+
+    /// A call through a network that loses calls and answers.
+    fn call(&mut self, worker: usize, call: Call) -> agent::Result<u64> {
+        let lost = || Err(Error::Unknown("lost".to_owned()));
+        if self.chance(self.chaos.call_late) {
+            let at = self.now + self.rng.random_range(500..12_000);
+            let born = self.workers[worker].lifetime().born_ms;
+            self.late.push(Late { at, worker, born, call });
+            return lost();
+        }
+        if self.chance(self.chaos.call_lost) {
+            return lost();
+        }
+        let answer = self.execute(worker, call);
+        if self.chance(self.chaos.call_lost) { lost() } else { answer }
+    }
+
+    fn agent(&mut self, number: usize) {
+        let now = Time::from_millis(self.now);
+        let slot = (self.now / TICK_MS + number as u64 * 3) % 10;
+        if slot == 0 {
+            self.register(number);
+        }
+        if slot % 5 == 1 {
+            self.look(number, now);
+        }
+        self.carry_orders(number, now);
+        if self.now < self.agents[number].cut_until {
+            return;
+        }
+        if slot % 2 == 0 {
+            self.report(number, now);
+        }
+    }
+
+    fn register(&mut self, number: usize) {
+        let profile = Profile {
+            lifetime: self.workers[number].lifetime(),
+            service: "s".into(),
+            capacity: Bundle { millicores: 5_000, memory_mib: 1_000, ..Bundle::default() },
+            labels: Vec::new(),
+            rack: None,
+            standing: Standing::Ready,
+        };
+        let now = Time::from_millis(self.now);
+        self.agents[number].desk.register(profile, self.now, now);
+    }
+
+    fn look(&mut self, number: usize, now: Time) {
+        let lost = self.chance(self.chaos.call_lost);
+        let answer_lost = self.chance(self.chaos.call_lost);
+        let agent = &mut self.agents[number];
+        let worker = &mut self.workers[number];
+        let mut lease = agent.desk.lease_ms(now);
+        if self.planted == Some(Planted::EndlessLease) {
+            lease = Some(u64::MAX / 4);
+        }
+        let other = agent.desk.lifetime().is_some_and(|own| *own != worker.lifetime());
+        let epoch = agent.desk.epoch();
+        if lost || other {
+            let error =
+                if other { Error::OtherLifetime } else { Error::Unknown("lost".to_owned()) };
+            return agent.desk.look_failed(&error);
+        }
+        let recorded = agent.desk.recorded();
+        match worker.look(lease, recorded, epoch, self.now, &mut self.oracle) {
+            Ok(lists) if !answer_lost => agent.desk.looked(lists, epoch, now, now),
+            Ok(_) => agent.desk.look_failed(&Error::Unknown("lost".to_owned())),
+            Err(error) => agent.desk.look_failed(&error),
+        }
+    }
+
+    /// Carries orders out as the agent's loops do: a start without an answer is repeated once and
+    /// then withdrawn, a stop is repeated until it is answered.
+    fn carry_orders(&mut self, number: usize, now: Time) {
+        for (order, epoch, tries, unanswered) in std::mem::take(&mut self.agents[number].orders) {
+            let key = (order.task, order.run);
+            let desk = &mut self.agents[number].desk;
+            if desk.epoch() != epoch {
+                desk.give_up_withdrawal(key);
+                continue;
+            }
+            let stopping = order.kind == Kind::Stop;
+            if stopping {
+                let (task, run) = key;
+                match self.call(number, Call::Stop { task, run, epoch }) {
+                    Ok(_) => self.agents[number].desk.stopped(key, now),
+                    Err(Error::Fenced) => self.agents[number].desk.give_up_withdrawal(key),
+                    Err(_) => {
+                        self.agents[number].orders.push((order, epoch, tries + 1, unanswered));
+                    }
+                }
+                continue;
+            }
+            let lease = desk.lease_ms(now);
+            let ready = desk.takes_tasks() && !desk.is_withdrawn(&key) && tries < 2;
+            let same = desk.lifetime() == Some(&self.workers[number].lifetime());
+            let (true, true, Some(lease)) = (ready, same, lease) else {
+                self.settle(number, order, epoch, unanswered);
+                continue;
+            };
+            let (task, run) = key;
+            match self.call(number, Call::Start { task, run, lease, epoch }) {
+                Ok(_) => {
+                    self.agents[number].desk.started(&order, Traits::default(), now);
+                }
+                Err(Error::Unknown(_)) => {
+                    self.agents[number].orders.push((order, epoch, tries + 1, true));
+                }
+                Err(_) if unanswered => self.settle(number, order, epoch, true),
+                Err(error) => {
+                    let outcome = match error {
+                        Error::Old => Outcome::Old,
+                        Error::Late => Outcome::Late,
+                        _ => Outcome::NotReady,
+                    };
+                    self.agents[number].desk.answer(task, run, outcome);
+                }
+            }
+        }
+    }
+
+    /// A start that will not be tried again is withdrawn if it may have been carried out.
+    fn settle(&mut self, number: usize, order: Order, epoch: u64, unanswered: bool) {
+        let key = (order.task, order.run);
+        let desk = &mut self.agents[number].desk;
+        if !unanswered || self.planted == Some(Planted::NoWithdrawal) {
+            return desk.answer(order.task, order.run, Outcome::NotReady);
+        }
+        if desk.withdraw(key) {
+            let stop = Order { kind: Kind::Stop, ..order };
+            self.agents[number].orders.push((stop, epoch, 0, true));
+        }
+    }
+
+    fn report(&mut self, number: usize, now: Time) {
+        let target = self.agents[number].target;
+        if self.owners[target].alive_until < self.now {
+            // It finds the newest owner by asking the entries.
+            self.agents[number].target = self.owners.len() - 1;
+            return;
+        }
+        let report = self.agents[number].desk.report(now);
+        let table = &mut self.owners[target].table;
+        let known = report.epoch == table.epoch();
+        let reply = if known {
+            table.hear(report, now);
+            table.reply(&agent_name(number))
+        } else {
+            plan::message::Reply { epoch: table.epoch(), owned: true, ..Default::default() }
+        };
+        let mut reply = reply;
+        if self.planted == Some(Planted::ForgetUnrecorded) {
+            reply.recorded = u64::from(u32::MAX);
+        }
+        let epoch = reply.epoch;
+        if epoch < self.agents[number].desk.epoch() {
+            self.agents[number].target = self.owners.len() - 1;
+            return;
+        }
+        for order in self.agents[number].desk.replied(reply) {
+            let stop = order.kind == Kind::Stop;
+            if stop && !self.agents[number].desk.withdraw((order.task, order.run)) {
+                continue;
+            }
+            self.agents[number].orders.push((order, epoch, 0, false));
+        }
+    }
+
+    fn decide(&mut self) {
+        let now = Time::from_millis(self.now);
+        let newest = self.owners.len() - 1;
+        let stored = self.now >= self.store_away_until;
+        for (number, owner) in self.owners.iter_mut().enumerate() {
+            if owner.alive_until < self.now {
+                continue;
+            }
+            owner.table.expire(now, self.now);
+            let holders = owner.table.holders();
+            // The store takes records and holders of the newest owner only.
+            if number == newest && stored {
+                self.holders.clone_from(&holders);
+                for record in owner.table.records(now, 100) {
+                    if record.progress.state == State::Completed {
+                        let job = &self.jobs[&record.job].0;
+                        self.oracle.shown_completed(record.job, &tasks_of(record.job, job));
+                    }
+                    self.progress.insert(record.job, record.progress);
+                    owner.table.recorded(record.job, record.version);
+                }
+            }
+            // A former owner starts nothing: a successor comes only after its presence has ended.
+            if number == newest || self.planted == Some(Planted::FormerOwnerPlaces) {
+                let holders = self.holders.clone();
+                owner.table.place(now, &holders);
+            }
+            owner.table.take_events();
+        }
+    }
+}
+
+fn settings() -> agent::Settings {
+    agent::Settings::default()
+}
+
+fn tasks_of(id: Id, job: &Job) -> Vec<Task> {
+    let mut tasks = Vec::new();
+    for (step, own) in (0_u16..).zip(&job.spec.steps) {
+        tasks.extend((0..own.count).map(|index| Task { job: id, occurrence: 0, step, index }));
+    }
+    tasks
+}
