Name the life of a worker in each report

The owner took their numbers for those of the former life and dropped them, the agent counted them as told, and the worker was told to forget an end that nobody had recorded.

Change: reports name the life that their lists are of.

--- a/crates/policy/src/plan/hear.rs
+++ b/crates/policy/src/plan/hear.rs
@@ -59,10 +59,14 @@
 
     /// Compares the worker with the one that was known.
     fn meet(&mut self, agent: &Name, report: &Report, now: Time) {
-        let Some(profile) = &report.worker else { return };
         let Some(worker) = self.workers.get_mut(agent) else { return };
-        let known = worker.profile.replace(profile.clone());
-        let reborn = known.is_some_and(|known| known.lifetime != profile.lifetime);
+        if let Some(profile) = &report.worker {
+            worker.profile = Some(profile.clone());
+        }
+        let Some(lifetime) = &report.lifetime else { return };
+        let known = worker.lifetime.replace(lifetime.clone());
+        let reborn = known.is_some_and(|known| known != *lifetime);
+        let empty = report.worker.as_ref().is_some_and(|p| p.standing == Standing::Empty);
         if reborn {
             worker.ends.clear();
             worker.recorded = 0;
@@ -70,7 +74,7 @@
             worker.aside = Time::ZERO;
             worker.asides = 0;
             self.lose(agent, "the worker started again", now);
-        } else if profile.standing == Standing::Empty {
+        } else if empty {
             self.lose(agent, "the last lease has ended", now);
         }
     }
--- a/crates/policy/src/plan/message/report.rs
+++ b/crates/policy/src/plan/message/report.rs
@@ -1,4 +1,4 @@
-use super::{Answer, End, Profile, Run};
+use super::{Answer, End, Lifetime, Profile, Run};
 use serde::{Deserialize, Serialize};
 use shallotflow_core::name::Name;
 
@@ -13,6 +13,8 @@
     pub epoch: u64,
     /// Counts the reports of the process to one owner, from 1.
     pub sequence: u64,
+    /// Which life of the worker `running` and `ends` are of; known before the worker registers.
+    pub lifetime: Option<Lifetime>,
     /// The worker, once it has registered.
     pub worker: Option<Profile>,
     /// Whether no worker runs beside the agent, so that nothing runs there.
--- a/crates/policy/src/plan/table.rs
+++ b/crates/policy/src/plan/table.rs
@@ -115,7 +115,7 @@
             sequence: worker.sequence,
             orders: worker.outbox.iter().cloned().collect(),
             recorded: worker.recorded,
-            born_ms: worker.profile.as_ref().map_or(0, |profile| profile.lifetime.born_ms),
+            born_ms: worker.lifetime.as_ref().map_or(0, |lifetime| lifetime.born_ms),
             harm: if worker.listed == worker.sequence { self.harm(worker) } else { Vec::new() },
             ..Reply::default()
         }
--- a/crates/policy/src/plan/worker.rs
+++ b/crates/policy/src/plan/worker.rs
@@ -1,4 +1,4 @@
-use super::message::{Kind, Order, Profile, Standing};
+use super::message::{Kind, Lifetime, Order, Profile, Standing};
 use serde::Serialize;
 use shallotflow_core::graph::{Id, Task};
 use shallotflow_core::name::Name;
@@ -25,6 +25,8 @@
 pub struct Worker {
     /// The process of the agent.
     pub process: u64,
+    /// The life of the worker that was heard of last.
+    pub lifetime: Option<Lifetime>,
     /// The worker, once it has registered.
     pub profile: Option<Profile>,
     /// Whether no worker runs beside the agent.
@@ -65,7 +67,9 @@
     pub fn takes_tasks(&self, now: Time, quiet: std::time::Duration) -> bool {
         let ready =
             self.profile.as_ref().is_some_and(|profile| profile.standing == Standing::Ready);
+        let known = self.profile.as_ref().map(|profile| &profile.lifetime);
         ready
+            && known == self.lifetime.as_ref()
             && self.synced
             && !self.vacant
             && now < self.heard.after(quiet)
--- a/crates/policy/tests/plan/floor.rs
+++ b/crates/policy/tests/plan/floor.rs
@@ -202,6 +202,7 @@
             process: self.process,
             epoch,
             sequence: self.sequence,
+            lifetime: Some(Lifetime { id: agent.clone(), born_ms: self.born_ms }),
             worker: Some(Profile {
                 lifetime: Lifetime { id: agent.clone(), born_ms: self.born_ms },
                 service: Name::from(SERVICE),
--- a/crates/policy/tests/plan/lists.rs
+++ b/crates/policy/tests/plan/lists.rs
@@ -122,3 +122,21 @@
     floor.turn();
     assert_eq!(floor.running().len(), 2, "orders are counted on, not anew");
 }
+
+#[test]
+fn ends_of_a_new_life_count_anew_before_the_worker_registers() {
+    let mut floor = Floor::new(1);
+    floor.table.accept(id(1), job(vec![step(2, 1_000)]), true, floor.now);
+    floor.turn();
+    floor.end(task(1, 0, 0), How::Done);
+    floor.report_all();
+    floor.record();
+    assert_eq!(floor.table.reply(&name(0)).recorded, 1);
+    let hand = floor.hands.get_mut(&name(0)).expect("a worker");
+    hand.restart_worker();
+    let mut report = hand.report(&name(0), 1);
+    report.worker = None;
+    floor.table.hear(report, floor.now);
+    let reply = floor.table.reply(&name(0));
+    assert_eq!((reply.recorded, reply.born_ms), (0, 2), "the former count says nothing");
+}
--- a/crates/policy/tests/plan/recovery.rs
+++ b/crates/policy/tests/plan/recovery.rs
@@ -120,6 +120,7 @@
     let hand = floor.hands.get_mut(&name(1)).expect("a worker");
     let mut report = hand.report(&name(1), 2);
     (report.worker, report.vacant, report.complete) = (None, true, false);
+    report.lifetime = None;
     (report.running, report.ends) = (None, Vec::new());
     floor.table.hear(report, floor.now);
     floor.turn();
--- a/crates/scheduler/src/agent/desk.rs
+++ b/crates/scheduler/src/agent/desk.rs
@@ -413,6 +413,7 @@
             process: self.process,
             epoch: self.epoch,
             sequence,
+            lifetime: self.lifetime.clone(),
             worker: self.profile(now),
             vacant: self.is_vacant(),
             complete: self.complete && !self.is_vacant(),
