--- a/crates/core/src/metric.rs
+++ b/crates/core/src/metric.rs
@@ -86,6 +86,30 @@
         "Revision of the fleet configuration in force.";
     STORE_CALLS = "shallotflow_store_calls_total", Counter, "call, result",
         "Calls to the store.";
+    GRAPH_SUBMISSIONS = "shallotflow_graph_submissions_total", Counter, "outcome",
+        "Jobs handed in to an entry as graphs, by what became of them.";
+    GRAPH_SUBMIT = "shallotflow_graph_submit_seconds", Histogram, "",
+        "Time until a caller that handed a graph in was answered.";
+    GRAPH_STARTS = "shallotflow_graph_starts_total", Counter, "",
+        "Runs whose start an owner ordered.";
+    GRAPH_START_WAIT = "shallotflow_graph_start_wait_seconds", Histogram, "",
+        "Time from when a task could run to the order of its start.";
+    GRAPH_ENDS = "shallotflow_graph_ends_total", Counter, "how",
+        "Runs that ended, by how, as their owner heard.";
+    GRAPH_JOBS = "shallotflow_graph_jobs_total", Counter, "state",
+        "Graphs that reached a final state at their owner.";
+    GRAPH_STOPS = "shallotflow_graph_stops_total", Counter, "reason",
+        "Runs that were ordered to stop, by reason.";
+    GRAPH_OWNED = "shallotflow_graph_owned", Gauge, "",
+        "1 while the entry owns the table of graphs.";
+    GRAPH_RECORDS = "shallotflow_graph_records_total", Counter, "result",
+        "Commits of progress to the store.";
+    START_CALL = "shallotflow_start_call_seconds", Histogram, "",
+        "Time until a worker answered a start, as its agent saw it.";
+    PACES = "shallotflow_paces_total", Counter, "",
+        "Times that an agent changed how fast tasks that fill may work.";
+    WORKER_LOST = "shallotflow_worker_lost_total", Counter, "",
+        "Times that an agent lost its worker.";
     OWNED_LEDGERS = "shallotflow_owned_ledgers", Gauge, "",
         "Ledgers that an entry owns.";
 }
--- a/crates/policy/tests/plan/floor.rs
+++ b/crates/policy/tests/plan/floor.rs
@@ -11,47 +11,47 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-pub const SERVICE: &str = "press";
+pub(crate) const SERVICE: &str = "press";
 
 /// A worker with its agent.
 #[derive(Clone, Debug)]
-pub struct Hand {
-    pub process: u64,
-    pub born_ms: u64,
-    pub millicores: u32,
-    pub standing: Standing,
-    pub labels: Vec<Name>,
-    pub running: BTreeMap<Task, Run>,
-    pub ends: Vec<End>,
-    pub answers: Vec<Answer>,
-    pub orders: Vec<Order>,
+pub(crate) struct Hand {
+    pub(crate) process: u64,
+    pub(crate) born_ms: u64,
+    pub(crate) millicores: u32,
+    pub(crate) standing: Standing,
+    pub(crate) labels: Vec<Name>,
+    pub(crate) running: BTreeMap<Task, Run>,
+    pub(crate) ends: Vec<End>,
+    pub(crate) answers: Vec<Answer>,
+    pub(crate) orders: Vec<Order>,
     sequence: u64,
     received: u64,
     last_end: u64,
 }
 
 /// A table and its workers.
-pub struct Floor {
-    pub table: Table,
-    pub hands: BTreeMap<Name, Hand>,
-    pub now: Time,
-    pub holders: Vec<Name>,
+pub(crate) struct Floor {
+    pub(crate) table: Table,
+    pub(crate) hands: BTreeMap<Name, Hand>,
+    pub(crate) now: Time,
+    pub(crate) holders: Vec<Name>,
 }
 
-pub fn id(number: u64) -> Id {
+pub(crate) fn id(number: u64) -> Id {
     Id(number)
 }
 
-pub fn task(job: u64, step: u16, index: u32) -> Task {
+pub(crate) fn task(job: u64, step: u16, index: u32) -> Task {
     Task { job: Id(job), occurrence: 0, step, index }
 }
 
-pub fn step(count: u32, millicores: u32) -> Step {
+pub(crate) fn step(count: u32, millicores: u32) -> Step {
     let need = Bundle { millicores, memory_mib: 100, ..Bundle::default() };
     Step { count, need, estimate_ms: 1_000, ..Step::default() }
 }
 
-pub fn job(steps: Vec<Step>) -> Job {
+pub(crate) fn job(steps: Vec<Step>) -> Job {
     let queue = Queue {
         name: Name::from("renders"),
         service: Name::from(SERVICE),
@@ -63,14 +63,14 @@
 
 impl Floor {
     /// The first owner, with `workers` of ten processors each that have all reported.
-    pub fn new(workers: usize) -> Self {
+    pub(crate) fn new(workers: usize) -> Self {
         let mut floor = Self::owner(1, workers, Vec::new());
         floor.report_all();
         floor
     }
 
     /// The owner numbered `epoch` whose workers have not reported yet.
-    pub fn owner(epoch: u64, workers: usize, missing: Vec<Name>) -> Self {
+    pub(crate) fn owner(epoch: u64, workers: usize, missing: Vec<Name>) -> Self {
         let now = Time::from_millis(100_000);
         let hands = (0..workers).map(|number| (name(number), Hand::new())).collect();
         let table = Table::new(Settings::default(), epoch, missing, now);
@@ -78,18 +78,18 @@
         Self { table, hands, now, holders }
     }
 
-    pub fn wait(&mut self, span: Duration) {
+    pub(crate) fn wait(&mut self, span: Duration) {
         self.now = self.now.after(span);
     }
 
     /// Runs the systems once, as the owner does each tick.
-    pub fn tick(&mut self) {
+    pub(crate) fn tick(&mut self) {
         self.table.expire(self.now, self.now.as_millis());
         self.table.place(self.now, &self.holders);
     }
 
     /// One worker reports all that it knows and takes its orders.
-    pub fn report(&mut self, number: usize) {
+    pub(crate) fn report(&mut self, number: usize) {
         let name = name(number);
         let epoch = self.table.epoch();
         let hand = self.hands.get_mut(&name).expect("a worker");
@@ -104,21 +104,21 @@
         hand.received = hand.orders.last().map_or(received, |order| order.number.max(received));
     }
 
-    pub fn report_all(&mut self) {
+    pub(crate) fn report_all(&mut self) {
         for number in 0..self.hands.len() {
             self.report(number);
         }
     }
 
     /// Every worker carries its orders out.
-    pub fn carry_out(&mut self) {
+    pub(crate) fn carry_out(&mut self) {
         for hand in self.hands.values_mut() {
             hand.carry_out();
         }
     }
 
     /// The systems run, and what they order is carried out and answered.
-    pub fn turn(&mut self) {
+    pub(crate) fn turn(&mut self) {
         self.tick();
         self.report_all();
         self.carry_out();
@@ -126,37 +126,37 @@
     }
 
     /// Records everything that is due, as the store does.
-    pub fn record(&mut self) {
+    pub(crate) fn record(&mut self) {
         self.wait(Duration::from_millis(500));
         for record in self.table.records(self.now, 100) {
             self.table.recorded(record.job, record.version);
         }
     }
 
-    pub fn end(&mut self, task: Task, how: How) {
+    pub(crate) fn end(&mut self, task: Task, how: How) {
         let hand = self.hands.values_mut().find(|hand| hand.running.contains_key(&task));
         hand.expect("a run of the task").end(task, how);
     }
 
     /// The worker that runs `task`.
-    pub fn place_of(&self, task: Task) -> Option<usize> {
+    pub(crate) fn place_of(&self, task: Task) -> Option<usize> {
         self.hands.values().position(|hand| hand.running.contains_key(&task))
     }
 
-    pub fn running(&self) -> Vec<Task> {
+    pub(crate) fn running(&self) -> Vec<Task> {
         let mut tasks: Vec<Task> =
             self.hands.values().flat_map(|hand| hand.running.keys().copied()).collect();
         tasks.sort_unstable();
         tasks
     }
 
-    pub fn phase(&self, task: Task) -> Phase {
+    pub(crate) fn phase(&self, task: Task) -> Phase {
         let job = self.table.job(task.job).expect("a job");
         job.rows[job.number(&task).expect("a task")].phase.clone()
     }
 }
 
-pub fn name(number: usize) -> Name {
+pub(crate) fn name(number: usize) -> Name {
     format!("agent-{number:02}").into()
 }
 
@@ -179,7 +179,7 @@
     }
 
     /// The agent's process starts again; the worker runs on.
-    pub fn restart_agent(&mut self) {
+    pub(crate) fn restart_agent(&mut self) {
         self.process += 1;
         self.sequence = 0;
         self.received = 0;
@@ -188,14 +188,14 @@
     }
 
     /// The worker starts again and knows nothing of before.
-    pub fn restart_worker(&mut self) {
+    pub(crate) fn restart_worker(&mut self) {
         self.born_ms += 1;
         self.running.clear();
         self.ends.clear();
         self.last_end = 0;
     }
 
-    pub fn report(&mut self, agent: &Name, epoch: u64) -> Report {
+    pub(crate) fn report(&mut self, agent: &Name, epoch: u64) -> Report {
         self.sequence += 1;
         Report {
             agent: agent.clone(),
@@ -224,7 +224,7 @@
         }
     }
 
-    pub fn carry_out(&mut self) {
+    pub(crate) fn carry_out(&mut self) {
         for order in std::mem::take(&mut self.orders) {
             let Order { task, run, kind, .. } = order;
             let outcome = match kind {
@@ -244,7 +244,7 @@
         }
     }
 
-    pub fn end(&mut self, task: Task, how: How) {
+    pub(crate) fn end(&mut self, task: Task, how: How) {
         let Some(run) = self.running.remove(&task) else { return };
         self.last_end += 1;
         let checkpoint = run.checkpoint;
--- a/crates/scheduler/src/agent/look.rs
+++ b/crates/scheduler/src/agent/look.rs
@@ -23,6 +23,7 @@
                 let before = state(&agent);
                 agent.desk.borrow_mut().look_failed(&error);
                 if state(&agent) != before {
+                    metrics::counter!(shallotflow_core::metric::WORKER_LOST).increment(1);
                     spdlog::warn!("worker lost", kv: { reason = error.to_string() });
                     agent.news.notify(usize::MAX);
                 }
@@ -116,6 +117,7 @@
         let details = serde_json::json!({
             "paces": paces, "runs": changed.len(), "tail_ms": tail_ms, "target_ms": target_ms,
         });
+        metrics::counter!(shallotflow_core::metric::PACES).increment(1);
         crate::log::decision("pace", &details);
     }
     for (key, percent) in changed {
--- a/crates/scheduler/src/agent/order.rs
+++ b/crates/scheduler/src/agent/order.rs
@@ -2,6 +2,7 @@
 
 use super::desk::{Key, Traits};
 use super::{Agent, Error, Start};
+use shallotflow_core::metric;
 use shallotflow_core::time::Clock;
 use shallotflow_policy::plan::message::{Kind, Order, Outcome};
 use shallotflow_runtime::clock::Boottime;
@@ -49,7 +50,10 @@
             epoch,
         };
         let limit = agent.settings.start_limit;
-        let outcome = match agent.control.start(&lifetime, &start, limit).await {
+        let answer = agent.control.start(&lifetime, &start, limit).await;
+        let took = Boottime.now().since(now).as_secs_f64();
+        metrics::histogram!(metric::START_CALL).record(took);
+        let outcome = match answer {
             Ok(_) => {
                 let mut desk = agent.desk.borrow_mut();
                 return desk.started(order, traits, Boottime.now());
--- /dev/null
+++ b/crates/scheduler/src/entry/meters.rs
@@ -0,0 +1,49 @@
+//! What an entry counts.
+
+use super::Submission;
+use metrics::{counter, gauge, histogram};
+use shallotflow_core::metric;
+use shallotflow_policy::plan::Event;
+use std::time::Duration;
+
+/// Counts what became of a job that was handed in, and how long its caller waited.
+pub(super) fn submitted(submission: Submission, took: Duration) {
+    let outcome = match submission {
+        Submission::Accepted => "accepted",
+        Submission::Refused { .. } => "refused",
+        Submission::Unknown => "unknown",
+    };
+    counter!(metric::GRAPH_SUBMISSIONS, "outcome" => outcome).increment(1);
+    histogram!(metric::GRAPH_SUBMIT).record(took.as_secs_f64());
+}
+
+/// Counts what was decided or learned.
+pub(super) fn event(event: &Event) {
+    match event {
+        Event::Start { waited_ms, .. } => {
+            counter!(metric::GRAPH_STARTS).increment(1);
+            let waited = Duration::from_millis(*waited_ms);
+            histogram!(metric::GRAPH_START_WAIT).record(waited.as_secs_f64());
+        }
+        Event::Stop { reason, .. } => {
+            counter!(metric::GRAPH_STOPS, "reason" => *reason).increment(1);
+        }
+        Event::End { how, .. } => {
+            counter!(metric::GRAPH_ENDS, "how" => how.as_str()).increment(1);
+        }
+        Event::Job { state, .. } => {
+            counter!(metric::GRAPH_JOBS, "state" => state.as_str()).increment(1);
+        }
+        _ => {}
+    }
+}
+
+/// Notes whether the entry owns the table.
+pub(super) fn owned(owned: bool) {
+    gauge!(metric::GRAPH_OWNED).set(if owned { 1.0 } else { 0.0 });
+}
+
+/// Counts a commit of progress.
+pub(super) fn recorded(result: &'static str) {
+    counter!(metric::GRAPH_RECORDS, "result" => result).increment(1);
+}
--- a/crates/scheduler/src/entry/mod.rs
+++ b/crates/scheduler/src/entry/mod.rs
@@ -15,6 +15,7 @@
 mod holder;
 pub mod keys;
 mod membership;
+mod meters;
 mod own;
 mod reign;
 mod serve;
--- a/crates/scheduler/src/entry/own.rs
+++ b/crates/scheduler/src/entry/own.rs
@@ -72,6 +72,7 @@
     let jobs = asked.pairs.len();
     let waits = reign.holders.len();
     spdlog::info!("table owned", kv: { epoch = holder.epoch, jobs, waits });
+    super::meters::owned(true);
     *entry.reign.borrow_mut() = Some(reign);
     entry.wake.notify(usize::MAX);
     monoio::spawn(hear(entry.clone(), holder.epoch, asked.revision));
@@ -186,6 +187,7 @@
                 entry.ordered.notify(usize::MAX);
             }
             for event in events {
+                super::meters::event(&event);
                 crate::log::decision("plan", &event);
             }
             if reign.table.next_record().passed(now) || reign.table.holders() != reign.holders {
@@ -234,6 +236,7 @@
         return Ok(());
     };
     let result = entry.commit(transaction).await;
+    super::meters::recorded(result.as_ref().map_or_else(Error::kind, |_| "ok"));
     match result {
         Ok(revision) => {
             let mut reign = entry.reign.borrow_mut();
--- a/crates/scheduler/src/entry/shared.rs
+++ b/crates/scheduler/src/entry/shared.rs
@@ -233,6 +233,7 @@
         if let Some(reign) = self.reign.borrow_mut().take() {
             let epoch = reign.table.epoch();
             spdlog::warn!("table given up", kv: { epoch, reason });
+            super::meters::owned(false);
         }
         self.ordered.notify(usize::MAX);
         self.changed.notify(usize::MAX);
--- a/crates/scheduler/src/entry/submit.rs
+++ b/crates/scheduler/src/entry/submit.rs
@@ -19,6 +19,7 @@
 impl Entry {
     /// Accepts a job: it is stored before the caller hears of it.
     pub async fn submit(self: &Rc<Self>, id: Id, job: Job) -> Submission {
+        let begun = Boottime.now();
         let submission = match self.store_job(id, &job).await {
             Submission::Refused { retry_ms } => {
                 self.submit_elsewhere(id, &job, Submission::Refused { retry_ms }).await
@@ -30,6 +31,7 @@
             "store_age_ms": self.store_age_ms(),
         });
         crate::log::decision("submit", &details);
+        super::meters::submitted(submission, Boottime.now().since(begun));
         if submission == Submission::Accepted {
             self.offer(id, job);
         }
--- a/crates/scheduler/tests/path/oracle.rs
+++ b/crates/scheduler/tests/path/oracle.rs
@@ -21,7 +21,6 @@
     facts: BTreeMap<Task, Fact>,
     /// Tasks of the first step of each job, which the second waits for.
     first: BTreeMap<Id, u32>,
-    cancelled: BTreeSet<Id>,
     pub(crate) broken: Option<String>,
 }
 
@@ -30,10 +29,6 @@
         self.first.insert(job, first);
     }
 
-    pub(crate) fn cancel(&mut self, job: Id) {
-        self.cancelled.insert(job);
-    }
-
     pub(crate) fn start(&mut self, worker: usize, task: Task, attempts: u32) {
         let Some(first) = self.first.get(&task.job).copied() else {
             return self.fail(format!("{task} was never asked for"));
@@ -81,10 +76,6 @@
         }
     }
 
-    pub(crate) fn is_cancelled(&self, job: Id) -> bool {
-        self.cancelled.contains(&job)
-    }
-
     pub(crate) fn is_running(&self, task: Task) -> bool {
         self.facts.get(&task).is_some_and(|fact| !fact.running.is_empty())
     }
--- a/crates/scheduler/tests/path/world.rs
+++ b/crates/scheduler/tests/path/world.rs
@@ -253,7 +253,7 @@
         if self.now < self.store_away_until {
             return;
         }
-        if since % 1_000 == 0 && since < FAULTY_MS - 8_000 {
+        if since.is_multiple_of(1_000) && since < FAULTY_MS - 8_000 {
             let id = Id(since);
             let first = self.rng.random_range(1..4);
             let count = self.rng.random_range(1..4);
@@ -288,7 +288,6 @@
             }
             let id = ids[self.rng.random_range(0..ids.len())];
             self.cancels.insert(id);
-            self.oracle.cancel(id);
             self.owners.last_mut().expect("an owner").table.cancel(id, now);
         }
     }
@@ -353,7 +352,7 @@
         if self.now < self.agents[number].cut_until {
             return;
         }
-        if slot % 2 == 0 {
+        if slot.is_multiple_of(2) {
             self.report(number, now);
         }
     }
