--- a/crates/policy/src/plan/message/mod.rs
+++ b/crates/policy/src/plan/message/mod.rs
@@ -5,6 +5,7 @@
 
 mod answer;
 mod end;
+mod feature;
 mod harm;
 mod lifetime;
 mod order;
@@ -15,6 +16,7 @@
 
 pub use answer::{Answer, Outcome};
 pub use end::{End, How};
+pub use feature::Feature;
 pub use harm::Harm;
 pub use lifetime::Lifetime;
 pub use order::{Kind, Order};
--- a/crates/policy/src/plan/message/reply.rs
+++ b/crates/policy/src/plan/message/reply.rs
@@ -1,4 +1,4 @@
-use super::{Harm, Order};
+use super::{Feature, Harm, Order};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -22,6 +22,8 @@
     pub born_ms: u64,
     /// How the images at the worker disturb each other, when the report listed what runs.
     pub harm: Vec<Harm>,
+    /// What the agent's runs are, when its report asked.
+    pub features: Vec<Feature>,
     /// Where the entries take reports.
     pub entries: Vec<SocketAddr>,
 }
--- a/crates/policy/src/plan/message/report.rs
+++ b/crates/policy/src/plan/message/report.rs
@@ -23,6 +23,8 @@
     pub complete: bool,
     /// What runs at the worker; left out when nothing in it changed that matters.
     pub running: Option<Vec<Run>>,
+    /// Whether it lists runs of which the agent knows nothing more.
+    pub blank: bool,
     /// Ends that no reply has confirmed.
     pub ends: Vec<End>,
     /// Answers that no reply has confirmed.
--- a/crates/policy/src/plan/table.rs
+++ b/crates/policy/src/plan/table.rs
@@ -1,4 +1,4 @@
-use super::message::{Kind, Order, Reply};
+use super::message::{Feature, Kind, Order, Reply};
 use super::worker::Placed;
 use super::{Event, Job, Phase, Settings, Worker};
 use crate::disturbance::Rates;
@@ -115,6 +115,7 @@
             sequence: worker.sequence,
             orders: worker.outbox.iter().cloned().collect(),
             recorded: worker.recorded,
+            features: if worker.blank { self.features(worker) } else { Vec::new() },
             born_ms: worker.lifetime.as_ref().map_or(0, |lifetime| lifetime.born_ms),
             harm: if worker.listed == worker.sequence { self.harm(worker) } else { Vec::new() },
             ..Reply::default()
@@ -124,7 +125,24 @@
     /// Whether `agent` has orders to fetch, or ends to forget above `recorded`.
     pub fn has_news(&self, agent: &str, recorded: u64) -> bool {
         let Some(worker) = self.workers.get(agent) else { return false };
-        !worker.outbox.is_empty() || worker.recorded > recorded
+        worker.blank || !worker.outbox.is_empty() || worker.recorded > recorded
+    }
+
+    /// What the runs of a worker are.
+    fn features(&self, worker: &Worker) -> Vec<Feature> {
+        let feature = |(task, placed): (&Task, &Placed)| {
+            let job = self.jobs.get(&task.job)?;
+            let (_, run) = job.rows[job.number(task)?].current()?;
+            Some(Feature {
+                task: *task,
+                run,
+                image: placed.image.clone(),
+                millicores: placed.need.millicores,
+                fills: placed.fills,
+                target_ms: placed.target_ms,
+            })
+        };
+        worker.placed.iter().filter_map(feature).collect()
     }
 
     /// Takes what was decided since the last call.
--- a/crates/policy/src/plan/worker.rs
+++ b/crates/policy/src/plan/worker.rs
@@ -39,6 +39,8 @@
     pub empty: Time,
     /// The last report's number.
     pub sequence: u64,
+    /// Whether the agent asked what its runs are.
+    pub blank: bool,
     /// The last report that listed what runs.
     pub listed: u64,
     /// Ends up to this number are recorded.
--- a/crates/policy/tests/plan/lists.rs
+++ b/crates/policy/tests/plan/lists.rs
@@ -140,3 +140,19 @@
     let reply = floor.table.reply(&name(0));
     assert_eq!((reply.recorded, reply.born_ms), (0, 2), "the former count says nothing");
 }
+
+#[test]
+fn an_agent_that_asks_is_told_what_its_runs_are() {
+    let mut floor = Floor::new(1);
+    let mut serving = step(1, 1_000);
+    (serving.lasting, serving.target_ms) = (true, 50);
+    floor.table.accept(id(1), job(vec![serving]), true, floor.now);
+    floor.turn();
+    assert!(floor.table.reply(&name(0)).features.is_empty());
+    let hand = floor.hands.get_mut(&name(0)).expect("a worker");
+    let mut report = hand.report(&name(0), 1);
+    report.blank = true;
+    floor.table.hear(report, floor.now);
+    let features = floor.table.reply(&name(0)).features;
+    assert_eq!(features.iter().map(|f| (f.run, f.target_ms)).collect::<Vec<_>>(), [(1, 50)]);
+}
--- a/crates/scheduler/src/agent/desk.rs
+++ b/crates/scheduler/src/agent/desk.rs
@@ -418,6 +418,7 @@
             vacant: self.is_vacant(),
             complete: self.complete && !self.is_vacant(),
             running: None,
+            blank: false,
             ends: Vec::new(),
             answers: Vec::new(),
             received: self.received,
@@ -425,6 +426,7 @@
         if !report.complete {
             return report;
         }
+        report.blank = self.running.keys().any(|key| !self.traits.contains_key(key));
         for owed in self.ends.values_mut().filter(|owed| !owed.confirmed) {
             owed.first.get_or_insert(sequence);
             report.ends.push(owed.item.clone());
@@ -478,6 +480,19 @@
         if self.lifetime.as_ref().is_some_and(|own| own.born_ms == reply.born_ms) {
             self.recorded = self.recorded.max(reply.recorded);
         }
+        for feature in reply.features {
+            let key = (feature.task, feature.run);
+            let traits = Traits {
+                image: feature.image,
+                millicores: feature.millicores,
+                fills: feature.fills,
+                target_ms: feature.target_ms,
+            };
+            if let Some(held) = self.running.get_mut(&key) {
+                held.traits = traits.clone();
+            }
+            self.traits.insert(key, traits);
+        }
         for harm in &reply.harm {
             self.rates.set(&harm.victim, harm.neighbor.as_ref(), f64::from(harm.added));
         }
--- /dev/null
+++ b/crates/scheduler/tests/desk.rs
@@ -0,0 +1,117 @@
+//! What an agent knows and owes.
+
+use shallotflow_core::graph::{Id, Task};
+use shallotflow_core::name::Name;
+use shallotflow_core::time::Time;
+use shallotflow_policy::plan::message::{Feature, Lifetime, Reply, Run};
+use shallotflow_scheduler::agent::desk::Desk;
+use shallotflow_scheduler::agent::{Error, Lists, Settings};
+use std::time::Duration;
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(10_000 + ms)
+}
+
+fn desk() -> Desk {
+    Desk::new(Settings::default(), "agent".into(), 1, at(0))
+}
+
+fn reply(epoch: u64, sequence: u64) -> Reply {
+    Reply { epoch, sequence, owned: true, ..Reply::default() }
+}
+
+fn lists(born_ms: u64, running: Vec<Run>) -> Lists {
+    let lifetime = Lifetime { id: Name::from("w"), born_ms };
+    Lists { lifetime, clock_ms: 500, running, ends: Vec::new() }
+}
+
+fn run() -> Run {
+    let task = Task { job: Id(1), occurrence: 0, step: 0, index: 0 };
+    Run { task, run: 3, checkpoint: None, percent: 100, figure: 9, pace: 100 }
+}
+
+/// A desk that obeys owner 1 and has read the lists.
+fn joined(running: Vec<Run>) -> Desk {
+    let mut desk = desk();
+    desk.replied(reply(1, 0));
+    desk.looked(lists(7, running), 1, at(0), at(0));
+    desk
+}
+
+#[test]
+fn a_lease_reaches_only_as_far_as_the_last_reply_allows() {
+    let mut desk = joined(Vec::new());
+    assert_eq!(desk.lease_ms(at(0)), None, "no reply has allowed one");
+    let sequence = desk.report(at(100)).sequence;
+    desk.replied(reply(1, sequence));
+    // The worker's clock read 500 when the agent's read 10,000; six seconds from the report.
+    assert_eq!(desk.lease_ms(at(200)), Some(500 + 100 + 6_000));
+    assert_eq!(desk.lease_ms(at(6_101)), None, "the reply's time is over");
+}
+
+#[test]
+fn a_former_owner_is_not_obeyed() {
+    let mut desk = joined(Vec::new());
+    desk.replied(reply(5, 0));
+    assert_eq!(desk.epoch(), 5);
+    assert!(!desk.is_complete(), "the lists are read anew for each owner");
+    desk.replied(reply(4, 1));
+    assert_eq!(desk.epoch(), 5);
+}
+
+#[test]
+fn the_count_of_a_former_life_says_nothing_about_the_next() {
+    let mut desk = joined(Vec::new());
+    let sequence = desk.report(at(10)).sequence;
+    desk.replied(Reply { recorded: 9, born_ms: 7, ..reply(1, sequence) });
+    assert_eq!(desk.recorded(), 9);
+    desk.looked(lists(8, Vec::new()), 1, at(20), at(20));
+    assert_eq!(desk.recorded(), 0);
+    let sequence = desk.report(at(30)).sequence;
+    desk.replied(Reply { recorded: 9, born_ms: 7, ..reply(1, sequence) });
+    assert_eq!(desk.recorded(), 0);
+}
+
+#[test]
+fn a_new_process_asks_what_the_runs_are_that_it_finds() {
+    let mut desk = joined(vec![run()]);
+    let report = desk.report(at(10));
+    assert!(report.blank);
+    let feature = Feature {
+        task: run().task,
+        run: run().run,
+        image: Some("watch".into()),
+        millicores: 4_000,
+        fills: false,
+        target_ms: 50,
+    };
+    desk.replied(Reply { features: vec![feature], ..reply(1, report.sequence) });
+    let held = desk.running().values().next().expect("a run");
+    assert_eq!(held.traits.target_ms, 50);
+    assert!(!desk.report(at(20)).blank);
+    desk.looked(lists(7, vec![run()]), 1, at(30), at(30));
+    let held = desk.running().values().next().expect("a run");
+    assert_eq!(held.traits.target_ms, 50, "it is known from then on");
+}
+
+#[test]
+fn two_refused_connections_show_that_no_worker_runs() {
+    let mut desk = joined(Vec::new());
+    desk.look_failed(&Error::Vacant);
+    assert!(!desk.report(at(10)).vacant);
+    desk.look_failed(&Error::Vacant);
+    assert!(desk.report(at(20)).vacant);
+    desk.looked(lists(8, Vec::new()), 1, at(30), at(30));
+    assert!(!desk.report(at(40)).vacant);
+}
+
+#[test]
+fn a_worker_that_does_not_answer_may_still_run_what_it_held() {
+    let mut desk = joined(vec![run()]);
+    for _ in 0..5 {
+        desk.look_failed(&Error::Unknown("nothing".to_owned()));
+    }
+    assert!(desk.is_silent());
+    let report = desk.report(at(10).after(Duration::from_secs(1)));
+    assert!(!report.vacant);
+}
