--- a/crates/policy/src/plan/hear.rs
+++ b/crates/policy/src/plan/hear.rs
@@ -96,9 +96,8 @@
         for task in tasks {
             let row = self.jobs.get(&task.job).and_then(|job| Some(&job.rows[job.number(&task)?]));
             match row.map(|row| row.phase.clone()) {
-                Some(Phase::Starting { run, .. }) if reborn => {
+                Some(Phase::Starting { .. }) if reborn => {
                     self.stop(task, "its start may still be carried out");
-                    debug_assert!(run > 0);
                 }
                 Some(Phase::Stopping { run, .. }) if reborn => {
                     self.order_stop(agent, task, run, "its start may still be carried out");
--- a/crates/policy/src/plan/job.rs
+++ b/crates/policy/src/plan/job.rs
@@ -149,10 +149,7 @@
     /// A cancel is recorded before it is applied here.
     pub fn shown(&self) -> State {
         match self.state() {
-            state @ (State::Completed | State::Failed) if self.recorded < self.version => {
-                debug_assert!(state.is_final());
-                State::Running
-            }
+            State::Completed | State::Failed if self.recorded < self.version => State::Running,
             state => state,
         }
     }
--- a/crates/scheduler/src/entry/membership.rs
+++ b/crates/scheduler/src/entry/membership.rs
@@ -115,7 +115,7 @@
 }
 
 fn take(entry: &Rc<Entry>, pair: &Pair) {
-    if Entry::is_owner_key(&pair.key) {
+    if pair.key == keys::OWNER {
         match serde_json::from_slice::<Holder>(&pair.value) {
             Ok(holder) => entry.hear_of(holder),
             Err(error) => {
--- a/crates/scheduler/src/entry/shared.rs
+++ b/crates/scheduler/src/entry/shared.rs
@@ -1,6 +1,6 @@
 use super::holder::{Holder, Presence};
 use super::reign::Reign;
-use super::{Settings, elect, keys, membership, own, serve};
+use super::{Settings, elect, membership, own, serve};
 use crate::peers::{Call, Client};
 use event_listener::Event;
 use foldhash::{HashMap, HashMapExt};
@@ -238,9 +238,4 @@
         self.ordered.notify(usize::MAX);
         self.changed.notify(usize::MAX);
     }
-
-    /// Whether a key concerns the owner.
-    pub(super) fn is_owner_key(key: &str) -> bool {
-        key == keys::OWNER
-    }
 }
