--- a/crates/policy/src/plan/hear.rs
+++ b/crates/policy/src/plan/hear.rs
@@ -32,7 +32,7 @@
         worker.heard = now;
         worker.empty = now.after(self.settings.lease);
         worker.vacant = report.vacant;
-        worker.blank = report.blank;
+        worker.lacks_features = report.lacks_features;
         if report.running.is_some() {
             worker.listed = report.sequence;
         }
--- a/crates/policy/src/plan/message/report.rs
+++ b/crates/policy/src/plan/message/report.rs
@@ -24,7 +24,7 @@
     /// What runs at the worker; left out when nothing in it changed that matters.
     pub running: Option<Vec<Run>>,
     /// Whether it lists runs of which the agent knows nothing more.
-    pub blank: bool,
+    pub lacks_features: bool,
     /// Ends that no reply has confirmed.
     pub ends: Vec<End>,
     /// Answers that no reply has confirmed.
--- a/crates/policy/src/plan/place.rs
+++ b/crates/policy/src/plan/place.rs
@@ -126,7 +126,7 @@
     ) -> Option<(Name, f64)> {
         let row = &job.rows[job.number(task)?];
         let need = self.counted(step);
-        let impatient = row.ready.after(self.settings.patience).passed(now);
+        let waited_long = row.ready.after(self.settings.harm_wait).passed(now);
         let mut best: Option<(f64, &Name, f64)> = None;
         for (agent, room) in rooms {
             if !room.free.holds(&need) {
@@ -155,12 +155,12 @@
                 continue;
             }
             let mut score = if step.target_ms > 0 {
-                room.strangeness(step.image.as_ref())
+                room.serving_cost(step.image.as_ref())
             } else if step.fills {
                 let share = f64::from(step.need.millicores) / f64::from(room.capacity.millicores);
                 let excess = self.excess(room, step.image.as_ref(), share);
                 // A serving task that misses its target loses more than a task that fills gains.
-                if excess > HARM_BORNE && !impatient {
+                if excess > HARM_BORNE && !waited_long {
                     continue;
                 }
                 pressure + HARM_WEIGHT * excess
--- a/crates/policy/src/plan/room.rs
+++ b/crates/policy/src/plan/room.rs
@@ -4,12 +4,12 @@
 use shallotflow_core::resources::Bundle;
 use std::collections::BTreeMap;
 
-/// Cost of each serving task of another image at a worker, against that of its processors.
-const STRANGER: f64 = 0.05;
-/// Cost of a worker whose processors are used in full.
-const USE: f64 = -1.0;
+/// Cost of each serving task of another image at a worker.
+const OTHER_IMAGE: f64 = 0.05;
 /// Gain of each serving task of the same image.
-const KIN: f64 = 0.1;
+const SAME_IMAGE: f64 = 0.1;
+/// Gain of a worker whose processors are expected to be used in full, against an idle one.
+const FULL_WORKER: f64 = 1.0;
 
 /// What a worker can still take during one pass of placing.
 #[derive(Clone, Debug)]
@@ -63,14 +63,16 @@
         (self.used + more) / f64::from(self.capacity.millicores.max(1))
     }
 
-    /// How little a serving task of `image` fits in here.
+    /// What a serving task of `image` costs here; lower is better.
     ///
-    /// A task that fills disturbs some images much and others little. With few images at each
-    /// worker, most tasks that fill find a worker where they do no harm.
-    pub(super) fn strangeness(&self, image: Option<&Name>) -> f64 {
-        let kin = image.and_then(|image| self.serving.get(image)).copied().unwrap_or(0);
-        let strangers = self.serving.values().sum::<u32>() - kin;
-        STRANGER * f64::from(strangers) - KIN * f64::from(kin) + USE * self.pressure(0.0)
+    /// A task that fills disturbs some images much and others little. Serving tasks are packed, by
+    /// image where that can be, so that other workers stay free for tasks that fill.
+    pub(super) fn serving_cost(&self, image: Option<&Name>) -> f64 {
+        let same = image.and_then(|image| self.serving.get(image)).copied().unwrap_or(0);
+        let others = self.serving.values().sum::<u32>() - same;
+        OTHER_IMAGE * f64::from(others)
+            - SAME_IMAGE * f64::from(same)
+            - FULL_WORKER * self.pressure(0.0)
     }
 }
 
--- a/crates/policy/src/plan/settings.rs
+++ b/crates/policy/src/plan/settings.rs
@@ -25,7 +25,7 @@
     pub fill_limit: f64,
     /// How long a task that fills waits for a worker where it does no harm; about the objective of
     /// such a job, beyond which it earns little.
-    pub patience: Duration,
+    pub harm_wait: Duration,
     /// Slowdown of a task whose data is in another rack.
     pub spread_factor: f64,
     /// Failed runs in a row after which a worker is set aside.
@@ -48,7 +48,7 @@
             retention: Duration::from_secs(150),
             serving_use: 0.55,
             fill_limit: 1.0,
-            patience: Duration::from_millis(6_000),
+            harm_wait: Duration::from_millis(6_000),
             spread_factor: 1.5,
             failures: 3,
             aside: Duration::from_secs(4),
--- a/crates/policy/src/plan/table.rs
+++ b/crates/policy/src/plan/table.rs
@@ -115,7 +115,7 @@
             sequence: worker.sequence,
             orders: worker.outbox.iter().cloned().collect(),
             recorded: worker.recorded,
-            features: if worker.blank { self.features(worker) } else { Vec::new() },
+            features: if worker.lacks_features { self.features(worker) } else { Vec::new() },
             born_ms: worker.lifetime.as_ref().map_or(0, |lifetime| lifetime.born_ms),
             harm: if worker.listed == worker.sequence { self.harm(worker) } else { Vec::new() },
             ..Reply::default()
@@ -125,7 +125,7 @@
     /// Whether `agent` has orders to fetch, or ends to forget above `recorded`.
     pub fn has_news(&self, agent: &str, recorded: u64) -> bool {
         let Some(worker) = self.workers.get(agent) else { return false };
-        worker.blank || !worker.outbox.is_empty() || worker.recorded > recorded
+        worker.lacks_features || !worker.outbox.is_empty() || worker.recorded > recorded
     }
 
     /// What the runs of a worker are.
--- a/crates/policy/src/plan/urgency.rs
+++ b/crates/policy/src/plan/urgency.rs
@@ -16,17 +16,17 @@
 
 /// Where a job stands against its objective.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum Hope {
+pub(super) enum Outlook {
     /// It can end within its objective.
     InTime,
     /// It can end late.
     Late,
     /// It ends too late to earn anything.
-    Lost,
+    TooLate,
 }
 
 /// What jobs are ordered by; lower goes first.
-pub(super) type Urgency = (u32, Hope, bool, Reverse<Time>);
+pub(super) type Urgency = (u32, Outlook, bool, Reverse<Time>);
 
 impl Job {
     /// When the job has to end, by its queue's objective.
@@ -58,17 +58,17 @@
     pub(super) fn urgency(&self, now: Time) -> Urgency {
         // Lasting jobs and repetitions are owed their work at any time.
         if self.spec.lasts() || self.spec.repetitions > 0 {
-            return (self.queue.priority, Hope::InTime, false, Reverse(self.heard));
+            return (self.queue.priority, Outlook::InTime, false, Reverse(self.heard));
         }
         let objective = self.objective();
         let end = now.after(self.left());
-        let hope = if end <= self.heard.after(objective) {
-            Hope::InTime
+        let outlook = if end <= self.heard.after(objective) {
+            Outlook::InTime
         } else if end <= self.heard.after(objective * LATE_OBJECTIVES) {
-            Hope::Late
+            Outlook::Late
         } else {
-            Hope::Lost
+            Outlook::TooLate
         };
-        (self.queue.priority, hope, !self.begun, Reverse(self.heard))
+        (self.queue.priority, outlook, !self.begun, Reverse(self.heard))
     }
 }
--- a/crates/policy/src/plan/worker.rs
+++ b/crates/policy/src/plan/worker.rs
@@ -40,7 +40,7 @@
     /// The last report's number.
     pub sequence: u64,
     /// Whether the agent asked what its runs are.
-    pub blank: bool,
+    pub lacks_features: bool,
     /// The last report that listed what runs.
     pub listed: u64,
     /// Ends up to this number are recorded.
--- a/crates/policy/tests/plan/floor.rs
+++ b/crates/policy/tests/plan/floor.rs
@@ -218,7 +218,7 @@
             vacant: false,
             complete: true,
             running: Some(self.running.values().cloned().collect()),
-            blank: false,
+            lacks_features: false,
             ends: self.ends.clone(),
             answers: self.answers.clone(),
             received: self.received,
--- a/crates/policy/tests/plan/lists.rs
+++ b/crates/policy/tests/plan/lists.rs
@@ -151,7 +151,7 @@
     assert!(floor.table.reply(&name(0)).features.is_empty());
     let hand = floor.hands.get_mut(&name(0)).expect("a worker");
     let mut report = hand.report(&name(0), 1);
-    report.blank = true;
+    report.lacks_features = true;
     floor.table.hear(report, floor.now);
     let features = floor.table.reply(&name(0)).features;
     assert_eq!(features.iter().map(|f| (f.run, f.target_ms)).collect::<Vec<_>>(), [(1, 50)]);
--- a/crates/scheduler/src/agent/desk.rs
+++ b/crates/scheduler/src/agent/desk.rs
@@ -418,7 +418,7 @@
             vacant: self.is_vacant(),
             complete: self.complete && !self.is_vacant(),
             running: None,
-            blank: false,
+            lacks_features: false,
             ends: Vec::new(),
             answers: Vec::new(),
             received: self.received,
@@ -426,7 +426,7 @@
         if !report.complete {
             return report;
         }
-        report.blank = self.running.keys().any(|key| !self.traits.contains_key(key));
+        report.lacks_features = self.running.keys().any(|key| !self.traits.contains_key(key));
         for owed in self.ends.values_mut().filter(|owed| !owed.confirmed) {
             owed.first.get_or_insert(sequence);
             report.ends.push(owed.item.clone());
--- a/crates/scheduler/src/agent/pace.rs
+++ b/crates/scheduler/src/agent/pace.rs
@@ -21,7 +21,7 @@
 /// Below this in all, what is known does not explain the miss.
 const EXPLAINED: f64 = 0.05;
 /// A target that is missed for this long stops all tasks that fill: half of what users accept.
-const PATIENCE: Duration = Duration::from_millis(2_000);
+const LONGEST_MISS: Duration = Duration::from_millis(2_000);
 
 /// A serving task as the controller sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -84,7 +84,7 @@
                 *held.entry(image).or_default() |= measure > 1.0;
             }
         }
-        let stop = self.missed.is_some_and(|since| since.after(PATIENCE).passed(now));
+        let stop = self.missed.is_some_and(|since| since.after(LONGEST_MISS).passed(now));
         for (image, pace) in &mut self.paces {
             *pace = match held.get(image) {
                 _ if stop => 0,
--- a/crates/scheduler/tests/desk.rs
+++ b/crates/scheduler/tests/desk.rs
@@ -76,7 +76,7 @@
 fn a_new_process_asks_what_the_runs_are_that_it_finds() {
     let mut desk = joined(vec![run()]);
     let report = desk.report(at(10));
-    assert!(report.blank);
+    assert!(report.lacks_features);
     let feature = Feature {
         task: run().task,
         run: run().run,
@@ -88,7 +88,7 @@
     desk.replied(Reply { features: vec![feature], ..reply(1, report.sequence) });
     let held = desk.running().values().next().expect("a run");
     assert_eq!(held.traits.target_ms, 50);
-    assert!(!desk.report(at(20)).blank);
+    assert!(!desk.report(at(20)).lacks_features);
     desk.looked(lists(7, vec![run()]), 1, at(30), at(30));
     let held = desk.running().values().next().expect("a run");
     assert_eq!(held.traits.target_ms, 50, "it is known from then on");
