Keep one copy of a run's demand, of a row's look-up and of a noted call

Cause, from reading the whole change once more: what a run takes of a worker and is expected to use stood three times (worker, room, place), the look-up of a task's row four times, and the three lines that note a call to the store thirteen times.

No decision, bound or assertion changes.

Ruled out: one type for the five traits of a run that Order, Feature and the agent's desk repeat; it would change the messages between processes.

Tests of plan, path, desk, pace and platform pass.

--- a/crates/policy/src/plan/harm.rs
+++ b/crates/policy/src/plan/harm.rs
@@ -25,7 +25,7 @@
         let mut shares = Vec::new();
         let capacity = worker.profile.as_ref().map_or(1, |p| p.capacity.millicores.max(1));
         for (task, placed) in &worker.placed {
-            let row = self.jobs.get(&task.job).and_then(|job| Some(&job.rows[job.number(task)?]));
+            let row = self.row(task);
             let Some(row) = row.filter(|row| matches!(row.phase, Phase::Running { .. })) else {
                 continue;
             };
--- a/crates/policy/src/plan/hear.rs
+++ b/crates/policy/src/plan/hear.rs
@@ -94,7 +94,7 @@
             && !worker.empty.passed(now);
         self.events.push(Event::Lost { agent: agent.clone(), reason, runs: tasks.len() });
         for task in tasks {
-            let row = self.jobs.get(&task.job).and_then(|job| Some(&job.rows[job.number(&task)?]));
+            let row = self.row(&task);
             match row.map(|row| row.phase.clone()) {
                 Some(Phase::Starting { .. }) if reborn => {
                     self.stop(task, "its start may still be carried out");
@@ -312,7 +312,7 @@
             .copied()
             .collect();
         for task in lost {
-            let row = self.jobs.get(&task.job).and_then(|job| Some(&job.rows[job.number(&task)?]));
+            let row = self.row(&task);
             match row.map(|row| row.phase.clone()) {
                 Some(Phase::Starting { .. }) => self.stop(task, "its agent started again"),
                 Some(Phase::Stopping { run, .. }) => {
@@ -379,7 +379,7 @@
         let stop = |order: &super::message::Order| {
             order.task == task && order.run == run && order.kind == Kind::Stop
         };
-        let row = self.jobs.get(&task.job).and_then(|job| Some(&job.rows[job.number(&task)?]));
+        let row = self.row(&task);
         let stopping = row.is_some_and(|row| {
             matches!(row.phase, Phase::Stopping { .. }) && row.is_current(agent, run)
         });
--- a/crates/policy/src/plan/mod.rs
+++ b/crates/policy/src/plan/mod.rs
@@ -16,6 +16,7 @@
 //! run stay [`Phase::Uncertain`] until it reports or its last lease must have ended.
 
 mod accept;
+mod demand;
 mod event;
 mod expire;
 mod harm;
--- a/crates/policy/src/plan/place.rs
+++ b/crates/policy/src/plan/place.rs
@@ -5,13 +5,13 @@
 //! hold it. Tasks that fill are placed only while the processors of a worker are not promised in
 //! full: beyond that, each more would slow down all that are there.
 
+use super::demand::Demand;
 use super::message::{Kind, Profile};
 use super::room::{Room, Rooms};
 use super::urgency::Urgency;
 use super::{Event, Phase, Table};
 use shallotflow_core::graph::{Id, Step, Task};
 use shallotflow_core::name::Name;
-use shallotflow_core::resources::Bundle;
 use shallotflow_core::time::Time;
 
 /// Score of a worker on which the task has failed, above that of any other.
@@ -99,7 +99,11 @@
                     else {
                         break;
                     };
-                    take(rooms_here, &agent, step, self.expected(step));
+                    if let Some(room) = rooms_here.get_mut(&agent) {
+                        let demand = Demand::of(step);
+                        room.used += demand.expected_use(self.settings.serving_use);
+                        room.host(step.image.as_ref(), demand);
+                    }
                     found.push(Place { task, agent, pressure });
                 }
                 if let Some(tried) = tried {
@@ -125,7 +129,8 @@
         now: Time,
     ) -> Option<(Name, f64)> {
         let row = &job.rows[job.number(task)?];
-        let need = self.counted(step);
+        let demand = Demand::of(step);
+        let need = demand.counted();
         let waited_long = row.ready.after(self.settings.harm_wait).passed(now);
         let mut best: Option<(f64, &Name, f64)> = None;
         for (agent, room) in rooms {
@@ -150,14 +155,14 @@
                     continue;
                 }
             }
-            let pressure = room.pressure(self.expected(step));
+            let pressure = room.pressure(demand.expected_use(self.settings.serving_use));
             if step.fills && pressure > self.settings.fill_limit && !room.filling.is_empty() {
                 continue;
             }
             let mut score = if step.target_ms > 0 {
                 room.serving_cost(step.image.as_ref())
             } else if step.fills {
-                let share = f64::from(step.need.millicores) / f64::from(room.capacity.millicores);
+                let share = room.share(step.need);
                 let excess = self.excess(room, step.image.as_ref(), share);
                 // A serving task that misses its target loses more than a task that fills gains.
                 if excess > HARM_BORNE && !waited_long {
@@ -212,17 +217,6 @@
             && step.requires.as_ref().is_none_or(|label| profile.labels.contains(label))
     }
 
-    /// What a task of `step` takes of a worker's room.
-    fn counted(&self, step: &Step) -> Bundle {
-        if step.fills { Bundle { millicores: 0, ..step.need } } else { step.need }
-    }
-
-    /// Processors that a task of `step` is expected to use, thousandths.
-    fn expected(&self, step: &Step) -> f64 {
-        let millicores = f64::from(step.need.millicores);
-        if step.target_ms > 0 { millicores * self.settings.serving_use } else { millicores }
-    }
-
     fn start(&mut self, place: Place, now: Time) {
         let Place { task, agent, pressure } = place;
         let Some(job) = self.jobs.get(&task.job) else { return };
@@ -271,12 +265,3 @@
         self.events.push(event);
     }
 }
-
-/// Takes the room of a task of `step` at `agent`, and the processors that it is expected to use.
-fn take(rooms: &mut Rooms, agent: &Name, step: &Step, expected: f64) {
-    let Some(room) = rooms.get_mut(agent) else { return };
-    let counted = if step.fills { Bundle { millicores: 0, ..step.need } } else { step.need };
-    room.free = room.free.minus(&counted);
-    room.used += expected;
-    room.host(step.image.as_ref(), step.need.millicores, step.fills, step.target_ms > 0);
-}
--- a/crates/policy/src/plan/room.rs
+++ b/crates/policy/src/plan/room.rs
@@ -1,4 +1,4 @@
-use super::worker::counted;
+use super::demand::Demand;
 use super::{Settings, Worker};
 use shallotflow_core::name::Name;
 use shallotflow_core::resources::Bundle;
@@ -34,30 +34,27 @@
             filling: Vec::new(),
         };
         for placed in worker.placed.values() {
-            room.free = room.free.minus(&counted(placed));
-            let millicores = placed.need.millicores;
-            room.host(placed.image.as_ref(), millicores, placed.fills, placed.target_ms > 0);
+            room.host(placed.image.as_ref(), placed.demand());
         }
         room
     }
 
-    /// Notes one more run.
-    pub(super) fn host(
-        &mut self,
-        image: Option<&Name>,
-        millicores: u32,
-        fills: bool,
-        serves: bool,
-    ) {
+    /// Takes one more run in, but for the processors that it is expected to use.
+    pub(super) fn host(&mut self, image: Option<&Name>, demand: Demand) {
+        self.free = self.free.minus(&demand.counted());
         let image = image.cloned().unwrap_or_else(|| Name::from(""));
-        if fills {
-            let share = f64::from(millicores) / f64::from(self.capacity.millicores.max(1));
-            self.filling.push((image, share));
-        } else if serves {
+        if demand.fills {
+            self.filling.push((image, self.share(demand.need)));
+        } else if demand.serves {
             *self.serving.entry(image).or_default() += 1;
         }
     }
 
+    /// The share of the worker's processors that `need` asks for.
+    pub(super) fn share(&self, need: Bundle) -> f64 {
+        f64::from(need.millicores) / f64::from(self.capacity.millicores.max(1))
+    }
+
     /// Expected use of the processors with `more` thousandths of them, as a share.
     pub(super) fn pressure(&self, more: f64) -> f64 {
         (self.used + more) / f64::from(self.capacity.millicores.max(1))
--- a/crates/policy/src/plan/table.rs
+++ b/crates/policy/src/plan/table.rs
@@ -1,6 +1,6 @@
-use super::message::{Feature, Kind, Order, Reply};
+use super::message::{Feature, Kind, Reply};
 use super::worker::Placed;
-use super::{Event, Job, Phase, Settings, Worker};
+use super::{Event, Job, Phase, Row, Settings, Worker};
 use crate::disturbance::Rates;
 use foldhash::{HashMap, HashMapExt};
 use shallotflow_core::graph::{Id, Queue, State, Task};
@@ -74,6 +74,12 @@
         &self.workers
     }
 
+    /// The row of `task`, if its job is known and has such a task.
+    pub(super) fn row(&self, task: &Task) -> Option<&Row> {
+        let job = self.jobs.get(&task.job)?;
+        Some(&job.rows[job.number(task)?])
+    }
+
     /// The state of `id` in `queue` that callers may be shown, if the owner knows the job.
     pub fn shown(&self, queue: &str, id: Id) -> Option<State> {
         self.jobs.get(&id).filter(|job| &*job.queue.name == queue).map(Job::shown)
@@ -229,9 +235,4 @@
             worker.placed.insert(task, placed);
         }
     }
-
-    /// Orders that `agent` has not received.
-    pub fn orders(&self, agent: &str) -> Vec<Order> {
-        self.workers.get(agent).map(|w| w.outbox.iter().cloned().collect()).unwrap_or_default()
-    }
 }
--- a/crates/policy/src/plan/worker.rs
+++ b/crates/policy/src/plan/worker.rs
@@ -1,3 +1,4 @@
+use super::demand::Demand;
 use super::message::{Kind, Lifetime, Order, Profile, Standing};
 use serde::Serialize;
 use shallotflow_core::graph::{Id, Task};
@@ -20,6 +21,13 @@
     pub(super) pace: u8,
 }
 
+impl Placed {
+    /// What it asks of a worker.
+    pub(super) fn demand(&self) -> Demand {
+        Demand { need: self.need, fills: self.fills, serves: self.target_ms > 0 }
+    }
+}
+
 /// A worker in the owner's table, with the agent beside it.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Worker {
@@ -84,23 +92,9 @@
         self.synced && ((!empty && !self.vacant) || !self.placed.is_empty())
     }
 
-    /// What its runs need of what is counted: tasks that fill take memory, no processors.
-    pub fn taken(&self) -> Bundle {
-        self.placed.values().fold(Bundle::default(), |sum, placed| sum.plus(&counted(placed)))
-    }
-
-    /// Runs that take room here.
-    pub fn runs(&self) -> usize {
-        self.placed.len()
-    }
-
     /// Processors that its runs are expected to use, thousandths.
-    pub fn expected_use(&self, serving_use: f64) -> f64 {
-        let uses = self.placed.values().map(|placed| {
-            let millicores = f64::from(placed.need.millicores);
-            if placed.target_ms > 0 { millicores * serving_use } else { millicores }
-        });
-        uses.sum()
+    pub(super) fn expected_use(&self, serving_use: f64) -> f64 {
+        self.placed.values().map(|placed| placed.demand().expected_use(serving_use)).sum()
     }
 
     pub(super) fn order(&mut self, task: Task, run: u32, kind: Kind) {
@@ -108,8 +102,3 @@
         self.outbox.push_back(Order { number: self.ordered, task, run, kind });
     }
 }
-
-/// What a run takes of a worker's room.
-pub(super) fn counted(placed: &Placed) -> Bundle {
-    if placed.fills { Bundle { millicores: 0, ..placed.need } } else { placed.need }
-}
--- a/crates/scheduler/src/entry/ask.rs
+++ b/crates/scheduler/src/entry/ask.rs
@@ -3,9 +3,7 @@
 use super::{Entry, keys};
 use crate::peers::{Answer, Question, unpack};
 use shallotflow_core::graph::{Id, Job, State};
-use shallotflow_core::time::Clock;
 use shallotflow_policy::plan::Progress;
-use shallotflow_runtime::clock::Boottime;
 use shallotflow_store::error::Error;
 use std::rc::Rc;
 
@@ -36,18 +34,14 @@
 
     /// The state as the store has it: what the owner does not know or cannot be asked.
     async fn stored_state(&self, queue: &str, id: Id) -> Result<Option<State>, Error> {
-        let sent = Boottime.now();
-        let pair = self.store.get(&keys::job(id)).await;
-        self.note(&pair, sent);
+        let pair = self.noted(self.store.get(&keys::job(id))).await;
         let Some(pair) = pair? else { return Ok(None) };
         let job = unpack::<Job>(&pair.value);
         let own = job.map_err(|error| Error::Rejected { reason: error.to_string() })?;
         if &*own.queue.name != queue {
             return Ok(None);
         }
-        let sent = Boottime.now();
-        let progress = self.store.get(&keys::progress(id)).await;
-        self.note(&progress, sent);
+        let progress = self.noted(self.store.get(&keys::progress(id))).await;
         let progress = match progress? {
             Some(pair) => unpack::<Progress>(&pair.value)
                 .map_err(|error| Error::Rejected { reason: error.to_string() })?,
@@ -56,9 +50,7 @@
         if progress.state.is_final() {
             return Ok(Some(progress.state));
         }
-        let sent = Boottime.now();
-        let cancelled = self.store.get(&keys::cancel(id)).await;
-        self.note(&cancelled, sent);
+        let cancelled = self.noted(self.store.get(&keys::cancel(id))).await;
         let cancelled = cancelled?.is_some();
         Ok(Some(if cancelled { State::Cancelled } else { progress.state }))
     }
--- a/crates/scheduler/src/entry/elect.rs
+++ b/crates/scheduler/src/entry/elect.rs
@@ -120,10 +120,7 @@
 }
 
 async fn try_claim(entry: &Rc<Entry>) -> Result<(), Error> {
-    let sent = Boottime.now();
-    let current = entry.store.get(keys::OWNER).await;
-    entry.note(&current, sent);
-    let current = current?;
+    let current = entry.noted(entry.store.get(keys::OWNER)).await?;
     let (epoch, revision) = match &current {
         None => (0, 0),
         Some(pair) => {
@@ -167,9 +164,7 @@
 
 /// The revision of a claim whose answer was lost, if it was carried out.
 async fn read_claim(entry: &Rc<Entry>, holder: &Holder) -> Result<Option<i64>, Error> {
-    let sent = Boottime.now();
-    let pair = entry.store.get(keys::OWNER).await;
-    entry.note(&pair, sent);
+    let pair = entry.noted(entry.store.get(keys::OWNER)).await;
     let own = |value: &[u8]| {
         serde_json::from_slice::<Holder>(value).is_ok_and(|stored| stored == *holder)
     };
--- a/crates/scheduler/src/entry/membership.rs
+++ b/crates/scheduler/src/entry/membership.rs
@@ -48,18 +48,13 @@
         .get(&entry.name)
         .is_some_and(|presence| presence.process == entry.process);
     if let (Some(id), true) = (*lease, announced) {
-        let sent = Boottime.now();
-        let kept = entry.store.keep_alive(id).await;
-        entry.note(&kept, sent);
+        let kept = entry.noted(entry.store.keep_alive(id)).await;
         match kept {
             Err(Error::LeaseGone { .. }) => {}
             other => return other,
         }
     }
-    let sent = Boottime.now();
-    let id = entry.store.grant(entry.settings.presence).await;
-    entry.note(&id, sent);
-    let id = id?;
+    let id = entry.noted(entry.store.grant(entry.settings.presence)).await?;
     let presence = Presence {
         process: entry.process,
         address: entry.address,
@@ -84,10 +79,7 @@
 }
 
 async fn watch(entry: &Rc<Entry>) -> Result<(), Error> {
-    let sent = Boottime.now();
-    let snapshot = entry.store.range(keys::MEMBERSHIP).await;
-    entry.note(&snapshot, sent);
-    let snapshot = snapshot?;
+    let snapshot = entry.noted(entry.store.range(keys::MEMBERSHIP)).await?;
     entry.known.borrow_mut().entries.clear();
     for pair in &snapshot.pairs {
         take(entry, pair);
@@ -96,9 +88,7 @@
     entry.changed.notify(usize::MAX);
     let mut watch = entry.store.watch(keys::MEMBERSHIP, snapshot.revision + 1).await?;
     loop {
-        let sent = Boottime.now();
-        let update = watch.next().await;
-        entry.note(&update, sent);
+        let update = entry.noted(watch.next()).await;
         for change in update?.changes {
             match change {
                 Change::Put(pair) => take(entry, &pair),
--- a/crates/scheduler/src/entry/own.rs
+++ b/crates/scheduler/src/entry/own.rs
@@ -29,22 +29,14 @@
 
 /// Reads the store and becomes the owner that `holder` names.
 pub(super) async fn load(entry: &Rc<Entry>, holder: &Holder, revision: i64) -> Result<(), Error> {
-    let sent = Boottime.now();
-    let agents = entry.store.get(keys::AGENTS).await;
-    entry.note(&agents, sent);
+    let agents = entry.noted(entry.store.get(keys::AGENTS)).await;
     let holders: Vec<Name> = match agents? {
         Some(pair) => serde_json::from_slice(&pair.value)
             .map_err(|error| Error::Rejected { reason: error.to_string() })?,
         None => Vec::new(),
     };
-    let sent = Boottime.now();
-    let asked = entry.store.range(keys::CALLERS).await;
-    entry.note(&asked, sent);
-    let asked = asked?;
-    let sent = Boottime.now();
-    let progress = entry.store.range(keys::PROGRESS).await;
-    entry.note(&progress, sent);
-    let progress = progress?;
+    let asked = entry.noted(entry.store.range(keys::CALLERS)).await?;
+    let progress = entry.noted(entry.store.range(keys::PROGRESS)).await?;
     if entry.known.borrow().holder.as_ref() != Some(holder) {
         return Ok(());
     }
@@ -115,9 +107,7 @@
         match hear_from(&entry, epoch, &mut revision).await {
             Ok(()) => return,
             Err(Error::Compacted { .. }) => {
-                let sent = Boottime.now();
-                let snapshot = entry.store.range(keys::CALLERS).await;
-                entry.note(&snapshot, sent);
+                let snapshot = entry.noted(entry.store.range(keys::CALLERS)).await;
                 if let Ok(snapshot) = snapshot {
                     let pairs = snapshot.pairs.into_iter().map(Change::Put).collect();
                     take_changes(&entry, epoch, pairs);
@@ -135,10 +125,7 @@
 async fn hear_from(entry: &Rc<Entry>, epoch: u64, revision: &mut i64) -> Result<(), Error> {
     let mut watch = entry.store.watch(keys::CALLERS, *revision + 1).await?;
     loop {
-        let sent = Boottime.now();
-        let update = watch.next().await;
-        entry.note(&update, sent);
-        let update = update?;
+        let update = entry.noted(watch.next()).await?;
         *revision = update.revision.max(*revision);
         if !take_changes(entry, epoch, update.changes) {
             return Ok(());
@@ -297,9 +284,7 @@
 
 /// Reads back what a commit may have written, and whether this entry is still the owner.
 async fn reread(entry: &Rc<Entry>, epoch: u64, records: &[Record]) -> Result<(), Error> {
-    let sent = Boottime.now();
-    let owner = entry.store.get(keys::OWNER).await;
-    entry.note(&owner, sent);
+    let owner = entry.noted(entry.store.get(keys::OWNER)).await;
     if let Some(pair) = owner? {
         match serde_json::from_slice::<Holder>(&pair.value) {
             Ok(holder) if holder.epoch != epoch => {
@@ -311,9 +296,7 @@
         }
     }
     for record in records {
-        let sent = Boottime.now();
-        let pair = entry.store.get(&keys::progress(record.job)).await;
-        entry.note(&pair, sent);
+        let pair = entry.noted(entry.store.get(&keys::progress(record.job))).await;
         let revision = pair?.map_or(0, |pair| pair.mod_revision);
         if let Some(reign) = &mut *entry.reign.borrow_mut() {
             reign.revisions.insert(record.job, revision);
--- a/crates/scheduler/src/entry/shared.rs
+++ b/crates/scheduler/src/entry/shared.rs
@@ -146,7 +146,7 @@
     }
 
     /// Notes whether a call that was sent at `sent` shows that the store answers.
-    pub(super) fn note<T>(&self, result: &Result<T, Error>, sent: Time) {
+    fn note<T>(&self, result: &Result<T, Error>, sent: Time) {
         let answered = match result {
             Ok(_) => true,
             Err(error) => matches!(
@@ -159,14 +159,22 @@
         }
     }
 
-    /// Commits, and notes whether the store answers.
-    pub(super) async fn commit(&self, transaction: Transaction) -> Result<i64, Error> {
+    /// Makes a call to the store, and notes whether the store answers.
+    pub(super) async fn noted<T>(
+        &self,
+        call: impl Future<Output = Result<T, Error>>,
+    ) -> Result<T, Error> {
         let sent = Boottime.now();
-        let result = self.store.commit(transaction).await;
+        let result = call.await;
         self.note(&result, sent);
         result
     }
 
+    /// Commits, and notes whether the store answers.
+    pub(super) async fn commit(&self, transaction: Transaction) -> Result<i64, Error> {
+        self.noted(self.store.commit(transaction)).await
+    }
+
     /// The client of the peer at `address`.
     pub(super) fn client(&self, address: SocketAddr) -> Client {
         let mut clients = self.clients.borrow_mut();
--- a/crates/scheduler/src/entry/submit.rs
+++ b/crates/scheduler/src/entry/submit.rs
@@ -79,9 +79,7 @@
 
     /// A job with this identifier is stored; it is the same one if its queue is.
     async fn known_job(&self, id: Id, job: &Job) -> Submission {
-        let sent = Boottime.now();
-        let pair = self.store.get(&keys::job(id)).await;
-        self.note(&pair, sent);
+        let pair = self.noted(self.store.get(&keys::job(id))).await;
         let stored = match pair {
             Ok(Some(pair)) => unpack::<Job>(&pair.value).ok(),
             Ok(None) => None,
@@ -187,9 +185,7 @@
         let mut exists = known.is_some();
         loop {
             if !exists {
-                let sent = Boottime.now();
-                let pair = self.store.get(&keys::job(id)).await;
-                self.note(&pair, sent);
+                let pair = self.noted(self.store.get(&keys::job(id))).await;
                 match pair {
                     Ok(Some(pair)) => {
                         let own = unpack::<Job>(&pair.value);
