--- a/crates/agent/src/leave.rs
+++ b/crates/agent/src/leave.rs
@@ -4,8 +4,10 @@
 use crate::batch;
 use shallotflow_core::task::Key;
 use shallotflow_runtime::stop::{Level, Stop};
+use shallotflow_scheduler::agent::Agent as Orders;
 use shallotflow_wire::http::gate::Gate;
 use spdlog::{info, warn};
+use std::rc::Rc;
 use std::time::Duration;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
@@ -13,11 +15,15 @@
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Leaves once `stop` is raised; ends at once when it is raised again.
-pub(crate) async fn leave(agent: Agent, stop: Stop, gate: Gate) {
+pub(crate) async fn leave(agent: Agent, stop: Stop, gate: Gate, graphs: Option<Rc<Orders>>) {
     stop.wait(Level::Graceful).await;
     if stop.level() == Level::Immediate {
         return;
     }
+    if let Some(graphs) = graphs {
+        // Tasks of graphs go on; their leases end unless the agent is back in time.
+        graphs.stop();
+    }
     let finishing = async {
         let drain = agent.settings().drain;
         if monoio::time::timeout(drain, finish(&agent)).await.is_err() {
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -1,12 +1,14 @@
 //! The agent: the only door to its worker.
 //!
 //! - [`worker`]: the control interface of the worker.
+//! - `graphs`: tasks of graphs, on orders of the entry that owns them.
 //! - [`request`]: requests from entries, admitted and passed to the target.
 
 mod agent;
 mod batch;
 mod colocation;
 mod config;
+mod graphs;
 mod inspect;
 mod leave;
 mod report;
@@ -64,9 +66,10 @@
     let inspect = Rc::new(agent.clone());
     let limits = agent.settings().limits.clone();
     monoio::spawn(operators.serve(program, inspect, limits, stop.clone()));
+    let graphs = graphs::start(agent.settings());
     ready(bound);
     let result = monoio::select! {
-        () = leave::leave(agent.clone(), stop, gate.clone()) => Ok(()),
+        () = leave::leave(agent.clone(), stop, gate.clone(), graphs) => Ok(()),
         () = tick(agent.clone()) => Ok(()),
         result = worker::watch(agent.clone()) => result,
     };
--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -6,6 +6,7 @@
 pub mod drain;
 pub mod dump;
 pub mod except;
+pub mod graph;
 pub mod jobs;
 pub mod show;
 pub mod status;
@@ -47,6 +48,9 @@
     /// Makes a worker leave, or lets it come back
     #[bpaf(command)]
     Drain(#[bpaf(external(drain::arguments))] drain::Arguments),
+    /// Submits, shows, cancels or counts jobs of several tasks
+    #[bpaf(command)]
+    Graph(#[bpaf(external(graph::action))] graph::Action),
     /// Prints the state of a process
     #[bpaf(command)]
     Dump(#[bpaf(external(dump::arguments))] dump::Arguments),
@@ -72,6 +76,7 @@
             Self::Targets(arguments) => arguments.output,
             Self::Jobs(arguments) => arguments.output,
             Self::Drain(arguments) => arguments.output,
+            Self::Graph(action) => action.output(),
             Self::Dump(arguments) => arguments.output,
             Self::Submit(arguments) => arguments.output,
             Self::Status(arguments) => arguments.output,
@@ -93,6 +98,7 @@
             Self::Targets(arguments) => targets::run(arguments).await,
             Self::Jobs(arguments) => jobs::run(arguments).await,
             Self::Drain(arguments) => drain::run(arguments).await,
+            Self::Graph(action) => graph::run(action).await,
             Self::Dump(arguments) => dump::run(arguments).await,
             Self::Submit(arguments) => submit::run(arguments).await,
             Self::Status(arguments) => status::run(arguments).await,
--- a/crates/cli/src/reference.rs
+++ b/crates/cli/src/reference.rs
@@ -14,7 +14,7 @@
     for exit in EXITS {
         page.push_str(&format!("| {} | {} |\n", exit.code, exit.meaning));
     }
-    let commands: [&[&str]; 14] = [
+    let commands: [&[&str]; 19] = [
         &[],
         &["check"],
         &["apply"],
@@ -29,6 +29,11 @@
         &["dump"],
         &["submit"],
         &["status"],
+        &["graph"],
+        &["graph", "submit"],
+        &["graph", "status"],
+        &["graph", "cancel"],
+        &["graph", "waiting"],
     ];
     for words in commands.iter().copied().chain([&["cancel"][..]]) {
         push(&mut page, words);
--- a/crates/cli/tests/processes.rs
+++ b/crates/cli/tests/processes.rs
@@ -3,15 +3,20 @@
 mod support;
 
 use futures_channel::oneshot;
+use shallotflow_cli::answer::Answer;
 use shallotflow_cli::error::Error;
+use shallotflow_core::problem::Code;
 use shallotflow_entry::{Bound, Settings};
 use shallotflow_runtime::stop::Stop;
 use shallotflow_wire::proto;
 use shallotflow_wire::proto::scheduler_client::SchedulerClient;
 use shallotflow_wire::rpc::Channel;
+use std::time::Duration;
 use support::{run, with_store};
 use test_case::test_case;
 
+const PAUSE: Duration = Duration::from_millis(10);
+
 async fn entry() -> Bound {
     let (ready, bound) = oneshot::channel();
     let settings = Settings { log: "off".into(), ..Settings::default() };
@@ -82,6 +87,63 @@
     });
 }
 
+#[test]
+fn a_job_of_several_tasks_is_submitted_shown_counted_and_cancelled() {
+    with_store(async |store| {
+        let (ready, bound) = oneshot::channel();
+        let settings = Settings {
+            log: "off".into(),
+            store: vec![store.address],
+            graphs_listen: Some(([127, 0, 0, 1], 0).into()),
+            ..Settings::default()
+        };
+        monoio::spawn(shallotflow_entry::run(settings, Stop::default(), |bound| {
+            let _ = ready.send(bound);
+        }));
+        let entry = format!("--entry={}", bound.await.expect("a started entry").callers);
+        let file = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/samples/job.json");
+        let id = "--id=00000000000000a1";
+        let words = ["graph", "submit", &entry, "--caller=guild", id, "render", file];
+        let submitted = loop {
+            match run(&words).await {
+                Ok(answer) => break answer,
+                // The store is not known yet.
+                Err(Error::Problem(problem)) if problem.code == Code::StoreUnavailable => {
+                    monoio::time::sleep(PAUSE).await;
+                }
+                Err(error) => panic!("{error}"),
+            }
+        };
+        assert_eq!(submitted.json["id"], "00000000000000a1");
+        loop {
+            match run(&["graph", "waiting", &entry, "render"]).await {
+                Ok(answer) if answer.json["waiting"] == 1 => break,
+                _ => monoio::time::sleep(PAUSE).await,
+            }
+        }
+        let about = |verb| run_owned(["graph", verb, &entry, "render", "00000000000000a1"]);
+        assert_eq!(about("status").await.expect("a state").json["state"], "queued");
+        assert_eq!(about("cancel").await.expect("a cancel").json["state"], "cancelled");
+        let absent = ["graph", "status", &entry, "render", "00000000000000a2"];
+        assert_eq!(run(&absent).await.expect_err("no job").exit_code(), 5);
+    });
+}
+
+async fn run_owned(words: [&str; 5]) -> shallotflow_cli::error::Result<Answer> {
+    run(&words).await
+}
+
+#[test_case("no-such-file.json", "no-such-file.json"; "no file")]
+#[test_case(concat!(env!("CARGO_MANIFEST_DIR"), "/Cargo.toml"), "expected value"; "no JSON")]
+fn a_file_that_is_no_job_is_named(file: &str, detail: &str) {
+    with_store(async |_| {
+        let words = ["graph", "submit", "--entry=127.0.0.1:1", "--caller=guild", "render", file];
+        let error = run(&words).await.expect_err("no job");
+        assert!(matches!(error, Error::Argument(_)), "{error}");
+        assert!(error.to_string().contains(detail), "{error}");
+    });
+}
+
 #[test]
 fn a_process_that_does_not_run_is_named() {
     with_store(async |_| {
--- a/crates/core/src/graph/queue.rs
+++ b/crates/core/src/graph/queue.rs
@@ -19,6 +19,11 @@
     pub target_ms: u64,
 }
 
+impl Queue {
+    /// The service of queues and workers that name none.
+    pub const SERVICE: &'static str = "workers";
+}
+
 impl Default for Queue {
     fn default() -> Self {
         Self {
--- a/crates/core/src/graph/spec.rs
+++ b/crates/core/src/graph/spec.rs
@@ -4,7 +4,7 @@
 
 /// What a caller hands in.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default)]
+#[serde(default, deny_unknown_fields)]
 pub struct Spec {
     /// The text that workers get with each task.
     pub text: Arc<str>,
--- a/crates/core/src/graph/step.rs
+++ b/crates/core/src/graph/step.rs
@@ -4,7 +4,7 @@
 
 /// Tasks that are alike.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default)]
+#[serde(default, deny_unknown_fields)]
 pub struct Step {
     /// Number of tasks.
     pub count: u32,
--- a/crates/core/src/settings/agent.rs
+++ b/crates/core/src/settings/agent.rs
@@ -2,8 +2,8 @@
 
 use super::limits::{Limits, with_limits};
 use super::span::{ms, s};
-use crate::ini::codec::{Address, Count, Filter, Label, List, Size, Span};
-use crate::ini::{self, Key, Required, Table, key};
+use crate::ini::codec::{Address, Count, Filter, Label, List, Maybe, Size, Span};
+use crate::ini::{self, Document, Fault, Key, Required, Table, key};
 use crate::name::Name;
 use serde::{Deserialize, Serialize};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -28,6 +28,12 @@
     pub target: SocketAddr,
     /// The worker's control interface.
     pub control: SocketAddr,
+    /// The worker's interface for tasks of graphs; without it, none run there.
+    pub runs: Option<SocketAddr>,
+    /// The endpoints of the platform's store, where the owner of the graphs is found.
+    pub store: Vec<SocketAddr>,
+    /// How long a task of a graph runs after its lease was last renewed.
+    pub run_lease: Duration,
     /// How many entries it reports to at most.
     pub report_to: usize,
     /// How long a graceful stop may take.
@@ -51,6 +57,9 @@
             entries: Vec::new(),
             target: any_port,
             control: any_port,
+            runs: None,
+            store: Vec::new(),
+            run_lease: Duration::from_secs(6),
             report_to: 3,
             drain: Duration::from_secs(30),
             log: "info".into(),
@@ -76,6 +85,9 @@
     key!("agent", entries: List<Address>, "Where it first announces itself: the balancer's address for entries' peers."),
     key!("agent", target: Address, "The target that answers requests."),
     key!("agent", control: Address, "The worker's control interface."),
+    key!("agent", runs: Maybe<Address>, "The worker's interface for tasks of graphs; empty to run none."),
+    key!("agent", store: List<Address>, "Endpoints of the store, where the owner of the graphs is found; needed beside runs."),
+    key!("agent", run_lease: Span, "How long a task of a graph runs after its lease was last renewed.", ms(1_000)..=s(300)),
     key!("agent", report_to: Count<usize>, "How many entries it reports to at most.", 1..=64),
     key!("agent", drain: Span, "How long a graceful stop may take.", ms(0)..=s(3600)),
     key!("agent", log: Filter, "What it logs: a level, then `target=level` for parts of it."),
@@ -84,7 +96,7 @@
 
 impl Settings {
     /// The keys as a table.
-    pub const TABLE: Table<Self> = Table { keys: KEYS, required: REQUIRED, check: |_, _| Ok(()) };
+    pub const TABLE: Table<Self> = Table { keys: KEYS, required: REQUIRED, check: Self::check };
 
     /// Reads the settings file at `path`; keys that it leaves out keep their defaults.
     ///
@@ -103,4 +115,14 @@
     pub fn parse(file: &str, text: &str) -> ini::Result<Self> {
         Self::TABLE.parse(file, text)
     }
+
+    fn check(&self, document: &Document) -> ini::Result<()> {
+        if self.runs.is_some() && self.store.is_empty() {
+            let line = document.line_of("agent", "runs");
+            let message = "runs is set and no store is".to_owned();
+            let fault = Fault::conflict(message, "give the endpoints of the `store`");
+            return Err(document.error(line, fault));
+        }
+        Ok(())
+    }
 }
--- a/crates/core/src/settings/entry.rs
+++ b/crates/core/src/settings/entry.rs
@@ -2,7 +2,7 @@
 
 use super::limits::{Limits, with_limits};
 use super::span::{ms, s};
-use crate::ini::codec::{Address, Count, Filter, Label, List, Size, Span};
+use crate::ini::codec::{Address, Count, Filter, Label, List, Maybe, Size, Span};
 use crate::ini::{self, Document, Fault, Key, Required, Table, key};
 use crate::name::Name;
 use serde::{Deserialize, Serialize};
@@ -22,6 +22,11 @@
     pub callers_listen: SocketAddr,
     /// Where agents and other entries connect.
     pub peers_listen: SocketAddr,
+    /// Where agents and other entries call about jobs of several tasks; without it, such jobs are
+    /// refused.
+    pub graphs_listen: Option<SocketAddr>,
+    /// What others are told instead of `graphs_listen`, behind a translation of addresses.
+    pub graphs_announce: Option<SocketAddr>,
     /// Where operators connect.
     pub operators_listen: SocketAddr,
     /// The endpoints of the platform's store; without any, batch work is refused.
@@ -58,6 +63,8 @@
             domain: "default".into(),
             callers_listen: any_port,
             peers_listen: any_port,
+            graphs_listen: None,
+            graphs_announce: None,
             operators_listen: any_port,
             store: Vec::new(),
             ledgers: 8,
@@ -83,6 +90,8 @@
     key!("entry", domain: Label, "The failure domain it runs in."),
     key!("entry", callers_listen: Address, "Where callers connect; port 0 takes a free one."),
     key!("entry", peers_listen: Address, "Where agents and other entries connect."),
+    key!("entry", graphs_listen: Maybe<Address>, "Where agents and other entries call about jobs of several tasks; empty to refuse those."),
+    key!("entry", graphs_announce: Maybe<Address>, "What others are told instead of graphs_listen, behind a translation of addresses."),
     key!("entry", operators_listen: Address, "Where operators connect."),
     key!("entry", store: List<Address>, "Endpoints of the store; without any, batch work is refused."),
     key!("entry", ledgers: Count<u32>, "Into how many ledgers jobs are divided; the same in the whole fleet.", 1..=1024),
@@ -124,6 +133,14 @@
             let line = document.line_of("entry", key);
             Err(document.error(line, Fault::conflict(message, remedy)))
         };
+        if self.graphs_listen.is_some() && self.store.is_empty() {
+            let message = "graphs_listen is set and no store is".to_owned();
+            return conflict("graphs_listen", message, "give the endpoints of the `store`");
+        }
+        if self.graphs_announce.is_some() && self.graphs_listen.is_none() {
+            let message = "graphs_announce is set and graphs_listen is not".to_owned();
+            return conflict("graphs_announce", message, "set `graphs_listen`, or leave both out");
+        }
         if self.task_lease < self.beat * 2 {
             let (lease, beat) = (self.task_lease, self.beat);
             let message = format!("task_lease {lease:?} is less than two beats of {beat:?}");
--- a/crates/core/src/settings/standin.rs
+++ b/crates/core/src/settings/standin.rs
@@ -2,6 +2,7 @@
 
 use super::limits::{Limits, with_limits};
 use super::span::{ms, s};
+use crate::graph::Queue;
 use crate::ini::codec::{Address, Count, Filter, Label, List, Maybe, Size, Span};
 use crate::ini::{self, Key, Table, key};
 use crate::name::Name;
@@ -21,8 +22,14 @@
     pub control_listen: Option<SocketAddr>,
     /// Where the target listens, if the worker runs here.
     pub target_listen: Option<SocketAddr>,
+    /// Where the worker takes tasks of graphs, if it runs here and does.
+    pub runs_listen: Option<SocketAddr>,
     /// The worker's name.
     pub worker: Name,
+    /// The service that the worker runs tasks of graphs for.
+    pub service: Name,
+    /// The worker's labels: its kind, then its rack.
+    pub labels: Vec<Name>,
     /// What the worker can hold.
     pub capacity: Bundle,
     /// The kinds that the target serves.
@@ -56,7 +63,10 @@
             store_listen: None,
             control_listen: any_port,
             target_listen: any_port,
+            runs_listen: None,
             worker: "worker-1".into(),
+            service: Queue::SERVICE.into(),
+            labels: Vec::new(),
             capacity: Bundle {
                 slots: 8,
                 connections: 64,
@@ -84,7 +94,10 @@
     key!("standin", store_listen: Maybe<Address>, "Where the store listens; empty to leave it out."),
     key!("standin", control_listen: Maybe<Address>, "Where the worker's control interface listens; empty to leave it out."),
     key!("standin", target_listen: Maybe<Address>, "Where the target listens; empty to leave it out."),
+    key!("standin", runs_listen: Maybe<Address>, "Where the worker takes tasks of graphs; empty to leave it out."),
     key!("standin", worker: Label, "The worker's name."),
+    key!("standin", service: Label, "The service that the worker runs tasks of graphs for."),
+    key!("standin", labels: List<Label>, "The worker's labels: its kind, then its rack."),
     key!("standin", kinds: List<Label>, "The kinds that the target serves."),
     key!("standin", usage_period: Span, "Time between two usage samples of a task.", ms(1)..=s(3600)),
     key!("standin", report_lag: Span, "Time from the moment that a usage sample describes until it is reported.", ms(0)..=s(3600)),
--- a/crates/entry/src/bound.rs
+++ b/crates/entry/src/bound.rs
@@ -9,6 +9,8 @@
     pub callers: SocketAddr,
     /// For agents and other entries.
     pub peers: SocketAddr,
+    /// For agents and other entries, about jobs of several tasks.
+    pub graphs: Option<SocketAddr>,
     /// For operators.
     pub operators: SocketAddr,
 }
--- a/crates/entry/src/callers/front.rs
+++ b/crates/entry/src/callers/front.rs
@@ -1,11 +1,12 @@
 //! Takes callers' requests apart by path and method.
 
-use super::{Ask, answer, ask, jobs};
+use super::{Ask, answer, ask, graphs, jobs};
 use crate::quick::{self, Payload};
 use crate::state::State;
 use futures_util::future::LocalBoxFuture;
 use http::{HeaderValue, Method, Request, Response, request};
 use shallotflow_core::class::Class;
+use shallotflow_core::graph::{self, Id};
 use shallotflow_core::name::Name;
 use shallotflow_core::problem::{Code, Problem};
 use shallotflow_wire::header;
@@ -27,6 +28,8 @@
     Run(Name),
     Jobs,
     Job(Name),
+    Graphs(Name),
+    Graph(Name, Id),
 }
 
 impl Front {
@@ -90,6 +93,14 @@
         (Ok(Route::Job(job)), &Method::GET) => jobs::read(&state, job).await,
         (Ok(Route::Job(job)), &Method::DELETE) => jobs::cancel(&state, job).await,
         (Ok(Route::Job(_)), _) => not_allowed(&head.method, "GET, DELETE"),
+        (Ok(Route::Graphs(kind)), &Method::GET) => graphs::waiting(&state, kind).await,
+        (Ok(Route::Graphs(_)), _) => not_allowed(&head.method, "GET"),
+        (Ok(Route::Graph(kind, id)), &Method::PUT) => {
+            graphs::submit(&state, &ask, kind, id, body).await
+        }
+        (Ok(Route::Graph(kind, id)), &Method::GET) => graphs::read(&state, kind, id).await,
+        (Ok(Route::Graph(kind, id)), &Method::DELETE) => graphs::cancel(&state, kind, id).await,
+        (Ok(Route::Graph(..)), _) => not_allowed(&head.method, "PUT, GET, DELETE"),
         (Err(problem), _) => answer::problem(&problem),
     }
 }
@@ -118,6 +129,13 @@
 fn parse(path: &str) -> Result<Route, Problem> {
     let mut segments = path.split('/').skip(1);
     let route = match (segments.next(), segments.next(), segments.next()) {
+        (Some("graphs"), Some(kind), id) if ask::is_name(kind) && segments.next().is_none() => {
+            let kind = Name::from(kind);
+            let Some(id) = id else { return Ok(Route::Graphs(kind)) };
+            let malformed =
+                |error: graph::Error| Problem::not_run(Code::Malformed, error.to_string());
+            return Ok(Route::Graph(kind, id.parse().map_err(malformed)?));
+        }
         (Some("run"), Some(kind), None) => ask::is_name(kind).then(|| Route::Run(kind.into())),
         (Some("jobs"), None, None) => Some(Route::Jobs),
         (Some("jobs"), Some(job), None) => jobs::is_id(job).then(|| Route::Job(job.into())),
--- /dev/null
+++ b/crates/entry/src/callers/graphs.rs
@@ -0,0 +1,140 @@
+//! Jobs of several tasks over HTTP.
+
+use super::answer;
+use super::ask::Ask;
+use crate::state::State;
+use crate::{graphs, quick};
+use http::{Response, StatusCode};
+use serde::Serialize;
+use shallotflow_core::graph::{Id, Job, Spec};
+use shallotflow_core::name::Name;
+use shallotflow_core::problem::{Code, Problem};
+use shallotflow_runtime::clock::wall_ms;
+use shallotflow_scheduler::entry::{Cancellation, Entry, Submission};
+use shallotflow_wire::http::body::Body;
+use std::rc::Rc;
+
+/// Largest body of a submission, bytes; a job of a thousand steps takes a third of it.
+const BODY_LIMIT: usize = 256 * 1024;
+/// When a caller may ask again for what neither the owner nor the store could answer, seconds.
+const RETRY_AFTER_S: u32 = 1;
+const MS_PER_S: u64 = 1_000;
+
+/// A job as callers are shown it.
+#[derive(Serialize)]
+struct Shown {
+    id: Id,
+    kind: Name,
+    state: &'static str,
+}
+
+/// How many jobs of a kind wait.
+#[derive(Serialize)]
+struct Waiting {
+    kind: Name,
+    /// Accepted jobs of which no task has started.
+    waiting: u64,
+}
+
+/// Submits a job; a second submission under the same identifier finds the first.
+pub(super) async fn submit(
+    state: &State,
+    ask: &Ask,
+    kind: Name,
+    id: Id,
+    body: Body,
+) -> Response<Body> {
+    let spec = match spec(body).await {
+        Ok(spec) => spec,
+        Err(problem) => return answer::problem(&problem),
+    };
+    let entry = match entry(state) {
+        Ok(entry) => entry,
+        Err(problem) => return answer::problem(&problem),
+    };
+    let queue = graphs::queue(kind.clone(), state.values(&kind, &ask.caller).priority);
+    let job = Job { queue, spec, accepted_ms: wall_ms() };
+    match entry.submit(id, job).await {
+        Submission::Accepted => {
+            // What becomes of it is asked for under its path; here it is only known to be stored.
+            let shown = Shown { id, kind: kind.clone(), state: "accepted" };
+            let response = answer::json(StatusCode::ACCEPTED, &shown);
+            answer::location(response, &format!("/graphs/{kind}/{id}"))
+        }
+        Submission::Refused { retry_ms } => {
+            let seconds = u32::try_from(retry_ms.div_ceil(MS_PER_S)).unwrap_or(u32::MAX);
+            let detail = "the store does not take the job; submit it again";
+            let problem = Problem::not_run(Code::StoreUnavailable, detail);
+            answer::problem(&problem.retry_after(seconds))
+        }
+        Submission::Unknown => {
+            let detail = format!("it is not known whether job {id} is stored; submit it again");
+            answer::problem(&Problem::unknown(Code::StoreUnavailable, detail))
+        }
+    }
+}
+
+/// The state of a job.
+pub(super) async fn read(state: &State, kind: Name, id: Id) -> Response<Body> {
+    let entry = match entry(state) {
+        Ok(entry) => entry,
+        Err(problem) => return answer::problem(&problem),
+    };
+    match entry.state(&kind, id).await {
+        Ok(Some(state)) => answer::json(StatusCode::OK, &Shown { id, kind, state: state.as_str() }),
+        Ok(None) => answer::problem(&unknown_job(&kind, id)),
+        Err(error) => {
+            let problem = Problem::not_run(Code::StoreUnavailable, error.to_string());
+            answer::problem(&problem.retry_after(RETRY_AFTER_S))
+        }
+    }
+}
+
+/// Cancels a job; a job that has ended stays as it is.
+pub(super) async fn cancel(state: &State, kind: Name, id: Id) -> Response<Body> {
+    let entry = match entry(state) {
+        Ok(entry) => entry,
+        Err(problem) => return answer::problem(&problem),
+    };
+    match entry.cancel(&kind, id).await {
+        Cancellation::Cancelled => read(state, kind, id).await,
+        Cancellation::Absent => answer::problem(&unknown_job(&kind, id)),
+        Cancellation::Unknown => {
+            let detail = format!("it is not known whether job {id} is cancelled; cancel it again");
+            answer::problem(&Problem::unknown(Code::StoreUnavailable, detail))
+        }
+    }
+}
+
+/// How many jobs of a kind wait for their first task.
+pub(super) async fn waiting(state: &State, kind: Name) -> Response<Body> {
+    let entry = match entry(state) {
+        Ok(entry) => entry,
+        Err(problem) => return answer::problem(&problem),
+    };
+    match entry.waiting(&kind).await {
+        Some(waiting) => answer::json(StatusCode::OK, &Waiting { kind, waiting }),
+        None => {
+            let problem = Problem::not_run(Code::OwnerUnavailable, "no owner answers");
+            answer::problem(&problem.retry_after(RETRY_AFTER_S))
+        }
+    }
+}
+
+fn entry(state: &State) -> Result<&Rc<Entry>, Problem> {
+    let detail = "this entry takes no jobs of several tasks; set graphs_listen and store";
+    state.graphs.as_ref().ok_or_else(|| Problem::not_run(Code::StoreUnavailable, detail))
+}
+
+fn unknown_job(kind: &Name, id: Id) -> Problem {
+    Problem::not_run(Code::UnknownJob, format!("there is no job {id} of kind {kind:?}"))
+}
+
+async fn spec(body: Body) -> Result<Spec, Problem> {
+    let body = body.collect(BODY_LIMIT).await.map_err(|error| quick::caller_problem(&error))?;
+    let malformed = |detail| Problem::not_run(Code::Malformed, detail);
+    let spec: Spec = serde_json::from_slice(&body)
+        .map_err(|error| malformed(format!("the body is not a job: {error}")))?;
+    spec.check().map_err(|error| malformed(error.to_string()))?;
+    Ok(spec)
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`callers`]: the callers' HTTP interface.
 //! - [`quick`]: quick requests and watchers on their way to an agent and back.
 //! - [`batch`]: batch jobs, in the ledgers of this entry or of another.
+//! - `graphs`: jobs of several tasks, in one table that one entry owns.
 //! - [`config`]: the fleet configuration, from the store or from agents.
 //! - [`peers`]: the `tonic` service for agents and other entries.
 //! - `listeners`, `operators`: the listeners, readiness and the dump of the state.
@@ -27,6 +28,7 @@
 pub mod tick;
 pub mod unavailable;
 
+mod graphs;
 mod listeners;
 mod operators;
 mod serve;
--- a/crates/entry/src/listeners.rs
+++ b/crates/entry/src/listeners.rs
@@ -20,6 +20,7 @@
 pub(crate) struct Listeners {
     callers: TcpListener,
     peers: TcpListener,
+    graphs: Option<TcpListener>,
     operators: Listener,
 }
 
@@ -41,6 +42,10 @@
         Ok(Self {
             callers: bind(settings.callers_listen, "callers_listen")?,
             peers: bind(settings.peers_listen, "peers_listen")?,
+            graphs: settings
+                .graphs_listen
+                .map(|address| bind(address, "graphs_listen"))
+                .transpose()?,
             operators: Listener::bind(operators)
                 .with_context(|| taken(operators, "operators_listen"))?,
         })
@@ -55,10 +60,16 @@
         Ok(Bound {
             callers: self.callers.local_addr()?,
             peers: self.peers.local_addr()?,
+            graphs: self.graphs.as_ref().map(TcpListener::local_addr).transpose()?,
             operators: self.operators.address(),
         })
     }
 
+    /// Hands over the listener for calls about jobs of several tasks, if there is one.
+    pub(crate) fn take_graphs(&mut self) -> Option<TcpListener> {
+        self.graphs.take()
+    }
+
     /// Accepts callers, agents, other entries and operators.
     pub(crate) fn open(self, state: &Rc<State>, program: Program, stop: &Stop) -> Open {
         let limits = state.settings.limits.clone();
--- a/crates/entry/src/operators/dump.rs
+++ b/crates/entry/src/operators/dump.rs
@@ -24,6 +24,7 @@
     targets: Vec<Target>,
     config: serde_json::Value,
     batch: serde_json::Value,
+    graphs: Option<serde_json::Value>,
 }
 
 /// One target.
@@ -63,6 +64,7 @@
         targets: targets(state),
         config: state.config.dump(),
         batch: state.batch.dump(),
+        graphs: state.graphs.as_ref().map(|entry| entry.dump()),
     };
     serde_json::to_value(dump).unwrap_or_default()
 }
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -7,10 +7,12 @@
 use crate::session::{Presence, Session};
 use crate::state::State;
 use crate::unavailable::Unavailable;
-use crate::{Settings, config, tick};
+use crate::{Settings, config, graphs, tick};
+use event_listener::Event;
 use shallotflow_runtime::program::Program;
 use shallotflow_runtime::stop::{Level, Stop};
 use shallotflow_store::client as store;
+use shallotflow_store::store::Store;
 use std::rc::Rc;
 
 /// Runs an entry until `stop` is raised; `ready` gets the bound addresses.
@@ -20,15 +22,23 @@
 /// Fails when an address cannot be bound or the log filter is not valid.
 pub async fn run(settings: Settings, stop: Stop, ready: impl FnOnce(Bound)) -> anyhow::Result<()> {
     let program = Program::new("entry", &settings.name, &settings.log)?;
-    let listeners = Listeners::bind(&settings)?;
+    let mut listeners = Listeners::bind(&settings)?;
     let bound = listeners.bound()?;
-    let service = start_batch(&settings, bound);
+    let store = store(&settings);
+    let service = store.clone().map(|store| start_batch(&settings, bound, store));
     let batch: Rc<dyn Batch> = match &service {
         Some(service) => Rc::new(service.clone()),
         None => Rc::new(Unavailable),
     };
+    let stop_graphs = Rc::new(Event::new());
+    let graphs = match (listeners.take_graphs(), store) {
+        (Some(listener), Some(store)) => {
+            Some(graphs::start(&settings, listener, store, stop_graphs.clone())?)
+        }
+        _ => None,
+    };
     let own = Peer { name: settings.name.clone(), callers: bound.callers, peers: bound.peers };
-    let state = Rc::new(State::new(settings, own, batch));
+    let state = Rc::new(State::new(settings, own, batch, graphs));
     if let Some(service) = &service {
         let session = service.session();
         monoio::spawn(follow_entries(state.clone(), session.clone()));
@@ -43,6 +53,7 @@
     if let Some(service) = service.filter(|_| stop.level() < Level::Immediate) {
         service.stop().await;
     }
+    stop_graphs.notify(usize::MAX);
     open.close().await;
     spdlog::info!("entry stopped");
     Ok(())
@@ -52,6 +63,10 @@
 async fn leave(state: &State, stop: &Stop) {
     stop.wait(Level::Graceful).await;
     spdlog::info!("entry leaves");
+    if let Some(graphs) = state.graphs.clone() {
+        // A store that is slow to take the release must not use up the drain time.
+        monoio::spawn(async move { graphs.leave().await });
+    }
     let finishing = async {
         monoio::time::sleep(state.settings.linger).await;
         state.gate.drain();
@@ -67,17 +82,21 @@
     }
 }
 
-/// Starts batch work, if a store is configured.
-fn start_batch(settings: &Settings, bound: Bound) -> Option<Rc<batch::Service>> {
+/// The store that is configured, if there is one.
+fn store(settings: &Settings) -> Option<Rc<dyn Store>> {
     if settings.store.is_empty() {
         return None;
     }
     let endpoints = settings.store.clone();
-    let store = store::Client::new(store::Settings { endpoints, ..store::Settings::default() });
+    Some(Rc::new(store::Client::new(store::Settings { endpoints, ..store::Settings::default() })))
+}
+
+/// Starts batch work.
+fn start_batch(settings: &Settings, bound: Bound, store: Rc<dyn Store>) -> Rc<batch::Service> {
     let presence = Presence { peers: bound.peers, callers: bound.callers };
     let name = settings.name.clone();
-    let session = Session::start(name, presence, settings.owner_lease, Rc::new(store));
-    Some(batch::Service::start(settings.clone(), session))
+    let session = Session::start(name, presence, settings.owner_lease, store);
+    batch::Service::start(settings.clone(), session)
 }
 
 /// Keeps the directory of live entries, which agents learn from replies to their reports.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -12,6 +12,7 @@
 use shallotflow_core::name::Name;
 use shallotflow_core::time::{Clock, Monotonic, Time};
 use shallotflow_policy::{member, outlier, retry, route, share};
+use shallotflow_scheduler::entry::Entry;
 use shallotflow_wire::http::gate::Gate;
 use shallotflow_wire::http::limits::Limits;
 use shallotflow_wire::http::pool::Pool;
@@ -31,6 +32,8 @@
     pub settings: Settings,
     /// Batch work.
     pub batch: Rc<dyn Batch>,
+    /// Jobs of several tasks, if they are taken here.
+    pub graphs: Option<Rc<Entry>>,
     /// The fleet configuration.
     pub config: Rc<Keeper>,
     /// Targets as the choice sees them.
@@ -62,7 +65,12 @@
 
 impl State {
     /// The state of an entry that knows no target yet.
-    pub fn new(settings: Settings, own: Peer, batch: Rc<dyn Batch>) -> Self {
+    pub fn new(
+        settings: Settings,
+        own: Peer,
+        batch: Rc<dyn Batch>,
+        graphs: Option<Rc<Entry>>,
+    ) -> Self {
         let members = member::Settings { beat: settings.beat, ..member::Settings::default() };
         let routes = route::Table::new(route::Settings::default(), settings.domain.clone());
         // What a target answers is not limited in size, and a watcher may pause.
@@ -70,6 +78,7 @@
         let watch = Limits { stall: settings.longest_deadline, ..quick.clone() };
         Self {
             batch,
+            graphs,
             config: Rc::default(),
             routes: RefCell::new(routes),
             members: RefCell::new(member::Table::new(members)),
--- a/crates/scheduler/src/agent/control.rs
+++ b/crates/scheduler/src/agent/control.rs
@@ -1,5 +1,6 @@
 use super::Lists;
 use async_trait::async_trait;
+use serde::{Deserialize, Serialize};
 use shallotflow_core::graph::Task;
 use shallotflow_core::name::Name;
 use shallotflow_policy::plan::message::Lifetime;
@@ -7,7 +8,8 @@
 use std::time::Duration;
 
 /// Why a worker did not do what it was told.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "fault", content = "detail")]
 pub enum Error {
     /// It obeys a later owner.
     #[error("the worker obeys a later owner; report to that one")]
@@ -45,7 +47,7 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// A start, as the worker takes it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Start {
     /// The task.
     pub task: Task,
--- a/crates/scheduler/src/agent/lists.rs
+++ b/crates/scheduler/src/agent/lists.rs
@@ -1,7 +1,8 @@
+use serde::{Deserialize, Serialize};
 use shallotflow_policy::plan::message::{End, Lifetime, Run};
 
 /// What a worker says of itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Lists {
     /// Which life of the worker it is.
     pub lifetime: Lifetime,
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`entry`]: takes jobs in, answers for them, and owns the table of jobs when it is its turn.
 //! - [`agent`]: the only caller of one worker; carries out the owner's orders.
 //! - [`peers`]: calls between them.
+//! - [`runs`]: the product's own interface of a worker, and the agent's side of it.
 //! - [`log`]: one line for each decision, within a bounded rate.
 //!
 //! All decisions on jobs, workers and runs are systems of [`shallotflow_policy::plan`].
@@ -11,6 +12,7 @@
 pub mod entry;
 pub mod log;
 pub mod peers;
+pub mod runs;
 
 /// Generated messages and services.
 #[allow(missing_docs, clippy::all, unreachable_pub)]
--- /dev/null
+++ b/crates/scheduler/src/runs/client.rs
@@ -0,0 +1,121 @@
+use super::{Look, Pace, Start, Stop};
+use crate::agent::{self, Control, Error, Lists, Result};
+use async_trait::async_trait;
+use http::{Request, StatusCode};
+use shallotflow_core::graph::Task;
+use shallotflow_policy::plan::message::Lifetime;
+use shallotflow_wire::control::Call;
+use shallotflow_wire::http as transport;
+use shallotflow_wire::http::body::Body;
+use shallotflow_wire::http::limits::Limits;
+use shallotflow_wire::http::pool::Pool;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Limit of a connection attempt; worker and agent share a host.
+const CONNECT_LIMIT: Duration = Duration::from_millis(250);
+/// Idle connections that are kept: a look that waits, and orders beside it.
+const CONNECTIONS: usize = 4;
+/// Largest answer, bytes; a list of 500 ends takes a tenth of it.
+const ANSWER_LIMIT: usize = 1024 * 1024;
+
+/// The worker at one address.
+pub struct Client {
+    address: SocketAddr,
+    pool: Pool,
+}
+
+impl Client {
+    /// The worker at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address, pool: Pool::new(Limits::default(), CONNECT_LIMIT, CONNECTIONS) }
+    }
+
+    /// Makes a call, which ends after `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Every error but `Unknown` means that the call did nothing.
+    pub async fn call<C: Call>(&self, call: &C, limit: Duration) -> Result<C::Reply> {
+        let refused = |error: &dyn std::error::Error| Error::Refused(error.to_string());
+        let body = serde_json::to_vec(call).map_err(|error| refused(&error))?;
+        let request = Request::post(C::PATH)
+            .body(Body::Full(body.into()))
+            .map_err(|error| refused(&error))?;
+        let exchange = monoio::time::timeout(limit, self.exchange(request)).await;
+        let late = |_| Error::Unknown(format!("no answer within {} ms", limit.as_millis()));
+        let (status, body) = exchange.map_err(late)??;
+        let unreadable = |error: serde_json::Error| {
+            Error::Unknown(format!("status {status}, the answer cannot be read: {error}"))
+        };
+        if status == StatusCode::OK {
+            return serde_json::from_slice(&body).map_err(unreadable);
+        }
+        Err(serde_json::from_slice(&body).unwrap_or_else(unreadable))
+    }
+
+    async fn exchange(&self, request: Request<Body>) -> Result<(StatusCode, bytes::Bytes)> {
+        let unknown = |error: transport::Error| Error::Unknown(error.to_string());
+        let mut connection = self.pool.take(self.address).await.map_err(|error| match error {
+            transport::Error::Refused(_) => Error::Vacant,
+            _ => Error::Unreachable,
+        })?;
+        let response = connection.send(request).await.map_err(unknown)?;
+        let status = response.status();
+        let body = response.into_body().collect(ANSWER_LIMIT).await.map_err(unknown)?;
+        self.pool.give_back(self.address, connection);
+        Ok((status, body))
+    }
+}
+
+#[async_trait(?Send)]
+impl Control for Client {
+    async fn start(
+        &self,
+        lifetime: &Lifetime,
+        start: &agent::Start,
+        limit: Duration,
+    ) -> Result<u64> {
+        let call = Start { lifetime: lifetime.clone(), start: start.clone() };
+        Ok(self.call(&call, limit).await?.clock_ms)
+    }
+
+    async fn stop(
+        &self,
+        lifetime: &Lifetime,
+        task: Task,
+        run: u32,
+        epoch: u64,
+        limit: Duration,
+    ) -> Result<u64> {
+        let call = Stop { lifetime: lifetime.clone(), task, run, epoch };
+        Ok(self.call(&call, limit).await?.clock_ms)
+    }
+
+    async fn pace(
+        &self,
+        lifetime: &Lifetime,
+        task: Task,
+        run: u32,
+        percent: u8,
+        epoch: u64,
+        limit: Duration,
+    ) -> Result<u64> {
+        let call = Pace { lifetime: lifetime.clone(), task, run, percent, epoch };
+        Ok(self.call(&call, limit).await?.clock_ms)
+    }
+
+    async fn look(
+        &self,
+        lifetime: Option<&Lifetime>,
+        lease_ms: Option<u64>,
+        recorded: u64,
+        epoch: u64,
+        wait: Duration,
+        limit: Duration,
+    ) -> Result<Lists> {
+        let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(0);
+        let call = Look { lifetime: lifetime.cloned(), lease_ms, recorded, epoch, wait_ms };
+        self.call(&call, limit).await
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/runs/describe.rs
@@ -0,0 +1,12 @@
+use serde::{Deserialize, Serialize};
+use shallotflow_policy::plan::message::Profile;
+use shallotflow_wire::control::Call;
+
+/// Asks the worker what it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Describe {}
+
+impl Call for Describe {
+    const PATH: &'static str = "/runs/describe";
+    type Reply = Profile;
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,10 +2,12 @@
 //!
 //! - [`store`]: the platform's key-value store, in memory, with faults.
 //! - [`worker`]: runs tasks under leases, behind a control interface.
+//! - [`runs`]: a worker that runs tasks of graphs.
 //! - [`target`]: answers requests, slowed down by what runs on the same worker.
 //! - [`facts`]: what really happened, with the promises that were broken.
 
 pub mod facts;
+pub mod runs;
 pub mod store;
 pub mod target;
 pub mod worker;
@@ -36,6 +38,8 @@
     pub control: Option<SocketAddr>,
     /// Where the target listens, if the worker runs here.
     pub target: Option<SocketAddr>,
+    /// Where the worker takes tasks of graphs, if it does.
+    pub runs: Option<SocketAddr>,
 }
 
 /// Runs the stand-ins that `settings` name until `stop` is raised.
@@ -76,14 +80,20 @@
     let floor = worker::Floor::new(settings.clone(), handles.board);
     let control = Rc::new(worker::Control::new(floor.clone()));
     let target = Rc::new(target::Target::new(floor.clone()));
+    let runs = runs::Server::new(&settings);
+    if settings.runs_listen.is_some() {
+        monoio::spawn(runs.clone().work());
+    }
     let bound = Bound {
         store: listen_store(settings.store_listen, store, &closing)?,
         control: listen(settings.control_listen, control, &settings, &gate)?,
         target: listen(settings.target_listen, target, &settings, &gate)?,
+        runs: listen(settings.runs_listen, Rc::new(runs.clone()), &settings, &gate)?,
     };
     ready(bound);
     stop.wait(Level::Graceful).await;
     floor.leave();
+    runs.leave(settings.drain);
     drain(&floor, &settings, &stop).await;
     closing.notify(usize::MAX);
     if stop.level() == Level::Graceful {
--- /dev/null
+++ b/crates/standin/src/runs/fact.rs
@@ -0,0 +1,32 @@
+use serde::{Deserialize, Serialize};
+use shallotflow_core::graph::Task;
+use shallotflow_policy::plan::message::How;
+
+/// What happened to a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "what", content = "how")]
+pub enum What {
+    /// It started.
+    Started,
+    /// It ended.
+    Ended(How),
+    /// Its end was confirmed, so that nobody hears of it here any more.
+    Confirmed(How),
+}
+
+/// Something that happened at a worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fact {
+    /// Counts the facts of one life of the worker, from 1.
+    pub number: u64,
+    /// When, microseconds since 1970 by the worker's clock.
+    pub unix_us: u64,
+    /// The task.
+    pub task: Task,
+    /// The number of the run.
+    pub run: u32,
+    /// The owner's number that the start named.
+    pub epoch: u64,
+    /// What happened.
+    pub what: What,
+}
--- /dev/null
+++ b/crates/standin/src/runs/server.rs
@@ -0,0 +1,135 @@
+use super::state::State;
+use super::{Facts, Result};
+use bytes::Bytes;
+use event_listener::Event;
+use futures_util::future::LocalBoxFuture;
+use http::{Request, Response, StatusCode};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use shallotflow_core::settings::standin::Settings;
+use shallotflow_scheduler::agent::{Error, Lists};
+use shallotflow_scheduler::runs::{Describe, Look, Pace, Start, Stop};
+use shallotflow_wire::control::Call;
+use shallotflow_wire::http::body::Body;
+use shallotflow_wire::http::server::Handler;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Largest call, bytes; the text of a job is the largest part of one.
+const CALL_LIMIT: usize = 64 * 1024;
+/// Time between two looks at the work in progress.
+const SLICE: Duration = Duration::from_millis(5);
+
+/// Answers the calls of an agent; clones share the worker.
+#[derive(Clone)]
+pub struct Server {
+    state: Rc<RefCell<State>>,
+    ended: Rc<Event>,
+}
+
+impl Server {
+    /// A worker that has just started, as `settings` say.
+    pub fn new(settings: &Settings) -> Self {
+        Self { state: Rc::new(RefCell::new(State::new(settings))), ended: Rc::default() }
+    }
+
+    /// Advances the work in progress, for ever.
+    pub async fn work(self) {
+        loop {
+            monoio::time::sleep(SLICE).await;
+            let before = self.state.borrow().last_end();
+            self.state.borrow_mut().advance();
+            if self.state.borrow().last_end() > before {
+                self.ended.notify(usize::MAX);
+            }
+        }
+    }
+
+    /// Says from now on that the worker leaves, in `remaining`.
+    pub fn leave(&self, remaining: Duration) {
+        let remaining_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
+        self.state.borrow_mut().leave(remaining_ms);
+    }
+
+    async fn look(&self, call: Look) -> Result<Lists> {
+        self.state.borrow_mut().look(&call)?;
+        let deadline = Instant::now() + Duration::from_millis(call.wait_ms);
+        loop {
+            let ended = self.ended.listen();
+            let lists = self.state.borrow_mut().lists();
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() || lists.ends.iter().any(|end| end.number > call.recorded) {
+                return Ok(lists);
+            }
+            monoio::select! {
+                _ = ended => {}
+                () = monoio::time::sleep(left) => {}
+            }
+        }
+    }
+
+    async fn dispatch(&self, path: &str, body: &Bytes) -> Response<Body> {
+        match path {
+            Describe::PATH => {
+                answer(parse::<Describe>(body).map(|_| self.state.borrow().profile()))
+            }
+            Start::PATH => {
+                answer(parse(body).and_then(|call| self.state.borrow_mut().start(&call)))
+            }
+            Stop::PATH => {
+                let stopped = parse(body).and_then(|call| self.state.borrow_mut().stop(&call));
+                self.ended.notify(usize::MAX);
+                answer(stopped)
+            }
+            Pace::PATH => answer(parse(body).and_then(|call| self.state.borrow_mut().pace(&call))),
+            Look::PATH => match parse(body) {
+                Ok(call) => answer(self.look(call).await),
+                Err(error) => answer::<()>(Err(error)),
+            },
+            Facts::PATH => {
+                answer(parse::<Facts>(body).map(|call| self.state.borrow().facts(call.after)))
+            }
+            _ => {
+                let refused = Error::Refused(format!("{path} is no call of this interface"));
+                answer::<()>(Err(refused))
+            }
+        }
+    }
+}
+
+impl Handler for Server {
+    fn call(
+        &self,
+        request: Request<Body>,
+        _: SocketAddr,
+    ) -> LocalBoxFuture<'static, Response<Body>> {
+        let server = self.clone();
+        Box::pin(async move {
+            let path = request.uri().path().to_owned();
+            match request.into_body().collect(CALL_LIMIT).await {
+                Ok(body) => server.dispatch(&path, &body).await,
+                Err(error) => answer::<()>(Err(Error::Refused(error.to_string()))),
+            }
+        })
+    }
+}
+
+fn parse<T: DeserializeOwned>(body: &Bytes) -> Result<T> {
+    serde_json::from_slice(body).map_err(|error| Error::Refused(error.to_string()))
+}
+
+fn answer<T: Serialize>(result: Result<T>) -> Response<Body> {
+    let (status, text) = match &result {
+        Ok(reply) => (StatusCode::OK, serde_json::to_vec(reply)),
+        Err(error) => (StatusCode::CONFLICT, serde_json::to_vec(error)),
+    };
+    let (status, body) = match text {
+        Ok(text) => (status, Body::Full(text.into())),
+        Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, Body::from(error.to_string())),
+    };
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/standin/src/runs/state.rs
@@ -0,0 +1,210 @@
+use super::held::Held;
+use super::{Behavior, Fact, Result, What};
+use shallotflow_core::graph::Task;
+use shallotflow_core::settings::standin::Settings;
+use shallotflow_core::time::{Clock as _, Monotonic, Time};
+use shallotflow_policy::plan::message::{End, How, Lifetime, Profile, Standing};
+use shallotflow_scheduler::agent::{Error, Lists};
+use shallotflow_scheduler::runs::{Clock, Look, Pace, Start, Stop};
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Most ends in one answer.
+const ENDS_PER_ANSWER: usize = 500;
+/// Most facts that are kept for whoever reads them.
+const FACTS_KEPT: usize = 100_000;
+
+/// One life of a worker.
+pub(super) struct State {
+    profile: Profile,
+    epoch: u64,
+    /// When everything that runs is killed.
+    lease: Time,
+    running: BTreeMap<Task, Held>,
+    ends: VecDeque<(End, u64)>,
+    last_end: u64,
+    /// The highest run of each task that was stopped or has ended here.
+    closed: BTreeMap<Task, u32>,
+    facts: VecDeque<Fact>,
+    last_fact: u64,
+}
+
+impl State {
+    pub(super) fn new(settings: &Settings) -> Self {
+        let lifetime = Lifetime { id: settings.worker.clone(), born_ms: unix_us() / 1_000 };
+        Self {
+            profile: Profile {
+                lifetime,
+                service: settings.service.clone(),
+                capacity: settings.capacity,
+                labels: settings.labels.clone(),
+                rack: settings.labels.get(1).cloned(),
+                standing: Standing::Ready,
+            },
+            epoch: 0,
+            lease: Time::ZERO,
+            running: BTreeMap::new(),
+            ends: VecDeque::new(),
+            last_end: 0,
+            closed: BTreeMap::new(),
+            facts: VecDeque::new(),
+            last_fact: 0,
+        }
+    }
+
+    pub(super) fn profile(&self) -> Profile {
+        self.profile.clone()
+    }
+
+    /// The worker leaves: it says so, and goes on with what it runs.
+    pub(super) fn leave(&mut self, remaining_ms: u64) {
+        self.profile.standing = Standing::Draining { remaining_ms };
+    }
+
+    pub(super) fn last_end(&self) -> u64 {
+        self.last_end
+    }
+
+    fn check(&mut self, lifetime: Option<&Lifetime>, epoch: u64) -> Result<()> {
+        if lifetime.is_some_and(|meant| *meant != self.profile.lifetime) {
+            return Err(Error::OtherLifetime);
+        }
+        if epoch < self.epoch {
+            return Err(Error::Fenced);
+        }
+        self.epoch = epoch;
+        Ok(())
+    }
+
+    /// Ends what is done, and everything when the lease has ended.
+    pub(super) fn advance(&mut self) {
+        let now = Monotonic.now();
+        let lapsed = self.lease.passed(now);
+        let ending: Vec<(Task, How)> = self
+            .running
+            .iter()
+            .filter_map(|(task, held)| match held.outcome(now) {
+                Some(true) => Some((*task, How::Done)),
+                Some(false) => Some((*task, How::Failed)),
+                None => lapsed.then_some((*task, How::Lapsed)),
+            })
+            .collect();
+        for (task, how) in ending {
+            self.end(task, how, now);
+        }
+    }
+
+    fn end(&mut self, task: Task, how: How, now: Time) {
+        let Some(held) = self.running.remove(&task) else { return };
+        self.last_end += 1;
+        let (run, epoch) = (held.number(), held.epoch);
+        let checkpoint = held.checkpoint(now);
+        let end = End { number: self.last_end, task, run, how, checkpoint };
+        self.ends.push_back((end, epoch));
+        self.close(task, run);
+        self.note(task, run, epoch, What::Ended(how));
+    }
+
+    fn close(&mut self, task: Task, run: u32) {
+        let closed = self.closed.entry(task).or_default();
+        *closed = run.max(*closed);
+    }
+
+    fn note(&mut self, task: Task, run: u32, epoch: u64, what: What) {
+        self.last_fact += 1;
+        let number = self.last_fact;
+        self.facts.push_back(Fact { number, unix_us: unix_us(), task, run, epoch, what });
+        if self.facts.len() > FACTS_KEPT {
+            self.facts.pop_front();
+        }
+    }
+
+    fn clock() -> Clock {
+        Clock { clock_ms: Monotonic.now().as_micros() / 1_000 }
+    }
+
+    fn renew(&mut self, lease_ms: u64) {
+        self.lease = self.lease.max(Time::from_micros(lease_ms.saturating_mul(1_000)));
+    }
+
+    pub(super) fn start(&mut self, call: &Start) -> Result<Clock> {
+        self.check(Some(&call.lifetime), call.start.epoch)?;
+        self.advance();
+        let start = &call.start;
+        let (task, now) = (start.task, Monotonic.now());
+        if self.running.get(&task).is_some_and(|held| held.number() == start.run) {
+            return Ok(Self::clock());
+        }
+        if Time::from_micros(start.lease_ms.saturating_mul(1_000)).passed(now) {
+            return Err(Error::Late);
+        }
+        self.renew(start.lease_ms);
+        let closed = self.closed.get(&task).is_some_and(|closed| start.run <= *closed);
+        if closed || self.running.contains_key(&task) {
+            return Err(Error::Old);
+        }
+        let behavior = Behavior::of(&start.text, task.step);
+        let checkpoint = start.checkpoint.as_ref();
+        let held = Held::new(behavior, start.run, start.epoch, checkpoint, now);
+        self.running.insert(task, held);
+        self.note(task, start.run, start.epoch, What::Started);
+        Ok(Self::clock())
+    }
+
+    pub(super) fn stop(&mut self, call: &Stop) -> Result<Clock> {
+        self.check(Some(&call.lifetime), call.epoch)?;
+        self.advance();
+        self.close(call.task, call.run);
+        if self.running.get(&call.task).is_some_and(|held| held.number() <= call.run) {
+            self.end(call.task, How::Stopped, Monotonic.now());
+        }
+        Ok(Self::clock())
+    }
+
+    pub(super) fn pace(&mut self, call: &Pace) -> Result<Clock> {
+        self.check(Some(&call.lifetime), call.epoch)?;
+        let now = Monotonic.now();
+        if let Some(held) = self.running.get_mut(&call.task)
+            && held.number() == call.run
+        {
+            held.set_pace(call.percent, now);
+        }
+        Ok(Self::clock())
+    }
+
+    /// Takes the orders of a look; its answer may wait.
+    pub(super) fn look(&mut self, call: &Look) -> Result<()> {
+        self.check(call.lifetime.as_ref(), call.epoch)?;
+        self.advance();
+        if let Some(lease_ms) = call.lease_ms {
+            self.renew(lease_ms);
+        }
+        while self.ends.front().is_some_and(|(end, _)| end.number <= call.recorded) {
+            let Some((end, epoch)) = self.ends.pop_front() else { break };
+            self.note(end.task, end.run, epoch, What::Confirmed(end.how));
+        }
+        Ok(())
+    }
+
+    pub(super) fn lists(&mut self) -> Lists {
+        self.advance();
+        let now = Monotonic.now();
+        let ends = self.ends.iter().take(ENDS_PER_ANSWER).map(|(end, _)| end.clone());
+        Lists {
+            lifetime: self.profile.lifetime.clone(),
+            clock_ms: now.as_micros() / 1_000,
+            running: self.running.iter().map(|(task, held)| held.report(*task, now)).collect(),
+            ends: ends.collect(),
+        }
+    }
+
+    pub(super) fn facts(&self, after: u64) -> (u64, Vec<Fact>) {
+        let known = |fact: &&Fact| fact.number > after;
+        (self.profile.lifetime.born_ms, self.facts.iter().filter(known).cloned().collect())
+    }
+}
+
+fn unix_us() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/standin/tests/runs.rs
@@ -0,0 +1,123 @@
+//! The stand-in of a worker for tasks of graphs keeps the promises of its interface.
+
+use monoio::net::TcpListener;
+use shallotflow_core::graph::{Id, Task};
+use shallotflow_core::settings::standin::Settings;
+use shallotflow_policy::plan::message::{How, Lifetime};
+use shallotflow_runtime::executor;
+use shallotflow_scheduler::agent::{self, Control, Error};
+use shallotflow_scheduler::runs::{Client, Describe};
+use shallotflow_standin::runs::{Facts, Server, What};
+use shallotflow_wire::http::gate::Gate;
+use shallotflow_wire::http::limits::Limits;
+use shallotflow_wire::http::server::serve;
+use std::rc::Rc;
+use std::time::Duration;
+
+const LIMIT: Duration = Duration::from_secs(5);
+const LONG_MS: u64 = 60_000;
+
+/// A worker with the life that it says it is.
+struct Worker {
+    client: Client,
+    lifetime: Lifetime,
+    clock_ms: u64,
+}
+
+fn with_worker(test: impl AsyncFnOnce(Worker)) {
+    executor::run(async {
+        let server = Server::new(&Settings::default());
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let client = Client::new(listener.local_addr().expect("a bound address"));
+        monoio::spawn(server.clone().work());
+        monoio::spawn(serve(listener, Rc::new(server), Limits::default(), Gate::default()));
+        let profile = client.call(&Describe {}, LIMIT).await.expect("a description");
+        let lists = client.look(None, None, 0, 0, Duration::ZERO, LIMIT).await.expect("lists");
+        let worker = Worker { client, lifetime: profile.lifetime, clock_ms: lists.clock_ms };
+        test(worker).await;
+    })
+    .expect("a runtime");
+}
+
+fn task() -> Task {
+    Task { job: Id(1), occurrence: 0, step: 0, index: 0 }
+}
+
+impl Worker {
+    async fn start(&self, run: u32, epoch: u64, text: &str, lease_ms: u64) -> Result<u64, Error> {
+        let lease_ms = self.clock_ms + lease_ms;
+        let start = agent::Start {
+            task: task(),
+            run,
+            text: text.into(),
+            checkpoint: None,
+            lease_ms,
+            epoch,
+        };
+        self.client.start(&self.lifetime, &start, LIMIT).await
+    }
+
+    /// How runs have ended, waiting for one if there is none.
+    async fn ends(&self, recorded: u64, epoch: u64) -> Vec<(u64, u32, How)> {
+        let own = Some(&self.lifetime);
+        let lists = self.client.look(own, None, recorded, epoch, LIMIT, LIMIT * 2).await;
+        let ends = lists.expect("lists").ends;
+        ends.into_iter().map(|end| (end.number, end.run, end.how)).collect()
+    }
+}
+
+#[test]
+fn a_lower_epoch_is_refused() {
+    with_worker(async |worker| {
+        worker.start(1, 7, "", LONG_MS).await.expect("a start");
+        assert_eq!(worker.start(2, 6, "", LONG_MS).await, Err(Error::Fenced));
+        let stop = worker.client.stop(&worker.lifetime, task(), 1, 6, LIMIT).await;
+        assert_eq!(stop, Err(Error::Fenced));
+    });
+}
+
+#[test]
+fn a_run_that_was_stopped_never_starts_and_a_start_is_repeatable() {
+    with_worker(async |worker| {
+        worker.client.stop(&worker.lifetime, task(), 3, 1, LIMIT).await.expect("a stop");
+        assert_eq!(worker.start(3, 1, "", LONG_MS).await, Err(Error::Old));
+        worker.start(4, 1, "", LONG_MS).await.expect("a start");
+        worker.start(4, 1, "", LONG_MS).await.expect("the same start");
+        assert_eq!(worker.start(5, 1, "", LONG_MS).await, Err(Error::Old));
+    });
+}
+
+#[test]
+fn what_runs_ends_with_the_lease_and_a_late_start_is_refused() {
+    with_worker(async |worker| {
+        let text = r#"{"steps":[{"lasts":true}]}"#;
+        worker.start(1, 1, text, 30).await.expect("a start");
+        assert_eq!(worker.ends(0, 1).await, [(1, 1, How::Lapsed)]);
+        assert_eq!(worker.start(2, 1, text, 0).await, Err(Error::Late));
+    });
+}
+
+#[test]
+fn ends_are_listed_until_they_are_confirmed() {
+    with_worker(async |worker| {
+        let text = r#"{"steps":[{"run_ms":1,"fails":1}]}"#;
+        worker.start(1, 1, text, LONG_MS).await.expect("a start");
+        assert_eq!(worker.ends(0, 1).await, [(1, 1, How::Failed)]);
+        worker.start(2, 1, text, LONG_MS).await.expect("a start");
+        assert_eq!(worker.ends(1, 1).await, [(2, 2, How::Done)]);
+        let (_, facts) = worker.client.call(&Facts { after: 0 }, LIMIT).await.expect("facts");
+        let whats: Vec<What> = facts.iter().map(|fact| fact.what).collect();
+        let failed = [What::Started, What::Ended(How::Failed)];
+        let done = [What::Started, What::Confirmed(How::Failed), What::Ended(How::Done)];
+        assert_eq!(whats[..2], failed);
+        assert!(done.iter().all(|what| whats[2..].contains(what)), "{whats:?}");
+    });
+}
+
+#[test]
+fn another_life_is_refused() {
+    with_worker(async |mut worker| {
+        worker.lifetime.born_ms += 1;
+        assert_eq!(worker.start(1, 1, "", LONG_MS).await, Err(Error::OtherLifetime));
+    });
+}
