Let a claim and an owner's return exclude each other

Reading the code for what an owner may do after an outage that ended its presence showed: any answer of the store counted as a sign that nobody had claimed the table. An owner that was reached again before it heard of its successor took new jobs from offers and started them, while the successor took the same jobs for unknown to any former owner. The claim itself did not ask whether the owner was back.

Now only a renewal of the presence counts; an owner's lapsed presence is written only while its claim holds, and a claim because an owner is gone holds only while its presence is absent. So the store lets one of them win.

Found beside it, same kind: the list of agents that may hold runs was written without its own revision, so that a late write could put an older list back, and after a lost answer the owner went on with a list that the store may not have had. A successor would not have waited for such an agent.

--- a/crates/scheduler/src/entry/elect.rs
+++ b/crates/scheduler/src/entry/elect.rs
@@ -4,6 +4,9 @@
 //! refuse the orders of an owner with a lower number, and the store refuses its records. So an
 //! entry claims as soon as the owner has given up, or its presence has ended and it does not answer
 //! or has itself lost the store. The strongest machine claims first.
+//!
+//! A claim because an owner is gone holds only while its presence is absent, and an owner renews an
+//! absent presence only while its claim holds. So an owner that is present has no successor.
 
 use super::holder::Holder;
 use super::{Entry, keys, membership, own};
@@ -121,6 +124,7 @@
 
 async fn try_claim(entry: &Rc<Entry>) -> Result<(), Error> {
     let current = entry.noted(entry.store.get(keys::OWNER)).await?;
+    let mut gone = None;
     let (epoch, revision) = match &current {
         None => (0, 0),
         Some(pair) => {
@@ -132,6 +136,11 @@
                 entry.hear_of(holder);
                 return Ok(());
             }
+            // Another process of its name, or one that says that it owns nothing, is there.
+            let absent = !entry.known.borrow().entries.contains_key(&holder.entry);
+            if absent && !holder.entry.is_empty() && holder.entry != entry.name {
+                gone = Some(holder.entry.clone());
+            }
             (holder.epoch, pair.mod_revision)
         }
     };
@@ -142,8 +151,11 @@
         address: entry.address,
     };
     let value = serde_json::to_vec(&holder).unwrap_or_default();
-    let transaction =
+    let mut transaction =
         Transaction::default().written_by(keys::OWNER, revision).put(keys::OWNER, value);
+    if let Some(gone) = gone {
+        transaction = transaction.written_by(keys::entry(&gone), 0);
+    }
     let revision = match entry.commit(transaction).await {
         Ok(revision) => revision,
         Err(Error::NotApplied { .. }) => return Ok(()),
--- a/crates/scheduler/src/entry/keys.rs
+++ b/crates/scheduler/src/entry/keys.rs
@@ -2,9 +2,9 @@
 //!
 //! | key | value | written by |
 //! |---|---|---|
-//! | `m/owner` | the owner of the table | the entry that claims it, by the key's revision |
-//! | `m/entry/NAME` | an entry that is there, under its lease | that entry |
-//! | `m/agents` | agents that may hold runs | the owner |
+//! | `m/owner` | the owner of the table | the entry that claims it, by the key's revision, while the former owner is not there |
+//! | `m/entry/NAME` | an entry that is there, under its lease | that entry; an owner by the revision of `m/owner` |
+//! | `m/agents` | agents that may hold runs | the owner, by the revisions of this key and of `m/owner` |
 //! | `j/job/ID` | a job as it was accepted | the accepting entry, if absent |
 //! | `j/cancel/ID` | nothing; the job is cancelled | the entry that was asked |
 //! | `p/ID` | a job's progress | the owner, by the revisions of this key and of `m/owner` |
@@ -32,6 +32,11 @@
 /// Prefix of the progress of jobs.
 pub const PROGRESS: &str = "p/";
 
+/// The key of an entry that is there.
+pub fn entry(name: &str) -> String {
+    format!("{ENTRIES}{name}")
+}
+
 /// The key of a job.
 pub fn job(id: Id) -> String {
     format!("{JOBS}{id}")
--- a/crates/scheduler/src/entry/membership.rs
+++ b/crates/scheduler/src/entry/membership.rs
@@ -47,11 +47,16 @@
         .entries
         .get(&entry.name)
         .is_some_and(|presence| presence.process == entry.process);
+    // The lease runs from the arrival of the call, which is later than this.
+    let sent = Boottime.now();
     if let (Some(id), true) = (*lease, announced) {
-        let kept = entry.noted(entry.store.keep_alive(id)).await;
-        match kept {
+        match entry.noted(entry.store.keep_alive(id)).await {
+            Ok(()) => {
+                entry.present.set(sent);
+                return Ok(());
+            }
             Err(Error::LeaseGone { .. }) => {}
-            other => return other,
+            Err(error) => return Err(error),
         }
     }
     let id = entry.noted(entry.store.grant(entry.settings.presence)).await?;
@@ -61,13 +66,34 @@
         strength: entry.settings.strength,
     };
     let value = serde_json::to_vec(&presence).unwrap_or_default();
-    let key = format!("{}{}", keys::ENTRIES, entry.name);
-    entry.commit(Transaction::default().put_leased(key, value, id)).await?;
+    let mut transaction = Transaction::default().put_leased(keys::entry(&entry.name), value, id);
+    // An owner that was away comes back as the owner only if nobody has claimed its table.
+    let owned = entry.reign.borrow().as_ref().map(|reign| reign.revision);
+    if let Some(revision) = owned {
+        transaction = transaction.written_by(keys::OWNER, revision);
+    }
+    match entry.commit(transaction).await {
+        Ok(_) => {}
+        Err(error @ Error::NotApplied { .. }) => {
+            find_owner(entry).await?;
+            return Err(error);
+        }
+        Err(error) => return Err(error),
+    }
     *lease = Some(id);
+    entry.present.set(sent);
     entry.known.borrow_mut().entries.insert(entry.name.clone(), presence);
     Ok(())
 }
 
+/// Reads who owns the table; this entry gives its own up if it is another one.
+async fn find_owner(entry: &Rc<Entry>) -> Result<(), Error> {
+    if let Some(pair) = entry.noted(entry.store.get(keys::OWNER)).await? {
+        take(entry, &pair);
+    }
+    Ok(())
+}
+
 /// Follows who owns the table and who is there, for ever.
 pub(super) async fn follow(entry: Rc<Entry>) {
     loop {
--- a/crates/scheduler/src/entry/own.rs
+++ b/crates/scheduler/src/entry/own.rs
@@ -17,7 +17,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Records in one transaction: with two comparisons and writes beside, it stays below the store's
+/// Records in one transaction: with two comparisons and a write beside, it stays below the store's
 /// 32 rows.
 const RECORDS_PER_COMMIT: usize = 14;
 /// Jobs that are forgotten in one transaction; each has three keys.
@@ -29,12 +29,7 @@
 
 /// Reads the store and becomes the owner that `holder` names.
 pub(super) async fn load(entry: &Rc<Entry>, holder: &Holder, revision: i64) -> Result<(), Error> {
-    let agents = entry.noted(entry.store.get(keys::AGENTS)).await;
-    let holders: Vec<Name> = match agents? {
-        Some(pair) => serde_json::from_slice(&pair.value)
-            .map_err(|error| Error::Rejected { reason: error.to_string() })?,
-        None => Vec::new(),
-    };
+    let (holders, holders_revision) = read_holders(entry).await?;
     let asked = entry.noted(entry.store.range(keys::CALLERS)).await?;
     let progress = entry.noted(entry.store.range(keys::PROGRESS)).await?;
     if entry.known.borrow().holder.as_ref() != Some(holder) {
@@ -42,7 +37,8 @@
     }
     let now = Boottime.now();
     let table = Table::new(plan::Settings::default(), holder.epoch, holders.clone(), now);
-    let mut reign = Reign { table, revision, revisions: HashMap::default(), holders };
+    let revisions = HashMap::default();
+    let mut reign = Reign { table, revision, revisions, holders, holders_revision };
     reign.table.set_queues(entry.queues.borrow().clone());
     let mut kept: HashMap<Id, Progress> = HashMap::default();
     for pair in progress.pairs {
@@ -71,6 +67,16 @@
     Ok(())
 }
 
+/// The agents that may hold runs, as the store lists them, and the revision of the list.
+async fn read_holders(entry: &Rc<Entry>) -> Result<(Vec<Name>, i64), Error> {
+    let Some(pair) = entry.noted(entry.store.get(keys::AGENTS)).await? else {
+        return Ok((Vec::new(), 0));
+    };
+    let holders = serde_json::from_slice(&pair.value);
+    let holders = holders.map_err(|error| Error::Rejected { reason: error.to_string() })?;
+    Ok((holders, pair.mod_revision))
+}
+
 fn unreadable(key: &str, error: &dyn std::fmt::Display) {
     spdlog::error!("record unreadable", kv: { key, reason = error.to_string() });
 }
@@ -219,7 +225,7 @@
 
 /// Records what is due, or all that has changed.
 async fn record_due(entry: &Rc<Entry>, all: bool) -> Result<(), Error> {
-    let Some((epoch, transaction, records, holders)) = next_commit(entry, all) else {
+    let Some(Commit { epoch, transaction, records, holders }) = next_commit(entry, all) else {
         return Ok(());
     };
     let result = entry.commit(transaction).await;
@@ -234,14 +240,21 @@
                 reign.revisions.insert(record.job, revision);
                 reign.table.recorded(record.job, record.version);
             }
-            reign.holders = holders;
+            if let Some(holders) = holders {
+                reign.holders = holders;
+                reign.holders_revision = revision;
+            }
             entry.ordered.notify(usize::MAX);
             entry.wake.notify(usize::MAX);
             Ok(())
         }
         Err(error) => {
             if matches!(error, Error::NotApplied { .. }) || error.may_be_applied() {
-                reread(entry, epoch, &records).await?;
+                if let (Some(holders), Some(reign)) = (&holders, &mut *entry.reign.borrow_mut()) {
+                    // Until it is read back, only what both lists hold is listed for sure.
+                    reign.holders.retain(|agent| holders.contains(agent));
+                }
+                reread(entry, epoch, &records, holders.is_some()).await?;
             }
             match error {
                 Error::NotApplied { .. } => Ok(()),
@@ -251,21 +264,30 @@
     }
 }
 
-type Commit = (u64, Transaction, Vec<Record>, Vec<Name>);
+/// Changes on their way to the store.
+struct Commit {
+    epoch: u64,
+    transaction: Transaction,
+    records: Vec<Record>,
+    /// The agents that may hold runs, if their list changes.
+    holders: Option<Vec<Name>>,
+}
 
 fn next_commit(entry: &Rc<Entry>, all: bool) -> Option<Commit> {
     let reign = entry.reign.borrow();
     let reign = reign.as_ref()?;
     let now = if all { shallotflow_core::time::Time::NEVER } else { Boottime.now() };
     let records = reign.table.records(now, RECORDS_PER_COMMIT);
-    let holders = reign.table.holders();
-    if records.is_empty() && holders == reign.holders {
+    let holders = Some(reign.table.holders()).filter(|holders| *holders != reign.holders);
+    if records.is_empty() && holders.is_none() {
         return None;
     }
     let mut transaction = Transaction::default().written_by(keys::OWNER, reign.revision);
-    if holders != reign.holders {
-        let value = serde_json::to_vec(&holders).unwrap_or_default();
-        transaction = transaction.put(keys::AGENTS, value);
+    if let Some(holders) = &holders {
+        let value = serde_json::to_vec(holders).unwrap_or_default();
+        // A list that comes late must not replace a newer one.
+        let known = reign.holders_revision;
+        transaction = transaction.written_by(keys::AGENTS, known).put(keys::AGENTS, value);
     }
     let mut written = Vec::with_capacity(records.len());
     for record in records {
@@ -279,11 +301,16 @@
             Err(error) => unreadable(&key, &error),
         }
     }
-    Some((reign.table.epoch(), transaction, written, holders))
+    Some(Commit { epoch: reign.table.epoch(), transaction, records: written, holders })
 }
 
 /// Reads back what a commit may have written, and whether this entry is still the owner.
-async fn reread(entry: &Rc<Entry>, epoch: u64, records: &[Record]) -> Result<(), Error> {
+async fn reread(
+    entry: &Rc<Entry>,
+    epoch: u64,
+    records: &[Record],
+    holders: bool,
+) -> Result<(), Error> {
     let owner = entry.noted(entry.store.get(keys::OWNER)).await;
     if let Some(pair) = owner? {
         match serde_json::from_slice::<Holder>(&pair.value) {
@@ -295,6 +322,13 @@
             Err(error) => unreadable(keys::OWNER, &error),
         }
     }
+    if holders {
+        let (holders, revision) = read_holders(entry).await?;
+        if let Some(reign) = &mut *entry.reign.borrow_mut() {
+            reign.holders = holders;
+            reign.holders_revision = revision;
+        }
+    }
     for record in records {
         let pair = entry.noted(entry.store.get(&keys::progress(record.job))).await;
         let revision = pair?.map_or(0, |pair| pair.mod_revision);
--- a/crates/scheduler/src/entry/reign.rs
+++ b/crates/scheduler/src/entry/reign.rs
@@ -10,6 +10,8 @@
     pub(super) revision: i64,
     /// The revisions of the progress of jobs.
     pub(super) revisions: HashMap<Id, i64>,
-    /// Agents that the store lists as possible holders of runs.
+    /// Agents that the store lists for sure as possible holders of runs.
     pub(super) holders: Vec<Name>,
+    /// The revision of that list.
+    pub(super) holders_revision: i64,
 }
--- a/crates/scheduler/src/entry/shared.rs
+++ b/crates/scheduler/src/entry/shared.rs
@@ -46,6 +46,8 @@
     pub(super) queues: RefCell<Vec<Queue>>,
     /// When the last call that the store answered was sent.
     pub(super) contact: Cell<Time>,
+    /// When the last renewal of the entry's presence was sent that the store confirmed.
+    pub(super) present: Cell<Time>,
     /// Notified when membership changed.
     pub(super) changed: Event,
     /// Notified when the owner has something to decide.
@@ -80,6 +82,7 @@
             reign: RefCell::new(None),
             queues: RefCell::default(),
             contact: Cell::new(Time::ZERO),
+            present: Cell::new(Time::ZERO),
             changed: Event::new(),
             wake: Event::new(),
             ordered: Event::new(),
@@ -196,15 +199,25 @@
         others.map(|(_, presence)| presence.address).collect()
     }
 
+    /// Whether the entry's presence is there for sure, so that nobody has claimed its table.
+    ///
+    /// An answer of the store alone does not show that: the presence may have ended in an outage.
+    pub(super) fn is_present(&self, now: Time) -> bool {
+        now < self.present.get().after(self.settings.presence)
+    }
+
     /// Whether this owner can be sure enough that it has no successor to start tasks.
     ///
     /// A successor may have done the work already of what still waits here. There is none while the
-    /// entry's presence is fresh, and none while the store answers the other entries as little.
+    /// entry is present, and none while the store answers nobody.
     pub(super) fn may_place(&self, now: Time) -> bool {
-        let contact = self.contact.get();
-        if now < contact.after(self.settings.presence) {
+        if self.is_present(now) {
             return true;
         }
+        if self.contact.get() > self.present.get().after(self.settings.presence) {
+            // The store is back; its word on this entry's presence is a few milliseconds away.
+            return false;
+        }
         let known = self.known.borrow();
         let heard = now < known.others_heard.after(self.settings.presence);
         known.entries.len() <= 1 || (heard && !self.is_cut_off(&known))
--- a/crates/scheduler/src/entry/submit.rs
+++ b/crates/scheduler/src/entry/submit.rs
@@ -126,13 +126,13 @@
 
     /// Takes a job in that the store holds, if this entry is the owner.
     ///
-    /// An owner that the store does not answer may have a successor already, for which such a job
-    /// is new; it leaves the job to the watch.
+    /// An owner that is not present may have a successor already, for which such a job is new; it
+    /// leaves the job to the watch.
     pub(super) fn take_offer(&self, id: Id, job: Job) -> bool {
         let now = Boottime.now();
-        let sure = now < self.contact.get().after(self.settings.presence);
+        let present = self.is_present(now);
         let mut reign = self.reign.borrow_mut();
-        let Some(reign) = reign.as_mut().filter(|_| sure) else { return false };
+        let Some(reign) = reign.as_mut().filter(|_| present) else { return false };
         if reign.table.accept(id, job, true, now) {
             let details = serde_json::json!({ "job": id.to_string(), "by": "entry" });
             crate::log::decision("job heard", &details);
