--- a/crates/scheduler/tests/owner/store.rs
+++ b/crates/scheduler/tests/owner/store.rs
@@ -246,20 +246,25 @@
     next: i64,
 }
 
+impl Follower {
+    /// Changes from the next revision on.
+    fn changes(&self) -> Vec<Change> {
+        let log = self.shared.log.borrow();
+        let later = log.iter().filter(|(revision, _)| *revision >= self.next);
+        let of_prefix = |change: &Change| match change {
+            Change::Put(pair) => pair.key.starts_with(&self.prefix),
+            Change::Delete { key, .. } => key.starts_with(&self.prefix),
+        };
+        later.map(|(_, change)| change.clone()).filter(of_prefix).collect()
+    }
+}
+
 #[async_trait(?Send)]
 impl Watch for Follower {
     async fn next(&mut self) -> Result<Update> {
         loop {
             let changed = self.shared.changed.listen();
-            let of_prefix = |change: &Change| match change {
-                Change::Put(pair) => pair.key.starts_with(&self.prefix),
-                Change::Delete { key, .. } => key.starts_with(&self.prefix),
-            };
-            let log = self.shared.log.borrow();
-            let later = log.iter().filter(|(revision, _)| *revision >= self.next);
-            let changes: Vec<Change> =
-                later.map(|(_, change)| change.clone()).filter(of_prefix).collect();
-            drop(log);
+            let changes = self.changes();
             if !changes.is_empty() {
                 let revision = self.shared.revision.get();
                 self.next = revision + 1;
