Refuse jobs at once whose tasks exceed every worker

What: the owner notes the most of each resource that a worker of a service had; entries hear of it with its standing, and refuse a step that exceeds it once no larger worker was heard of for 3 s. 422 never-fits in the product's interface, 400 on the platform. Ruled out: asking the owner for each job (one more hop for all jobs); refusing by the exact set of workers (a larger one may only be away).

Before: accepted, waits.

--- a/crates/entry/src/callers/graphs.rs
+++ b/crates/entry/src/callers/graphs.rs
@@ -67,6 +67,10 @@
             let problem = Problem::not_run(Code::StoreUnavailable, detail);
             answer::problem(&problem.retry_after(seconds))
         }
+        Submission::TooLarge { step } => {
+            let detail = format!("no worker is large enough for a task of step {step}");
+            answer::problem(&Problem::not_run(Code::NeverFits, detail))
+        }
         Submission::Unknown => {
             let detail = format!("it is not known whether job {id} is stored; submit it again");
             answer::problem(&Problem::unknown(Code::StoreUnavailable, detail))
--- a/crates/policy/src/plan/hear.rs
+++ b/crates/policy/src/plan/hear.rs
@@ -63,6 +63,7 @@
         let Some(worker) = self.workers.get_mut(agent) else { return };
         if let Some(profile) = &report.worker {
             worker.profile = Some(profile.clone());
+            self.sizes.note(&profile.service, &profile.capacity);
         }
         let Some(lifetime) = &report.lifetime else { return };
         let known = worker.lifetime.replace(lifetime.clone());
--- a/crates/policy/src/plan/mod.rs
+++ b/crates/policy/src/plan/mod.rs
@@ -7,6 +7,7 @@
 //! - [`message`]: what agents and the owner tell each other.
 //! - [`Settings`]: limits and weights of the decisions.
 //! - [`Progress`]: what the store keeps of a job that has begun.
+//! - [`Sizes`]: the largest workers that were seen, to refuse what fits none.
 //! - [`Event`]: what was decided, for the log.
 //! - `accept`, `hear`, `expire`, `harm`, `place`, `record`, `urgency`: the systems.
 //!
@@ -29,6 +30,7 @@
 mod room;
 mod row;
 mod settings;
+mod sizes;
 mod table;
 mod urgency;
 mod worker;
@@ -39,5 +41,6 @@
 pub use record::Record;
 pub use row::{Phase, Row};
 pub use settings::Settings;
+pub use sizes::Sizes;
 pub use table::Table;
 pub use worker::Worker;
--- a/crates/policy/src/plan/table.rs
+++ b/crates/policy/src/plan/table.rs
@@ -1,6 +1,6 @@
 use super::message::{Feature, Kind, Reply};
 use super::worker::Placed;
-use super::{Event, Job, Phase, Row, Settings, Worker};
+use super::{Event, Job, Phase, Row, Settings, Sizes, Worker};
 use crate::disturbance::Rates;
 use foldhash::{HashMap, HashMapExt};
 use shallotflow_core::graph::{Id, Queue, State, Task};
@@ -24,6 +24,8 @@
     /// Agents that may hold runs of predecessors, and when they surely hold none.
     pub(super) missing: BTreeMap<Name, Time>,
     pub(super) uncertain: bool,
+    /// The largest workers that were seen.
+    pub(super) sizes: Sizes,
     /// How images disturb each other.
     pub(super) rates: Rates,
     pub(super) events: Vec<Event>,
@@ -48,6 +50,7 @@
             dirty: BTreeMap::new(),
             uncertain: !agents.is_empty(),
             missing: agents.into_iter().map(|agent| (agent, empty)).collect(),
+            sizes: Sizes::default(),
             rates: Rates::default(),
             events: Vec::new(),
             wall_ms: 0,
@@ -74,6 +77,11 @@
         &self.workers
     }
 
+    /// The largest workers that were seen.
+    pub fn sizes(&self) -> &Sizes {
+        &self.sizes
+    }
+
     /// The row of `task`, if its job is known and has such a task.
     pub(super) fn row(&self, task: &Task) -> Option<&Row> {
         let job = self.jobs.get(&task.job)?;
--- a/crates/policy/tests/plan/main.rs
+++ b/crates/policy/tests/plan/main.rs
@@ -10,3 +10,4 @@
 mod overload;
 mod recovery;
 mod retry;
+mod sizes;
--- a/crates/scheduler/src/entry/membership.rs
+++ b/crates/scheduler/src/entry/membership.rs
@@ -174,7 +174,8 @@
     let epoch = entry.known.borrow().holder.as_ref().map_or(0, |holder| holder.epoch);
     let question = Question::Standing { epoch, store_age_ms: entry.store_age_ms() };
     match peer.ask(&question, entry.settings.ask_limit).await {
-        Ok(Answer::Standing { epoch, owned, store_age_ms, .. }) => {
+        Ok(Answer::Standing { epoch, owned, store_age_ms, sizes, .. }) => {
+            entry.note_sizes(&sizes);
             note_standing(entry, store_age_ms);
             Some((epoch, owned, store_age_ms))
         }
--- a/crates/scheduler/src/entry/meters.rs
+++ b/crates/scheduler/src/entry/meters.rs
@@ -11,6 +11,7 @@
     let outcome = match submission {
         Submission::Accepted => "accepted",
         Submission::Refused { .. } => "refused",
+        Submission::TooLarge { .. } => "too-large",
         Submission::Unknown => "unknown",
     };
     counter!(metric::GRAPH_SUBMISSIONS, "outcome" => outcome).increment(1);
--- a/crates/scheduler/src/entry/serve.rs
+++ b/crates/scheduler/src/entry/serve.rs
@@ -131,9 +131,11 @@
     }
     let known = entry.known.borrow();
     let holder: Option<&Holder> = known.holder.as_ref();
+    let reign = entry.reign.borrow();
     Answer::Standing {
         epoch: holder.map_or(0, |holder| holder.epoch),
-        owned: entry.reign.borrow().is_some(),
+        owned: reign.is_some(),
+        sizes: reign.as_ref().map(|reign| reign.table.sizes().clone()).unwrap_or_default(),
         owner: holder.map(|holder| holder.address),
         store_age_ms: entry.store_age_ms(),
     }
--- a/crates/scheduler/src/entry/settings.rs
+++ b/crates/scheduler/src/entry/settings.rs
@@ -36,6 +36,9 @@
     pub store_pause: Duration,
     /// Longest time for which a job is tried to be stored before its caller is told.
     pub submit_limit: Duration,
+    /// How long no larger worker may have been heard of before a job is refused as too large; two
+    /// of the workers' own reports.
+    pub sizes_settle: Duration,
     /// Pause between the claims of two entries that see an owner gone, by their rank.
     pub claim_stagger: Duration,
 }
@@ -58,6 +61,7 @@
             tick: Duration::from_millis(25),
             store_pause: Duration::from_millis(60),
             submit_limit: Duration::from_millis(800),
+            sizes_settle: Duration::from_millis(3_000),
             claim_stagger: Duration::from_millis(60),
         }
     }
--- a/crates/scheduler/src/entry/shared.rs
+++ b/crates/scheduler/src/entry/shared.rs
@@ -5,9 +5,10 @@
 use event_listener::Event;
 use foldhash::{HashMap, HashMapExt};
 use futures_channel::mpsc::UnboundedReceiver;
-use shallotflow_core::graph::Queue;
+use shallotflow_core::graph::{Job, Queue};
 use shallotflow_core::name::Name;
 use shallotflow_core::time::{Clock, Time};
+use shallotflow_policy::plan::Sizes;
 use shallotflow_runtime::clock::Boottime;
 use shallotflow_store::error::Error;
 use shallotflow_store::store::Store;
@@ -32,6 +33,10 @@
     pub(super) others_contact: Time,
     /// When another entry last said how it stands.
     pub(super) others_heard: Time,
+    /// The largest workers that this process has heard of.
+    pub(super) sizes: Sizes,
+    /// When it last heard of a larger one.
+    pub(super) sizes_grew: Time,
 }
 
 /// One entry; its loops and calls share it.
@@ -199,6 +204,26 @@
         others.map(|(_, presence)| presence.address).collect()
     }
 
+    /// Notes the largest workers that an owner has seen.
+    pub(super) fn note_sizes(&self, sizes: &Sizes) {
+        let mut known = self.known.borrow_mut();
+        if known.sizes.merge(sizes) {
+            known.sizes_grew = Boottime.now();
+        }
+    }
+
+    /// The first step of `job` whose tasks are known to fit no worker.
+    ///
+    /// Workers register one after the other, so nothing is known while larger ones still come.
+    pub(super) fn too_large(&self, job: &Job) -> Option<usize> {
+        if let Some(reign) = &*self.reign.borrow() {
+            self.note_sizes(reign.table.sizes());
+        }
+        let known = self.known.borrow();
+        let settled = known.sizes_grew.after(self.settings.sizes_settle).passed(Boottime.now());
+        known.sizes.too_large(&job.queue.service, &job.spec).filter(|_| settled)
+    }
+
     /// Whether the entry's presence is there for sure, so that nobody has claimed its table.
     ///
     /// An answer of the store alone does not show that: the presence may have ended in an outage.
--- a/crates/scheduler/src/entry/submission.rs
+++ b/crates/scheduler/src/entry/submission.rs
@@ -10,6 +10,11 @@
         /// When the caller may come back, milliseconds.
         retry_ms: u64,
     },
+    /// It was not stored: the tasks of one of its steps fit no worker.
+    TooLarge {
+        /// The step, counted from 0.
+        step: usize,
+    },
     /// It may be stored; the caller has to ask again with the same identifier.
     Unknown,
 }
--- a/crates/scheduler/src/entry/submit.rs
+++ b/crates/scheduler/src/entry/submit.rs
@@ -20,7 +20,11 @@
     /// Accepts a job: it is stored before the caller hears of it.
     pub async fn submit(self: &Rc<Self>, id: Id, job: Job) -> Submission {
         let begun = Boottime.now();
-        let submission = match self.store_job(id, &job).await {
+        let stored = match self.too_large(&job) {
+            Some(step) => Submission::TooLarge { step },
+            None => self.store_job(id, &job).await,
+        };
+        let submission = match stored {
             Submission::Refused { retry_ms } => {
                 self.submit_elsewhere(id, &job, Submission::Refused { retry_ms }).await
             }
--- a/crates/scheduler/src/peers/answer.rs
+++ b/crates/scheduler/src/peers/answer.rs
@@ -1,6 +1,7 @@
 use crate::entry::Submission;
 use serde::{Deserialize, Serialize};
 use shallotflow_core::graph::State;
+use shallotflow_policy::plan::Sizes;
 use std::net::SocketAddr;
 
 /// What an entry answers another.
@@ -16,6 +17,8 @@
         owner: Option<SocketAddr>,
         /// How long ago the store answered it, milliseconds.
         store_age_ms: u64,
+        /// The largest workers that it has seen, if it owns the table.
+        sizes: Sizes,
     },
     /// The state that may be shown, if the owner knows the job.
     State(Option<State>),
--- a/crates/scheduler/tests/owner.rs
+++ b/crates/scheduler/tests/owner.rs
@@ -49,6 +49,7 @@
             ask_limit: Duration::from_millis(20),
             store_pause: Duration::from_millis(2),
             tick: Duration::from_millis(2),
+            sizes_settle: Duration::from_millis(20),
             ..Settings::default()
         };
         // Nothing listens there.
@@ -183,6 +184,29 @@
     });
 }
 
+#[test]
+fn a_job_that_fits_no_worker_is_refused_once_the_workers_are_known() {
+    run(async |shared| {
+        let owner = Process::start("a", 1, &shared);
+        until(|| owner.owns()).await;
+        let large = |id| {
+            let mut job = job();
+            let need = Bundle { millicores: 1_001, ..Bundle::default() };
+            job.spec.steps.push(Step { count: 1, need, ..Step::default() });
+            owner.entry.submit(Id(id), job)
+        };
+        assert_eq!(large(1).await, Submission::Accepted, "no worker is known yet");
+        while owner.report(false).await.epoch == 0 {}
+        let mut id = 2;
+        while large(id).await == Submission::Accepted {
+            id += 1;
+        }
+        assert_eq!(large(id).await, Submission::TooLarge { step: 1 });
+        assert_eq!(shared.text(&keys::job(Id(id))), None);
+        assert_eq!(owner.entry.submit(Id(id + 1), job()).await, Submission::Accepted);
+    });
+}
+
 #[test]
 fn a_claim_fails_when_the_owner_is_there_again() {
     run(async |shared| {
