--- a/crates/scheduler/src/entry/elect.rs
+++ b/crates/scheduler/src/entry/elect.rs
@@ -59,7 +59,8 @@
 
 async fn should_claim(entry: &Rc<Entry>) -> bool {
     let now = Boottime.now();
-    if now < entry.claims_from.get() {
+    // An owner that is not present itself is taken for gone by the next entry.
+    if now < entry.claims_from.get() || !entry.is_present(now) {
         return false;
     }
     let (holder, present, rank) = {
--- a/crates/scheduler/tests/owner.rs
+++ b/crates/scheduler/tests/owner.rs
@@ -207,6 +207,38 @@
     });
 }
 
+#[test]
+fn an_entry_that_is_not_present_itself_claims_nothing() {
+    run(async |shared| {
+        let owner = Process::start("a", 1, &shared);
+        until(|| owner.owns()).await;
+        let other = Process::start("b", 2, &shared);
+        until(|| shared.text(&presence("b")).is_some()).await;
+        shared.judge(|caller, call| match call {
+            Call::Lease if caller == "b" => Verdict::Silent,
+            _ => Verdict::Serve,
+        });
+        monoio::time::sleep(Duration::from_millis(80)).await;
+        let claims = Rc::new(Cell::new(0));
+        let counted = claims.clone();
+        shared.judge(move |caller, call| match call {
+            _ if caller == "a" => Verdict::Silent,
+            Call::Lease => Verdict::Silent,
+            Call::Commit(transaction) if writes(transaction, keys::OWNER) => {
+                counted.set(counted.get() + 1);
+                Verdict::Serve
+            }
+            _ => Verdict::Serve,
+        });
+        shared.lapse();
+        monoio::time::sleep(Duration::from_millis(300)).await;
+        // A third entry would find it absent and claim from it at once.
+        assert_eq!(claims.get(), 0);
+        shared.judge(|caller, _| if caller == "a" { Verdict::Silent } else { Verdict::Serve });
+        until(|| other.owns()).await;
+    });
+}
+
 #[test]
 fn a_claim_fails_when_the_owner_is_there_again() {
     run(async |shared| {
