Add a soak of real processes under faults from outside

What: a store stand-in, entries, agents and worker stand-ins as processes on loopback addresses, each connection through a proxy that delays, resets or silences it, signals that kill, stop and pause in overlapping series, callers that keep their connections, and checks of the promises over what callers were told and workers printed. Worker stand-ins print facts, with the time at which a lease ended even when the process slept past it.

Found while writing it: run_lease of an agent could be set beyond the 6 s for which a new owner waits; the setting is bounded now.

Before: no such program.

--- a/crates/bench/tests/graphs.rs
+++ b/crates/bench/tests/graphs.rs
@@ -189,7 +189,7 @@
     run(async {
         let floor = Floor::start(2, 1);
         let steps = json!([{ "count": 1 }, { "count": 1, "after": [0] }]);
-        floor.submit(PATH, &job(json!([{ "run_ms": 5, "fails": u32::MAX }]), steps)).await;
+        floor.submit(PATH, &job(json!([{ "run_ms": 5, "fails_percent": 100 }]), steps)).await;
         floor.wait(PATH, "failed").await;
         let facts = floor.facts().await;
         let starts = facts.iter().filter(|fact| fact.what == What::Started);
--- a/crates/core/src/settings/agent.rs
+++ b/crates/core/src/settings/agent.rs
@@ -32,7 +32,8 @@
     pub runs: Option<SocketAddr>,
     /// The endpoints of the platform's store, where the owner of the graphs is found.
     pub store: Vec<SocketAddr>,
-    /// How long a task of a graph runs after its lease was last renewed.
+    /// How long a task of a graph runs after its lease was last renewed; a new owner waits for the
+    /// longest that may be set.
     pub run_lease: Duration,
     /// How many entries it reports to at most.
     pub report_to: usize,
@@ -87,7 +88,7 @@
     key!("agent", control: Address, "The worker's control interface."),
     key!("agent", runs: Maybe<Address>, "The worker's interface for tasks of graphs; empty to run none."),
     key!("agent", store: List<Address>, "Endpoints of the store, where the owner of the graphs is found; needed beside runs."),
-    key!("agent", run_lease: Span, "How long a task of a graph runs after its lease was last renewed.", ms(1_000)..=s(300)),
+    key!("agent", run_lease: Span, "How long a task of a graph runs after its lease was last renewed; owners wait for 6 s of it.", ms(1_000)..=s(6)),
     key!("agent", report_to: Count<usize>, "How many entries it reports to at most.", 1..=64),
     key!("agent", drain: Span, "How long a graceful stop may take.", ms(0)..=s(3600)),
     key!("agent", log: Filter, "What it logs: a level, then `target=level` for parts of it."),
--- a/crates/core/src/settings/standin.rs
+++ b/crates/core/src/settings/standin.rs
@@ -3,7 +3,7 @@
 use super::limits::{Limits, with_limits};
 use super::span::{ms, s};
 use crate::graph::Queue;
-use crate::ini::codec::{Address, Count, Filter, Label, List, Maybe, Size, Span};
+use crate::ini::codec::{Address, Count, Filter, Flag, Label, List, Maybe, Size, Span};
 use crate::ini::{self, Key, Table, key};
 use crate::name::Name;
 use crate::resources::Bundle;
@@ -26,6 +26,8 @@
     pub runs_listen: Option<SocketAddr>,
     /// The worker's name.
     pub worker: Name,
+    /// Whether what happens to tasks of graphs is printed, one JSON line for each fact.
+    pub print_facts: bool,
     /// The service that the worker runs tasks of graphs for.
     pub service: Name,
     /// The worker's labels: its kind, then its rack.
@@ -65,6 +67,7 @@
             target_listen: any_port,
             runs_listen: None,
             worker: "worker-1".into(),
+            print_facts: false,
             service: Queue::SERVICE.into(),
             labels: Vec::new(),
             capacity: Bundle {
@@ -96,6 +99,7 @@
     key!("standin", target_listen: Maybe<Address>, "Where the target listens; empty to leave it out."),
     key!("standin", runs_listen: Maybe<Address>, "Where the worker takes tasks of graphs; empty to leave it out."),
     key!("standin", worker: Label, "The worker's name."),
+    key!("standin", print_facts: Flag, "Whether what happens to tasks of graphs is printed, one JSON line for each fact."),
     key!("standin", service: Label, "The service that the worker runs tasks of graphs for."),
     key!("standin", labels: List<Label>, "The worker's labels: its kind, then its rack."),
     key!("standin", kinds: List<Label>, "The kinds that the target serves."),
--- /dev/null
+++ b/crates/soak/src/book.rs
@@ -0,0 +1,117 @@
+//! What callers were told and what workers did.
+
+use shallotflow_core::graph::{Id, Spec, State, Task};
+use shallotflow_standin::runs::{Fact, What};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A job as its caller knows it.
+#[derive(Clone, Debug, Default)]
+pub struct Order {
+    /// What was handed in.
+    pub spec: Spec,
+    /// Whether it was accepted.
+    pub accepted: bool,
+    /// Whether an attempt to hand it in had no certain answer.
+    pub uncertain: bool,
+    /// Whether a cancel was sent.
+    pub cancel_sent: bool,
+    /// Whether a cancel was confirmed.
+    pub cancelled: bool,
+    /// The state that was shown last.
+    pub shown: Option<State>,
+}
+
+/// One run of a task at a worker.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The worker.
+    pub worker: usize,
+    /// The number of the run.
+    pub number: u32,
+    /// When it started, microseconds since 1970.
+    pub started: u64,
+    /// When and how it ended, once that is known; without a way for one that ended with its worker.
+    pub ended: Option<(u64, Option<What>)>,
+    /// Whether its end was confirmed.
+    pub confirmed: bool,
+}
+
+/// What callers were told and what workers did.
+#[derive(Debug, Default)]
+pub struct Book {
+    /// The jobs that were handed in.
+    pub orders: BTreeMap<Id, Order>,
+    /// The runs of every task.
+    pub runs: BTreeMap<Task, Vec<Run>>,
+    /// Runs that go on, by worker.
+    open: BTreeMap<usize, BTreeSet<(Task, u32)>>,
+    /// What callers were told that cannot be.
+    pub untrue: Vec<String>,
+}
+
+impl Book {
+    /// Takes in what happened at a worker.
+    pub fn hear(&mut self, worker: usize, fact: &Fact) {
+        let (task, number) = (fact.task, fact.run);
+        let runs = self.runs.entry(task).or_default();
+        match fact.what {
+            What::Started => {
+                let started = fact.unix_us;
+                runs.push(Run { worker, number, started, ended: None, confirmed: false });
+                self.open.entry(worker).or_default().insert((task, number));
+            }
+            What::Ended(_) => {
+                let open = |run: &&mut Run| run.worker == worker && run.number == number;
+                if let Some(run) = runs.iter_mut().rev().find(open) {
+                    run.ended = Some((fact.unix_us, Some(fact.what)));
+                }
+                self.open.entry(worker).or_default().remove(&(task, number));
+            }
+            What::Confirmed(_) => {
+                let own = |run: &&mut Run| run.worker == worker && run.number == number;
+                if let Some(run) = runs.iter_mut().rev().find(own) {
+                    run.confirmed = true;
+                }
+            }
+        }
+    }
+
+    /// A worker ended at `at`, and with it all that it ran.
+    pub fn lose(&mut self, worker: usize, at: u64) {
+        for (task, number) in self.open.remove(&worker).unwrap_or_default() {
+            let Some(runs) = self.runs.get_mut(&task) else { continue };
+            let own = |run: &&mut Run| run.worker == worker && run.number == number;
+            if let Some(run) = runs.iter_mut().rev().find(own) {
+                run.ended.get_or_insert((at, None));
+            }
+        }
+    }
+
+    /// Whether something of `job` runs.
+    pub fn is_running(&self, job: Id) -> bool {
+        self.open.values().flatten().any(|(task, _)| task.job == job)
+    }
+
+    /// Notes the state that a caller was shown of a job.
+    pub fn show(&mut self, id: Id, state: Option<State>) {
+        let Some(order) = self.orders.get_mut(&id) else { return };
+        match (order.shown, state) {
+            (_, None) if order.accepted => {
+                self.untrue.push(format!("accepted job {id} is not known"));
+            }
+            (Some(before), Some(now)) if before.is_final() && now != before => {
+                self.untrue.push(format!("job {id} was {before:?} and is {now:?}"));
+            }
+            (_, Some(State::Cancelled)) if !order.cancel_sent => {
+                self.untrue.push(format!("job {id} is cancelled, and nobody cancelled it"));
+            }
+            (_, Some(State::Queued)) if order.shown == Some(State::Running) => {
+                self.untrue.push(format!("job {id} has begun and is queued again"));
+            }
+            _ => {}
+        }
+        if let Some(state) = state {
+            order.shown = Some(state);
+        }
+    }
+}
--- a/crates/standin/src/runs/fact.rs
+++ b/crates/standin/src/runs/fact.rs
@@ -10,7 +10,7 @@
     Started,
     /// It ended.
     Ended(How),
-    /// Its end was confirmed, so that nobody hears of it here any more.
+    /// Its end was confirmed before the lease ended, so that nobody hears of it here any more.
     Confirmed(How),
 }
 
--- a/crates/standin/src/runs/held.rs
+++ b/crates/standin/src/runs/held.rs
@@ -9,6 +9,8 @@
     pub(super) epoch: u64,
     behavior: Behavior,
     run: u32,
+    /// Whether it fails at its end.
+    fails: bool,
     pace: u8,
     /// Work done when the pace was last set, milliseconds.
     done_ms: f64,
@@ -18,14 +20,15 @@
 impl Held {
     pub(super) fn new(
         behavior: Behavior,
-        run: u32,
+        (index, run): (u32, u32),
         epoch: u64,
         checkpoint: Option<&Name>,
         now: Time,
     ) -> Self {
         let saved = checkpoint.and_then(|text| text.parse().ok());
         let done_ms = saved.unwrap_or(0_u32).into();
-        Self { epoch, behavior, run, pace: 100, done_ms, paced: now }
+        let fails = behavior.fails(index, run);
+        Self { epoch, behavior, run, fails, pace: 100, done_ms, paced: now }
     }
 
     pub(super) fn number(&self) -> u32 {
@@ -44,10 +47,10 @@
         self.pace = percent.min(100);
     }
 
-    /// Whether its work is done, and whether it fails with that.
+    /// Whether its work is done, and whether well.
     pub(super) fn outcome(&self, now: Time) -> Option<bool> {
         let done = !self.behavior.lasts && self.done_ms(now) >= self.behavior.run_ms as f64;
-        done.then_some(self.run > self.behavior.fails)
+        done.then_some(!self.fails)
     }
 
     /// The newest checkpoint: the work that it saves, in whole milliseconds.
--- a/crates/standin/src/runs/state.rs
+++ b/crates/standin/src/runs/state.rs
@@ -14,6 +14,14 @@
 /// Most facts that are kept for whoever reads them.
 const FACTS_KEPT: usize = 100_000;
 
+/// An end that was not confirmed yet.
+struct Listed {
+    end: End,
+    epoch: u64,
+    /// Whether the lease has ended since, so that the task may have started elsewhere.
+    lapsed: bool,
+}
+
 /// One life of a worker.
 pub(super) struct State {
     profile: Profile,
@@ -21,12 +29,13 @@
     /// When everything that runs is killed.
     lease: Time,
     running: BTreeMap<Task, Held>,
-    ends: VecDeque<(End, u64)>,
+    ends: VecDeque<Listed>,
     last_end: u64,
     /// The highest run of each task that was stopped or has ended here.
     closed: BTreeMap<Task, u32>,
     facts: VecDeque<Fact>,
     last_fact: u64,
+    print: bool,
 }
 
 impl State {
@@ -49,6 +58,7 @@
             closed: BTreeMap::new(),
             facts: VecDeque::new(),
             last_fact: 0,
+            print: settings.print_facts,
         }
     }
 
@@ -77,32 +87,40 @@
     }
 
     /// Ends what is done, and everything when the lease has ended.
+    ///
+    /// The process may have slept past the end of the lease; no work was done after it.
     pub(super) fn advance(&mut self) {
         let now = Monotonic.now();
         let lapsed = self.lease.passed(now);
+        let at = self.lease.min(now);
         let ending: Vec<(Task, How)> = self
             .running
             .iter()
-            .filter_map(|(task, held)| match held.outcome(now) {
+            .filter_map(|(task, held)| match held.outcome(at) {
                 Some(true) => Some((*task, How::Done)),
                 Some(false) => Some((*task, How::Failed)),
                 None => lapsed.then_some((*task, How::Lapsed)),
             })
             .collect();
         for (task, how) in ending {
-            self.end(task, how, now);
+            self.end(task, how, at);
+        }
+        if lapsed {
+            for listed in &mut self.ends {
+                listed.lapsed = true;
+            }
         }
     }
 
-    fn end(&mut self, task: Task, how: How, now: Time) {
+    fn end(&mut self, task: Task, how: How, at: Time) {
         let Some(held) = self.running.remove(&task) else { return };
         self.last_end += 1;
         let (run, epoch) = (held.number(), held.epoch);
-        let checkpoint = held.checkpoint(now);
+        let checkpoint = held.checkpoint(at);
         let end = End { number: self.last_end, task, run, how, checkpoint };
-        self.ends.push_back((end, epoch));
+        self.ends.push_back(Listed { end, epoch, lapsed: false });
         self.close(task, run);
-        self.note(task, run, epoch, What::Ended(how));
+        self.note(task, run, epoch, What::Ended(how), at);
     }
 
     fn close(&mut self, task: Task, run: u32) {
@@ -110,10 +128,16 @@
         *closed = run.max(*closed);
     }
 
-    fn note(&mut self, task: Task, run: u32, epoch: u64, what: What) {
+    fn note(&mut self, task: Task, run: u32, epoch: u64, what: What, at: Time) {
         self.last_fact += 1;
-        let number = self.last_fact;
-        self.facts.push_back(Fact { number, unix_us: unix_us(), task, run, epoch, what });
+        let past = Monotonic.now().since(at).as_micros();
+        let unix_us = unix_us().saturating_sub(u64::try_from(past).unwrap_or(u64::MAX));
+        let fact = Fact { number: self.last_fact, unix_us, task, run, epoch, what };
+        if self.print {
+            // Fails for no fact: all its keys are strings.
+            println!("{}", serde_json::to_string(&fact).unwrap_or_default());
+        }
+        self.facts.push_back(fact);
         if self.facts.len() > FACTS_KEPT {
             self.facts.pop_front();
         }
@@ -145,9 +169,10 @@
         }
         let behavior = Behavior::of(&start.text, task.step);
         let checkpoint = start.checkpoint.as_ref();
-        let held = Held::new(behavior, start.run, start.epoch, checkpoint, now);
+        let run = (task.index, start.run);
+        let held = Held::new(behavior, run, start.epoch, checkpoint, now);
         self.running.insert(task, held);
-        self.note(task, start.run, start.epoch, What::Started);
+        self.note(task, start.run, start.epoch, What::Started, now);
         Ok(Self::clock())
     }
 
@@ -179,9 +204,11 @@
         if let Some(lease_ms) = call.lease_ms {
             self.renew(lease_ms);
         }
-        while self.ends.front().is_some_and(|(end, _)| end.number <= call.recorded) {
-            let Some((end, epoch)) = self.ends.pop_front() else { break };
-            self.note(end.task, end.run, epoch, What::Confirmed(end.how));
+        while self.ends.front().is_some_and(|listed| listed.end.number <= call.recorded) {
+            let Some(Listed { end, epoch, lapsed }) = self.ends.pop_front() else { break };
+            if !lapsed {
+                self.note(end.task, end.run, epoch, What::Confirmed(end.how), Monotonic.now());
+            }
         }
         Ok(())
     }
@@ -189,7 +216,7 @@
     pub(super) fn lists(&mut self) -> Lists {
         self.advance();
         let now = Monotonic.now();
-        let ends = self.ends.iter().take(ENDS_PER_ANSWER).map(|(end, _)| end.clone());
+        let ends = self.ends.iter().take(ENDS_PER_ANSWER).map(|listed| listed.end.clone());
         Lists {
             lifetime: self.profile.lifetime.clone(),
             clock_ms: now.as_micros() / 1_000,
--- a/crates/standin/tests/runs.rs
+++ b/crates/standin/tests/runs.rs
@@ -100,10 +100,10 @@
 #[test]
 fn ends_are_listed_until_they_are_confirmed() {
     with_worker(async |worker| {
-        let text = r#"{"steps":[{"run_ms":1,"fails":1}]}"#;
+        let text = r#"{"steps":[{"run_ms":1,"fails_percent":100}]}"#;
         worker.start(1, 1, text, LONG_MS).await.expect("a start");
         assert_eq!(worker.ends(0, 1).await, [(1, 1, How::Failed)]);
-        worker.start(2, 1, text, LONG_MS).await.expect("a start");
+        worker.start(2, 1, r#"{"steps":[{"run_ms":1}]}"#, LONG_MS).await.expect("a start");
         assert_eq!(worker.ends(1, 1).await, [(2, 2, How::Done)]);
         let (_, facts) = worker.client.call(&Facts { after: 0 }, LIMIT).await.expect("facts");
         let whats: Vec<What> = facts.iter().map(|fact| fact.what).collect();
