Show callers only what is recorded of a job that has begun

A job that lasts has no end to record.

What: that a job has begun is recorded within a second, along with others, and is shown from then on. Final states were shown so before.

Ruled out: answering running for what may have begun (untrue for jobs that wait); asking other entries what they have shown (entries are killed too).

Three tests said that a start is shown at once; they now ask for queued before the record and running after it, and a new one for the next owner's answer, which fails without the change.

--- a/crates/policy/src/plan/hear.rs
+++ b/crates/policy/src/plan/hear.rs
@@ -116,9 +116,9 @@
         worker.ends.insert(end.number, None);
         let End { task, run, how, .. } = end;
         self.events.push(Event::End { task, run, agent: agent.clone(), how });
+        self.begin(task.job, now);
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let Some(number) = job.number(&task) else { return };
-        job.begun = true;
         let lasting = job.step(&task).lasting;
         let attempts = job.queue.attempts.max(1) as usize;
         let row = &mut job.rows[number];
@@ -271,7 +271,7 @@
                 row.phase = Phase::Running { agent: agent.clone(), run };
                 row.stalls = now.after(self.settings.stall);
                 row.misses = 0;
-                job.begun = true;
+                self.begin(task.job, now);
             }
             (_, Outcome::Started) => {}
             (Phase::Starting { .. }, Outcome::Old) => {
@@ -343,7 +343,7 @@
             Phase::Uncertain => {
                 row.phase = Phase::Running { agent: agent.clone(), run: number };
                 row.stalls = now.after(stall);
-                job.begun = true;
+                self.begin(task.job, now);
                 self.occupy(agent, task);
                 self.events.push(Event::Adopted { task, run: number, agent: agent.clone() });
             }
@@ -353,7 +353,7 @@
             Phase::Starting { .. } => {
                 row.phase = Phase::Running { agent: agent.clone(), run: number };
                 row.stalls = now.after(stall);
-                job.begun = true;
+                self.begin(task.job, now);
             }
             _ => {}
         }
--- a/crates/policy/src/plan/job.rs
+++ b/crates/policy/src/plan/job.rs
@@ -31,6 +31,8 @@
     pub recorded: u64,
     /// Whether a task has ever been seen to run.
     pub begun: bool,
+    /// The version that first says so; 0 when the store said it.
+    pub(super) begun_version: u64,
     offsets: Vec<u32>,
 }
 
@@ -62,6 +64,7 @@
             version: 0,
             recorded: 0,
             begun: false,
+            begun_version: 0,
             offsets,
         }
     }
@@ -144,13 +147,17 @@
         }
     }
 
-    /// The state as callers may be shown it: final only once it is recorded.
+    /// The state as callers may be shown it: only what is recorded, so that no later owner shows
+    /// less.
     ///
     /// A cancel is recorded before it is applied here.
     pub fn shown(&self) -> State {
+        let running = self.begun && self.recorded >= self.begun_version;
         match self.state() {
-            State::Completed | State::Failed if self.recorded < self.version => State::Running,
-            state => state,
+            State::Cancelled => State::Cancelled,
+            state if state.is_final() && self.recorded >= self.version => state,
+            _ if running => State::Running,
+            _ => State::Queued,
         }
     }
 
--- a/crates/policy/src/plan/record.rs
+++ b/crates/policy/src/plan/record.rs
@@ -100,6 +100,15 @@
         }
     }
 
+    /// Notes that a task of `job` was seen to run; callers are shown that once it is recorded.
+    pub(super) fn begin(&mut self, id: Id, now: Time) {
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.begun) else { return };
+        job.begun = true;
+        job.version += 1;
+        job.begun_version = job.version;
+        self.dirty.entry(id).or_insert(now.after(self.settings.begun_delay));
+    }
+
     /// Marks `job` as changed; a final state is due at once.
     pub(super) fn touch(&mut self, id: Id, now: Time) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
--- a/crates/policy/src/plan/settings.rs
+++ b/crates/policy/src/plan/settings.rs
@@ -12,6 +12,9 @@
     pub unanswered: Duration,
     /// Longest time that a change of a job waits to be recorded along with others.
     pub record_delay: Duration,
+    /// Longest time that it waits to be recorded that a job has begun; a third of the users' bound
+    /// for what callers are shown. Most quick jobs have an end to record by then.
+    pub begun_delay: Duration,
     /// First pause before a task that did not start or failed is tried again; doubles each time.
     pub pause: Duration,
     /// Longest pause before a task is tried again.
@@ -43,6 +46,7 @@
             quiet: Duration::from_millis(1_300),
             unanswered: Duration::from_millis(700),
             record_delay: Duration::from_millis(400),
+            begun_delay: Duration::from_millis(1_000),
             pause: Duration::from_millis(50),
             longest_pause: Duration::from_millis(2_000),
             retention: Duration::from_secs(150),
--- a/crates/policy/tests/plan/order.rs
+++ b/crates/policy/tests/plan/order.rs
@@ -27,6 +27,9 @@
     floor.table.accept(id(1), job(vec![step(1, 1_000)]), true, floor.now);
     assert_eq!(floor.table.shown("renders", id(1)), Some(State::Queued));
     floor.turn();
+    assert_eq!(floor.table.shown("renders", id(1)), Some(State::Queued), "nothing is recorded");
+    floor.wait(std::time::Duration::from_secs(1));
+    floor.record();
     assert_eq!(floor.table.shown("renders", id(1)), Some(State::Running));
     floor.end(task(1, 0, 0), How::Done);
     floor.report_all();
@@ -36,6 +39,21 @@
     assert_eq!(floor.table.shown("previews", id(1)), None, "a job belongs to one queue");
 }
 
+#[test]
+fn a_new_owner_shows_a_job_as_running_that_was_shown_so() {
+    let mut floor = Floor::new(1);
+    let lasting = Step { lasting: true, ..step(1, 1_000) };
+    floor.table.accept(id(1), job(vec![lasting.clone()]), true, floor.now);
+    floor.turn();
+    floor.wait(std::time::Duration::from_secs(1));
+    let records = floor.table.records(floor.now, 10);
+    assert_eq!(records.len(), 1, "a job that lasts has no end to be recorded with");
+    let mut next = Floor::owner(9, 1, Vec::new());
+    let progress = Some(&records[0].progress);
+    next.table.load(id(1), job(vec![lasting]), progress, false, next.now);
+    assert_eq!(next.table.shown("renders", id(1)), Some(State::Running));
+}
+
 #[test]
 fn a_worker_gets_no_more_than_it_holds() {
     let mut floor = Floor::new(1);
@@ -89,6 +107,7 @@
         floor.turn();
         assert_eq!(floor.running(), [task(1, 0, 0)], "after {how:?}");
     }
+    floor.record();
     assert_eq!(floor.table.shown("renders", id(1)), Some(State::Running));
 }
 
--- a/crates/policy/tests/plan/retry.rs
+++ b/crates/policy/tests/plan/retry.rs
@@ -33,6 +33,7 @@
     floor.report_all();
     floor.report_all();
     floor.report_all();
+    floor.record();
     assert_eq!(floor.table.shown("renders", id(1)), Some(State::Running));
 }
 
--- a/crates/soak/src/book.rs
+++ b/crates/soak/src/book.rs
@@ -92,11 +92,12 @@
         self.open.values().flatten().any(|(task, _)| task.job == job)
     }
 
-    /// Notes the state that a caller was shown of a job.
-    pub fn show(&mut self, id: Id, state: Option<State>) {
+    /// Notes the state that a caller was shown of a job; `before` is what had been shown when it
+    /// asked. Questions that are under way at the same time may be answered in either order.
+    pub fn show(&mut self, id: Id, before: Option<State>, state: Option<State>) {
         let Some(order) = self.orders.get_mut(&id) else { return };
-        match (order.shown, state) {
-            (_, None) if order.accepted => {
+        match (before, state) {
+            (_, None) => {
                 self.untrue.push(format!("accepted job {id} is not known"));
             }
             (Some(before), Some(now)) if before.is_final() && now != before => {
@@ -105,12 +106,15 @@
             (_, Some(State::Cancelled)) if !order.cancel_sent => {
                 self.untrue.push(format!("job {id} is cancelled, and nobody cancelled it"));
             }
-            (_, Some(State::Queued)) if order.shown == Some(State::Running) => {
+            (Some(State::Running), Some(State::Queued)) => {
                 self.untrue.push(format!("job {id} has begun and is queued again"));
             }
             _ => {}
         }
-        if let Some(state) = state {
+        let rank = |state: State| (state.is_final(), state == State::Running);
+        if let Some(state) = state
+            && order.shown.is_none_or(|shown| rank(shown) <= rank(state))
+        {
             order.shown = Some(state);
         }
     }
--- a/crates/soak/src/child.rs
+++ b/crates/soak/src/child.rs
@@ -8,6 +8,7 @@
 use std::io::{BufRead, BufReader};
 use std::path::{Path, PathBuf};
 use std::process::{Child as Process, Command, Stdio};
+use std::thread::JoinHandle;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 /// What a process says on its standard output, with the number of the worker.
@@ -25,6 +26,8 @@
     worker: Option<usize>,
     says: UnboundedSender<Said>,
     process: Option<Process>,
+    /// Reads what it prints.
+    reader: Option<JoinHandle<()>>,
 }
 
 impl Child {
@@ -41,7 +44,7 @@
         std::fs::write(&path, settings)
             .with_context(|| format!("{} cannot be written", path.display()))?;
         let log = directory.join(format!("{name}.log"));
-        Ok(Self { name, program, settings: path, log, worker, says, process: None })
+        Ok(Self { name, program, settings: path, log, worker, says, process: None, reader: None })
     }
 
     /// Starts it, if it does not run.
@@ -66,14 +69,14 @@
             })?;
         if let (Some(out), Some(worker)) = (process.stdout.take(), self.worker) {
             let says = self.says.clone();
-            std::thread::spawn(move || {
+            self.reader = Some(std::thread::spawn(move || {
                 let lines = BufReader::new(out).lines().map_while(Result::ok);
                 for fact in lines.filter_map(|line| serde_json::from_str(&line).ok()) {
                     if says.unbounded_send((worker, fact)).is_err() {
                         return;
                     }
                 }
-            });
+            }));
         }
         self.process = Some(process);
         Ok(())
@@ -95,16 +98,27 @@
         // Both fail only for a process that has ended.
         let _ = process.kill();
         let _ = process.wait();
-        Some(unix_us())
+        let at = unix_us();
+        self.read_out();
+        Some(at)
     }
 
     /// Notes whether it has ended by itself, and how.
     pub fn ended(&mut self) -> Option<String> {
         let status = self.process.as_mut()?.try_wait().ok()??;
         self.process = None;
+        self.read_out();
         Some(status.to_string())
     }
 
+    /// Waits until all that it printed was passed on.
+    fn read_out(&mut self) {
+        if let Some(reader) = self.reader.take() {
+            // It panics on nothing that a process can print.
+            let _ = reader.join();
+        }
+    }
+
     /// Whether it runs, or is paused.
     pub fn is_up(&self) -> bool {
         self.process.is_some()
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -99,26 +99,25 @@
 
     /// Asks one entry for a job.
     pub async fn ask(&self, id: Id, entry: usize) {
-        let accepted = self.is_accepted(id);
+        let (accepted, before) = match self.book.borrow().orders.get(&id) {
+            Some(order) => (order.accepted, order.shown),
+            None => return,
+        };
         let answer = self.call(entry, &Method::GET, id, "").await;
         match answer {
             Some((StatusCode::OK, _, body)) => match serde_json::from_slice::<Shown>(&body) {
-                Ok(shown) => self.book.borrow_mut().show(id, Some(shown.state)),
+                Ok(shown) => self.book.borrow_mut().show(id, before, Some(shown.state)),
                 Err(error) => {
                     self.book.borrow_mut().untrue.push(format!("state of {id}: {error}"));
                 }
             },
             Some((StatusCode::NOT_FOUND, ..)) if accepted => {
-                self.book.borrow_mut().show(id, None);
+                self.book.borrow_mut().show(id, before, None);
             }
             _ => {}
         }
     }
 
-    fn is_accepted(&self, id: Id) -> bool {
-        self.book.borrow().orders.get(&id).is_some_and(|order| order.accepted)
-    }
-
     /// Cancels a job, at one entry after the other, until that is confirmed.
     pub async fn cancel(&self, id: Id, entry: usize) {
         let mut attempt = entry;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -301,8 +301,6 @@
     fn kill(&mut self, process: usize) {
         let killed = self.child(process).and_then(Child::kill);
         if let Some(at) = killed {
-            // What it said before is on its way from the thread that reads it.
-            std::thread::sleep(TICK);
             self.gone(process, at);
         }
     }
