Hand what was learned of images to the next owner

The first owner is another entry now, since entries claim only once they are present, and a rolling restart replaces this one three times instead of once.

What: the owner stores what it learned of images in use, along with other records and at most every 3 s; a new owner begins with it.

--- a/crates/policy/src/disturbance/rates.rs
+++ b/crates/policy/src/disturbance/rates.rs
@@ -1,5 +1,7 @@
 use foldhash::HashMap;
+use serde::{Deserialize, Serialize};
 use shallotflow_core::name::Name;
+use std::collections::BTreeSet;
 
 /// What a victim's measure is expected to be before anything is known, as a share of its target.
 const FIRST_BASE: f64 = 0.45;
@@ -7,6 +9,8 @@
 const LARGEST: f64 = 3.0;
 /// A share of a worker that weighs as much as the base in one correction: typical of one task.
 const TYPICAL_SHARE: f64 = 0.1;
+/// What adds less to a measure than this, for a whole worker, is not worth keeping.
+const LEAST_KEPT: f64 = 0.05;
 /// The share of an error that one measure corrects.
 const RATE: f64 = 0.3;
 /// The same for the base, which has to average over swings of the victim's own load.
@@ -18,7 +22,8 @@
 /// of the victim plus, for each neighbor, what the pair adds times the share of the worker's
 /// processors that the neighbor uses. Each measure corrects its expectation by normalised least
 /// squares.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Rates {
     bases: HashMap<Name, f64>,
     added: HashMap<Name, HashMap<Name, f64>>,
@@ -36,6 +41,21 @@
         added.copied().unwrap_or(0.0)
     }
 
+    /// What is known of `images` and is worth keeping for a later owner.
+    pub fn kept(&self, images: &BTreeSet<Name>) -> Self {
+        let bases = self.bases.iter().filter(|(victim, _)| images.contains(*victim));
+        let pair = |(name, added): (&Name, &f64)| {
+            (images.contains(name) && *added >= LEAST_KEPT).then(|| (name.clone(), *added))
+        };
+        let added = self.added.iter().filter(|(victim, _)| images.contains(*victim));
+        Self {
+            bases: bases.map(|(victim, base)| (victim.clone(), *base)).collect(),
+            added: added
+                .map(|(victim, pairs)| (victim.clone(), pairs.iter().filter_map(pair).collect()))
+                .collect(),
+        }
+    }
+
     /// The expected measure of `victim` beside neighbors with their shares of the worker.
     pub fn expected(&self, victim: &str, neighbors: &[(Name, f64)]) -> f64 {
         let added = neighbors.iter().map(|(name, share)| self.added(victim, name) * share);
--- a/crates/policy/src/plan/harm.rs
+++ b/crates/policy/src/plan/harm.rs
@@ -2,6 +2,7 @@
 
 use super::message::Harm;
 use super::{Phase, Table, Worker};
+use crate::disturbance::Rates;
 use shallotflow_core::name::Name;
 use std::collections::BTreeSet;
 
@@ -20,6 +21,19 @@
         }
     }
 
+    /// What was learned of the images of jobs that have not ended, for a later owner.
+    pub fn learned(&self) -> Rates {
+        let active = self.active.iter().filter_map(|id| self.jobs.get(id));
+        let images =
+            active.flat_map(|job| job.spec.steps.iter().filter_map(|step| step.image.clone()));
+        self.rates.kept(&images.collect())
+    }
+
+    /// Takes over what a former owner learned.
+    pub fn inherit(&mut self, learned: Rates) {
+        self.rates = learned;
+    }
+
     fn measured(&self, worker: &Worker) -> (Vec<Measure>, Vec<Share>) {
         let mut measures = Vec::new();
         let mut shares = Vec::new();
--- a/crates/policy/tests/plan/harm.rs
+++ b/crates/policy/tests/plan/harm.rs
@@ -106,3 +106,34 @@
     }
     assert!((rates.base(&victim) - before).abs() < f64::EPSILON);
 }
+
+#[test]
+fn a_later_owner_places_by_what_a_former_one_learned() {
+    let mut learned = Rates::default();
+    learned.set(&"watch".into(), Some(&"proof".into()), 6.0);
+    learned.set(&"watch".into(), Some(&"cut".into()), 0.01);
+    let mut floor = Floor::new(2);
+    floor.table.inherit(learned);
+    floor.table.accept(id(1), job(vec![serving(2, "watch")]), true, floor.now);
+    floor.turn();
+    floor.table.accept(id(2), job(vec![filling(1, "proof")]), true, floor.now);
+    floor.turn();
+    assert_ne!(floor.place_of(task(2, 0, 0)), floor.place_of(task(1, 0, 0)));
+}
+
+#[test]
+fn what_is_kept_for_a_later_owner_is_of_images_in_use() {
+    let mut learned = Rates::default();
+    learned.set(&"watch".into(), None, 0.3);
+    learned.set(&"watch".into(), Some(&"proof".into()), 6.0);
+    learned.set(&"watch".into(), Some(&"gone".into()), 6.0);
+    learned.set(&"left".into(), Some(&"proof".into()), 6.0);
+    let mut floor = Floor::new(1);
+    floor.table.inherit(learned);
+    floor.table.accept(id(1), job(vec![serving(1, "watch"), filling(1, "proof")]), true, floor.now);
+    let kept = floor.table.learned();
+    assert!((kept.base("watch") - 0.3).abs() < f64::EPSILON);
+    assert!((kept.added("watch", "proof") - 6.0).abs() < f64::EPSILON);
+    assert!(kept.added("watch", "gone").abs() < f64::EPSILON);
+    assert!(kept.added("left", "proof").abs() < f64::EPSILON);
+}
--- a/crates/scheduler/src/entry/keys.rs
+++ b/crates/scheduler/src/entry/keys.rs
@@ -7,6 +7,7 @@
 //! | `m/agents` | agents that may hold runs | the owner, by the revisions of this key and of `m/owner` |
 //! | `j/job/ID` | a job as it was accepted | the accepting entry, if absent |
 //! | `j/cancel/ID` | nothing; the job is cancelled | the entry that was asked |
+//! | `r/rates` | how images disturb each other, as far as it was learned | the owner, along with other records |
 //! | `p/ID` | a job's progress | the owner, by the revisions of this key and of `m/owner` |
 
 use super::holder::{Holder, Presence};
@@ -29,6 +30,8 @@
 pub const JOBS: &str = "j/job/";
 /// Prefix of the cancels.
 pub const CANCELS: &str = "j/cancel/";
+/// How images disturb each other.
+pub const RATES: &str = "r/rates";
 /// Prefix of the progress of jobs.
 pub const PROGRESS: &str = "p/";
 
--- a/crates/scheduler/src/entry/own.rs
+++ b/crates/scheduler/src/entry/own.rs
@@ -17,8 +17,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Records in one transaction: with two comparisons and a write beside, it stays below the store's
-/// 32 rows.
+/// Records in one transaction: with two comparisons and two writes beside, it fills the store's 32
+/// rows.
 const RECORDS_PER_COMMIT: usize = 14;
 /// Jobs that are forgotten in one transaction; each has three keys.
 const FORGOTTEN_PER_COMMIT: usize = 10;
@@ -30,6 +30,7 @@
 /// Reads the store and becomes the owner that `holder` names.
 pub(super) async fn load(entry: &Rc<Entry>, holder: &Holder, revision: i64) -> Result<(), Error> {
     let (holders, holders_revision) = read_holders(entry).await?;
+    let learned = entry.noted(entry.store.get(keys::RATES)).await?;
     let asked = entry.noted(entry.store.range(keys::CALLERS)).await?;
     let progress = entry.noted(entry.store.range(keys::PROGRESS)).await?;
     if entry.known.borrow().holder.as_ref() != Some(holder) {
@@ -38,7 +39,14 @@
     let now = Boottime.now();
     let table = Table::new(plan::Settings::default(), holder.epoch, holders.clone(), now);
     let revisions = HashMap::default();
-    let mut reign = Reign { table, revision, revisions, holders, holders_revision };
+    let learned_due = now.after(entry.settings.learned_interval);
+    let mut reign = Reign { table, revision, revisions, holders, holders_revision, learned_due };
+    match learned.map(|pair| unpack(&pair.value)) {
+        Some(Ok(learned)) => reign.table.inherit(learned),
+        // It is learned anew.
+        Some(Err(error)) => unreadable(keys::RATES, &error),
+        None => {}
+    }
     reign.table.set_queues(entry.queues.borrow().clone());
     let mut kept: HashMap<Id, Progress> = HashMap::default();
     for pair in progress.pairs {
@@ -225,7 +233,8 @@
 
 /// Records what is due, or all that has changed.
 async fn record_due(entry: &Rc<Entry>, all: bool) -> Result<(), Error> {
-    let Some(Commit { epoch, transaction, records, holders }) = next_commit(entry, all) else {
+    let Some(Commit { epoch, transaction, records, holders, learned }) = next_commit(entry, all)
+    else {
         return Ok(());
     };
     let result = entry.commit(transaction).await;
@@ -240,6 +249,9 @@
                 reign.revisions.insert(record.job, revision);
                 reign.table.recorded(record.job, record.version);
             }
+            if learned {
+                reign.learned_due = Boottime.now().after(entry.settings.learned_interval);
+            }
             if let Some(holders) = holders {
                 reign.holders = holders;
                 reign.holders_revision = revision;
@@ -271,6 +283,8 @@
     records: Vec<Record>,
     /// The agents that may hold runs, if their list changes.
     holders: Option<Vec<Name>>,
+    /// Whether what was learned of images goes along.
+    learned: bool,
 }
 
 fn next_commit(entry: &Rc<Entry>, all: bool) -> Option<Commit> {
@@ -289,6 +303,13 @@
         let known = reign.holders_revision;
         transaction = transaction.written_by(keys::AGENTS, known).put(keys::AGENTS, value);
     }
+    let learned = reign.learned_due.passed(Boottime.now());
+    if learned {
+        match pack(&reign.table.learned()) {
+            Ok(value) => transaction = transaction.put(keys::RATES, value),
+            Err(error) => unreadable(keys::RATES, &error),
+        }
+    }
     let mut written = Vec::with_capacity(records.len());
     for record in records {
         let key = keys::progress(record.job);
@@ -301,7 +322,7 @@
             Err(error) => unreadable(&key, &error),
         }
     }
-    Some(Commit { epoch: reign.table.epoch(), transaction, records: written, holders })
+    Some(Commit { epoch: reign.table.epoch(), transaction, records: written, holders, learned })
 }
 
 /// Reads back what a commit may have written, and whether this entry is still the owner.
--- a/crates/scheduler/src/entry/reign.rs
+++ b/crates/scheduler/src/entry/reign.rs
@@ -1,6 +1,7 @@
 use foldhash::HashMap;
 use shallotflow_core::graph::Id;
 use shallotflow_core::name::Name;
+use shallotflow_core::time::Time;
 use shallotflow_policy::plan::Table;
 
 /// The table of jobs, while this entry owns it.
@@ -14,4 +15,6 @@
     pub(super) holders: Vec<Name>,
     /// The revision of that list.
     pub(super) holders_revision: i64,
+    /// When what was learned of images is kept next.
+    pub(super) learned_due: Time,
 }
--- a/crates/scheduler/src/entry/settings.rs
+++ b/crates/scheduler/src/entry/settings.rs
@@ -39,6 +39,9 @@
     /// How long no larger worker may have been heard of before a job is refused as too large; two
     /// of the workers' own reports.
     pub sizes_settle: Duration,
+    /// Pause between two times that what was learned of images is stored; it takes some ten seconds
+    /// to learn.
+    pub learned_interval: Duration,
     /// Pause between the claims of two entries that see an owner gone, by their rank.
     pub claim_stagger: Duration,
 }
@@ -62,6 +65,7 @@
             store_pause: Duration::from_millis(60),
             submit_limit: Duration::from_millis(800),
             sizes_settle: Duration::from_millis(3_000),
+            learned_interval: Duration::from_millis(3_000),
             claim_stagger: Duration::from_millis(60),
         }
     }
--- a/crates/scheduler/tests/owner.rs
+++ b/crates/scheduler/tests/owner.rs
@@ -50,6 +50,7 @@
             store_pause: Duration::from_millis(2),
             tick: Duration::from_millis(2),
             sizes_settle: Duration::from_millis(20),
+            learned_interval: Duration::from_millis(1),
             ..Settings::default()
         };
         // Nothing listens there.
@@ -239,6 +240,23 @@
     });
 }
 
+#[test]
+fn what_was_learned_of_images_is_stored_along_with_other_records() {
+    run(async |shared| {
+        let owner = Process::start("a", 1, &shared);
+        until(|| owner.owns()).await;
+        assert_eq!(shared.text(keys::RATES), None);
+        while shared.text(keys::AGENTS).as_deref() != Some("[\"agent-1\"]") {
+            owner.report(false).await;
+        }
+        assert!(shared.text(keys::RATES).is_some());
+        let successor = Process::start("b", 2, &shared);
+        until(|| shared.text(&presence("b")).is_some()).await;
+        owner.entry.leave().await;
+        until(|| successor.owns()).await;
+    });
+}
+
 #[test]
 fn a_claim_fails_when_the_owner_is_there_again() {
     run(async |shared| {
