--- a/crates/scheduler/src/entry/own.rs
+++ b/crates/scheduler/src/entry/own.rs
@@ -14,6 +14,7 @@
 use shallotflow_store::pair::Pair;
 use shallotflow_store::transaction::Transaction;
 use shallotflow_store::watch::Change;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -49,6 +50,7 @@
     }
     reign.table.set_queues(entry.queues.borrow().clone());
     let mut kept: HashMap<Id, Progress> = HashMap::default();
+    let mut unknown: BTreeSet<Id> = BTreeSet::new();
     for pair in progress.pairs {
         let Some(id) = id_of(&pair.key, keys::PROGRESS) else { continue };
         reign.revisions.insert(id, pair.mod_revision);
@@ -56,11 +58,17 @@
             Ok(progress) => {
                 kept.insert(id, progress);
             }
-            Err(error) => unreadable(&pair.key, &error),
+            Err(error) => {
+                unreadable(&pair.key, &error);
+                unknown.insert(id);
+            }
         }
     }
     for pair in &asked.pairs {
-        take_job(&mut reign, pair, &kept, true);
+        // A job whose progress is not known may be done in part; it is left to a later version.
+        if !id_of(&pair.key, keys::JOBS).is_some_and(|id| unknown.contains(&id)) {
+            take_job(&mut reign, pair, &kept, true);
+        }
     }
     for pair in &asked.pairs {
         take_cancel(&mut reign, &pair.key);
--- a/crates/scheduler/tests/owner.rs
+++ b/crates/scheduler/tests/owner.rs
@@ -10,9 +10,11 @@
 use shallotflow_policy::plan::message::{Kind, Lifetime, Profile, Reply, Report, Standing};
 use shallotflow_runtime::executor;
 use shallotflow_scheduler::entry::{Entry, Settings, Submission, keys};
-use shallotflow_scheduler::peers::Call as PeerCall;
+use shallotflow_scheduler::peers::{Call as PeerCall, pack};
+use shallotflow_store::store::Store;
 use shallotflow_store::transaction::{Transaction, Write};
 use std::cell::Cell;
+use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -257,6 +259,29 @@
     });
 }
 
+#[test]
+fn a_job_whose_progress_cannot_be_read_is_not_started_anew() {
+    run(async |shared| {
+        let packed = pack(&job()).expect("a job");
+        let record = |key: String, value: Vec<u8>| Transaction::default().put(key, value);
+        let handle = Handle { caller: "test", shared: shared.clone() };
+        for id in [Id(1), Id(2)] {
+            handle.commit(record(keys::job(id), packed.clone())).await.expect("a job");
+        }
+        let damaged = record(keys::progress(Id(1)), vec![0xc1, 0x00]);
+        handle.commit(damaged).await.expect("a record");
+        let owner = Process::start("a", 1, &shared);
+        until(|| owner.owns()).await;
+        let mut started = BTreeSet::new();
+        while !started.contains(&Id(2)) {
+            let reply = owner.report(false).await;
+            started.extend(reply.orders.iter().map(|order| order.task.job));
+        }
+        assert_eq!(started, BTreeSet::from([Id(2)]));
+        assert!(owner.entry.state("render", Id(1)).await.is_err(), "its state is not known");
+    });
+}
+
 #[test]
 fn a_claim_fails_when_the_owner_is_there_again() {
     run(async |shared| {
--- a/crates/scheduler/tests/owner/store.rs
+++ b/crates/scheduler/tests/owner/store.rs
@@ -68,6 +68,7 @@
         let keys: Vec<String> =
             self.pairs.borrow().values().filter(leased).map(|pair| pair.key.clone()).collect();
         for key in keys {
+            self.begin();
             self.write(Write::Delete { key });
         }
     }
@@ -80,6 +81,7 @@
 
     /// Writes a key on behalf of nobody.
     pub(crate) fn put(&self, key: &str, value: &str, lease: i64) {
+        self.begin();
         self.write(Write::Put { key: key.to_owned(), value: value.into(), lease });
     }
 
@@ -93,9 +95,13 @@
         self.late.borrow().len()
     }
 
+    /// Begins a change; all its writes have one revision.
+    fn begin(&self) {
+        self.revision.set(self.revision.get() + 1);
+    }
+
     fn write(&self, write: Write) {
-        let revision = self.revision.get() + 1;
-        self.revision.set(revision);
+        let revision = self.revision.get();
         let change = match write {
             Write::Put { key, value, lease } => {
                 let mut pairs = self.pairs.borrow_mut();
@@ -136,6 +142,7 @@
                 return Err(Error::LeaseGone { id: *lease });
             }
         }
+        self.begin();
         for write in transaction.writes {
             self.write(write);
         }
--- /dev/null
+++ b/crates/scheduler/tests/records.rs
@@ -0,0 +1,85 @@
+//! Records of the store that are damaged, or were written by an older version.
+
+use proptest::prelude::*;
+use serde::Serialize;
+use shallotflow_core::graph::{Job, Queue, Spec, State, Step};
+use shallotflow_policy::disturbance::Rates;
+use shallotflow_policy::plan::Progress;
+use shallotflow_scheduler::peers::{pack, unpack};
+
+fn job(count: u32, text: &str, after: bool) -> Job {
+    let first = Step { count, image: Some("cut".into()), ..Step::default() };
+    let second = Step { count, after: if after { vec![0] } else { Vec::new() }, ..Step::default() };
+    let spec = Spec { text: text.into(), steps: vec![first, second], ..Spec::default() };
+    let queue = Queue { name: "render".into(), attempts: count, ..Queue::default() };
+    Job { queue, spec, accepted_ms: u64::from(count) }
+}
+
+proptest! {
+    /// Whatever the bytes are, reading them ends, and what is read can be written again.
+    #[test]
+    fn arbitrary_bytes_are_read_or_refused(bytes in proptest::collection::vec(any::<u8>(), 0..400)) {
+        if let Ok(job) = unpack::<Job>(&bytes) {
+            prop_assert!(pack(&job).is_ok());
+            // Whether it passes or not, the check ends.
+            let _ = job.spec.check();
+        }
+        if let Ok(progress) = unpack::<Progress>(&bytes) {
+            prop_assert!(pack(&progress).is_ok());
+        }
+        if let Ok(rates) = unpack::<Rates>(&bytes) {
+            prop_assert!(pack(&rates).is_ok());
+        }
+    }
+
+    /// A record that was cut short or changed in one byte is read as something, or refused.
+    #[test]
+    fn damaged_records_are_read_or_refused(
+        count in 1..50_u32,
+        text in ".{0,40}",
+        at in any::<prop::sample::Index>(),
+        value in any::<u8>(),
+        cut in any::<bool>(),
+    ) {
+        let mut bytes = pack(&job(count, &text, true)).expect("a record");
+        let place = at.index(bytes.len());
+        if cut {
+            bytes.truncate(place);
+        } else {
+            bytes[place] = value;
+        }
+        if let Ok(job) = unpack::<Job>(&bytes) {
+            let _ = job.spec.check();
+        }
+    }
+
+    #[test]
+    fn what_is_written_is_read(count in 1..50_u32, text in ".{0,40}", after in any::<bool>()) {
+        let job = job(count, &text, after);
+        prop_assert_eq!(unpack::<Job>(&pack(&job).expect("a record")).expect("a job"), job);
+    }
+}
+
+/// The beginnings of the records, as a version wrote them that knew fewer fields.
+#[derive(Serialize)]
+struct OlderProgress {
+    state: State,
+}
+
+#[derive(Serialize)]
+struct OlderJob {
+    queue: (&'static str, &'static str),
+    spec: (&'static str, Vec<(u32,)>),
+}
+
+#[test]
+fn records_of_an_older_version_keep_what_they_say() {
+    let bytes = pack(&OlderProgress { state: State::Running }).expect("a record");
+    let progress = unpack::<Progress>(&bytes).expect("progress");
+    assert_eq!(progress, Progress { state: State::Running, ..Progress::default() });
+    let older = OlderJob { queue: ("render", "workers"), spec: ("text", vec![(3,)]) };
+    let job = unpack::<Job>(&pack(&older).expect("a record")).expect("a job");
+    assert_eq!((&*job.queue.name, &*job.queue.service), ("render", "workers"));
+    assert_eq!(job.queue.attempts, Queue::default().attempts);
+    assert_eq!((&*job.spec.text, job.spec.steps[0].count), ("text", 3));
+}
