--- a/crates/policy/src/plan/accept.rs
+++ b/crates/policy/src/plan/accept.rs
@@ -25,6 +25,7 @@
             return false;
         }
         let mut job = Job::new(id, job, now);
+        job.fresh = fresh;
         if let Some(queue) = self.queues.get(&job.queue.name) {
             job.queue = queue.clone();
         }
--- a/crates/policy/src/plan/hear.rs
+++ b/crates/policy/src/plan/hear.rs
@@ -306,6 +306,10 @@
             return;
         }
         worker.synced = true;
+        // Orders that the agent's former process had received and not carried out are lost.
+        let placed = worker.placed.keys().copied();
+        let listed: Vec<Task> =
+            placed.filter(|task| running.iter().any(|run| run.task == *task)).collect();
         let lost: Vec<Task> = worker
             .placed
             .keys()
@@ -322,6 +326,12 @@
                 _ => self.release(task, now, now),
             }
         }
+        for task in listed {
+            let stopping = self.row(&task).map(|row| row.phase.clone());
+            if let Some(Phase::Stopping { run, .. }) = stopping {
+                self.order_stop(agent, task, run, "its agent started again");
+            }
+        }
         self.missing.remove(agent);
         self.settle(now);
     }
--- a/crates/policy/src/plan/job.rs
+++ b/crates/policy/src/plan/job.rs
@@ -33,6 +33,10 @@
     pub begun: bool,
     /// The version that first says so; 0 when the store said it.
     pub(super) begun_version: u64,
+    /// The version that first holds the final state; 0 when the store said it.
+    pub(super) ended_version: u64,
+    /// Whether no predecessor can have known the job.
+    pub(super) fresh: bool,
     offsets: Vec<u32>,
 }
 
@@ -65,6 +69,8 @@
             recorded: 0,
             begun: false,
             begun_version: 0,
+            ended_version: 0,
+            fresh: false,
             offsets,
         }
     }
@@ -155,7 +161,7 @@
         let running = self.begun && self.recorded >= self.begun_version;
         match self.state() {
             State::Cancelled => State::Cancelled,
-            state if state.is_final() && self.recorded >= self.version => state,
+            state if state.is_final() && self.recorded >= self.ended_version => state,
             _ if running => State::Running,
             _ => State::Queued,
         }
--- a/crates/policy/src/plan/table.rs
+++ b/crates/policy/src/plan/table.rs
@@ -187,12 +187,17 @@
     }
 
     /// The current run of `task` is over; it waits again from `retry` on.
+    ///
+    /// Where a predecessor may have known the task, agents that have not reported yet may list more
+    /// failures of it.
     pub(super) fn release(&mut self, task: Task, now: Time, retry: Time) {
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let Some(number) = job.number(&task) else { return };
+        let fresh = job.fresh;
         let row = &mut job.rows[number];
         let agent = row.current().map(|(agent, _)| agent.clone());
-        row.phase = Phase::Waiting;
+        let unsure = self.uncertain && !fresh;
+        row.phase = if unsure { Phase::Uncertain } else { Phase::Waiting };
         row.retry = retry;
         row.ready = now;
         row.percent = 0;
@@ -225,6 +230,9 @@
             self.stop(task, reason);
         }
         self.touch(id, now);
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.ended_version = job.version;
+        }
     }
 
     /// Notes that `task` takes room at `agent`.
--- a/crates/policy/tests/plan/recovery.rs
+++ b/crates/policy/tests/plan/recovery.rs
@@ -136,3 +136,21 @@
     floor.report_all();
     assert_eq!(floor.table.holders(), [name(0)]);
 }
+
+#[test]
+fn a_task_that_fails_waits_until_every_agent_has_told_of_its_earlier_failures() {
+    let mut floor = Floor::owner(2, 2, vec![name(0), name(1)]);
+    floor.table.accept(id(1), job(vec![step(1, 1_000)]), false, floor.now);
+    let hand = floor.hands.get_mut(&name(0)).expect("a worker");
+    hand.running.insert(task(1, 0, 0), run(1, 0));
+    floor.report(0);
+    floor.end(task(1, 0, 0), How::Failed);
+    floor.report(0);
+    floor.tick();
+    floor.report(0);
+    let orders = &floor.hands[&name(0)].orders;
+    assert!(orders.is_empty(), "its earlier runs may have failed too often: {orders:?}");
+    floor.report(1);
+    floor.turn();
+    assert_eq!(floor.running(), [task(1, 0, 0)]);
+}
