--- a/crates/soak/src/floor.rs
+++ b/crates/soak/src/floor.rs
@@ -10,7 +10,7 @@
 
 /// Entries of every floor: the owner, one that takes over, and one beside.
 pub const ENTRIES: usize = 3;
-/// Most processes; what letters to the project allow is a few hundred.
+/// Most processes: each takes some 10 MB, and half of a usual machine's memory stays free.
 pub const MOST_PROCESSES: usize = 300;
 
 const CALLERS: u16 = 7_000;
@@ -41,7 +41,7 @@
     pub callers: Vec<SocketAddr>,
 }
 
-/// Addresses of one soak: loopback has a network of 2^24 of them.
+/// Addresses of one soak; loopback has 2^24 of them.
 struct Net {
     second: u8,
     third: u8,
