--- a/crates/soak/src/book.rs
+++ b/crates/soak/src/book/whole.rs
@@ -1,41 +1,8 @@
-//! What callers were told and what workers did.
-
-use shallotflow_core::graph::{Id, Spec, State, Task};
+use super::{Order, Run};
+use shallotflow_core::graph::{Id, State, Task};
 use shallotflow_standin::runs::{Fact, What};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// A job as its caller knows it.
-#[derive(Clone, Debug, Default)]
-pub struct Order {
-    /// What was handed in.
-    pub spec: Spec,
-    /// Whether it was accepted.
-    pub accepted: bool,
-    /// Whether an attempt to hand it in had no certain answer.
-    pub uncertain: bool,
-    /// Whether a cancel was sent.
-    pub cancel_sent: bool,
-    /// Whether a cancel was confirmed.
-    pub cancelled: bool,
-    /// The state that was shown last.
-    pub shown: Option<State>,
-}
-
-/// One run of a task at a worker.
-#[derive(Clone, Debug)]
-pub struct Run {
-    /// The worker.
-    pub worker: usize,
-    /// The number of the run.
-    pub number: u32,
-    /// When it started, microseconds since 1970.
-    pub started: u64,
-    /// When and how it ended, once that is known; without a way for one that ended with its worker.
-    pub ended: Option<(u64, Option<What>)>,
-    /// Whether its end was confirmed.
-    pub confirmed: bool,
-}
-
 /// What callers were told and what workers did.
 #[derive(Debug, Default)]
 pub struct Book {
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault/series.rs
@@ -1,63 +1,8 @@
-//! The series of faults that a seed makes.
-
+use super::{Fault, Planned, Targets};
 use rand::Rng;
 use rand::rngs::SmallRng;
 use std::time::Duration;
 
-/// Something that goes wrong.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Fault {
-    /// A process is killed, and started again after a while.
-    Kill(usize),
-    /// A process is told to stop, and started again after a while.
-    Stop(usize),
-    /// A process stands still for a while.
-    Pause(usize),
-    /// Every chunk of bytes on a link is late for a while.
-    Delay(usize, Duration),
-    /// The connections of a link break.
-    Reset(usize),
-    /// A link passes nothing on for a while: there, back, or either.
-    Silence(usize, bool, bool),
-}
-
-impl Fault {
-    /// The kind, for the report.
-    pub fn kind(&self) -> &'static str {
-        match self {
-            Self::Kill(_) => "kill",
-            Self::Stop(_) => "stop",
-            Self::Pause(_) => "pause",
-            Self::Delay(..) => "delay",
-            Self::Reset(_) => "reset",
-            Self::Silence(_, true, true) => "silence",
-            Self::Silence(..) => "one-way cut",
-        }
-    }
-}
-
-/// A fault with its time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Planned {
-    /// When it comes, after the start of the load.
-    pub at: Duration,
-    /// How long it lasts, or a process is away.
-    pub lasts: Duration,
-    /// What goes wrong.
-    pub fault: Fault,
-}
-
-/// What there is to go wrong.
-#[derive(Clone, Copy, Debug)]
-pub struct Targets {
-    /// Processes; the first one is the store, which keeps its data in memory and is only paused.
-    pub processes: usize,
-    /// Entries among them, from the second one on.
-    pub entries: usize,
-    /// Links.
-    pub links: usize,
-}
-
 fn ms(rng: &mut SmallRng, range: std::ops::Range<u64>) -> Duration {
     Duration::from_millis(rng.random_range(range))
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run/soak.rs
@@ -1,26 +1,17 @@
-//! One soak from start to end.
-
-use crate::book::Book;
+use super::Summary;
+use super::due::Due;
 use crate::child::{Child, Said, unix_us};
-use crate::fault::{self, Fault, Planned, Targets};
+use crate::fault::{Fault, Planned};
 use crate::floor::{ENTRIES, Floor};
 use crate::load::{self, Caller};
-use crate::options::Options;
 use crate::oracle;
-use anyhow::Context;
-use futures_channel::mpsc::{UnboundedReceiver, unbounded};
+use futures_channel::mpsc::UnboundedReceiver;
+use rand::Rng;
 use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
 use rustix::process::Signal;
-use serde::Serialize;
 use shallotflow_core::graph::{Id, State};
-use shallotflow_runtime::executor;
 use shallotflow_runtime::stop::{Level, Stop};
-use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
-use std::fmt;
-use std::path::{Path, PathBuf};
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// Time between two looks at what is due.
@@ -39,46 +30,9 @@
 /// After a pause a worker may not have noticed for this long that its leases have ended.
 const NOTICES_WITHIN: u64 = 100_000;
 
-/// What a soak found.
-#[derive(Debug, Default, Serialize)]
-pub struct Summary {
-    /// The seed.
-    pub seed: u64,
-    /// Processes beside the soak.
-    pub processes: usize,
-    /// Jobs that were accepted.
-    pub jobs: usize,
-    /// How they ended.
-    pub ended: BTreeMap<&'static str, usize>,
-    /// Runs of tasks.
-    pub runs: usize,
-    /// Faults by kind.
-    pub faults: BTreeMap<&'static str, usize>,
-    /// Whether it was interrupted.
-    pub interrupted: bool,
-    /// Promises that were broken.
-    pub violations: BTreeSet<String>,
-    /// Where settings and logs are, if they are kept.
-    pub kept: Option<PathBuf>,
-}
-
-impl fmt::Display for Summary {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&serde_json::to_string_pretty(self).map_err(|_| fmt::Error)?)
-    }
-}
-
-/// Something that is due.
-#[derive(Clone, Copy, Debug)]
-enum Due {
-    Strike(Planned),
-    Start(usize),
-    Continue(usize),
-    Heal(usize),
-}
-
-struct Soak {
-    floor: Floor,
+/// A soak while it goes on.
+pub(super) struct Soak {
+    pub(super) floor: Floor,
     caller: Caller,
     facts: UnboundedReceiver<Said>,
     due: BTreeMap<(Instant, u64), Due>,
@@ -87,73 +41,30 @@
     stopping: BTreeMap<usize, Instant>,
     /// When paused processes were paused and went on, microseconds since 1970.
     paused: BTreeMap<usize, (u64, u64)>,
-    summary: Summary,
+    pub(super) summary: Summary,
 }
 
-/// Runs a soak.
-///
-/// # Errors
-///
-/// Fails when a program or an address is missing, not when a promise is broken.
-pub fn run(options: &Options) -> anyhow::Result<Summary> {
-    let stop = Stop::on_signals()?;
-    let own = std::env::current_exe()?;
-    let beside = own.parent().context("this program is in no directory")?.to_owned();
-    let programs = options.programs.clone().unwrap_or(beside);
-    let name = format!("shallotflow-soak-{}-{}", options.seed, std::process::id());
-    let directory = options.keep.clone().unwrap_or_else(|| std::env::temp_dir().join(name));
-    std::fs::create_dir_all(&directory)
-        .with_context(|| format!("{} cannot be made", directory.display()))?;
-    let mut summary = executor::run(soak(options, &programs, &directory, stop))??;
-    if summary.violations.is_empty() && options.keep.is_none() {
-        std::fs::remove_dir_all(&directory)?;
-    } else {
-        summary.kept = Some(directory);
-    }
-    Ok(summary)
-}
-
-async fn soak(
-    options: &Options,
-    programs: &Path,
-    directory: &Path,
-    stop: Stop,
-) -> anyhow::Result<Summary> {
-    let (says, facts) = unbounded();
-    let floor = Floor::new(options.processes, programs, directory, says)?;
-    let book: Rc<RefCell<Book>> = Rc::default();
-    let caller = Caller::new(floor.callers.clone(), book);
-    let summary =
-        Summary { seed: options.seed, processes: options.processes, ..Summary::default() };
-    let mut soak = Soak {
-        floor,
-        caller,
-        facts,
-        due: BTreeMap::new(),
-        numbered: 0,
-        stopping: BTreeMap::new(),
-        paused: BTreeMap::new(),
-        summary,
-    };
-    for child in soak.floor.all() {
-        child.start()?;
-    }
-    let mut rng = SmallRng::seed_from_u64(options.seed);
-    let length = Duration::from_secs_f64(options.minutes.max(0.0) * 60.0);
-    let targets =
-        Targets { processes: options.processes, entries: ENTRIES, links: soak.floor.links.len() };
-    let begun = Instant::now();
-    for planned in fault::plan(&mut rng, targets, length) {
-        soak.plan(begun + planned.at, Due::Strike(planned));
+impl Soak {
+    /// A soak whose processes do not run yet; `facts` is what workers print.
+    pub(super) fn new(
+        floor: Floor,
+        caller: Caller,
+        facts: UnboundedReceiver<Said>,
+        summary: Summary,
+    ) -> Self {
+        Self {
+            floor,
+            caller,
+            facts,
+            due: BTreeMap::new(),
+            numbered: 0,
+            stopping: BTreeMap::new(),
+            paused: BTreeMap::new(),
+            summary,
+        }
     }
-    soak.load(&mut rng, begun + length, &stop).await?;
-    soak.settle(&stop).await?;
-    soak.summary.interrupted = stop.level() > Level::Run;
-    Ok(soak.finish())
-}
 
-impl Soak {
-    fn plan(&mut self, at: Instant, due: Due) {
+    pub(super) fn plan(&mut self, at: Instant, due: Due) {
         self.numbered += 1;
         self.due.insert((at, self.numbered), due);
     }
@@ -169,7 +80,12 @@
     }
 
     /// Plays the load and the faults until `end`.
-    async fn load(&mut self, rng: &mut SmallRng, end: Instant, stop: &Stop) -> anyhow::Result<()> {
+    pub(super) async fn load(
+        &mut self,
+        rng: &mut SmallRng,
+        end: Instant,
+        stop: &Stop,
+    ) -> anyhow::Result<()> {
         let (mut next_job, mut next_ask) = (Instant::now(), Instant::now());
         let mut ids: Vec<Id> = Vec::new();
         while Instant::now() < end && stop.level() == Level::Run {
@@ -346,7 +262,7 @@
     }
 
     /// Ends all faults and waits until every job has ended.
-    async fn settle(&mut self, stop: &Stop) -> anyhow::Result<()> {
+    pub(super) async fn settle(&mut self, stop: &Stop) -> anyhow::Result<()> {
         self.due.retain(|_, due| !matches!(due, Due::Strike(_)));
         let deadline = Instant::now() + SETTLE;
         let mut entry = 0;
@@ -383,7 +299,7 @@
     }
 
     /// Ends all processes and checks what is known.
-    fn finish(mut self) -> Summary {
+    pub(super) fn finish(mut self) -> Summary {
         self.hear();
         for child in self.floor.all() {
             child.kill();
