Keep one copy of an exchange, of a run's traits and of the peers' service

In the table, expire leaves the question whether to settle to settle, an end looks its job up once, and a stop that an agent's new process may not know is ordered in the loop that handles such runs, instead of in a second one after it.

Tests: three name a field by its new place; no assertion changes. Ruled out: one type for the HTTP side of both worker protocols (their bodies and faults differ; what they share is now the pool's).

--- a/crates/agent/src/worker/http.rs
+++ b/crates/agent/src/worker/http.rs
@@ -36,10 +36,14 @@
         let request = Request::post(C::PATH)
             .body(Body::Full(text.into()))
             .map_err(|error| unreached(&error))?;
-        let exchange = self.exchange(request);
+        let exchange = self.pool.exchange(self.address, request, MAX_ANSWER_BYTES);
         let answer = monoio::time::timeout(ANSWER_TIMEOUT + wait, exchange).await;
-        let (status, body) =
-            answer.map_err(|_| Error::Unanswered("the time limit passed".to_owned()))??;
+        let answer = answer.map_err(|_| Error::Unanswered("the time limit passed".to_owned()))?;
+        let answer = answer.map_err(|error| match Pool::not_sent(&error) {
+            true => Error::Unreached(error.to_string()),
+            false => Error::Unanswered(error.to_string()),
+        })?;
+        let (status, body) = (answer.status(), answer.into_body());
         if status == StatusCode::OK {
             let invalid = |error: serde_json::Error| Error::Unanswered(error.to_string());
             return serde_json::from_slice(&body).map_err(invalid);
@@ -49,18 +53,6 @@
             Err(_) => Err(Error::Unanswered(format!("status {status}"))),
         }
     }
-
-    async fn exchange(&self, request: Request<Body>) -> Result<(StatusCode, bytes::Bytes)> {
-        let unreached = |error: shallotflow_wire::http::Error| Error::Unreached(error.to_string());
-        let unanswered =
-            |error: shallotflow_wire::http::Error| Error::Unanswered(error.to_string());
-        let mut connection = self.pool.take(self.address).await.map_err(unreached)?;
-        let response = connection.send(request).await.map_err(unanswered)?;
-        let status = response.status();
-        let body = response.into_body().collect(MAX_ANSWER_BYTES).await.map_err(unanswered)?;
-        self.pool.give_back(self.address, connection);
-        Ok((status, body))
-    }
 }
 
 impl Control for Client {
--- a/crates/bench/src/load/client.rs
+++ b/crates/bench/src/load/client.rs
@@ -1,7 +1,7 @@
 //! One exchange with an entry.
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, StatusCode};
+use http::{HeaderMap, Request, StatusCode};
 use monoio::time::timeout;
 use shallotflow_core::outcome::Outcome;
 use shallotflow_wire::http::Error;
@@ -100,20 +100,12 @@
     }
 
     async fn exchange(&self, request: Request<Body>) -> Result<Answer> {
-        let mut connection = self.pool.take(self.address).await.map_err(failure)?;
-        let response = connection.send(request).await.map_err(failure)?;
-        let answer = whole(response).await.map_err(failure)?;
-        self.pool.give_back(self.address, connection);
-        Ok(answer)
+        let answer = self.pool.exchange(self.address, request, MAX_ANSWER_BYTES).await;
+        let (head, body) = answer.map_err(failure)?.into_parts();
+        Ok(Answer { status: head.status, headers: head.headers, body })
     }
 }
 
-async fn whole(response: Response<Body>) -> std::result::Result<Answer, Error> {
-    let (head, body) = response.into_parts();
-    let body = body.collect(MAX_ANSWER_BYTES).await?;
-    Ok(Answer { status: head.status, headers: head.headers, body })
-}
-
 fn failure(error: Error) -> Failure {
     if Pool::not_sent(&error) { Failure::NotSent } else { Failure::Lost }
 }
--- a/crates/bench/src/naive/serve.rs
+++ b/crates/bench/src/naive/serve.rs
@@ -119,11 +119,7 @@
         target: SocketAddr,
         request: Request<Body>,
     ) -> shallotflow_wire::http::Result<Response<Body>> {
-        let mut connection = self.pool.take(target).await?;
-        let (head, body) = connection.send(request).await?.into_parts();
-        let body = body.collect(MAX_BODY_BYTES).await?;
-        self.pool.give_back(target, connection);
-        Ok(Response::from_parts(head, Body::Full(body)))
+        Ok(self.pool.exchange(target, request, MAX_BODY_BYTES).await?.map(Body::Full))
     }
 
     async fn submit(&self, request: Request<Body>) -> Response<Body> {
--- a/crates/cli/src/command/graph/submit.rs
+++ b/crates/cli/src/command/graph/submit.rs
@@ -18,7 +18,7 @@
     #[bpaf(external(callers))]
     entry: Callers,
     /// Who submits; you, if not given
-    #[bpaf(argument("NAME"), optional, parse(or_user))]
+    #[bpaf(argument("NAME"), optional, parse(variable::caller))]
     caller: String,
     /// The job's identifier, 16 hexadecimal digits; a new one if not given
     #[bpaf(argument("ID"))]
@@ -31,10 +31,6 @@
     file: PathBuf,
 }
 
-fn or_user(given: Option<String>) -> std::result::Result<String, String> {
-    variable::user(given).ok_or_else(|| "no caller is given; use --caller NAME".to_owned())
-}
-
 /// Submits a job; the same identifier submits it once, however often it is sent.
 ///
 /// # Errors
--- a/crates/cli/src/command/submit.rs
+++ b/crates/cli/src/command/submit.rs
@@ -27,7 +27,7 @@
     #[bpaf(external(callers))]
     entry: Callers,
     /// Who submits; you, if not given
-    #[bpaf(argument("NAME"), optional, parse(or_user))]
+    #[bpaf(argument("NAME"), optional, parse(variable::caller))]
     caller: String,
     /// Idempotency key; a new one if not given
     #[bpaf(argument("KEY"))]
@@ -55,10 +55,6 @@
     Span::parse(&text).ok_or_else(|| format!("`{text}` is not {}", Span::EXPECTED))
 }
 
-fn or_user(given: Option<String>) -> std::result::Result<String, String> {
-    variable::user(given).ok_or_else(|| "no caller is given; use --caller NAME".to_owned())
-}
-
 /// Submits a job once.
 ///
 /// # Errors
--- a/crates/cli/src/connect/variable.rs
+++ b/crates/cli/src/connect/variable.rs
@@ -29,3 +29,12 @@
 pub fn user(given: Option<String>) -> Option<String> {
     given.or_else(|| std::env::var("USER").ok()).filter(|name| !name.is_empty())
 }
+
+/// Who submits: `given`, or the name of the user who runs the command.
+///
+/// # Errors
+///
+/// Names the option when there is neither.
+pub fn caller(given: Option<String>) -> Result<String, String> {
+    user(given).ok_or_else(|| "no caller is given; use --caller NAME".to_owned())
+}
--- a/crates/entry/src/callers/front.rs
+++ b/crates/entry/src/callers/front.rs
@@ -93,13 +93,17 @@
         (Ok(Route::Job(job)), &Method::GET) => jobs::read(&state, job).await,
         (Ok(Route::Job(job)), &Method::DELETE) => jobs::cancel(&state, job).await,
         (Ok(Route::Job(_)), _) => not_allowed(&head.method, "GET, DELETE"),
-        (Ok(Route::Graphs(kind)), &Method::GET) => graphs::waiting(&state, kind).await,
+        (Ok(Route::Graphs(kind)), &Method::GET) => or_problem(graphs::waiting(&state, kind).await),
         (Ok(Route::Graphs(_)), _) => not_allowed(&head.method, "GET"),
         (Ok(Route::Graph(kind, id)), &Method::PUT) => {
-            graphs::submit(&state, &ask, kind, id, body).await
+            or_problem(graphs::submit(&state, &ask, kind, id, body).await)
+        }
+        (Ok(Route::Graph(kind, id)), &Method::GET) => {
+            or_problem(graphs::read(&state, kind, id).await)
+        }
+        (Ok(Route::Graph(kind, id)), &Method::DELETE) => {
+            or_problem(graphs::cancel(&state, kind, id).await)
         }
-        (Ok(Route::Graph(kind, id)), &Method::GET) => graphs::read(&state, kind, id).await,
-        (Ok(Route::Graph(kind, id)), &Method::DELETE) => graphs::cancel(&state, kind, id).await,
         (Ok(Route::Graph(..)), _) => not_allowed(&head.method, "PUT, GET, DELETE"),
         (Err(problem), _) => answer::problem(&problem),
     }
@@ -146,6 +150,10 @@
     route.ok_or_else(|| Problem::not_run(Code::NotFound, detail()))
 }
 
+fn or_problem(result: Result<Response<Body>, Problem>) -> Response<Body> {
+    result.unwrap_or_else(|problem| answer::problem(&problem))
+}
+
 fn not_allowed(method: &Method, allowed: &'static str) -> Response<Body> {
     let detail = format!("method {method} is not accepted on this path; use {allowed}");
     let problem = Problem::not_run(Code::MethodNotAllowed, detail);
--- a/crates/entry/src/callers/graphs.rs
+++ b/crates/entry/src/callers/graphs.rs
@@ -20,6 +20,9 @@
 const RETRY_AFTER_S: u32 = 1;
 const MS_PER_S: u64 = 1_000;
 
+/// The answer, or the problem that it says.
+type Result<T> = std::result::Result<T, Problem>;
+
 /// A job as callers are shown it.
 #[derive(Serialize)]
 struct Shown {
@@ -43,15 +46,9 @@
     kind: Name,
     id: Id,
     body: Body,
-) -> Response<Body> {
-    let spec = match spec(body).await {
-        Ok(spec) => spec,
-        Err(problem) => return answer::problem(&problem),
-    };
-    let entry = match entry(state) {
-        Ok(entry) => entry,
-        Err(problem) => return answer::problem(&problem),
-    };
+) -> Result<Response<Body>> {
+    let spec = spec(body).await?;
+    let entry = entry(state)?;
     let queue = graphs::queue(kind.clone(), state.values(&kind, &ask.caller).priority);
     let job = Job { queue, spec, accepted_ms: wall_ms() };
     match entry.submit(id, job).await {
@@ -59,73 +56,66 @@
             // What becomes of it is asked for under its path; here it is only known to be stored.
             let shown = Shown { id, kind: kind.clone(), state: "accepted" };
             let response = answer::json(StatusCode::ACCEPTED, &shown);
-            answer::location(response, &format!("/graphs/{kind}/{id}"))
+            Ok(answer::location(response, &format!("/graphs/{kind}/{id}")))
         }
         Submission::Refused { retry_ms } => {
             let seconds = u32::try_from(retry_ms.div_ceil(MS_PER_S)).unwrap_or(u32::MAX);
             let detail = "the store does not take the job; submit it again";
             let problem = Problem::not_run(Code::StoreUnavailable, detail);
-            answer::problem(&problem.retry_after(seconds))
+            Err(problem.retry_after(seconds))
         }
         Submission::TooLarge { step } => {
             let detail = format!("no worker is large enough for a task of step {step}");
-            answer::problem(&Problem::not_run(Code::NeverFits, detail))
+            Err(Problem::not_run(Code::NeverFits, detail))
         }
         Submission::Unknown => {
             let detail = format!("it is not known whether job {id} is stored; submit it again");
-            answer::problem(&Problem::unknown(Code::StoreUnavailable, detail))
+            Err(Problem::unknown(Code::StoreUnavailable, detail))
         }
     }
 }
 
 /// The state of a job.
-pub(super) async fn read(state: &State, kind: Name, id: Id) -> Response<Body> {
-    let entry = match entry(state) {
-        Ok(entry) => entry,
-        Err(problem) => return answer::problem(&problem),
-    };
+pub(super) async fn read(state: &State, kind: Name, id: Id) -> Result<Response<Body>> {
+    let entry = entry(state)?;
     match entry.state(&kind, id).await {
-        Ok(Some(state)) => answer::json(StatusCode::OK, &Shown { id, kind, state: state.as_str() }),
-        Ok(None) => answer::problem(&unknown_job(&kind, id)),
+        Ok(Some(state)) => {
+            Ok(answer::json(StatusCode::OK, &Shown { id, kind, state: state.as_str() }))
+        }
+        Ok(None) => Err(unknown_job(&kind, id)),
         Err(error) => {
             let problem = Problem::not_run(Code::StoreUnavailable, error.to_string());
-            answer::problem(&problem.retry_after(RETRY_AFTER_S))
+            Err(problem.retry_after(RETRY_AFTER_S))
         }
     }
 }
 
 /// Cancels a job; a job that has ended stays as it is.
-pub(super) async fn cancel(state: &State, kind: Name, id: Id) -> Response<Body> {
-    let entry = match entry(state) {
-        Ok(entry) => entry,
-        Err(problem) => return answer::problem(&problem),
-    };
+pub(super) async fn cancel(state: &State, kind: Name, id: Id) -> Result<Response<Body>> {
+    let entry = entry(state)?;
     match entry.cancel(&kind, id).await {
         Cancellation::Cancelled => read(state, kind, id).await,
-        Cancellation::Absent => answer::problem(&unknown_job(&kind, id)),
+        Cancellation::Absent => Err(unknown_job(&kind, id)),
         Cancellation::Unknown => {
             let detail = format!("it is not known whether job {id} is cancelled; cancel it again");
-            answer::problem(&Problem::unknown(Code::StoreUnavailable, detail))
+            Err(Problem::unknown(Code::StoreUnavailable, detail))
         }
     }
 }
 
 /// How many jobs of a kind wait for their first task.
-pub(super) async fn waiting(state: &State, kind: Name) -> Response<Body> {
-    let entry = match entry(state) {
-        Ok(entry) => entry,
-        Err(problem) => return answer::problem(&problem),
-    };
+pub(super) async fn waiting(state: &State, kind: Name) -> Result<Response<Body>> {
+    let entry = entry(state)?;
     match entry.waiting(&kind).await {
-        Some(waiting) => answer::json(StatusCode::OK, &Waiting { kind, waiting }),
+        Some(waiting) => Ok(answer::json(StatusCode::OK, &Waiting { kind, waiting })),
         None => {
             let problem = Problem::not_run(Code::OwnerUnavailable, "no owner answers");
-            answer::problem(&problem.retry_after(RETRY_AFTER_S))
+            Err(problem.retry_after(RETRY_AFTER_S))
         }
     }
 }
 
-fn entry(state: &State) -> Result<&Rc<Entry>, Problem> {
+fn entry(state: &State) -> Result<&Rc<Entry>> {
     let detail = "this entry takes no jobs of several tasks; set graphs_listen and store";
     state.graphs.as_ref().ok_or_else(|| Problem::not_run(Code::StoreUnavailable, detail))
 }
@@ -134,7 +124,7 @@
     Problem::not_run(Code::UnknownJob, format!("there is no job {id} of kind {kind:?}"))
 }
 
-async fn spec(body: Body) -> Result<Spec, Problem> {
+async fn spec(body: Body) -> Result<Spec> {
     let body = body.collect(BODY_LIMIT).await.map_err(|error| quick::caller_problem(&error))?;
     let malformed = |detail| Problem::not_run(Code::Malformed, detail);
     let spec: Spec = serde_json::from_slice(&body)
--- a/crates/entry/src/graphs.rs
+++ b/crates/entry/src/graphs.rs
@@ -2,15 +2,12 @@
 
 use crate::Settings;
 use event_listener::Event;
-use futures_channel::mpsc::unbounded;
 use monoio::net::TcpListener;
 use shallotflow_core::graph::Queue;
 use shallotflow_core::name::Name;
 use shallotflow_scheduler::entry::{self, Entry};
-use shallotflow_scheduler::peers::Service;
-use shallotflow_scheduler::proto::peers_server::PeersServer;
+use shallotflow_scheduler::peers;
 use shallotflow_store::store::Store;
-use shallotflow_wire::rpc;
 use std::rc::Rc;
 
 /// Failed runs of one task after which its job has failed; as for batch jobs of one task.
@@ -30,9 +27,7 @@
     let address = settings.graphs_announce.map_or_else(|| listener.local_addr(), Ok)?;
     let limits = entry::Settings::default();
     let entry = Entry::new(limits, settings.name.clone(), rand::random(), address, store);
-    let (sender, calls) = unbounded();
-    entry.start(calls);
-    monoio::spawn(rpc::serve(listener, PeersServer::new(Service::new(sender)), stop));
+    entry.start(peers::serve(listener, stop));
     Ok(entry)
 }
 
--- a/crates/policy/src/plan/expire.rs
+++ b/crates/policy/src/plan/expire.rs
@@ -12,10 +12,7 @@
         self.wall_ms = wall_ms;
         self.expire_workers(now);
         self.expire_runs(now);
-        let over = |(_, empty): (&Name, &Time)| empty.passed(now);
-        if self.uncertain && self.missing.iter().all(over) {
-            self.settle(now);
-        }
+        self.settle(now);
         let forgotten: Vec<Id> = self
             .jobs
             .values()
--- a/crates/policy/src/plan/hear.rs
+++ b/crates/policy/src/plan/hear.rs
@@ -162,10 +162,10 @@
                 }
             }
         }
-        let version = self.jobs.get(&task.job).map_or(0, |job| job.version);
-        let recorded = self.jobs.get(&task.job).is_none_or(|job| job.recorded >= version);
+        let unrecorded = self.jobs.get(&task.job).filter(|job| job.recorded < job.version);
+        let needs = unrecorded.map(|job| (job.id, job.version));
         if let Some(worker) = self.workers.get_mut(agent) {
-            worker.ends.insert(end.number, (!recorded).then_some((task.job, version)));
+            worker.ends.insert(end.number, needs);
         }
     }
 
@@ -306,32 +306,19 @@
             return;
         }
         worker.synced = true;
-        // Orders that the agent's former process had received and not carried out are lost.
-        let placed = worker.placed.keys().copied();
-        let listed: Vec<Task> =
-            placed.filter(|task| running.iter().any(|run| run.task == *task)).collect();
-        let lost: Vec<Task> = worker
-            .placed
-            .keys()
-            .filter(|task| !running.iter().any(|run| run.task == **task))
-            .copied()
-            .collect();
-        for task in lost {
-            let row = self.row(&task);
-            match row.map(|row| row.phase.clone()) {
-                Some(Phase::Starting { .. }) => self.stop(task, "its agent started again"),
+        let listed: BTreeSet<Task> = running.iter().map(|run| run.task).collect();
+        let placed: Vec<Task> = worker.placed.keys().copied().collect();
+        for task in placed {
+            match self.row(&task).map(|row| row.phase.clone()) {
+                // The agent's former process may have received the order and not carried it out.
                 Some(Phase::Stopping { run, .. }) => {
                     self.order_stop(agent, task, run, "its agent started again");
                 }
+                _ if listed.contains(&task) => {}
+                Some(Phase::Starting { .. }) => self.stop(task, "its agent started again"),
                 _ => self.release(task, now, now),
             }
         }
-        for task in listed {
-            let stopping = self.row(&task).map(|row| row.phase.clone());
-            if let Some(Phase::Stopping { run, .. }) = stopping {
-                self.order_stop(agent, task, run, "its agent started again");
-            }
-        }
         self.missing.remove(agent);
         self.settle(now);
     }
--- a/crates/policy/src/plan/message/mod.rs
+++ b/crates/policy/src/plan/message/mod.rs
@@ -13,6 +13,7 @@
 mod reply;
 mod report;
 mod run;
+mod traits;
 
 pub use answer::{Answer, Outcome};
 pub use end::{End, How};
@@ -24,3 +25,4 @@
 pub use reply::Reply;
 pub use report::Report;
 pub use run::Run;
+pub use traits::Traits;
--- a/crates/policy/src/plan/message/order.rs
+++ b/crates/policy/src/plan/message/order.rs
@@ -1,3 +1,4 @@
+use super::Traits;
 use serde::{Deserialize, Serialize};
 use shallotflow_core::graph::Task;
 use shallotflow_core::name::Name;
@@ -12,14 +13,8 @@
         text: Arc<str>,
         /// Where to go on, if the task has saved its progress.
         checkpoint: Option<Name>,
-        /// What it runs, if that is known.
-        image: Option<Name>,
-        /// Processors that it asks for, thousandths.
-        millicores: u32,
-        /// Whether it uses only what others leave, and may be slowed down for them.
-        fills: bool,
-        /// Bound of its tail latency, milliseconds; 0 for a task that serves nobody.
-        target_ms: u32,
+        /// What the agent has to know of it beside.
+        traits: Traits,
     },
     /// End the run, and never start it later.
     Stop,
--- a/crates/policy/src/plan/place.rs
+++ b/crates/policy/src/plan/place.rs
@@ -6,7 +6,7 @@
 //! full: beyond that, each more would slow down all that are there.
 
 use super::demand::Demand;
-use super::message::{Kind, Profile};
+use super::message::{Kind, Profile, Traits};
 use super::room::{Room, Rooms};
 use super::urgency::Urgency;
 use super::{Event, Phase, Table};
@@ -244,10 +244,12 @@
         let order = Kind::Start {
             text: job.spec.text.clone(),
             checkpoint,
-            image: step.image.clone(),
-            millicores: step.need.millicores,
-            fills: step.fills,
-            target_ms: step.target_ms,
+            traits: Traits {
+                image: step.image.clone(),
+                millicores: step.need.millicores,
+                fills: step.fills,
+                target_ms: step.target_ms,
+            },
         };
         let withdraw = now.after(self.settings.unanswered);
         self.occupy(&agent, task);
--- a/crates/policy/src/plan/table.rs
+++ b/crates/policy/src/plan/table.rs
@@ -1,4 +1,4 @@
-use super::message::{Feature, Kind, Reply};
+use super::message::{Feature, Kind, Reply, Traits};
 use super::worker::Placed;
 use super::{Event, Job, Phase, Row, Settings, Sizes, Worker};
 use crate::disturbance::Rates;
@@ -147,14 +147,13 @@
         let feature = |(task, placed): (&Task, &Placed)| {
             let job = self.jobs.get(&task.job)?;
             let (_, run) = job.rows[job.number(task)?].current()?;
-            Some(Feature {
-                task: *task,
-                run,
+            let traits = Traits {
                 image: placed.image.clone(),
                 millicores: placed.need.millicores,
                 fills: placed.fills,
                 target_ms: placed.target_ms,
-            })
+            };
+            Some(Feature { task: *task, run, traits })
         };
         worker.placed.iter().filter_map(feature).collect()
     }
--- a/crates/policy/tests/plan/lists.rs
+++ b/crates/policy/tests/plan/lists.rs
@@ -154,5 +154,5 @@
     report.lacks_features = true;
     floor.table.hear(report, floor.now);
     let features = floor.table.reply(&name(0)).features;
-    assert_eq!(features.iter().map(|f| (f.run, f.target_ms)).collect::<Vec<_>>(), [(1, 50)]);
+    assert_eq!(features.iter().map(|f| (f.run, f.traits.target_ms)).collect::<Vec<_>>(), [(1, 50)]);
 }
--- a/crates/runtime/src/clock.rs
+++ b/crates/runtime/src/clock.rs
@@ -21,6 +21,11 @@
 
 /// The time of day, milliseconds since 1970; may jump.
 pub fn wall_ms() -> u64 {
+    wall_us() / 1_000
+}
+
+/// The time of day, microseconds since 1970; may jump.
+pub fn wall_us() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
 }
--- a/crates/scheduler/src/agent/desk.rs
+++ b/crates/scheduler/src/agent/desk.rs
@@ -6,7 +6,7 @@
 use shallotflow_core::time::Time;
 use shallotflow_policy::disturbance::Rates;
 use shallotflow_policy::plan::message::{
-    Answer, End, Lifetime, Order, Outcome, Profile, Reply, Report, Run, Standing,
+    Answer, End, Lifetime, Order, Outcome, Profile, Reply, Report, Run, Standing, Traits,
 };
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -32,19 +32,6 @@
     started: Time,
 }
 
-/// What the agent knows of a run's step.
-#[derive(Clone, Debug, Default)]
-pub struct Traits {
-    /// What it runs.
-    pub image: Option<Name>,
-    /// Processors that it asks for, thousandths.
-    pub millicores: u32,
-    /// Whether it uses only what others leave.
-    pub fills: bool,
-    /// Bound of its tail latency, milliseconds; 0 for a task that serves nobody.
-    pub target_ms: u32,
-}
-
 /// Something that has to reach the owner.
 struct Owed<T> {
     item: T,
@@ -482,16 +469,10 @@
         }
         for feature in reply.features {
             let key = (feature.task, feature.run);
-            let traits = Traits {
-                image: feature.image,
-                millicores: feature.millicores,
-                fills: feature.fills,
-                target_ms: feature.target_ms,
-            };
             if let Some(held) = self.running.get_mut(&key) {
-                held.traits = traits.clone();
+                held.traits = feature.traits.clone();
             }
-            self.traits.insert(key, traits);
+            self.traits.insert(key, feature.traits);
         }
         for harm in &reply.harm {
             self.rates.set(&harm.victim, harm.neighbor.as_ref(), f64::from(harm.added));
--- a/crates/scheduler/src/agent/order.rs
+++ b/crates/scheduler/src/agent/order.rs
@@ -1,6 +1,6 @@
 //! Carries out the owner's orders.
 
-use super::desk::{Key, Traits};
+use super::desk::Key;
 use super::{Agent, Error, Start};
 use shallotflow_core::metric;
 use shallotflow_core::time::Clock;
@@ -22,15 +22,7 @@
 }
 
 async fn start(agent: &Rc<Agent>, order: &Order, epoch: u64) {
-    let Kind::Start { text, checkpoint, image, millicores, fills, target_ms } = &order.kind else {
-        return;
-    };
-    let traits = Traits {
-        image: image.clone(),
-        millicores: *millicores,
-        fills: *fills,
-        target_ms: *target_ms,
-    };
+    let Kind::Start { text, checkpoint, traits } = &order.kind else { return };
     let key = (order.task, order.run);
     let mut unanswered = false;
     for _ in 0..agent.settings.start_tries {
@@ -56,7 +48,7 @@
         let outcome = match answer {
             Ok(_) => {
                 let mut desk = agent.desk.borrow_mut();
-                return desk.started(order, traits, Boottime.now());
+                return desk.started(order, traits.clone(), Boottime.now());
             }
             Err(Error::Unknown(_)) => {
                 unanswered = true;
--- a/crates/scheduler/src/peers/mod.rs
+++ b/crates/scheduler/src/peers/mod.rs
@@ -4,17 +4,20 @@
 //! - [`Question`], [`Answer`]: what entries ask each other.
 //! - [`Call`]: a call on its way to the loop of the process.
 //! - [`Service`]: posts calls to that loop.
+//! - [`serve`]: takes calls on a listener.
 
 mod answer;
 mod call;
 mod client;
 mod question;
+mod serve;
 mod service;
 
 pub use answer::Answer;
 pub use call::Call;
 pub use client::Client;
 pub use question::Question;
+pub use serve::serve;
 pub use service::Service;
 
 use serde::Serialize;
--- a/crates/scheduler/src/runs/client.rs
+++ b/crates/scheduler/src/runs/client.rs
@@ -42,9 +42,15 @@
         let request = Request::post(C::PATH)
             .body(Body::Full(body.into()))
             .map_err(|error| refused(&error))?;
-        let exchange = monoio::time::timeout(limit, self.exchange(request)).await;
+        let exchange = self.pool.exchange(self.address, request, ANSWER_LIMIT);
         let late = |_| Error::Unknown(format!("no answer within {} ms", limit.as_millis()));
-        let (status, body) = exchange.map_err(late)??;
+        let answer = monoio::time::timeout(limit, exchange).await.map_err(late)?;
+        let answer = answer.map_err(|error| match error {
+            transport::Error::Refused(_) => Error::Vacant,
+            transport::Error::Connect(_) => Error::Unreachable,
+            lost => Error::Unknown(lost.to_string()),
+        })?;
+        let (status, body) = (answer.status(), answer.into_body());
         let unreadable = |error: serde_json::Error| {
             Error::Unknown(format!("status {status}, the answer cannot be read: {error}"))
         };
@@ -53,19 +59,6 @@
         }
         Err(serde_json::from_slice(&body).unwrap_or_else(unreadable))
     }
-
-    async fn exchange(&self, request: Request<Body>) -> Result<(StatusCode, bytes::Bytes)> {
-        let unknown = |error: transport::Error| Error::Unknown(error.to_string());
-        let mut connection = self.pool.take(self.address).await.map_err(|error| match error {
-            transport::Error::Refused(_) => Error::Vacant,
-            _ => Error::Unreachable,
-        })?;
-        let response = connection.send(request).await.map_err(unknown)?;
-        let status = response.status();
-        let body = response.into_body().collect(ANSWER_LIMIT).await.map_err(unknown)?;
-        self.pool.give_back(self.address, connection);
-        Ok((status, body))
-    }
 }
 
 #[async_trait(?Send)]
--- a/crates/scheduler/tests/desk.rs
+++ b/crates/scheduler/tests/desk.rs
@@ -3,7 +3,7 @@
 use shallotflow_core::graph::{Id, Task};
 use shallotflow_core::name::Name;
 use shallotflow_core::time::Time;
-use shallotflow_policy::plan::message::{Feature, Lifetime, Reply, Run};
+use shallotflow_policy::plan::message::{Feature, Lifetime, Reply, Run, Traits};
 use shallotflow_scheduler::agent::desk::Desk;
 use shallotflow_scheduler::agent::{Error, Lists, Settings};
 use std::time::Duration;
@@ -80,10 +80,12 @@
     let feature = Feature {
         task: run().task,
         run: run().run,
-        image: Some("watch".into()),
-        millicores: 4_000,
-        fills: false,
-        target_ms: 50,
+        traits: Traits {
+            image: Some("watch".into()),
+            millicores: 4_000,
+            fills: false,
+            target_ms: 50,
+        },
     };
     desk.replied(Reply { features: vec![feature], ..reply(1, report.sequence) });
     let held = desk.running().values().next().expect("a run");
--- a/crates/scheduler/tests/path/world.rs
+++ b/crates/scheduler/tests/path/world.rs
@@ -9,9 +9,9 @@
 use shallotflow_core::name::Name;
 use shallotflow_core::resources::Bundle;
 use shallotflow_core::time::Time;
-use shallotflow_policy::plan::message::{Kind, Order, Outcome, Profile, Standing};
+use shallotflow_policy::plan::message::{Kind, Order, Outcome, Profile, Standing, Traits};
 use shallotflow_policy::plan::{self, Progress, Table};
-use shallotflow_scheduler::agent::desk::{Desk, Traits};
+use shallotflow_scheduler::agent::desk::Desk;
 use shallotflow_scheduler::agent::{self, Error};
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/soak/src/child.rs
+++ b/crates/soak/src/child.rs
@@ -3,13 +3,13 @@
 use anyhow::Context;
 use futures_channel::mpsc::UnboundedSender;
 use rustix::process::{Pid, Signal, kill_process};
+use shallotflow_runtime::clock::wall_us;
 use shallotflow_standin::runs::Fact;
 use std::fs::File;
 use std::io::{BufRead, BufReader};
 use std::path::{Path, PathBuf};
 use std::process::{Child as Process, Command, Stdio};
 use std::thread::JoinHandle;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 /// What a process says on its standard output, with the number of the worker.
 pub type Said = (usize, Fact);
@@ -98,7 +98,7 @@
         // Both fail only for a process that has ended.
         let _ = process.kill();
         let _ = process.wait();
-        let at = unix_us();
+        let at = wall_us();
         self.read_out();
         Some(at)
     }
@@ -130,9 +130,3 @@
         self.kill();
     }
 }
-
-/// The wall clock, microseconds since 1970.
-pub fn unix_us() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
-}
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -59,16 +59,10 @@
             .body(Body::from(body.to_owned()))
             .ok()?;
         let address = self.entries[entry % self.entries.len()];
-        let exchange = async {
-            let mut connection = self.pool.take(address).await.ok()?;
-            let response = connection.send(request).await.ok()?;
-            let status = response.status();
-            let not_run = response.headers().get(header::OUTCOME).is_some_and(|o| o == "not-run");
-            let body = response.into_body().collect(ANSWER_LIMIT).await.ok()?;
-            self.pool.give_back(address, connection);
-            Some((status, not_run, body))
-        };
-        monoio::time::timeout(LIMIT, exchange).await.ok().flatten()
+        let exchange = self.pool.exchange(address, request, ANSWER_LIMIT);
+        let answer = monoio::time::timeout(LIMIT, exchange).await.ok()?.ok()?;
+        let not_run = answer.headers().get(header::OUTCOME).is_some_and(|o| o == "not-run");
+        Some((answer.status(), not_run, answer.into_body()))
     }
 
     /// Hands a job in, at one entry after the other, until there is a certain answer.
--- a/crates/soak/src/run/soak.rs
+++ b/crates/soak/src/run/soak.rs
@@ -1,6 +1,6 @@
 use super::Summary;
 use super::due::Due;
-use crate::child::{Child, Said, unix_us};
+use crate::child::{Child, Said};
 use crate::fault::{Fault, Planned};
 use crate::floor::{ENTRIES, Floor};
 use crate::load::{self, Caller};
@@ -10,6 +10,7 @@
 use rand::rngs::SmallRng;
 use rustix::process::Signal;
 use shallotflow_core::graph::{Id, State};
+use shallotflow_runtime::clock::wall_us;
 use shallotflow_runtime::stop::{Level, Stop};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -155,7 +156,7 @@
             }
         }
         for (process, name, status) in ended {
-            self.gone(process, unix_us());
+            self.gone(process, wall_us());
             if !stopping.contains(&process) {
                 let broken = format!("{name} ended by itself: {status}");
                 self.summary.violations.insert(broken);
@@ -199,7 +200,7 @@
             },
             Due::Continue(process) => {
                 if let Some(paused) = self.paused.get_mut(&process) {
-                    paused.1 = unix_us();
+                    paused.1 = wall_us();
                 }
                 if let Some(child) = self.child(process) {
                     child.signal(Signal::CONT);
@@ -245,7 +246,7 @@
                 }
                 let still = u64::MAX - NOTICES_WITHIN;
                 let known = self.paused.get(&process).filter(|(_, until)| *until == still);
-                let from = known.map_or_else(unix_us, |(from, _)| *from);
+                let from = known.map_or_else(wall_us, |(from, _)| *from);
                 self.paused.insert(process, (from, still));
                 self.plan(over, Due::Continue(process));
             }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod target;
 pub mod worker;
 
+mod reply;
+
 use anyhow::Context;
 use event_listener::Event;
 use monoio::net::TcpListener;
--- a/crates/standin/src/runs/server.rs
+++ b/crates/standin/src/runs/server.rs
@@ -1,10 +1,10 @@
 use super::state::State;
 use super::{Facts, Result};
+use crate::reply::answer;
 use bytes::Bytes;
 use event_listener::Event;
 use futures_util::future::LocalBoxFuture;
-use http::{Request, Response, StatusCode};
-use serde::Serialize;
+use http::{Request, Response};
 use serde::de::DeserializeOwned;
 use shallotflow_core::settings::standin::Settings;
 use shallotflow_scheduler::agent::{Error, Lists};
@@ -86,14 +86,14 @@
             Pace::PATH => answer(parse(body).and_then(|call| self.state.borrow_mut().pace(&call))),
             Look::PATH => match parse(body) {
                 Ok(call) => answer(self.look(call).await),
-                Err(error) => answer::<()>(Err(error)),
+                Err(error) => answer::<(), _>(Err(error)),
             },
             Facts::PATH => {
                 answer(parse::<Facts>(body).map(|call| self.state.borrow().facts(call.after)))
             }
             _ => {
                 let refused = Error::Refused(format!("{path} is no call of this interface"));
-                answer::<()>(Err(refused))
+                answer::<(), _>(Err(refused))
             }
         }
     }
@@ -110,7 +110,7 @@
             let path = request.uri().path().to_owned();
             match request.into_body().collect(CALL_LIMIT).await {
                 Ok(body) => server.dispatch(&path, &body).await,
-                Err(error) => answer::<()>(Err(Error::Refused(error.to_string()))),
+                Err(error) => answer::<(), _>(Err(Error::Refused(error.to_string()))),
             }
         })
     }
@@ -119,17 +119,3 @@
 fn parse<T: DeserializeOwned>(body: &Bytes) -> Result<T> {
     serde_json::from_slice(body).map_err(|error| Error::Refused(error.to_string()))
 }
-
-fn answer<T: Serialize>(result: Result<T>) -> Response<Body> {
-    let (status, text) = match &result {
-        Ok(reply) => (StatusCode::OK, serde_json::to_vec(reply)),
-        Err(error) => (StatusCode::CONFLICT, serde_json::to_vec(error)),
-    };
-    let (status, body) = match text {
-        Ok(text) => (status, Body::Full(text.into())),
-        Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, Body::from(error.to_string())),
-    };
-    let mut response = Response::new(body);
-    *response.status_mut() = status;
-    response
-}
--- a/crates/standin/src/runs/state.rs
+++ b/crates/standin/src/runs/state.rs
@@ -4,10 +4,10 @@
 use shallotflow_core::settings::standin::Settings;
 use shallotflow_core::time::{Clock as _, Monotonic, Time};
 use shallotflow_policy::plan::message::{End, How, Lifetime, Profile, Standing};
+use shallotflow_runtime::clock::{wall_ms, wall_us};
 use shallotflow_scheduler::agent::{Error, Lists};
 use shallotflow_scheduler::runs::{Clock, Look, Pace, Start, Stop};
 use std::collections::{BTreeMap, VecDeque};
-use std::time::{SystemTime, UNIX_EPOCH};
 
 /// Most ends in one answer.
 const ENDS_PER_ANSWER: usize = 500;
@@ -40,7 +40,7 @@
 
 impl State {
     pub(super) fn new(settings: &Settings) -> Self {
-        let lifetime = Lifetime { id: settings.worker.clone(), born_ms: unix_us() / 1_000 };
+        let lifetime = Lifetime { id: settings.worker.clone(), born_ms: wall_ms() };
         Self {
             profile: Profile {
                 lifetime,
@@ -131,7 +131,7 @@
     fn note(&mut self, task: Task, run: u32, epoch: u64, what: What, at: Time) {
         self.last_fact += 1;
         let past = Monotonic.now().since(at).as_micros();
-        let unix_us = unix_us().saturating_sub(u64::try_from(past).unwrap_or(u64::MAX));
+        let unix_us = wall_us().saturating_sub(u64::try_from(past).unwrap_or(u64::MAX));
         let fact = Fact { number: self.last_fact, unix_us, task, run, epoch, what };
         if self.print {
             // Fails for no fact: all its keys are strings.
@@ -230,8 +230,3 @@
         (self.profile.lifetime.born_ms, self.facts.iter().filter(known).cloned().collect())
     }
 }
-
-fn unix_us() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
-}
--- a/crates/standin/src/worker/serve.rs
+++ b/crates/standin/src/worker/serve.rs
@@ -1,10 +1,10 @@
 //! The control interface over HTTP.
 
 use super::{Floor, Result};
+use crate::reply::{answer, status};
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 use http::{Request, Response, StatusCode};
-use serde::Serialize;
 use serde::de::DeserializeOwned;
 use shallotflow_wire::control::{self, Call, Fault};
 use shallotflow_wire::http::body::Body;
@@ -36,7 +36,7 @@
             let path = request.uri().path().to_owned();
             match request.into_body().collect(MAX_CALL_BYTES).await {
                 Ok(body) => dispatch(&floor, &path, &body).await,
-                Err(error) => answer::<()>(Err(malformed(&error))),
+                Err(error) => answer::<(), _>(Err(malformed(&error))),
             }
         })
     }
@@ -54,7 +54,7 @@
         control::Usage::PATH => answer(parse(body).and_then(|call| floor.usage(&call))),
         control::List::PATH => match parse(body) {
             Ok(call) => answer(floor.list(&call).await),
-            Err(fault) => answer::<()>(Err(fault)),
+            Err(fault) => answer::<(), _>(Err(fault)),
         },
         _ => status(StatusCode::NOT_FOUND, Body::Empty),
     }
@@ -67,23 +67,3 @@
 fn malformed(error: &dyn std::error::Error) -> Fault {
     Fault::Malformed { detail: error.to_string() }
 }
-
-fn answer<T: Serialize>(result: Result<T>) -> Response<Body> {
-    match result {
-        Ok(reply) => json(StatusCode::OK, &reply),
-        Err(fault) => json(StatusCode::CONFLICT, &fault),
-    }
-}
-
-fn json<T: Serialize>(code: StatusCode, value: &T) -> Response<Body> {
-    match serde_json::to_vec(value) {
-        Ok(text) => status(code, Body::Full(text.into())),
-        Err(error) => status(StatusCode::INTERNAL_SERVER_ERROR, Body::from(error.to_string())),
-    }
-}
-
-fn status(code: StatusCode, body: Body) -> Response<Body> {
-    let mut response = Response::new(body);
-    *response.status_mut() = code;
-    response
-}
--- a/crates/wire/src/http/pool.rs
+++ b/crates/wire/src/http/pool.rs
@@ -1,9 +1,12 @@
 //! Idle connections kept for reuse, by address.
 
+use super::body::Body;
 use super::client::Connection;
 use super::limits::Limits;
 use super::{Error, Result};
+use bytes::Bytes;
 use foldhash::{HashMap, HashMapExt};
+use http::{Request, Response};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -58,6 +61,25 @@
         }
     }
 
+    /// Sends `request` to `address` and reads the whole response, whose body has at most `most`
+    /// bytes.
+    ///
+    /// # Errors
+    ///
+    /// [`Pool::not_sent`] says whether the peer may have received the request.
+    pub async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: Request<Body>,
+        most: usize,
+    ) -> Result<Response<Bytes>> {
+        let mut connection = self.take(address).await?;
+        let (head, body) = connection.send(request).await?.into_parts();
+        let body = body.collect(most).await?;
+        self.give_back(address, connection);
+        Ok(Response::from_parts(head, body))
+    }
+
     /// Closes the idle connections to `address`.
     pub fn forget(&self, address: SocketAddr) {
         self.idle.borrow_mut().remove(&address);
