--- a/crates/policy/src/disturbance/rates.rs
+++ b/crates/policy/src/disturbance/rates.rs
@@ -58,8 +58,13 @@
     }
 
     /// Expected measurement of `victim` next to neighbors with their shares of the worker.
-    pub fn expected(&self, victim: &str, neighbors: &[(Name, f64)]) -> f64 {
-        let added = neighbors.iter().map(|(name, share)| self.added(victim, name) * share);
+    pub fn expected<'a>(
+        &self,
+        victim: &str,
+        neighbors: impl IntoIterator<Item = (&'a Name, f64)>,
+    ) -> f64 {
+        let neighbors = neighbors.into_iter();
+        let added = neighbors.map(|(name, share)| self.added(victim, name) * share);
         self.base(victim) + added.sum::<f64>()
     }
 
@@ -83,7 +88,8 @@
         if !measurement.is_finite() || measurement < 0.0 {
             return;
         }
-        let error = measurement.min(MAX_MEASUREMENT) - self.expected(victim, neighbors);
+        let error = measurement.min(MAX_MEASUREMENT)
+            - self.expected(victim, neighbors.iter().map(|(name, share)| (name, *share)));
         let scaled = |share: f64| share / TYPICAL_SHARE;
         let norm = 1.0 + neighbors.iter().map(|(_, share)| scaled(*share).powi(2)).sum::<f64>();
         let base = self.base(victim) + BASE_LEARNING_RATE * error / norm;
--- a/crates/policy/src/plan/accept.rs
+++ b/crates/policy/src/plan/accept.rs
@@ -1,5 +1,6 @@
 //! Accepts, loads and cancels jobs.
 
+use super::timers::Timer;
 use super::{Job, Phase, Progress, Table};
 use shallotflow_core::graph::{self, Id, State};
 use shallotflow_core::time::Time;
@@ -39,10 +40,11 @@
             job.restore(progress);
             job.started = progress.state != State::Queued;
         }
-        job.recount_remaining();
+        job.recount();
         let ended = job.ended;
         if ended.is_some() {
             job.forget_at = now.after(self.settings.retention);
+            self.timers.push(job.forget_at, Timer::Forget(id));
         } else {
             self.active.insert(id);
         }
@@ -51,6 +53,7 @@
         if ended.is_none() && done {
             self.end_job(id, State::Completed, "every task is done", now);
         }
+        self.update_ready(id, now);
         true
     }
 
--- a/crates/policy/src/plan/expire.rs
+++ b/crates/policy/src/plan/expire.rs
@@ -1,7 +1,8 @@
 //! Acts on expired deadlines.
 
+use super::timers::Timer;
 use super::{Event, Phase, Table};
-use shallotflow_core::graph::Id;
+use shallotflow_core::graph::{Id, Task};
 use shallotflow_core::name::Name;
 use shallotflow_core::time::Time;
 
@@ -10,63 +11,68 @@
     /// 1970. Returns the jobs that were removed, to be deleted from the store.
     pub fn expire(&mut self, now: Time, wall_ms: u64) -> Vec<Id> {
         self.wall_ms = wall_ms;
-        self.expire_workers(now);
-        self.expire_runs(now);
-        self.settle_uncertain(now);
-        let forgotten: Vec<Id> = self
-            .jobs
-            .values()
-            .filter(|job| job.forget_at.passed(now) && job.recorded == job.version)
-            .map(|job| job.id)
-            .collect();
-        for id in &forgotten {
-            self.jobs.remove(id);
+        let mut forgotten = Vec::new();
+        while let Some(timer) = self.timers.pop(now) {
+            match timer {
+                Timer::Run(task) => self.expire_run(task, now),
+                Timer::Urgency(id) => self.expire_urgency(id, now),
+                Timer::Forget(id) => forgotten.extend(self.forget(id, now)),
+                Timer::Worker(agent) => self.expire_worker(&agent, now),
+            }
         }
+        self.settle_uncertain(now);
         forgotten
     }
 
-    fn expire_workers(&mut self, now: Time) {
-        let expired: Vec<Name> = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| worker.synced && worker.empty_at.passed(now))
-            .map(|(agent, _)| agent.clone())
-            .collect();
-        for agent in expired {
-            self.lose_runs(&agent, "its agent did not report for the length of a lease", now);
-            // The worker stays in the table: when its agent returns, the process continues its
-            // numbering of orders and ends.
-            if let Some(worker) = self.workers.get_mut(&agent) {
-                worker.synced = false;
-                worker.outbox.clear();
-            }
+    fn expire_worker(&mut self, agent: &Name, now: Time) {
+        let Some(worker) = self.workers.get(agent).filter(|worker| worker.synced) else { return };
+        if !worker.empty_at.passed(now) {
+            return self.timers.push(worker.empty_at, Timer::Worker(agent.clone()));
+        }
+        self.lose_runs(agent, "its agent did not report for the length of a lease", now);
+        // The worker stays in the table: when its agent returns, the process continues its
+        // numbering of orders and ends.
+        if let Some(worker) = self.workers.get_mut(agent) {
+            worker.synced = false;
+            worker.outbox.clear();
         }
+        self.update_worker_lists(agent);
     }
 
-    fn expire_runs(&mut self, now: Time) {
-        let mut overdue = Vec::new();
-        for id in &self.active {
-            let Some(job) = self.jobs.get(id) else { continue };
-            for (position, state) in job.tasks.iter().enumerate() {
-                let reason = match &state.phase {
-                    Phase::Starting { withdraw_at, .. } if withdraw_at.passed(now) => {
-                        "its start was not answered"
-                    }
-                    Phase::Running { .. } if state.stalls_at.passed(now) => {
-                        let task = job.task(position);
-                        if job.step(&task).long_running {
-                            continue;
-                        }
-                        "it makes no progress"
-                    }
-                    _ => continue,
-                };
-                overdue.push((job.task(position), reason));
+    fn expire_run(&mut self, task: Task, now: Time) {
+        let Some(job) = self.jobs.get(&task.job).filter(|job| job.ended.is_none()) else { return };
+        let Some(position) = job.position(&task) else { return };
+        let state = &job.tasks[position];
+        let (deadline, reason) = match &state.phase {
+            Phase::Starting { withdraw_at, .. } => (*withdraw_at, "its start was not answered"),
+            Phase::Running { .. } if !job.step(&task).long_running => {
+                (state.stalls_at, "it makes no progress")
             }
-        }
-        for (task, reason) in overdue {
+            _ => return,
+        };
+        if deadline.passed(now) {
             self.stop_run(task, reason);
+        } else {
+            self.timers.push(deadline, Timer::Run(task));
+        }
+    }
+
+    fn expire_urgency(&mut self, id: Id, now: Time) {
+        self.update_ready(id, now);
+        let queued = self.jobs.get(&id).filter(|job| job.queued.is_some());
+        let Some(next) = queued.map(|job| job.urgency_changes_at(now)) else { return };
+        self.timers.push(next, Timer::Urgency(id));
+    }
+
+    /// Removes an ended job once its end is recorded.
+    fn forget(&mut self, id: Id, now: Time) -> Option<Id> {
+        let job = self.jobs.get(&id)?;
+        if job.recorded < job.version || !job.forget_at.passed(now) {
+            let again = job.forget_at.max(now.after(self.settings.record_delay));
+            self.timers.push(again, Timer::Forget(id));
+            return None;
         }
+        self.jobs.remove(&id).map(|job| job.id)
     }
 
     /// Makes uncertain tasks wait once every agent has reported or its leases have ended: a task that
@@ -78,12 +84,18 @@
         self.uncertain = false;
         let missing = self.missing.len();
         self.missing.clear();
+        self.holders_version += 1;
         let mut tasks = 0;
-        for job in self.jobs.values_mut() {
-            for state in job.tasks.iter_mut().filter(|state| state.phase == Phase::Uncertain) {
-                state.phase = Phase::Waiting;
-                tasks += 1;
+        let active: Vec<Id> = self.active.iter().copied().collect();
+        for id in active {
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            for position in 0..job.tasks.len() {
+                if job.tasks[position].phase == Phase::Uncertain {
+                    job.set_phase(position, Phase::Waiting);
+                    tasks += 1;
+                }
             }
+            self.update_ready(id, now);
         }
         self.events.push(Event::Settled { tasks, missing });
     }
--- a/crates/policy/src/plan/job.rs
+++ b/crates/policy/src/plan/job.rs
@@ -1,6 +1,9 @@
+use super::urgency::Urgency;
 use super::{Phase, TaskState};
 use shallotflow_core::graph::{self, Id, Queue, Spec, State, Step, Task};
+use shallotflow_core::name::Name;
 use shallotflow_core::time::Time;
+use std::collections::BTreeSet;
 
 /// A job in the owner's table, with the state of its tasks.
 #[derive(Clone, Debug)]
@@ -37,6 +40,12 @@
     pub(super) ended_version: u64,
     /// Whether no predecessor can have known the job.
     pub(super) fresh: bool,
+    /// Number of waiting tasks, by repetition and step.
+    pub(super) waiting: Vec<u32>,
+    /// Position of the job in the table's order, while tasks of open steps wait.
+    pub(super) queued: Option<Urgency>,
+    /// Agents with ends that are confirmed once a later version of the job is recorded.
+    pub(super) ending: BTreeSet<Name>,
     /// Offset of each step's tasks within a repetition, then the number of tasks in a repetition.
     offsets: Vec<u32>,
 }
@@ -54,6 +63,7 @@
         let occurrences = job.spec.occurrences();
         let counts = job.spec.steps.iter().map(|step| step.count);
         let remaining: Vec<u32> = (0..occurrences).flat_map(|_| counts.clone()).collect();
+        let waiting = remaining.clone();
         let states = vec![TaskState::default(); tasks as usize * occurrences as usize];
         Self {
             id,
@@ -72,6 +82,9 @@
             started_version: 0,
             ended_version: 0,
             fresh: false,
+            waiting,
+            queued: None,
+            ending: BTreeSet::new(),
             offsets,
         }
     }
@@ -121,26 +134,51 @@
             .all(|after| self.remaining[base + usize::from(*after)] == 0)
     }
 
-    /// Decrements the number of remaining tasks in the step of `task`.
-    pub(super) fn count_done(&mut self, task: &Task) {
-        let slot = task.occurrence as usize * self.spec.steps.len() + usize::from(task.step);
-        self.remaining[slot] = self.remaining[slot].saturating_sub(1);
+    /// Changes the phase of the task at `position`, and the counts that depend on it.
+    pub(super) fn set_phase(&mut self, position: usize, phase: Phase) {
+        let task = self.task(position);
+        let slot = self.slot(task.occurrence, usize::from(task.step));
+        let former = std::mem::replace(&mut self.tasks[position].phase, phase);
+        let phase = &self.tasks[position].phase;
+        let count = |phase: &Phase, counted: Phase| u32::from(*phase == counted);
+        self.waiting[slot] -= count(&former, Phase::Waiting);
+        self.waiting[slot] += count(phase, Phase::Waiting);
+        self.remaining[slot] += count(&former, Phase::Done);
+        self.remaining[slot] -= count(phase, Phase::Done);
     }
 
-    /// Recomputes the numbers of remaining tasks after the task states were restored.
-    pub(super) fn recount_remaining(&mut self) {
+    /// Recomputes the numbers of remaining and of waiting tasks after the task states were restored.
+    pub(super) fn recount(&mut self) {
         let steps = self.spec.steps.len();
         for slot in 0..self.remaining.len() {
             let occurrence = u32::try_from(slot / steps).unwrap_or(u32::MAX);
             let states = &self.tasks[self.range(occurrence, slot % steps)];
-            let remaining = states.iter().filter(|state| state.phase != Phase::Done).count();
-            self.remaining[slot] = u32::try_from(remaining).unwrap_or(u32::MAX);
+            let count = |counted: &dyn Fn(&Phase) -> bool| {
+                let count = states.iter().filter(|state| counted(&state.phase)).count();
+                u32::try_from(count).unwrap_or(u32::MAX)
+            };
+            self.remaining[slot] = count(&|phase| *phase != Phase::Done);
+            self.waiting[slot] = count(&|phase| *phase == Phase::Waiting);
         }
     }
 
-    /// Returns whether any task is waiting and may be tried at `now`; its step may still be closed.
-    pub(super) fn may_place(&self, now: Time) -> bool {
-        self.tasks.iter().any(|state| state.phase == Phase::Waiting && state.retry_at.passed(now))
+    /// Returns the number of waiting tasks of `step` in the repetition `occurrence`.
+    pub(super) fn waiting_tasks(&self, occurrence: u32, step: usize) -> u32 {
+        self.waiting[self.slot(occurrence, step)]
+    }
+
+    /// Returns whether any task of an open step is waiting; it may not be due yet.
+    pub(super) fn has_open_tasks(&self) -> bool {
+        let steps = self.spec.steps.len();
+        self.waiting.iter().enumerate().any(|(slot, waiting)| {
+            let occurrence = u32::try_from(slot / steps).unwrap_or(u32::MAX);
+            *waiting > 0 && self.is_open(occurrence, slot % steps)
+        })
+    }
+
+    /// Returns the position of a step in `remaining` and `waiting`.
+    fn slot(&self, occurrence: u32, step: usize) -> usize {
+        occurrence as usize * self.spec.steps.len() + step
     }
 
     /// Returns whether all tasks are done.
--- /dev/null
+++ b/crates/policy/src/plan/load.rs
@@ -0,0 +1,112 @@
+use super::Settings;
+use super::worker::Placed;
+use shallotflow_core::name::Name;
+use shallotflow_core::resources::Bundle;
+use std::collections::BTreeMap;
+
+/// Cost of each serving task of another image at a worker.
+const OTHER_IMAGE_COST: f64 = 0.05;
+/// Gain of each serving task of the same image at a worker.
+const SAME_IMAGE_GAIN: f64 = 0.1;
+/// Gain of a worker with fully used processors over an idle one.
+const FULL_WORKER_GAIN: f64 = 1.0;
+
+/// What the runs of a worker reserve and are expected to use, kept up to date with each run.
+///
+/// Sums are integers, so that adding and removing a run leaves no rounding error behind.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(super) struct Load {
+    reserved: Bundle,
+    /// Processors that serving tasks request, thousandths of a processor.
+    serving_millicores: u64,
+    /// Processors that other tasks request, thousandths of a processor.
+    other_millicores: u64,
+    /// Number of serving tasks by image.
+    pub(super) serving: BTreeMap<Name, u32>,
+    /// Number of best-effort tasks by image, and the processors that they request in sum.
+    best_effort: BTreeMap<Name, (u32, u64)>,
+}
+
+impl Load {
+    /// Adds a run.
+    pub(super) fn add(&mut self, placed: &Placed) {
+        let demand = placed.demand();
+        let millicores = u64::from(placed.need.millicores);
+        self.reserved = self.reserved.plus(&demand.reserved());
+        *self.millicores(demand.serving) += millicores;
+        if demand.best_effort {
+            let (runs, sum) = self.best_effort.entry(placed.image_name()).or_default();
+            (*runs, *sum) = (*runs + 1, *sum + millicores);
+        } else if demand.serving {
+            *self.serving.entry(placed.image_name()).or_default() += 1;
+        }
+    }
+
+    /// Removes a run that was added before.
+    pub(super) fn remove(&mut self, placed: &Placed) {
+        let demand = placed.demand();
+        let millicores = u64::from(placed.need.millicores);
+        self.reserved = self.reserved.minus(&demand.reserved());
+        *self.millicores(demand.serving) -= millicores;
+        let image = placed.image_name();
+        if demand.best_effort {
+            if let Some((runs, sum)) = self.best_effort.get_mut(&image) {
+                (*runs, *sum) = (*runs - 1, *sum - millicores);
+                if *runs == 0 {
+                    self.best_effort.remove(&image);
+                }
+            }
+        } else if demand.serving
+            && let Some(runs) = self.serving.get_mut(&image)
+        {
+            *runs -= 1;
+            if *runs == 0 {
+                self.serving.remove(&image);
+            }
+        }
+    }
+
+    fn millicores(&mut self, serving: bool) -> &mut u64 {
+        if serving { &mut self.serving_millicores } else { &mut self.other_millicores }
+    }
+
+    /// Returns what is left of `capacity`.
+    pub(super) fn free(&self, capacity: &Bundle) -> Bundle {
+        capacity.minus(&self.reserved)
+    }
+
+    /// Returns whether any best-effort task runs.
+    pub(super) fn has_best_effort(&self) -> bool {
+        !self.best_effort.is_empty()
+    }
+
+    /// Returns the images of best-effort tasks, with their shares of the processors.
+    pub(super) fn best_effort(&self, capacity: Bundle) -> impl Iterator<Item = (&Name, f64)> {
+        self.best_effort.iter().map(move |(image, (_, sum))| {
+            #[allow(clippy::cast_precision_loss)]
+            let share = *sum as f64 / f64::from(capacity.millicores.max(1));
+            (image, share)
+        })
+    }
+
+    /// Returns the expected processor use with `extra` thousandths of a processor added, as a share of
+    /// the capacity.
+    #[allow(clippy::cast_precision_loss)]
+    pub(super) fn pressure(&self, extra: f64, capacity: &Bundle, settings: &Settings) -> f64 {
+        let serving = self.serving_millicores as f64 * settings.serving_use;
+        let used = self.other_millicores as f64 + serving;
+        (used + extra) / f64::from(capacity.millicores.max(1))
+    }
+
+    /// Returns the score of the worker for a serving task of `image`; lower is better.
+    ///
+    /// A best-effort task disturbs some images much and others little. Serving tasks are packed, by
+    /// image where possible, so that other workers stay free for best-effort tasks.
+    pub(super) fn serving_cost(&self, image: Option<&Name>, pressure: f64) -> f64 {
+        let same = image.and_then(|image| self.serving.get(image)).copied().unwrap_or(0);
+        let others = self.serving.values().sum::<u32>() - same;
+        OTHER_IMAGE_COST * f64::from(others)
+            - SAME_IMAGE_GAIN * f64::from(same)
+            - FULL_WORKER_GAIN * pressure
+    }
+}
--- a/crates/policy/src/plan/mod.rs
+++ b/crates/policy/src/plan/mod.rs
@@ -9,9 +9,14 @@
 //! - [`Progress`]: the stored progress of a job that has started.
 //! - [`Sizes`]: the largest observed workers, to reject jobs that fit none.
 //! - [`Event`]: decisions and observations, for the log.
+//! - [`Mismatch`]: a difference between state that is kept up to date and its source, for tests.
 //! - `accept`, `report`, `expire`, `disturbance`, `place`, `record`, `urgency`: the operations on the
 //!   table.
 //!
+//! The cost of an operation depends on what it changes, not on what the table holds: the jobs with
+//! waiting tasks are kept in order, each worker's load is a sum over its runs, the workers are kept
+//! in lists by load, and deadlines are kept in a heap.
+//!
 //! A start is not recorded before it is ordered. Instead, workers fence older owners, number their
 //! runs, and list active runs, and ended runs until the end is confirmed as recorded. A new owner
 //! learns from these lists what its predecessor started. A task that may still run at a worker whose
@@ -19,24 +24,31 @@
 //! have ended.
 
 mod accept;
+mod audit;
+mod changes;
 mod demand;
 mod disturbance;
 mod event;
 mod expire;
-mod headroom;
 mod job;
+mod load;
 pub mod message;
 mod place;
 mod progress;
+mod ranking;
 mod record;
+mod refusals;
 mod report;
+mod search;
 mod settings;
 mod sizes;
 mod table;
 mod task_state;
+mod timers;
 mod urgency;
 mod worker;
 
+pub use audit::Mismatch;
 pub use event::Event;
 pub use job::Job;
 pub use progress::Progress;
--- a/crates/policy/src/plan/place.rs
+++ b/crates/policy/src/plan/place.rs
@@ -4,29 +4,19 @@
 //! counting the task itself, among the workers with enough free resources. A best-effort task is
 //! placed only on a worker whose processors are not fully committed: beyond that, each further task
 //! would slow down all tasks on the worker.
+//!
+//! A pass runs only after a change that can let a task start, and at a fixed interval for what
+//! changes with time alone.
 
 use super::demand::Demand;
-use super::headroom::{Headroom, Headrooms};
-use super::message::{Kind, Profile, Traits};
-use super::urgency::Urgency;
-use super::{Event, Phase, Table};
-use shallotflow_core::graph::{Id, Step, Task};
+use super::message::{Kind, Traits};
+use super::search::{Outcome, Pass, Search};
+use super::timers::Timer;
+use super::{Event, Phase, Table, TaskState};
+use shallotflow_core::graph::{Id, Task};
 use shallotflow_core::name::Name;
 use shallotflow_core::time::Time;
-
-/// Added to the score of the worker where the task failed last, so that any other goes first.
-const FAILED_WORKER_PENALTY: f64 = 10.0;
-/// Added to the score of an ejected worker; higher than any other score.
-const EJECTED_PENALTY: f64 = 100.0;
-
-/// Weight of the expected excess of a serving task over its target, relative to processor use.
-const DISTURBANCE_WEIGHT: f64 = 2.0;
-/// Expected tail latency of a serving task above which disturbance counts, as a share of its target.
-/// The remaining share covers the swings of its load.
-const DISTURBANCE_THRESHOLD: f64 = 0.65;
-
-/// Expected excess over a target that is within the error of the estimate, as a share of the target.
-const TOLERATED_EXCESS: f64 = 0.05;
+use std::collections::BTreeSet;
 
 /// The worker selected for a task, and its expected processor use.
 struct Placement {
@@ -38,192 +28,126 @@
 impl Table {
     /// Starts the tasks that can start at `now`, only at agents in `holders`: the store lists these as
     /// possible holders of runs, and a successor waits for them.
-    pub fn place(&mut self, now: Time, holders: &[Name]) {
-        let mut headrooms = self.headrooms(now);
-        headrooms.retain(|agent, _| holders.contains(agent));
-        if headrooms.is_empty() {
+    pub fn place(&mut self, now: Time, holders: &BTreeSet<Name>) {
+        let periodic = self.search_again_at.passed(now);
+        if periodic {
+            self.refusals.clear();
+            self.search_again_at = now.after(self.settings.search_interval);
+        }
+        if !periodic && !self.may_start {
             return;
         }
-        let mut order: Vec<(Urgency, Id)> = self
-            .active
-            .iter()
-            .filter_map(|id| self.jobs.get(id))
-            .filter(|job| job.may_place(now))
-            .map(|job| (job.urgency(now), job.id))
-            .collect();
-        order.sort_unstable();
-        for (_, id) in order {
-            for placement in self.placements(id, &mut headrooms, now) {
-                self.start(placement, now);
-            }
+        let order: Vec<Id> = self.ready.iter().map(|(_, id)| *id).collect();
+        for id in order {
+            self.place_job(id, now, holders);
         }
+        self.may_start = false;
     }
 
-    fn headrooms(&self, now: Time) -> Headrooms {
-        let headroom = |(agent, worker): (&Name, &super::Worker)| {
-            if !worker.accepts_tasks(now, self.settings.report_timeout) {
-                return None;
-            }
-            let capacity = worker.profile.as_ref()?.capacity;
-            Some((agent.clone(), Headroom::of(worker, capacity, &self.settings)))
-        };
-        self.workers.iter().filter_map(headroom).collect()
+    /// Makes the next call of [`place`](Self::place) search for all waiting tasks, because its list
+    /// of agents has changed.
+    pub fn search_again(&mut self) {
+        self.search_again_at = Time::ZERO;
     }
 
-    /// Selects workers for the waiting tasks of a job while resources are free; a gang is placed as a
-    /// whole.
-    fn placements(&self, id: Id, headrooms: &mut Headrooms, now: Time) -> Vec<Placement> {
-        let Some(job) = self.jobs.get(&id) else { return Vec::new() };
-        let mut placements = Vec::new();
-        for occurrence in 0..job.spec.occurrences() {
-            if job.spec.due_ms(occurrence) > self.wall_ms {
-                break;
-            }
-            for (number, step) in job.spec.steps.iter().enumerate() {
-                if !job.is_open(occurrence, number) {
-                    continue;
-                }
-                let range = job.range(occurrence, number);
-                let is_waiting = |state: &super::TaskState| {
-                    state.phase == Phase::Waiting && state.retry_at.passed(now)
-                };
-                let waiting: Vec<usize> =
-                    range.clone().filter(|position| is_waiting(&job.tasks[*position])).collect();
-                if waiting.is_empty() || (step.gang && waiting.len() < range.len()) {
-                    continue;
-                }
-                let mut trial = step.gang.then(|| headrooms.clone());
-                let available = trial.as_mut().unwrap_or(headrooms);
-                let mut found = Vec::new();
-                for position in waiting {
-                    let task = job.task(position);
-                    let Some((agent, pressure)) =
-                        self.choose_worker(&task, step, job, &found, available, now)
-                    else {
-                        break;
-                    };
-                    if let Some(headroom) = available.get_mut(&agent) {
-                        let demand = Demand::of(step);
-                        headroom.used += demand.expected_use(self.settings.serving_use);
-                        headroom.add_run(step.image.as_ref(), demand);
-                    }
-                    found.push(Placement { task, agent, pressure });
+    /// Starts the tasks of a job that are due, whose step is open and for which there is room.
+    fn place_job(&mut self, id: Id, now: Time, holders: &BTreeSet<Name>) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let (steps, occurrences) = (job.spec.steps.len(), job.spec.occurrences());
+        let mut started = false;
+        'due: for occurrence in 0..occurrences {
+            for step in 0..steps {
+                let Some(job) = self.jobs.get(&id) else { return };
+                if job.spec.due_ms(occurrence) > self.wall_ms {
+                    break 'due;
                 }
-                if let Some(trial) = trial {
-                    if found.len() < range.len() {
-                        continue;
-                    }
-                    *headrooms = trial;
+                if job.waiting_tasks(occurrence, step) > 0 && job.is_open(occurrence, step) {
+                    started |= self.place_step(id, occurrence, step, now, holders);
                 }
-                placements.extend(found);
             }
         }
-        placements
+        if started {
+            self.update_ready(id, now);
+        }
     }
 
-    /// Returns the best worker for `task` and its expected processor use, including the task.
-    fn choose_worker(
-        &self,
-        task: &Task,
-        step: &Step,
-        job: &super::Job,
-        found: &[Placement],
-        headrooms: &Headrooms,
+    /// Starts the waiting tasks of a step while there is room; a gang is placed as a whole. Returns
+    /// whether any task was started.
+    fn place_step(
+        &mut self,
+        id: Id,
+        occurrence: u32,
+        number: usize,
         now: Time,
-    ) -> Option<(Name, f64)> {
-        let state = &job.tasks[job.position(task)?];
-        let demand = Demand::of(step);
-        let need = demand.reserved();
-        let waited_long = state.ready_since.after(self.settings.disturbance_wait).passed(now);
-        let mut best: Option<(f64, &Name, f64)> = None;
-        for (agent, headroom) in headrooms {
-            if !headroom.free.holds(&need) {
-                continue;
-            }
-            let worker = self.workers.get(agent)?;
-            let Some(profile) = &worker.profile else { continue };
-            if !self.is_eligible(profile, step, job) {
-                continue;
-            }
-            if step.per_worker > 0 {
-                let same = |other: &&Task| {
-                    other.job == task.job
-                        && other.step == task.step
-                        && other.occurrence == task.occurrence
-                };
-                let here = worker.placed.keys().filter(same).count();
-                let planned = found.iter().filter(|placement| placement.agent == *agent);
-                let planned = planned.map(|placement| &placement.task).filter(same).count();
-                if here + planned >= step.per_worker as usize {
-                    continue;
-                }
-            }
-            let pressure = headroom.pressure(demand.expected_use(self.settings.serving_use));
-            if step.best_effort
-                && pressure > self.settings.best_effort_limit
-                && !headroom.best_effort.is_empty()
-            {
-                continue;
-            }
-            let mut score = if step.target_ms > 0 {
-                headroom.serving_cost(step.image.as_ref())
-            } else if step.best_effort {
-                let share = headroom.share(step.need);
-                let excess = self.target_excess(headroom, step.image.as_ref(), share);
-                // A missed target costs a serving task more than a best-effort task gains.
-                if excess > TOLERATED_EXCESS && !waited_long {
-                    continue;
+        holders: &BTreeSet<Name>,
+    ) -> bool {
+        let Some(job) = self.jobs.get(&id) else { return false };
+        let step = &job.spec.steps[number];
+        let (gang, per_worker, same_rack) = (step.gang, step.per_worker, step.same_rack);
+        let service = &job.queue.service;
+        let need = Demand::of(step).reserved();
+        if self.refusals.is_full(service, step, &need) {
+            return false;
+        }
+        let range = job.range(occurrence, number);
+        let is_waiting =
+            |state: &TaskState| state.phase == Phase::Waiting && state.retry_at.passed(now);
+        let waiting: Vec<usize> =
+            range.clone().filter(|position| is_waiting(&job.tasks[*position])).collect();
+        if waiting.is_empty() || (gang && waiting.len() < range.len()) {
+            return false;
+        }
+        let patient = job.tasks[waiting[0]].ready_since.after(self.settings.disturbance_wait);
+        if step.best_effort && !patient.passed(now) && self.refusals.is_disturbing(service, step) {
+            return false;
+        }
+        let mut found: Vec<Placement> = Vec::new();
+        let mut racks: Vec<Option<Name>> = Vec::new();
+        for position in waiting {
+            let Some(job) = self.jobs.get(&id) else { return false };
+            let pass = Pass { now, holders, racks: &racks };
+            let (agent, pressure) = match Search::new(self, pass, job, position).run() {
+                Outcome::Worker { agent, pressure, .. } => (agent, pressure),
+                outcome => {
+                    // A limit for each worker can also be the reason, which is not remembered.
+                    let step = &job.spec.steps[number];
+                    match outcome {
+                        Outcome::Full if per_worker == 0 => {
+                            self.refusals.push_full(&job.queue.service, step, need);
+                        }
+                        Outcome::Disturbing => {
+                            self.refusals.push_disturbing(&job.queue.service, step);
+                        }
+                        _ => {}
+                    }
+                    break;
                 }
-                pressure + DISTURBANCE_WEIGHT * excess
-            } else {
-                pressure
             };
-            let remote = step.data_rack.is_some() && step.data_rack != profile.rack;
-            if remote {
-                score *= self.settings.spread_factor;
-            }
-            if step.same_rack {
-                let other_rack = |placement: &&Placement| {
-                    let rack = self.workers.get(&placement.agent).and_then(|w| w.profile.as_ref());
-                    rack.is_some_and(|other| other.rack != profile.rack)
-                };
-                if found.iter().any(|placement| other_rack(&placement)) {
-                    score += self.settings.spread_factor;
+            let task = job.task(position);
+            if same_rack {
+                let profile = self.workers.get(&agent).and_then(|worker| worker.profile.as_ref());
+                let rack = profile.and_then(|profile| profile.rack.clone());
+                if !racks.contains(&rack) {
+                    racks.push(rack);
                 }
             }
-            if state.failed_at.as_ref() == Some(agent) {
-                score += FAILED_WORKER_PENALTY;
-            }
-            if !worker.ejected_until.passed(now) {
-                score += EJECTED_PENALTY;
-            }
-            if best.is_none_or(|(lowest, ..)| score < lowest) {
-                best = Some((score, agent, pressure));
+            self.occupy(&agent, task);
+            found.push(Placement { task, agent, pressure });
+        }
+        if gang && found.len() < range.len() {
+            for Placement { task, agent, .. } in found {
+                self.vacate(&agent, &task);
             }
+            return false;
         }
-        let (score, agent, pressure) = best?;
-        // Waiting for a full worker is better than starting on an ejected one.
-        (score < EJECTED_PENALTY).then(|| (agent.clone(), pressure))
-    }
-
-    /// Returns how far serving tasks on the worker would exceed their targets with one more
-    /// best-effort task, as a share of the target.
-    fn target_excess(&self, headroom: &Headroom, image: Option<&Name>, share: f64) -> f64 {
-        let Some(image) = image else { return 0.0 };
-        let excess = headroom.serving.keys().map(|victim| {
-            let before = self.rates.expected(victim, &headroom.best_effort);
-            let added = self.rates.added(victim, image) * share;
-            // Of a target that is exceeded already, only the added part counts.
-            (before + added - DISTURBANCE_THRESHOLD).clamp(0.0, added)
-        });
-        excess.fold(0.0, f64::max)
-    }
-
-    fn is_eligible(&self, profile: &Profile, step: &Step, job: &super::Job) -> bool {
-        profile.service == job.queue.service
-            && step.required_label.as_ref().is_none_or(|label| profile.labels.contains(label))
+        let started = !found.is_empty();
+        for placement in found {
+            self.start(placement, now);
+        }
+        started
     }
 
+    /// Orders the start of a task at the worker that it already occupies.
     fn start(&mut self, placement: Placement, now: Time) {
         let Placement { task, agent, pressure } = placement;
         let Some(job) = self.jobs.get(&task.job) else { return };
@@ -232,7 +156,7 @@
         let last = if step.gang {
             let range = job.range(task.occurrence, usize::from(task.step));
             // The members of a gang share one run number, and none has started yet.
-            let last = |state: &super::TaskState| match state.phase {
+            let last = |state: &TaskState| match state.phase {
                 Phase::Starting { run, .. } => run - 1,
                 _ => state.last_run,
             };
@@ -259,15 +183,14 @@
             },
         };
         let withdraw_at = now.after(self.settings.answer_timeout);
-        self.occupy(&agent, task);
-        let Some(worker) = self.workers.get_mut(&agent) else { return };
-        worker.push_order(task, run, order);
-        let report_age_ms =
-            u64::try_from(now.since(worker.last_report).as_millis()).unwrap_or(u64::MAX);
+        self.push_order(&agent, task, run, order);
+        self.timers.push(withdraw_at, Timer::Run(task));
+        let last_report = self.workers.get(&agent).map_or(now, |worker| worker.last_report);
+        let report_age_ms = u64::try_from(now.since(last_report).as_millis()).unwrap_or(u64::MAX);
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        job.set_phase(position, Phase::Starting { agent: agent.clone(), run, withdraw_at });
         let state = &mut job.tasks[position];
         state.last_run = run;
-        state.phase = Phase::Starting { agent: agent.clone(), run, withdraw_at };
         state.percent = 0;
         let waited_ms = u64::try_from(now.since(state.ready_since).as_millis()).unwrap_or(u64::MAX);
         let queue = job.queue.name.clone();
--- a/crates/policy/src/plan/record.rs
+++ b/crates/policy/src/plan/record.rs
@@ -70,21 +70,19 @@
     ///
     /// Once one change is due, other changed jobs are included in the same write.
     pub fn records(&self, now: Time, limit: usize) -> Vec<Record> {
-        if !self.dirty.values().any(|due| due.passed(now)) {
+        if !self.changes.next().passed(now) {
             return Vec::new();
         }
-        let mut due: Vec<_> = self.dirty.iter().map(|(job, due)| (*due, *job)).collect();
-        due.sort_unstable();
-        let job = |(_, id): (Time, Id)| {
+        let job = |id: Id| {
             let job = self.jobs.get(&id)?;
             Some(Record { job: id, version: job.version, progress: job.progress() })
         };
-        due.into_iter().take(limit).filter_map(job).collect()
+        self.changes.iter().take(limit).filter_map(job).collect()
     }
 
     /// Returns when the next change is due to be recorded.
     pub fn next_record(&self) -> Time {
-        self.dirty.values().min().copied().unwrap_or(Time::NEVER)
+        self.changes.next()
     }
 
     /// Marks `version` of the job `id` as stored.
@@ -92,9 +90,9 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.recorded = job.recorded.max(version);
         if job.recorded == job.version {
-            self.dirty.remove(&id);
+            self.changes.remove(id);
         }
-        let agents: Vec<_> = self.workers.keys().cloned().collect();
+        let agents = std::mem::take(&mut job.ending);
         for agent in agents {
             self.advance_recorded(&agent);
         }
@@ -106,7 +104,8 @@
         job.started = true;
         job.version += 1;
         job.started_version = job.version;
-        self.dirty.entry(id).or_insert(now.after(self.settings.started_delay));
+        self.changes.add(id, now.after(self.settings.started_delay));
+        self.update_ready(id, now);
     }
 
     /// Marks the job `id` as changed. A final state is due to be recorded at once.
@@ -114,7 +113,6 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.version += 1;
         let due = if job.ended.is_some() { now } else { now.after(self.settings.record_delay) };
-        let slot = self.dirty.entry(id).or_insert(due);
-        *slot = due.min(*slot);
+        self.changes.add(id, due);
     }
 }
--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -1,6 +1,7 @@
 //! Applies the reports of agents to the table.
 
 use super::message::{Answer, End, ExitReason, Kind, Outcome, Report, Run, Status};
+use super::timers::Timer;
 use super::{Event, Phase, Table, Worker};
 use shallotflow_core::graph::{State, Task};
 use shallotflow_core::name::Name;
@@ -16,6 +17,7 @@
     pub fn apply_report(&mut self, report: Report, now: Time) {
         let agent = report.agent.clone();
         let worker = self.workers.entry(agent.clone()).or_default();
+        let regained = worker.last_report.after(self.settings.report_timeout).passed(now);
         if worker.process != report.process {
             // Orders that the former process received but did not execute are withdrawn once the
             // lists of the new process are complete.
@@ -37,15 +39,23 @@
         if report.running.is_some() {
             worker.listed_sequence = report.sequence;
         }
+        // A silent worker gets no tasks, and may get them from its next report on.
+        if regained {
+            self.refusals.clear();
+            self.may_start = true;
+        }
+        if report.lacks_traits {
+            self.updated.insert(agent.clone());
+        }
         while worker.outbox.front().is_some_and(|order| order.number <= report.received) {
             worker.outbox.pop_front();
         }
         self.update_worker(&agent, &report, now);
         if report.vacant {
             self.lose_runs(&agent, "no worker runs beside the agent", now);
-            self.missing.remove(&agent);
-            self.settle_uncertain(now);
+            self.forget_missing(&agent, now);
         }
+        self.update_worker_lists(&agent);
         for end in report.ends {
             self.apply_end(&agent, end, now);
         }
@@ -56,9 +66,18 @@
             self.apply_running(&agent, running, report.complete, now);
             self.learn_rates(&agent);
         }
+        self.update_worker_lists(&agent);
         self.advance_recorded(&agent);
     }
 
+    /// Removes an agent from those that may hold runs of predecessors.
+    fn forget_missing(&mut self, agent: &Name, now: Time) {
+        if self.missing.remove(agent).is_some() {
+            self.holders_version += 1;
+        }
+        self.settle_uncertain(now);
+    }
+
     /// Updates the profile of the worker, and releases its runs if it restarted or is empty.
     fn update_worker(&mut self, agent: &Name, report: &Report, now: Time) {
         let Some(worker) = self.workers.get_mut(agent) else { return };
@@ -199,9 +218,7 @@
         }
         let other = job.tasks[position].current().map(|(other, run)| (other.clone(), run));
         if let Some((other, number)) = other {
-            if let Some(worker) = self.workers.get_mut(&other) {
-                worker.placed.remove(&task);
-            }
+            self.vacate(&other, &task);
             let ended = number == run && (gang || other == *agent);
             if !ended {
                 self.order_stop(&other, task, number, "another run has done its work");
@@ -212,10 +229,8 @@
             worker.ejections = 0;
         }
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
-        let state = &mut job.tasks[position];
-        state.phase = Phase::Done;
-        state.checkpoint = None;
-        job.count_done(&task);
+        job.set_phase(position, Phase::Done);
+        job.tasks[position].checkpoint = None;
         let done = job.is_done();
         self.mark_changed(task.job, now);
         if done {
@@ -236,6 +251,7 @@
                 }
             }
         }
+        self.update_ready(task.job, now);
     }
 
     /// Ejects a worker on which tasks of several jobs failed in a row.
@@ -273,6 +289,7 @@
             (Phase::Starting { .. }, Outcome::Started) => {
                 state.phase = Phase::Running { agent: agent.clone(), run };
                 state.stalls_at = now.after(self.settings.stall_timeout);
+                self.timers.push(state.stalls_at, Timer::Run(task));
                 state.misses = 0;
                 self.mark_started(task.job, now);
             }
@@ -309,6 +326,7 @@
             return;
         }
         worker.synced = true;
+        self.timers.push(worker.empty_at, Timer::Worker(agent.clone()));
         let listed: BTreeSet<Task> = running.iter().map(|run| run.task).collect();
         let placed: Vec<Task> = worker.placed.keys().copied().collect();
         for task in placed {
@@ -322,8 +340,8 @@
                 _ => self.release_task(task, now, now),
             }
         }
-        self.missing.remove(agent);
-        self.settle_uncertain(now);
+        self.forget_missing(agent, now);
+        self.update_worker_lists(agent);
     }
 
     /// Applies one run of a worker's list.
@@ -343,6 +361,7 @@
             Phase::Uncertain => {
                 state.phase = Phase::Running { agent: agent.clone(), run: number };
                 state.stalls_at = now.after(stall);
+                self.timers.push(state.stalls_at, Timer::Run(task));
                 self.mark_started(task.job, now);
                 self.occupy(agent, task);
                 self.events.push(Event::Adopted { task, run: number, agent: agent.clone() });
@@ -353,6 +372,7 @@
             Phase::Starting { .. } => {
                 state.phase = Phase::Running { agent: agent.clone(), run: number };
                 state.stalls_at = now.after(stall);
+                self.timers.push(state.stalls_at, Timer::Run(task));
                 self.mark_started(task.job, now);
             }
             _ => {}
@@ -391,17 +411,19 @@
 
     /// Advances the watermark up to which the worker may discard ended runs.
     pub(super) fn advance_recorded(&mut self, agent: &Name) {
-        let Self { workers, jobs, .. } = self;
+        let Self { workers, jobs, updated, .. } = self;
         let Some(Worker { ends, recorded, .. }) = workers.get_mut(agent) else { return };
         while let Some((number, required)) = ends.first_key_value() {
-            let confirmed = required.is_none_or(|(id, version)| {
-                jobs.get(&id).is_none_or(|job| job.recorded >= version)
-            });
-            if !confirmed {
+            let job = required.and_then(|(id, version)| Some((jobs.get_mut(&id)?, version)));
+            if let Some((job, version)) = job
+                && job.recorded < version
+            {
+                job.ending.insert(agent.clone());
                 break;
             }
             *recorded = *number;
             ends.pop_first();
+            updated.insert(agent.clone());
         }
     }
 
--- /dev/null
+++ b/crates/policy/src/plan/search.rs
@@ -0,0 +1,243 @@
+use super::demand::Demand;
+use super::ranking::List;
+use super::{Job, Table, Worker};
+use shallotflow_core::graph::{Step, Task};
+use shallotflow_core::name::Name;
+use shallotflow_core::resources::Bundle;
+use shallotflow_core::time::Time;
+use std::collections::BTreeSet;
+
+/// Added to the score of the worker where the task failed last, so that any other goes first.
+const FAILED_WORKER_PENALTY: f64 = 10.0;
+
+/// Weight of the expected excess of a serving task over its target, relative to processor use.
+const DISTURBANCE_WEIGHT: f64 = 2.0;
+/// Expected tail latency of a serving task above which disturbance counts, as a share of its target.
+/// The remaining share covers the swings of its load.
+const DISTURBANCE_THRESHOLD: f64 = 0.65;
+
+/// Expected excess over a target that is within the error of the estimate, as a share of the target.
+const TOLERATED_EXCESS: f64 = 0.05;
+
+/// Difference of two scores that can be due to rounding.
+pub(super) const ROUNDING: f64 = 1e-9;
+
+/// The worker with the lowest score so far.
+struct Choice<'a> {
+    score: f64,
+    agent: &'a Name,
+    pressure: f64,
+}
+
+/// The result of a search.
+pub(super) enum Outcome {
+    /// The best worker, and its expected processor use including the task.
+    Worker { agent: Name, pressure: f64, score: f64 },
+    /// No worker has room for the task.
+    Full,
+    /// The task would disturb serving tasks wherever there is room.
+    Disturbing,
+    /// No worker suits the task for another reason.
+    Unsuited,
+}
+
+/// What a search has to know about the pass that it belongs to.
+#[derive(Clone, Copy)]
+pub(super) struct Pass<'a> {
+    pub(super) now: Time,
+    /// Agents that the store lists as possible holders of runs.
+    pub(super) holders: &'a BTreeSet<Name>,
+    /// Racks of the tasks of the step that the pass has placed.
+    pub(super) racks: &'a [Option<Name>],
+}
+
+/// The search for the best worker for one task.
+///
+/// The score of a worker for a task that serves no requests is at least its expected processor use,
+/// so the search reads the ranking from the least used worker on and stops at the first that cannot
+/// be better than the best one found.
+pub(super) struct Search<'a> {
+    table: &'a Table,
+    pass: Pass<'a>,
+    job: &'a Job,
+    step: &'a Step,
+    task: Task,
+    demand: Demand,
+    need: Bundle,
+    /// Expected processor use of the task, thousandths of a processor.
+    extra: f64,
+    /// Whether the task has waited so long that it may disturb serving tasks.
+    waited_long: bool,
+    best: Option<Choice<'a>>,
+    any_room: bool,
+    any_disturbed: bool,
+}
+
+impl<'a> Search<'a> {
+    /// Prepares the search for the task at `position` of `job`.
+    pub(super) fn new(table: &'a Table, pass: Pass<'a>, job: &'a Job, position: usize) -> Self {
+        let task = job.task(position);
+        let step = job.step(&task);
+        let demand = Demand::of(step);
+        let patience = table.settings.disturbance_wait;
+        Self {
+            table,
+            pass,
+            job,
+            step,
+            task,
+            demand,
+            need: demand.reserved(),
+            extra: demand.expected_use(table.settings.serving_use),
+            waited_long: job.tasks[position].ready_since.after(patience).passed(pass.now),
+            best: None,
+            any_room: false,
+            any_disturbed: false,
+        }
+    }
+
+    /// Searches the workers.
+    pub(super) fn run(mut self) -> Outcome {
+        let table = self.table;
+        let service = &self.job.queue.service;
+        let Some(eligible) = table.ranking.eligible(service, self.step) else {
+            return Outcome::Unsuited;
+        };
+        if self.demand.serving {
+            for (_, agent) in eligible {
+                self.consider(agent);
+            }
+        } else {
+            if let Some(near) = table.ranking.near(service, self.step) {
+                self.scan(near, 1.0);
+            }
+            let factor =
+                if self.step.data_rack.is_some() { table.settings.spread_factor } else { 1.0 };
+            self.scan(eligible, factor);
+        }
+        self.outcome()
+    }
+
+    /// Searches all workers of the table.
+    pub(super) fn run_over_all(mut self) -> Outcome {
+        for (agent, worker) in &self.table.workers {
+            let service = worker.profile.as_ref().map(|profile| &profile.service);
+            if service == Some(&self.job.queue.service) {
+                self.consider(agent);
+            }
+        }
+        self.outcome()
+    }
+
+    fn outcome(self) -> Outcome {
+        match self.best {
+            Some(Choice { score, agent, pressure }) => {
+                Outcome::Worker { agent: agent.clone(), pressure, score }
+            }
+            None if !self.any_room => Outcome::Full,
+            None if self.any_disturbed => Outcome::Disturbing,
+            None => Outcome::Unsuited,
+        }
+    }
+
+    /// Considers the workers of `list` that can be better than the best one found. The score of a
+    /// worker that was not considered before is at least `factor` times its expected use.
+    fn scan(&mut self, list: &'a List, factor: f64) {
+        let settings = &self.table.settings;
+        let largest = self.table.sizes.largest(&self.job.queue.service);
+        let least_extra = self.extra / f64::from(largest.millicores.max(1));
+        for (pressure, agent) in list {
+            let pressure = pressure.share();
+            let bound = (pressure + least_extra) * factor;
+            if self.best.as_ref().is_some_and(|best| best.score <= bound + ROUNDING) {
+                return;
+            }
+            if self.step.best_effort && pressure > settings.best_effort_limit {
+                // All further workers are used as much, by best-effort tasks too.
+                self.any_room = true;
+                return;
+            }
+            self.consider(agent);
+        }
+    }
+
+    fn consider(&mut self, agent: &'a Name) {
+        let Some(worker) = self.table.workers.get(agent) else { return };
+        let Some((score, pressure)) = self.score(agent, worker) else { return };
+        if self.best.as_ref().is_none_or(|best| score < best.score) {
+            self.best = Some(Choice { score, agent, pressure });
+        }
+    }
+
+    /// Returns the score of a worker, lower is better, and its expected processor use with the task;
+    /// `None` if the task cannot go there.
+    fn score(&mut self, agent: &Name, worker: &Worker) -> Option<(f64, f64)> {
+        let Self { table, step, .. } = *self;
+        let Pass { now, holders, racks } = self.pass;
+        let settings = &table.settings;
+        let profile = worker.profile.as_ref()?;
+        let capacity = profile.capacity;
+        if !worker.load.free(&capacity).holds(&self.need) {
+            return None;
+        }
+        // An ejected worker gets nothing: waiting for a full worker is better.
+        if !worker.accepts_tasks(now, settings.report_timeout)
+            || !worker.ejected_until.passed(now)
+            || !holders.contains(agent)
+            || !step.required_label.as_ref().is_none_or(|label| profile.labels.contains(label))
+        {
+            return None;
+        }
+        self.any_room = true;
+        if step.per_worker > 0 && worker.siblings(&self.task) >= step.per_worker as usize {
+            return None;
+        }
+        let pressure = worker.load.pressure(self.extra, &capacity, settings);
+        if step.best_effort
+            && pressure > settings.best_effort_limit
+            && worker.load.has_best_effort()
+        {
+            return None;
+        }
+        let mut score = if self.demand.serving {
+            let before = worker.load.pressure(0.0, &capacity, settings);
+            worker.load.serving_cost(step.image.as_ref(), before)
+        } else if step.best_effort {
+            let excess = self.target_excess(worker, capacity);
+            // A missed target costs a serving task more than a best-effort task gains.
+            if excess > TOLERATED_EXCESS && !self.waited_long {
+                self.any_disturbed = true;
+                return None;
+            }
+            pressure + DISTURBANCE_WEIGHT * excess
+        } else {
+            pressure
+        };
+        if step.data_rack.is_some() && step.data_rack != profile.rack {
+            score *= settings.spread_factor;
+        }
+        if step.same_rack && racks.iter().any(|rack| *rack != profile.rack) {
+            score += settings.spread_factor;
+        }
+        let state = &self.job.tasks[self.job.position(&self.task)?];
+        if state.failed_at.as_ref() == Some(agent) {
+            score += FAILED_WORKER_PENALTY;
+        }
+        Some((score, pressure))
+    }
+
+    /// Returns how far serving tasks on the worker would exceed their targets with the best-effort
+    /// task added, as a share of the target.
+    fn target_excess(&self, worker: &Worker, capacity: Bundle) -> f64 {
+        let Some(image) = &self.step.image else { return 0.0 };
+        let rates = &self.table.rates;
+        let share = f64::from(self.step.need.millicores) / f64::from(capacity.millicores.max(1));
+        let excess = worker.load.serving.keys().map(|victim| {
+            let before = rates.expected(victim, worker.load.best_effort(capacity));
+            let added = rates.added(victim, image) * share;
+            // Of a target that is exceeded already, only the added part counts.
+            (before + added - DISTURBANCE_THRESHOLD).clamp(0.0, added)
+        });
+        excess.fold(0.0, f64::max)
+    }
+}
--- a/crates/policy/src/plan/settings.rs
+++ b/crates/policy/src/plan/settings.rs
@@ -38,6 +38,9 @@
     pub ejection_failures: u32,
     /// Length of the first ejection of a worker; doubles each time.
     pub ejection: Duration,
+    /// Interval at which waiting tasks are tried again at workers that time alone may have freed:
+    /// paused, ejected or silent ones, or ones where a task would have disturbed others.
+    pub search_interval: Duration,
     /// How long a run may make no progress before it is stopped.
     pub stall_timeout: Duration,
 }
@@ -59,6 +62,7 @@
             spread_factor: 1.5,
             ejection_failures: 3,
             ejection: Duration::from_secs(4),
+            search_interval: Duration::from_millis(25),
             stall_timeout: Duration::from_millis(2_500),
         }
     }
--- a/crates/policy/src/plan/sizes.rs
+++ b/crates/policy/src/plan/sizes.rs
@@ -26,6 +26,12 @@
         true
     }
 
+    /// Returns the largest observed amount of each resource over the workers of `service`; zero
+    /// before a worker was observed.
+    pub fn largest(&self, service: &str) -> Bundle {
+        self.largest.get(service).copied().unwrap_or_default()
+    }
+
     /// Merges the maxima of another table. Returns `true` if a maximum grew.
     pub fn merge(&mut self, other: &Self) -> bool {
         let mut grown = false;
--- a/crates/policy/src/plan/table.rs
+++ b/crates/policy/src/plan/table.rs
@@ -1,4 +1,9 @@
+use super::changes::Changes;
 use super::message::{Kind, Reply, RunTraits, Traits};
+use super::ranking::Ranking;
+use super::refusals::Refusals;
+use super::timers::{Timer, Timers};
+use super::urgency::Urgency;
 use super::worker::Placed;
 use super::{Event, Job, Phase, Settings, Sizes, TaskState, Worker};
 use crate::disturbance::Rates;
@@ -9,7 +14,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The jobs and workers of one owner.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Table {
     pub(super) settings: Settings,
     pub(super) epoch: u64,
@@ -19,8 +24,26 @@
     pub(super) workers: BTreeMap<Name, Worker>,
     /// Queues by name, from the newest configuration.
     pub(super) queues: HashMap<Name, Queue>,
-    /// Jobs with unrecorded changes, and when these are due to be recorded.
-    pub(super) dirty: BTreeMap<Id, Time>,
+    /// Active jobs with waiting tasks of open steps, the most urgent first.
+    pub(super) ready: BTreeSet<(Urgency, Id)>,
+    /// Workers that may get tasks, the least used first.
+    pub(super) ranking: Ranking,
+    /// Demands that no worker had room for.
+    pub(super) refusals: Refusals,
+    /// Whether a change since the last pass may let a task start.
+    pub(super) may_start: bool,
+    /// When all waiting tasks are tried again without a change.
+    pub(super) search_again_at: Time,
+    /// Deadlines of runs, jobs and workers.
+    pub(super) timers: Timers,
+    /// Jobs with unrecorded changes.
+    pub(super) changes: Changes,
+    /// Agents of workers that may hold runs of this owner.
+    pub(super) holding: BTreeSet<Name>,
+    /// Number of changes of the agents that [`Table::holders`] returns.
+    pub(super) holders_version: u64,
+    /// Agents with news since [`Table::take_updated`] was called.
+    pub(super) updated: BTreeSet<Name>,
     /// Agents that may hold runs of predecessors, and when they are certain to hold none.
     pub(super) missing: BTreeMap<Name, Time>,
     /// Whether agents in `missing` may still hold runs of predecessors.
@@ -48,7 +71,16 @@
             active: BTreeSet::new(),
             workers: BTreeMap::new(),
             queues: HashMap::new(),
-            dirty: BTreeMap::new(),
+            ready: BTreeSet::new(),
+            ranking: Ranking::default(),
+            refusals: Refusals::default(),
+            may_start: false,
+            search_again_at: Time::ZERO,
+            timers: Timers::default(),
+            changes: Changes::default(),
+            holding: BTreeSet::new(),
+            holders_version: 1,
+            updated: BTreeSet::new(),
             uncertain: !agents.is_empty(),
             missing: agents.into_iter().map(|agent| (agent, empty_at)).collect(),
             sizes: Sizes::default(),
@@ -102,22 +134,68 @@
 
     /// Returns the agents that may hold runs, of this owner or of a predecessor: a successor has to
     /// wait for them.
-    pub fn holders(&self) -> Vec<Name> {
-        let synced = self.workers.iter().filter(|(_, worker)| worker.may_hold_runs());
-        let mut holders: BTreeSet<Name> = synced.map(|(agent, _)| agent.clone()).collect();
-        holders.extend(self.missing.keys().cloned());
-        holders.into_iter().collect()
+    pub fn holders(&self) -> BTreeSet<Name> {
+        self.holding.iter().chain(self.missing.keys()).cloned().collect()
+    }
+
+    /// Returns the number of changes of what [`holders`](Self::holders) returns.
+    pub fn holders_version(&self) -> u64 {
+        self.holders_version
     }
 
     /// Replaces the queues by those of a newer configuration.
-    pub fn set_queues(&mut self, queues: Vec<Queue>) {
+    pub fn set_queues(&mut self, queues: Vec<Queue>, now: Time) {
         self.queues = queues.into_iter().map(|queue| (queue.name.clone(), queue)).collect();
-        for id in &self.active {
-            let Some(job) = self.jobs.get_mut(id) else { continue };
-            if let Some(queue) = self.queues.get(&job.queue.name) {
+        let active: Vec<Id> = self.active.iter().copied().collect();
+        for id in active {
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            if let Some(queue) =
+                self.queues.get(&job.queue.name).filter(|queue| **queue != job.queue)
+            {
                 job.queue = queue.clone();
+                self.update_ready(id, now);
             }
         }
+        self.search_again();
+    }
+
+    /// Returns and removes the agents that have had news since the last call: orders, or ends that
+    /// they may discard.
+    pub fn take_updated(&mut self) -> BTreeSet<Name> {
+        std::mem::take(&mut self.updated)
+    }
+
+    /// Brings the job's place in the order up to date with its state.
+    pub(super) fn update_ready(&mut self, id: Id, now: Time) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let waits = job.ended.is_none() && job.has_open_tasks();
+        let urgency = waits.then(|| job.urgency(now));
+        if urgency == job.queued {
+            return;
+        }
+        if let Some(former) = std::mem::replace(&mut job.queued, urgency) {
+            self.ready.remove(&(former, id));
+        }
+        let Some(urgency) = urgency else { return };
+        self.timers.push(job.urgency_changes_at(now), Timer::Urgency(id));
+        self.ready.insert((urgency, id));
+        self.may_start = true;
+    }
+
+    /// Brings the ranking and the list of holders up to date with the state of a worker.
+    pub(super) fn update_worker_lists(&mut self, agent: &Name) {
+        let Self { workers, ranking, settings, .. } = self;
+        let Some(worker) = workers.get_mut(agent) else { return };
+        if ranking.update(agent, worker, settings) {
+            self.refusals.clear();
+            self.may_start = true;
+        }
+        let changed = if worker.may_hold_runs() {
+            !self.holding.contains(agent) && self.holding.insert(agent.clone())
+        } else {
+            self.holding.remove(agent)
+        };
+        self.holders_version += u64::from(changed);
     }
 
     /// Returns the reply to the latest report of `agent`, with the orders that it has not received.
@@ -187,10 +265,15 @@
         self.order_stop(&agent, task, run, reason);
     }
 
-    pub(super) fn order_stop(&mut self, agent: &Name, task: Task, run: u32, reason: &'static str) {
+    pub(super) fn push_order(&mut self, agent: &Name, task: Task, run: u32, kind: Kind) {
         if let Some(worker) = self.workers.get_mut(agent) {
-            worker.push_order(task, run, Kind::Stop);
+            worker.push_order(task, run, kind);
+            self.updated.insert(agent.clone());
         }
+    }
+
+    pub(super) fn order_stop(&mut self, agent: &Name, task: Task, run: u32, reason: &'static str) {
+        self.push_order(agent, task, run, Kind::Stop);
         self.events.push(Event::Stop { task, run, agent: agent.clone(), reason });
     }
 
@@ -202,16 +285,18 @@
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let Some(position) = job.position(&task) else { return };
         let fresh = job.fresh;
-        let state = &mut job.tasks[position];
-        let agent = state.current().map(|(agent, _)| agent.clone());
+        let agent = job.tasks[position].current().map(|(agent, _)| agent.clone());
         let uncertain = self.uncertain && !fresh;
-        state.phase = if uncertain { Phase::Uncertain } else { Phase::Waiting };
+        job.set_phase(position, if uncertain { Phase::Uncertain } else { Phase::Waiting });
+        let state = &mut job.tasks[position];
         state.retry_at = retry;
         state.ready_since = now;
         state.percent = 0;
-        if let Some(worker) = agent.and_then(|agent| self.workers.get_mut(&agent)) {
-            worker.placed.remove(&task);
+        if let Some(agent) = agent {
+            self.vacate(&agent, &task);
         }
+        self.update_ready(task.job, now);
+        self.may_start = true;
     }
 
     /// Returns when a task may be retried after `misses` unsuccessful tries; the pause doubles with
@@ -235,6 +320,8 @@
         let running: Vec<_> = job.tasks.iter().enumerate().filter_map(current).collect();
         let running: Vec<_> = running.into_iter().map(|position| job.task(position)).collect();
         self.active.remove(&id);
+        self.timers.push(job.forget_at, Timer::Forget(id));
+        self.update_ready(id, now);
         self.events.push(Event::Job { job: id, state, reason });
         for task in running {
             self.stop_run(task, reason);
@@ -258,7 +345,21 @@
             pace: 100,
         };
         if let Some(worker) = self.workers.get_mut(agent) {
-            worker.placed.insert(task, placed);
+            worker.occupy(task, placed);
+            self.update_worker_lists(agent);
+        }
+    }
+
+    /// Removes `task` from the runs that occupy the worker of `agent`.
+    pub(super) fn vacate(&mut self, agent: &Name, task: &Task) {
+        let Some(worker) = self.workers.get_mut(agent) else { return };
+        if !worker.vacate(task) {
+            return;
+        }
+        if let Some(profile) = &worker.profile {
+            self.refusals.retain_without_room(&worker.load, &profile.capacity);
         }
+        self.may_start = true;
+        self.update_worker_lists(agent);
     }
 }
--- a/crates/policy/src/plan/worker.rs
+++ b/crates/policy/src/plan/worker.rs
@@ -1,5 +1,7 @@
 use super::demand::Demand;
+use super::load::Load;
 use super::message::{Incarnation, Kind, Order, Profile, Status};
+use super::ranking::Rank;
 use serde::Serialize;
 use shallotflow_core::graph::{Id, Task};
 use shallotflow_core::name::Name;
@@ -28,6 +30,11 @@
     pub(super) fn demand(&self) -> Demand {
         Demand { need: self.need, best_effort: self.best_effort, serving: self.target_ms > 0 }
     }
+
+    /// Returns the image of the run; empty if it is unknown.
+    pub(super) fn image_name(&self) -> Name {
+        self.image.clone().unwrap_or_else(|| Name::from(""))
+    }
 }
 
 /// A worker and its agent in the owner's table.
@@ -71,6 +78,12 @@
     pub full_until: Time,
     #[serde(skip)]
     pub(super) placed: BTreeMap<Task, Placed>,
+    /// What the runs in `placed` reserve and are expected to use.
+    #[serde(skip)]
+    pub(super) load: Load,
+    /// Where the table's ranking lists the worker.
+    #[serde(skip)]
+    pub(super) rank: Option<Rank>,
     #[serde(skip)]
     pub(super) outbox: VecDeque<Order>,
     #[serde(rename = "ordered")]
@@ -103,9 +116,26 @@
         self.synced && ((!empty && !self.vacant) || !self.placed.is_empty())
     }
 
-    /// Expected processor use of its runs, thousandths of a processor.
-    pub(super) fn expected_use(&self, serving_use: f64) -> f64 {
-        self.placed.values().map(|placed| placed.demand().expected_use(serving_use)).sum()
+    /// Adds a run.
+    pub(super) fn occupy(&mut self, task: Task, placed: Placed) {
+        self.load.add(&placed);
+        if let Some(former) = self.placed.insert(task, placed) {
+            self.load.remove(&former);
+        }
+    }
+
+    /// Removes the run of `task`, if there is one. Returns whether there was one.
+    pub(super) fn vacate(&mut self, task: &Task) -> bool {
+        let Some(placed) = self.placed.remove(task) else { return false };
+        self.load.remove(&placed);
+        true
+    }
+
+    /// Counts the runs of the same step and repetition as `task`.
+    pub(super) fn siblings(&self, task: &Task) -> usize {
+        let first = Task { index: 0, ..*task };
+        let last = Task { index: u32::MAX, ..*task };
+        self.placed.range(first..=last).count()
     }
 
     pub(super) fn push_order(&mut self, task: Task, run: u32, kind: Kind) {
--- a/crates/policy/tests/plan/harness.rs
+++ b/crates/policy/tests/plan/harness.rs
@@ -8,7 +8,7 @@
     Answer, End, ExitReason, Incarnation, Kind, Order, Outcome, Profile, Report, Run, Status,
 };
 use shallotflow_policy::plan::{Phase, Settings, Table};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 pub(crate) const SERVICE: &str = "press";
@@ -21,6 +21,7 @@
     pub(crate) millicores: u32,
     pub(crate) status: Status,
     pub(crate) labels: Vec<Name>,
+    pub(crate) rack: Option<Name>,
     pub(crate) running: BTreeMap<Task, Run>,
     pub(crate) ends: Vec<End>,
     pub(crate) answers: Vec<Answer>,
@@ -35,7 +36,7 @@
     pub(crate) table: Table,
     pub(crate) workers: BTreeMap<Name, TestWorker>,
     pub(crate) now: Time,
-    pub(crate) holders: Vec<Name>,
+    pub(crate) holders: BTreeSet<Name>,
 }
 
 pub(crate) fn id(number: u64) -> Id {
@@ -168,6 +169,7 @@
             millicores: 10_000,
             status: Status::Ready,
             labels: Vec::new(),
+            rack: None,
             running: BTreeMap::new(),
             ends: Vec::new(),
             answers: Vec::new(),
@@ -212,7 +214,7 @@
                     ..Bundle::default()
                 },
                 labels: self.labels.clone(),
-                rack: None,
+                rack: self.rack.clone(),
                 status: self.status,
             }),
             vacant: false,
--- a/crates/policy/tests/plan/recovery.rs
+++ b/crates/policy/tests/plan/recovery.rs
@@ -131,11 +131,11 @@
 #[test]
 fn an_empty_worker_is_not_a_holder_of_runs() {
     let mut harness = Harness::new(2);
-    assert_eq!(harness.table.holders(), [name(0), name(1)]);
+    assert_eq!(harness.table.holders(), [name(0), name(1)].into());
     harness.workers.get_mut(&name(1)).expect("a worker").status =
         shallotflow_policy::plan::message::Status::Empty;
     harness.report_all();
-    assert_eq!(harness.table.holders(), [name(0)]);
+    assert_eq!(harness.table.holders(), [name(0)].into());
 }
 
 #[test]
--- a/crates/scheduler/src/agent/look.rs
+++ b/crates/scheduler/src/agent/look.rs
@@ -60,11 +60,14 @@
         // The poll in flight does not reflect orders that were executed since it was sent.
         () = wait_for_poll_due(agent, wait) => return Ok(()),
     };
-    let report_due = {
+    let (report_due, answered_early) = {
         let mut table = agent.run_table.borrow_mut();
-        let ends = lists.ends.iter().any(|end| end.number > recorded);
-        table.apply_lists(lists, epoch, sent, Boottime.now());
-        ends || !complete || silent
+        let now = Boottime.now();
+        let known = table.listed_ends();
+        table.apply_lists(lists, epoch, sent, now);
+        let ends = table.listed_ends() > known;
+        let answered_early = !ends && now.since(sent) < wait / 2;
+        (ends || !complete || silent, answered_early)
     };
     if silent {
         spdlog::info!("worker regained");
@@ -72,6 +75,13 @@
     if report_due {
         agent.report_due.notify(usize::MAX);
     }
+    if answered_early {
+        // The worker holds no answer back while it lists ends that are not recorded yet.
+        monoio::select! {
+            () = wait_for_poll_due(agent, wait) => {}
+            () = monoio::time::sleep(agent.settings.relist_pause) => {}
+        }
+    }
     if !complete && epoch == 0 {
         // Without an owner nothing needs the lists soon.
         monoio::select! {
--- a/crates/scheduler/src/agent/report.rs
+++ b/crates/scheduler/src/agent/report.rs
@@ -17,6 +17,10 @@
 /// Updates within this time go into one report.
 const COALESCE_DELAY: Duration = Duration::from_millis(2);
 
+/// Time in which a worker usually answers the starts that a reply ordered; the next report carries
+/// the answers.
+const ANSWER_DELAY: Duration = Duration::from_millis(8);
+
 /// Finds the owner and reports to it until the process ends.
 pub(super) async fn run(agent: Rc<Agent>) {
     let mut entries: Vec<SocketAddr> = Vec::new();
@@ -102,7 +106,10 @@
             let epoch = reply.epoch;
             spdlog::info!("owner found", kv: { owner = address.to_string(), epoch });
         }
-        handle_reply(agent, reply);
+        let ordered = handle_reply(agent, reply);
+        if ordered && in_flight.is_empty() {
+            monoio::time::sleep(ANSWER_DELAY).await;
+        }
     }
 }
 
@@ -111,7 +118,8 @@
     client.report(&report, agent.settings.report_limit).await
 }
 
-fn handle_reply(agent: &Rc<Agent>, reply: Reply) {
+/// Applies a reply and executes its orders; returns whether it has any.
+fn handle_reply(agent: &Rc<Agent>, reply: Reply) -> bool {
     let epoch = reply.epoch;
     let orders = {
         let mut table = agent.run_table.borrow_mut();
@@ -122,7 +130,9 @@
         }
         orders
     };
+    let ordered = !orders.is_empty();
     for order in orders {
         order::execute(agent, order, epoch);
     }
+    ordered
 }
--- a/crates/scheduler/src/agent/run_table.rs
+++ b/crates/scheduler/src/agent/run_table.rs
@@ -9,6 +9,7 @@
 use shallotflow_policy::plan::message::{
     Answer, End, Incarnation, Order, Outcome, Profile, Reply, Report, Run, Status, Traits,
 };
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
@@ -57,6 +58,8 @@
     ends: BTreeMap<u64, Unconfirmed<End>>,
     answers: Vec<Unconfirmed<Answer>>,
     last_order: u64,
+    /// Number of different ends that were listed, over all incarnations of the worker.
+    listed_ends: u64,
     recorded: u64,
     sent_reports: VecDeque<(u64, Time)>,
     authorised_until: Time,
@@ -94,6 +97,7 @@
             ends: BTreeMap::new(),
             answers: Vec::new(),
             last_order: 0,
+            listed_ends: 0,
             recorded: 0,
             sent_reports: VecDeque::new(),
             authorised_until: Time::ZERO,
@@ -124,6 +128,11 @@
         self.recorded
     }
 
+    /// The number of different ends that were listed, over all incarnations of the worker.
+    pub fn listed_ends(&self) -> u64 {
+        self.listed_ends
+    }
+
     /// Whether the worker's lists were read since the current owner was found.
     pub fn is_complete(&self) -> bool {
         self.complete
@@ -273,8 +282,10 @@
             self.running.remove(&(end.task, end.run));
             self.traits.remove(&(end.task, end.run));
             self.withdrawn.remove(&(end.task, end.run));
-            let unconfirmed = |end| Unconfirmed { item: end, first_report: None, confirmed: false };
-            self.ends.entry(end.number).or_insert_with(|| unconfirmed(end));
+            if let Entry::Vacant(entry) = self.ends.entry(end.number) {
+                self.listed_ends += 1;
+                entry.insert(Unconfirmed { item: end, first_report: None, confirmed: false });
+            }
         }
         let recorded = self.recorded;
         self.ends.retain(|number, _| *number > recorded);
--- a/crates/scheduler/src/agent/settings.rs
+++ b/crates/scheduler/src/agent/settings.rs
@@ -17,6 +17,9 @@
     pub start_limit: Duration,
     /// Pause after a failed poll.
     pub poll_pause: Duration,
+    /// Pause after a poll that the worker answered at once without news; the end of a run is noticed
+    /// at most this much later.
+    pub relist_pause: Duration,
     /// Consecutive failed polls before the worker counts as silent.
     pub silent_polls: u32,
     /// Attempts of a start before it is withdrawn.
@@ -40,6 +43,7 @@
             call_limit: Duration::from_millis(350),
             start_limit: Duration::from_millis(120),
             poll_pause: Duration::from_millis(100),
+            relist_pause: Duration::from_millis(12),
             silent_polls: 3,
             start_tries: 4,
             report_limit: Duration::from_millis(900),
--- a/crates/scheduler/src/entry/elect.rs
+++ b/crates/scheduler/src/entry/elect.rs
@@ -6,7 +6,8 @@
 //! and the owner either does not answer or has itself lost the store. The strongest machine claims
 //! first.
 //!
-//! A claim of an absent owner's table succeeds only while that owner's presence is absent, and an
+//! A claim succeeds only while the claimant's own presence is as it wrote it. A claim of an absent
+//! owner's table succeeds only while that owner's presence is absent, and an
 //! owner renews an absent presence only while its own claim holds. So an owner that is present has
 //! no successor.
 
@@ -158,8 +159,11 @@
         address: entry.address,
     };
     let value = serde_json::to_vec(&owner).unwrap_or_default();
-    let mut transaction =
-        Transaction::default().written_by(keys::OWNER, revision).put(keys::OWNER, value);
+    // An owner without presence would be replaced at once, and could replace its successor in turn.
+    let mut transaction = Transaction::default()
+        .written_by(keys::OWNER, revision)
+        .written_by(keys::entry(&entry.name), entry.presence_revision.get())
+        .put(keys::OWNER, value);
     if let Some(absent_owner) = absent_owner {
         transaction = transaction.written_by(keys::entry(&absent_owner), 0);
     }
--- a/crates/scheduler/src/entry/membership.rs
+++ b/crates/scheduler/src/entry/membership.rs
@@ -73,7 +73,7 @@
         transaction = transaction.written_by(keys::OWNER, revision);
     }
     match entry.commit(transaction).await {
-        Ok(_) => {}
+        Ok(revision) => entry.presence_revision.set(revision),
         Err(error @ Error::NotApplied { .. }) => {
             find_owner(entry).await?;
             return Err(error);
--- a/crates/scheduler/src/entry/mod.rs
+++ b/crates/scheduler/src/entry/mod.rs
@@ -11,6 +11,7 @@
 //! - `submit`, `ask`: the callers' calls.
 //! - `serve`: the calls of agents and of other entries.
 
+mod activity;
 mod ask;
 mod elect;
 pub mod keys;
--- a/crates/scheduler/src/entry/own.rs
+++ b/crates/scheduler/src/entry/own.rs
@@ -2,6 +2,7 @@
 //!
 //! The module keeps its name: log filters and the field `target` of log lines contain its path.
 
+use super::activity::Activity;
 use super::member::Owner;
 use super::ownership::Ownership;
 use super::{Entry, keys};
@@ -27,6 +28,8 @@
 const DELETED_PER_COMMIT: usize = 10;
 /// Pause between two commits, which batches changes and limits the rate of writes to the store.
 const COMMIT_PAUSE: Duration = Duration::from_millis(15);
+/// Interval between two log lines on the owner's activity.
+const ACTIVITY_INTERVAL: Duration = Duration::from_secs(5);
 /// Updates within this time are decided together.
 const COALESCE_DELAY: Duration = Duration::from_millis(1);
 
@@ -40,18 +43,26 @@
         return Ok(());
     }
     let now = Boottime.now();
-    let table = Table::new(plan::Settings::default(), owner.epoch, holders.clone(), now);
+    let missing = holders.iter().cloned().collect();
+    let table = Table::new(plan::Settings::default(), owner.epoch, missing, now);
     let progress_revisions = HashMap::default();
     let rates_due = now.after(entry.settings.learned_interval);
-    let mut ownership =
-        Ownership { table, revision, progress_revisions, holders, holders_revision, rates_due };
+    let mut ownership = Ownership {
+        table,
+        revision,
+        progress_revisions,
+        holders,
+        holders_version: 0,
+        holders_revision,
+        rates_due,
+    };
     match learned.map(|pair| unpack(&pair.value)) {
         Some(Ok(learned)) => ownership.table.restore_rates(learned),
         // The rates are learned anew.
         Some(Err(error)) => log_unreadable(keys::RATES, &error),
         None => {}
     }
-    ownership.table.set_queues(entry.queues.borrow().clone());
+    ownership.table.set_queues(entry.queues.borrow().clone(), now);
     let mut stored_progress: HashMap<Id, Progress> = HashMap::default();
     let mut unreadable: BTreeSet<Id> = BTreeSet::new();
     for pair in progress.pairs {
@@ -87,9 +98,9 @@
 }
 
 /// Reads the list of agents that may hold runs, and the list's revision.
-async fn read_holders(entry: &Rc<Entry>) -> Result<(Vec<Name>, i64), Error> {
+async fn read_holders(entry: &Rc<Entry>) -> Result<(BTreeSet<Name>, i64), Error> {
     let Some(pair) = entry.store_call(entry.store.get(keys::AGENTS)).await? else {
-        return Ok((Vec::new(), 0));
+        return Ok((BTreeSet::new(), 0));
     };
     let holders = serde_json::from_slice(&pair.value);
     let holders = holders.map_err(|error| Error::Rejected { reason: error.to_string() })?;
@@ -111,6 +122,10 @@
     loading: bool,
 ) {
     let Some(id) = id_of(&pair.key, keys::JOBS) else { return };
+    if ownership.table.job(id).is_some() {
+        // The entry that accepted the job has sent it already.
+        return;
+    }
     match unpack::<Job>(&pair.value) {
         Ok(job) => {
             // A predecessor cannot have known a job that was stored after the claim.
@@ -202,15 +217,15 @@
                 ownership.table.place(now, &ownership.holders);
             }
             let events = ownership.table.take_events();
-            if !events.is_empty() {
-                entry.orders_changed.notify(usize::MAX);
-            }
+            Activity::count(&entry.activity.passes, 1);
+            Activity::count(&entry.activity.events, events.len() as u64);
+            entry.notify_agents(ownership.table.take_updated());
             for event in events {
                 super::meters::event(&event);
                 crate::log::decision("plan", &event);
             }
             if ownership.table.next_record().passed(now)
-                || ownership.table.holders() != ownership.holders
+                || ownership.table.holders_version() != ownership.holders_version
             {
                 entry.commit_due.notify(usize::MAX);
             }
@@ -222,6 +237,17 @@
     }
 }
 
+/// Logs what the owner does, at a fixed interval, until the process ends.
+pub(super) async fn log_activity(entry: Rc<Entry>) {
+    loop {
+        monoio::time::sleep(ACTIVITY_INTERVAL).await;
+        if let Some(ownership) = &*entry.ownership.borrow() {
+            let table = &ownership.table;
+            entry.activity.log(table.workers().len(), table.jobs().count());
+        }
+    }
+}
+
 /// Deletes the store's keys of jobs that ended long ago.
 async fn delete_jobs(entry: &Rc<Entry>, ids: &[Id]) {
     let mut transaction = Transaction::default();
@@ -253,10 +279,9 @@
 
 /// Records the changes that are due, or all changes.
 async fn record_due(entry: &Rc<Entry>, all: bool) -> Result<(), Error> {
-    let Some(Commit { epoch, transaction, records, holders, learned }) = next_commit(entry, all)
-    else {
-        return Ok(());
-    };
+    let Some(commit) = next_commit(entry, all) else { return Ok(()) };
+    Activity::count(&entry.activity.commits, 1);
+    let Commit { epoch, transaction, records, holders, holders_version, learned } = commit;
     let result = entry.commit(transaction).await;
     super::meters::recorded(result.as_ref().map_or_else(Error::kind, |_| "ok"));
     match result {
@@ -276,9 +301,11 @@
             }
             if let Some(holders) = holders {
                 ownership.holders = holders;
+                ownership.holders_version = holders_version;
                 ownership.holders_revision = revision;
+                ownership.table.search_again();
             }
-            entry.orders_changed.notify(usize::MAX);
+            entry.notify_agents(ownership.table.take_updated());
             entry.decision_due.notify(usize::MAX);
             Ok(())
         }
@@ -290,6 +317,7 @@
                     // Until the list is read back, only agents that are in both versions are
                     // certainly listed.
                     ownership.holders.retain(|agent| holders.contains(agent));
+                    ownership.holders_version = 0;
                 }
                 read_back(entry, epoch, &records, holders.is_some()).await?;
             }
@@ -307,17 +335,26 @@
     transaction: Transaction,
     records: Vec<Record>,
     /// The new list of agents that may hold runs, if it changes.
-    holders: Option<Vec<Name>>,
+    holders: Option<BTreeSet<Name>>,
+    /// The version of the table's list at that time.
+    holders_version: u64,
     /// Whether the transaction includes the learned rates.
     learned: bool,
 }
 
 fn next_commit(entry: &Rc<Entry>, all: bool) -> Option<Commit> {
-    let ownership = entry.ownership.borrow();
-    let ownership = ownership.as_ref()?;
+    let mut ownership = entry.ownership.borrow_mut();
+    let ownership = ownership.as_mut()?;
     let now = if all { shallotflow_core::time::Time::NEVER } else { Boottime.now() };
     let records = ownership.table.records(now, RECORDS_PER_COMMIT);
-    let holders = Some(ownership.table.holders()).filter(|holders| *holders != ownership.holders);
+    let holders_version = ownership.table.holders_version();
+    let mut holders = None;
+    if holders_version != ownership.holders_version {
+        holders = Some(ownership.table.holders()).filter(|holders| *holders != ownership.holders);
+        if holders.is_none() {
+            ownership.holders_version = holders_version;
+        }
+    }
     if records.is_empty() && holders.is_none() {
         return None;
     }
@@ -347,7 +384,8 @@
             Err(error) => log_unreadable(&key, &error),
         }
     }
-    Some(Commit { epoch: ownership.table.epoch(), transaction, records: written, holders, learned })
+    let epoch = ownership.table.epoch();
+    Some(Commit { epoch, transaction, records: written, holders, holders_version, learned })
 }
 
 /// Reads back what a commit may have written, and checks whether this entry is still the owner.
@@ -372,7 +410,9 @@
         let (holders, revision) = read_holders(entry).await?;
         if let Some(ownership) = &mut *entry.ownership.borrow_mut() {
             ownership.holders = holders;
+            ownership.holders_version = 0;
             ownership.holders_revision = revision;
+            ownership.table.search_again();
         }
     }
     for record in records {
--- a/crates/scheduler/src/entry/ownership.rs
+++ b/crates/scheduler/src/entry/ownership.rs
@@ -3,6 +3,7 @@
 use shallotflow_core::name::Name;
 use shallotflow_core::time::Time;
 use shallotflow_policy::plan::Table;
+use std::collections::BTreeSet;
 
 /// The table of jobs, while this entry owns it.
 pub(super) struct Ownership {
@@ -12,7 +13,9 @@
     /// The revision of each job's progress record.
     pub(super) progress_revisions: HashMap<Id, i64>,
     /// Agents that the store certainly lists as possible holders of runs.
-    pub(super) holders: Vec<Name>,
+    pub(super) holders: BTreeSet<Name>,
+    /// The version of the table's list that `holders` equals; 0 if it differs.
+    pub(super) holders_version: u64,
     /// The revision of that list.
     pub(super) holders_revision: i64,
     /// When the learned disturbance rates are stored next.
--- a/crates/scheduler/src/entry/serve.rs
+++ b/crates/scheduler/src/entry/serve.rs
@@ -1,5 +1,6 @@
 //! Serves the calls of agents and of other entries.
 
+use super::activity::Activity;
 use super::member::Owner;
 use super::{Cancellation, Entry, membership};
 use crate::peers::{Call, Request, Response};
@@ -44,12 +45,15 @@
         }
         let recorded = ownership.table.workers().get(&agent).map_or(0, |worker| worker.recorded);
         ownership.table.apply_report(report, now);
+        Activity::count(&entry.activity.reports, 1);
         recorded
     };
     entry.decision_due.notify(usize::MAX);
-    entry.orders_changed.notify(usize::MAX);
+    let news = entry.news_of(&agent);
+    // A former report of the agent needs no reply of its own any more.
+    news.notify(usize::MAX);
     loop {
-        let ordered = entry.orders_changed.listen();
+        let ordered = news.listen();
         {
             let ownership = entry.ownership.borrow();
             let Some(ownership) = ownership.as_ref() else { return redirect(entry) };
@@ -57,6 +61,7 @@
             let latest = latest.is_some_and(|w| w.process == process && w.sequence == sequence);
             let has_update = ownership.table.has_updates(&agent, recorded);
             if !latest || has_update || deadline.passed(Boottime.now()) {
+                Activity::count(&entry.activity.replies, 1);
                 return ownership.table.reply(&agent);
             }
         }
@@ -82,6 +87,7 @@
 }
 
 async fn handle_request(entry: &Rc<Entry>, request: Request) -> Response {
+    Activity::count(&entry.activity.requests, 1);
     match request {
         Request::Status { epoch, store_age_ms } => {
             membership::record_store_contact(entry, store_age_ms);
--- a/crates/scheduler/src/entry/shared.rs
+++ b/crates/scheduler/src/entry/shared.rs
@@ -1,3 +1,4 @@
+use super::activity::Activity;
 use super::member::{Owner, Presence};
 use super::ownership::Ownership;
 use super::{Settings, elect, membership, own, serve};
@@ -14,7 +15,7 @@
 use shallotflow_store::store::Store;
 use shallotflow_store::transaction::Transaction;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -53,14 +54,17 @@
     pub(super) store_contact: Cell<Time>,
     /// When the last renewal of the entry's presence was sent that the store confirmed.
     pub(super) presence_renewed: Cell<Time>,
+    /// The revision of the entry's presence; 0 before it was written.
+    pub(super) presence_revision: Cell<i64>,
     /// Notified when membership changed.
     pub(super) membership_changed: Event,
     /// Notified when the owner has something to decide.
     pub(super) decision_due: Event,
-    /// Notified when agents may have new orders to fetch.
-    pub(super) orders_changed: Event,
+    /// Notified when the replies to an agent's reports may be due, by agent.
+    pub(super) agent_news: RefCell<HashMap<Name, Rc<Event>>>,
     /// Notified when the owner has something to record.
     pub(super) commit_due: Event,
+    pub(super) activity: Activity,
     pub(super) stopping: Cell<bool>,
     /// The entry makes no claim before this time.
     pub(super) claims_allowed_from: Cell<Time>,
@@ -88,10 +92,12 @@
             queues: RefCell::default(),
             store_contact: Cell::new(Time::ZERO),
             presence_renewed: Cell::new(Time::ZERO),
+            presence_revision: Cell::new(0),
             membership_changed: Event::new(),
             decision_due: Event::new(),
-            orders_changed: Event::new(),
+            agent_news: RefCell::default(),
             commit_due: Event::new(),
+            activity: Activity::default(),
             stopping: Cell::new(false),
             claims_allowed_from: Cell::new(Time::ZERO),
             clients: RefCell::new(HashMap::new()),
@@ -106,13 +112,14 @@
         monoio::spawn(elect::run(self.clone()));
         monoio::spawn(own::decide(self.clone()));
         monoio::spawn(own::record(self.clone()));
+        monoio::spawn(own::log_activity(self.clone()));
         monoio::spawn(serve::serve(self.clone(), calls));
     }
 
     /// Applies the queues of a newer configuration.
     pub fn set_queues(&self, queues: Vec<Queue>) {
         if let Some(ownership) = &mut *self.ownership.borrow_mut() {
-            ownership.table.set_queues(queues.clone());
+            ownership.table.set_queues(queues.clone(), Boottime.now());
         }
         *self.queues.borrow_mut() = queues;
         self.decision_due.notify(usize::MAX);
@@ -282,6 +289,21 @@
         self.membership_changed.notify(usize::MAX);
     }
 
+    /// The event that is notified when the replies to reports of `agent` may be due.
+    pub(super) fn news_of(&self, agent: &Name) -> Rc<Event> {
+        self.agent_news.borrow_mut().entry(agent.clone()).or_default().clone()
+    }
+
+    /// Lets the replies to `agents` be checked.
+    pub(super) fn notify_agents(&self, agents: BTreeSet<Name>) {
+        let news = self.agent_news.borrow();
+        for agent in agents {
+            if let Some(news) = news.get(&agent) {
+                news.notify(usize::MAX);
+            }
+        }
+    }
+
     /// Drops the table; a later owner decides from the store and the agents' lists.
     pub(super) fn give_up(&self, reason: &'static str) {
         if let Some(ownership) = self.ownership.borrow_mut().take() {
@@ -289,7 +311,10 @@
             spdlog::warn!("table given up", kv: { epoch, reason });
             super::meters::owned(false);
         }
-        self.orders_changed.notify(usize::MAX);
+        // All reports are answered: another entry is or will be the owner.
+        for (_, news) in self.agent_news.borrow_mut().drain() {
+            news.notify(usize::MAX);
+        }
         self.membership_changed.notify(usize::MAX);
     }
 }
--- a/crates/scheduler/tests/owner.rs
+++ b/crates/scheduler/tests/owner.rs
@@ -318,6 +318,40 @@
     });
 }
 
+#[test]
+fn a_claim_fails_when_the_store_has_lost_the_presence_of_who_claims() {
+    run(async |shared| {
+        let owner = Process::start("a", 1, &shared);
+        until(|| owner.owns()).await;
+        let other = Process::start("b", 2, &shared);
+        until(|| shared.text(&presence("b")).is_some()).await;
+        let claims = Rc::new(Cell::new(0));
+        let counted = claims.clone();
+        let store = shared.clone();
+        // All leases end just before the first claim arrives.
+        shared.intercept(move |caller, call| match call {
+            _ if caller == "a" => Delivery::Silent,
+            Call::Commit(transaction) if writes(transaction, keys::OWNER) => {
+                counted.set(counted.get() + 1);
+                if counted.get() == 1 {
+                    store.expire_leases();
+                }
+                Delivery::Serve
+            }
+            Call::Commit(_) | Call::Lease if counted.get() == 1 => Delivery::Silent,
+            _ => Delivery::Serve,
+        });
+        shared.expire_leases();
+        until(|| claims.get() > 0).await;
+        monoio::time::sleep(Duration::from_millis(20)).await;
+        let holder = shared.text(keys::OWNER).expect("an owner");
+        assert!(holder.contains("\"entry\":\"a\""), "{holder}");
+        shared
+            .intercept(|caller, _| if caller == "a" { Delivery::Silent } else { Delivery::Serve });
+        until(|| other.owns()).await;
+    });
+}
+
 #[test]
 fn no_task_starts_at_an_agent_that_a_lost_write_may_have_removed_from_the_list() {
     run(async |shared| {
--- a/crates/scheduler/tests/path/simulation.rs
+++ b/crates/scheduler/tests/path/simulation.rs
@@ -107,7 +107,7 @@
     jobs: BTreeMap<Id, (Job, u64)>,
     cancels: BTreeSet<Id>,
     progress: BTreeMap<Id, Progress>,
-    holders: Vec<Name>,
+    holders: BTreeSet<Name>,
     store_down_until: u64,
 }
 
@@ -139,7 +139,7 @@
             jobs: BTreeMap::new(),
             cancels: BTreeSet::new(),
             progress: BTreeMap::new(),
-            holders: Vec::new(),
+            holders: BTreeSet::new(),
             store_down_until: 0,
         }
     }
@@ -237,7 +237,7 @@
         let epoch = former.table.epoch() + 1;
         let missing = match self.fault {
             Some(Fault::NoWaitForAgents) => Vec::new(),
-            _ => self.holders.clone(),
+            _ => self.holders.iter().cloned().collect(),
         };
         let mut table = Table::new(plan::Settings::default(), epoch, missing, now);
         for (id, (job, _)) in &self.jobs {
@@ -520,8 +520,7 @@
             // A former owner starts nothing: a successor exists only after the former owner's
             // presence has ended.
             if number == newest || self.fault == Some(Fault::FormerOwnerPlaces) {
-                let holders = self.holders.clone();
-                owner.table.place(now, &holders);
+                owner.table.place(now, &self.holders);
             }
             owner.table.take_events();
         }
