--- a/crates/policy/src/plan/accept.rs
+++ b/crates/policy/src/plan/accept.rs
@@ -1,13 +1,16 @@
 //! Accepts, loads and cancels jobs.
 
 use super::timers::Timer;
-use super::{Job, Phase, Progress, Table};
+use super::{Event, Job, Phase, Progress, Table};
 use shallotflow_core::graph::{self, Id, State};
 use shallotflow_core::time::Time;
 
 impl Table {
     /// Adds a job that the store holds. Returns `false` without a change if the job is in the table.
     ///
+    /// A job that another writer stored and that violates the rules for jobs is left out: it can
+    /// neither start nor end.
+    ///
     /// `fresh` means that no predecessor can have known the job, so that all its tasks may start.
     pub fn accept(&mut self, id: Id, job: graph::Job, fresh: bool, now: Time) -> bool {
         self.load(id, job, None, fresh, now)
@@ -25,6 +28,10 @@
         if self.jobs.contains_key(&id) {
             return false;
         }
+        if let Err(error) = job.spec.check() {
+            self.events.push(Event::Invalid { job: id, reason: error.to_string() });
+            return false;
+        }
         let mut job = Job::new(id, job, now);
         job.fresh = fresh;
         if let Some(queue) = self.queues.get(&job.queue.name) {
--- a/crates/policy/src/plan/event.rs
+++ b/crates/policy/src/plan/event.rs
@@ -95,6 +95,13 @@
         /// Cause.
         reason: &'static str,
     },
+    /// A stored job violates the rules for jobs and is left out.
+    Invalid {
+        /// The job.
+        job: Id,
+        /// The first violation.
+        reason: String,
+    },
     /// Tasks that a predecessor may have started are now known not to run.
     #[serde(rename = "certain")]
     Settled {
--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -431,6 +431,6 @@
     pub(super) fn next_run(&self, last: u32) -> u32 {
         let base = self.epoch.saturating_sub(1).saturating_mul(RUNS_PER_EPOCH);
         let base = u32::try_from(base).unwrap_or(u32::MAX - 1);
-        last.max(base) + 1
+        last.max(base).saturating_add(1)
     }
 }
--- a/crates/scheduler/tests/owner.rs
+++ b/crates/scheduler/tests/owner.rs
@@ -10,7 +10,7 @@
 use shallotflow_policy::plan::message::{Incarnation, Kind, Profile, Reply, Report, Status};
 use shallotflow_runtime::executor;
 use shallotflow_scheduler::entry::{Entry, Settings, Submission, keys};
-use shallotflow_scheduler::peers::{Call as PeerCall, pack};
+use shallotflow_scheduler::peers::{Call as PeerCall, Request, pack};
 use shallotflow_store::store::Store;
 use shallotflow_store::transaction::{Transaction, Write};
 use std::cell::Cell;
@@ -288,6 +288,34 @@
     });
 }
 
+#[test]
+fn an_invalid_job_neither_ends_an_owner_nor_delays_other_jobs() {
+    run(async |shared| {
+        // A step that depends on one that does not exist, from the store and from another entry.
+        let mut invalid = job();
+        invalid.spec.steps[0].after = vec![7];
+        let handle = Handle { caller: "test", shared: shared.clone() };
+        for (id, job) in [(Id(1), invalid.clone()), (Id(2), job())] {
+            let packed = pack(&job).expect("a job");
+            let record = Transaction::default().put(keys::job(id), packed);
+            handle.commit(record).await.expect("a record");
+        }
+        let owner = Process::start("a", 1, &shared);
+        until(|| owner.owns()).await;
+        let (sender, answer) = oneshot::channel();
+        let request = Request::JobStored { id: Id(3), job: invalid };
+        owner.calls.unbounded_send(PeerCall::Ask(Box::new(request), sender)).expect("an entry");
+        answer.await.expect("an answer");
+        let mut started = BTreeSet::new();
+        while !started.contains(&Id(2)) {
+            let reply = owner.report(false).await;
+            started.extend(reply.orders.iter().map(|order| order.task.job));
+        }
+        assert_eq!(started, BTreeSet::from([Id(2)]));
+        assert!(owner.owns());
+    });
+}
+
 #[test]
 fn a_claim_fails_when_the_owner_is_present_again() {
     run(async |shared| {
--- a/crates/wire/src/rpc/server.rs
+++ b/crates/wire/src/rpc/server.rs
@@ -9,9 +9,13 @@
 use monoio_compat::hyper::{MonoioExecutor, MonoioIo, MonoioTimer};
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::time::Duration;
 use tonic::body::Body;
 use tower_service::Service;
 
+/// Delay after a failed accept.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(5);
+
 /// Accepts connections and serves `service` on them until `stop` is notified.
 ///
 /// Connections that are open at that time finish their calls in progress and close.
@@ -23,7 +27,11 @@
     let stopped = stop.listen();
     let accepting = async {
         loop {
-            let Ok((stream, _)) = listener.accept().await else { continue };
+            let Ok((stream, _)) = listener.accept().await else {
+                // For example out of file descriptors: waits instead of retrying in a busy loop.
+                monoio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            };
             monoio::spawn(connection(stream, service.clone(), stop.clone()));
         }
     };
