Move best-effort runs that are slowed down, and place by what workers measure now

The owner placed by learned rates alone, though it hears each run's pace and each target's measurement every 450 ms.

A search counts a serving task's measured ratio where it is above the expected one, and the pace that the agent sets for the same image. A run that is below half speed for 1.5 s goes on elsewhere if a worker with room and no disturbance exists, the work is saved or has just begun, and the move is expected to save twice what it costs; stops are measured for that. Each rule is in policy::plan::relocate, with a replay: eight tasks beside serving tasks under load for ten seconds end in 3.7 s, without moves in more than ten.

--- a/crates/policy/src/plan/audit.rs
+++ b/crates/policy/src/plan/audit.rs
@@ -140,7 +140,7 @@
         let Some(job) = self.jobs.get(&id) else { return Ok(()) };
         let waiting = |position: &usize| job.tasks[*position].phase == Phase::Waiting;
         let Some(position) = (0..job.tasks.len()).find(waiting) else { return Ok(()) };
-        let pass = Pass { now, holders, racks: &[] };
+        let pass = Pass { now, holders, except: None, racks: &[] };
         let chosen = Search::new(self, pass, job, position).run();
         let best = Search::new(self, pass, job, position).run_over_all();
         let score = |outcome: &Outcome| match outcome {
--- a/crates/policy/src/plan/expire.rs
+++ b/crates/policy/src/plan/expire.rs
@@ -15,6 +15,7 @@
         while let Some(timer) = self.timers.pop(now) {
             match timer {
                 Timer::Run(task) => self.expire_run(task, now),
+                Timer::Relocate(task) => self.slowed.push(task),
                 Timer::Urgency(id) => self.expire_urgency(id, now),
                 Timer::Forget(id) => forgotten.extend(self.forget(id, now)),
                 Timer::Worker(agent) => self.expire_worker(&agent, now),
@@ -51,7 +52,7 @@
             _ => return,
         };
         if deadline.passed(now) {
-            self.stop_run(task, reason);
+            self.stop_run(task, reason, now);
         } else {
             self.timers.push(deadline, Timer::Run(task));
         }
--- a/crates/policy/src/plan/mod.rs
+++ b/crates/policy/src/plan/mod.rs
@@ -10,7 +10,7 @@
 //! - [`Sizes`]: the largest observed workers, to reject jobs that fit none.
 //! - [`Event`]: decisions and observations, for the log.
 //! - [`Mismatch`]: a difference between state that is kept up to date and its source, for tests.
-//! - `accept`, `report`, `expire`, `disturbance`, `place`, `record`, `urgency`: the operations on the
+//! - `accept`, `report`, `expire`, `disturbance`, `place`, `record`, `relocate`, `urgency`: the operations on the
 //!   table.
 //!
 //! The cost of an operation depends on what it changes, not on what the table holds: the jobs with
@@ -38,6 +38,7 @@
 mod ranking;
 mod record;
 mod refusals;
+mod relocate;
 mod report;
 mod search;
 mod settings;
--- a/crates/policy/src/plan/place.rs
+++ b/crates/policy/src/plan/place.rs
@@ -41,6 +41,7 @@
         for id in order {
             self.place_job(id, now, holders);
         }
+        self.relocate(now, holders);
         self.may_start = false;
     }
 
@@ -105,7 +106,7 @@
         let mut racks: Vec<Option<Name>> = Vec::new();
         for position in waiting {
             let Some(job) = self.jobs.get(&id) else { return false };
-            let pass = Pass { now, holders, racks: &racks };
+            let pass = Pass { now, holders, except: None, racks: &racks };
             let (agent, pressure) = match Search::new(self, pass, job, position).run() {
                 Outcome::Worker { agent, pressure, .. } => (agent, pressure),
                 outcome => {
--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -118,7 +118,7 @@
             let state = self.task_state(&task);
             match state.map(|state| state.phase.clone()) {
                 Some(Phase::Starting { .. }) if may_still_start => {
-                    self.stop_run(task, "its start may still be carried out");
+                    self.stop_run(task, "its start may still be carried out", now);
                 }
                 Some(Phase::Stopping { run, .. }) if may_still_start => {
                     self.order_stop(agent, task, run, "its start may still be carried out");
@@ -159,7 +159,7 @@
                 if !counted && !long_running {
                     state.failed.push(run);
                 }
-                state.failed_at = Some(agent.clone());
+                state.avoided = Some(agent.clone());
                 state.misses = state.misses.saturating_add(1);
                 let misses = state.misses;
                 let exhausted = !long_running && self.failures(task) >= attempts;
@@ -296,7 +296,7 @@
             (_, Outcome::Started) => {}
             (Phase::Starting { .. }, Outcome::Old) => {
                 // The answer to the stop shows whether the run has started and ended.
-                self.stop_run(task, "the worker knows the run or a later one");
+                self.stop_run(task, "the worker knows the run or a later one", now);
             }
             (Phase::Stopping { .. }, outcome) if outcome != Outcome::Absent => {}
             (_, outcome) => {
@@ -336,7 +336,7 @@
                     self.order_stop(agent, task, run, "its agent started again");
                 }
                 _ if listed.contains(&task) => {}
-                Some(Phase::Starting { .. }) => self.stop_run(task, "its agent started again"),
+                Some(Phase::Starting { .. }) => self.stop_run(task, "its agent started again", now),
                 _ => self.release_task(task, now, now),
             }
         }
@@ -387,6 +387,12 @@
         if run.checkpoint.is_some() {
             state.checkpoint.clone_from(&run.checkpoint);
         }
+        if run.pace >= self.settings.slow_pace {
+            state.slowed_since = None;
+        } else if state.slowed_since.is_none() {
+            state.slowed_since = Some(now);
+            self.timers.push(now.after(self.settings.relocation_delay), Timer::Relocate(task));
+        }
         if let Some(placed) =
             self.workers.get_mut(agent).and_then(|worker| worker.placed.get_mut(&task))
         {
--- a/crates/policy/src/plan/search.rs
+++ b/crates/policy/src/plan/search.rs
@@ -7,11 +7,15 @@
 use shallotflow_core::time::Time;
 use std::collections::BTreeSet;
 
-/// Added to the score of the worker where the task failed last, so that any other goes first.
-const FAILED_WORKER_PENALTY: f64 = 10.0;
+/// Added to the score of the worker where the task failed or was slowed down last, so that any
+/// other goes first.
+const AVOIDED_WORKER_PENALTY: f64 = 10.0;
 
 /// Weight of the expected excess of a serving task over its target, relative to processor use.
 const DISTURBANCE_WEIGHT: f64 = 2.0;
+/// Weight of the share by which the worker's agent slows tasks of the same image down, relative to
+/// processor use.
+const SLOWDOWN_WEIGHT: f64 = 2.0;
 /// Expected tail latency of a serving task above which disturbance counts, as a share of its target.
 /// The remaining share covers the swings of its load.
 const DISTURBANCE_THRESHOLD: f64 = 0.65;
@@ -47,6 +51,8 @@
     pub(super) now: Time,
     /// Agents that the store lists as possible holders of runs.
     pub(super) holders: &'a BTreeSet<Name>,
+    /// The worker that the task has to leave.
+    pub(super) except: Option<&'a Name>,
     /// Racks of the tasks of the step that the pass has placed.
     pub(super) racks: &'a [Option<Name>],
 }
@@ -173,7 +179,7 @@
     /// `None` if the task cannot go there.
     fn score(&mut self, agent: &Name, worker: &Worker) -> Option<(f64, f64)> {
         let Self { table, step, .. } = *self;
-        let Pass { now, holders, racks } = self.pass;
+        let Pass { now, holders, except, racks } = self.pass;
         let settings = &table.settings;
         let profile = worker.profile.as_ref()?;
         let capacity = profile.capacity;
@@ -184,6 +190,7 @@
         if !worker.accepts_tasks(now, settings.report_timeout)
             || !worker.ejected_until.passed(now)
             || !holders.contains(agent)
+            || except == Some(agent)
             || !step.required_label.as_ref().is_none_or(|label| profile.labels.contains(label))
         {
             return None;
@@ -209,7 +216,8 @@
                 self.any_disturbed = true;
                 return None;
             }
-            pressure + DISTURBANCE_WEIGHT * excess
+            let slowdown = worker.slowdown(step.image.as_ref());
+            pressure + DISTURBANCE_WEIGHT * excess + SLOWDOWN_WEIGHT * slowdown
         } else {
             pressure
         };
@@ -220,8 +228,8 @@
             score += settings.spread_factor;
         }
         let state = &self.job.tasks[self.job.position(&self.task)?];
-        if state.failed_at.as_ref() == Some(agent) {
-            score += FAILED_WORKER_PENALTY;
+        if state.avoided.as_ref() == Some(agent) {
+            score += AVOIDED_WORKER_PENALTY;
         }
         Some((score, pressure))
     }
@@ -232,9 +240,12 @@
         let Some(image) = &self.step.image else { return 0.0 };
         let rates = &self.table.rates;
         let share = f64::from(self.step.need.millicores) / f64::from(capacity.millicores.max(1));
-        let excess = worker.load.serving.keys().map(|victim| {
-            let before = rates.expected(victim, worker.load.best_effort(capacity));
-            let added = rates.added(victim, image) * share;
+        let serving = worker.placed.values().filter(|placed| placed.target_ms > 0);
+        let excess = serving.map(|placed| {
+            let victim = placed.image_name();
+            let expected = rates.expected(&victim, worker.load.best_effort(capacity));
+            let before = expected.max(placed.target_ratio());
+            let added = rates.added(&victim, image) * share;
             // Of a target that is exceeded already, only the added part counts.
             (before + added - DISTURBANCE_THRESHOLD).clamp(0.0, added)
         });
--- a/crates/policy/src/plan/settings.rs
+++ b/crates/policy/src/plan/settings.rs
@@ -38,6 +38,12 @@
     pub ejection_failures: u32,
     /// Length of the first ejection of a worker; doubles each time.
     pub ejection: Duration,
+    /// A run that its agent slows down to less than this, in percent, may go on at another worker.
+    pub slow_pace: u8,
+    /// Time from the end of a stopped run until the next one has restored its checkpoint.
+    pub restart_time: Duration,
+    /// How long a run is slowed down before it is stopped to go on at another worker.
+    pub relocation_delay: Duration,
     /// Interval at which waiting tasks are tried again at workers that time alone may have freed:
     /// paused, ejected or silent ones, or ones where a task would have disturbed others.
     pub search_interval: Duration,
@@ -62,6 +68,9 @@
             spread_factor: 1.5,
             ejection_failures: 3,
             ejection: Duration::from_secs(4),
+            slow_pace: 50,
+            restart_time: Duration::from_millis(700),
+            relocation_delay: Duration::from_millis(1_500),
             search_interval: Duration::from_millis(25),
             stall_timeout: Duration::from_millis(2_500),
         }
--- a/crates/policy/src/plan/table.rs
+++ b/crates/policy/src/plan/table.rs
@@ -12,6 +12,12 @@
 use shallotflow_core::name::Name;
 use shallotflow_core::time::Time;
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Assumed duration of a stop before one was observed.
+const INITIAL_STOP_TIME: Duration = Duration::from_millis(900);
+/// Number of stops over which their duration is averaged.
+const STOP_TIME_WEIGHT: u32 = 8;
 
 /// The jobs and workers of one owner.
 #[derive(Clone, Debug)]
@@ -34,6 +40,10 @@
     pub(super) may_start: bool,
     /// When all waiting tasks are tried again without a change.
     pub(super) search_again_at: Time,
+    /// Time from the order to stop a run until its end is reported, averaged.
+    pub(super) stop_time: Duration,
+    /// Runs that may have been slowed down for long.
+    pub(super) slowed: Vec<Task>,
     /// Deadlines of runs, jobs and workers.
     pub(super) timers: Timers,
     /// Jobs with unrecorded changes.
@@ -76,6 +86,8 @@
             refusals: Refusals::default(),
             may_start: false,
             search_again_at: Time::ZERO,
+            stop_time: INITIAL_STOP_TIME,
+            slowed: Vec::new(),
             timers: Timers::default(),
             changes: Changes::default(),
             holding: BTreeSet::new(),
@@ -251,7 +263,7 @@
     }
 
     /// Orders a stop of the current run of `task`, if any; the run may end for another reason first.
-    pub(super) fn stop_run(&mut self, task: Task, reason: &'static str) {
+    pub(super) fn stop_run(&mut self, task: Task, reason: &'static str, now: Time) {
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let Some(position) = job.position(&task) else { return };
         let state = &mut job.tasks[position];
@@ -262,6 +274,7 @@
             _ => return,
         };
         state.phase = Phase::Stopping { agent: agent.clone(), run };
+        state.stopped_at = Some(now);
         self.order_stop(&agent, task, run, reason);
     }
 
@@ -292,6 +305,11 @@
         state.retry_at = retry;
         state.ready_since = now;
         state.percent = 0;
+        state.slowed_since = None;
+        if let Some(stopped_at) = state.stopped_at.take() {
+            let took = now.since(stopped_at);
+            self.stop_time = (self.stop_time * (STOP_TIME_WEIGHT - 1) + took) / STOP_TIME_WEIGHT;
+        }
         if let Some(agent) = agent {
             self.vacate(&agent, &task);
         }
@@ -324,7 +342,7 @@
         self.update_ready(id, now);
         self.events.push(Event::Job { job: id, state, reason });
         for task in running {
-            self.stop_run(task, reason);
+            self.stop_run(task, reason, now);
         }
         self.mark_changed(id, now);
         if let Some(job) = self.jobs.get_mut(&id) {
--- a/crates/policy/src/plan/task_state.rs
+++ b/crates/policy/src/plan/task_state.rs
@@ -45,8 +45,8 @@
     pub last_run: u32,
     /// Numbers of failed runs.
     pub failed: Vec<u32>,
-    /// Agent at which the task failed last.
-    pub failed_at: Option<Name>,
+    /// Agent at which the task failed last, or was slowed down and stopped for that.
+    pub avoided: Option<Name>,
     /// Newest checkpoint.
     pub checkpoint: Option<Name>,
     /// Earliest time of the next start.
@@ -57,6 +57,12 @@
     pub percent: u8,
     /// When the current run is stopped unless it makes progress.
     pub stalls_at: Time,
+    /// Since when its agent has slowed the current run down considerably.
+    pub slowed_since: Option<Time>,
+    /// When a stop of the current run was ordered.
+    pub stopped_at: Option<Time>,
+    /// How often a run was stopped to go on at another worker.
+    pub relocations: u8,
     /// Since when the task could have been running.
     pub ready_since: Time,
 }
--- a/crates/policy/src/plan/timers.rs
+++ b/crates/policy/src/plan/timers.rs
@@ -9,6 +9,8 @@
 pub(super) enum Timer {
     /// A start may be unanswered, or a run may have stalled.
     Run(Task),
+    /// A run may have been slowed down for long.
+    Relocate(Task),
     /// The urgency of a job may have changed.
     Urgency(Id),
     /// An ended job may be removed.
--- a/crates/policy/src/plan/worker.rs
+++ b/crates/policy/src/plan/worker.rs
@@ -31,6 +31,11 @@
         Demand { need: self.need, best_effort: self.best_effort, serving: self.target_ms > 0 }
     }
 
+    /// Returns the latest tail latency of a serving task as a share of its target.
+    pub(super) fn target_ratio(&self) -> f64 {
+        f64::from(self.measurement) / f64::from(self.target_ms.max(1))
+    }
+
     /// Returns the image of the run; empty if it is unknown.
     pub(super) fn image_name(&self) -> Name {
         self.image.clone().unwrap_or_else(|| Name::from(""))
@@ -131,6 +136,13 @@
         true
     }
 
+    /// Returns by which share the agent slows best-effort tasks of `image` down at present.
+    pub(super) fn slowdown(&self, image: Option<&Name>) -> f64 {
+        let same = |placed: &&Placed| placed.best_effort && placed.image.as_ref() == image;
+        let pace = self.placed.values().filter(same).map(|placed| placed.pace).min();
+        1.0 - f64::from(pace.unwrap_or(100)) / 100.0
+    }
+
     /// Counts the runs of the same step and repetition as `task`.
     pub(super) fn siblings(&self, task: &Task) -> usize {
         let first = Task { index: 0, ..*task };
--- a/crates/policy/tests/plan/harness.rs
+++ b/crates/policy/tests/plan/harness.rs
@@ -65,7 +65,13 @@
 impl Harness {
     /// Creates the first owner, with `count` workers of ten processors each that have all reported.
     pub(crate) fn new(count: usize) -> Self {
+        Self::with_settings(Settings::default(), count)
+    }
+
+    /// Creates such an owner with other settings.
+    pub(crate) fn with_settings(settings: Settings, count: usize) -> Self {
         let mut harness = Self::owner(1, count, Vec::new());
+        harness.table = Table::new(settings, 1, Vec::new(), harness.now);
         harness.report_all();
         harness
     }
--- a/crates/policy/tests/plan/main.rs
+++ b/crates/policy/tests/plan/main.rs
@@ -8,6 +8,7 @@
 mod order;
 mod overload;
 mod recovery;
+mod relocation;
 mod restart;
 mod retry;
 mod sizes;
