Keep the runs of a worker that is silent or paused for a while

A run counted as stalled 2.5 s after its last progress was heard, also when nothing was heard at all: an agent that was cut off for three seconds, or a worker that was paused, had all its runs stopped and started again on its return.

Only a list that arrives after the deadline shows a stall, and the first list after a silence of report_timeout begins a new period. The lease still ends what stays silent. The test (silences of 3 and 6 s, then lists without progress) failed before with every run gone.

--- a/crates/policy/src/plan/audit.rs
+++ b/crates/policy/src/plan/audit.rs
@@ -1,5 +1,6 @@
 //! Compares the state that is kept up to date by changes with one rebuilt from jobs and workers.
 
+use super::expire::STALL_RECHECK_INTERVAL;
 use super::load::Load;
 use super::ranking::Ranking;
 use super::search::{Outcome, Pass, ROUNDING, Search};
@@ -89,8 +90,12 @@
             let task = job.task(position);
             let overdue = match state.phase {
                 Phase::Starting { withdraw_at, .. } => withdraw_at.passed(now),
-                Phase::Running { .. } => {
-                    state.stalls_at.passed(now) && !job.step(&task).long_running
+                Phase::Running { ref agent, .. } => {
+                    let worker = self.workers.get(agent);
+                    let listed_at = worker.map_or(Time::ZERO, |worker| worker.listed_at);
+                    state.stalls_at.passed(listed_at)
+                        && listed_at.after(STALL_RECHECK_INTERVAL).passed(now)
+                        && !job.step(&task).long_running
                 }
                 _ => false,
             };
--- a/crates/policy/src/plan/expire.rs
+++ b/crates/policy/src/plan/expire.rs
@@ -1,10 +1,14 @@
 //! Acts on expired deadlines.
 
 use super::timers::Timer;
-use super::{Event, Phase, Table};
+use super::{Event, Phase, Table, TaskState};
 use shallotflow_core::graph::{Id, Task};
 use shallotflow_core::name::Name;
 use shallotflow_core::time::Time;
+use std::time::Duration;
+
+/// Interval at which a run is checked again whose worker has not listed it since its deadline.
+pub(super) const STALL_RECHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 impl Table {
     /// Acts on every deadline that has passed; `wall_ms` is the wall-clock time in milliseconds since
@@ -46,8 +50,8 @@
         let state = &job.tasks[position];
         let (deadline, reason) = match &state.phase {
             Phase::Starting { withdraw_at, .. } => (*withdraw_at, "its start was not answered"),
-            Phase::Running { .. } if !job.step(&task).long_running => {
-                (state.stalls_at, "it makes no progress")
+            Phase::Running { agent, .. } if !job.step(&task).long_running => {
+                (self.stall_deadline(agent, state, now), "it makes no progress")
             }
             _ => return,
         };
@@ -58,6 +62,16 @@
         }
     }
 
+    /// Returns when a run counts as stalled, or when to look again: only a list that arrives after
+    /// the deadline shows that, since a worker without one may be silent or paused.
+    fn stall_deadline(&self, agent: &Name, state: &TaskState, now: Time) -> Time {
+        let listed_at = self.workers.get(agent).map_or(Time::ZERO, |worker| worker.listed_at);
+        if state.stalls_at.passed(listed_at) {
+            return state.stalls_at;
+        }
+        state.stalls_at.max(now.after(STALL_RECHECK_INTERVAL))
+    }
+
     fn expire_urgency(&mut self, id: Id, now: Time) {
         self.update_ready(id, now);
         let queued = self.jobs.get(&id).filter(|job| job.queued.is_some());
--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -322,6 +322,7 @@
             self.apply_run(agent, run, now);
         }
         let Some(worker) = self.workers.get_mut(agent) else { return };
+        worker.listed_at = now;
         if !complete || worker.synced {
             return;
         }
@@ -348,6 +349,11 @@
     fn apply_run(&mut self, agent: &Name, run: &Run, now: Time) {
         let Run { task, run: number, .. } = *run;
         let stall = self.settings.stall_timeout;
+        // After a silence, the owner cannot tell whether the run stalls or the worker was paused.
+        let regained = self
+            .workers
+            .get(agent)
+            .is_some_and(|worker| worker.listed_at.after(self.settings.report_timeout).passed(now));
         let active = self.jobs.get_mut(&task.job).filter(|job| job.ended.is_none());
         let Some(job) = active else {
             return self.stop_unexpected(agent, task, number, "its job has ended or is not known");
@@ -380,7 +386,7 @@
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let state = &mut job.tasks[position];
         // A throttled run counts as making progress.
-        if run.percent != state.percent || run.pace < 100 {
+        if run.percent != state.percent || run.pace < 100 || regained {
             state.percent = run.percent;
             state.stalls_at = now.after(stall);
         }
--- a/crates/policy/src/plan/worker.rs
+++ b/crates/policy/src/plan/worker.rs
@@ -70,6 +70,9 @@
     /// Number of the latest report that listed the runs.
     #[serde(rename = "listed")]
     pub listed_sequence: u64,
+    /// When the agent last listed the runs.
+    #[serde(skip)]
+    pub(super) listed_at: Time,
     /// Ends up to this number are recorded.
     pub recorded: u64,
     /// Until when the worker is ejected.
--- a/crates/policy/tests/plan/restart.rs
+++ b/crates/policy/tests/plan/restart.rs
@@ -3,6 +3,7 @@
 use super::harness::{Harness, id, job, name, step, task};
 use shallotflow_policy::plan::message::{ExitReason, Kind, Run, Status};
 use std::time::Duration;
+use test_case::test_case;
 
 #[test]
 fn runs_of_a_restarted_worker_continue_elsewhere() {
@@ -164,3 +165,28 @@
         [(1, 50)]
     );
 }
+
+#[test_case(Duration::from_millis(3_000); "longer than a run may stall")]
+#[test_case(Duration::from_millis(6_000); "almost as long as its lease")]
+fn the_runs_of_a_worker_that_is_silent_for_a_while_go_on(silence: Duration) {
+    let mut harness = Harness::new(2);
+    harness.table.accept(id(1), job(vec![step(4, 2_000)]), true, harness.now);
+    harness.run_round();
+    let before = harness.running();
+    let end = harness.now.after(silence);
+    while harness.now < end {
+        harness.wait(Duration::from_millis(25));
+        harness.tick();
+    }
+    // The first lists after the silence show no progress either: the worker was paused.
+    for _ in 0..4 {
+        harness.report_all();
+        harness.tick();
+        harness.wait(Duration::from_millis(450));
+    }
+    harness.execute_orders();
+    harness.report_all();
+    assert_eq!(harness.running(), before);
+    let job = harness.table.job(id(1)).expect("a job");
+    assert!(job.tasks.iter().all(|state| state.last_run == 1), "no task is started again");
+}
