Slow a best-effort run at its start where its image is slowed already

A run starts at full speed, and its agent set its pace after the next poll only. Since agents no longer poll without a pause, that is up to 400 ms later, and each start beside a serving task over its target works on meanwhile.

The agent sets paces right after the start of a best-effort run as well. The test withholds the worker's polls: the new run is slowed meanwhile. It hung without the change.

--- a/crates/scheduler/src/agent/look.rs
+++ b/crates/scheduler/src/agent/look.rs
@@ -2,7 +2,7 @@
 //!
 //! The module keeps its name: log filters and the field `target` of log lines contain its path.
 
-use super::pace::{Controller, Service};
+use super::pace::Service;
 use super::run_table::{ActiveRun, Key};
 use super::{Agent, Error};
 use shallotflow_core::name::Name;
@@ -13,10 +13,9 @@
 
 /// Polls the worker until the process ends; each poll waits a bounded time for a run to end.
 pub(super) async fn run(agent: Rc<Agent>) {
-    let mut pace = Controller::default();
     loop {
         match poll(&agent).await {
-            Ok(()) => set_paces(&agent, &mut pace),
+            Ok(()) => set_paces(&agent),
             Err(error) => {
                 let state = |agent: &Agent| {
                     let table = agent.run_table.borrow();
@@ -100,7 +99,7 @@
 }
 
 /// Sets the paces of best-effort tasks to what the services beside them allow.
-fn set_paces(agent: &Rc<Agent>, controller: &mut Controller) {
+pub(super) fn set_paces(agent: &Rc<Agent>) {
     let table = agent.run_table.borrow();
     let image = |active: &ActiveRun| active.traits.image.clone().unwrap_or_else(|| Name::from(""));
     let mut services = Vec::new();
@@ -118,6 +117,7 @@
             });
         }
     }
+    let mut controller = agent.controller.borrow_mut();
     let paces = controller.decide(&services, &best_effort, table.rates(), Boottime.now());
     let change = |(key, active): (&Key, &ActiveRun)| {
         let percent = paces.get(&image(active)).copied().unwrap_or(100);
--- a/crates/scheduler/src/agent/order.rs
+++ b/crates/scheduler/src/agent/order.rs
@@ -1,7 +1,7 @@
 //! Carries out the owner's orders.
 
 use super::run_table::Key;
-use super::{Agent, Error, Start};
+use super::{Agent, Error, Start, look};
 use shallotflow_core::metric;
 use shallotflow_core::time::Clock;
 use shallotflow_policy::plan::message::{Kind, Order, Outcome};
@@ -48,8 +48,12 @@
         metrics::histogram!(metric::START_CALL).record(took);
         let outcome = match answer {
             Ok(_) => {
-                let mut table = agent.run_table.borrow_mut();
-                return table.confirm_start(order, traits.clone(), Boottime.now());
+                agent.run_table.borrow_mut().confirm_start(order, traits.clone(), Boottime.now());
+                if traits.best_effort {
+                    // A run starts at full speed; the next poll may take some hundred milliseconds.
+                    look::set_paces(agent);
+                }
+                return;
             }
             Err(Error::Unknown(_)) => {
                 unanswered = true;
--- a/crates/scheduler/src/agent/shared.rs
+++ b/crates/scheduler/src/agent/shared.rs
@@ -1,3 +1,4 @@
+use super::pace::Controller;
 use super::run_table::RunTable;
 use super::{Control, Settings, look, report};
 use event_listener::Event;
@@ -13,6 +14,8 @@
 pub struct Agent {
     pub(super) settings: Settings,
     pub(super) run_table: RefCell<RunTable>,
+    /// Decides the paces of best-effort tasks.
+    pub(super) controller: RefCell<Controller>,
     pub(super) control: Rc<dyn Control>,
     pub(super) store: Rc<dyn Store>,
     /// Notified when an update for the owner is due.
@@ -35,6 +38,7 @@
         Rc::new(Self {
             settings,
             run_table: RefCell::new(run_table),
+            controller: RefCell::default(),
             control,
             store,
             report_due: Event::new(),
