--- a/crates/policy/tests/plan/relocation.rs
+++ b/crates/policy/tests/plan/relocation.rs
@@ -25,6 +25,18 @@
     pace: u8,
 }
 
+impl Listed {
+    /// Lets a worker list the task so from now on, if it runs there.
+    fn apply(&self, harness: &mut Harness, worker: usize) {
+        let worker = harness.workers.get_mut(&name(worker)).expect("a worker");
+        if let Some(run) = worker.running.get_mut(&task(1, 0, 0)) {
+            run.percent = self.percent;
+            run.checkpoint = self.checkpoint.map(Name::from);
+            run.pace = self.pace;
+        }
+    }
+}
+
 const EARLY: Listed = Listed { percent: 10, checkpoint: Some("saved"), pace: SLOW };
 
 /// Starts one best-effort task, lets its worker list it as `listed` for some seconds, and returns
@@ -35,12 +47,7 @@
     harness.run_round();
     let first = harness.worker_of(task(1, 0, 0)).expect("a run");
     for _ in 0..20 {
-        let worker = harness.workers.get_mut(&name(first)).expect("a worker");
-        if let Some(run) = worker.running.get_mut(&task(1, 0, 0)) {
-            run.percent = listed.percent;
-            run.checkpoint = listed.checkpoint.map(Name::from);
-            run.pace = listed.pace;
-        }
+        listed.apply(&mut harness, first);
         harness.wait(Duration::from_millis(200));
         harness.report_all();
         harness.run_round();
@@ -70,11 +77,7 @@
     harness.run_round();
     let first = harness.worker_of(task(1, 0, 0)).expect("a run");
     for _ in 0..20 {
-        let worker = harness.workers.get_mut(&name(first)).expect("a worker");
-        if let Some(run) = worker.running.get_mut(&task(1, 0, 0)) {
-            (run.percent, run.pace) = (10, SLOW);
-            run.checkpoint = Some(Name::from("saved"));
-        }
+        EARLY.apply(&mut harness, first);
         harness.wait(Duration::from_millis(200));
         harness.run_round();
     }
