Drop a second update of a worker's lists, and clarify comments

A report brought the lists of its worker up to date twice: what happens in between (ends, adopted runs, completed lists) does so itself. The second one is gone; the random test that compares the kept state with a rebuilt one passes. Comments on the scan's limit, the slow pace, the version of holders and the activity counters say what they mean; two doc comments are wrapped.

--- a/crates/policy/src/plan/mod.rs
+++ b/crates/policy/src/plan/mod.rs
@@ -10,8 +10,8 @@
 //! - [`Sizes`]: the largest observed workers, to reject jobs that fit none.
 //! - [`Event`]: decisions and observations, for the log.
 //! - [`Mismatch`]: a difference between state that is kept up to date and its source, for tests.
-//! - `accept`, `report`, `expire`, `disturbance`, `place`, `record`, `relocate`, `urgency`: the operations on the
-//!   table.
+//! - `accept`, `report`, `expire`, `disturbance`, `place`, `record`, `relocate`, `urgency`: the
+//!   operations on the table.
 //!
 //! The cost of an operation depends on what it changes, not on what the table holds: the jobs with
 //! waiting tasks are kept in order, each worker's load is a sum over its runs, the workers are kept
--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -66,7 +66,6 @@
             self.apply_running(&agent, running, report.complete, now);
             self.learn_rates(&agent);
         }
-        self.update_worker_lists(&agent);
         self.advance_recorded(&agent);
     }
 
--- a/crates/policy/src/plan/search.rs
+++ b/crates/policy/src/plan/search.rs
@@ -159,7 +159,8 @@
                 return;
             }
             if self.step.best_effort && pressure > settings.best_effort_limit {
-                // All further workers are used as much, by best-effort tasks too.
+                // All further workers in the list exceed the limit as well, and only best-effort
+                // tasks can use a worker beyond its capacity.
                 self.any_room = true;
                 return;
             }
--- a/crates/policy/src/plan/table.rs
+++ b/crates/policy/src/plan/table.rs
@@ -50,7 +50,7 @@
     pub(super) changes: Changes,
     /// Agents of workers that may hold runs of this owner.
     pub(super) holding: BTreeSet<Name>,
-    /// Number of changes of the agents that [`Table::holders`] returns.
+    /// Number of changes of the agents that [`Table::holders`] returns, counted from 1.
     pub(super) holders_version: u64,
     /// Agents with news since [`Table::take_updated`] was called.
     pub(super) updated: BTreeSet<Name>,
--- a/crates/policy/src/plan/task_state.rs
+++ b/crates/policy/src/plan/task_state.rs
@@ -57,7 +57,7 @@
     pub percent: u8,
     /// When the current run is stopped unless it makes progress.
     pub stalls_at: Time,
-    /// Since when its agent has slowed the current run down considerably.
+    /// Since when its agent has slowed the current run down below the slow pace of the settings.
     pub slowed_since: Option<Time>,
     /// When a stop of the current run was ordered.
     pub stopped_at: Option<Time>,
--- a/crates/scheduler/src/entry/activity.rs
+++ b/crates/scheduler/src/entry/activity.rs
@@ -18,7 +18,7 @@
 }
 
 impl Activity {
-    /// Adds `count` to a counter of this table.
+    /// Adds `count` to one of the counters.
     pub(super) fn count(counter: &Cell<u64>, count: u64) {
         counter.set(counter.get() + count);
     }
--- a/crates/scheduler/src/entry/elect.rs
+++ b/crates/scheduler/src/entry/elect.rs
@@ -7,9 +7,8 @@
 //! first.
 //!
 //! A claim succeeds only while the claimant's own presence is as it wrote it. A claim of an absent
-//! owner's table succeeds only while that owner's presence is absent, and an
-//! owner renews an absent presence only while its own claim holds. So an owner that is present has
-//! no successor.
+//! owner's table succeeds only while that owner's presence is absent, and an owner renews an absent
+//! presence only while its own claim holds. So an owner that is present has no successor.
 
 use super::member::Owner;
 use super::{Entry, keys, membership, own};
