Wait for agents that report to a new owner but cannot list their runs yet

What callers can see: a task that must run once runs twice, or starts again after an end that is recorded later, when an owner is replaced while a worker's answers are lost.

A new owner waits for each agent that may hold runs of its predecessor, for the length of a lease from the claim, or until the agent reports complete lists. A report without lists lets the agent renew its leases but did not extend that wait. An agent whose polls reach the worker without an answer renews leases in this way; runs at its worker go on when the owner starts their tasks elsewhere.

Failed before: `a_task_waits_for_the_lease_of_an_agent_that_reports_but_cannot_read_the_lists` (waiting where it should be uncertain).

Each report of a known incarnation extends the wait for its agent by a lease. So that tasks do not wait for ever for a worker that never answers, the wait ends when the agent reports that the worker is silent and its last lease has ended, which did not count before (`tasks_do_not_wait_for_an_agent_whose_worker_is_silent_and_has_no_lease` failed), also for a worker that has never registered at this process of the agent.

--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -12,6 +12,11 @@
 /// a new owner are above all that the predecessor assigned.
 const RUNS_PER_EPOCH: u64 = 1_024;
 
+/// Returns whether the worker does not answer and its last lease has ended.
+fn is_empty(report: &Report) -> bool {
+    report.worker.as_ref().is_some_and(|profile| profile.status == Status::Empty)
+}
+
 impl Table {
     /// Applies a report. A report that arrives after a later one has no effect.
     pub fn apply_report(&mut self, report: Report, now: Time) {
@@ -34,6 +39,12 @@
         worker.last_order = worker.last_order.max(report.received);
         worker.last_report = now;
         worker.empty_at = now.after(self.settings.lease);
+        // The reply lets the agent renew leases, also of runs that it cannot list yet.
+        if report.incarnation.is_some()
+            && let Some(empty_at) = self.missing.get_mut(&agent)
+        {
+            *empty_at = worker.empty_at;
+        }
         worker.vacant = report.vacant;
         worker.lacks_traits = report.lacks_traits;
         if report.running.is_some() {
@@ -53,6 +64,8 @@
         self.update_worker(&agent, &report, now);
         if report.vacant {
             self.lose_runs(&agent, "no worker runs beside the agent", now);
+        }
+        if report.vacant || is_empty(&report) {
             self.forget_missing(&agent, now);
         }
         self.update_worker_lists(&agent);
@@ -87,7 +100,6 @@
         let Some(incarnation) = &report.incarnation else { return };
         let previous = worker.incarnation.replace(incarnation.clone());
         let restarted = previous.is_some_and(|previous| previous != *incarnation);
-        let empty = report.worker.as_ref().is_some_and(|p| p.status == Status::Empty);
         if restarted {
             worker.ends.clear();
             worker.recorded = 0;
@@ -95,7 +107,7 @@
             worker.ejected_until = Time::ZERO;
             worker.ejections = 0;
             self.lose_runs(agent, "the worker started again", now);
-        } else if empty {
+        } else if is_empty(report) {
             self.lose_runs(agent, "the last lease has ended", now);
         }
     }
--- a/crates/policy/tests/plan/recovery.rs
+++ b/crates/policy/tests/plan/recovery.rs
@@ -2,7 +2,7 @@
 
 use super::harness::{Harness, id, job, name, step, task};
 use shallotflow_core::graph::State;
-use shallotflow_policy::plan::message::{ExitReason, Run};
+use shallotflow_policy::plan::message::{ExitReason, Run, Status};
 use shallotflow_policy::plan::{Phase, Progress};
 use std::time::Duration;
 
@@ -132,8 +132,7 @@
 fn an_empty_worker_is_not_a_holder_of_runs() {
     let mut harness = Harness::new(2);
     assert_eq!(harness.table.holders(), [name(0), name(1)].into());
-    harness.workers.get_mut(&name(1)).expect("a worker").status =
-        shallotflow_policy::plan::message::Status::Empty;
+    harness.workers.get_mut(&name(1)).expect("a worker").status = Status::Empty;
     harness.report_all();
     assert_eq!(harness.table.holders(), [name(0)].into());
 }
@@ -155,3 +154,41 @@
     harness.run_round();
     assert_eq!(harness.running(), [task(1, 0, 0)]);
 }
+
+#[test]
+fn a_task_waits_for_the_lease_of_an_agent_that_reports_but_cannot_read_the_lists() {
+    let mut harness = Harness::owner(2, 2, vec![name(0), name(1)]);
+    harness.table.accept(id(1), job(vec![step(1, 1_000)]), false, harness.now);
+    let report_incomplete = |harness: &mut Harness| {
+        let worker = harness.workers.get_mut(&name(1)).expect("a worker");
+        let mut report = worker.report(&name(1), 2);
+        (report.complete, report.running) = (false, None);
+        harness.table.apply_report(report, harness.now);
+    };
+    // Each of these reports renews the agent's leases.
+    for _ in 0..8 {
+        report_incomplete(&mut harness);
+        harness.report(0);
+        harness.tick();
+        assert_eq!(harness.phase(task(1, 0, 0)), Phase::Uncertain);
+        harness.wait(Duration::from_secs(1));
+    }
+    harness.wait(Duration::from_millis(5_500));
+    harness.report(0);
+    harness.run_round();
+    assert_eq!(harness.running(), [task(1, 0, 0)]);
+}
+
+#[test]
+fn tasks_do_not_wait_for_an_agent_whose_worker_is_silent_and_has_no_lease() {
+    let mut harness = Harness::owner(2, 2, vec![name(0), name(1)]);
+    harness.table.accept(id(1), job(vec![step(1, 1_000)]), false, harness.now);
+    harness.report(0);
+    let worker = harness.workers.get_mut(&name(1)).expect("a worker");
+    worker.status = Status::Empty;
+    let mut report = worker.report(&name(1), 2);
+    (report.complete, report.running) = (false, None);
+    harness.table.apply_report(report, harness.now);
+    harness.run_round();
+    assert_eq!(harness.running(), [task(1, 0, 0)]);
+}
--- a/crates/scheduler/src/agent/run_table.rs
+++ b/crates/scheduler/src/agent/run_table.rs
@@ -413,6 +413,10 @@
         if self.sent_reports.len() > MAX_SENT_REPORTS {
             self.sent_reports.pop_front();
         }
+        // A worker that has never registered is gone once it is silent and its last lease has ended.
+        let unregistered_empty =
+            self.profile.is_none() && self.is_silent() && self.granted_until.passed(now);
+        let vacant = self.is_vacant() || unregistered_empty;
         let mut report = Report {
             agent: self.agent.clone(),
             process: self.process,
@@ -420,8 +424,8 @@
             sequence,
             incarnation: self.incarnation.clone(),
             worker: self.profile(now),
-            vacant: self.is_vacant(),
-            complete: self.complete && !self.is_vacant(),
+            vacant,
+            complete: self.complete && !vacant,
             running: None,
             lacks_traits: false,
             ends: Vec::new(),
--- a/crates/scheduler/tests/run_table.rs
+++ b/crates/scheduler/tests/run_table.rs
@@ -118,3 +118,15 @@
     let report = table.report(at(10).after(Duration::from_secs(1)));
     assert!(!report.vacant);
 }
+
+#[test]
+fn a_worker_that_never_registered_counts_as_gone_once_its_last_lease_has_ended() {
+    let mut table = joined(vec![run()]);
+    for _ in 0..3 {
+        table.poll_failed(&Error::Unknown("no answer".to_owned()));
+    }
+    assert!(!table.report(at(5_000)).vacant, "a former process may have renewed its lease");
+    let report = table.report(at(6_200));
+    assert!(report.vacant, "nobody can have renewed its lease since");
+    assert!(!report.complete);
+}
