Keep an agent that restarts among the possible holders of runs

What callers can see: a task starts again, or runs twice, after an end that is recorded later, when an agent and the owner are replaced at nearly the same moment, as in restarts of all machines in turn.

A successor waits for the agents that the store lists as possible holders of runs. An agent whose process has restarted left that list until its new process had read its worker's lists, though the runs there go on. An owner that was replaced in this time, some ten to hundred milliseconds, left a list without that agent, and its successor started the agent's tasks elsewhere at once.

`an_agent_that_restarts_while_its_worker_runs_tasks_remains_a_holder_of_runs` failed before.

An agent is a holder while any run is placed at its worker, whether or not its present process has listed them. Runs leave the account only by lists, ends or the end of the lease.

--- a/crates/policy/src/plan/worker.rs
+++ b/crates/policy/src/plan/worker.rs
@@ -118,10 +118,11 @@
             && self.full_until.passed(now)
     }
 
-    /// Returns whether the worker holds runs of this owner or may do so soon.
+    /// Returns whether the worker holds runs of this owner or may do so soon. A new process of its
+    /// agent has not listed the runs yet, which go on.
     pub(super) fn may_hold_runs(&self) -> bool {
         let empty = self.profile.as_ref().is_some_and(|p| p.status == Status::Empty);
-        self.synced && ((!empty && !self.vacant) || !self.placed.is_empty())
+        (self.synced && !empty && !self.vacant) || !self.placed.is_empty()
     }
 
     /// Adds a run.
--- a/crates/policy/tests/plan/recovery.rs
+++ b/crates/policy/tests/plan/recovery.rs
@@ -192,3 +192,17 @@
     harness.run_round();
     assert_eq!(harness.running(), [task(1, 0, 0)]);
 }
+
+#[test]
+fn an_agent_that_restarts_while_its_worker_runs_tasks_remains_a_holder_of_runs() {
+    let mut harness = Harness::new(2);
+    harness.table.accept(id(1), job(vec![step(1, 1_000)]), true, harness.now);
+    harness.run_round();
+    let number = harness.worker_of(task(1, 0, 0)).expect("a run");
+    let worker = harness.workers.get_mut(&name(number)).expect("a worker");
+    worker.restart_agent();
+    let mut report = worker.report(&name(number), 1);
+    (report.complete, report.running) = (false, None);
+    harness.table.apply_report(report, harness.now);
+    assert_eq!(harness.table.holders(), [name(0), name(1)].into(), "a successor waits for it");
+}
