Wait also for agents that report to a new owner before they know their worker

It needs only one answered poll to renew leases with the right that the reply to such a report gave it.

The second case of `a_task_waits_for_the_lease_of_an_agent_that_reports_but_cannot_read_the_lists` failed before.

Every report extends the wait.

--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -40,9 +40,7 @@
         worker.last_report = now;
         worker.empty_at = now.after(self.settings.lease);
         // The reply lets the agent renew leases, also of runs that it cannot list yet.
-        if report.incarnation.is_some()
-            && let Some(empty_at) = self.missing.get_mut(&agent)
-        {
+        if let Some(empty_at) = self.missing.get_mut(&agent) {
             *empty_at = worker.empty_at;
         }
         worker.vacant = report.vacant;
--- a/crates/policy/tests/plan/recovery.rs
+++ b/crates/policy/tests/plan/recovery.rs
@@ -5,6 +5,7 @@
 use shallotflow_policy::plan::message::{ExitReason, Run, Status};
 use shallotflow_policy::plan::{Phase, Progress};
 use std::time::Duration;
+use test_case::test_case;
 
 fn run(job: u64, index: u32) -> Run {
     let task = task(job, 0, index);
@@ -155,14 +156,18 @@
     assert_eq!(harness.running(), [task(1, 0, 0)]);
 }
 
-#[test]
-fn a_task_waits_for_the_lease_of_an_agent_that_reports_but_cannot_read_the_lists() {
+#[test_case(true ; "its worker has answered before")]
+#[test_case(false ; "it has just started")]
+fn a_task_waits_for_the_lease_of_an_agent_that_reports_but_cannot_read_the_lists(known: bool) {
     let mut harness = Harness::owner(2, 2, vec![name(0), name(1)]);
     harness.table.accept(id(1), job(vec![step(1, 1_000)]), false, harness.now);
     let report_incomplete = |harness: &mut Harness| {
         let worker = harness.workers.get_mut(&name(1)).expect("a worker");
         let mut report = worker.report(&name(1), 2);
         (report.complete, report.running) = (false, None);
+        if !known {
+            (report.incarnation, report.worker) = (None, None);
+        }
         harness.table.apply_report(report, harness.now);
     };
     // Each of these reports renews the agent's leases.
