Prevent starts without an answer from being carried out by a later incarnation

What callers can see: a task starts again after it is done, at a worker that has crashed and come back under its former identifier.

A call that gets no answer may be carried out seconds later. The worker refuses a start of a run that it knows, but a new incarnation knows none, and calls name only the identifier of the worker, which it may keep. The owner withdraws starts that nobody has answered; it does not know of a start whose second try succeeded, or that was withdrawn from the former incarnation, while a first copy is still on its way.

`a_start_without_an_answer_is_prevented_in_a_later_incarnation_of_the_same_identifier` fails without it.

The agent keeps starts without an answer for 30 s. When it finds a new incarnation with the same identifier it stops each of them there first: a stopped run starts no more.

--- a/crates/scheduler/src/agent/look.rs
+++ b/crates/scheduler/src/agent/look.rs
@@ -4,7 +4,7 @@
 
 use super::pace::Service;
 use super::run_table::{ActiveRun, Key};
-use super::{Agent, Error};
+use super::{Agent, Error, order};
 use shallotflow_core::name::Name;
 use shallotflow_core::time::Clock;
 use shallotflow_runtime::clock::Boottime;
@@ -68,6 +68,7 @@
         let answered_early = !ends && now.since(sent) < wait / 2;
         (ends || !complete || silent, answered_early)
     };
+    order::prevent_late_starts(agent);
     if silent {
         spdlog::info!("worker regained");
     }
--- a/crates/scheduler/src/agent/order.rs
+++ b/crates/scheduler/src/agent/order.rs
@@ -3,8 +3,8 @@
 use super::run_table::Key;
 use super::{Agent, Error, Start, look};
 use shallotflow_core::metric;
-use shallotflow_core::time::Clock;
-use shallotflow_policy::plan::message::{Kind, Order, Outcome};
+use shallotflow_core::time::{Clock, Time};
+use shallotflow_policy::plan::message::{Incarnation, Kind, Order, Outcome};
 use shallotflow_runtime::clock::Boottime;
 use std::rc::Rc;
 
@@ -56,6 +56,7 @@
                 return;
             }
             Err(Error::Unknown(_)) => {
+                agent.run_table.borrow_mut().mark_unanswered(key, Boottime.now());
                 unanswered = true;
                 continue;
             }
@@ -114,3 +115,38 @@
         monoio::time::sleep(agent.settings.poll_pause).await;
     }
 }
+
+/// Prevents the present incarnation of the worker from carrying out starts that a former one left
+/// unanswered: their tasks may have ended or may run elsewhere.
+pub(super) fn prevent_late_starts(agent: &Rc<Agent>) {
+    let late_starts = agent.run_table.borrow_mut().take_late_starts();
+    let Some(incarnation) = agent.run_table.borrow().incarnation().cloned() else { return };
+    if !late_starts.is_empty() {
+        let details = serde_json::json!({ "worker": incarnation, "starts": late_starts.len() });
+        crate::log::decision("late starts prevented", &details);
+    }
+    for (key, until) in late_starts {
+        let (agent, incarnation) = (agent.clone(), incarnation.clone());
+        monoio::spawn(async move { prevent(&agent, key, &incarnation, until).await });
+    }
+}
+
+/// Stops a run that must not start until the worker confirms it: a stopped run starts no more.
+async fn prevent(agent: &Agent, (task, run): Key, incarnation: &Incarnation, until: Time) {
+    let limit = agent.settings.call_limit;
+    while !until.passed(Boottime.now()) {
+        let epoch = agent.run_table.borrow().epoch();
+        match agent.control.stop(incarnation, task, run, epoch, limit).await {
+            Ok(_) | Err(Error::Old | Error::Refused(_) | Error::OtherIncarnation) => return,
+            Err(error) => {
+                spdlog::debug!("stop repeated", kv: { reason = error.to_string() });
+            }
+        }
+        let current = agent.run_table.borrow().incarnation().cloned();
+        if current.as_ref() != Some(incarnation) {
+            // The next incarnation has its own stops.
+            return;
+        }
+        monoio::time::sleep(agent.settings.poll_pause).await;
+    }
+}
--- a/crates/scheduler/src/agent/run_table.rs
+++ b/crates/scheduler/src/agent/run_table.rs
@@ -72,6 +72,10 @@
     last_listed: Option<Time>,
     /// Runs that are being withdrawn, with the time at which the worker confirmed the stop.
     withdrawn: BTreeMap<Key, Option<Time>>,
+    /// Starts without an answer, with the time until which the worker may carry them out.
+    unanswered: BTreeMap<Key, Time>,
+    /// Those of them that a new incarnation of the worker may carry out, until they are taken.
+    late_starts: Vec<Key>,
     /// The traits of ordered runs, which decide their pace.
     traits: BTreeMap<Key, Traits>,
     rates: Rates,
@@ -108,6 +112,8 @@
             complete: false,
             last_listed: None,
             withdrawn: BTreeMap::new(),
+            unanswered: BTreeMap::new(),
+            late_starts: Vec::new(),
             traits: BTreeMap::new(),
             rates: Rates::default(),
         }
@@ -226,7 +232,13 @@
     /// Resets the table for a new incarnation of the worker, which keeps no runs and no ends of the
     /// former one.
     fn begin_incarnation(&mut self, incarnation: Incarnation) {
-        let first = self.incarnation.is_none();
+        let former = self.incarnation.as_ref();
+        let first = former.is_none();
+        // Calls name the identifier, so a worker with another one refuses them.
+        if former.is_some_and(|former| former.id != incarnation.id) {
+            self.unanswered.clear();
+        }
+        self.late_starts = self.unanswered.keys().copied().collect();
         if let Some(profile) = &mut self.profile {
             profile.incarnation = incarnation.clone();
             profile.status = Status::Ready;
@@ -241,6 +253,7 @@
         if !first {
             self.running.clear();
             self.ends.clear();
+            self.withdrawn.clear();
             self.recorded = 0;
             self.granted_until = Time::ZERO;
             self.complete = false;
@@ -352,6 +365,20 @@
         self.offset_ms = Some(worker_ms.saturating_sub(agent_ms));
     }
 
+    /// Records that a start got no answer: the worker may carry it out later, in a later incarnation
+    /// of the same identifier too.
+    pub fn mark_unanswered(&mut self, key: Key, now: Time) {
+        self.unanswered.retain(|_, until| !until.passed(now));
+        self.unanswered.insert(key, now.after(self.settings.late_call));
+    }
+
+    /// Returns the starts that the present incarnation of the worker may carry out although they were
+    /// meant for a former one, and until when; once for each incarnation.
+    pub fn take_late_starts(&mut self) -> Vec<(Key, Time)> {
+        let keys = std::mem::take(&mut self.late_starts);
+        keys.into_iter().filter_map(|key| Some((key, *self.unanswered.get(&key)?))).collect()
+    }
+
     /// Records a successful start.
     pub fn confirm_start(&mut self, order: &Order, traits: Traits, now: Time) {
         let key = (order.task, order.run);
--- a/crates/scheduler/src/agent/settings.rs
+++ b/crates/scheduler/src/agent/settings.rs
@@ -15,6 +15,9 @@
     pub call_limit: Duration,
     /// Timeout of a start; an answer usually takes a few milliseconds, and a start can be repeated.
     pub start_limit: Duration,
+    /// How long after a call without an answer the worker may still carry it out; the platform
+    /// speaks of seconds.
+    pub late_call: Duration,
     /// Pause after a failed poll.
     pub poll_pause: Duration,
     /// Pause after a poll that the worker answered at once without news; the end of a run is noticed
@@ -42,6 +45,7 @@
             idle_wait: Duration::from_millis(1_500),
             call_limit: Duration::from_millis(350),
             start_limit: Duration::from_millis(120),
+            late_call: Duration::from_secs(30),
             poll_pause: Duration::from_millis(100),
             relist_pause: Duration::from_millis(12),
             silent_polls: 3,
--- a/crates/scheduler/src/agent/shared.rs
+++ b/crates/scheduler/src/agent/shared.rs
@@ -1,6 +1,6 @@
 use super::pace::Controller;
 use super::run_table::RunTable;
-use super::{Control, Settings, look, report};
+use super::{Control, Settings, look, order, report};
 use event_listener::Event;
 use shallotflow_core::name::Name;
 use shallotflow_core::time::Clock;
@@ -50,12 +50,13 @@
     /// Applies a registration of the worker; `registration` counts those of one incarnation.
     ///
     /// A registration older than the known one changes nothing.
-    pub fn register(&self, profile: Profile, registration: u64) {
+    pub fn register(self: &Rc<Self>, profile: Profile, registration: u64) {
         let known = self.run_table.borrow().registered();
         let now = Some((profile.incarnation.clone(), profile.status));
         if !self.run_table.borrow_mut().register(profile, registration, Boottime.now()) {
             return;
         }
+        order::prevent_late_starts(self);
         if known != now {
             crate::log::decision("worker registered", &now);
             self.report_due.notify(usize::MAX);
--- a/crates/scheduler/tests/path.rs
+++ b/crates/scheduler/tests/path.rs
@@ -18,6 +18,8 @@
 
 /// Enough to find each injected fault, within some seconds of unoptimised code.
 const SEEDS: u64 = 400;
+/// Enough to find calls that outlive an incarnation.
+const FEW_SEEDS: u64 = 50;
 /// Maximum number of seeds that are tried to find an injected fault.
 const FAULT_SEEDS: u64 = 2_000;
 
@@ -30,6 +32,25 @@
     }
 }
 
+#[test]
+fn every_guarantee_holds_when_calls_outlive_an_incarnation_of_the_worker() {
+    for seed in 0..SEEDS {
+        let mut simulation = Simulation::new(seed, FaultRates::with_outliving_calls(), None);
+        let outcome = simulation.run();
+        assert_eq!(outcome, Ok(()), "seed {seed}");
+    }
+}
+
+#[test]
+fn starts_that_got_no_answer_are_rarely_carried_out_by_a_later_incarnation() {
+    let failed = |fault| {
+        let simulate = |seed| Simulation::new(seed, FaultRates::with_outliving_calls(), fault);
+        (0..FEW_SEEDS).filter(|seed| simulate(*seed).run().is_err()).count()
+    };
+    assert_eq!(failed(None), 0);
+    assert!(failed(Some(Fault::NoPrevention)) > 0, "no seed finds the fault");
+}
+
 #[test]
 fn a_run_without_faults_ends_every_job_without_a_lost_run() {
     let mut simulation = Simulation::new(1, FaultRates::none(), None);
--- a/crates/scheduler/tests/path/fault.rs
+++ b/crates/scheduler/tests/path/fault.rs
@@ -7,6 +7,8 @@
     NoWithdrawal,
     /// A former owner keeps starting tasks.
     FormerOwnerPlaces,
+    /// Starts that got no answer are carried out by a later incarnation of the worker.
+    NoPrevention,
     /// A former owner lets agents renew leases.
     FormerOwnerRenews,
     /// Workers are told to forget ends that the store does not hold.
--- a/crates/scheduler/tests/path/simulation.rs
+++ b/crates/scheduler/tests/path/simulation.rs
@@ -11,7 +11,7 @@
 use shallotflow_core::time::Time;
 use shallotflow_policy::plan::message::{Kind, Order, Outcome, Profile, Status, Traits};
 use shallotflow_policy::plan::{self, Progress, Table};
-use shallotflow_scheduler::agent::run_table::RunTable;
+use shallotflow_scheduler::agent::run_table::{Key, RunTable};
 use shallotflow_scheduler::agent::{self, Error};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -22,6 +22,9 @@
 const FAULT_PHASE_MS: u64 = 30_000;
 const RECOVERY_PHASE_MS: u64 = 60_000;
 const QUEUE: &str = "q";
+/// Time in which an agent finds a new incarnation of its worker; a call that arrives earlier, meant
+/// for a former one, cannot be prevented.
+const DISCOVERY_MS: u64 = 400;
 
 /// Probability of each fault, per call or tick.
 #[derive(Clone, Copy)]
@@ -34,6 +37,9 @@
     owner_replaced: f64,
     store_outage: f64,
     task_fails: f64,
+    /// Whether a delayed call reaches the next incarnation of its worker, which then has the same
+    /// identifier.
+    calls_outlive_incarnations: bool,
 }
 
 impl Default for FaultRates {
@@ -47,11 +53,16 @@
             owner_replaced: 0.002,
             store_outage: 0.002,
             task_fails: 0.05,
+            calls_outlive_incarnations: false,
         }
     }
 }
 
 impl FaultRates {
+    pub(crate) fn with_outliving_calls() -> Self {
+        Self { calls_outlive_incarnations: true, ..Self::default() }
+    }
+
     pub(crate) fn none() -> Self {
         Self {
             call_lost: 0.0,
@@ -62,6 +73,7 @@
             owner_replaced: 0.0,
             store_outage: 0.0,
             task_fails: 0.0,
+            calls_outlive_incarnations: false,
         }
     }
 }
@@ -71,6 +83,8 @@
     at: u64,
     worker: usize,
     worker_started_ms: u64,
+    /// The agent's process that made the call.
+    process: u64,
     call: Call,
 }
 
@@ -87,6 +101,8 @@
     /// Index of the owner that it reports to.
     target: usize,
     orders: Vec<(Order, u64, u32, bool)>,
+    /// Starts that the present incarnation of the worker must not carry out.
+    late_starts: Vec<Key>,
 }
 
 struct Owner {
@@ -124,6 +140,7 @@
             isolated_until: 0,
             target: 0,
             orders: Vec::new(),
+            late_starts: Vec::new(),
         };
         let table = Table::new(plan::Settings::default(), 1, Vec::new(), Time::from_millis(now));
         Self {
@@ -218,8 +235,14 @@
                     RunTable::new(settings(), agent_name(number), process, Time::from_millis(now));
                 let target = self.rng.random_range(0..self.owners.len());
                 let isolated_until = self.agents[number].isolated_until;
-                self.agents[number] =
-                    Agent { run_table, process, isolated_until, target, orders: Vec::new() };
+                self.agents[number] = Agent {
+                    run_table,
+                    process,
+                    isolated_until,
+                    target,
+                    orders: Vec::new(),
+                    late_starts: Vec::new(),
+                };
             }
         }
         if now >= self.store_down_until && self.chance(self.rates.owner_replaced) {
@@ -295,18 +318,29 @@
         }
     }
 
-    /// Delivers the delayed calls to their workers, whichever incarnation those have.
+    /// Delivers the delayed calls to their workers, whichever incarnation those have: calls name an
+    /// identifier, which a later incarnation may share.
     fn deliver_delayed(&mut self) {
         let now = self.now;
         let (due, rest): (Vec<DelayedCall>, Vec<DelayedCall>) =
             std::mem::take(&mut self.delayed).into_iter().partition(|call| call.at <= now);
         self.delayed = rest;
         for delayed in due {
-            // The call names the incarnation that it is meant for.
-            if self.workers[delayed.worker].incarnation().started_ms == delayed.worker_started_ms {
-                // The answer is lost.
-                let _ = self.execute(delayed.worker, delayed.call);
+            let worker = &self.workers[delayed.worker];
+            if worker.incarnation().started_ms != delayed.worker_started_ms {
+                // A new process of the agent does not know which starts got no answer.
+                let known = self.agents[delayed.worker].process == delayed.process;
+                if !known || !self.rates.calls_outlive_incarnations {
+                    continue;
+                }
+                let discovered_at = worker.since + DISCOVERY_MS;
+                if now < discovered_at {
+                    self.delayed.push(DelayedCall { at: discovered_at, ..delayed });
+                    continue;
+                }
             }
+            // The answer is lost.
+            let _ = self.execute(delayed.worker, delayed.call);
         }
     }
 
@@ -332,7 +366,8 @@
         if self.chance(self.rates.call_delayed) {
             let at = self.now + self.rng.random_range(500..12_000);
             let worker_started_ms = self.workers[worker].incarnation().started_ms;
-            self.delayed.push(DelayedCall { at, worker, worker_started_ms, call });
+            let process = self.agents[worker].process;
+            self.delayed.push(DelayedCall { at, worker, worker_started_ms, process, call });
             return lost();
         }
         if self.chance(self.rates.call_lost) {
@@ -351,6 +386,7 @@
         if slot % 5 == 1 {
             self.poll(number, now);
         }
+        self.prevent_late_starts(number);
         self.execute_orders(number, now);
         if self.now < self.agents[number].isolated_until {
             return;
@@ -398,6 +434,22 @@
         }
     }
 
+    /// Stops the starts that a former incarnation of the worker left unanswered, as the agent does.
+    fn prevent_late_starts(&mut self, number: usize) {
+        let late_starts = self.agents[number].run_table.take_late_starts();
+        if self.fault == Some(Fault::NoPrevention) {
+            return;
+        }
+        let epoch = self.agents[number].run_table.epoch();
+        let mut keys = std::mem::take(&mut self.agents[number].late_starts);
+        keys.extend(late_starts.into_iter().map(|(key, _)| key));
+        keys.retain(|(task, run)| {
+            let call = Call::Stop { task: *task, run: *run, epoch };
+            matches!(self.call(number, call), Err(Error::Unknown(_) | Error::Fenced))
+        });
+        self.agents[number].late_starts = keys;
+    }
+
     /// Executes orders as the agent's loops do: a start without an answer is repeated once and then
     /// withdrawn, a stop is repeated until it is answered.
     fn execute_orders(&mut self, number: usize, now: Time) {
@@ -433,6 +485,7 @@
                     self.agents[number].run_table.confirm_start(&order, Traits::default(), now);
                 }
                 Err(Error::Unknown(_)) => {
+                    self.agents[number].run_table.mark_unanswered(key, now);
                     self.agents[number].orders.push((order, epoch, tries + 1, true));
                 }
                 Err(_) if unanswered => self.settle_start(number, order, epoch, true),
--- a/crates/scheduler/tests/path/worker.rs
+++ b/crates/scheduler/tests/path/worker.rs
@@ -21,7 +21,7 @@
     pub(crate) number: usize,
     started_ms: u64,
     /// Start of this incarnation, on the simulation's clock.
-    since: u64,
+    pub(crate) since: u64,
     fence: u64,
     lease: u64,
     running: BTreeMap<Task, RunningTask>,
--- a/crates/scheduler/tests/run_table.rs
+++ b/crates/scheduler/tests/run_table.rs
@@ -130,3 +130,19 @@
     assert!(report.vacant, "nobody can have renewed its lease since");
     assert!(!report.complete);
 }
+
+#[test]
+fn a_start_without_an_answer_is_prevented_in_a_later_incarnation_of_the_same_identifier() {
+    let key = (run().task, run().run);
+    let mut table = joined(Vec::new());
+    table.mark_unanswered(key, at(0));
+    table.apply_lists(lists(7, Vec::new()), 1, at(100), at(100));
+    assert_eq!(table.take_late_starts(), [], "the present incarnation knows the run");
+    table.apply_lists(lists(8, Vec::new()), 1, at(200), at(200));
+    assert_eq!(table.take_late_starts(), [(key, at(30_000))]);
+    assert_eq!(table.take_late_starts(), [], "once for each incarnation");
+    let mut other = lists(9, Vec::new());
+    other.incarnation.id = Name::from("other");
+    table.apply_lists(other, 1, at(300), at(300));
+    assert_eq!(table.take_late_starts(), [], "it refuses calls for the former identifier");
+}
