Do not take an owner for alone while another entry has called it

What callers can see: a task runs twice after an outage of the store that ended all presences, if the owner is cut off before the other entries have announced themselves again.

An owner whose view of the store holds no other entry counted as the only one, which cannot have a successor, and went on starting tasks and renewing leases without the store.

Found by reading, while looking for the cause of the doubled runs elsewhere. `an_owner_that_sees_no_other_entry_is_not_alone_once_another_one_has_called` failed before (sequence 2 instead of 0).

The owner is alone only if no other entry has ever answered or called it. An owner whose other entries were all removed while it ran pauses in an outage of the store, since it cannot tell that from a cut.

--- a/crates/scheduler/src/entry/shared.rs
+++ b/crates/scheduler/src/entry/shared.rs
@@ -257,7 +257,9 @@
         }
         let view = self.view.borrow();
         let others_reachable = now < view.others_last_reachable.after(self.settings.presence_lease);
-        view.entries.len() <= 1 || (others_reachable && !self.is_cut_off(&view))
+        // After an outage that ended all presences, the view may hold no other entry although some run.
+        let alone = view.entries.len() <= 1 && view.others_last_reachable == Time::ZERO;
+        alone || (others_reachable && !self.is_cut_off(&view))
     }
 
     /// Whether the store answers other entries while it does not answer this one.
--- a/crates/scheduler/tests/owner.rs
+++ b/crates/scheduler/tests/owner.rs
@@ -179,6 +179,25 @@
     });
 }
 
+#[test]
+fn an_owner_that_sees_no_other_entry_is_not_alone_once_another_one_has_called() {
+    run(async |shared| {
+        let owner = Process::start("a", 1, &shared);
+        until(|| owner.owns()).await;
+        while owner.report(false).await.epoch == 0 {}
+        let (sender, answer) = oneshot::channel();
+        let request = Request::Status { epoch: owner.epoch(), store_age_ms: 0 };
+        owner.calls.unbounded_send(PeerCall::Ask(Box::new(request), sender)).expect("an entry");
+        answer.await.expect("an answer");
+        // The presence of both has ended, and the owner reaches neither the store nor the other one.
+        shared.intercept(|_, _| Delivery::Silent);
+        shared.expire_leases();
+        monoio::time::sleep(Duration::from_millis(80)).await;
+        assert!(owner.owns());
+        assert_eq!(owner.report(false).await.sequence, 0, "the other entry may be its successor");
+    });
+}
+
 #[test]
 fn an_owner_renews_its_presence_only_if_nobody_has_claimed_the_table() {
     run(async |shared| {
