Let a reply renew leases for its own report only

A reply waits up to 400 ms for orders. It named the latest report of the agent, also one that had arrived after the owner could no longer rule out a successor, so leases were renewed from the time of that one: up to 400 ms more than the successor waits for in the worst case (180 ms after a full cut).

A reply names the report that it answers. The report that made the former one obsolete has a reply of its own, which decides on it.

--- a/crates/scheduler/src/entry/serve.rs
+++ b/crates/scheduler/src/entry/serve.rs
@@ -64,9 +64,9 @@
             let has_update = ownership.table.has_updates(&agent, recorded);
             if !latest || has_update || deadline.passed(Boottime.now()) {
                 Activity::count(&entry.activity.replies, 1);
-                let reply = ownership.table.reply(&agent);
-                let sequence = if may_renew { reply.sequence } else { 0 };
-                return Reply { sequence, ..reply };
+                // A later report may have arrived meanwhile; its own reply decides on it.
+                let sequence = if may_renew { sequence } else { 0 };
+                return Reply { sequence, ..ownership.table.reply(&agent) };
             }
         }
         monoio::select! {
--- a/crates/scheduler/tests/owner.rs
+++ b/crates/scheduler/tests/owner.rs
@@ -481,3 +481,29 @@
         assert_eq!(shared.text(keys::AGENTS).as_deref(), Some("[\"agent-1\"]"));
     });
 }
+
+#[test]
+fn a_reply_that_waited_renews_no_leases_for_a_later_report() {
+    run(async |shared| {
+        let owner = Process::start("a", 1, &shared);
+        until(|| owner.owns()).await;
+        while owner.report(false).await.sequence == 0 {}
+        shared.intercept(|_, call| match call {
+            Call::Lease => Delivery::Silent,
+            _ => Delivery::Serve,
+        });
+        // The first report arrives while the owner is present and waits for orders; the second arrives
+        // after the presence has ended.
+        monoio::time::sleep(Duration::from_millis(42)).await;
+        let first = owner.report(false);
+        let second = async {
+            monoio::time::sleep(Duration::from_millis(30)).await;
+            shared.expire_leases();
+            assert_eq!(owner.entry.submit(Id(1), job()).await, Submission::Accepted);
+            owner.report(false).await
+        };
+        let (first, second) = futures_util::join!(first, second);
+        assert_eq!(second.sequence, 0);
+        assert!(first.sequence < owner.sequence.get(), "the second report had no certain reply");
+    });
+}
