Grant a silent worker no lease

What callers can see: after a change of owner nothing but new jobs starts, for as long as one worker neither answers nor refuses connections.

A new owner waits for an agent that reports without lists as long as its reports may renew leases. The wait ends when the agent reports that its worker is silent and its last lease has ended. But the agent sent a lease with every poll, also while none was answered, so the lease never counted as ended.

`a_worker_that_stays_silent_counts_as_empty_while_the_owner_answers` failed before (Silent after 20 s).

A poll of a worker that has not answered three polls in a row carries no lease. A worker that answers again gets one with the next poll; one whose answers are lost for more than some five seconds loses its runs, which an owner could not see anyway.

--- a/crates/scheduler/src/agent/run_table.rs
+++ b/crates/scheduler/src/agent/run_table.rs
@@ -261,9 +261,11 @@
     }
 
     /// The end of the lease that the agent may grant now, in milliseconds on the worker's clock.
+    ///
+    /// A silent worker gets none, so that it certainly runs nothing after some time.
     pub fn lease_ms(&mut self, now: Time) -> Option<u64> {
         let offset = self.offset_ms?;
-        if self.authorised_until.passed(now) {
+        if self.authorised_until.passed(now) || self.is_silent() {
             return None;
         }
         let remaining = self.authorised_until.remaining(now);
--- a/crates/scheduler/tests/run_table.rs
+++ b/crates/scheduler/tests/run_table.rs
@@ -2,8 +2,11 @@
 
 use shallotflow_core::graph::{Id, Task};
 use shallotflow_core::name::Name;
+use shallotflow_core::resources::Bundle;
 use shallotflow_core::time::Time;
-use shallotflow_policy::plan::message::{Incarnation, Reply, Run, RunTraits, Traits};
+use shallotflow_policy::plan::message::{
+    Incarnation, Profile, Reply, Run, RunTraits, Status, Traits,
+};
 use shallotflow_scheduler::agent::run_table::RunTable;
 use shallotflow_scheduler::agent::{Error, Lists, Settings};
 use std::time::Duration;
@@ -146,3 +149,27 @@
     table.apply_lists(other, 1, at(300), at(300));
     assert_eq!(table.take_late_starts(), [], "it refuses calls for the former identifier");
 }
+
+#[test]
+fn a_worker_that_stays_silent_counts_as_empty_while_the_owner_answers() {
+    let mut table = joined(vec![run()]);
+    let incarnation = lists(7, Vec::new()).incarnation;
+    let profile = Profile {
+        incarnation,
+        service: Name::from("s"),
+        capacity: Bundle::default(),
+        labels: Vec::new(),
+        rack: None,
+        status: Status::Ready,
+    };
+    assert!(table.register(profile, 1, at(0)));
+    let mut status = None;
+    for ms in (0..20_000).step_by(400) {
+        let report = table.report(at(ms));
+        table.apply_reply(reply(1, report.sequence));
+        status = report.worker.map(|profile| profile.status);
+        let _ = table.lease_ms(at(ms));
+        table.poll_failed(&Error::Unreachable);
+    }
+    assert_eq!(status, Some(Status::Empty), "nobody can have renewed its lease");
+}
