Give the table up before it is released on a planned stop

What callers can see: a job that arrives while an owner stops starts twice.

A stopping owner released the owner's key and gave its table up once that was answered. A successor may claim within milliseconds of the release; if its answer is slow or lost, both own the table for up to a second, and the former owner still counts as present. A job that is stored after the claim is new to both.

`an_owner_that_stops_gives_the_table_up_before_it_releases_it` failed before.

The order is the other way round, as in the ledgers' release.

--- a/crates/scheduler/src/entry/own.rs
+++ b/crates/scheduler/src/entry/own.rs
@@ -434,8 +434,9 @@
         let Some(ownership) = ownership.as_ref() else { return };
         (ownership.table.epoch(), ownership.revision)
     };
-    release_claim(entry, epoch, revision).await;
+    // A successor may claim as soon as the release is carried out, long before it is answered.
     entry.give_up("the process stops");
+    release_claim(entry, epoch, revision).await;
 }
 
 /// Records that nobody owns the table that was claimed at `revision`.
--- a/crates/scheduler/tests/owner.rs
+++ b/crates/scheduler/tests/owner.rs
@@ -507,3 +507,23 @@
         assert!(first.sequence < owner.sequence.get(), "the second report had no certain reply");
     });
 }
+
+#[test]
+fn an_owner_that_stops_gives_the_table_up_before_it_releases_it() {
+    run(async |shared| {
+        let owner = Rc::new(Process::start("a", 1, &shared));
+        until(|| owner.owns()).await;
+        let owned = Rc::new(Cell::new(None));
+        let (noted, watched) = (owned.clone(), owner.clone());
+        shared.intercept(move |_, call| {
+            if let Call::Commit(transaction) = call
+                && writes(transaction, keys::OWNER)
+            {
+                noted.set(Some(watched.owns()));
+            }
+            Delivery::Serve
+        });
+        owner.entry.leave().await;
+        assert_eq!(owned.get(), Some(false), "the answer to the release may be lost");
+    });
+}
