Ignore late reports of former processes of an agent

What callers can see: a task runs twice at a worker and elsewhere after its agent has restarted.

A report of another process of an agent replaced what the owner knew of the present one, also when it was a late report of a former process: its complete list lacks what the present one has started, so the owner took these runs for ended and started them again.

The packets of a killed process can still arrive. `a_late_report_of_a_former_process_of_the_agent_has_no_effect` failed before (waiting where it runs).

The owner remembers the last eight processes that were replaced, and ignores their reports.

--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -22,11 +22,14 @@
     pub fn apply_report(&mut self, report: Report, now: Time) {
         let agent = report.agent.clone();
         let worker = self.workers.entry(agent.clone()).or_default();
+        if worker.replaced.contains(&report.process) {
+            return;
+        }
         let regained = worker.last_report.after(self.settings.report_timeout).passed(now);
         if worker.process != report.process {
             // Orders that the former process received but did not execute are withdrawn once the
             // lists of the new process are complete.
-            worker.process = report.process;
+            worker.replace_process(report.process);
             worker.outbox.clear();
             worker.last_order = 0;
             worker.sequence = 0;
--- a/crates/policy/src/plan/worker.rs
+++ b/crates/policy/src/plan/worker.rs
@@ -9,6 +9,9 @@
 use shallotflow_core::time::Time;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+/// Number of former processes of an agent that are remembered; a late report is seconds old.
+const MAX_REPLACED: usize = 8;
+
 /// A run that occupies resources of a worker.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub(super) struct Placed {
@@ -47,6 +50,9 @@
 pub struct Worker {
     /// Number of the agent's process.
     pub process: u64,
+    /// Former processes of the agent, the latest last; a late report of theirs has no effect.
+    #[serde(skip)]
+    pub(super) replaced: VecDeque<u64>,
     /// Incarnation of the worker in the latest report.
     #[serde(rename = "lifetime")]
     pub incarnation: Option<Incarnation>,
@@ -118,6 +124,15 @@
             && self.full_until.passed(now)
     }
 
+    /// Makes `process` the agent's process.
+    pub(super) fn replace_process(&mut self, process: u64) {
+        let former = std::mem::replace(&mut self.process, process);
+        self.replaced.push_back(former);
+        if self.replaced.len() > MAX_REPLACED {
+            self.replaced.pop_front();
+        }
+    }
+
     /// Returns whether the worker holds runs of this owner or may do so soon. A new process of its
     /// agent has not listed the runs yet, which go on.
     pub(super) fn may_hold_runs(&self) -> bool {
--- a/crates/policy/tests/plan/restart.rs
+++ b/crates/policy/tests/plan/restart.rs
@@ -1,6 +1,7 @@
 //! Restarted workers, restarted agents, and late reports.
 
 use super::harness::{Harness, id, job, name, step, task};
+use shallotflow_policy::plan::Phase;
 use shallotflow_policy::plan::message::{ExitReason, Kind, Run, Status};
 use std::time::Duration;
 use test_case::test_case;
@@ -190,3 +191,19 @@
     let job = harness.table.job(id(1)).expect("a job");
     assert!(job.tasks.iter().all(|state| state.last_run == 1), "no task is started again");
 }
+
+#[test]
+fn a_late_report_of_a_former_process_of_the_agent_has_no_effect() {
+    let mut harness = Harness::new(1);
+    let worker = harness.workers.get_mut(&name(0)).expect("a worker");
+    let late = worker.report(&name(0), 1);
+    worker.restart_agent();
+    harness.report_all();
+    harness.table.accept(id(1), job(vec![step(1, 1_000)]), true, harness.now);
+    harness.run_round();
+    let running = harness.phase(task(1, 0, 0));
+    assert!(matches!(running, Phase::Running { .. }));
+    // Its complete list does not contain the run that the next process started.
+    harness.table.apply_report(late, harness.now);
+    assert_eq!(harness.phase(task(1, 0, 0)), running);
+}
