Wait longer for leases that a predecessor renewed after the claim

An owner is certain to have no successor for up to a second after its last contact with the store or another entry. A claim may come earlier: when the store ends a presence before its time, or when the owner answers the claimant just after it has lost the store. The successor's wait had a margin of 0.28 s.

Worked out in review, case by case: leases outlast the wait by up to 0.7 s.

The wait for agents of predecessors has 0.8 s more, counted from the claim. Waits that reports extend need none, since only the present owner answers those. It costs 0.8 s where an agent is lost together with the owner.

--- a/crates/policy/src/plan/settings.rs
+++ b/crates/policy/src/plan/settings.rs
@@ -6,6 +6,9 @@
     /// Longest time from a report until the worker is certain to run nothing, unless renewed: the
     /// longest lease of a worker, plus clock drift and a margin.
     pub lease: Duration,
+    /// How long after a claim a predecessor may still take itself for the owner and renew leases: the
+    /// duration of its presence, less the margin in `lease`.
+    pub succession_slack: Duration,
     /// An agent that has not reported for this long gets no new tasks; three report intervals.
     pub report_timeout: Duration,
     /// A start that is not answered within this time is withdrawn; some hundred round trips.
@@ -55,6 +58,7 @@
     fn default() -> Self {
         Self {
             lease: Duration::from_millis(6_400),
+            succession_slack: Duration::from_millis(800),
             report_timeout: Duration::from_millis(1_300),
             answer_timeout: Duration::from_millis(700),
             record_delay: Duration::from_millis(400),
--- a/crates/policy/src/plan/table.rs
+++ b/crates/policy/src/plan/table.rs
@@ -73,7 +73,7 @@
     /// `agents` may hold runs of predecessors; the table waits for each of them until it reports or
     /// its leases have ended.
     pub fn new(settings: Settings, epoch: u64, agents: Vec<Name>, now: Time) -> Self {
-        let empty_at = now.after(settings.lease);
+        let empty_at = now.after(settings.succession_slack).after(settings.lease);
         Self {
             settings,
             epoch,
--- a/crates/policy/tests/plan/recovery.rs
+++ b/crates/policy/tests/plan/recovery.rs
@@ -43,7 +43,8 @@
 fn a_task_waits_for_the_lease_of_an_agent_that_does_not_report() {
     let mut harness = Harness::owner(2, 1, vec![name(0), name(7)]);
     harness.table.accept(id(1), job(vec![step(1, 1_000)]), false, harness.now);
-    for _ in 0..6 {
+    // The predecessor may have renewed leases for some time after the claim.
+    for _ in 0..8 {
         harness.report_all();
         harness.run_round();
         assert!(harness.running().is_empty());
