Apply a changed capacity at once

Callers saw waiting tasks start up to 25 ms late after a worker had grown, and starts beyond the capacity of a worker that had shrunk, or whose next incarnation was smaller, where it does not guard its capacity.

Cause: growth neither forgot refused demands nor asked for a pass. Orders that the agent had not received stayed in the outbox when the capacity shrank, and after a restart. Free room was clipped at zero for each resource, so a best-effort task could start where the processors were exceeded already.

Evidence: of the tests in capacity.rs, a_worker_that_grows..., starts_that_an_agent_has_not_received..., a_best_effort_task_does_not_start... and starts_for_a_former_incarnation... failed before. The tests that a shrunk worker keeps its runs and gets no more (processors, memory, accelerators), and that a best-effort task reserves memory and accelerators but no processors, passed before: ruled out.

The owner now withdraws starts that are not received when its account no longer fits, and compares the whole account with the capacity. Runs go on beyond a shrunk capacity.

--- a/crates/policy/src/plan/load.rs
+++ b/crates/policy/src/plan/load.rs
@@ -70,9 +70,10 @@
         if serving { &mut self.serving_millicores } else { &mut self.other_millicores }
     }
 
-    /// Returns what is left of `capacity`.
-    pub(super) fn free(&self, capacity: &Bundle) -> Bundle {
-        capacity.minus(&self.reserved)
+    /// Returns whether the runs and `need` more stay within `capacity`: what exceeds it in one
+    /// resource, because the capacity has shrunk, gets nothing of the others either.
+    pub(super) fn has_room(&self, capacity: &Bundle, need: &Bundle) -> bool {
+        capacity.holds(&self.reserved.plus(need))
     }
 
     /// Returns whether any best-effort task runs.
--- a/crates/policy/src/plan/refusals.rs
+++ b/crates/policy/src/plan/refusals.rs
@@ -40,8 +40,7 @@
 
     /// Forgets the refusals of demands for which a worker now has room.
     pub(super) fn retain_without_room(&mut self, load: &Load, capacity: &Bundle) {
-        let free = load.free(capacity);
-        self.full.retain(|full| !free.holds(&full.need));
+        self.full.retain(|full| !load.has_room(capacity, &full.need));
     }
 
     /// Records that no worker has room for `need` of `step`.
--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -1,10 +1,11 @@
 //! Applies the reports of agents to the table.
 
-use super::message::{Answer, End, ExitReason, Kind, Outcome, Report, Run, Status};
+use super::message::{Answer, End, ExitReason, Kind, Order, Outcome, Report, Run, Status};
 use super::timers::Timer;
 use super::{Event, Phase, Table, Worker};
 use shallotflow_core::graph::{State, Task};
 use shallotflow_core::name::Name;
+use shallotflow_core::resources::Bundle;
 use shallotflow_core::time::Time;
 use std::collections::BTreeSet;
 
@@ -92,9 +93,13 @@
     fn update_worker(&mut self, agent: &Name, report: &Report, now: Time) {
         let Some(worker) = self.workers.get_mut(agent) else { return };
         if let Some(profile) = &report.worker {
-            worker.profile = Some(profile.clone());
+            let former = worker.profile.replace(profile.clone());
             self.sizes.observe(&profile.service, &profile.capacity);
+            if let Some(former) = former.filter(|former| former.capacity != profile.capacity) {
+                self.resize_worker(agent, &former.capacity, now);
+            }
         }
+        let Some(worker) = self.workers.get_mut(agent) else { return };
         let Some(incarnation) = &report.incarnation else { return };
         let previous = worker.incarnation.replace(incarnation.clone());
         let restarted = previous.is_some_and(|previous| previous != *incarnation);
@@ -110,6 +115,38 @@
         }
     }
 
+    /// Applies a changed capacity of a worker; its runs go on.
+    fn resize_worker(&mut self, agent: &Name, former: &Bundle, now: Time) {
+        let Some(worker) = self.workers.get(agent) else { return };
+        let Some(capacity) = worker.profile.as_ref().map(|profile| profile.capacity) else {
+            return;
+        };
+        if !former.holds(&capacity) {
+            self.refusals.clear();
+            self.may_start = true;
+        }
+        if capacity.holds(former) || worker.load.has_room(&capacity, &Bundle::default()) {
+            return;
+        }
+        // The agent refuses starts that it received before it reported the smaller capacity.
+        for (task, run) in self.withdraw_starts(agent) {
+            let state = self.task_state(&task);
+            if state.is_some_and(|state| state.is_current(agent, run)) {
+                self.stop_run(task, "its worker has shrunk", now);
+            }
+        }
+    }
+
+    /// Removes the orders to start that `agent` has not confirmed as received; returns their runs.
+    fn withdraw_starts(&mut self, agent: &Name) -> Vec<(Task, u32)> {
+        let Some(worker) = self.workers.get_mut(agent) else { return Vec::new() };
+        let is_start = |order: &&Order| order.kind != Kind::Stop;
+        let starts = worker.outbox.iter().filter(is_start).map(|order| (order.task, order.run));
+        let starts = starts.collect();
+        worker.outbox.retain(|order| order.kind == Kind::Stop);
+        starts
+    }
+
     /// Releases all runs of `agent`, which have ended. A new incarnation of the worker may still
     /// execute starts that were not answered, so these are withdrawn first.
     pub(super) fn lose_runs(&mut self, agent: &Name, reason: &'static str, now: Time) {
@@ -123,6 +160,8 @@
             && worker.profile.as_ref().is_some_and(|p| p.status != Status::Empty)
             && !worker.empty_at.passed(now);
         self.events.push(Event::Lost { agent: agent.clone(), reason, runs: tasks.len() });
+        // The next incarnation may be a smaller worker.
+        self.withdraw_starts(agent);
         for task in tasks {
             let state = self.task_state(&task);
             match state.map(|state| state.phase.clone()) {
--- a/crates/policy/src/plan/search.rs
+++ b/crates/policy/src/plan/search.rs
@@ -184,7 +184,7 @@
         let settings = &table.settings;
         let profile = worker.profile.as_ref()?;
         let capacity = profile.capacity;
-        if !worker.load.free(&capacity).holds(&self.need) {
+        if !worker.load.has_room(&capacity, &self.need) {
             return None;
         }
         // An ejected worker gets nothing: waiting for a full worker is better.
--- a/crates/policy/tests/plan/harness.rs
+++ b/crates/policy/tests/plan/harness.rs
@@ -19,6 +19,8 @@
     pub(crate) process: u64,
     pub(crate) started_ms: u64,
     pub(crate) millicores: u32,
+    pub(crate) memory_mib: u32,
+    pub(crate) accelerators: u32,
     pub(crate) status: Status,
     pub(crate) labels: Vec<Name>,
     pub(crate) rack: Option<Name>,
@@ -157,6 +159,17 @@
         tasks
     }
 
+    pub(crate) fn worker(&mut self, number: usize) -> &mut TestWorker {
+        self.workers.get_mut(&name(number)).expect("a worker")
+    }
+
+    /// Returns the tasks that a worker is told to start.
+    pub(crate) fn ordered_starts(&self, number: usize) -> Vec<Task> {
+        let orders = &self.workers[&name(number)].orders;
+        let starts = orders.iter().filter(|order| matches!(order.kind, Kind::Start { .. }));
+        starts.map(|order| order.task).collect()
+    }
+
     pub(crate) fn phase(&self, task: Task) -> Phase {
         let job = self.table.job(task.job).expect("a job");
         job.tasks[job.position(&task).expect("a task")].phase.clone()
@@ -173,6 +186,8 @@
             process: 1,
             started_ms: 1,
             millicores: 10_000,
+            memory_mib: 10_000,
+            accelerators: 0,
             status: Status::Ready,
             labels: Vec::new(),
             rack: None,
@@ -216,7 +231,8 @@
                 service: Name::from(SERVICE),
                 capacity: Bundle {
                     millicores: self.millicores,
-                    memory_mib: 10_000,
+                    memory_mib: self.memory_mib,
+                    accelerators: self.accelerators,
                     ..Bundle::default()
                 },
                 labels: self.labels.clone(),
--- a/crates/policy/tests/plan/main.rs
+++ b/crates/policy/tests/plan/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the owner's table of jobs and workers.
 
 mod cancel;
+mod capacity;
 mod disturbance;
 mod fuzz;
 mod gang;
