Report a changed capacity at once

An owner placed by the former capacity until the next report, up to half a second later.

Cause: a registration asked for a report only if the incarnation or the status differed.

Evidence: a_changed_capacity_is_reported_while_the_owner_holds_a_reply_back hung until its limit before, with an owner that withholds replies. The capacity is now compared too, and the log line shows it.

--- a/crates/scheduler/src/agent/run_table.rs
+++ b/crates/scheduler/src/agent/run_table.rs
@@ -4,6 +4,7 @@
 use super::{Error, Lists, Settings};
 use shallotflow_core::graph::Task;
 use shallotflow_core::name::Name;
+use shallotflow_core::resources::Bundle;
 use shallotflow_core::time::Time;
 use shallotflow_policy::disturbance::Rates;
 use shallotflow_policy::plan::message::{
@@ -200,10 +201,10 @@
         true
     }
 
-    /// The incarnation and status of the worker's last registration.
-    pub fn registered(&self) -> Option<(Incarnation, Status)> {
+    /// The incarnation, status and capacity of the worker's last registration.
+    pub fn registered(&self) -> Option<(Incarnation, Status, Bundle)> {
         let profile = self.profile.as_ref()?;
-        Some((profile.incarnation.clone(), profile.status))
+        Some((profile.incarnation.clone(), profile.status, profile.capacity))
     }
 
     /// Records that the worker `id` has deregistered; returns `false` when another one is
--- a/crates/scheduler/src/agent/shared.rs
+++ b/crates/scheduler/src/agent/shared.rs
@@ -52,7 +52,7 @@
     /// A registration older than the known one changes nothing.
     pub fn register(self: &Rc<Self>, profile: Profile, registration: u64) {
         let known = self.run_table.borrow().registered();
-        let now = Some((profile.incarnation.clone(), profile.status));
+        let now = Some((profile.incarnation.clone(), profile.status, profile.capacity));
         if !self.run_table.borrow_mut().register(profile, registration, Boottime.now()) {
             return;
         }
--- a/crates/scheduler/tests/agent.rs
+++ b/crates/scheduler/tests/agent.rs
@@ -132,28 +132,36 @@
     }
 }
 
-async fn slows_a_new_run_before_the_next_poll() {
+/// Starts an agent with `settings` that finds the owner at the end of the returned channel.
+fn connect(settings: Settings, worker: &Rc<Worker>) -> (Rc<Agent>, UnboundedReceiver<Call>) {
     let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     let listener = listen::bind(address).expect("a free port");
     let address = listener.local_addr().expect("an address");
     let calls = serve(listener, Rc::new(Event::new()));
-    let orders = Rc::new(RefCell::new(Vec::new()));
-    monoio::spawn(own(calls, orders.clone()));
     let shared = Rc::new(Shared::default());
     let owner = serde_json::json!({ "epoch": 1, "entry": "a", "process": 1, "address": address });
     shared.put(keys::OWNER, &owner.to_string(), 0);
-    let worker = Rc::new(Worker::default());
     let store = Rc::new(Handle { caller: "agent", shared });
-    let agent = Agent::new(Settings::default(), "agent-1".into(), 1, worker.clone(), store);
-    let profile = Profile {
+    (Agent::new(settings, "agent-1".into(), 1, worker.clone(), store), calls)
+}
+
+fn profile(millicores: u32) -> Profile {
+    Profile {
         incarnation: incarnation(),
         service: Queue::SERVICE.into(),
-        capacity: Bundle { millicores: 10_000, ..Bundle::default() },
+        capacity: Bundle { millicores, ..Bundle::default() },
         labels: Vec::new(),
         rack: None,
         status: Status::Ready,
-    };
-    agent.register(profile, 1);
+    }
+}
+
+async fn slows_a_new_run_before_the_next_poll() {
+    let worker = Rc::new(Worker::default());
+    let (agent, calls) = connect(Settings::default(), &worker);
+    let orders = Rc::new(RefCell::new(Vec::new()));
+    monoio::spawn(own(calls, orders.clone()));
+    agent.register(profile(10_000), 1);
     monoio::spawn(agent.run());
 
     orders.borrow_mut().push(start_order(1, "quotes", TARGET_MS));
@@ -173,3 +181,42 @@
     })
     .expect("a runtime");
 }
+
+/// An owner that answers a complete report only if it shows another capacity than the last one.
+async fn own_silently(mut calls: UnboundedReceiver<Call>, seen: Rc<Cell<u32>>) {
+    let mut withheld = Vec::new();
+    while let Some(call) = calls.next().await {
+        let Call::Report(report, sender) = call else { continue };
+        let millicores = report.worker.map_or(0, |profile| profile.capacity.millicores);
+        if report.complete && seen.replace(millicores) == millicores {
+            withheld.push(sender);
+            continue;
+        }
+        let sequence = report.sequence;
+        let _ = sender.send(Reply { epoch: 1, owned: true, sequence, ..Reply::default() });
+    }
+}
+
+async fn reports_each_capacity() {
+    let worker = Rc::new(Worker::default());
+    let settings = Settings { report_limit: HANG * 2, ..Settings::default() };
+    let (agent, calls) = connect(settings, &worker);
+    let seen = Rc::new(Cell::new(0));
+    monoio::spawn(own_silently(calls, seen.clone()));
+    agent.register(profile(10_000), 1);
+    monoio::spawn(agent.clone().run());
+    // Reports may be under way for other reasons, but not for each of these changes.
+    for (registration, millicores) in [(2, 9_000), (3, 4_000), (4, 10_000), (5, 3_000), (6, 1)] {
+        agent.register(profile(millicores), registration);
+        until(|| seen.get() == millicores).await;
+    }
+}
+
+#[test]
+fn a_changed_capacity_is_reported_while_the_owner_holds_a_reply_back() {
+    executor::run(async {
+        let ended = monoio::time::timeout(HANG, reports_each_capacity()).await;
+        ended.expect("each capacity is reported");
+    })
+    .expect("a runtime");
+}
