Refuse starts that were ordered for a larger worker

A start that was on its way to the agent, or that the agent tried again, went to a worker that had shrunk since and starts whatever it is told to.

Evidence: a_start_that_was_ordered_for_a_larger_worker_is_refused saw the start carried out before.

The agent now knows the first report that shows the smaller capacity, and refuses starts that came with the reply to an earlier one, before each try. The messages stay as they are: an agent cannot sum up what its runs need, as it knows only their processors.

--- a/crates/scheduler/src/agent/order.rs
+++ b/crates/scheduler/src/agent/order.rs
@@ -8,20 +8,21 @@
 use shallotflow_runtime::clock::Boottime;
 use std::rc::Rc;
 
-/// Executes `order` in the background; a later report carries the answer.
-pub(super) fn execute(agent: &Rc<Agent>, order: Order, epoch: u64) {
+/// Executes `order`, which came with the reply to the report `sequence`, in the background; a later
+/// report carries the answer.
+pub(super) fn execute(agent: &Rc<Agent>, order: Order, epoch: u64, sequence: u64) {
     let agent = agent.clone();
     monoio::spawn(async move {
         let key = (order.task, order.run);
         match &order.kind {
-            Kind::Start { .. } => start(&agent, &order, epoch).await,
+            Kind::Start { .. } => start(&agent, &order, epoch, sequence).await,
             Kind::Stop => stop(&agent, key, epoch).await,
         }
         agent.report_due.notify(usize::MAX);
     });
 }
 
-async fn start(agent: &Rc<Agent>, order: &Order, epoch: u64) {
+async fn start(agent: &Rc<Agent>, order: &Order, epoch: u64, sequence: u64) {
     let Kind::Start { text, checkpoint, traits } = &order.kind else { return };
     let key = (order.task, order.run);
     let mut unanswered = false;
@@ -29,8 +30,10 @@
         let now = Boottime.now();
         let (ready, incarnation, lease) = {
             let mut table = agent.run_table.borrow_mut();
-            let ready =
-                table.accepts_tasks() && table.epoch() == epoch && !table.is_withdrawn(&key);
+            let ready = table.accepts_tasks()
+                && table.epoch() == epoch
+                && !table.has_shrunk_since(sequence)
+                && !table.is_withdrawn(&key);
             (ready && !agent.stopping.get(), table.incarnation().cloned(), table.lease_ms(now))
         };
         let (true, Some(incarnation), Some(lease_ms)) = (ready, incarnation, lease) else { break };
--- a/crates/scheduler/src/agent/report.rs
+++ b/crates/scheduler/src/agent/report.rs
@@ -120,7 +120,7 @@
 
 /// Applies a reply and executes its orders; returns whether it has any.
 fn handle_reply(agent: &Rc<Agent>, reply: Reply) -> bool {
-    let epoch = reply.epoch;
+    let (epoch, sequence) = (reply.epoch, reply.sequence);
     let orders = {
         let mut table = agent.run_table.borrow_mut();
         let former = table.epoch();
@@ -132,7 +132,7 @@
     };
     let ordered = !orders.is_empty();
     for order in orders {
-        order::execute(agent, order, epoch);
+        order::execute(agent, order, epoch, sequence);
     }
     ordered
 }
--- a/crates/scheduler/src/agent/run_table.rs
+++ b/crates/scheduler/src/agent/run_table.rs
@@ -52,6 +52,8 @@
     sequence: u64,
     profile: Option<Profile>,
     registration: u64,
+    /// The first report to the current owner that shows the worker as small as it is.
+    resized_report: u64,
     drain_deadline: Option<Time>,
     deregistered: bool,
     incarnation: Option<Incarnation>,
@@ -95,6 +97,7 @@
             sequence: 0,
             profile: None,
             registration: 0,
+            resized_report: 0,
             drain_deadline: None,
             deregistered: false,
             incarnation: None,
@@ -197,6 +200,10 @@
             _ => None,
         };
         self.registration = registration;
+        let former = self.profile.as_ref().map(|former| former.capacity);
+        if former.is_none_or(|former| !profile.capacity.holds(&former)) {
+            self.resized_report = self.sequence + 1;
+        }
         self.profile = Some(profile);
         true
     }
@@ -207,6 +214,12 @@
         Some((profile.incarnation.clone(), profile.status, profile.capacity))
     }
 
+    /// Whether the owner may have ordered a start for a larger worker: its order came with the reply
+    /// to the report `sequence`.
+    pub fn has_shrunk_since(&self, sequence: u64) -> bool {
+        sequence < self.resized_report
+    }
+
     /// Records that the worker `id` has deregistered; returns `false` when another one is
     /// registered.
     pub fn deregister(&mut self, id: &str) -> bool {
@@ -550,6 +563,7 @@
     fn switch_owner(&mut self, epoch: u64) {
         self.epoch = epoch;
         self.sequence = 0;
+        self.resized_report = 0;
         self.sent_reports.clear();
         self.last_order = 0;
         self.complete = false;
--- a/crates/scheduler/tests/agent.rs
+++ b/crates/scheduler/tests/agent.rs
@@ -11,7 +11,7 @@
 use shallotflow_core::graph::{Id, Queue, Task};
 use shallotflow_core::resources::Bundle;
 use shallotflow_policy::plan::message::{
-    Incarnation, Kind, Order, Profile, Reply, Run, Status, Traits,
+    Answer, Incarnation, Kind, Order, Outcome, Profile, Reply, Run, Status, Traits,
 };
 use shallotflow_runtime::{executor, listen};
 use shallotflow_scheduler::agent::{Agent, Control, Lists, Result, Settings, Start};
@@ -220,3 +220,53 @@
     })
     .expect("a runtime");
 }
+
+/// An owner that answers the first complete report with a start once `shrunk` is set.
+async fn own_late(
+    mut calls: UnboundedReceiver<Call>,
+    (waits, shrunk): (Rc<Cell<bool>>, Rc<Cell<bool>>),
+    answers: Rc<RefCell<Vec<Answer>>>,
+) {
+    while let Some(call) = calls.next().await {
+        let Call::Report(report, sender) = call else { continue };
+        answers.borrow_mut().extend(&report.answers);
+        let first = report.complete && !waits.replace(waits.get() || report.complete);
+        let shrunk = shrunk.clone();
+        monoio::spawn(async move {
+            let mut orders = Vec::new();
+            if first {
+                until(|| shrunk.get()).await;
+                orders.push(start_order(1, "quotes", TARGET_MS));
+            }
+            monoio::time::sleep(PAUSE).await;
+            let sequence = report.sequence;
+            let reply = Reply { epoch: 1, owned: true, sequence, orders, ..Reply::default() };
+            let _ = sender.send(reply);
+        });
+    }
+}
+
+async fn refuses_a_start_for_a_larger_worker() {
+    let worker = Rc::new(Worker::default());
+    let (agent, calls) = connect(Settings::default(), &worker);
+    let (waits, shrunk) = (Rc::new(Cell::new(false)), Rc::new(Cell::new(false)));
+    let answers = Rc::new(RefCell::new(Vec::new()));
+    monoio::spawn(own_late(calls, (waits.clone(), shrunk.clone()), answers.clone()));
+    agent.register(profile(10_000), 1);
+    monoio::spawn(agent.clone().run());
+    until(|| waits.get()).await;
+    agent.register(profile(4_000), 2);
+    shrunk.set(true);
+    until(|| !answers.borrow().is_empty()).await;
+    assert_eq!(answers.borrow()[0].outcome, Outcome::NotReady);
+    assert!(worker.runs.borrow().is_empty());
+}
+
+#[test]
+fn a_start_that_was_ordered_for_a_larger_worker_is_refused() {
+    executor::run(async {
+        let ended = monoio::time::timeout(HANG, refuses_a_start_for_a_larger_worker()).await;
+        ended.expect("the start is answered");
+    })
+    .expect("a runtime");
+}
--- a/crates/scheduler/tests/run_table.rs
+++ b/crates/scheduler/tests/run_table.rs
@@ -2,8 +2,11 @@
 
 use shallotflow_core::graph::{Id, Task};
 use shallotflow_core::name::Name;
+use shallotflow_core::resources::Bundle;
 use shallotflow_core::time::Time;
-use shallotflow_policy::plan::message::{Incarnation, Reply, Run, RunTraits, Traits};
+use shallotflow_policy::plan::message::{
+    Incarnation, Profile, Reply, Run, RunTraits, Status, Traits,
+};
 use shallotflow_scheduler::agent::run_table::RunTable;
 use shallotflow_scheduler::agent::{Error, Lists, Settings};
 use std::time::Duration;
@@ -146,3 +149,28 @@
     table.apply_lists(other, 1, at(300), at(300));
     assert_eq!(table.take_late_starts(), [], "it refuses calls for the former identifier");
 }
+
+fn profile(millicores: u32) -> Profile {
+    Profile {
+        incarnation: Incarnation { id: Name::from("w"), started_ms: 7 },
+        service: Name::from("s"),
+        capacity: Bundle { millicores, ..Bundle::default() },
+        labels: Vec::new(),
+        rack: None,
+        status: Status::Ready,
+    }
+}
+
+#[test]
+fn a_start_is_outdated_until_the_owner_knows_of_the_smaller_worker() {
+    let mut table = joined(Vec::new());
+    table.register(profile(10_000), 1, at(10));
+    let first = table.report(at(20)).sequence;
+    assert!(!table.has_shrunk_since(first));
+    table.register(profile(4_000), 2, at(30));
+    assert!(table.has_shrunk_since(first));
+    let second = table.report(at(40)).sequence;
+    assert!(!table.has_shrunk_since(second));
+    table.register(profile(5_000), 3, at(50));
+    assert!(!table.has_shrunk_since(second), "a larger worker holds what the smaller one does");
+}
