Give the next incarnation of a worker nothing before it registers

An incarnation that a poll found took over the capacity, labels and readiness of the former one until it registered, though it may be of another kind.

Evidence: a_new_incarnation_is_not_taken_for_as_large_as_the_former_one failed before. The agent now forgets the profile, and refuses starts until the worker has registered.

--- a/crates/scheduler/src/agent/run_table.rs
+++ b/crates/scheduler/src/agent/run_table.rs
@@ -253,10 +253,8 @@
             self.unanswered.clear();
         }
         self.late_starts = self.unanswered.keys().copied().collect();
-        if let Some(profile) = &mut self.profile {
-            profile.incarnation = incarnation.clone();
-            profile.status = Status::Ready;
-        }
+        // The next incarnation may be another kind of worker, whatever it is called.
+        self.profile = None;
         self.incarnation = Some(incarnation);
         self.registration = 0;
         self.drain_deadline = None;
--- a/crates/scheduler/tests/run_table.rs
+++ b/crates/scheduler/tests/run_table.rs
@@ -161,6 +161,16 @@
     }
 }
 
+#[test]
+fn a_new_incarnation_is_not_taken_for_as_large_as_the_former_one() {
+    let mut table = joined(Vec::new());
+    table.register(profile(10_000), 1, at(10));
+    assert!(table.accepts_tasks());
+    table.apply_lists(lists(8, Vec::new()), 1, at(20), at(20));
+    assert!(!table.accepts_tasks(), "it has not registered");
+    assert_eq!(table.report(at(30)).worker, None);
+}
+
 #[test]
 fn a_start_is_outdated_until_the_owner_knows_of_the_smaller_worker() {
     let mut table = joined(Vec::new());
