Count every run until its end is listed

Starts brought workers over their capacity while runs that no task waits for were still there: a run whose task another run had done, members of a gang whose other member was done, and runs of ended or unknown jobs that a successor found and stopped. A job that was forgotten while its run still stopped left the room taken for good.

Cause: the account held the current runs of tasks only, and vacated them before their ends were listed.

The audit now rebuilds the account with these runs, and checks it against the tasks. Ruled out: releases by an answer that a run is absent, by a lost lease and by a restart, where nothing runs.

A run that is no current run of a task stays with its worker as a remnant until its end is listed, a list that showed it before lacks it, its stop finds it absent, or nothing can run at the worker. The need of a run of an unknown job is not known, so nothing starts beside it. The cost depends on the remnants of one worker, of which there are usually none.

--- a/crates/policy/src/plan/audit.rs
+++ b/crates/policy/src/plan/audit.rs
@@ -22,6 +22,9 @@
     /// The load of a worker.
     #[error("the load of {0} differs from its runs; report this as a defect")]
     Load(Name),
+    /// The runs that occupy a worker.
+    #[error("the runs that occupy {0} differ from those of its tasks; report this as a defect")]
+    Runs(Name),
     /// The lists of workers.
     #[error("the ranking differs from the workers; report this as a defect")]
     Ranking,
@@ -83,6 +86,14 @@
         if job.recorded < job.version && !self.changes.iter().any(|id| id == job.id) {
             return Err(Mismatch::Unrecorded(job.id));
         }
+        for (position, state) in job.tasks.iter().enumerate() {
+            let task = job.task(position);
+            if let Some((agent, _)) = state.current()
+                && !self.workers.get(agent).is_some_and(|worker| worker.placed.contains_key(&task))
+            {
+                return Err(Mismatch::Runs(agent.clone()));
+            }
+        }
         if job.ended.is_some() {
             return Ok(());
         }
@@ -114,9 +125,21 @@
             for placed in worker.placed.values() {
                 load.add(placed);
             }
+            for remnant in worker.remnants.values() {
+                load.add_remnant(remnant);
+            }
             if load != worker.load {
                 return Err(Mismatch::Load(agent.clone()));
             }
+            let holds = |task: &Task, run: Option<u32>| {
+                let current = self.task_state(task).and_then(|state| state.current());
+                current.is_some_and(|(at, number)| at == agent && run.unwrap_or(number) == number)
+            };
+            if !worker.placed.keys().all(|task| holds(task, None))
+                || worker.remnants.keys().any(|(task, run)| holds(task, Some(*run)))
+            {
+                return Err(Mismatch::Runs(agent.clone()));
+            }
             let mut rebuilt = Worker { rank: None, ..worker.clone() };
             ranking.update(agent, &mut rebuilt, &self.settings);
             if rebuilt.rank != worker.rank {
--- a/crates/policy/src/plan/expire.rs
+++ b/crates/policy/src/plan/expire.rs
@@ -87,7 +87,13 @@
             self.timers.push(again, Timer::Forget(id));
             return None;
         }
-        self.jobs.remove(&id).map(|job| job.id)
+        let job = self.jobs.remove(&id)?;
+        for (position, state) in job.tasks.iter().enumerate() {
+            if let Some((agent, run)) = state.current() {
+                self.detach_run(agent, job.task(position), run);
+            }
+        }
+        Some(id)
     }
 
     /// Makes uncertain tasks wait once every agent has reported or its leases have ended: a task that
--- a/crates/policy/src/plan/load.rs
+++ b/crates/policy/src/plan/load.rs
@@ -1,4 +1,5 @@
 use super::Settings;
+use super::remnant::Remnant;
 use super::worker::Placed;
 use shallotflow_core::name::Name;
 use shallotflow_core::resources::Bundle;
@@ -23,6 +24,8 @@
     other_millicores: u64,
     /// Number of serving tasks by image.
     pub(super) serving: BTreeMap<Name, u32>,
+    /// Number of runs whose need is not known.
+    unknown: u32,
     /// Number of best-effort tasks by image, and the processors that they request in sum.
     best_effort: BTreeMap<Name, (u32, u64)>,
 }
@@ -66,14 +69,31 @@
         }
     }
 
+    /// Adds a run that is the current run of no task.
+    pub(super) fn add_remnant(&mut self, remnant: &Remnant) {
+        match &remnant.placed {
+            Some(placed) => self.add(placed),
+            None => self.unknown += 1,
+        }
+    }
+
+    /// Removes such a run that was added before.
+    pub(super) fn remove_remnant(&mut self, remnant: &Remnant) {
+        match &remnant.placed {
+            Some(placed) => self.remove(placed),
+            None => self.unknown -= 1,
+        }
+    }
+
     fn millicores(&mut self, serving: bool) -> &mut u64 {
         if serving { &mut self.serving_millicores } else { &mut self.other_millicores }
     }
 
     /// Returns whether the runs and `need` more stay within `capacity`: what exceeds it in one
-    /// resource, because the capacity has shrunk, gets nothing of the others either.
+    /// resource, because the capacity has shrunk, gets nothing of the others either. Beside a run
+    /// whose need is not known, there is no room.
     pub(super) fn has_room(&self, capacity: &Bundle, need: &Bundle) -> bool {
-        capacity.holds(&self.reserved.plus(need))
+        self.unknown == 0 && capacity.holds(&self.reserved.plus(need))
     }
 
     /// Returns whether any best-effort task runs.
--- a/crates/policy/src/plan/mod.rs
+++ b/crates/policy/src/plan/mod.rs
@@ -13,6 +13,9 @@
 //! - `accept`, `report`, `expire`, `disturbance`, `place`, `record`, `relocate`, `urgency`: the
 //!   operations on the table.
 //!
+//! A run occupies its worker until the worker lists its end, also if its task goes on elsewhere, is done
+//! or is not known.
+//!
 //! The cost of an operation depends on what it changes, not on what the table holds: the jobs with
 //! waiting tasks are kept in order, each worker's load is a sum over its runs, the workers are kept
 //! in lists by load, and deadlines are kept in a heap.
@@ -39,6 +42,7 @@
 mod record;
 mod refusals;
 mod relocate;
+mod remnant;
 mod report;
 mod search;
 mod settings;
--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -152,13 +152,22 @@
     pub(super) fn lose_runs(&mut self, agent: &Name, reason: &'static str, now: Time) {
         let Some(worker) = self.workers.get(agent) else { return };
         let tasks: Vec<Task> = worker.placed.keys().copied().collect();
-        if tasks.is_empty() {
-            return;
-        }
+        let remnants: Vec<_> =
+            worker.remnants.iter().map(|(key, remnant)| (*key, remnant.listed)).collect();
         let may_still_start = worker.synced
             && !worker.vacant
             && worker.profile.as_ref().is_some_and(|p| p.status != Status::Empty)
             && !worker.empty_at.passed(now);
+        for ((task, run), listed) in remnants {
+            if may_still_start && !listed {
+                self.order_stop(agent, task, run, "its start may still be carried out");
+            } else {
+                self.remove_remnant(agent, task, run);
+            }
+        }
+        if tasks.is_empty() {
+            return;
+        }
         self.events.push(Event::Lost { agent: agent.clone(), reason, runs: tasks.len() });
         // The next incarnation may be a smaller worker.
         self.withdraw_starts(agent);
@@ -184,6 +193,7 @@
         worker.ends.insert(end.number, None);
         let End { task, run, reason, .. } = end;
         self.events.push(Event::End { task, run, agent: agent.clone(), reason });
+        self.remove_remnant(agent, task, run);
         self.mark_started(task.job, now);
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let Some(position) = job.position(&task) else { return };
@@ -199,7 +209,7 @@
             ExitReason::Done if !long_running => {
                 // The end of one member counts for the whole gang.
                 for member in self.gang_members(task) {
-                    self.finish_task(agent, member, run, now);
+                    self.finish_task(agent, member, run, member == task, now);
                 }
             }
             ExitReason::Failed => {
@@ -256,20 +266,26 @@
         runs.collect::<BTreeSet<u32>>().len()
     }
 
-    /// Marks `task` as done, whichever run completed it; `run` at `agent` has ended.
-    fn finish_task(&mut self, agent: &Name, task: Task, run: u32, now: Time) {
+    /// Marks `task` as done, whichever run completed it; `run` at `agent` has ended, and its end is
+    /// `listed` unless it is that of another member of the gang.
+    fn finish_task(&mut self, agent: &Name, task: Task, run: u32, listed: bool, now: Time) {
         let Some(job) = self.jobs.get(&task.job) else { return };
         let Some(position) = job.position(&task) else { return };
         let gang = job.step(&task).gang;
         if job.tasks[position].phase == Phase::Done {
             return;
         }
+        let starting = matches!(job.tasks[position].phase, Phase::Starting { .. });
         let other = job.tasks[position].current().map(|(other, run)| (other.clone(), run));
         if let Some((other, number)) = other {
-            self.vacate(&other, &task);
-            let ended = number == run && (gang || other == *agent);
-            if !ended {
-                self.order_stop(&other, task, number, "another run has done its work");
+            if listed && number == run && other == *agent {
+                self.vacate(&other, &task);
+            } else {
+                self.detach_run(&other, task, number);
+                // The other members of a gang end by themselves.
+                if !gang || number != run || starting {
+                    self.order_stop(&other, task, number, "another run has done its work");
+                }
             }
         }
         if let Some(worker) = self.workers.get_mut(agent) {
@@ -324,6 +340,9 @@
 
     fn apply_answer(&mut self, agent: &Name, answer: &Answer, now: Time) {
         let Answer { task, run, outcome } = *answer;
+        if outcome == Outcome::Absent {
+            self.remove_remnant(agent, task, run);
+        }
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let Some(position) = job.position(&task) else { return };
         let state = &mut job.tasks[position];
@@ -369,6 +388,7 @@
         for run in running {
             self.apply_run(agent, run, now);
         }
+        self.remove_unlisted(agent, running);
         let Some(worker) = self.workers.get_mut(agent) else { return };
         worker.listed_at = now;
         if !complete || worker.synced {
@@ -389,10 +409,29 @@
                 _ => self.release_task(task, now, now),
             }
         }
+        let Some(worker) = self.workers.get(agent) else { return };
+        let remnants = worker.remnants.iter().filter(|(_, remnant)| !remnant.listed);
+        for (task, run) in remnants.map(|(key, _)| *key).collect::<Vec<_>>() {
+            self.order_stop(agent, task, run, "its agent started again");
+        }
         self.forget_missing(agent, now);
         self.update_worker_lists(agent);
     }
 
+    /// Removes the remnants at a worker that it has listed before and lists no more.
+    fn remove_unlisted(&mut self, agent: &Name, running: &[Run]) {
+        let Some(worker) = self.workers.get(agent) else { return };
+        if worker.remnants.is_empty() {
+            return;
+        }
+        let listed: BTreeSet<(Task, u32)> = running.iter().map(|run| (run.task, run.run)).collect();
+        let gone = worker.remnants.iter().filter(|(_, remnant)| remnant.listed);
+        let gone: Vec<_> = gone.map(|(key, _)| *key).filter(|key| !listed.contains(key)).collect();
+        for (task, run) in gone {
+            self.remove_remnant(agent, task, run);
+        }
+    }
+
     /// Applies one run of a worker's list.
     fn apply_run(&mut self, agent: &Name, run: &Run, now: Time) {
         let Run { task, run: number, .. } = *run;
@@ -417,6 +456,7 @@
                 state.stalls_at = now.after(stall);
                 self.timers.push(state.stalls_at, Timer::Run(task));
                 self.mark_started(task.job, now);
+                self.remove_remnant(agent, task, number);
                 self.occupy(agent, task);
                 self.events.push(Event::Adopted { task, run: number, agent: agent.clone() });
             }
@@ -464,9 +504,13 @@
         let stopping = state.is_some_and(|state| {
             matches!(state.phase, Phase::Stopping { .. }) && state.is_current(agent, run)
         });
+        let occupies = state.is_some_and(|state| state.is_current(agent, run));
         if !stopping && !worker.outbox.iter().any(stop) {
             self.order_stop(agent, task, run, reason);
         }
+        if !occupies {
+            self.add_remnant(agent, task, run);
+        }
     }
 
     /// Advances the watermark up to which the worker may discard ended runs.
--- a/crates/policy/src/plan/table.rs
+++ b/crates/policy/src/plan/table.rs
@@ -350,18 +350,24 @@
         }
     }
 
-    /// Adds `task` to the runs that occupy the worker of `agent`.
-    pub(super) fn occupy(&mut self, agent: &Name, task: Task) {
-        let Some(job) = self.jobs.get(&task.job) else { return };
-        let step = job.step(&task);
-        let placed = Placed {
+    /// Returns what a run of `task` occupies, if its job is known and has such a task.
+    pub(super) fn placed(&self, task: &Task) -> Option<Placed> {
+        let job = self.jobs.get(&task.job)?;
+        job.position(task)?;
+        let step = job.step(task);
+        Some(Placed {
             need: step.need,
             best_effort: step.best_effort,
             image: step.image.clone(),
             target_ms: step.target_ms,
             measurement: 0,
             pace: 100,
-        };
+        })
+    }
+
+    /// Adds `task` to the runs that occupy the worker of `agent`.
+    pub(super) fn occupy(&mut self, agent: &Name, task: Task) {
+        let Some(placed) = self.placed(&task) else { return };
         if let Some(worker) = self.workers.get_mut(agent) {
             worker.occupy(task, placed);
             self.update_worker_lists(agent);
@@ -371,9 +377,14 @@
     /// Removes `task` from the runs that occupy the worker of `agent`.
     pub(super) fn vacate(&mut self, agent: &Name, task: &Task) {
         let Some(worker) = self.workers.get_mut(agent) else { return };
-        if !worker.vacate(task) {
-            return;
+        if worker.vacate(task) {
+            self.apply_freed(agent);
         }
+    }
+
+    /// Lets waiting tasks use what a run at the worker of `agent` has freed.
+    pub(super) fn apply_freed(&mut self, agent: &Name) {
+        let Some(worker) = self.workers.get(agent) else { return };
         if let Some(profile) = &worker.profile {
             self.refusals.retain_without_room(&worker.load, &profile.capacity);
         }
--- a/crates/policy/src/plan/worker.rs
+++ b/crates/policy/src/plan/worker.rs
@@ -2,6 +2,7 @@
 use super::load::Load;
 use super::message::{Incarnation, Kind, Order, Profile, Status};
 use super::ranking::Rank;
+use super::remnant::Remnant;
 use serde::Serialize;
 use shallotflow_core::graph::{Id, Task};
 use shallotflow_core::name::Name;
@@ -86,7 +87,10 @@
     pub full_until: Time,
     #[serde(skip)]
     pub(super) placed: BTreeMap<Task, Placed>,
-    /// What the runs in `placed` reserve and are expected to use.
+    /// Runs that may still be at the worker and are the current run of no task.
+    #[serde(skip)]
+    pub(super) remnants: BTreeMap<(Task, u32), Remnant>,
+    /// What the runs in `placed` and `remnants` reserve and are expected to use.
     #[serde(skip)]
     pub(super) load: Load,
     /// Where the table's ranking lists the worker.
@@ -122,7 +126,8 @@
     /// agent has not listed the runs yet, which go on.
     pub(super) fn may_hold_runs(&self) -> bool {
         let empty = self.profile.as_ref().is_some_and(|p| p.status == Status::Empty);
-        (self.synced && !empty && !self.vacant) || !self.placed.is_empty()
+        let occupied = !self.placed.is_empty() || !self.remnants.is_empty();
+        (self.synced && !empty && !self.vacant) || occupied
     }
 
     /// Adds a run.
@@ -151,7 +156,8 @@
     pub(super) fn siblings(&self, task: &Task) -> usize {
         let first = Task { index: 0, ..*task };
         let last = Task { index: u32::MAX, ..*task };
-        self.placed.range(first..=last).count()
+        let remnants = self.remnants.range((first, 0)..=(last, u32::MAX));
+        self.placed.range(first..=last).count() + remnants.count()
     }
 
     pub(super) fn push_order(&mut self, task: Task, run: u32, kind: Kind) {
--- a/crates/policy/tests/plan/fuzz.rs
+++ b/crates/policy/tests/plan/fuzz.rs
@@ -1,12 +1,14 @@
-//! Random jobs, ends, failures and restarts; after each step, the state that the table keeps up to
-//! date equals one rebuilt from its jobs and workers.
+//! Random jobs, ends, failures, restarts and capacities; after each step, the state that the table
+//! keeps up to date equals one rebuilt from its jobs and workers, and no start has brought a worker over
+//! its capacity.
 
 use super::harness::{Harness, id, job, step};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use shallotflow_core::graph::{Job, Step, Task};
+use shallotflow_core::graph::{Id, Job, Step, Task};
 use shallotflow_core::name::Name;
 use shallotflow_policy::plan::message::{ExitReason, Status};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 const SEEDS: u64 = 60;
@@ -49,7 +51,7 @@
 
 /// Applies one random event and a round of reports.
 fn change(harness: &mut Harness, rng: &mut SmallRng, next_job: &mut u64) {
-    match rng.random_range(0..16) {
+    match rng.random_range(0..17) {
         0..5 => {
             *next_job += 1;
             harness.table.accept(id(*next_job), random_job(rng), true, harness.now);
@@ -82,6 +84,10 @@
         }
         13 => harness.wait(Duration::from_millis(rng.random_range(1..=9_000))),
         14 => harness.record(),
+        15 => {
+            let millicores = rng.random_range(0..=15_000);
+            harness.worker(rng.random_range(0..WORKERS)).resize(millicores);
+        }
         _ => harness.wait(Duration::from_millis(rng.random_range(1..=200))),
     }
     harness.tick();
@@ -143,3 +149,71 @@
     harness.execute_orders();
     assert_eq!(harness.running().len(), 1);
 }
+
+/// Executes the orders of every worker; fails if a start brings one over its capacity.
+fn execute_within_capacity(harness: &mut Harness, jobs: &BTreeMap<Id, Job>, context: &str) {
+    for (name, worker) in &mut harness.workers {
+        let before: Vec<Task> = worker.running.keys().copied().collect();
+        worker.execute_orders();
+        if worker.running.keys().all(|task| before.contains(task)) {
+            continue;
+        }
+        let steps =
+            worker.running.keys().map(|task| &jobs[&task.job].spec.steps[usize::from(task.step)]);
+        let used: u32 =
+            steps.filter(|step| !step.best_effort).map(|step| step.need.millicores).sum();
+        assert!(used <= worker.millicores, "{context}: {name} has {}: {used}", worker.millicores);
+    }
+}
+
+#[test]
+fn no_start_brings_a_worker_over_its_capacity() {
+    for seed in 0..SEEDS {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut harness = Harness::new(WORKERS);
+        let mut jobs = BTreeMap::new();
+        for number in 0..STEPS * 3 {
+            let context = format!("seed {seed}, step {number}");
+            match rng.random_range(0..10) {
+                0..3 => {
+                    let (id, job) = (id(number as u64), random_job(&mut rng));
+                    jobs.insert(id, job.clone());
+                    harness.table.accept(id, job, true, harness.now);
+                }
+                3..6 => {
+                    if let Some(task) = random_task(&harness, &mut rng) {
+                        harness.end(task, ExitReason::Done);
+                    }
+                }
+                6 => {
+                    let known: Vec<Id> = jobs.keys().copied().collect();
+                    if let Some(id) = known.get(rng.random_range(0..=known.len())) {
+                        harness.table.cancel(*id, harness.now);
+                    }
+                }
+                7 => {
+                    let millicores = rng.random_range(0..=15_000);
+                    harness.worker(rng.random_range(0..WORKERS)).resize(millicores);
+                }
+                8 => {
+                    let worker = harness.worker(rng.random_range(0..WORKERS));
+                    worker.restart_agent();
+                }
+                _ => harness.wait(Duration::from_millis(rng.random_range(1..=200))),
+            }
+            harness.tick();
+            harness.report(rng.random_range(0..WORKERS));
+            if rng.random_bool(0.4) {
+                harness.report_all();
+            }
+            if rng.random_bool(0.4) {
+                execute_within_capacity(&mut harness, &jobs, &context);
+            }
+            harness.table.expire(harness.now, harness.now.as_millis());
+            let audit = harness.table.audit(harness.now, &harness.holders);
+            assert_eq!(audit, Ok(()), "{context}");
+        }
+        let starts = harness.workers.values().map(|worker| worker.running.len()).sum::<usize>();
+        assert!(starts > 0, "seed {seed}: nothing runs");
+    }
+}
--- a/crates/policy/tests/plan/harness.rs
+++ b/crates/policy/tests/plan/harness.rs
@@ -218,6 +218,20 @@
         self.last_end = 0;
     }
 
+    /// Changes the processors; like its agent, the worker refuses starts that were ordered before.
+    pub(crate) fn resize(&mut self, millicores: u32) {
+        self.millicores = millicores;
+        for order in std::mem::take(&mut self.orders) {
+            let Order { task, run, .. } = order;
+            match order.kind {
+                Kind::Start { .. } => {
+                    self.answers.push(Answer { task, run, outcome: Outcome::NoRoom });
+                }
+                Kind::Stop => self.orders.push(order),
+            }
+        }
+    }
+
     pub(crate) fn report(&mut self, agent: &Name, epoch: u64) -> Report {
         self.sequence += 1;
         Report {
