Simulate workers that do not guard their capacity

The simulated workers start whatever they are told to, shrink and grow again, and take up to 0.9 s to stop a run; the oracle checks each start against the most that the worker had in the last 4.5 s. It finds an agent that hides that its worker has shrunk (HiddenShrinking).

--- a/crates/scheduler/tests/path.rs
+++ b/crates/scheduler/tests/path.rs
@@ -2,7 +2,8 @@
 //!
 //! Owners' tables, agents' run tables, workers and the records of the store run the same code as
 //! the processes. Calls to workers are lost before or after they are carried out, or carried out
-//! seconds later; workers, agents and owners restart; a former owner continues for a while. The
+//! seconds later; workers, agents and owners restart; a former owner continues for a while. Workers
+//! start whatever they are told to start, shrink and grow again, and take time to stop a run. The
 //! oracle sees only the calls to workers and what workers do.
 
 mod path {
@@ -64,6 +65,7 @@
 #[test_case(Fault::NoWithdrawal ; "a start without an answer is not withdrawn")]
 #[test_case(Fault::ForgetUnrecorded ; "ends are forgotten before they are recorded")]
 #[test_case(Fault::OldFence ; "workers obey former owners")]
+#[test_case(Fault::HiddenShrinking ; "an agent does not report that its worker has shrunk")]
 #[test_case(Fault::EndlessLease ; "a silent agent renews leases without an owner")]
 fn an_injected_fault_is_found(fault: Fault) {
     let found = (0..FAULT_SEEDS)
--- a/crates/scheduler/tests/path/fault.rs
+++ b/crates/scheduler/tests/path/fault.rs
@@ -15,6 +15,8 @@
     ForgetUnrecorded,
     /// Workers obey owners with a lower epoch.
     OldFence,
+    /// Agents never report that their workers have shrunk.
+    HiddenShrinking,
     /// Agents renew leases although no owner answers.
     EndlessLease,
 }
--- a/crates/scheduler/tests/path/oracle.rs
+++ b/crates/scheduler/tests/path/oracle.rs
@@ -57,6 +57,13 @@
         }
     }
 
+    /// Checks that a start does not bring its worker over its capacity.
+    pub(crate) fn check_capacity(&mut self, worker: usize, task: Task, used: u32, capacity: u32) {
+        if used > capacity {
+            self.fail(format!("{task} brings worker {worker} of {capacity} to {used}"));
+        }
+    }
+
     /// Records the end of a run, for any reason.
     pub(crate) fn mark_ended(&mut self, worker: usize, task: Task) {
         self.tasks.entry(task).or_default().running.remove(&worker);
--- a/crates/scheduler/tests/path/simulation.rs
+++ b/crates/scheduler/tests/path/simulation.rs
@@ -2,7 +2,7 @@
 
 use super::fault::Fault;
 use super::oracle::Oracle;
-use super::worker::Worker;
+use super::worker::{FULL_MILLICORES, STOP_MS, Worker};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use shallotflow_core::graph::{Id, Job, Queue, Spec, State, Step, Task};
@@ -21,6 +21,9 @@
 /// Duration of the phase with faults, in milliseconds; then every job has to end.
 const FAULT_PHASE_MS: u64 = 30_000;
 const RECOVERY_PHASE_MS: u64 = 60_000;
+/// How long a larger capacity counts after a worker has shrunk: its next registration, the time in
+/// which contact with its agent or the owner counts as lost, and the registration after that.
+const SHRINK_MS: u64 = 4_500;
 const QUEUE: &str = "q";
 /// Time in which an agent finds a new incarnation of its worker; a call that arrives earlier, meant
 /// for a former one, cannot be prevented.
@@ -40,6 +43,7 @@
     /// Whether a delayed call reaches the next incarnation of its worker, which then has the same
     /// identifier.
     calls_outlive_incarnations: bool,
+    worker_resized: f64,
 }
 
 impl Default for FaultRates {
@@ -54,6 +58,7 @@
             store_outage: 0.002,
             task_fails: 0.05,
             calls_outlive_incarnations: false,
+            worker_resized: 0.003,
         }
     }
 }
@@ -74,6 +79,7 @@
             store_outage: 0.0,
             task_fails: 0.0,
             calls_outlive_incarnations: false,
+            worker_resized: 0.0,
         }
     }
 }
@@ -85,6 +91,7 @@
     worker_started_ms: u64,
     /// The agent's process that made the call.
     process: u64,
+    sent: u64,
     call: Call,
 }
 
@@ -100,11 +107,20 @@
     isolated_until: u64,
     /// Index of the owner that it reports to.
     target: usize,
-    orders: Vec<(Order, u64, u32, bool)>,
+    orders: Vec<PendingOrder>,
     /// Starts that the present incarnation of the worker must not carry out.
     late_starts: Vec<Key>,
 }
 
+struct PendingOrder {
+    order: Order,
+    epoch: u64,
+    /// Number of the report whose reply carried the order.
+    sequence: u64,
+    tries: u32,
+    unanswered: bool,
+}
+
 struct Owner {
     table: Table,
     alive_until: u64,
@@ -176,6 +192,9 @@
             } else if self.now == begin + FAULT_PHASE_MS {
                 self.rates = FaultRates { task_fails: self.rates.task_fails, ..FaultRates::none() };
                 self.store_down_until = 0;
+                for worker in &mut self.workers {
+                    worker.resize(FULL_MILLICORES, self.now);
+                }
                 for agent in &mut self.agents {
                     agent.isolated_until = 0;
                 }
@@ -226,6 +245,11 @@
             if self.chance(self.rates.worker_restart) {
                 self.workers[number].restart(now, &mut self.oracle);
             }
+            if self.chance(self.rates.worker_resized) {
+                let shrunk = self.rng.random_range(0..FULL_MILLICORES);
+                let full = self.workers[number].millicores() < FULL_MILLICORES;
+                self.workers[number].resize(if full { FULL_MILLICORES } else { shrunk }, now);
+            }
             if self.chance(self.rates.agent_isolated) {
                 self.agents[number].isolated_until = now + self.rng.random_range(500..12_000);
             }
@@ -282,10 +306,11 @@
             let id = Id(since);
             let first = self.rng.random_range(1..4);
             let count = self.rng.random_range(1..4);
+            let millicores = self.rng.random_range(500..2_500);
             let step = |count, after| Step {
                 count,
                 after,
-                need: Bundle { millicores: 1_000, memory_mib: 10, ..Bundle::default() },
+                need: Bundle { millicores, memory_mib: 10, ..Bundle::default() },
                 estimate_ms: 500,
                 ..Step::default()
             };
@@ -340,22 +365,27 @@
                 }
             }
             // The answer is lost.
-            let _ = self.execute(delayed.worker, delayed.call);
+            let _ = self.execute(delayed.worker, delayed.call, delayed.sent);
         }
     }
 
-    fn execute(&mut self, worker: usize, call: Call) -> agent::Result<u64> {
+    fn execute(&mut self, worker: usize, call: Call, sent: u64) -> agent::Result<u64> {
         // Some runs outlast the longest lease.
         let longest = if self.rng.random_bool(0.15) { 12_000 } else { 2_000 };
         let takes = self.rng.random_range(100..longest);
         let fails = self.chance(self.rates.task_fails);
+        let stop_takes = self.rng.random_range(0..STOP_MS);
         let worker = &mut self.workers[worker];
         match call {
             Call::Start { task, run, lease, epoch } => {
-                worker.start((task, run), lease, epoch, (takes, fails), self.now, &mut self.oracle)
+                let step = &self.jobs[&task.job].0.spec.steps[usize::from(task.step)];
+                let work = (takes, fails, step.need.millicores);
+                // A start that is carried out late is judged by when it was sent.
+                let times = (self.now, sent.saturating_sub(SHRINK_MS));
+                worker.start((task, run), lease, epoch, work, times, &mut self.oracle)
             }
             Call::Stop { task, run, epoch } => {
-                worker.stop((task, run), epoch, self.now, &mut self.oracle)
+                worker.stop((task, run), epoch, (self.now, stop_takes))
             }
         }
     }
@@ -367,13 +397,15 @@
             let at = self.now + self.rng.random_range(500..12_000);
             let worker_started_ms = self.workers[worker].incarnation().started_ms;
             let process = self.agents[worker].process;
-            self.delayed.push(DelayedCall { at, worker, worker_started_ms, process, call });
+            let sent = self.now;
+            let delayed = DelayedCall { at, worker, worker_started_ms, process, sent, call };
+            self.delayed.push(delayed);
             return lost();
         }
         if self.chance(self.rates.call_lost) {
             return lost();
         }
-        let answer = self.execute(worker, call);
+        let answer = self.execute(worker, call, self.now);
         if self.chance(self.rates.call_lost) { lost() } else { answer }
     }
 
@@ -397,10 +429,14 @@
     }
 
     fn register(&mut self, number: usize) {
+        let millicores = match self.fault {
+            Some(Fault::HiddenShrinking) => FULL_MILLICORES,
+            _ => self.workers[number].millicores(),
+        };
         let profile = Profile {
             incarnation: self.workers[number].incarnation(),
             service: "s".into(),
-            capacity: Bundle { millicores: 5_000, memory_mib: 1_000, ..Bundle::default() },
+            capacity: Bundle { millicores, memory_mib: 1_000, ..Bundle::default() },
             labels: Vec::new(),
             rack: None,
             status: Status::Ready,
@@ -453,7 +489,8 @@
     /// Executes orders as the agent's loops do: a start without an answer is repeated once and then
     /// withdrawn, a stop is repeated until it is answered.
     fn execute_orders(&mut self, number: usize, now: Time) {
-        for (order, epoch, tries, unanswered) in std::mem::take(&mut self.agents[number].orders) {
+        for pending in std::mem::take(&mut self.agents[number].orders) {
+            let PendingOrder { ref order, epoch, sequence, tries, unanswered } = pending;
             let key = (order.task, order.run);
             let run_table = &mut self.agents[number].run_table;
             if run_table.epoch() != epoch {
@@ -467,28 +504,33 @@
                     Ok(_) => self.agents[number].run_table.confirm_stop(key, now),
                     Err(Error::Fenced) => self.agents[number].run_table.end_withdrawal(key),
                     Err(_) => {
-                        self.agents[number].orders.push((order, epoch, tries + 1, unanswered));
+                        let again = PendingOrder { tries: tries + 1, ..pending };
+                        self.agents[number].orders.push(again);
                     }
                 }
                 continue;
             }
             let lease = run_table.lease_ms(now);
-            let ready = run_table.accepts_tasks() && !run_table.is_withdrawn(&key) && tries < 2;
+            let ready = run_table.accepts_tasks()
+                && !run_table.has_shrunk_since(sequence)
+                && !run_table.is_withdrawn(&key)
+                && tries < 2;
             let same = run_table.incarnation() == Some(&self.workers[number].incarnation());
             let (true, true, Some(lease)) = (ready, same, lease) else {
-                self.settle_start(number, order, epoch, unanswered);
+                self.settle_start(number, pending);
                 continue;
             };
             let (task, run) = key;
             match self.call(number, Call::Start { task, run, lease, epoch }) {
                 Ok(_) => {
-                    self.agents[number].run_table.confirm_start(&order, Traits::default(), now);
+                    self.agents[number].run_table.confirm_start(order, Traits::default(), now);
                 }
                 Err(Error::Unknown(_)) => {
                     self.agents[number].run_table.mark_unanswered(key, now);
-                    self.agents[number].orders.push((order, epoch, tries + 1, true));
+                    let again = PendingOrder { tries: tries + 1, unanswered: true, ..pending };
+                    self.agents[number].orders.push(again);
                 }
-                Err(_) if unanswered => self.settle_start(number, order, epoch, true),
+                Err(_) if unanswered => self.settle_start(number, pending),
                 Err(error) => {
                     let outcome = match error {
                         Error::Old => Outcome::Old,
@@ -502,15 +544,16 @@
     }
 
     /// Settles a start that is not tried again: it is withdrawn if it may have been carried out.
-    fn settle_start(&mut self, number: usize, order: Order, epoch: u64, unanswered: bool) {
+    fn settle_start(&mut self, number: usize, pending: PendingOrder) {
+        let PendingOrder { order, unanswered, .. } = pending;
         let key = (order.task, order.run);
         let run_table = &mut self.agents[number].run_table;
         if !unanswered || self.fault == Some(Fault::NoWithdrawal) {
             return run_table.push_answer(order.task, order.run, Outcome::NotReady);
         }
         if run_table.begin_withdrawal(key) {
-            let stop = Order { kind: Kind::Stop, ..order };
-            self.agents[number].orders.push((stop, epoch, 0, true));
+            let order = Order { kind: Kind::Stop, ..order };
+            self.agents[number].orders.push(PendingOrder { order, tries: 0, ..pending });
         }
     }
 
@@ -538,7 +581,7 @@
         if self.fault == Some(Fault::ForgetUnrecorded) {
             reply.recorded = u64::from(u32::MAX);
         }
-        let epoch = reply.epoch;
+        let (epoch, sequence) = (reply.epoch, reply.sequence);
         if epoch < self.agents[number].run_table.epoch() {
             self.agents[number].target = self.owners.len() - 1;
             return;
@@ -548,7 +591,8 @@
             if stop && !self.agents[number].run_table.begin_withdrawal((order.task, order.run)) {
                 continue;
             }
-            self.agents[number].orders.push((order, epoch, 0, false));
+            let pending = PendingOrder { order, epoch, sequence, tries: 0, unanswered: false };
+            self.agents[number].orders.push(pending);
         }
     }
 
--- a/crates/scheduler/tests/path/worker.rs
+++ b/crates/scheduler/tests/path/worker.rs
@@ -8,6 +8,11 @@
 use shallotflow_scheduler::agent::{Error, Lists, Result};
 use std::collections::BTreeMap;
 
+/// Longest time from a stop until the run has ended, in milliseconds.
+pub(crate) const STOP_MS: u64 = 900;
+/// Processors of a worker that has not shrunk.
+pub(crate) const FULL_MILLICORES: u32 = 5_000;
+
 /// Longest lease that a worker grants, in milliseconds.
 pub(crate) const LEASE_MS: u64 = 6_000;
 
@@ -15,6 +20,8 @@
     run: u32,
     until: u64,
     fails: bool,
+    stopped: bool,
+    millicores: u32,
 }
 
 pub(crate) struct Worker {
@@ -30,6 +37,8 @@
     last_end: u64,
     /// The last end before the lease lapsed.
     lapsed_end: u64,
+    /// The processors since each time at which they changed, the latest last.
+    capacities: Vec<(u64, u32)>,
     pub(crate) lost: usize,
     fault: Option<Fault>,
 }
@@ -47,6 +56,7 @@
             ends: Vec::new(),
             last_end: 0,
             lapsed_end: 0,
+            capacities: vec![(0, FULL_MILLICORES)],
             lost: 0,
             fault,
         }
@@ -56,6 +66,22 @@
         Incarnation { id: Name::from(format!("w{}", self.number)), started_ms: self.started_ms }
     }
 
+    /// The present processors; the worker starts what it is told to start, whether it has them or not.
+    pub(crate) fn millicores(&self) -> u32 {
+        self.capacities.last().map_or(FULL_MILLICORES, |(_, millicores)| *millicores)
+    }
+
+    pub(crate) fn resize(&mut self, millicores: u32, now: u64) {
+        self.capacities.push((now, millicores));
+    }
+
+    /// The most processors that the worker has had since `since`.
+    fn millicores_since(&self, since: u64) -> u32 {
+        let later = self.capacities.iter().rev().take_while(|(from, _)| *from > since);
+        let before = self.capacities.iter().rev().find(|(from, _)| *from <= since);
+        later.chain(before).map(|(_, millicores)| *millicores).max().unwrap_or(0)
+    }
+
     /// Milliseconds since the start of this incarnation; the clock runs one fiftieth slower than
     /// the simulation's.
     fn clock(&self, now: u64) -> u64 {
@@ -72,6 +98,7 @@
             started_ms: self.started_ms + 1,
             since: now,
             lost: self.lost,
+            capacities: std::mem::take(&mut self.capacities),
             ..Self::new(self.number, self.fault)
         };
     }
@@ -85,8 +112,11 @@
             .map(|(t, _)| *t)
             .collect();
         for task in due {
-            let reason =
-                if self.running[&task].fails { ExitReason::Failed } else { ExitReason::Done };
+            let reason = match &self.running[&task] {
+                running if running.stopped => ExitReason::Stopped,
+                running if running.fails => ExitReason::Failed,
+                _ => ExitReason::Done,
+            };
             self.end(task, reason, oracle);
         }
         if self.clock(now) >= self.lease {
@@ -128,8 +158,8 @@
         (task, run): (Task, u32),
         lease: u64,
         epoch: u64,
-        (takes, fails): (u64, bool),
-        now: u64,
+        (takes, fails, millicores): (u64, bool, u32),
+        (now, shrunk_before): (u64, u64),
         oracle: &mut Oracle,
     ) -> Result<u64> {
         self.obey(epoch)?;
@@ -146,7 +176,10 @@
             return Err(Error::Old);
         }
         self.renew(lease, now);
-        self.running.insert(task, RunningTask { run, until: now + takes, fails });
+        let active = RunningTask { run, until: now + takes, fails, stopped: false, millicores };
+        self.running.insert(task, active);
+        let used = self.running.values().map(|running| running.millicores).sum();
+        oracle.check_capacity(self.number, task, used, self.millicores_since(shrunk_before));
         oracle.start(self.number, task, super::simulation::ATTEMPTS);
         Ok(self.clock(now))
     }
@@ -155,12 +188,14 @@
         &mut self,
         (task, run): (Task, u32),
         epoch: u64,
-        now: u64,
-        oracle: &mut Oracle,
+        (now, takes): (u64, u64),
     ) -> Result<u64> {
         self.obey(epoch)?;
-        if self.running.get(&task).is_some_and(|running| running.run == run) {
-            self.end(task, ExitReason::Stopped, oracle);
+        if let Some(running) = self.running.get_mut(&task)
+            && running.run == run
+            && now + takes < running.until
+        {
+            (running.until, running.stopped) = (now + takes, true);
         }
         let highest = self.highest.entry(task).or_default();
         *highest = run.max(*highest);
