--- a/crates/core/src/metric.rs
+++ b/crates/core/src/metric.rs
@@ -100,6 +100,12 @@
         "Graph jobs that reached a final state, counted by their owner.";
     GRAPH_STOPS = "shallotflow_graph_stops_total", Counter, "reason",
         "Runs that were ordered to stop, by reason.";
+    GRAPH_CRASHES = "shallotflow_graph_crashes_total", Counter, "",
+        "Workers that crashed while they had runs.";
+    GRAPH_SUSPECTS = "shallotflow_graph_suspects_total", Counter, "alone",
+        "Runs that may have crashed their worker, by whether nothing else could have.";
+    GRAPH_GIVEN_UP = "shallotflow_graph_given_up_total", Counter, "",
+        "Tasks that were given up because they crash workers.";
     GRAPH_OWNED = "shallotflow_graph_owned", Gauge, "",
         "1 while the entry owns the table of graphs, otherwise 0.";
     GRAPH_RECORDS = "shallotflow_graph_records_total", Counter, "result",
--- a/crates/policy/src/plan/accept.rs
+++ b/crates/policy/src/plan/accept.rs
@@ -48,6 +48,7 @@
             job.started = progress.state != State::Queued;
         }
         job.recount();
+        job.await_trials(now.after(self.settings.trial_wait));
         let ended = job.ended;
         if ended.is_some() {
             job.forget_at = now.after(self.settings.retention);
--- a/crates/policy/src/plan/audit.rs
+++ b/crates/policy/src/plan/audit.rs
@@ -3,7 +3,7 @@
 use super::expire::STALL_RECHECK_INTERVAL;
 use super::load::Load;
 use super::ranking::Ranking;
-use super::search::{Outcome, Pass, ROUNDING, Search};
+use super::search::{Isolation, Outcome, Pass, ROUNDING, Search};
 use super::{Job, Phase, Table, Worker};
 use shallotflow_core::graph::{Id, Task};
 use shallotflow_core::name::Name;
@@ -40,6 +40,9 @@
     /// Ends of a worker that nothing will confirm.
     #[error("ends at {0} are never confirmed; report this as a defect")]
     Ends(Name),
+    /// A worker that is kept for a task that does not run there.
+    #[error("{0} is kept for a task that does not run there; report this as a defect")]
+    Trial(Name),
     /// A choice that differs from the best of all workers.
     #[error("the search for {0} misses the best worker; report this as a defect")]
     Search(Task),
@@ -73,7 +76,9 @@
     fn audit_job(&self, job: &Job, now: Time) -> Result<()> {
         let mut rebuilt = job.clone();
         rebuilt.recount();
-        if (&rebuilt.waiting, &rebuilt.remaining) != (&job.waiting, &job.remaining) {
+        if (&rebuilt.waiting, &rebuilt.remaining) != (&job.waiting, &job.remaining)
+            || job.count_suspects() != job.suspects
+        {
             return Err(Mismatch::Counts(job.id));
         }
         let waits = job.ended.is_none() && rebuilt.has_open_tasks();
@@ -154,6 +159,12 @@
                 return Err(Mismatch::Ends(agent.clone()));
             }
         }
+        for (agent, trial) in &self.trials {
+            let placed = self.workers.get(agent).map(|worker| &worker.placed);
+            if trial.started && placed.is_none_or(|placed| !placed.contains_key(&trial.task)) {
+                return Err(Mismatch::Trial(agent.clone()));
+            }
+        }
         if ranking != self.ranking {
             return Err(Mismatch::Ranking);
         }
@@ -168,7 +179,7 @@
         let Some(job) = self.jobs.get(&id) else { return Ok(()) };
         let waiting = |position: &usize| job.tasks[*position].phase == Phase::Waiting;
         let Some(position) = (0..job.tasks.len()).find(waiting) else { return Ok(()) };
-        let pass = Pass { now, holders, except: None, racks: &[] };
+        let pass = Pass { now, holders, except: None, racks: &[], isolation: Isolation::None };
         let chosen = Search::new(self, pass, job, position).run();
         let best = Search::new(self, pass, job, position).run_over_all();
         let score = |outcome: &Outcome| match outcome {
--- /dev/null
+++ b/crates/policy/src/plan/crash.rs
@@ -0,0 +1,301 @@
+//! Counts the crashes of workers under their runs, and gives up tasks that crash workers.
+//!
+//! A crash has one cause at most, but ends all runs of the worker. Suspected are only those that had
+//! begun a short time before the worker was last known to be alive: a run that its worker has listed
+//! for longer has shown that its start crashes no worker, and one that has made progress counts no
+//! crash at all. A suspected task starts next at a worker where nothing else has started lately and
+//! nothing else starts until the result is known, so that a second crash has one cause. The numbers
+//! of the runs are recorded before a suspected task starts again, so that a later owner knows them.
+//!
+//! The loss of a rack or of all power makes many suspects at once. So few workers are kept for
+//! trials, and who finds none soon starts like any other task.
+
+use super::search::{Isolation, Outcome, Pass, Search};
+use super::trial::Trial;
+use super::{Event, Job, Phase, Table, TaskState};
+use shallotflow_core::graph::{Id, State, Task};
+use shallotflow_core::name::Name;
+use shallotflow_core::time::Time;
+use std::collections::BTreeSet;
+
+/// Crashes as a suspect after which a task is given up if it was alone in the latest.
+const MAX_SUSPICIONS_ALONE: usize = 2;
+/// Crashes as a suspect after which a task is given up, beside whatever others.
+const MAX_SUSPICIONS: usize = 3;
+/// Crashes after which a task is given up in any case: a task may start three times more after three
+/// workers have crashed under it, and a new owner may not know of one of them.
+const MAX_CRASHES: usize = 4;
+/// Longest trial, in crash windows: a worker that stops answering is not known at once to have crashed.
+const TRIAL_WINDOWS: u32 = 3;
+/// One of so many workers may be kept for trials.
+const WORKERS_PER_TRIAL: usize = 4;
+
+impl Table {
+    /// Counts the crash of the worker of `agent` for each of its runs. Returns the tasks to give up.
+    pub(super) fn count_crash(&mut self, agent: &Name, now: Time) -> Vec<Task> {
+        let Some(worker) = self.workers.get(agent) else { return Vec::new() };
+        let alive_at = worker.alive_at;
+        let tasks: Vec<Task> = worker.placed.keys().copied().collect();
+        let latest = self.latest_start(&tasks);
+        let mut given_up = Vec::new();
+        for task in tasks {
+            let trial = self.trials.get(agent).filter(|trial| !trial.until.passed(now));
+            let alone = trial.is_some_and(|trial| trial.task == task && trial.started);
+            let window = self.settings.crash_window;
+            let Some(job) = self.jobs.get_mut(&task.job).filter(|job| job.ended.is_none()) else {
+                continue;
+            };
+            let Some(position) = job.position(&task) else { continue };
+            let state = &mut job.tasks[position];
+            let Some((_, run)) = state.current() else { continue };
+            if state.crashed.contains(&run) || state.percent > 0 {
+                continue;
+            }
+            state.crashed.push(run);
+            // An order that the worker has not answered may not have been carried out.
+            let carried_out = matches!(state.phase, Phase::Running { .. });
+            let suspected = carried_out && !state.begun.after(window).passed(alive_at);
+            let age_ms = u64::try_from(now.since(state.begun).as_millis()).unwrap_or(u64::MAX);
+            let mut likely = false;
+            if suspected {
+                job.add_suspicion(position, run);
+                let state = &mut job.tasks[position];
+                state.likely = latest == Some(task) || state.suspected.len() > 1;
+                likely = state.likely;
+                let until = now.after(self.settings.trial_wait * if likely { 2 } else { 1 });
+                state.alone_until = until;
+                job.hold_until = job.hold_until.max(until);
+            }
+            if suspected || job.tasks[position].crashed.len() > 1 {
+                job.tasks[position].crash_version = job.version + 1;
+            }
+            self.mark_changed(task.job, now);
+            self.changes.add(task.job, now);
+            let crashes = self.gang_runs(task, |state| &state.crashed);
+            let suspicions = self.gang_runs(task, |state| &state.suspected);
+            if suspected {
+                let agent = agent.clone();
+                let event =
+                    Event::Suspect { task, run, agent, age_ms, alone, likely, suspicions, crashes };
+                self.events.push(event);
+            }
+            let most = if alone { MAX_SUSPICIONS_ALONE } else { MAX_SUSPICIONS };
+            let is_cause = suspected && suspicions >= most;
+            let most = if carried_out { MAX_CRASHES } else { MAX_CRASHES + 1 };
+            if is_cause || crashes >= most {
+                given_up.push(task);
+            }
+        }
+        given_up
+    }
+
+    /// Returns the likeliest cause of a crash among the runs of a worker: what started last before it.
+    fn latest_start(&self, tasks: &[Task]) -> Option<Task> {
+        let begun = |task: &Task| {
+            let state = self.task_state(task)?;
+            matches!(state.phase, Phase::Running { .. }).then_some((state.begun, *task))
+        };
+        tasks.iter().filter_map(begun).max().map(|(_, task)| task)
+    }
+
+    /// Ends the jobs of tasks that crash their workers.
+    pub(super) fn give_up(&mut self, tasks: Vec<Task>, now: Time) {
+        for task in tasks {
+            if self.jobs.get(&task.job).is_none_or(|job| job.ended.is_some()) {
+                continue;
+            }
+            let crashes = self.gang_runs(task, |state| &state.crashed);
+            let suspicions = self.gang_runs(task, |state| &state.suspected);
+            self.events.push(Event::GivenUp { task, crashes, suspicions });
+            let reason = "its task crashed the workers that started it";
+            self.end_job(task.job, State::Failed, reason, now);
+        }
+    }
+
+    /// Counts the different runs that `runs` names for `task` or its gang.
+    pub(super) fn gang_runs(&self, task: Task, runs: fn(&TaskState) -> &Vec<u32>) -> usize {
+        let Some(job) = self.jobs.get(&task.job) else { return 0 };
+        let members =
+            self.gang_members(task).into_iter().filter_map(|member| job.position(&member));
+        let runs = members.flat_map(|position| runs(&job.tasks[position]).iter().copied());
+        runs.collect::<BTreeSet<u32>>().len()
+    }
+
+    /// Clears `task` of suspicion if its run, which its worker has just listed, has outlived the
+    /// start by long enough.
+    pub(super) fn clear_survivor(&mut self, agent: &Name, task: Task, now: Time) {
+        let window = self.settings.crash_window;
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let Some(position) = job.position(&task) else { return };
+        if !job.tasks[position].begun.after(window).passed(now) {
+            return;
+        }
+        let long_running = job.step(&task).long_running;
+        let mut cleared = job.clear_suspicion(position);
+        if cleared {
+            job.hold_until = now;
+        }
+        // The task of a service may lose many workers over the time that it lasts.
+        if long_running && !job.tasks[position].crashed.is_empty() {
+            job.tasks[position].crashed.clear();
+            cleared = true;
+        }
+        if cleared {
+            self.mark_changed(task.job, now);
+            self.may_start = true;
+        }
+        self.end_trial(agent, &task);
+    }
+
+    /// Ends the trial of `task` at the worker of `agent`, if there is one.
+    pub(super) fn end_trial(&mut self, agent: &Name, task: &Task) {
+        if self.trials.get(agent).is_some_and(|trial| trial.task == *task) {
+            self.trials.remove(agent);
+            self.may_start = true;
+        }
+    }
+
+    /// Returns whether `task` may start at the worker of `agent` beside the trials there.
+    pub(super) fn admits(&self, agent: &Name, task: &Task, now: Time) -> bool {
+        let trial = self.trials.get(agent).filter(|trial| !trial.until.passed(now));
+        trial.is_none_or(|trial| trial.task == *task)
+    }
+
+    /// Returns whether every run of the worker of `agent` has outlived its start by long enough.
+    pub(super) fn is_settled(&self, agent: &Name) -> bool {
+        let window = self.settings.crash_window;
+        self.workers.get(agent).is_some_and(|worker| {
+            worker.placed.is_empty() || worker.last_start.after(window).passed(worker.alive_at)
+        })
+    }
+
+    /// Starts one of the suspects in `waiting` alone, if the job has none on trial. Returns whether
+    /// one was started, and which tasks may start like any other.
+    pub(super) fn place_suspects(
+        &mut self,
+        id: Id,
+        waiting: Vec<usize>,
+        now: Time,
+        holders: &BTreeSet<Name>,
+    ) -> (bool, Vec<usize>) {
+        let Some(job) = self.jobs.get(&id) else { return (false, Vec::new()) };
+        let alone = |position: &usize| job.tasks[*position].must_start_alone(now);
+        let (suspects, others): (Vec<usize>, Vec<usize>) = waiting.into_iter().partition(alone);
+        let on_trial = self
+            .trials
+            .values()
+            .any(|trial| trial.task.job == id && trial.started && !trial.until.passed(now));
+        let mut started = false;
+        if !on_trial {
+            let (likely, rest): (Vec<usize>, Vec<usize>) =
+                suspects.into_iter().partition(|position| job.tasks[*position].likely);
+            started = likely
+                .into_iter()
+                .chain(rest)
+                .any(|position| self.place_alone(id, position, now, holders));
+        }
+        let held = self.jobs.get(&id).is_some_and(|job| job.is_held(now));
+        (started, if held { Vec::new() } else { others })
+    }
+
+    /// Starts a suspect at a worker where nothing else has started lately, or keeps a worker for it.
+    fn place_alone(
+        &mut self,
+        id: Id,
+        position: usize,
+        now: Time,
+        holders: &BTreeSet<Name>,
+    ) -> bool {
+        self.trials.retain(|_, trial| !trial.until.passed(now));
+        let Some(job) = self.jobs.get(&id) else { return false };
+        let likely = job.tasks[position].likely;
+        let most = (self.workers.len() / WORKERS_PER_TRIAL).max(1);
+        // One trial is left to the likely causes of crashes to come.
+        let limit = if likely { most } else { most - 1 };
+        let task = job.task(position);
+        let kept = self.trials.iter().find(|(_, trial)| trial.task == task);
+        let kept = kept.map(|(agent, _)| agent.clone());
+        let search = |isolation| {
+            let pass = Pass { now, holders, except: None, racks: &[], isolation };
+            Search::new(self, pass, job, position).run()
+        };
+        let mut found = Outcome::Unsuited;
+        if kept.is_some() || self.trials.len() < limit {
+            found = search(Isolation::Alone);
+        }
+        if let Outcome::Worker { agent, pressure, .. } = found {
+            if let Some(kept) = kept {
+                self.end_trial(&kept, &task);
+            }
+            self.occupy(&agent, task);
+            self.start_alone(task, agent, pressure, now);
+            return true;
+        }
+        let mut until = Time::ZERO;
+        if kept.is_none()
+            && likely
+            && self.trials.len() < limit
+            && let Outcome::Worker { agent, .. } = search(Isolation::Awaited)
+        {
+            until = now.after(self.settings.trial_wait + self.settings.crash_window);
+            self.trials.insert(agent, Trial { task, started: false, until });
+        }
+        let again = now.after(self.settings.search_interval);
+        let Some(job) = self.jobs.get_mut(&id) else { return false };
+        job.hold_until = job.hold_until.max(until);
+        let state = &mut job.tasks[position];
+        state.alone_until = state.alone_until.max(until);
+        state.retry_at = again;
+        false
+    }
+
+    /// Keeps the worker of `agent` for the start of `task` until its result is known.
+    pub(super) fn begin_trial(&mut self, agent: &Name, task: Task, now: Time) {
+        let until = now.after(self.settings.crash_window * TRIAL_WINDOWS);
+        self.trials.insert(agent.clone(), Trial { task, started: true, until });
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            job.hold_until = job.hold_until.max(until);
+        }
+    }
+}
+
+impl Job {
+    /// Returns whether its other tasks wait for a suspect: a job with a task that crashes workers is
+    /// of no use.
+    pub(super) fn is_held(&self, now: Time) -> bool {
+        self.suspects > 0 && !self.hold_until.passed(now)
+    }
+
+    fn add_suspicion(&mut self, position: usize, run: u32) {
+        let state = &mut self.tasks[position];
+        self.suspects += u32::from(state.suspected.is_empty());
+        state.suspected.push(run);
+    }
+
+    /// Returns whether the task at `position` was suspected.
+    pub(super) fn clear_suspicion(&mut self, position: usize) -> bool {
+        let state = &mut self.tasks[position];
+        let suspected = !state.suspected.is_empty();
+        self.suspects -= u32::from(suspected);
+        state.suspected.clear();
+        suspected
+    }
+
+    /// Counts the suspected tasks that are not done.
+    pub(super) fn count_suspects(&self) -> u32 {
+        let suspects = self.tasks.iter().filter(|state| !state.suspected.is_empty()).count();
+        u32::try_from(suspects).unwrap_or(u32::MAX)
+    }
+
+    /// Lets each suspect that a predecessor recorded wait for a trial until `until`.
+    pub(super) fn await_trials(&mut self, until: Time) {
+        if self.suspects == 0 {
+            return;
+        }
+        for state in self.tasks.iter_mut().filter(|state| !state.suspected.is_empty()) {
+            state.alone_until = until;
+            state.likely = true;
+        }
+        self.hold_until = until;
+    }
+}
--- a/crates/policy/src/plan/event.rs
+++ b/crates/policy/src/plan/event.rs
@@ -75,6 +75,36 @@
         reason: &'static str,
         /// Number of runs.
         runs: usize,
+        /// Whether the worker has crashed.
+        crash: bool,
+    },
+    /// A run may have crashed its worker.
+    Suspect {
+        /// The task.
+        task: Task,
+        /// Run number.
+        run: u32,
+        /// The agent.
+        agent: Name,
+        /// Time since the start was ordered, milliseconds.
+        age_ms: u64,
+        /// Whether nothing else could have crashed the worker.
+        alone: bool,
+        /// Whether it was among the last starts before the crash, or is suspected again.
+        likely: bool,
+        /// Number of the runs of the task, or of its gang, that may have crashed their workers.
+        suspicions: usize,
+        /// Number of the runs of the task, or of its gang, under which a worker crashed.
+        crashes: usize,
+    },
+    /// A task is given up because it crashes workers.
+    GivenUp {
+        /// The task.
+        task: Task,
+        /// Number of the runs of the task, or of its gang, under which a worker crashed.
+        crashes: usize,
+        /// Number of those that may have crashed the worker.
+        suspicions: usize,
     },
     /// A worker is ejected: it gets no tasks for a while.
     #[serde(rename = "aside")]
--- a/crates/policy/src/plan/expire.rs
+++ b/crates/policy/src/plan/expire.rs
@@ -34,7 +34,7 @@
         if !worker.empty_at.passed(now) {
             return self.timers.push(worker.empty_at, Timer::Worker(agent.clone()));
         }
-        self.lose_runs(agent, "its agent did not report for the length of a lease", now);
+        self.lose_runs(agent, "its agent did not report for the length of a lease", false, now);
         // The worker stays in the table: when its agent returns, the process continues its
         // numbering of orders and ends.
         if let Some(worker) = self.workers.get_mut(agent) {
@@ -116,6 +116,7 @@
                     tasks += 1;
                 }
             }
+            job.await_trials(now.after(self.settings.trial_wait));
             self.update_ready(id, now);
         }
         self.events.push(Event::Settled { tasks, missing });
--- a/crates/policy/src/plan/job.rs
+++ b/crates/policy/src/plan/job.rs
@@ -40,6 +40,10 @@
     pub(super) ended_version: u64,
     /// Whether no predecessor can have known the job.
     pub(super) fresh: bool,
+    /// Number of tasks that are suspected of crashing workers.
+    pub(super) suspects: u32,
+    /// Until when its other tasks wait for the result of a suspect.
+    pub(super) hold_until: Time,
     /// Number of waiting tasks, by repetition and step.
     pub(super) waiting: Vec<u32>,
     /// Position of the job in the table's order, while tasks of open steps wait.
@@ -82,6 +86,8 @@
             started_version: 0,
             ended_version: 0,
             fresh: false,
+            suspects: 0,
+            hold_until: Time::ZERO,
             waiting,
             queued: None,
             ending: BTreeSet::new(),
--- a/crates/policy/src/plan/mod.rs
+++ b/crates/policy/src/plan/mod.rs
@@ -10,7 +10,7 @@
 //! - [`Sizes`]: the largest observed workers, to reject jobs that fit none.
 //! - [`Event`]: decisions and observations, for the log.
 //! - [`Mismatch`]: a difference between state that is kept up to date and its source, for tests.
-//! - `accept`, `report`, `expire`, `disturbance`, `place`, `record`, `relocate`, `urgency`: the
+//! - `accept`, `report`, `expire`, `disturbance`, `place`, `record`, `relocate`, `urgency`, `crash`: the
 //!   operations on the table.
 //!
 //! A run occupies its worker until the worker lists its end, also if its task goes on elsewhere, is done
@@ -29,6 +29,7 @@
 mod accept;
 mod audit;
 mod changes;
+mod crash;
 mod demand;
 mod disturbance;
 mod event;
@@ -50,6 +51,7 @@
 mod table;
 mod task_state;
 mod timers;
+mod trial;
 mod urgency;
 mod worker;
 
--- a/crates/policy/src/plan/place.rs
+++ b/crates/policy/src/plan/place.rs
@@ -10,7 +10,7 @@
 
 use super::demand::Demand;
 use super::message::{Kind, Traits};
-use super::search::{Outcome, Pass, Search};
+use super::search::{Isolation, Outcome, Pass, Search};
 use super::timers::Timer;
 use super::{Event, Phase, Table, TaskState};
 use shallotflow_core::graph::{Id, Task};
@@ -91,9 +91,12 @@
             return false;
         }
         let range = job.range(occurrence, number);
-        let is_waiting =
-            |state: &TaskState| state.phase == Phase::Waiting && state.retry_at.passed(now);
-        let waiting: Vec<usize> =
+        let is_waiting = |state: &TaskState| {
+            state.phase == Phase::Waiting
+                && state.retry_at.passed(now)
+                && state.crash_version <= job.recorded
+        };
+        let mut waiting: Vec<usize> =
             range.clone().filter(|position| is_waiting(&job.tasks[*position])).collect();
         if waiting.is_empty() || (gang && waiting.len() < range.len()) {
             return false;
@@ -102,11 +105,22 @@
         if step.best_effort && !patient.passed(now) && self.refusals.is_disturbing(service, step) {
             return false;
         }
+        let mut isolation = Isolation::None;
+        let mut started = false;
+        if job.suspects > 0 && !gang {
+            (started, waiting) = self.place_suspects(id, waiting, now, holders);
+        } else if job.suspects > 0 {
+            if waiting.iter().any(|position| job.tasks[*position].must_start_alone(now)) {
+                isolation = Isolation::Alone;
+            } else if job.is_held(now) {
+                return false;
+            }
+        }
         let mut found: Vec<Placement> = Vec::new();
         let mut racks: Vec<Option<Name>> = Vec::new();
         for position in waiting {
             let Some(job) = self.jobs.get(&id) else { return false };
-            let pass = Pass { now, holders, except: None, racks: &racks };
+            let pass = Pass { now, holders, except: None, racks: &racks, isolation };
             let (agent, pressure) = match Search::new(self, pass, job, position).run() {
                 Outcome::Worker { agent, pressure, .. } => (agent, pressure),
                 outcome => {
@@ -141,13 +155,25 @@
             }
             return false;
         }
-        let started = !found.is_empty();
+        started |= !found.is_empty();
         for placement in found {
+            let Placement { task, ref agent, .. } = placement;
+            let agent = agent.clone();
             self.start(placement, now);
+            if isolation == Isolation::Alone {
+                self.begin_trial(&agent, task, now);
+            }
         }
         started
     }
 
+    /// Orders the start of a suspected task at a worker that it already occupies, and where no other
+    /// task starts until the result is known.
+    pub(super) fn start_alone(&mut self, task: Task, agent: Name, pressure: f64, now: Time) {
+        self.begin_trial(&agent, task, now);
+        self.start(Placement { task, agent, pressure }, now);
+    }
+
     /// Orders the start of a task at the worker that it already occupies.
     fn start(&mut self, placement: Placement, now: Time) {
         let Placement { task, agent, pressure } = placement;
@@ -186,12 +212,16 @@
         let withdraw_at = now.after(self.settings.answer_timeout);
         self.push_order(&agent, task, run, order);
         self.timers.push(withdraw_at, Timer::Run(task));
+        if let Some(worker) = self.workers.get_mut(&agent) {
+            worker.last_start = now;
+        }
         let last_report = self.workers.get(&agent).map_or(now, |worker| worker.last_report);
         let report_age_ms = u64::try_from(now.since(last_report).as_millis()).unwrap_or(u64::MAX);
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         job.set_phase(position, Phase::Starting { agent: agent.clone(), run, withdraw_at });
         let state = &mut job.tasks[position];
         state.last_run = run;
+        state.begun = now;
         state.percent = 0;
         let waited_ms = u64::try_from(now.since(state.ready_since).as_millis()).unwrap_or(u64::MAX);
         let queue = job.queue.name.clone();
--- a/crates/policy/src/plan/progress.rs
+++ b/crates/policy/src/plan/progress.rs
@@ -14,6 +14,10 @@
     pub done: Vec<(u32, u32)>,
     /// Numbers of failed runs by task.
     pub failed: Vec<(u32, Vec<u32>)>,
+    /// Numbers of the runs under which a worker crashed, by task.
+    pub crashed: Vec<(u32, Vec<u32>)>,
+    /// Numbers of the runs that may have crashed the worker, by task.
+    pub suspected: Vec<(u32, Vec<u32>)>,
     /// Latest checkpoint by task.
     pub checkpoints: Vec<(u32, Name)>,
 }
--- a/crates/policy/src/plan/record.rs
+++ b/crates/policy/src/plan/record.rs
@@ -32,6 +32,12 @@
             if !state.failed.is_empty() {
                 progress.failed.push((number, state.failed.clone()));
             }
+            if !state.crashed.is_empty() {
+                progress.crashed.push((number, state.crashed.clone()));
+            }
+            if !state.suspected.is_empty() {
+                progress.suspected.push((number, state.suspected.clone()));
+            }
             if let Some(checkpoint) = &state.checkpoint {
                 progress.checkpoints.push((number, checkpoint.clone()));
             }
@@ -56,6 +62,17 @@
                 state.failed.clone_from(failed);
             }
         }
+        for (number, crashed) in &progress.crashed {
+            if let Some(state) = self.tasks.get_mut(*number as usize) {
+                state.crashed.clone_from(crashed);
+            }
+        }
+        for (number, suspected) in &progress.suspected {
+            if let Some(state) = self.tasks.get_mut(*number as usize) {
+                state.suspected.clone_from(suspected);
+            }
+        }
+        self.suspects = self.count_suspects();
         for (number, checkpoint) in &progress.checkpoints {
             if let Some(state) = self.tasks.get_mut(*number as usize) {
                 state.checkpoint = Some(checkpoint.clone());
@@ -92,6 +109,7 @@
         if job.recorded == job.version {
             self.changes.remove(id);
         }
+        self.may_start |= job.suspects > 0;
         let agents = std::mem::take(&mut job.ending);
         for agent in agents {
             self.advance_recorded(&agent);
--- a/crates/policy/src/plan/relocate.rs
+++ b/crates/policy/src/plan/relocate.rs
@@ -4,7 +4,7 @@
 //! is slowed down for as long as their load lasts, often for many times its run time, while other
 //! workers have room. It loses little by a move if it has a checkpoint or has just begun.
 
-use super::search::{Outcome, Pass, Search};
+use super::search::{Isolation, Outcome, Pass, Search};
 use super::timers::Timer;
 use super::{Phase, Table};
 use shallotflow_core::graph::Task;
@@ -74,7 +74,7 @@
         if Duration::from_millis(saved_ms) < lost * LEAST_GAIN {
             return false;
         }
-        let pass = Pass { now, holders, except: agent, racks: &[] };
+        let pass = Pass { now, holders, except: agent, racks: &[], isolation: Isolation::None };
         match Search::new(self, pass, job, position).run() {
             Outcome::Worker { score, .. } => score <= MAX_SCORE,
             _ => false,
--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -60,9 +60,16 @@
         while worker.outbox.front().is_some_and(|order| order.number <= report.received) {
             worker.outbox.pop_front();
         }
+        let was_leaving = worker.is_leaving();
+        // A worker that has crashed since had carried out these starts.
+        for answer in report.answers.iter().filter(|answer| answer.outcome == Outcome::Started) {
+            self.apply_answer(&agent, answer, now);
+        }
         self.update_worker(&agent, &report, now);
         if report.vacant {
-            self.lose_runs(&agent, "no worker runs beside the agent", now);
+            let leaving = self.workers.get(&agent).is_some_and(Worker::is_leaving);
+            let crash = !was_leaving && !leaving;
+            self.lose_runs(&agent, "no worker runs beside the agent", crash, now);
         }
         if report.vacant || is_empty(&report) {
             self.forget_missing(&agent, now);
@@ -92,6 +99,7 @@
     /// Updates the profile of the worker, and releases its runs if it restarted or is empty.
     fn update_worker(&mut self, agent: &Name, report: &Report, now: Time) {
         let Some(worker) = self.workers.get_mut(agent) else { return };
+        let was_leaving = worker.is_leaving();
         if let Some(profile) = &report.worker {
             let former = worker.profile.replace(profile.clone());
             self.sizes.observe(&profile.service, &profile.capacity);
@@ -109,9 +117,9 @@
             worker.failing_jobs.clear();
             worker.ejected_until = Time::ZERO;
             worker.ejections = 0;
-            self.lose_runs(agent, "the worker started again", now);
+            self.lose_runs(agent, "the worker started again", !was_leaving, now);
         } else if is_empty(report) {
-            self.lose_runs(agent, "the last lease has ended", now);
+            self.lose_runs(agent, "the last lease has ended", false, now);
         }
     }
 
@@ -149,7 +157,10 @@
 
     /// Releases all runs of `agent`, which have ended. A new incarnation of the worker may still
     /// execute starts that were not answered, so these are withdrawn first.
-    pub(super) fn lose_runs(&mut self, agent: &Name, reason: &'static str, now: Time) {
+    ///
+    /// `crash` means that the worker is known to have crashed: not that it left as announced, nor
+    /// that it or its agent is silent.
+    pub(super) fn lose_runs(&mut self, agent: &Name, reason: &'static str, crash: bool, now: Time) {
         let Some(worker) = self.workers.get(agent) else { return };
         let tasks: Vec<Task> = worker.placed.keys().copied().collect();
         let remnants: Vec<_> =
@@ -168,9 +179,10 @@
         if tasks.is_empty() {
             return;
         }
-        self.events.push(Event::Lost { agent: agent.clone(), reason, runs: tasks.len() });
+        self.events.push(Event::Lost { agent: agent.clone(), reason, runs: tasks.len(), crash });
         // The next incarnation may be a smaller worker.
         self.withdraw_starts(agent);
+        let given_up = if crash { self.count_crash(agent, now) } else { Vec::new() };
         for task in tasks {
             let state = self.task_state(&task);
             match state.map(|state| state.phase.clone()) {
@@ -183,6 +195,7 @@
                 _ => self.release_task(task, now, now),
             }
         }
+        self.give_up(given_up, now);
     }
 
     fn apply_end(&mut self, agent: &Name, end: End, now: Time) {
@@ -248,7 +261,7 @@
     }
 
     /// Returns the members of the gang of `task`, or only `task` if it is in no gang.
-    fn gang_members(&self, task: Task) -> Vec<Task> {
+    pub(super) fn gang_members(&self, task: Task) -> Vec<Task> {
         let Some(job) = self.jobs.get(&task.job) else { return Vec::new() };
         if !job.step(&task).gang {
             return vec![task];
@@ -259,11 +272,7 @@
 
     /// Counts the failed runs of `task` or of its gang.
     fn failures(&self, task: Task) -> usize {
-        let Some(job) = self.jobs.get(&task.job) else { return 0 };
-        let members =
-            self.gang_members(task).into_iter().filter_map(|member| job.position(&member));
-        let runs = members.flat_map(|position| job.tasks[position].failed.iter().copied());
-        runs.collect::<BTreeSet<u32>>().len()
+        self.gang_runs(task, |state| &state.failed)
     }
 
     /// Marks `task` as done, whichever run completed it; `run` at `agent` has ended, and its end is
@@ -295,6 +304,7 @@
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         job.set_phase(position, Phase::Done);
         job.tasks[position].checkpoint = None;
+        job.clear_suspicion(position);
         let done = job.is_done();
         self.mark_changed(task.job, now);
         if done {
@@ -391,6 +401,10 @@
         self.remove_unlisted(agent, running);
         let Some(worker) = self.workers.get_mut(agent) else { return };
         worker.listed_at = now;
+        let status = worker.profile.as_ref().map(|profile| profile.status);
+        if !matches!(status, Some(Status::Silent | Status::Empty)) {
+            worker.alive_at = now;
+        }
         if !complete || worker.synced {
             return;
         }
@@ -453,11 +467,15 @@
         match &state.phase {
             Phase::Uncertain => {
                 state.phase = Phase::Running { agent: agent.clone(), run: number };
+                state.begun = now;
                 state.stalls_at = now.after(stall);
                 self.timers.push(state.stalls_at, Timer::Run(task));
                 self.mark_started(task.job, now);
                 self.remove_remnant(agent, task, number);
                 self.occupy(agent, task);
+                if let Some(worker) = self.workers.get_mut(agent) {
+                    worker.last_start = now;
+                }
                 self.events.push(Event::Adopted { task, run: number, agent: agent.clone() });
             }
             _ if !state.is_current(agent, number) => {
@@ -493,6 +511,7 @@
             placed.measurement = run.measurement;
             placed.pace = run.pace;
         }
+        self.clear_survivor(agent, task, now);
     }
 
     fn stop_unexpected(&mut self, agent: &Name, task: Task, run: u32, reason: &'static str) {
--- a/crates/policy/src/plan/search.rs
+++ b/crates/policy/src/plan/search.rs
@@ -11,6 +11,8 @@
 /// other goes first.
 const AVOIDED_WORKER_PENALTY: f64 = 10.0;
 
+/// Added to the score for each run of a worker where a task may crash it.
+const RUN_AT_RISK_COST: f64 = 4.0;
 /// Weight of the expected excess of a serving task over its target, relative to processor use.
 const DISTURBANCE_WEIGHT: f64 = 2.0;
 /// Weight of the share by which the worker's agent slows tasks of the same image down, relative to
@@ -45,6 +47,17 @@
     Unsuited,
 }
 
+/// Beside which other starts a task may start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Isolation {
+    /// Beside any.
+    None,
+    /// Beside none, once the runs of the worker have outlived their own starts.
+    Awaited,
+    /// Beside none: the runs of the worker have outlived their starts.
+    Alone,
+}
+
 /// What a search has to know about the pass that it belongs to.
 #[derive(Clone, Copy)]
 pub(super) struct Pass<'a> {
@@ -55,6 +68,7 @@
     pub(super) except: Option<&'a Name>,
     /// Racks of the tasks of the step that the pass has placed.
     pub(super) racks: &'a [Option<Name>],
+    pub(super) isolation: Isolation,
 }
 
 /// The search for the best worker for one task.
@@ -109,7 +123,7 @@
         let Some(eligible) = table.ranking.eligible(service, self.step) else {
             return Outcome::Unsuited;
         };
-        if self.demand.serving {
+        if self.demand.serving || self.pass.isolation != Isolation::None {
             for (_, agent) in eligible {
                 self.consider(agent);
             }
@@ -180,7 +194,7 @@
     /// `None` if the task cannot go there.
     fn score(&mut self, agent: &Name, worker: &Worker) -> Option<(f64, f64)> {
         let Self { table, step, .. } = *self;
-        let Pass { now, holders, except, racks } = self.pass;
+        let Pass { now, holders, except, racks, isolation } = self.pass;
         let settings = &table.settings;
         let profile = worker.profile.as_ref()?;
         let capacity = profile.capacity;
@@ -197,6 +211,11 @@
             return None;
         }
         self.any_room = true;
+        if !table.admits(agent, &self.task, now)
+            || (isolation == Isolation::Alone && !table.is_settled(agent))
+        {
+            return None;
+        }
         if step.per_worker > 0 && worker.siblings(&self.task) >= step.per_worker as usize {
             return None;
         }
@@ -222,6 +241,11 @@
         } else {
             pressure
         };
+        if isolation != Isolation::None {
+            // The fewest runs to lose come first, then the usual order.
+            score += RUN_AT_RISK_COST
+                * f64::from(u32::try_from(worker.placed.len()).unwrap_or(u32::MAX));
+        }
         if step.data_rack.is_some() && step.data_rack != profile.rack {
             score *= settings.spread_factor;
         }
--- a/crates/policy/src/plan/settings.rs
+++ b/crates/policy/src/plan/settings.rs
@@ -47,6 +47,11 @@
     /// Interval at which waiting tasks are tried again at workers that time alone may have freed:
     /// paused, ejected or silent ones, or ones where a task would have disturbed others.
     pub search_interval: Duration,
+    /// A worker that shows a run this long after its start was not crashed by it; some times the age
+    /// of a list when it arrives.
+    pub crash_window: Duration,
+    /// How long a task that may have crashed its worker waits for a worker where it can start alone.
+    pub trial_wait: Duration,
     /// How long a run may make no progress before it is stopped.
     pub stall_timeout: Duration,
 }
@@ -72,6 +77,8 @@
             restart_time: Duration::from_millis(700),
             relocation_delay: Duration::from_millis(1_500),
             search_interval: Duration::from_millis(25),
+            crash_window: Duration::from_millis(800),
+            trial_wait: Duration::from_millis(1_000),
             stall_timeout: Duration::from_millis(2_500),
         }
     }
--- a/crates/policy/src/plan/table.rs
+++ b/crates/policy/src/plan/table.rs
@@ -3,6 +3,7 @@
 use super::ranking::Ranking;
 use super::refusals::Refusals;
 use super::timers::{Timer, Timers};
+use super::trial::Trial;
 use super::urgency::Urgency;
 use super::worker::Placed;
 use super::{Event, Job, Phase, Settings, Sizes, TaskState, Worker};
@@ -42,6 +43,8 @@
     pub(super) search_again_at: Time,
     /// Time from the order to stop a run until its end is reported, averaged.
     pub(super) stop_time: Duration,
+    /// Workers that are kept for a suspected task, by agent.
+    pub(super) trials: BTreeMap<Name, Trial>,
     /// Runs that may have been slowed down for long.
     pub(super) slowed: Vec<Task>,
     /// Deadlines of runs, jobs and workers.
@@ -87,6 +90,7 @@
             may_start: false,
             search_again_at: Time::ZERO,
             stop_time: INITIAL_STOP_TIME,
+            trials: BTreeMap::new(),
             slowed: Vec::new(),
             timers: Timers::default(),
             changes: Changes::default(),
@@ -338,6 +342,7 @@
         let running: Vec<_> = job.tasks.iter().enumerate().filter_map(current).collect();
         let running: Vec<_> = running.into_iter().map(|position| job.task(position)).collect();
         self.active.remove(&id);
+        self.trials.retain(|_, trial| trial.task.job != id || trial.started);
         self.timers.push(job.forget_at, Timer::Forget(id));
         self.update_ready(id, now);
         self.events.push(Event::Job { job: id, state, reason });
@@ -376,6 +381,7 @@
 
     /// Removes `task` from the runs that occupy the worker of `agent`.
     pub(super) fn vacate(&mut self, agent: &Name, task: &Task) {
+        self.end_trial(agent, task);
         let Some(worker) = self.workers.get_mut(agent) else { return };
         if worker.vacate(task) {
             self.apply_freed(agent);
--- a/crates/policy/src/plan/task_state.rs
+++ b/crates/policy/src/plan/task_state.rs
@@ -45,6 +45,19 @@
     pub last_run: u32,
     /// Numbers of failed runs.
     pub failed: Vec<u32>,
+    /// Numbers of the runs under which a worker crashed; of a long-running task, since a run of it
+    /// has outlived its start.
+    pub crashed: Vec<u32>,
+    /// Numbers of those that may have crashed the worker, since a run has outlived its start.
+    pub suspected: Vec<u32>,
+    /// Version of the job that has to be recorded before the next start.
+    pub crash_version: u64,
+    /// Until when it starts only at a worker where it is alone, if it is suspected.
+    pub alone_until: Time,
+    /// Whether it was a likely cause of the latest crash among its suspects.
+    pub likely: bool,
+    /// When the start of the current run was ordered, or the run was adopted.
+    pub begun: Time,
     /// Agent at which the task failed last, or was slowed down and stopped for that.
     pub avoided: Option<Name>,
     /// Newest checkpoint.
@@ -78,6 +91,11 @@
         }
     }
 
+    /// Returns whether the next start has to be at a worker where nothing else starts.
+    pub(super) fn must_start_alone(&self, now: Time) -> bool {
+        !self.suspected.is_empty() && !self.alone_until.passed(now)
+    }
+
     /// Returns whether the current run is `run` at `agent`.
     pub fn is_current(&self, agent: &str, run: u32) -> bool {
         self.current().is_some_and(|(current, number)| &**current == agent && number == run)
--- a/crates/policy/src/plan/worker.rs
+++ b/crates/policy/src/plan/worker.rs
@@ -74,6 +74,12 @@
     /// When the agent last listed the runs.
     #[serde(skip)]
     pub(super) listed_at: Time,
+    /// When the worker last showed its runs: a list of a worker that does not answer shows nothing.
+    #[serde(skip)]
+    pub(super) alive_at: Time,
+    /// When the latest start there was ordered, or the latest run was adopted.
+    #[serde(skip)]
+    pub(super) last_start: Time,
     /// Ends up to this number are recorded.
     pub recorded: u64,
     /// Until when the worker is ejected.
@@ -130,6 +136,12 @@
         (self.synced && !empty && !self.vacant) || occupied
     }
 
+    /// Returns whether the worker has announced that it leaves, or is known to run nothing.
+    pub(super) fn is_leaving(&self) -> bool {
+        let status = self.profile.as_ref().map(|profile| profile.status);
+        matches!(status, Some(Status::Draining { .. } | Status::Empty))
+    }
+
     /// Adds a run.
     pub(super) fn occupy(&mut self, task: Task, placed: Placed) {
         self.load.add(&placed);
--- /dev/null
+++ b/crates/policy/tests/plan/crash.rs
@@ -0,0 +1,326 @@
+//! Tasks that crash the workers that start them, and tasks that only ran there.
+
+use super::harness::{Harness, TestWorker, id, job, name, step, task};
+use shallotflow_core::graph::{Job, State, Step, Task};
+use shallotflow_policy::plan::message::Status;
+use shallotflow_policy::plan::{Progress, Table};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use test_case::test_case;
+
+const ROUND: Duration = Duration::from_millis(100);
+
+fn lasting() -> Step {
+    Step { long_running: true, ..step(1, 1_000) }
+}
+
+fn gang() -> Step {
+    Step { gang: true, ..step(3, 4_000) }
+}
+
+impl Harness {
+    /// Runs rounds in which each worker that starts a task of the job `deadly` crashes; returns the
+    /// number of starts of each task.
+    fn run_with_crashes(&mut self, deadly: u64, rounds: usize) -> BTreeMap<Task, usize> {
+        let mut starts = BTreeMap::new();
+        for _ in 0..rounds {
+            let before = self.running();
+            self.run_round();
+            for started in self.running().into_iter().filter(|task| !before.contains(task)) {
+                *starts.entry(started).or_default() += 1;
+            }
+            for worker in self.workers.values_mut() {
+                if worker.running.keys().any(|task| task.job == id(deadly)) {
+                    worker.restart_worker();
+                }
+            }
+            self.report_all();
+            self.wait(ROUND);
+            self.store();
+        }
+        starts
+    }
+
+    /// Records all due changes at once.
+    fn store(&mut self) -> BTreeMap<u64, Progress> {
+        let records = self.table.records(self.now, 100);
+        for record in &records {
+            self.table.mark_recorded(record.job, record.version);
+        }
+        records.into_iter().map(|record| (record.job.0, record.progress)).collect()
+    }
+
+    fn crash(&mut self, task: Task) {
+        let number = self.worker_of(task).expect("a run of the task");
+        self.crash_worker(number);
+    }
+
+    fn crash_worker(&mut self, number: usize) {
+        self.workers.get_mut(&name(number)).expect("a worker").restart_worker();
+        self.report_all();
+    }
+
+    /// Runs rounds until `task` runs.
+    fn run_until(&mut self, task: Task) {
+        for _ in 0..60 {
+            self.store();
+            self.run_round();
+            if self.worker_of(task).is_some() {
+                return;
+            }
+            self.wait(ROUND);
+        }
+        panic!("{task} never runs: {:?}", self.phase(task));
+    }
+
+    /// Lets the runs go on for `span`, with lists.
+    fn go_on(&mut self, span: Duration) {
+        let end = self.now.after(span);
+        while self.now < end {
+            self.wait(ROUND);
+            self.report_all();
+            self.store();
+        }
+    }
+}
+
+#[test_case(step(1, 1_000); "a task")]
+#[test_case(lasting(); "a long-running task")]
+#[test_case(gang(); "a gang")]
+fn a_task_that_crashes_the_workers_that_start_it_is_given_up_after_two(step: Step) {
+    let mut harness = Harness::new(6);
+    harness.table.accept(id(1), job(vec![step]), true, harness.now);
+    let starts = harness.run_with_crashes(1, 100);
+    assert!(starts.values().all(|starts| *starts == 2), "{starts:?}");
+    assert_eq!(harness.table.visible_state("renders", id(1)), Some(State::Failed));
+}
+
+#[test]
+fn a_task_that_crashes_workers_beside_others_starts_at_most_four_times() {
+    let mut harness = Harness::new(1);
+    for number in 1..=8 {
+        harness.table.accept(id(number), job(vec![step(1, 1_000)]), true, harness.now);
+    }
+    let starts = harness.run_with_crashes(1, 100);
+    assert!(starts[&task(1, 0, 0)] <= 4, "{starts:?}");
+    assert_eq!(harness.table.visible_state("renders", id(1)), Some(State::Failed));
+    for number in 2..=8 {
+        let state = harness.table.visible_state("renders", id(number));
+        assert_eq!(state, Some(State::Running), "job {number}");
+    }
+    assert_eq!(harness.running().len(), 7);
+}
+
+#[test]
+fn a_suspect_starts_only_once_its_crash_is_recorded() {
+    let mut harness = Harness::new(2);
+    harness.table.accept(id(1), job(vec![step(1, 1_000)]), true, harness.now);
+    harness.run_round();
+    harness.crash(task(1, 0, 0));
+    for _ in 0..30 {
+        harness.run_round();
+        harness.wait(ROUND);
+    }
+    assert!(harness.running().is_empty(), "the store has not answered");
+    harness.run_until(task(1, 0, 0));
+}
+
+#[test]
+fn the_next_owner_knows_the_crashes() {
+    let mut harness = Harness::new(2);
+    harness.table.accept(id(1), job(vec![step(1, 1_000)]), true, harness.now);
+    harness.run_round();
+    harness.crash(task(1, 0, 0));
+    let progress = harness.store().remove(&1);
+    let stored = serde_json::to_string(&progress).expect("json");
+    let progress: Progress = serde_json::from_str(&stored).expect("a progress");
+    let mut next = Harness::owner(2, 2, Vec::new());
+    next.table.load(id(1), job(vec![step(1, 1_000)]), Some(&progress), false, next.now);
+    next.report_all();
+    let starts = next.run_with_crashes(1, 40);
+    assert_eq!(starts[&task(1, 0, 0)], 1);
+    assert_eq!(next.table.visible_state("renders", id(1)), Some(State::Failed));
+}
+
+#[test]
+fn a_crash_that_is_seen_as_a_vacancy_and_as_a_new_incarnation_counts_once() {
+    let mut harness = Harness::new(2);
+    harness.table.accept(id(1), job(vec![step(1, 1_000)]), true, harness.now);
+    harness.run_round();
+    let number = harness.worker_of(task(1, 0, 0)).expect("a run");
+    report_vacancy(&mut harness, number);
+    harness.crash(task(1, 0, 0));
+    harness.run_until(task(1, 0, 0));
+    assert_eq!(harness.store().remove(&1).unwrap_or_default().state, State::Queued);
+    let job = harness.table.job(id(1)).expect("a job");
+    assert_eq!((job.tasks[0].crashed.len(), job.ended), (1, None));
+}
+
+fn report_vacancy(harness: &mut Harness, number: usize) {
+    let worker = harness.workers.get_mut(&name(number)).expect("a worker");
+    let mut report = worker.report(&name(number), 1);
+    (report.vacant, report.complete, report.running) = (true, false, None);
+    harness.table.apply_report(report, harness.now);
+}
+
+#[test_case(Status::Draining { remaining_ms: 500 }; "a worker that leaves as announced")]
+#[test_case(Status::Empty; "a worker whose last lease has ended")]
+fn the_runs_of_a_worker_that_has_not_crashed_count_no_crash(status: Status) {
+    let mut harness = Harness::new(2);
+    harness.table.accept(id(1), job(vec![step(1, 1_000)]), true, harness.now);
+    for _ in 0..6 {
+        harness.run_until(task(1, 0, 0));
+        let number = harness.worker_of(task(1, 0, 0)).expect("a run");
+        harness.workers.get_mut(&name(number)).expect("a worker").status = status;
+        harness.report(number);
+        report_vacancy(&mut harness, number);
+        let worker = harness.workers.get_mut(&name(number)).expect("a worker");
+        worker.restart_worker();
+        worker.status = Status::Ready;
+        harness.report(number);
+    }
+    harness.run_until(task(1, 0, 0));
+}
+
+#[test]
+fn a_start_that_a_crashed_worker_may_not_have_carried_out_is_no_cause() {
+    let mut harness = Harness::new(2);
+    harness.table.accept(id(1), job(vec![step(1, 1_000)]), true, harness.now);
+    for _ in 0..3 {
+        harness.tick();
+        harness.report_all();
+        let started = |worker: &TestWorker| !worker.orders.is_empty();
+        let number = harness.workers.values().position(started).expect("an order");
+        harness.workers.values_mut().for_each(|worker| worker.orders.clear());
+        report_vacancy(&mut harness, number);
+        harness.crash_worker(number);
+        harness.wait(ROUND);
+        harness.store();
+    }
+    harness.run_until(task(1, 0, 0));
+    harness.crash(task(1, 0, 0));
+    assert_eq!(harness.table.job(id(1)).expect("a job").ended, Some(State::Failed), "four crashes");
+}
+
+#[test]
+fn a_run_that_outlives_its_start_clears_its_task() {
+    let mut harness = Harness::new(3);
+    harness.table.accept(id(1), job(vec![step(1, 1_000)]), true, harness.now);
+    harness.run_until(task(1, 0, 0));
+    harness.crash(task(1, 0, 0));
+    harness.run_until(task(1, 0, 0));
+    harness.go_on(Duration::from_secs(1));
+    for _ in 0..2 {
+        harness.crash(task(1, 0, 0));
+        harness.run_until(task(1, 0, 0));
+    }
+    assert_eq!(harness.table.job(id(1)).expect("a job").ended, None);
+}
+
+#[test]
+fn a_task_is_given_up_after_four_crashes_however_long_it_runs() {
+    let mut harness = Harness::new(3);
+    harness.table.accept(id(1), job(vec![step(1, 1_000)]), true, harness.now);
+    for _ in 0..4 {
+        harness.run_until(task(1, 0, 0));
+        harness.go_on(Duration::from_secs(2));
+        harness.crash(task(1, 0, 0));
+    }
+    assert_eq!(harness.table.job(id(1)).expect("a job").ended, Some(State::Failed));
+}
+
+#[test]
+fn a_run_that_has_made_progress_counts_no_crash() {
+    let mut harness = Harness::new(3);
+    harness.table.accept(id(1), job(vec![step(1, 1_000)]), true, harness.now);
+    for _ in 0..8 {
+        harness.run_until(task(1, 0, 0));
+        let number = harness.worker_of(task(1, 0, 0)).expect("a run");
+        let worker = harness.workers.get_mut(&name(number)).expect("a worker");
+        worker.running.get_mut(&task(1, 0, 0)).expect("a run").percent = 1;
+        harness.go_on(Duration::from_secs(1));
+        harness.crash(task(1, 0, 0));
+    }
+    harness.run_until(task(1, 0, 0));
+}
+
+#[test]
+fn a_long_running_task_survives_any_number_of_workers() {
+    let mut harness = Harness::new(3);
+    harness.table.accept(id(1), job(vec![lasting()]), true, harness.now);
+    for _ in 0..12 {
+        harness.run_until(task(1, 0, 0));
+        harness.go_on(Duration::from_secs(2));
+        harness.crash(task(1, 0, 0));
+    }
+    harness.run_until(task(1, 0, 0));
+}
+
+#[test]
+fn nothing_starts_beside_a_suspect_and_its_job_waits() {
+    let mut harness = Harness::new(2);
+    harness.table.accept(id(1), job(vec![step(6, 4_000)]), true, harness.now);
+    harness.run_round();
+    assert_eq!(harness.running().len(), 4);
+    harness.crash(task(1, 0, 0));
+    harness.table.accept(id(2), job(vec![step(8, 100)]), true, harness.now);
+    let first = task(1, 0, 0);
+    let second = task(1, 0, 2);
+    let (mut rounds, mut on_trial) = (0, None);
+    while on_trial.is_none() && rounds < 30 {
+        harness.wait(ROUND);
+        harness.store();
+        harness.run_round();
+        rounds += 1;
+        on_trial = [first, second].into_iter().find(|task| harness.worker_of(*task).is_some());
+    }
+    let suspect = on_trial.expect("a suspect starts");
+    let number = harness.worker_of(suspect).expect("a run");
+    let count = |harness: &Harness| harness.workers[&name(number)].running.len();
+    let before = count(&harness);
+    harness.table.accept(id(3), job(vec![step(8, 100)]), true, harness.now);
+    for _ in 0..5 {
+        harness.wait(ROUND);
+        harness.store();
+        harness.run_round();
+        assert_eq!(count(&harness), before, "{:?}", harness.running());
+    }
+    assert_eq!(harness.running().iter().filter(|task| task.job == id(3)).count(), 8);
+    harness.go_on(Duration::from_millis(800));
+    harness.run_round();
+    assert_eq!(harness.running().iter().filter(|task| task.job == id(1)).count(), 4);
+}
+
+#[test]
+fn tasks_that_were_lost_with_many_workers_wait_little_for_each_other() {
+    let mut harness = Harness::new(24);
+    for number in 1..=60 {
+        harness.table.accept(id(number), job(vec![step(2, 1_500)]), true, harness.now);
+    }
+    harness.run_round();
+    assert_eq!(harness.running().len(), 120);
+    for number in 0..12 {
+        harness.workers.get_mut(&name(number)).expect("a worker").restart_worker();
+    }
+    harness.report_all();
+    harness.wait(ROUND);
+    harness.store();
+    for _ in 0..25 {
+        harness.run_round();
+        harness.wait(ROUND);
+        harness.store();
+    }
+    assert_eq!(harness.running().len(), 120);
+    assert!(harness.table.jobs().all(|job| job.ended.is_none()));
+}
+
+#[test]
+fn progress_of_an_earlier_release_can_be_read() {
+    let stored =
+        r#"{"state":"running","ended_ms":0,"done":[],"failed":[[0,[1]]],"checkpoints":[]}"#;
+    let progress: Progress = serde_json::from_str(stored).expect("a progress");
+    let mut harness = Harness::new(1);
+    let job: Job = job(vec![step(1, 1_000)]);
+    Table::load(&mut harness.table, id(1), job, Some(&progress), true, harness.now);
+    harness.run_until(task(1, 0, 0));
+}
--- a/crates/policy/tests/plan/main.rs
+++ b/crates/policy/tests/plan/main.rs
@@ -2,6 +2,7 @@
 
 mod cancel;
 mod capacity;
+mod crash;
 mod disturbance;
 mod fuzz;
 mod gang;
--- a/crates/policy/tests/plan/restart.rs
+++ b/crates/policy/tests/plan/restart.rs
@@ -12,6 +12,7 @@
     harness.run_round();
     harness.workers.get_mut(&name(0)).expect("a worker").restart_worker();
     harness.report_all();
+    harness.record();
     harness.run_round();
     assert_eq!(harness.running().len(), 2);
 }
--- a/crates/scheduler/src/agent/run_table.rs
+++ b/crates/scheduler/src/agent/run_table.rs
@@ -471,6 +471,13 @@
             answers: Vec::new(),
             received: self.last_order,
         };
+        if self.complete {
+            // The owner needs these of a worker that is gone as well: which starts it carried out.
+            for unconfirmed in &mut self.answers {
+                unconfirmed.first_report.get_or_insert(sequence);
+                report.answers.push(unconfirmed.item);
+            }
+        }
         if !report.complete {
             return report;
         }
@@ -479,10 +486,6 @@
             unconfirmed.first_report.get_or_insert(sequence);
             report.ends.push(unconfirmed.item.clone());
         }
-        for unconfirmed in &mut self.answers {
-            unconfirmed.first_report.get_or_insert(sequence);
-            report.answers.push(unconfirmed.item);
-        }
         let due = |listed: Time| listed.after(self.settings.list_interval).passed(now);
         if self.last_listed.is_none_or(due) {
             self.last_listed = Some(now);
--- a/crates/scheduler/src/entry/meters.rs
+++ b/crates/scheduler/src/entry/meters.rs
@@ -35,6 +35,14 @@
         Event::Job { state, .. } => {
             counter!(metric::GRAPH_JOBS, "state" => state.as_str()).increment(1);
         }
+        Event::Lost { crash: true, .. } => {
+            counter!(metric::GRAPH_CRASHES).increment(1);
+        }
+        Event::Suspect { alone, .. } => {
+            let alone = if *alone { "yes" } else { "no" };
+            counter!(metric::GRAPH_SUSPECTS, "alone" => alone).increment(1);
+        }
+        Event::GivenUp { .. } => counter!(metric::GRAPH_GIVEN_UP).increment(1),
         _ => {}
     }
 }
