Crash workers by their tasks in the simulated path

Some jobs have a task that crashes its worker 10 ms after its start; the worker is away for 2 s. The oracle breaks when such a task starts three times after three crashes, and when a job is shown as failed without a task that failed in all attempts or that two workers crashed under. Two injected faults are found: a crash that is taken for an announced end, and an owner that forgets the recorded crashes.

--- a/crates/scheduler/tests/path.rs
+++ b/crates/scheduler/tests/path.rs
@@ -59,6 +59,31 @@
     assert_eq!(simulation.lost_runs(), 0);
 }
 
+#[test]
+fn every_guarantee_holds_while_tasks_crash_their_workers() {
+    for seed in 0..SEEDS {
+        let mut simulation = Simulation::new(seed, FaultRates::with_deadly_tasks(), None);
+        assert_eq!(simulation.run(), Ok(()), "seed {seed}");
+    }
+}
+
+#[test]
+fn tasks_that_crash_their_workers_are_given_up_under_one_owner_after_the_other() {
+    for seed in 0..SEEDS {
+        let rates = FaultRates::with_deadly_tasks_and_takeovers();
+        assert_eq!(Simulation::new(seed, rates, None).run(), Ok(()), "seed {seed}");
+    }
+}
+
+#[test_case(Fault::CrashAsDrain ; "the crash of a worker is not counted")]
+#[test_case(Fault::ForgetCrashes ; "a new owner does not know the crashes")]
+fn an_injected_fault_in_the_count_of_crashes_is_found(fault: Fault) {
+    let rates = FaultRates::with_deadly_tasks_and_takeovers;
+    let found =
+        (0..FAULT_SEEDS).any(|seed| Simulation::new(seed, rates(), Some(fault)).run().is_err());
+    assert!(found, "no seed finds {fault:?}");
+}
+
 #[test_case(Fault::NoWaitForAgents ; "a new owner does not wait for agents that did not report")]
 #[test_case(Fault::FormerOwnerPlaces ; "a former owner keeps starting tasks")]
 #[test_case(Fault::FormerOwnerRenews ; "a former owner lets agents renew leases")]
--- a/crates/scheduler/tests/path/fault.rs
+++ b/crates/scheduler/tests/path/fault.rs
@@ -17,6 +17,10 @@
     OldFence,
     /// Agents never report that their workers have shrunk.
     HiddenShrinking,
+    /// The crash of a worker is taken for an announced end.
+    CrashAsDrain,
+    /// A new owner does not know the crashes that its predecessor recorded.
+    ForgetCrashes,
     /// Agents renew leases although no owner answers.
     EndlessLease,
 }
--- a/crates/scheduler/tests/path/oracle.rs
+++ b/crates/scheduler/tests/path/oracle.rs
@@ -4,6 +4,13 @@
 use shallotflow_policy::plan::message::{End, ExitReason};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// A task that crashes workers may start twice more after so many of them.
+const CRASHES: u32 = 3;
+/// Number of starts after [`CRASHES`] that breaks the rule.
+const STARTS_AFTER_CRASHES: u32 = 3;
+/// Number of crashes under a task after which its job may be shown as failed.
+const CRASHES_TO_GIVE_UP: u32 = 2;
+
 /// What the oracle has observed of one task.
 #[derive(Default)]
 struct Observed {
@@ -14,6 +21,12 @@
     done: BTreeSet<u32>,
     /// Those of them after whose end another run has started.
     repeated: BTreeSet<u32>,
+    /// Number of workers that crashed under it.
+    crashes: u32,
+    /// Number of starts after three workers crashed under it.
+    starts_after_crashes: u32,
+    /// Number of failed runs.
+    failed_runs: u32,
     /// Number of failed runs whose ends the worker was told to forget.
     failures: u32,
 }
@@ -24,6 +37,8 @@
     tasks: BTreeMap<Task, Observed>,
     /// Number of tasks in the first step of each job, which the second step waits for.
     first: BTreeMap<Id, u32>,
+    /// Tasks that crash the workers that start them.
+    deadly: BTreeSet<Task>,
     pub(crate) broken: Option<String>,
 }
 
@@ -46,6 +61,10 @@
         let observed = self.tasks.entry(task).or_default();
         let twice = observed.running.iter().any(|other| *other != worker);
         let (confirmed, failures) = (observed.confirmed, observed.failures);
+        if observed.crashes >= CRASHES {
+            observed.starts_after_crashes += 1;
+        }
+        let starts = observed.starts_after_crashes;
         observed.running.insert(worker);
         observed.repeated.extend(&observed.done);
         if twice {
@@ -54,6 +73,40 @@
             self.fail(format!("{task} started after its end was confirmed"));
         } else if failures >= attempts {
             self.fail(format!("{task} started after {failures} failures"));
+        } else if starts >= STARTS_AFTER_CRASHES && self.deadly.contains(&task) {
+            self.fail(format!("{task} started {starts} times after {CRASHES} crashes"));
+        }
+    }
+
+    pub(crate) fn mark_deadly(&mut self, task: Task) {
+        self.deadly.insert(task);
+    }
+
+    pub(crate) fn is_deadly(&self, task: Task) -> bool {
+        self.deadly.contains(&task)
+    }
+
+    /// Records that a worker has crashed under the run of `task`.
+    pub(crate) fn mark_crashed(&mut self, worker: usize, task: Task) {
+        self.mark_ended(worker, task);
+        self.tasks.entry(task).or_default().crashes += 1;
+    }
+
+    pub(crate) fn mark_failed(&mut self, task: Task) {
+        self.tasks.entry(task).or_default().failed_runs += 1;
+    }
+
+    /// Checks that a job that is shown as failed has a task that failed in all its attempts, or under
+    /// which two workers have crashed.
+    pub(crate) fn check_failed(&mut self, job: Id, tasks: &[Task], attempts: u32) {
+        let cause = |task: &Task| {
+            let observed = self.tasks.get(task);
+            observed.is_some_and(|observed| {
+                observed.failed_runs >= attempts || observed.crashes >= CRASHES_TO_GIVE_UP
+            })
+        };
+        if !tasks.iter().any(cause) {
+            self.fail(format!("{job} is shown as failed without a cause"));
         }
     }
 
--- a/crates/scheduler/tests/path/simulation.rs
+++ b/crates/scheduler/tests/path/simulation.rs
@@ -44,6 +44,8 @@
     /// identifier.
     calls_outlive_incarnations: bool,
     worker_resized: f64,
+    /// Probability that a job has a task that crashes its workers.
+    deadly: f64,
 }
 
 impl Default for FaultRates {
@@ -59,6 +61,7 @@
             task_fails: 0.05,
             calls_outlive_incarnations: false,
             worker_resized: 0.003,
+            deadly: 0.0,
         }
     }
 }
@@ -68,6 +71,16 @@
         Self { calls_outlive_incarnations: true, ..Self::default() }
     }
 
+    /// Tasks that crash their workers, beside all other faults.
+    pub(crate) fn with_deadly_tasks() -> Self {
+        Self { deadly: 0.2, ..Self::default() }
+    }
+
+    /// Tasks that crash their workers, and one owner after the other.
+    pub(crate) fn with_deadly_tasks_and_takeovers() -> Self {
+        Self { deadly: 0.3, owner_replaced: 0.005, ..Self::none() }
+    }
+
     pub(crate) fn none() -> Self {
         Self {
             call_lost: 0.0,
@@ -80,6 +93,7 @@
             task_fails: 0.0,
             calls_outlive_incarnations: false,
             worker_resized: 0.0,
+            deadly: 0.0,
         }
     }
 }
@@ -282,13 +296,19 @@
         let former = self.owners.last_mut().expect("an owner");
         former.alive_until = alive_until;
         let epoch = former.table.epoch() + 1;
+        let forgets = self.fault == Some(Fault::ForgetCrashes);
         let missing = match self.fault {
             Some(Fault::NoWaitForAgents) => Vec::new(),
             _ => self.holders.iter().cloned().collect(),
         };
         let mut table = Table::new(plan::Settings::default(), epoch, missing, now);
         for (id, (job, _)) in &self.jobs {
-            table.load(*id, job.clone(), self.progress.get(id), false, now);
+            let mut progress = self.progress.get(id).cloned();
+            if let Some(progress) = progress.as_mut().filter(|_| forgets) {
+                progress.crashed.clear();
+                progress.suspected.clear();
+            }
+            table.load(*id, job.clone(), progress.as_ref(), false, now);
             if self.cancels.contains(id) {
                 table.cancel(*id, now);
             }
@@ -327,6 +347,10 @@
             };
             let job = Job { queue, spec, accepted_ms: self.now };
             self.oracle.accept(id, first);
+            if self.chance(self.rates.deadly) {
+                let index = self.rng.random_range(0..first);
+                self.oracle.mark_deadly(Task { job: id, occurrence: 0, step: 0, index });
+            }
             self.jobs.insert(id, (job.clone(), self.now));
             // Only the newest owner learns of the job; a former one may not, since it learns of
             // jobs only from the store.
@@ -358,7 +382,7 @@
                 if !known || !self.rates.calls_outlive_incarnations {
                     continue;
                 }
-                let discovered_at = worker.since + DISCOVERY_MS;
+                let discovered_at = worker.since.max(worker.down_until) + DISCOVERY_MS;
                 if now < discovered_at {
                     self.delayed.push(DelayedCall { at: discovered_at, ..delayed });
                     continue;
@@ -393,6 +417,9 @@
     /// Makes a call through a network that loses calls and answers.
     fn call(&mut self, worker: usize, call: Call) -> agent::Result<u64> {
         let lost = || Err(Error::Unknown("lost".to_owned()));
+        if self.workers[worker].is_down(self.now) {
+            return Err(Error::Vacant);
+        }
         if self.chance(self.rates.call_delayed) {
             let at = self.now + self.rng.random_range(500..12_000);
             let worker_started_ms = self.workers[worker].incarnation().started_ms;
@@ -429,6 +456,9 @@
     }
 
     fn register(&mut self, number: usize) {
+        if self.workers[number].is_down(self.now) {
+            return;
+        }
         let millicores = match self.fault {
             Some(Fault::HiddenShrinking) => FULL_MILLICORES,
             _ => self.workers[number].millicores(),
@@ -450,6 +480,9 @@
         let answer_lost = self.chance(self.rates.call_lost);
         let agent = &mut self.agents[number];
         let worker = &mut self.workers[number];
+        if worker.is_down(self.now) {
+            return agent.run_table.poll_failed(&Error::Vacant);
+        }
         let mut lease = agent.run_table.lease_ms(now);
         if self.fault == Some(Fault::EndlessLease) {
             lease = Some(u64::MAX / 4);
@@ -481,7 +514,8 @@
         keys.extend(late_starts.into_iter().map(|(key, _)| key));
         keys.retain(|(task, run)| {
             let call = Call::Stop { task: *task, run: *run, epoch };
-            matches!(self.call(number, call), Err(Error::Unknown(_) | Error::Fenced))
+            let answer = self.call(number, call);
+            matches!(answer, Err(Error::Unknown(_) | Error::Fenced | Error::Vacant))
         });
         self.agents[number].late_starts = keys;
     }
@@ -564,7 +598,14 @@
             self.agents[number].target = self.owners.len() - 1;
             return;
         }
-        let report = self.agents[number].run_table.report(now);
+        let mut report = self.agents[number].run_table.report(now);
+        if let Some(profile) = report
+            .worker
+            .as_mut()
+            .filter(|_| report.vacant && self.fault == Some(Fault::CrashAsDrain))
+        {
+            profile.status = Status::Draining { remaining_ms: 0 };
+        }
         let table = &mut self.owners[target].table;
         let known = report.epoch == table.epoch();
         let reply = if known {
@@ -614,6 +655,11 @@
                         let job = &self.jobs[&record.job].0;
                         self.oracle.check_completed(record.job, &tasks_of(record.job, job));
                     }
+                    if record.progress.state == State::Failed {
+                        let job = &self.jobs[&record.job].0;
+                        let tasks = tasks_of(record.job, job);
+                        self.oracle.check_failed(record.job, &tasks, ATTEMPTS);
+                    }
                     self.progress.insert(record.job, record.progress);
                     owner.table.mark_recorded(record.job, record.version);
                 }
--- a/crates/scheduler/tests/path/worker.rs
+++ b/crates/scheduler/tests/path/worker.rs
@@ -16,6 +16,11 @@
 /// Longest lease that a worker grants, in milliseconds.
 pub(crate) const LEASE_MS: u64 = 6_000;
 
+/// Time from the start of a task that crashes its worker to the crash, in milliseconds.
+const CRASH_MS: u64 = 10;
+/// How long a worker is away after a crash, in milliseconds.
+const DOWN_MS: u64 = 2_000;
+
 struct RunningTask {
     run: u32,
     until: u64,
@@ -39,6 +44,10 @@
     lapsed_end: u64,
     /// The processors since each time at which they changed, the latest last.
     capacities: Vec<(u64, u32)>,
+    /// When the worker crashes, once it has started a task that crashes it.
+    crashes_at: u64,
+    /// Until when nothing listens at its address.
+    pub(crate) down_until: u64,
     pub(crate) lost: usize,
     fault: Option<Fault>,
 }
@@ -57,6 +66,8 @@
             last_end: 0,
             lapsed_end: 0,
             capacities: vec![(0, FULL_MILLICORES)],
+            crashes_at: u64::MAX,
+            down_until: 0,
             lost: 0,
             fault,
         }
@@ -91,7 +102,7 @@
     /// Restarts the worker, which then knows nothing of its former incarnation.
     pub(crate) fn restart(&mut self, now: u64, oracle: &mut Oracle) {
         for task in self.running.keys() {
-            oracle.mark_ended(self.number, *task);
+            oracle.mark_crashed(self.number, *task);
         }
         self.lost += self.running.len();
         *self = Self {
@@ -103,8 +114,16 @@
         };
     }
 
+    pub(crate) fn is_down(&self, now: u64) -> bool {
+        now < self.down_until
+    }
+
     /// Ends the tasks that are due, and all tasks once the lease has expired.
     pub(crate) fn tick(&mut self, now: u64, oracle: &mut Oracle) {
+        if self.crashes_at <= now {
+            self.restart(now, oracle);
+            self.down_until = now + DOWN_MS;
+        }
         let due: Vec<Task> = self
             .running
             .iter()
@@ -136,8 +155,10 @@
         let highest = self.highest.entry(task).or_default();
         *highest = run.max(*highest);
         oracle.mark_ended(self.number, task);
-        if reason == ExitReason::Done {
-            oracle.mark_done(task, run);
+        match reason {
+            ExitReason::Done => oracle.mark_done(task, run),
+            ExitReason::Failed => oracle.mark_failed(task),
+            _ => {}
         }
     }
 
@@ -181,6 +202,9 @@
         let used = self.running.values().map(|running| running.millicores).sum();
         oracle.check_capacity(self.number, task, used, self.millicores_since(shrunk_before));
         oracle.start(self.number, task, super::simulation::ATTEMPTS);
+        if oracle.is_deadly(task) {
+            self.crashes_at = now + CRASH_MS;
+        }
         Ok(self.clock(now))
     }
 
