Count no crash for starts that no agent has received

A task could be given up for crashes of workers that had never been told to start it.

Cause: a crash counts for each run that is placed at the worker, also for those whose start the owner withdraws at that moment, or withdrew when the worker shrank. A start that the report of the crash does not confirm as received had not reached the agent, and the agent refuses it afterwards.

Ruled out: starts that the agent has received and not answered, which still count, since they may have been carried out. The withdrawal is now noted at the task by run number.

--- a/crates/policy/src/plan/crash.rs
+++ b/crates/policy/src/plan/crash.rs
@@ -48,7 +48,8 @@
             let Some(position) = job.position(&task) else { continue };
             let state = &mut job.tasks[position];
             let Some((_, run)) = state.current() else { continue };
-            if state.crashed.contains(&run) || state.percent > 0 {
+            let never_begun = state.withdrawn == Some(run);
+            if never_begun || state.crashed.contains(&run) || state.percent > 0 {
                 continue;
             }
             state.crashed.push(run);
--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -150,8 +150,13 @@
         let Some(worker) = self.workers.get_mut(agent) else { return Vec::new() };
         let is_start = |order: &&Order| order.kind != Kind::Stop;
         let starts = worker.outbox.iter().filter(is_start).map(|order| (order.task, order.run));
-        let starts = starts.collect();
+        let starts: Vec<(Task, u32)> = starts.collect();
         worker.outbox.retain(|order| order.kind == Kind::Stop);
+        for (task, run) in &starts {
+            let Some(job) = self.jobs.get_mut(&task.job) else { continue };
+            let Some(position) = job.position(task) else { continue };
+            job.tasks[position].withdrawn = Some(*run);
+        }
         starts
     }
 
--- a/crates/policy/src/plan/task_state.rs
+++ b/crates/policy/src/plan/task_state.rs
@@ -43,6 +43,8 @@
     pub phase: Phase,
     /// Highest run number that was ordered or reported.
     pub last_run: u32,
+    /// Number of the last run whose start was withdrawn before its agent received the order.
+    pub withdrawn: Option<u32>,
     /// Numbers of failed runs.
     pub failed: Vec<u32>,
     /// Numbers of the runs under which a worker crashed; of a long-running task, since a run of it
--- a/crates/policy/tests/plan/crash.rs
+++ b/crates/policy/tests/plan/crash.rs
@@ -3,7 +3,7 @@
 use super::harness::{Harness, TestWorker, id, job, name, step, task};
 use shallotflow_core::graph::{Job, State, Step, Task};
 use shallotflow_policy::plan::message::Status;
-use shallotflow_policy::plan::{Progress, Table};
+use shallotflow_policy::plan::{Phase, Progress, Table};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use test_case::test_case;
@@ -324,3 +324,24 @@
     Table::load(&mut harness.table, id(1), job, Some(&progress), true, harness.now);
     harness.run_until(task(1, 0, 0));
 }
+
+/// Returns the numbers of the runs of `task` under which a worker crashed.
+fn crashes(harness: &Harness, task: Task) -> Vec<u32> {
+    let job = harness.table.job(task.job).expect("a job");
+    job.tasks[job.position(&task).expect("a task")].crashed.clone()
+}
+
+#[test_case(false ; "the worker crashes at once")]
+#[test_case(true ; "the worker shrinks and crashes then")]
+fn a_start_that_its_agent_has_not_received_counts_no_crash(shrinks: bool) {
+    let mut harness = Harness::new(1);
+    harness.table.accept(id(1), job(vec![step(1, 6_000)]), true, harness.now);
+    harness.tick();
+    if shrinks {
+        harness.worker(0).resize(4_000);
+        harness.report(0);
+        assert!(matches!(harness.phase(task(1, 0, 0)), Phase::Stopping { .. }));
+    }
+    harness.crash_worker(0);
+    assert!(crashes(&harness, task(1, 0, 0)).is_empty());
+}
