Take no silent worker of a new agent process for a crashed one

Runs counted a crash when their worker was silent beyond its lease after its agent had started again.

Cause: an agent whose worker has not registered reports it as gone once it is silent and its lease has ended, in the same way as one where nothing listens; only the latter is a crash. The owner cannot tell them apart without a registration.

Evidence: a_worker_that_is_silent_since_its_agent_has_started_again_has_not_crashed failed before. The agent of a worker that a task has crashed keeps the registration, so these crashes still count. If a worker crashes while its agent starts again too, the crash counts only if another incarnation answers before the agent has missed it.

--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -68,7 +68,9 @@
         self.update_worker(&agent, &report, now);
         if report.vacant {
             let leaving = self.workers.get(&agent).is_some_and(Worker::is_leaving);
-            let crash = !was_leaving && !leaving;
+            // A silent worker that has not registered since its agent started counts as gone too.
+            let registered = report.worker.is_some();
+            let crash = registered && !was_leaving && !leaving;
             self.lose_runs(&agent, "no worker runs beside the agent", crash, now);
         }
         if report.vacant || is_empty(&report) {
--- a/crates/policy/tests/plan/crash.rs
+++ b/crates/policy/tests/plan/crash.rs
@@ -345,3 +345,17 @@
     harness.crash_worker(0);
     assert!(crashes(&harness, task(1, 0, 0)).is_empty());
 }
+
+#[test]
+fn a_worker_that_is_silent_since_its_agent_has_started_again_has_not_crashed() {
+    let mut harness = Harness::new(1);
+    harness.table.accept(id(1), job(vec![step(1, 1_000)]), true, harness.now);
+    harness.run_round();
+    harness.worker(0).restart_agent();
+    let mut report = harness.worker(0).report(&name(0), 1);
+    (report.vacant, report.complete, report.running) = (true, false, None);
+    (report.incarnation, report.worker) = (None, None);
+    harness.table.apply_report(report, harness.now);
+    assert!(crashes(&harness, task(1, 0, 0)).is_empty());
+    assert_eq!(harness.phase(task(1, 0, 0)), Phase::Waiting);
+}
