Let a suspect wait for runs that only wait for their end

A suspected task could start beside a run that had just begun, and a crash then had two possible causes.

Cause: a worker counted as settled if no current run of a task was placed there. A run that is stopped, because another run has done its task or its job has ended, was overlooked; so was that a run which a successor finds may have begun just now.

Evidence: a_suspect_does_not_start_beside_a_run_of_an_ended_job_that_may_be_young failed before. a_trial_ends_when_another_run_has_done_the_task passed before, and guards that such a run keeps no worker.

--- a/crates/policy/src/plan/crash.rs
+++ b/crates/policy/src/plan/crash.rs
@@ -166,7 +166,8 @@
     pub(super) fn is_settled(&self, agent: &Name) -> bool {
         let window = self.settings.crash_window;
         self.workers.get(agent).is_some_and(|worker| {
-            worker.placed.is_empty() || worker.last_start.after(window).passed(worker.alive_at)
+            let vacated = worker.placed.is_empty() && worker.remnants.is_empty();
+            vacated || worker.last_start.after(window).passed(worker.alive_at)
         })
     }
 
--- a/crates/policy/src/plan/remnant.rs
+++ b/crates/policy/src/plan/remnant.rs
@@ -2,6 +2,7 @@
 use super::{Table, Worker};
 use shallotflow_core::graph::Task;
 use shallotflow_core::name::Name;
+use shallotflow_core::time::Time;
 
 /// A run that occupies a worker until its end is listed, though it is the current run of no task:
 /// another run has done the task, its job has ended, or its job is not known.
@@ -34,7 +35,7 @@
     }
 
     /// Adds a run that a worker lists and that is the current run of no task.
-    pub(super) fn add_remnant(&mut self, agent: &Name, task: Task, run: u32) {
+    pub(super) fn add_remnant(&mut self, agent: &Name, task: Task, run: u32, now: Time) {
         let placed = self.placed(&task);
         let Some(worker) = self.workers.get_mut(agent) else { return };
         if let Some(remnant) = worker.remnants.get_mut(&(task, run)) {
@@ -44,6 +45,8 @@
         let remnant = Remnant { placed, listed: true };
         worker.load.add_remnant(&remnant);
         worker.remnants.insert((task, run), remnant);
+        // It may have begun just now.
+        worker.last_start = now;
         self.update_worker_lists(agent);
     }
 
--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -464,10 +464,16 @@
             .is_some_and(|worker| worker.listed_at.after(self.settings.report_timeout).passed(now));
         let active = self.jobs.get_mut(&task.job).filter(|job| job.ended.is_none());
         let Some(job) = active else {
-            return self.stop_unexpected(agent, task, number, "its job has ended or is not known");
+            return self.stop_unexpected(
+                agent,
+                task,
+                number,
+                "its job has ended or is not known",
+                now,
+            );
         };
         let Some(position) = job.position(&task) else {
-            return self.stop_unexpected(agent, task, number, "its job has no such task");
+            return self.stop_unexpected(agent, task, number, "its job has no such task", now);
         };
         let state = &mut job.tasks[position];
         state.last_run = state.last_run.max(number);
@@ -486,7 +492,13 @@
                 self.events.push(Event::Adopted { task, run: number, agent: agent.clone() });
             }
             _ if !state.is_current(agent, number) => {
-                return self.stop_unexpected(agent, task, number, "another run goes on or is done");
+                return self.stop_unexpected(
+                    agent,
+                    task,
+                    number,
+                    "another run goes on or is done",
+                    now,
+                );
             }
             Phase::Starting { .. } => {
                 state.phase = Phase::Running { agent: agent.clone(), run: number };
@@ -521,7 +533,14 @@
         self.clear_survivor(agent, task, now);
     }
 
-    fn stop_unexpected(&mut self, agent: &Name, task: Task, run: u32, reason: &'static str) {
+    fn stop_unexpected(
+        &mut self,
+        agent: &Name,
+        task: Task,
+        run: u32,
+        reason: &'static str,
+        now: Time,
+    ) {
         let Some(worker) = self.workers.get(agent) else { return };
         let stop = |order: &super::message::Order| {
             order.task == task && order.run == run && order.kind == Kind::Stop
@@ -535,7 +554,7 @@
             self.order_stop(agent, task, run, reason);
         }
         if !occupies {
-            self.add_remnant(agent, task, run);
+            self.add_remnant(agent, task, run, now);
         }
     }
 
--- a/crates/policy/tests/plan/crash.rs
+++ b/crates/policy/tests/plan/crash.rs
@@ -2,7 +2,7 @@
 
 use super::harness::{Harness, TestWorker, id, job, name, step, task};
 use shallotflow_core::graph::{Job, State, Step, Task};
-use shallotflow_policy::plan::message::Status;
+use shallotflow_policy::plan::message::{End, ExitReason, Run, Status};
 use shallotflow_policy::plan::{Phase, Progress, Table};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -359,3 +359,43 @@
     assert!(crashes(&harness, task(1, 0, 0)).is_empty());
     assert_eq!(harness.phase(task(1, 0, 0)), Phase::Waiting);
 }
+
+#[test]
+fn a_suspect_does_not_start_beside_a_run_of_an_ended_job_that_may_be_young() {
+    let mut harness = Harness::owner(2, 1, Vec::new());
+    harness.table.accept(id(1), job(vec![step(1, 1_000)]), false, harness.now);
+    harness.table.cancel(id(1), harness.now);
+    let progress = Progress {
+        crashed: vec![(0, vec![1])],
+        suspected: vec![(0, vec![1])],
+        ..Progress::default()
+    };
+    let second = job(vec![step(1, 1_000)]);
+    harness.table.load(id(2), second, Some(&progress), false, harness.now);
+    let (percent, run) = (0, 1);
+    let active =
+        Run { task: task(1, 0, 0), run, checkpoint: None, percent, measurement: 0, pace: 100 };
+    harness.worker(0).running.insert(task(1, 0, 0), active);
+    harness.report_all();
+    harness.tick();
+    harness.report_all();
+    assert_eq!(harness.ordered_starts(0), []);
+    harness.execute_orders();
+    harness.go_on(Duration::from_millis(900));
+    harness.run_until(task(2, 0, 0));
+}
+
+#[test]
+fn a_trial_ends_when_another_run_has_done_the_task() {
+    let mut harness = Harness::new(2);
+    harness.table.accept(id(1), job(vec![step(1, 1_000)]), true, harness.now);
+    harness.run_until(task(1, 0, 0));
+    harness.crash(task(1, 0, 0));
+    harness.run_until(task(1, 0, 0));
+    let other = 1 - harness.worker_of(task(1, 0, 0)).expect("a run");
+    let (number, reason) = (1, ExitReason::Done);
+    let end = End { number, task: task(1, 0, 0), run: 0, reason, checkpoint: None };
+    harness.worker(other).ends.push(end);
+    harness.report(other);
+    assert_eq!(harness.table.audit(harness.now, &harness.holders), Ok(()));
+}
