--- a/crates/policy/src/plan/audit.rs
+++ b/crates/policy/src/plan/audit.rs
@@ -3,7 +3,7 @@
 use super::expire::STALL_RECHECK_INTERVAL;
 use super::load::Load;
 use super::ranking::Ranking;
-use super::search::{Outcome, Pass, ROUNDING, Search};
+use super::search::{Isolation, Outcome, Pass, ROUNDING, Search};
 use super::{Job, Phase, Table, Worker};
 use shallotflow_core::graph::{Id, Task};
 use shallotflow_core::name::Name;
@@ -22,6 +22,9 @@
     /// The load of a worker.
     #[error("the load of {0} differs from its runs; report this as a defect")]
     Load(Name),
+    /// The runs that occupy a worker.
+    #[error("the runs that occupy {0} differ from those of its tasks; report this as a defect")]
+    Runs(Name),
     /// The lists of workers.
     #[error("the ranking differs from the workers; report this as a defect")]
     Ranking,
@@ -37,6 +40,9 @@
     /// Ends of a worker that nothing will confirm.
     #[error("ends at {0} are never confirmed; report this as a defect")]
     Ends(Name),
+    /// A worker that is kept for a task that does not run there.
+    #[error("{0} is kept for a task that does not run there; report this as a defect")]
+    Trial(Name),
     /// A choice that differs from the best of all workers.
     #[error("the search for {0} misses the best worker; report this as a defect")]
     Search(Task),
@@ -70,7 +76,9 @@
     fn audit_job(&self, job: &Job, now: Time) -> Result<()> {
         let mut rebuilt = job.clone();
         rebuilt.recount();
-        if (&rebuilt.waiting, &rebuilt.remaining) != (&job.waiting, &job.remaining) {
+        if (&rebuilt.waiting, &rebuilt.remaining) != (&job.waiting, &job.remaining)
+            || job.count_suspects() != job.suspects
+        {
             return Err(Mismatch::Counts(job.id));
         }
         let waits = job.ended.is_none() && rebuilt.has_open_tasks();
@@ -83,6 +91,14 @@
         if job.recorded < job.version && !self.changes.iter().any(|id| id == job.id) {
             return Err(Mismatch::Unrecorded(job.id));
         }
+        for (position, state) in job.tasks.iter().enumerate() {
+            let task = job.task(position);
+            if let Some((agent, _)) = state.current()
+                && !self.workers.get(agent).is_some_and(|worker| worker.placed.contains_key(&task))
+            {
+                return Err(Mismatch::Runs(agent.clone()));
+            }
+        }
         if job.ended.is_some() {
             return Ok(());
         }
@@ -114,9 +130,21 @@
             for placed in worker.placed.values() {
                 load.add(placed);
             }
+            for remnant in worker.remnants.values() {
+                load.add_remnant(remnant);
+            }
             if load != worker.load {
                 return Err(Mismatch::Load(agent.clone()));
             }
+            let holds = |task: &Task, run: Option<u32>| {
+                let current = self.task_state(task).and_then(|state| state.current());
+                current.is_some_and(|(at, number)| at == agent && run.unwrap_or(number) == number)
+            };
+            if !worker.placed.keys().all(|task| holds(task, None))
+                || worker.remnants.keys().any(|(task, run)| holds(task, Some(*run)))
+            {
+                return Err(Mismatch::Runs(agent.clone()));
+            }
             let mut rebuilt = Worker { rank: None, ..worker.clone() };
             ranking.update(agent, &mut rebuilt, &self.settings);
             if rebuilt.rank != worker.rank {
@@ -131,6 +159,12 @@
                 return Err(Mismatch::Ends(agent.clone()));
             }
         }
+        for (agent, trial) in &self.trials {
+            let placed = self.workers.get(agent).map(|worker| &worker.placed);
+            if trial.started && placed.is_none_or(|placed| !placed.contains_key(&trial.task)) {
+                return Err(Mismatch::Trial(agent.clone()));
+            }
+        }
         if ranking != self.ranking {
             return Err(Mismatch::Ranking);
         }
@@ -145,7 +179,7 @@
         let Some(job) = self.jobs.get(&id) else { return Ok(()) };
         let waiting = |position: &usize| job.tasks[*position].phase == Phase::Waiting;
         let Some(position) = (0..job.tasks.len()).find(waiting) else { return Ok(()) };
-        let pass = Pass { now, holders, except: None, racks: &[] };
+        let pass = Pass { now, holders, except: None, racks: &[], isolation: Isolation::None };
         let chosen = Search::new(self, pass, job, position).run();
         let best = Search::new(self, pass, job, position).run_over_all();
         let score = |outcome: &Outcome| match outcome {
--- a/crates/policy/src/plan/expire.rs
+++ b/crates/policy/src/plan/expire.rs
@@ -34,7 +34,7 @@
         if !worker.empty_at.passed(now) {
             return self.timers.push(worker.empty_at, Timer::Worker(agent.clone()));
         }
-        self.lose_runs(agent, "its agent did not report for the length of a lease", now);
+        self.lose_runs(agent, "its agent did not report for the length of a lease", false, now);
         // The worker stays in the table: when its agent returns, the process continues its
         // numbering of orders and ends.
         if let Some(worker) = self.workers.get_mut(agent) {
@@ -87,7 +87,13 @@
             self.timers.push(again, Timer::Forget(id));
             return None;
         }
-        self.jobs.remove(&id).map(|job| job.id)
+        let job = self.jobs.remove(&id)?;
+        for (position, state) in job.tasks.iter().enumerate() {
+            if let Some((agent, run)) = state.current() {
+                self.detach_run(agent, job.task(position), run);
+            }
+        }
+        Some(id)
     }
 
     /// Makes uncertain tasks wait once every agent has reported or its leases have ended: a task that
@@ -110,6 +116,7 @@
                     tasks += 1;
                 }
             }
+            job.await_trials(now.after(self.settings.trial_wait));
             self.update_ready(id, now);
         }
         self.events.push(Event::Settled { tasks, missing });
--- a/crates/policy/src/plan/mod.rs
+++ b/crates/policy/src/plan/mod.rs
@@ -10,9 +10,12 @@
 //! - [`Sizes`]: the largest observed workers, to reject jobs that fit none.
 //! - [`Event`]: decisions and observations, for the log.
 //! - [`Mismatch`]: a difference between state that is kept up to date and its source, for tests.
-//! - `accept`, `report`, `expire`, `disturbance`, `place`, `record`, `relocate`, `urgency`: the
+//! - `accept`, `report`, `expire`, `disturbance`, `place`, `record`, `relocate`, `urgency`, `crash`: the
 //!   operations on the table.
 //!
+//! A run occupies its worker until the worker lists its end, also if its task goes on elsewhere, is done
+//! or is not known.
+//!
 //! The cost of an operation depends on what it changes, not on what the table holds: the jobs with
 //! waiting tasks are kept in order, each worker's load is a sum over its runs, the workers are kept
 //! in lists by load, and deadlines are kept in a heap.
@@ -26,6 +29,7 @@
 mod accept;
 mod audit;
 mod changes;
+mod crash;
 mod demand;
 mod disturbance;
 mod event;
@@ -39,6 +43,7 @@
 mod record;
 mod refusals;
 mod relocate;
+mod remnant;
 mod report;
 mod search;
 mod settings;
@@ -46,6 +51,7 @@
 mod table;
 mod task_state;
 mod timers;
+mod trial;
 mod urgency;
 mod worker;
 
--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -1,10 +1,11 @@
 //! Applies the reports of agents to the table.
 
-use super::message::{Answer, End, ExitReason, Kind, Outcome, Report, Run, Status};
+use super::message::{Answer, End, ExitReason, Kind, Order, Outcome, Report, Run, Status};
 use super::timers::Timer;
 use super::{Event, Phase, Table, Worker};
 use shallotflow_core::graph::{State, Task};
 use shallotflow_core::name::Name;
+use shallotflow_core::resources::Bundle;
 use shallotflow_core::time::Time;
 use std::collections::BTreeSet;
 
@@ -62,9 +63,18 @@
         while worker.outbox.front().is_some_and(|order| order.number <= report.received) {
             worker.outbox.pop_front();
         }
+        let was_leaving = worker.is_leaving();
+        // A worker that has crashed since had carried out these starts.
+        for answer in report.answers.iter().filter(|answer| answer.outcome == Outcome::Started) {
+            self.apply_answer(&agent, answer, now);
+        }
         self.update_worker(&agent, &report, now);
         if report.vacant {
-            self.lose_runs(&agent, "no worker runs beside the agent", now);
+            let leaving = self.workers.get(&agent).is_some_and(Worker::is_leaving);
+            // A silent worker that has not registered since its agent started counts as gone too.
+            let registered = report.worker.is_some();
+            let crash = registered && !was_leaving && !leaving;
+            self.lose_runs(&agent, "no worker runs beside the agent", crash, now);
         }
         if report.vacant || is_empty(&report) {
             self.forget_missing(&agent, now);
@@ -94,10 +104,15 @@
     /// Updates the profile of the worker, and releases its runs if it restarted or is empty.
     fn update_worker(&mut self, agent: &Name, report: &Report, now: Time) {
         let Some(worker) = self.workers.get_mut(agent) else { return };
+        let was_leaving = worker.is_leaving();
         if let Some(profile) = &report.worker {
-            worker.profile = Some(profile.clone());
+            let former = worker.profile.replace(profile.clone());
             self.sizes.observe(&profile.service, &profile.capacity);
+            if let Some(former) = former.filter(|former| former.capacity != profile.capacity) {
+                self.resize_worker(agent, &former.capacity, now);
+            }
         }
+        let Some(worker) = self.workers.get_mut(agent) else { return };
         let Some(incarnation) = &report.incarnation else { return };
         let previous = worker.incarnation.replace(incarnation.clone());
         let restarted = previous.is_some_and(|previous| previous != *incarnation);
@@ -107,25 +122,77 @@
             worker.failing_jobs.clear();
             worker.ejected_until = Time::ZERO;
             worker.ejections = 0;
-            self.lose_runs(agent, "the worker started again", now);
+            self.lose_runs(agent, "the worker started again", !was_leaving, now);
         } else if is_empty(report) {
-            self.lose_runs(agent, "the last lease has ended", now);
+            self.lose_runs(agent, "the last lease has ended", false, now);
+        }
+    }
+
+    /// Applies a changed capacity of a worker; its runs go on.
+    fn resize_worker(&mut self, agent: &Name, former: &Bundle, now: Time) {
+        let Some(worker) = self.workers.get(agent) else { return };
+        let Some(capacity) = worker.profile.as_ref().map(|profile| profile.capacity) else {
+            return;
+        };
+        if !former.holds(&capacity) {
+            self.refusals.clear();
+            self.may_start = true;
+        }
+        if capacity.holds(former) || worker.load.has_room(&capacity, &Bundle::default()) {
+            return;
+        }
+        // The agent refuses starts that it received before it reported the smaller capacity.
+        for (task, run) in self.withdraw_starts(agent) {
+            let state = self.task_state(&task);
+            if state.is_some_and(|state| state.is_current(agent, run)) {
+                self.stop_run(task, "its worker has shrunk", now);
+            }
         }
     }
 
+    /// Removes the orders to start that `agent` has not confirmed as received; returns their runs.
+    fn withdraw_starts(&mut self, agent: &Name) -> Vec<(Task, u32)> {
+        let Some(worker) = self.workers.get_mut(agent) else { return Vec::new() };
+        let is_start = |order: &&Order| order.kind != Kind::Stop;
+        let starts = worker.outbox.iter().filter(is_start).map(|order| (order.task, order.run));
+        let starts: Vec<(Task, u32)> = starts.collect();
+        worker.outbox.retain(|order| order.kind == Kind::Stop);
+        for (task, run) in &starts {
+            let Some(job) = self.jobs.get_mut(&task.job) else { continue };
+            let Some(position) = job.position(task) else { continue };
+            job.tasks[position].withdrawn = Some(*run);
+        }
+        starts
+    }
+
     /// Releases all runs of `agent`, which have ended. A new incarnation of the worker may still
     /// execute starts that were not answered, so these are withdrawn first.
-    pub(super) fn lose_runs(&mut self, agent: &Name, reason: &'static str, now: Time) {
+    ///
+    /// `crash` means that the worker is known to have crashed: not that it left as announced, nor
+    /// that it or its agent is silent.
+    pub(super) fn lose_runs(&mut self, agent: &Name, reason: &'static str, crash: bool, now: Time) {
         let Some(worker) = self.workers.get(agent) else { return };
         let tasks: Vec<Task> = worker.placed.keys().copied().collect();
-        if tasks.is_empty() {
-            return;
-        }
+        let remnants: Vec<_> =
+            worker.remnants.iter().map(|(key, remnant)| (*key, remnant.listed)).collect();
         let may_still_start = worker.synced
             && !worker.vacant
             && worker.profile.as_ref().is_some_and(|p| p.status != Status::Empty)
             && !worker.empty_at.passed(now);
-        self.events.push(Event::Lost { agent: agent.clone(), reason, runs: tasks.len() });
+        for ((task, run), listed) in remnants {
+            if may_still_start && !listed {
+                self.order_stop(agent, task, run, "its start may still be carried out");
+            } else {
+                self.remove_remnant(agent, task, run);
+            }
+        }
+        if tasks.is_empty() {
+            return;
+        }
+        self.events.push(Event::Lost { agent: agent.clone(), reason, runs: tasks.len(), crash });
+        // The next incarnation may be a smaller worker.
+        self.withdraw_starts(agent);
+        let given_up = if crash { self.count_crash(agent, now) } else { Vec::new() };
         for task in tasks {
             let state = self.task_state(&task);
             match state.map(|state| state.phase.clone()) {
@@ -138,6 +205,7 @@
                 _ => self.release_task(task, now, now),
             }
         }
+        self.give_up(given_up, now);
     }
 
     fn apply_end(&mut self, agent: &Name, end: End, now: Time) {
@@ -148,6 +216,7 @@
         worker.ends.insert(end.number, None);
         let End { task, run, reason, .. } = end;
         self.events.push(Event::End { task, run, agent: agent.clone(), reason });
+        self.remove_remnant(agent, task, run);
         self.mark_started(task.job, now);
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let Some(position) = job.position(&task) else { return };
@@ -163,7 +232,7 @@
             ExitReason::Done if !long_running => {
                 // The end of one member counts for the whole gang.
                 for member in self.gang_members(task) {
-                    self.finish_task(agent, member, run, now);
+                    self.finish_task(agent, member, run, member == task, now);
                 }
             }
             ExitReason::Failed => {
@@ -202,7 +271,7 @@
     }
 
     /// Returns the members of the gang of `task`, or only `task` if it is in no gang.
-    fn gang_members(&self, task: Task) -> Vec<Task> {
+    pub(super) fn gang_members(&self, task: Task) -> Vec<Task> {
         let Some(job) = self.jobs.get(&task.job) else { return Vec::new() };
         if !job.step(&task).gang {
             return vec![task];
@@ -213,27 +282,29 @@
 
     /// Counts the failed runs of `task` or of its gang.
     fn failures(&self, task: Task) -> usize {
-        let Some(job) = self.jobs.get(&task.job) else { return 0 };
-        let members =
-            self.gang_members(task).into_iter().filter_map(|member| job.position(&member));
-        let runs = members.flat_map(|position| job.tasks[position].failed.iter().copied());
-        runs.collect::<BTreeSet<u32>>().len()
+        self.gang_runs(task, |state| &state.failed)
     }
 
-    /// Marks `task` as done, whichever run completed it; `run` at `agent` has ended.
-    fn finish_task(&mut self, agent: &Name, task: Task, run: u32, now: Time) {
+    /// Marks `task` as done, whichever run completed it; `run` at `agent` has ended, and its end is
+    /// `listed` unless it is that of another member of the gang.
+    fn finish_task(&mut self, agent: &Name, task: Task, run: u32, listed: bool, now: Time) {
         let Some(job) = self.jobs.get(&task.job) else { return };
         let Some(position) = job.position(&task) else { return };
         let gang = job.step(&task).gang;
         if job.tasks[position].phase == Phase::Done {
             return;
         }
+        let starting = matches!(job.tasks[position].phase, Phase::Starting { .. });
         let other = job.tasks[position].current().map(|(other, run)| (other.clone(), run));
         if let Some((other, number)) = other {
-            self.vacate(&other, &task);
-            let ended = number == run && (gang || other == *agent);
-            if !ended {
-                self.order_stop(&other, task, number, "another run has done its work");
+            if listed && number == run && other == *agent {
+                self.vacate(&other, &task);
+            } else {
+                self.detach_run(&other, task, number);
+                // The other members of a gang end by themselves.
+                if !gang || number != run || starting {
+                    self.order_stop(&other, task, number, "another run has done its work");
+                }
             }
         }
         if let Some(worker) = self.workers.get_mut(agent) {
@@ -243,6 +314,7 @@
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         job.set_phase(position, Phase::Done);
         job.tasks[position].checkpoint = None;
+        job.clear_suspicion(position);
         let done = job.is_done();
         self.mark_changed(task.job, now);
         if done {
@@ -288,6 +360,9 @@
 
     fn apply_answer(&mut self, agent: &Name, answer: &Answer, now: Time) {
         let Answer { task, run, outcome } = *answer;
+        if outcome == Outcome::Absent {
+            self.remove_remnant(agent, task, run);
+        }
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let Some(position) = job.position(&task) else { return };
         let state = &mut job.tasks[position];
@@ -333,8 +408,13 @@
         for run in running {
             self.apply_run(agent, run, now);
         }
+        self.remove_unlisted(agent, running);
         let Some(worker) = self.workers.get_mut(agent) else { return };
         worker.listed_at = now;
+        let status = worker.profile.as_ref().map(|profile| profile.status);
+        if !matches!(status, Some(Status::Silent | Status::Empty)) {
+            worker.alive_at = now;
+        }
         if !complete || worker.synced {
             return;
         }
@@ -353,10 +433,29 @@
                 _ => self.release_task(task, now, now),
             }
         }
+        let Some(worker) = self.workers.get(agent) else { return };
+        let remnants = worker.remnants.iter().filter(|(_, remnant)| !remnant.listed);
+        for (task, run) in remnants.map(|(key, _)| *key).collect::<Vec<_>>() {
+            self.order_stop(agent, task, run, "its agent started again");
+        }
         self.forget_missing(agent, now);
         self.update_worker_lists(agent);
     }
 
+    /// Removes the remnants at a worker that it has listed before and lists no more.
+    fn remove_unlisted(&mut self, agent: &Name, running: &[Run]) {
+        let Some(worker) = self.workers.get(agent) else { return };
+        if worker.remnants.is_empty() {
+            return;
+        }
+        let listed: BTreeSet<(Task, u32)> = running.iter().map(|run| (run.task, run.run)).collect();
+        let gone = worker.remnants.iter().filter(|(_, remnant)| remnant.listed);
+        let gone: Vec<_> = gone.map(|(key, _)| *key).filter(|key| !listed.contains(key)).collect();
+        for (task, run) in gone {
+            self.remove_remnant(agent, task, run);
+        }
+    }
+
     /// Applies one run of a worker's list.
     fn apply_run(&mut self, agent: &Name, run: &Run, now: Time) {
         let Run { task, run: number, .. } = *run;
@@ -368,24 +467,41 @@
             .is_some_and(|worker| worker.listed_at.after(self.settings.report_timeout).passed(now));
         let active = self.jobs.get_mut(&task.job).filter(|job| job.ended.is_none());
         let Some(job) = active else {
-            return self.stop_unexpected(agent, task, number, "its job has ended or is not known");
+            return self.stop_unexpected(
+                agent,
+                task,
+                number,
+                "its job has ended or is not known",
+                now,
+            );
         };
         let Some(position) = job.position(&task) else {
-            return self.stop_unexpected(agent, task, number, "its job has no such task");
+            return self.stop_unexpected(agent, task, number, "its job has no such task", now);
         };
         let state = &mut job.tasks[position];
         state.last_run = state.last_run.max(number);
         match &state.phase {
             Phase::Uncertain => {
                 state.phase = Phase::Running { agent: agent.clone(), run: number };
+                state.begun = now;
                 state.stalls_at = now.after(stall);
                 self.timers.push(state.stalls_at, Timer::Run(task));
                 self.mark_started(task.job, now);
+                self.remove_remnant(agent, task, number);
                 self.occupy(agent, task);
+                if let Some(worker) = self.workers.get_mut(agent) {
+                    worker.last_start = now;
+                }
                 self.events.push(Event::Adopted { task, run: number, agent: agent.clone() });
             }
             _ if !state.is_current(agent, number) => {
-                return self.stop_unexpected(agent, task, number, "another run goes on or is done");
+                return self.stop_unexpected(
+                    agent,
+                    task,
+                    number,
+                    "another run goes on or is done",
+                    now,
+                );
             }
             Phase::Starting { .. } => {
                 state.phase = Phase::Running { agent: agent.clone(), run: number };
@@ -417,9 +533,17 @@
             placed.measurement = run.measurement;
             placed.pace = run.pace;
         }
+        self.clear_survivor(agent, task, now);
     }
 
-    fn stop_unexpected(&mut self, agent: &Name, task: Task, run: u32, reason: &'static str) {
+    fn stop_unexpected(
+        &mut self,
+        agent: &Name,
+        task: Task,
+        run: u32,
+        reason: &'static str,
+        now: Time,
+    ) {
         let Some(worker) = self.workers.get(agent) else { return };
         let stop = |order: &super::message::Order| {
             order.task == task && order.run == run && order.kind == Kind::Stop
@@ -428,9 +552,13 @@
         let stopping = state.is_some_and(|state| {
             matches!(state.phase, Phase::Stopping { .. }) && state.is_current(agent, run)
         });
+        let occupies = state.is_some_and(|state| state.is_current(agent, run));
         if !stopping && !worker.outbox.iter().any(stop) {
             self.order_stop(agent, task, run, reason);
         }
+        if !occupies {
+            self.add_remnant(agent, task, run, now);
+        }
     }
 
     /// Advances the watermark up to which the worker may discard ended runs.
--- a/crates/policy/src/plan/worker.rs
+++ b/crates/policy/src/plan/worker.rs
@@ -2,6 +2,7 @@
 use super::load::Load;
 use super::message::{Incarnation, Kind, Order, Profile, Status};
 use super::ranking::Rank;
+use super::remnant::Remnant;
 use serde::Serialize;
 use shallotflow_core::graph::{Id, Task};
 use shallotflow_core::name::Name;
@@ -79,6 +80,12 @@
     /// When the agent last listed the runs.
     #[serde(skip)]
     pub(super) listed_at: Time,
+    /// When the worker last showed its runs: a list of a worker that does not answer shows nothing.
+    #[serde(skip)]
+    pub(super) alive_at: Time,
+    /// When the latest start there was ordered, or the latest run was adopted.
+    #[serde(skip)]
+    pub(super) last_start: Time,
     /// Ends up to this number are recorded.
     pub recorded: u64,
     /// Until when the worker is ejected.
@@ -92,7 +99,10 @@
     pub full_until: Time,
     #[serde(skip)]
     pub(super) placed: BTreeMap<Task, Placed>,
-    /// What the runs in `placed` reserve and are expected to use.
+    /// Runs that may still be at the worker and are the current run of no task.
+    #[serde(skip)]
+    pub(super) remnants: BTreeMap<(Task, u32), Remnant>,
+    /// What the runs in `placed` and `remnants` reserve and are expected to use.
     #[serde(skip)]
     pub(super) load: Load,
     /// Where the table's ranking lists the worker.
@@ -137,7 +147,14 @@
     /// agent has not listed the runs yet, which go on.
     pub(super) fn may_hold_runs(&self) -> bool {
         let empty = self.profile.as_ref().is_some_and(|p| p.status == Status::Empty);
-        (self.synced && !empty && !self.vacant) || !self.placed.is_empty()
+        let occupied = !self.placed.is_empty() || !self.remnants.is_empty();
+        (self.synced && !empty && !self.vacant) || occupied
+    }
+
+    /// Returns whether the worker has announced that it leaves, or is known to run nothing.
+    pub(super) fn is_leaving(&self) -> bool {
+        let status = self.profile.as_ref().map(|profile| profile.status);
+        matches!(status, Some(Status::Draining { .. } | Status::Empty))
     }
 
     /// Adds a run.
@@ -166,7 +183,8 @@
     pub(super) fn siblings(&self, task: &Task) -> usize {
         let first = Task { index: 0, ..*task };
         let last = Task { index: u32::MAX, ..*task };
-        self.placed.range(first..=last).count()
+        let remnants = self.remnants.range((first, 0)..=(last, u32::MAX));
+        self.placed.range(first..=last).count() + remnants.count()
     }
 
     pub(super) fn push_order(&mut self, task: Task, run: u32, kind: Kind) {
--- a/crates/policy/tests/plan/main.rs
+++ b/crates/policy/tests/plan/main.rs
@@ -1,6 +1,8 @@
 //! Tests of the owner's table of jobs and workers.
 
 mod cancel;
+mod capacity;
+mod crash;
 mod disturbance;
 mod fuzz;
 mod gang;
--- a/crates/scheduler/src/agent/run_table.rs
+++ b/crates/scheduler/src/agent/run_table.rs
@@ -4,6 +4,7 @@
 use super::{Error, Lists, Settings};
 use shallotflow_core::graph::Task;
 use shallotflow_core::name::Name;
+use shallotflow_core::resources::Bundle;
 use shallotflow_core::time::Time;
 use shallotflow_policy::disturbance::Rates;
 use shallotflow_policy::plan::message::{
@@ -51,6 +52,8 @@
     sequence: u64,
     profile: Option<Profile>,
     registration: u64,
+    /// The first report to the current owner that shows the worker as small as it is.
+    resized_report: u64,
     drain_deadline: Option<Time>,
     deregistered: bool,
     incarnation: Option<Incarnation>,
@@ -94,6 +97,7 @@
             sequence: 0,
             profile: None,
             registration: 0,
+            resized_report: 0,
             drain_deadline: None,
             deregistered: false,
             incarnation: None,
@@ -196,14 +200,24 @@
             _ => None,
         };
         self.registration = registration;
+        let former = self.profile.as_ref().map(|former| former.capacity);
+        if former.is_none_or(|former| !profile.capacity.holds(&former)) {
+            self.resized_report = self.sequence + 1;
+        }
         self.profile = Some(profile);
         true
     }
 
-    /// The incarnation and status of the worker's last registration.
-    pub fn registered(&self) -> Option<(Incarnation, Status)> {
+    /// The incarnation, status and capacity of the worker's last registration.
+    pub fn registered(&self) -> Option<(Incarnation, Status, Bundle)> {
         let profile = self.profile.as_ref()?;
-        Some((profile.incarnation.clone(), profile.status))
+        Some((profile.incarnation.clone(), profile.status, profile.capacity))
+    }
+
+    /// Whether the owner may have ordered a start for a larger worker: its order came with the reply
+    /// to the report `sequence`.
+    pub fn has_shrunk_since(&self, sequence: u64) -> bool {
+        sequence < self.resized_report
     }
 
     /// Records that the worker `id` has deregistered; returns `false` when another one is
@@ -239,10 +253,8 @@
             self.unanswered.clear();
         }
         self.late_starts = self.unanswered.keys().copied().collect();
-        if let Some(profile) = &mut self.profile {
-            profile.incarnation = incarnation.clone();
-            profile.status = Status::Ready;
-        }
+        // The next incarnation may be another kind of worker, whatever it is called.
+        self.profile = None;
         self.incarnation = Some(incarnation);
         self.registration = 0;
         self.drain_deadline = None;
@@ -461,6 +473,13 @@
             answers: Vec::new(),
             received: self.last_order,
         };
+        if self.complete {
+            // The owner needs these of a worker that is gone as well: which starts it carried out.
+            for unconfirmed in &mut self.answers {
+                unconfirmed.first_report.get_or_insert(sequence);
+                report.answers.push(unconfirmed.item);
+            }
+        }
         if !report.complete {
             return report;
         }
@@ -469,10 +488,6 @@
             unconfirmed.first_report.get_or_insert(sequence);
             report.ends.push(unconfirmed.item.clone());
         }
-        for unconfirmed in &mut self.answers {
-            unconfirmed.first_report.get_or_insert(sequence);
-            report.answers.push(unconfirmed.item);
-        }
         let due = |listed: Time| listed.after(self.settings.list_interval).passed(now);
         if self.last_listed.is_none_or(due) {
             self.last_listed = Some(now);
@@ -551,6 +566,7 @@
     fn switch_owner(&mut self, epoch: u64) {
         self.epoch = epoch;
         self.sequence = 0;
+        self.resized_report = 0;
         self.sent_reports.clear();
         self.last_order = 0;
         self.complete = false;
--- a/crates/scheduler/tests/path/fault.rs
+++ b/crates/scheduler/tests/path/fault.rs
@@ -15,6 +15,12 @@
     ForgetUnrecorded,
     /// Workers obey owners with a lower epoch.
     OldFence,
+    /// Agents never report that their workers have shrunk.
+    HiddenShrinking,
+    /// The crash of a worker is taken for an announced end.
+    CrashAsDrain,
+    /// A new owner does not know the crashes that its predecessor recorded.
+    ForgetCrashes,
     /// Agents renew leases although no owner answers.
     EndlessLease,
 }
--- a/crates/scheduler/tests/path/worker.rs
+++ b/crates/scheduler/tests/path/worker.rs
@@ -8,13 +8,25 @@
 use shallotflow_scheduler::agent::{Error, Lists, Result};
 use std::collections::BTreeMap;
 
+/// Longest time from a stop until the run has ended, in milliseconds.
+pub(crate) const STOP_MS: u64 = 900;
+/// Processors of a worker that has not shrunk.
+pub(crate) const FULL_MILLICORES: u32 = 5_000;
+
 /// Longest lease that a worker grants, in milliseconds.
 pub(crate) const LEASE_MS: u64 = 6_000;
 
+/// Time from the start of a task that crashes its worker to the crash, in milliseconds.
+const CRASH_MS: u64 = 10;
+/// How long a worker is away after a crash, in milliseconds.
+const DOWN_MS: u64 = 2_000;
+
 struct RunningTask {
     run: u32,
     until: u64,
     fails: bool,
+    stopped: bool,
+    millicores: u32,
 }
 
 pub(crate) struct Worker {
@@ -30,6 +42,12 @@
     last_end: u64,
     /// The last end before the lease lapsed.
     lapsed_end: u64,
+    /// The processors since each time at which they changed, the latest last.
+    capacities: Vec<(u64, u32)>,
+    /// When the worker crashes, once it has started a task that crashes it.
+    crashes_at: u64,
+    /// Until when nothing listens at its address.
+    pub(crate) down_until: u64,
     pub(crate) lost: usize,
     fault: Option<Fault>,
 }
@@ -47,6 +65,9 @@
             ends: Vec::new(),
             last_end: 0,
             lapsed_end: 0,
+            capacities: vec![(0, FULL_MILLICORES)],
+            crashes_at: u64::MAX,
+            down_until: 0,
             lost: 0,
             fault,
         }
@@ -56,6 +77,22 @@
         Incarnation { id: Name::from(format!("w{}", self.number)), started_ms: self.started_ms }
     }
 
+    /// The present processors; the worker starts what it is told to start, whether it has them or not.
+    pub(crate) fn millicores(&self) -> u32 {
+        self.capacities.last().map_or(FULL_MILLICORES, |(_, millicores)| *millicores)
+    }
+
+    pub(crate) fn resize(&mut self, millicores: u32, now: u64) {
+        self.capacities.push((now, millicores));
+    }
+
+    /// The most processors that the worker has had since `since`.
+    fn millicores_since(&self, since: u64) -> u32 {
+        let later = self.capacities.iter().rev().take_while(|(from, _)| *from > since);
+        let before = self.capacities.iter().rev().find(|(from, _)| *from <= since);
+        later.chain(before).map(|(_, millicores)| *millicores).max().unwrap_or(0)
+    }
+
     /// Milliseconds since the start of this incarnation; the clock runs one fiftieth slower than
     /// the simulation's.
     fn clock(&self, now: u64) -> u64 {
@@ -65,19 +102,28 @@
     /// Restarts the worker, which then knows nothing of its former incarnation.
     pub(crate) fn restart(&mut self, now: u64, oracle: &mut Oracle) {
         for task in self.running.keys() {
-            oracle.mark_ended(self.number, *task);
+            oracle.mark_crashed(self.number, *task);
         }
         self.lost += self.running.len();
         *self = Self {
             started_ms: self.started_ms + 1,
             since: now,
             lost: self.lost,
+            capacities: std::mem::take(&mut self.capacities),
             ..Self::new(self.number, self.fault)
         };
     }
 
+    pub(crate) fn is_down(&self, now: u64) -> bool {
+        now < self.down_until
+    }
+
     /// Ends the tasks that are due, and all tasks once the lease has expired.
     pub(crate) fn tick(&mut self, now: u64, oracle: &mut Oracle) {
+        if self.crashes_at <= now {
+            self.restart(now, oracle);
+            self.down_until = now + DOWN_MS;
+        }
         let due: Vec<Task> = self
             .running
             .iter()
@@ -85,8 +131,11 @@
             .map(|(t, _)| *t)
             .collect();
         for task in due {
-            let reason =
-                if self.running[&task].fails { ExitReason::Failed } else { ExitReason::Done };
+            let reason = match &self.running[&task] {
+                running if running.stopped => ExitReason::Stopped,
+                running if running.fails => ExitReason::Failed,
+                _ => ExitReason::Done,
+            };
             self.end(task, reason, oracle);
         }
         if self.clock(now) >= self.lease {
@@ -106,8 +155,10 @@
         let highest = self.highest.entry(task).or_default();
         *highest = run.max(*highest);
         oracle.mark_ended(self.number, task);
-        if reason == ExitReason::Done {
-            oracle.mark_done(task, run);
+        match reason {
+            ExitReason::Done => oracle.mark_done(task, run),
+            ExitReason::Failed => oracle.mark_failed(task),
+            _ => {}
         }
     }
 
@@ -128,8 +179,8 @@
         (task, run): (Task, u32),
         lease: u64,
         epoch: u64,
-        (takes, fails): (u64, bool),
-        now: u64,
+        (takes, fails, millicores): (u64, bool, u32),
+        (now, shrunk_before): (u64, u64),
         oracle: &mut Oracle,
     ) -> Result<u64> {
         self.obey(epoch)?;
@@ -146,8 +197,14 @@
             return Err(Error::Old);
         }
         self.renew(lease, now);
-        self.running.insert(task, RunningTask { run, until: now + takes, fails });
+        let active = RunningTask { run, until: now + takes, fails, stopped: false, millicores };
+        self.running.insert(task, active);
+        let used = self.running.values().map(|running| running.millicores).sum();
+        oracle.check_capacity(self.number, task, used, self.millicores_since(shrunk_before));
         oracle.start(self.number, task, super::simulation::ATTEMPTS);
+        if oracle.is_deadly(task) {
+            self.crashes_at = now + CRASH_MS;
+        }
         Ok(self.clock(now))
     }
 
@@ -155,12 +212,14 @@
         &mut self,
         (task, run): (Task, u32),
         epoch: u64,
-        now: u64,
-        oracle: &mut Oracle,
+        (now, takes): (u64, u64),
     ) -> Result<u64> {
         self.obey(epoch)?;
-        if self.running.get(&task).is_some_and(|running| running.run == run) {
-            self.end(task, ExitReason::Stopped, oracle);
+        if let Some(running) = self.running.get_mut(&task)
+            && running.run == run
+            && now + takes < running.until
+        {
+            (running.until, running.stopped) = (now + takes, true);
         }
         let highest = self.highest.entry(task).or_default();
         *highest = run.max(*highest);
--- a/crates/scheduler/tests/run_table.rs
+++ b/crates/scheduler/tests/run_table.rs
@@ -150,19 +150,45 @@
     assert_eq!(table.take_late_starts(), [], "it refuses calls for the former identifier");
 }
 
-#[test]
-fn a_worker_that_stays_silent_counts_as_empty_while_the_owner_answers() {
-    let mut table = joined(vec![run()]);
-    let incarnation = lists(7, Vec::new()).incarnation;
-    let profile = Profile {
-        incarnation,
+fn profile(millicores: u32) -> Profile {
+    Profile {
+        incarnation: Incarnation { id: Name::from("w"), started_ms: 7 },
         service: Name::from("s"),
-        capacity: Bundle::default(),
+        capacity: Bundle { millicores, ..Bundle::default() },
         labels: Vec::new(),
         rack: None,
         status: Status::Ready,
-    };
-    assert!(table.register(profile, 1, at(0)));
+    }
+}
+
+#[test]
+fn a_new_incarnation_is_not_taken_for_as_large_as_the_former_one() {
+    let mut table = joined(Vec::new());
+    table.register(profile(10_000), 1, at(10));
+    assert!(table.accepts_tasks());
+    table.apply_lists(lists(8, Vec::new()), 1, at(20), at(20));
+    assert!(!table.accepts_tasks(), "it has not registered");
+    assert_eq!(table.report(at(30)).worker, None);
+}
+
+#[test]
+fn a_start_is_outdated_until_the_owner_knows_of_the_smaller_worker() {
+    let mut table = joined(Vec::new());
+    table.register(profile(10_000), 1, at(10));
+    let first = table.report(at(20)).sequence;
+    assert!(!table.has_shrunk_since(first));
+    table.register(profile(4_000), 2, at(30));
+    assert!(table.has_shrunk_since(first));
+    let second = table.report(at(40)).sequence;
+    assert!(!table.has_shrunk_since(second));
+    table.register(profile(5_000), 3, at(50));
+    assert!(!table.has_shrunk_since(second), "a larger worker holds what the smaller one does");
+}
+
+#[test]
+fn a_worker_that_stays_silent_counts_as_empty_while_the_owner_answers() {
+    let mut table = joined(vec![run()]);
+    assert!(table.register(profile(10_000), 1, at(0)));
     let mut status = None;
     for ms in (0..20_000).step_by(400) {
         let report = table.report(at(ms));
