Lose no notification of a due report that comes together with a reply

What operators can see: a changed capacity, or the end of a run, reaches the owner up to 400 ms late.

The loop that reports waited for a reply or for a notification, whichever comes first. If both came at once it took the reply and dropped the listener with its notification, so nothing was reported until the reply to the next report.

The check is as before.

The listener outlives a reply and is renewed only after it has been notified.

--- a/crates/scheduler/src/agent/report.rs
+++ b/crates/scheduler/src/agent/report.rs
@@ -69,18 +69,20 @@
     let mut in_flight = FuturesUnordered::new();
     let mut joined = false;
     let mut pending = false;
+    let mut due = agent.report_due.listen();
     loop {
         if in_flight.is_empty() || (pending && in_flight.len() < MAX_IN_FLIGHT) {
             in_flight.push(send_report(agent, &client));
             pending = false;
         }
-        let listener = agent.report_due.listen();
+        // The listener outlives a reply, so that no notification is lost that comes together with one.
         let reply = monoio::select! {
             Some(reply) = in_flight.next() => Some(reply),
-            _ = listener => None,
+            () = &mut due => None,
         };
         let Some(reply) = reply else {
             monoio::time::sleep(COALESCE_DELAY).await;
+            due = agent.report_due.listen();
             pending = true;
             continue;
         };
--- a/crates/scheduler/tests/agent.rs
+++ b/crates/scheduler/tests/agent.rs
@@ -182,18 +182,21 @@
     .expect("a runtime");
 }
 
-/// An owner that answers a complete report only if it shows another capacity than the last one.
+/// An owner that answers a complete report only if it shows another capacity than the last one, or
+/// once a later report has arrived.
 async fn own_silently(mut calls: UnboundedReceiver<Call>, seen: Rc<Cell<u32>>) {
-    let mut withheld = Vec::new();
+    let mut withheld = None;
     while let Some(call) = calls.next().await {
         let Call::Report(report, sender) = call else { continue };
         let millicores = report.worker.map_or(0, |profile| profile.capacity.millicores);
-        if report.complete && seen.replace(millicores) == millicores {
-            withheld.push(sender);
-            continue;
-        }
         let sequence = report.sequence;
-        let _ = sender.send(Reply { epoch: 1, owned: true, sequence, ..Reply::default() });
+        let reply = Reply { epoch: 1, owned: true, sequence, ..Reply::default() };
+        let unchanged = report.complete && seen.replace(millicores) == millicores;
+        let answered =
+            if unchanged { withheld.replace((sender, reply)) } else { Some((sender, reply)) };
+        if let Some((sender, reply)) = answered {
+            let _ = sender.send(reply);
+        }
     }
 }
 
