Read progress that was stored before crashes were counted

What callers would have seen: after an upgrade, jobs with a stored checkpoint are neither started nor shown.

Records are encoded by position. The runs under which workers crashed were put before the checkpoints, so a record of the former version did not decode, and its job was left out; entries of the former version could not read new records either.

Found while reading the change, before it landed; `progress_without_crashes_is_stored_as_before_they_were_counted` failed before ("invalid type: string").

The new fields come last and are left out while they are empty. Both versions read a record without crashes; only entries of the former version cannot read one with crashes.

--- a/crates/policy/src/plan/progress.rs
+++ b/crates/policy/src/plan/progress.rs
@@ -14,10 +14,13 @@
     pub done: Vec<(u32, u32)>,
     /// Numbers of failed runs by task.
     pub failed: Vec<(u32, Vec<u32>)>,
-    /// Numbers of the runs under which a worker crashed, by task.
-    pub crashed: Vec<(u32, Vec<u32>)>,
-    /// Numbers of the runs that may have crashed the worker, by task.
-    pub suspected: Vec<(u32, Vec<u32>)>,
     /// Latest checkpoint by task.
     pub checkpoints: Vec<(u32, Name)>,
+    /// Numbers of the runs under which a worker crashed, by task. Left out while there are none, so
+    /// that entries of the former version can read the record.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub crashed: Vec<(u32, Vec<u32>)>,
+    /// Those of them that may have crashed the worker.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub suspected: Vec<(u32, Vec<u32>)>,
 }
--- a/crates/scheduler/tests/records.rs
+++ b/crates/scheduler/tests/records.rs
@@ -3,6 +3,7 @@
 use proptest::prelude::*;
 use serde::Serialize;
 use shallotflow_core::graph::{Job, Queue, Spec, State, Step};
+use shallotflow_core::name::Name;
 use shallotflow_policy::disturbance::Rates;
 use shallotflow_policy::plan::Progress;
 use shallotflow_scheduler::peers::{pack, unpack};
@@ -83,3 +84,28 @@
     assert_eq!(job.queue.attempts, Queue::default().attempts);
     assert_eq!((&*job.spec.text, job.spec.steps[0].count), ("text", 3));
 }
+
+/// The progress of a job as it was stored before crashes of workers were counted.
+#[derive(Serialize)]
+struct FormerProgress {
+    state: State,
+    ended_ms: u64,
+    done: Vec<(u32, u32)>,
+    failed: Vec<(u32, Vec<u32>)>,
+    checkpoints: Vec<(u32, Name)>,
+}
+
+#[test]
+fn progress_without_crashes_is_stored_as_before_they_were_counted() {
+    let former = FormerProgress {
+        state: State::Running,
+        ended_ms: 0,
+        done: vec![(0, 3)],
+        failed: vec![(4, vec![1])],
+        checkpoints: vec![(5, Name::from("half"))],
+    };
+    let former = pack(&former).expect("a record");
+    let progress = unpack::<Progress>(&former).expect("a progress");
+    assert_eq!(progress.checkpoints, [(5, Name::from("half"))]);
+    assert_eq!(pack(&progress).expect("a record"), former, "older entries can read it");
+}
