--- a/crates/scheduler/src/agent/run_table.rs
+++ b/crates/scheduler/src/agent/run_table.rs
@@ -454,7 +454,7 @@
         if self.sent_reports.len() > MAX_SENT_REPORTS {
             self.sent_reports.pop_front();
         }
-        // A worker that has never registered is gone once it is silent and its last lease has ended.
+        // An incarnation that has not registered is gone once it is silent and its last lease has ended.
         let unregistered_empty =
             self.profile.is_none() && self.is_silent() && self.granted_until.passed(now);
         let vacant = self.is_vacant() || unregistered_empty;
--- a/crates/scheduler/src/entry/shared.rs
+++ b/crates/scheduler/src/entry/shared.rs
@@ -243,7 +243,8 @@
     ///
     /// A successor may already have done work that still waits in this table, and counts on the end
     /// of leases that were renewed before its claim. There is no successor while the entry is
-    /// present, and none while the store answers nobody.
+    /// present, and none while the store answers nobody. The latter is inferred from any other entry in
+    /// reach, so it fails for an owner that is cut off together with another entry.
     pub(super) fn has_no_successor(&self, now: Time) -> bool {
         if self.is_present(now) {
             return true;
