Keep workers of evacuated failure domains out of every search

Operators need to stop work from going to a failure domain while they are still connected to it. The table now holds the evacuated domains: their workers leave the ranking, trials there end, and starts that agents have not confirmed are withdrawn by a stop, since a reply with the order may be on its way. Replies carry the state with the number of its change, so that a late reply does not end it; reports say what the agent knows. Agents refuse starts while they are evacuated. Workers that return cold are ranked after all others, by the time that remains.

--- a/crates/policy/benches/plan.rs
+++ b/crates/policy/benches/plan.rs
@@ -124,6 +124,8 @@
                 labels: vec!["a".into()],
                 rack: Some(format!("rack-{}", number / WORKERS_PER_RACK).into()),
                 status: Status::Ready,
+                failure_domain: "".into(),
+                cold_remaining_ms: 0,
             }),
             vacant: false,
             complete: true,
@@ -132,6 +134,7 @@
             ends,
             answers,
             received: worker.received,
+            evacuated: None,
         }
     }
 
--- a/crates/policy/src/plan/audit.rs
+++ b/crates/policy/src/plan/audit.rs
@@ -43,6 +43,9 @@
     /// A worker that is kept for a task that does not run there.
     #[error("{0} is kept for a task that does not run there; report this as a defect")]
     Trial(Name),
+    /// A worker whose state differs from the evacuated domains.
+    #[error("{0} is not evacuated as its failure domain is; report this as a defect")]
+    Evacuation(Name),
     /// A choice that differs from the best of all workers.
     #[error("the search for {0} misses the best worker; report this as a defect")]
     Search(Task),
@@ -126,6 +129,12 @@
         let mut ranking = Ranking::default();
         let mut holding = BTreeSet::new();
         for (agent, worker) in &self.workers {
+            let profile = worker.profile.as_ref();
+            if worker.evacuated
+                != profile.is_some_and(|profile| self.evacuations.contains(&profile.failure_domain))
+            {
+                return Err(Mismatch::Evacuation(agent.clone()));
+            }
             let mut load = Load::default();
             for placed in worker.placed.values() {
                 load.add(placed);
--- a/crates/policy/src/plan/event.rs
+++ b/crates/policy/src/plan/event.rs
@@ -132,6 +132,24 @@
         /// The first violation.
         reason: String,
     },
+    /// A failure domain is evacuated: nothing starts at its workers.
+    Evacuated {
+        /// The failure domain.
+        domain: Name,
+        /// Revision of the request in the store; 0 if the configuration evacuates the domain.
+        revision: i64,
+        /// Number of its known workers; later ones are evacuated as well.
+        workers: usize,
+        /// Number of runs at these workers, which go on unless they have not started yet.
+        runs: usize,
+    },
+    /// The workers of a failure domain may get tasks again.
+    Readmitted {
+        /// The failure domain.
+        domain: Name,
+        /// Number of its known workers.
+        workers: usize,
+    },
     /// Tasks that a predecessor may have started are now known not to run.
     #[serde(rename = "certain")]
     Settled {
--- a/crates/policy/src/plan/message/profile.rs
+++ b/crates/policy/src/plan/message/profile.rs
@@ -36,4 +36,10 @@
     /// Whether it accepts tasks.
     #[serde(rename = "standing")]
     pub status: Status,
+    /// Failure domain of the worker; empty if it is not known.
+    #[serde(default)]
+    pub failure_domain: Name,
+    /// For how long the worker remains slow after its return, milliseconds.
+    #[serde(default)]
+    pub cold_remaining_ms: u64,
 }
--- a/crates/policy/src/plan/message/reply.rs
+++ b/crates/policy/src/plan/message/reply.rs
@@ -31,4 +31,10 @@
     pub run_traits: Vec<RunTraits>,
     /// Addresses at which the entries accept reports.
     pub entries: Vec<SocketAddr>,
+    /// Whether the worker's failure domain is evacuated, so that the agent refuses starts.
+    #[serde(default)]
+    pub evacuated: bool,
+    /// Number of the change that `evacuated` includes; replies may arrive out of order.
+    #[serde(default)]
+    pub evacuation_version: u64,
 }
--- a/crates/policy/src/plan/message/report.rs
+++ b/crates/policy/src/plan/message/report.rs
@@ -33,4 +33,8 @@
     pub answers: Vec<Answer>,
     /// Highest order number that was received.
     pub received: u64,
+    /// Whether the agent refuses starts because of an evacuation, as the latest reply said; agents of
+    /// the previous version do not know.
+    #[serde(default)]
+    pub evacuated: Option<bool>,
 }
--- a/crates/policy/src/plan/mod.rs
+++ b/crates/policy/src/plan/mod.rs
@@ -10,8 +10,9 @@
 //! - [`Sizes`]: the largest observed workers, to reject jobs that fit none.
 //! - [`Event`]: decisions and observations, for the log.
 //! - [`Mismatch`]: a difference between state that is kept up to date and its source, for tests.
-//! - `accept`, `report`, `expire`, `disturbance`, `place`, `record`, `relocate`, `urgency`, `crash`: the
-//!   operations on the table.
+//! - [`EvacuationRequests`], [`Evacuation`]: requests to evacuate failure domains, and their effect.
+//! - `accept`, `report`, `expire`, `disturbance`, `place`, `record`, `relocate`, `urgency`, `crash`,
+//!   `evacuate`: the operations on the table.
 //!
 //! A run occupies its worker until the worker lists its end, also if its task goes on elsewhere, is done
 //! or is not known.
@@ -29,9 +30,14 @@
 mod accept;
 mod audit;
 mod changes;
+mod cold;
 mod crash;
 mod demand;
 mod disturbance;
+mod evacuate;
+mod evacuation;
+pub mod evacuation_requests;
+mod evacuations;
 mod event;
 mod expire;
 mod job;
@@ -56,6 +62,8 @@
 mod worker;
 
 pub use audit::Mismatch;
+pub use evacuation::Evacuation;
+pub use evacuation_requests::EvacuationRequests;
 pub use event::Event;
 pub use job::Job;
 pub use progress::Progress;
--- a/crates/policy/src/plan/ranking.rs
+++ b/crates/policy/src/plan/ranking.rs
@@ -5,17 +5,17 @@
 use shallotflow_core::name::Name;
 use std::collections::BTreeSet;
 
-/// Expected processor use of a worker, ordered as a number: a non-negative floating-point number
+/// Expected processor use of a worker plus its cost while it is cold, ordered as a number: a non-negative floating-point number
 /// orders like its bits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Pressure(u64);
 
 impl Pressure {
-    fn of(share: f64) -> Self {
+    pub(super) fn of(share: f64) -> Self {
         Self(share.max(0.0).to_bits())
     }
 
-    /// Returns the expected use as a share of the worker's processors.
+    /// Returns the expected use as a share of the worker's processors, plus the cost of a cold one.
     pub(super) fn share(self) -> f64 {
         f64::from_bits(self.0)
     }
@@ -76,15 +76,15 @@
         worker: &mut Worker,
         settings: &Settings,
     ) -> bool {
-        let ready = worker.synced && !worker.vacant;
+        let ready = worker.synced && !worker.vacant && !worker.evacuated;
         let registered = worker.profile.as_ref().filter(|profile| {
             ready
                 && profile.status == Status::Ready
                 && worker.incarnation.as_ref() == Some(&profile.incarnation)
         });
         let rank = registered.map(|profile| {
-            let pressure = Pressure::of(worker.load.pressure(0.0, &profile.capacity, settings));
-            (profile, pressure)
+            let pressure = worker.load.pressure(0.0, &profile.capacity, settings);
+            (profile, Pressure::of(pressure + worker.cold_cost()))
         });
         match (&mut worker.rank, rank) {
             (None, None) => false,
--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -49,6 +49,7 @@
         }
         worker.vacant = report.vacant;
         worker.lacks_traits = report.lacks_traits;
+        worker.known_evacuated = report.evacuated;
         if report.running.is_some() {
             worker.listed_sequence = report.sequence;
         }
@@ -111,6 +112,7 @@
             if let Some(former) = former.filter(|former| former.capacity != profile.capacity) {
                 self.resize_worker(agent, &former.capacity, now);
             }
+            self.update_evacuation(agent, now);
         }
         let Some(worker) = self.workers.get_mut(agent) else { return };
         let Some(incarnation) = &report.incarnation else { return };
@@ -151,7 +153,7 @@
     }
 
     /// Removes the orders to start that `agent` has not confirmed as received; returns their runs.
-    fn withdraw_starts(&mut self, agent: &Name) -> Vec<(Task, u32)> {
+    pub(super) fn withdraw_starts(&mut self, agent: &Name) -> Vec<(Task, u32)> {
         let Some(worker) = self.workers.get_mut(agent) else { return Vec::new() };
         let is_start = |order: &&Order| order.kind != Kind::Stop;
         let starts = worker.outbox.iter().filter(is_start).map(|order| (order.task, order.run));
@@ -398,6 +400,9 @@
                     let full = now.after(self.settings.retry_pause.saturating_mul(4));
                     if let Some(worker) = self.workers.get_mut(agent) {
                         worker.full_until = full;
+                        if worker.evacuated && outcome == Outcome::NotReady {
+                            self.evacuations.count_refusal();
+                        }
                     }
                 }
             }
--- a/crates/policy/src/plan/search.rs
+++ b/crates/policy/src/plan/search.rs
@@ -1,5 +1,6 @@
+use super::cold::COLD_BASE;
 use super::demand::Demand;
-use super::ranking::List;
+use super::ranking::{List, Pressure};
 use super::{Job, Table, Worker};
 use shallotflow_core::graph::{Step, Task};
 use shallotflow_core::name::Name;
@@ -166,17 +167,26 @@
         let settings = &self.table.settings;
         let largest = self.table.sizes.largest(&self.job.queue.service);
         let least_extra = self.extra / f64::from(largest.millicores.max(1));
-        for (pressure, agent) in list {
+        let mut workers = list.range::<(Pressure, Name), _>(..);
+        while let Some((pressure, agent)) = workers.next() {
             let pressure = pressure.share();
             let bound = (pressure + least_extra) * factor;
             if self.best.as_ref().is_some_and(|best| best.score <= bound + ROUNDING) {
                 return;
             }
-            if self.step.best_effort && pressure > settings.best_effort_limit {
-                // All further workers in the list exceed the limit as well, and only best-effort
-                // tasks can use a worker beyond its capacity.
+            if self.step.best_effort
+                && pressure > settings.best_effort_limit
+                && pressure < COLD_BASE
+            {
+                // All further workers in the list exceed the limit as well, except cold ones, and only
+                // best-effort tasks can use a worker beyond its capacity.
                 self.any_room = true;
-                return;
+                let Some((last, _)) = list.last() else { return };
+                if last.share() < COLD_BASE {
+                    return;
+                }
+                workers = list.range((Pressure::of(COLD_BASE), Name::from(""))..);
+                continue;
             }
             self.consider(agent);
         }
@@ -241,6 +251,7 @@
         } else {
             pressure
         };
+        score += worker.cold_cost();
         if isolation != Isolation::None {
             // The fewest runs to lose come first, then the usual order.
             score += RUN_AT_RISK_COST
--- a/crates/policy/src/plan/table.rs
+++ b/crates/policy/src/plan/table.rs
@@ -1,4 +1,5 @@
 use super::changes::Changes;
+use super::evacuations::Evacuations;
 use super::message::{Kind, Reply, RunTraits, Traits};
 use super::ranking::Ranking;
 use super::refusals::Refusals;
@@ -65,6 +66,8 @@
     pub(super) sizes: Sizes,
     /// Learned disturbance between images.
     pub(super) rates: Rates,
+    /// Failure domains at whose workers nothing starts.
+    pub(super) evacuations: Evacuations,
     pub(super) events: Vec<Event>,
     /// Wall-clock time at the last tick, milliseconds since 1970.
     pub(super) wall_ms: u64,
@@ -101,6 +104,7 @@
             missing: agents.into_iter().map(|agent| (agent, empty_at)).collect(),
             sizes: Sizes::default(),
             rates: Rates::default(),
+            evacuations: Evacuations::default(),
             events: Vec::new(),
             wall_ms: 0,
         }
@@ -235,14 +239,18 @@
             } else {
                 Vec::new()
             },
+            evacuated: worker.evacuated,
+            evacuation_version: self.evacuations.version(),
             ..Reply::default()
         }
     }
 
-    /// Returns whether there are orders or traits for `agent`, or ends above `recorded` to discard.
+    /// Returns whether there are orders or traits for `agent`, ends above `recorded` to discard, or a
+    /// change of its evacuation that it has not reported to know.
     pub fn has_updates(&self, agent: &str, recorded: u64) -> bool {
         let Some(worker) = self.workers.get(agent) else { return false };
-        worker.lacks_traits || !worker.outbox.is_empty() || worker.recorded > recorded
+        let informed = worker.known_evacuated.is_none_or(|known| known == worker.evacuated);
+        worker.lacks_traits || !worker.outbox.is_empty() || worker.recorded > recorded || !informed
     }
 
     /// Returns the traits of the runs of a worker.
--- a/crates/policy/src/plan/worker.rs
+++ b/crates/policy/src/plan/worker.rs
@@ -97,6 +97,12 @@
     /// Until when it gets no tasks after it refused a start.
     #[serde(rename = "full")]
     pub full_until: Time,
+    /// Whether its failure domain is evacuated, so that nothing starts there.
+    pub evacuated: bool,
+    /// Whether the agent knows of an evacuation, by its latest report; agents of the previous version
+    /// do not report that.
+    #[serde(skip)]
+    pub(super) known_evacuated: Option<bool>,
     #[serde(skip)]
     pub(super) placed: BTreeMap<Task, Placed>,
     /// Runs that may still be at the worker and are the current run of no task.
@@ -130,6 +136,7 @@
             && registered == self.incarnation.as_ref()
             && self.synced
             && !self.vacant
+            && !self.evacuated
             && now < self.last_report.after(report_timeout)
             && self.full_until.passed(now)
     }
--- a/crates/policy/tests/plan/harness.rs
+++ b/crates/policy/tests/plan/harness.rs
@@ -24,6 +24,9 @@
     pub(crate) status: Status,
     pub(crate) labels: Vec<Name>,
     pub(crate) rack: Option<Name>,
+    pub(crate) failure_domain: Name,
+    pub(crate) cold_remaining_ms: u64,
+    pub(crate) evacuated: bool,
     pub(crate) running: BTreeMap<Task, Run>,
     pub(crate) ends: Vec<End>,
     pub(crate) answers: Vec<Answer>,
@@ -105,6 +108,7 @@
         let report = worker.report(&name, epoch);
         self.table.apply_report(report, self.now);
         let reply = self.table.reply(&name);
+        worker.evacuated = reply.evacuated;
         worker.answers.clear();
         worker.ends.retain(|end| end.number > reply.recorded);
         let received = worker.received;
@@ -191,6 +195,9 @@
             status: Status::Ready,
             labels: Vec::new(),
             rack: None,
+            failure_domain: Name::from(""),
+            cold_remaining_ms: 0,
+            evacuated: false,
             running: BTreeMap::new(),
             ends: Vec::new(),
             answers: Vec::new(),
@@ -252,6 +259,8 @@
                 labels: self.labels.clone(),
                 rack: self.rack.clone(),
                 status: self.status,
+                failure_domain: self.failure_domain.clone(),
+                cold_remaining_ms: self.cold_remaining_ms,
             }),
             vacant: false,
             complete: true,
@@ -260,6 +269,7 @@
             ends: self.ends.clone(),
             answers: self.answers.clone(),
             received: self.received,
+            evacuated: Some(self.evacuated),
         }
     }
 
@@ -267,6 +277,8 @@
         for order in std::mem::take(&mut self.orders) {
             let Order { task, run, kind, .. } = order;
             let outcome = match kind {
+                // Like the agent of a worker that is evacuated.
+                Kind::Start { .. } if self.evacuated => Outcome::NotReady,
                 Kind::Start { .. } => {
                     let percent = 0;
                     let active =
--- a/crates/policy/tests/plan/main.rs
+++ b/crates/policy/tests/plan/main.rs
@@ -4,6 +4,7 @@
 mod capacity;
 mod crash;
 mod disturbance;
+mod evacuation;
 mod fuzz;
 mod gang;
 mod harness;
--- a/crates/scheduler/src/agent/run_table.rs
+++ b/crates/scheduler/src/agent/run_table.rs
@@ -55,6 +55,12 @@
     /// The first report to the current owner that shows the worker as small as it is.
     resized_report: u64,
     drain_deadline: Option<Time>,
+    /// When the worker is no longer slow after its return.
+    warm_at: Time,
+    /// Whether the worker's failure domain is evacuated, as far as the owners have said.
+    evacuated: bool,
+    /// The change of the current owner that `evacuated` includes.
+    evacuation_version: u64,
     deregistered: bool,
     incarnation: Option<Incarnation>,
     running: BTreeMap<Key, ActiveRun>,
@@ -99,6 +105,9 @@
             registration: 0,
             resized_report: 0,
             drain_deadline: None,
+            warm_at: Time::ZERO,
+            evacuated: false,
+            evacuation_version: 0,
             deregistered: false,
             incarnation: None,
             running: BTreeMap::new(),
@@ -173,9 +182,15 @@
         self.withdrawn.contains_key(key)
     }
 
-    /// Whether the worker accepts new tasks.
+    /// Whether the worker accepts new tasks: not while its failure domain is evacuated.
     pub fn accepts_tasks(&self) -> bool {
-        self.profile.as_ref().is_some_and(|profile| profile.status == Status::Ready)
+        let ready = self.profile.as_ref().is_some_and(|profile| profile.status == Status::Ready);
+        ready && !self.evacuated
+    }
+
+    /// Whether the worker's failure domain is evacuated.
+    pub fn is_evacuated(&self) -> bool {
+        self.evacuated
     }
 
     /// Applies a registration of the worker; returns `false` when it is older than the known one.
@@ -199,6 +214,7 @@
             }
             _ => None,
         };
+        self.warm_at = now.after(Duration::from_millis(profile.cold_remaining_ms));
         self.registration = registration;
         let former = self.profile.as_ref().map(|former| former.capacity);
         if former.is_none_or(|former| !profile.capacity.holds(&former)) {
@@ -239,6 +255,7 @@
             "recorded": self.recorded,
             "complete": self.complete,
             "authorised_left_ms": self.authorised_until.remaining(now).as_millis(),
+            "evacuated": self.evacuated,
             "lease_left_ms": self.granted_until.remaining(now).as_millis(),
         })
     }
@@ -472,6 +489,7 @@
             ends: Vec::new(),
             answers: Vec::new(),
             received: self.last_order,
+            evacuated: Some(self.evacuated),
         };
         if self.complete {
             // The owner needs these of a worker that is gone as well: which starts it carried out.
@@ -498,6 +516,8 @@
 
     fn profile(&self, now: Time) -> Option<Profile> {
         let mut profile = self.profile.clone()?;
+        let cold = self.warm_at.remaining(now).as_millis();
+        profile.cold_remaining_ms = u64::try_from(cold).unwrap_or(u64::MAX);
         if self.deregistered && self.failed_polls > 0 {
             profile.status = Status::Empty;
         } else if self.is_silent() {
@@ -520,6 +540,10 @@
             self.switch_owner(reply.epoch);
             return Vec::new();
         }
+        if reply.evacuation_version >= self.evacuation_version {
+            self.evacuation_version = reply.evacuation_version;
+            self.evacuated = reply.evacuated;
+        }
         let sequence = reply.sequence;
         let sent = self.sent_reports.iter().find(|(number, _)| *number == sequence);
         if let Some((_, sent)) = sent {
@@ -566,6 +590,8 @@
     fn switch_owner(&mut self, epoch: u64) {
         self.epoch = epoch;
         self.sequence = 0;
+        // The state itself lasts until the new owner has said otherwise.
+        self.evacuation_version = 0;
         self.resized_report = 0;
         self.sent_reports.clear();
         self.last_order = 0;
--- a/crates/scheduler/tests/agent.rs
+++ b/crates/scheduler/tests/agent.rs
@@ -153,6 +153,8 @@
         labels: Vec::new(),
         rack: None,
         status: Status::Ready,
+        failure_domain: "east".into(),
+        cold_remaining_ms: 0,
     }
 }
 
--- a/crates/scheduler/tests/owner.rs
+++ b/crates/scheduler/tests/owner.rs
@@ -24,6 +24,7 @@
 const HANG: Duration = Duration::from_secs(60);
 const PAUSE: Duration = Duration::from_millis(2);
 const AGENT: &str = "agent-1";
+const DOMAIN: &str = "east";
 
 /// An entry that uses the test's store; other entries cannot reach it.
 struct Process {
@@ -83,6 +84,8 @@
             labels: Vec::new(),
             rack: None,
             status: Status::Ready,
+            failure_domain: DOMAIN.into(),
+            cold_remaining_ms: 0,
         };
         let report = Report {
             agent: AGENT.into(),
@@ -98,6 +101,7 @@
             ends: Vec::new(),
             answers: Vec::new(),
             received: 0,
+            evacuated: None,
         };
         let (sender, reply) = oneshot::channel();
         let call = PeerCall::Report(Box::new(report), sender);
--- a/crates/scheduler/tests/path/simulation.rs
+++ b/crates/scheduler/tests/path/simulation.rs
@@ -157,6 +157,11 @@
     store_down_until: u64,
 }
 
+/// The failure domain of a worker; each has its own.
+fn domain_of(number: usize) -> Name {
+    format!("z{number}").into()
+}
+
 fn agent_name(number: usize) -> Name {
     format!("a{number}").into()
 }
@@ -470,6 +475,8 @@
             labels: Vec::new(),
             rack: None,
             status: Status::Ready,
+            failure_domain: domain_of(number),
+            cold_remaining_ms: 0,
         };
         let now = Time::from_millis(self.now);
         self.agents[number].run_table.register(profile, self.now, now);
--- a/crates/scheduler/tests/run_table.rs
+++ b/crates/scheduler/tests/run_table.rs
@@ -5,7 +5,7 @@
 use shallotflow_core::resources::Bundle;
 use shallotflow_core::time::Time;
 use shallotflow_policy::plan::message::{
-    Incarnation, Profile, Reply, Run, RunTraits, Status, Traits,
+    Incarnation, Kind, Order, Profile, Reply, Run, RunTraits, Status, Traits,
 };
 use shallotflow_scheduler::agent::run_table::RunTable;
 use shallotflow_scheduler::agent::{Error, Lists, Settings};
@@ -53,6 +53,65 @@
     assert_eq!(table.lease_ms(at(6_101)), None, "the time that the reply allows has passed");
 }
 
+/// Guards against an agent that executes starts in an evacuated domain, and against a late reply that
+/// ends the evacuation.
+#[test]
+fn an_evacuated_agent_accepts_no_tasks_until_a_later_change_says_otherwise() {
+    let mut table = joined(Vec::new());
+    assert!(table.register(profile(1_000), 1, at(0)));
+    let evacuated =
+        |evacuated, evacuation_version| Reply { evacuated, evacuation_version, ..reply(1, 0) };
+    assert!(table.accepts_tasks());
+    table.apply_reply(evacuated(true, 3));
+    assert!(!table.accepts_tasks());
+    assert_eq!(table.report(at(0)).evacuated, Some(true));
+    table.apply_reply(evacuated(false, 2));
+    assert!(!table.accepts_tasks(), "a reply that was sent before the change");
+    table.apply_reply(evacuated(false, 4));
+    assert!(table.accepts_tasks());
+    assert_eq!(table.report(at(0)).evacuated, Some(false));
+}
+
+/// Guards against a start between the loss of one owner and the first reply of the next.
+#[test]
+fn an_evacuation_lasts_until_the_new_owner_has_said_otherwise() {
+    let mut table = joined(Vec::new());
+    assert!(table.register(profile(1_000), 1, at(0)));
+    table.apply_reply(Reply { evacuated: true, evacuation_version: 9, ..reply(1, 0) });
+    table.apply_reply(reply(2, 0));
+    assert!(!table.accepts_tasks());
+    table.apply_reply(Reply { evacuated: true, evacuation_version: 1, ..reply(2, 0) });
+    assert!(!table.accepts_tasks());
+    table.apply_reply(Reply { evacuation_version: 2, ..reply(2, 0) });
+    assert!(table.accepts_tasks());
+}
+
+/// Guards against an agent that starts again and executes an order before it knows of the evacuation.
+#[test]
+fn an_agent_that_restarts_learns_of_an_evacuation_with_its_first_reply() {
+    let mut table = table();
+    assert!(table.register(profile(1_000), 1, at(0)));
+    // The first report names no owner, and its reply has no orders.
+    assert!(table.apply_reply(reply(1, 0)).is_empty());
+    let traits = Traits::default();
+    let kind = Kind::Start { text: "text".into(), checkpoint: None, traits };
+    let order = Order { number: 1, task: run().task, run: 1, kind };
+    let first = Reply { evacuated: true, orders: vec![order.clone()], ..reply(1, 0) };
+    assert_eq!(table.apply_reply(first), [order]);
+    assert!(!table.accepts_tasks());
+}
+
+/// Guards against a cold time that stays as it was at the registration.
+#[test]
+fn the_cold_time_of_a_worker_runs_out() {
+    let mut table = joined(Vec::new());
+    let cold = Profile { cold_remaining_ms: 3_000, ..profile(1_000) };
+    assert!(table.register(cold, 1, at(0)));
+    let mut remaining = |ms| table.report(at(ms)).worker.map(|worker| worker.cold_remaining_ms);
+    assert_eq!(remaining(1_000), Some(2_000));
+    assert_eq!(remaining(4_000), Some(0));
+}
+
 #[test]
 fn a_former_owner_is_not_obeyed() {
     let mut table = joined(Vec::new());
@@ -158,6 +217,8 @@
         labels: Vec::new(),
         rack: None,
         status: Status::Ready,
+        failure_domain: Name::from("east"),
+        cold_remaining_ms: 0,
     }
 }
 
