Let the owner read and follow requests to evacuate domains

The owner reads the requests when it loads its table, before the first start, and does not take the table over if it cannot. It then watches them, reads them again after each failure of the watch, and at a fixed interval, since a watch whose answer is lost is silent for longer than a request may take. Domains of the fleet configuration are added to them. Refused starts and evacuated domains are counted, and the state dump shows the domains.

--- a/crates/core/src/metric.rs
+++ b/crates/core/src/metric.rs
@@ -108,6 +108,10 @@
         "Tasks that were given up because they crash workers.";
     GRAPH_OWNED = "shallotflow_graph_owned", Gauge, "",
         "1 while the entry owns the table of graphs, otherwise 0.";
+    GRAPH_EVACUATED = "shallotflow_graph_evacuated_domains", Gauge, "",
+        "Failure domains at whose workers the owner of the table of graphs starts nothing.";
+    GRAPH_EVACUATION_REFUSALS = "shallotflow_graph_evacuation_refusals_total", Counter, "",
+        "Starts of graph tasks that were withdrawn or refused because of an evacuation.";
     GRAPH_RECORDS = "shallotflow_graph_records_total", Counter, "result",
         "Commits of graph progress to the store, by result.";
     START_CALL = "shallotflow_start_call_seconds", Histogram, "",
--- a/crates/scheduler/src/entry/meters.rs
+++ b/crates/scheduler/src/entry/meters.rs
@@ -52,6 +52,19 @@
     gauge!(metric::GRAPH_OWNED).set(if owned { 1.0 } else { 0.0 });
 }
 
+/// Records the number of evacuated failure domains.
+pub(super) fn evacuated(domains: usize) {
+    let domains = u32::try_from(domains).unwrap_or(u32::MAX);
+    gauge!(metric::GRAPH_EVACUATED).set(f64::from(domains));
+}
+
+/// Counts starts that were withdrawn or refused because of an evacuation.
+pub(super) fn evacuation_refusals(starts: u64) {
+    if starts > 0 {
+        counter!(metric::GRAPH_EVACUATION_REFUSALS).increment(starts);
+    }
+}
+
 /// Counts a commit of progress records by its result.
 pub(super) fn recorded(result: &'static str) {
     counter!(metric::GRAPH_RECORDS, "result" => result).increment(1);
--- a/crates/scheduler/src/entry/mod.rs
+++ b/crates/scheduler/src/entry/mod.rs
@@ -8,12 +8,14 @@
 //! - `membership`: the entry's presence, the other entries and the owner of the table.
 //! - `elect`: the election of the owner.
 //! - `own`: the loops of the owner.
+//! - `evacuate`: the owner's view of the requests to evacuate failure domains.
 //! - `submit`, `ask`: the callers' calls.
 //! - `serve`: the calls of agents and of other entries.
 
 mod activity;
 mod ask;
 mod elect;
+mod evacuate;
 pub mod keys;
 mod member;
 mod membership;
--- a/crates/scheduler/src/entry/own.rs
+++ b/crates/scheduler/src/entry/own.rs
@@ -5,13 +5,13 @@
 use super::activity::Activity;
 use super::member::Owner;
 use super::ownership::Ownership;
-use super::{Entry, keys};
+use super::{Entry, evacuate, keys};
 use crate::peers::{pack, unpack};
 use foldhash::HashMap;
 use shallotflow_core::graph::{Id, Job};
 use shallotflow_core::name::Name;
 use shallotflow_core::time::Clock;
-use shallotflow_policy::plan::{self, Progress, Record, Table};
+use shallotflow_policy::plan::{self, EvacuationRequests, Progress, Record, Table};
 use shallotflow_runtime::clock::{Boottime, wall_ms};
 use shallotflow_store::error::Error;
 use shallotflow_store::pair::Pair;
@@ -39,6 +39,7 @@
     let learned = entry.store_call(entry.store.get(keys::RATES)).await?;
     let requests = entry.store_call(entry.store.range(keys::REQUESTS)).await?;
     let progress = entry.store_call(entry.store.range(keys::PROGRESS)).await?;
+    let evacuations = evacuate::read(entry).await?;
     if entry.view.borrow().owner.as_ref() != Some(owner) {
         return Ok(());
     }
@@ -55,7 +56,13 @@
         holders_version: 0,
         holders_revision,
         rates_due,
+        evacuation_requests: EvacuationRequests::default(),
     };
+    let evacuation_revision = evacuations.as_ref().map_or(0, |snapshot| snapshot.revision);
+    if let Some(snapshot) = evacuations {
+        evacuate::replace(entry, &mut ownership, snapshot.pairs);
+    }
+    evacuate::apply(entry, &mut ownership);
     match learned.map(|pair| unpack(&pair.value)) {
         Some(Ok(learned)) => ownership.table.restore_rates(learned),
         // The rates are learned anew.
@@ -94,6 +101,7 @@
     *entry.ownership.borrow_mut() = Some(ownership);
     entry.decision_due.notify(usize::MAX);
     monoio::spawn(watch_requests(entry.clone(), owner.epoch, requests.revision));
+    monoio::spawn(evacuate::follow(entry.clone(), owner.epoch, evacuation_revision));
     Ok(())
 }
 
@@ -196,7 +204,7 @@
     true
 }
 
-fn is_owner(entry: &Rc<Entry>, epoch: u64) -> bool {
+pub(super) fn is_owner(entry: &Rc<Entry>, epoch: u64) -> bool {
     entry.ownership.borrow().as_ref().is_some_and(|ownership| ownership.table.epoch() == epoch)
 }
 
@@ -219,6 +227,7 @@
             let events = ownership.table.take_events();
             Activity::count(&entry.activity.passes, 1);
             Activity::count(&entry.activity.events, events.len() as u64);
+            super::meters::evacuation_refusals(ownership.table.take_evacuation_refusals());
             entry.notify_agents(ownership.table.take_updated());
             for event in events {
                 super::meters::event(&event);
--- a/crates/scheduler/src/entry/ownership.rs
+++ b/crates/scheduler/src/entry/ownership.rs
@@ -2,7 +2,7 @@
 use shallotflow_core::graph::Id;
 use shallotflow_core::name::Name;
 use shallotflow_core::time::Time;
-use shallotflow_policy::plan::Table;
+use shallotflow_policy::plan::{EvacuationRequests, Table};
 use std::collections::BTreeSet;
 
 /// The table of jobs, while this entry owns it.
@@ -20,4 +20,6 @@
     pub(super) holders_revision: i64,
     /// When the learned disturbance rates are stored next.
     pub(super) rates_due: Time,
+    /// The operators' requests to evacuate failure domains.
+    pub(super) evacuation_requests: EvacuationRequests,
 }
--- a/crates/scheduler/src/entry/settings.rs
+++ b/crates/scheduler/src/entry/settings.rs
@@ -1,3 +1,4 @@
+use std::sync::Arc;
 use std::time::Duration;
 
 /// The limits of an entry.
@@ -46,6 +47,12 @@
     /// Delay between the claims of two entries that find an owner absent, multiplied by the entry's
     /// rank.
     pub claim_stagger: Duration,
+    /// Prefix of the keys by which operators request the evacuation of a failure domain; `None`
+    /// where that does not exist.
+    pub evacuation_prefix: Option<Arc<str>>,
+    /// Interval at which these requests are read again although no change is known: a watch may
+    /// be silent for longer than a request may take to apply.
+    pub evacuation_interval: Duration,
 }
 
 impl Default for Settings {
@@ -69,6 +76,8 @@
             sizes_settle: Duration::from_millis(3_000),
             learned_interval: Duration::from_millis(3_000),
             claim_stagger: Duration::from_millis(60),
+            evacuation_prefix: None,
+            evacuation_interval: Duration::from_millis(1_500),
         }
     }
 }
--- a/crates/scheduler/src/entry/shared.rs
+++ b/crates/scheduler/src/entry/shared.rs
@@ -1,7 +1,7 @@
 use super::activity::Activity;
 use super::member::{Owner, Presence};
 use super::ownership::Ownership;
-use super::{Settings, elect, membership, own, serve};
+use super::{Settings, elect, evacuate, membership, own, serve};
 use crate::peers::{Call, Client};
 use event_listener::Event;
 use foldhash::{HashMap, HashMapExt};
@@ -9,7 +9,7 @@
 use shallotflow_core::graph::{Job, Queue};
 use shallotflow_core::name::Name;
 use shallotflow_core::time::{Clock, Time};
-use shallotflow_policy::plan::Sizes;
+use shallotflow_policy::plan::{Evacuation, Sizes};
 use shallotflow_runtime::clock::Boottime;
 use shallotflow_store::error::Error;
 use shallotflow_store::store::Store;
@@ -65,6 +65,8 @@
     /// Notified when the owner has something to record.
     pub(super) commit_due: Event,
     pub(super) activity: Activity,
+    /// Failure domains that the fleet configuration evacuates.
+    pub(super) evacuated_by_configuration: RefCell<BTreeSet<Name>>,
     pub(super) stopping: Cell<bool>,
     /// The entry makes no claim before this time.
     pub(super) claims_allowed_from: Cell<Time>,
@@ -98,6 +100,7 @@
             agent_news: RefCell::default(),
             commit_due: Event::new(),
             activity: Activity::default(),
+            evacuated_by_configuration: RefCell::default(),
             stopping: Cell::new(false),
             claims_allowed_from: Cell::new(Time::ZERO),
             clients: RefCell::new(HashMap::new()),
@@ -125,6 +128,19 @@
         self.decision_due.notify(usize::MAX);
     }
 
+    /// Replaces the failure domains that the fleet configuration evacuates; those that operators
+    /// request in the store are evacuated as well.
+    pub fn set_evacuated_by_configuration(&self, domains: BTreeSet<Name>) {
+        if *self.evacuated_by_configuration.borrow() == domains {
+            return;
+        }
+        *self.evacuated_by_configuration.borrow_mut() = domains;
+        if let Some(ownership) = &mut *self.ownership.borrow_mut() {
+            evacuate::apply(self, ownership);
+        }
+        self.decision_due.notify(usize::MAX);
+    }
+
     /// Gives the table up and makes no further claims; the entry continues to serve callers.
     pub async fn leave(&self) {
         self.stopping.set(true);
@@ -142,7 +158,18 @@
             });
             jobs.collect::<Vec<_>>()
         });
+        let evacuated = ownership.as_ref().map(|ownership| {
+            let describe = |evacuation: Evacuation| {
+                let Evacuation { domain, revision, since, workers, runs } = evacuation;
+                serde_json::json!({
+                    "domain": domain, "revision": revision, "workers": workers, "runs": runs,
+                    "for_ms": now.since(since).as_millis(),
+                })
+            };
+            ownership.table.evacuations().into_iter().map(describe).collect::<Vec<_>>()
+        });
         serde_json::json!({
+            "evacuated": evacuated,
             "entry": &*self.name,
             "epoch": view.owner.as_ref().map(|owner| owner.epoch),
             "owner": view.owner.as_ref().map(|owner| owner.entry.to_string()),
@@ -314,6 +341,7 @@
             let epoch = ownership.table.epoch();
             spdlog::warn!("table given up", kv: { epoch, reason });
             super::meters::owned(false);
+            super::meters::evacuated(0);
         }
         // All reports are answered: another entry is or will be the owner.
         for (_, news) in self.agent_news.borrow_mut().drain() {
--- a/crates/scheduler/tests/agent.rs
+++ b/crates/scheduler/tests/agent.rs
@@ -14,7 +14,7 @@
     Answer, Incarnation, Kind, Order, Outcome, Profile, Reply, Run, Status, Traits,
 };
 use shallotflow_runtime::{executor, listen};
-use shallotflow_scheduler::agent::{Agent, Control, Lists, Result, Settings, Start};
+use shallotflow_scheduler::agent::{Agent, Control, Error, Lists, Result, Settings, Start};
 use shallotflow_scheduler::entry::keys;
 use shallotflow_scheduler::peers::{Call, serve};
 use std::cell::{Cell, RefCell};
@@ -38,6 +38,10 @@
     paces: RefCell<BTreeMap<Task, u8>>,
     withholds_polls: Cell<bool>,
     withheld: Cell<bool>,
+    /// Whether starts get no answer.
+    loses_starts: Cell<bool>,
+    starts: Cell<u32>,
+    stops: Cell<u32>,
 }
 
 fn incarnation() -> Incarnation {
@@ -51,6 +55,11 @@
 #[async_trait(?Send)]
 impl Control for Worker {
     async fn start(&self, _: &Incarnation, start: &Start, _: Duration) -> Result<u64> {
+        self.starts.set(self.starts.get() + 1);
+        if self.loses_starts.get() {
+            monoio::time::sleep(PAUSE).await;
+            return Err(Error::Unknown("the test lost the answer".to_owned()));
+        }
         let run = Run {
             task: start.task,
             run: start.run,
@@ -64,6 +73,7 @@
     }
 
     async fn stop(&self, _: &Incarnation, _: Task, _: u32, _: u64, _: Duration) -> Result<u64> {
+        self.stops.set(self.stops.get() + 1);
         Ok(1)
     }
 
@@ -275,3 +285,54 @@
     })
     .expect("a runtime");
 }
+
+/// An owner whose replies say that the agent is evacuated once `evacuated` is set; the first complete
+/// report is answered with a start.
+async fn own_evacuated(mut calls: UnboundedReceiver<Call>, evacuated: Rc<Cell<bool>>) {
+    let mut orders = vec![start_order(1, "quotes", TARGET_MS)];
+    while let Some(call) = calls.next().await {
+        let Call::Report(report, sender) = call else { continue };
+        let orders = if report.complete { std::mem::take(&mut orders) } else { Vec::new() };
+        let evacuated = evacuated.clone();
+        monoio::spawn(async move {
+            monoio::time::sleep(PAUSE).await;
+            let reply = Reply {
+                epoch: 1,
+                owned: true,
+                sequence: report.sequence,
+                orders,
+                evacuated: evacuated.get(),
+                evacuation_version: u64::from(evacuated.get()),
+                ..Reply::default()
+            };
+            let _ = sender.send(reply);
+        });
+    }
+}
+
+async fn stops_repeating_a_start() {
+    let worker = Rc::new(Worker::default());
+    worker.loses_starts.set(true);
+    let settings = Settings { start_tries: u32::MAX, ..Settings::default() };
+    let (agent, calls) = connect(settings, &worker);
+    let evacuated = Rc::new(Cell::new(false));
+    monoio::spawn(own_evacuated(calls, evacuated.clone()));
+    agent.register(profile(10_000), 1);
+    monoio::spawn(agent.clone().run());
+    until(|| worker.starts.get() > 3).await;
+    evacuated.set(true);
+    until(|| worker.stops.get() > 0).await;
+    let starts = worker.starts.get();
+    monoio::time::sleep(PAUSE * 20).await;
+    assert_eq!(worker.starts.get(), starts);
+}
+
+/// Guards against an agent that repeats a start after it has learned of the evacuation.
+#[test]
+fn a_start_without_an_answer_is_withdrawn_when_the_domain_is_evacuated() {
+    executor::run(async {
+        let ended = monoio::time::timeout(HANG, stops_repeating_a_start()).await;
+        ended.expect("the start is withdrawn");
+    })
+    .expect("a runtime");
+}
--- a/crates/scheduler/tests/owner.rs
+++ b/crates/scheduler/tests/owner.rs
@@ -1,5 +1,7 @@
 //! Ownership of the table, and what an owner must not do while it may have a successor.
 
+#[path = "owner/evacuation.rs"]
+mod evacuation;
 #[path = "owner/store.rs"]
 mod store;
 
@@ -24,6 +26,7 @@
 const HANG: Duration = Duration::from_secs(60);
 const PAUSE: Duration = Duration::from_millis(2);
 const AGENT: &str = "agent-1";
+const EVACUATION_PREFIX: &str = "stop/";
 const DOMAIN: &str = "east";
 
 /// An entry that uses the test's store; other entries cannot reach it.
@@ -31,6 +34,8 @@
     entry: Rc<Entry>,
     calls: UnboundedSender<PeerCall>,
     sequence: Cell<u64>,
+    /// What the agent knows of the evacuation of its worker.
+    evacuated: Cell<bool>,
 }
 
 fn run(test: impl AsyncFnOnce(Rc<Shared>)) {
@@ -43,7 +48,11 @@
 
 impl Process {
     fn start(name: &'static str, process: u64, shared: &Rc<Shared>) -> Self {
-        let settings = Settings {
+        Self::start_with(Self::settings(), name, process, shared)
+    }
+
+    fn settings() -> Settings {
+        Settings {
             first_claim: Duration::from_millis(1),
             claim_pause: Duration::from_millis(5),
             presence_lease: Duration::from_millis(60),
@@ -54,15 +63,26 @@
             tick: Duration::from_millis(2),
             sizes_settle: Duration::from_millis(20),
             learned_interval: Duration::from_millis(1),
+            evacuation_prefix: Some(EVACUATION_PREFIX.into()),
+            // Long enough that only a change or a failure of the watch can be the cause.
+            evacuation_interval: HANG,
             ..Settings::default()
-        };
+        }
+    }
+
+    fn start_with(
+        settings: Settings,
+        name: &'static str,
+        process: u64,
+        shared: &Rc<Shared>,
+    ) -> Self {
         // Nothing listens at this address.
         let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
         let store = Rc::new(Handle { caller: name, shared: shared.clone() });
         let entry = Entry::new(settings, name.into(), process, address, store);
         let (calls, receiver) = unbounded();
         entry.start(receiver);
-        Self { entry, calls, sequence: Cell::new(0) }
+        Self { entry, calls, sequence: Cell::new(0), evacuated: Cell::new(false) }
     }
 
     fn owns(&self) -> bool {
@@ -101,12 +121,14 @@
             ends: Vec::new(),
             answers: Vec::new(),
             received: 0,
-            evacuated: None,
+            evacuated: Some(self.evacuated.get()),
         };
         let (sender, reply) = oneshot::channel();
         let call = PeerCall::Report(Box::new(report), sender);
         self.calls.unbounded_send(call).expect("an entry that runs");
-        reply.await.expect("a reply")
+        let reply = reply.await.expect("a reply");
+        self.evacuated.set(reply.evacuated);
+        reply
     }
 
     /// Whether a reply to the agent orders a start.
--- a/crates/scheduler/tests/owner/store.rs
+++ b/crates/scheduler/tests/owner/store.rs
@@ -27,14 +27,28 @@
 
 /// A call as the test's interceptor sees it.
 pub(crate) enum Call<'a> {
-    /// A read of one key or of many.
+    /// A read of one key.
     Read,
+    /// A read of all keys with a prefix.
+    Range(&'a str),
     /// A change.
     Commit(&'a Transaction),
     /// A new lease, or the renewal of one.
     Lease,
 }
 
+/// What happens to watches.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Watches {
+    /// They are served.
+    #[default]
+    Serve,
+    /// They fail.
+    Fail,
+    /// They neither show a change nor fail.
+    Silent,
+}
+
 type Interceptor = Box<dyn FnMut(&str, &Call<'_>) -> Delivery>;
 
 /// The contents of the store; the handles of all entries share them.
@@ -46,6 +60,9 @@
     leases: RefCell<BTreeSet<i64>>,
     granted: Cell<i64>,
     changed: Event,
+    /// The oldest revision whose changes are kept.
+    oldest: Cell<i64>,
+    watches: Cell<Watches>,
     interceptor: RefCell<Option<Interceptor>>,
     delayed: RefCell<Vec<Transaction>>,
 }
@@ -85,6 +102,25 @@
         self.write(Write::Put { key: key.to_owned(), value: value.into(), lease });
     }
 
+    /// Deletes a key without a caller.
+    pub(crate) fn delete(&self, key: &str) {
+        self.begin();
+        self.write(Write::Delete { key: key.to_owned() });
+    }
+
+    /// Forgets all changes, so that watches of them fail.
+    pub(crate) fn compact(&self) {
+        self.log.borrow_mut().clear();
+        self.oldest.set(self.revision.get() + 1);
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Sets what happens to watches from now on.
+    pub(crate) fn set_watches(&self, watches: Watches) {
+        self.watches.set(watches);
+        self.changed.notify(usize::MAX);
+    }
+
     /// Carries out the delayed transactions, and returns how many were applied.
     pub(crate) fn apply_delayed(&self) -> usize {
         let delayed = std::mem::take(&mut *self.delayed.borrow_mut());
@@ -186,7 +222,7 @@
     }
 
     async fn range(&self, prefix: &str) -> Result<Snapshot> {
-        match self.intercepted(Call::Read).await {
+        match self.intercepted(Call::Range(prefix)).await {
             Delivery::Serve => {
                 let pairs = self.shared.pairs.borrow();
                 let pairs = pairs.values().filter(|pair| pair.key.starts_with(prefix));
@@ -246,7 +282,7 @@
     }
 }
 
-/// A watch, which is always served.
+/// A watch, which is served unless the test says otherwise.
 struct Follower {
     shared: Rc<Shared>,
     prefix: String,
@@ -272,7 +308,13 @@
         loop {
             let changed = self.shared.changed.listen();
             let changes = self.changes();
-            if !changes.is_empty() {
+            if self.shared.watches.get() == Watches::Fail {
+                return Err(Handle::lost());
+            }
+            if self.shared.watches.get() == Watches::Serve && self.next < self.shared.oldest.get() {
+                return Err(Error::Compacted { oldest: self.shared.oldest.get() });
+            }
+            if self.shared.watches.get() == Watches::Serve && !changes.is_empty() {
                 let revision = self.shared.revision.get();
                 self.next = revision + 1;
                 return Ok(Update { changes, revision });
