Replay the described overload without a network

Cause: the orders of jobs under overload had no test with the load of a whole site. Change: a replay of 64 workers with serving tasks, quick jobs and bursts of heavy best-effort jobs compares the jobs that end within their objectives with an offline upper bound that may split jobs.

--- a/crates/policy/tests/plan/overload.rs
+++ b/crates/policy/tests/plan/overload.rs
@@ -1,8 +1,10 @@
 //! More work than the workers can hold.
 
 use super::harness::{Harness, id, job, step, task};
+use super::replay::{Load, replay};
 use shallotflow_core::graph::Job;
 use shallotflow_core::name::Name;
+use shallotflow_policy::plan::Settings;
 
 fn with_priority(priority: u32, mut job: Job) -> Job {
     job.queue.priority = priority;
@@ -66,3 +68,14 @@
     let in_time = ended_in_time(60);
     assert!(in_time >= 16, "{in_time} of 60 in time");
 }
+
+/// The share of the offline bound that ends in time.
+const TARGET_RATIO: f64 = 0.8;
+
+#[test]
+fn in_the_described_load_four_fifths_of_the_bound_end_in_time() {
+    let figures = replay(Settings::default(), &Load::default());
+    figures.print("rule in force");
+    let ratio = figures.in_time() as f64 / figures.bound;
+    assert!(ratio >= TARGET_RATIO, "{ratio:.3} of the bound");
+}
