Learn durations of tasks and order begun jobs by remaining work

Change: the owner learns durations by queue and image from completed runs, at the pace that they had, by a least-squares line through estimates and durations. Begun best-effort jobs of queues with an objective come in order of their remaining work. The key and its timer follow the learned durations.

--- a/crates/policy/src/plan/audit.rs
+++ b/crates/policy/src/plan/audit.rs
@@ -82,7 +82,7 @@
             return Err(Mismatch::Counts(job.id));
         }
         let waits = job.ended.is_none() && rebuilt.has_open_tasks();
-        let urgency = waits.then(|| job.urgency(now));
+        let urgency = waits.then(|| job.urgency(now, &self.settings));
         if urgency != job.queued
             || urgency.is_some_and(|urgency| !self.ready.contains(&(urgency, job.id)))
         {
--- a/crates/policy/src/plan/expire.rs
+++ b/crates/policy/src/plan/expire.rs
@@ -73,10 +73,11 @@
     }
 
     fn expire_urgency(&mut self, id: Id, now: Time) {
+        // A timer that was set before the durations were learned anew may be out of date.
+        if let Some(job) = self.jobs.get_mut(&id).filter(|job| job.urgency_due.passed(now)) {
+            job.urgency_due = Time::NEVER;
+        }
         self.update_ready(id, now);
-        let queued = self.jobs.get(&id).filter(|job| job.queued.is_some());
-        let Some(next) = queued.map(|job| job.urgency_changes_at(now)) else { return };
-        self.timers.push(next, Timer::Urgency(id));
     }
 
     /// Removes an ended job once its end is recorded.
--- a/crates/policy/src/plan/job.rs
+++ b/crates/policy/src/plan/job.rs
@@ -50,6 +50,12 @@
     pub(super) queued: Option<Urgency>,
     /// Agents with ends that are confirmed once a later version of the job is recorded.
     pub(super) ending: BTreeSet<Name>,
+    /// Expected duration of a task by step, milliseconds.
+    pub(super) durations_ms: Vec<u64>,
+    /// When the job's timer checks its place in the order next.
+    pub(super) urgency_due: Time,
+    /// Whether the job may start tasks although it would wait otherwise.
+    pub(super) opened: bool,
     /// Offset of each step's tasks within a repetition, then the number of tasks in a repetition.
     offsets: Vec<u32>,
 }
@@ -68,6 +74,7 @@
         let counts = job.spec.steps.iter().map(|step| step.count);
         let remaining: Vec<u32> = (0..occurrences).flat_map(|_| counts.clone()).collect();
         let waiting = remaining.clone();
+        let durations_ms = job.spec.steps.iter().map(|step| step.estimate_ms).collect();
         let states = vec![TaskState::default(); tasks as usize * occurrences as usize];
         Self {
             id,
@@ -91,6 +98,9 @@
             waiting,
             queued: None,
             ending: BTreeSet::new(),
+            durations_ms,
+            urgency_due: Time::NEVER,
+            opened: false,
             offsets,
         }
     }
--- a/crates/policy/src/plan/mod.rs
+++ b/crates/policy/src/plan/mod.rs
@@ -10,7 +10,7 @@
 //! - [`Sizes`]: the largest observed workers, to reject jobs that fit none.
 //! - [`Event`]: decisions and observations, for the log.
 //! - [`Mismatch`]: a difference between state that is kept up to date and its source, for tests.
-//! - `accept`, `report`, `expire`, `disturbance`, `place`, `record`, `relocate`, `urgency`, `crash`: the
+//! - `accept`, `report`, `expire`, `disturbance`, `durations`, `place`, `record`, `relocate`, `urgency`, `crash`: the
 //!   operations on the table.
 //!
 //! A run occupies its worker until the worker lists its end, also if its task goes on elsewhere, is done
@@ -32,6 +32,7 @@
 mod crash;
 mod demand;
 mod disturbance;
+mod durations;
 mod event;
 mod expire;
 mod job;
--- a/crates/policy/src/plan/place.rs
+++ b/crates/policy/src/plan/place.rs
@@ -17,6 +17,7 @@
 use shallotflow_core::name::Name;
 use shallotflow_core::time::Time;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 /// The worker selected for a task, and its expected processor use.
 struct Placement {
@@ -222,6 +223,8 @@
         let state = &mut job.tasks[position];
         state.last_run = run;
         state.begun = now;
+        state.resumed = state.checkpoint.is_some();
+        (state.worked, state.worked_until) = (Duration::ZERO, now);
         state.percent = 0;
         let waited_ms = u64::try_from(now.since(state.ready_since).as_millis()).unwrap_or(u64::MAX);
         let queue = job.queue.name.clone();
--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -218,6 +218,9 @@
         self.events.push(Event::End { task, run, agent: agent.clone(), reason });
         self.remove_remnant(agent, task, run);
         self.mark_started(task.job, now);
+        if reason == ExitReason::Done {
+            self.learn_duration(agent, task, run, now);
+        }
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let Some(position) = job.position(&task) else { return };
         let long_running = job.step(&task).long_running;
@@ -484,6 +487,7 @@
             Phase::Uncertain => {
                 state.phase = Phase::Running { agent: agent.clone(), run: number };
                 state.begun = now;
+                state.resumed = true;
                 state.stalls_at = now.after(stall);
                 self.timers.push(state.stalls_at, Timer::Run(task));
                 self.mark_started(task.job, now);
@@ -527,6 +531,7 @@
             state.slowed_since = Some(now);
             self.timers.push(now.after(self.settings.relocation_delay), Timer::Relocate(task));
         }
+        self.count_work(agent, &task, now);
         if let Some(placed) =
             self.workers.get_mut(agent).and_then(|worker| worker.placed.get_mut(&task))
         {
--- a/crates/policy/src/plan/settings.rs
+++ b/crates/policy/src/plan/settings.rs
@@ -57,6 +57,18 @@
     pub trial_wait: Duration,
     /// How long a run may make no progress before it is stopped.
     pub stall_timeout: Duration,
+    /// Whether expected durations are learned from the ends of runs instead of taken from the
+    /// estimates alone.
+    pub learns_durations: bool,
+    /// Number of latest completed runs, by queue and image, from which their durations are learned:
+    /// some jobs, so that a changed input shows within seconds.
+    pub duration_memory: f64,
+    /// Number of completed runs whose weight equals that of the estimate of the job itself; the
+    /// tasks of one step end together and say little more than one of them.
+    pub estimate_weight: f64,
+    /// Whether begun best-effort jobs of queues with an objective are ordered by their remaining
+    /// work, the least first.
+    pub orders_by_work: bool,
 }
 
 impl Default for Settings {
@@ -84,6 +96,10 @@
             crash_window: Duration::from_millis(800),
             trial_wait: Duration::from_millis(1_000),
             stall_timeout: Duration::from_millis(2_500),
+            learns_durations: true,
+            duration_memory: 400.0,
+            estimate_weight: 10.0,
+            orders_by_work: true,
         }
     }
 }
--- a/crates/policy/src/plan/table.rs
+++ b/crates/policy/src/plan/table.rs
@@ -1,4 +1,5 @@
 use super::changes::Changes;
+use super::durations::Durations;
 use super::message::{Kind, Reply, RunTraits, Traits};
 use super::ranking::Ranking;
 use super::refusals::Refusals;
@@ -65,6 +66,8 @@
     pub(super) sizes: Sizes,
     /// Learned disturbance between images.
     pub(super) rates: Rates,
+    /// Learned durations of tasks.
+    pub(super) durations: Durations,
     pub(super) events: Vec<Event>,
     /// Wall-clock time at the last tick, milliseconds since 1970.
     pub(super) wall_ms: u64,
@@ -101,6 +104,7 @@
             missing: agents.into_iter().map(|agent| (agent, empty_at)).collect(),
             sizes: Sizes::default(),
             rates: Rates::default(),
+            durations: Durations::default(),
             events: Vec::new(),
             wall_ms: 0,
         }
@@ -183,9 +187,18 @@
 
     /// Brings the job's place in the order up to date with its state.
     pub(super) fn update_ready(&mut self, id: Id, now: Time) {
+        self.update_durations(id);
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let waits = job.ended.is_none() && job.has_open_tasks();
-        let urgency = waits.then(|| job.urgency(now));
+        let urgency = waits.then(|| job.urgency(now, &self.settings));
+        // Learned durations can change the time of the next change without changing the key.
+        if urgency.is_some() {
+            let due = job.urgency_changes_at(now);
+            if due != job.urgency_due {
+                job.urgency_due = due;
+                self.timers.push(due, Timer::Urgency(id));
+            }
+        }
         if urgency == job.queued {
             return;
         }
@@ -193,7 +206,6 @@
             self.ready.remove(&(former, id));
         }
         let Some(urgency) = urgency else { return };
-        self.timers.push(job.urgency_changes_at(now), Timer::Urgency(id));
         self.ready.insert((urgency, id));
         self.may_start = true;
     }
--- a/crates/policy/src/plan/task_state.rs
+++ b/crates/policy/src/plan/task_state.rs
@@ -1,5 +1,6 @@
 use shallotflow_core::name::Name;
 use shallotflow_core::time::Time;
+use std::time::Duration;
 
 /// Lifecycle phase of a task.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -76,6 +77,12 @@
     pub slowed_since: Option<Time>,
     /// When a stop of the current run was ordered.
     pub stopped_at: Option<Time>,
+    /// Time that the current run has been at work, at full pace.
+    pub worked: Duration,
+    /// Until when `worked` is counted.
+    pub worked_until: Time,
+    /// Whether the current run began before this owner started it, or resumed from a checkpoint.
+    pub resumed: bool,
     /// How often a run was stopped to go on at another worker.
     pub relocations: u8,
     /// Since when the task could have been running.
--- a/crates/policy/src/plan/urgency.rs
+++ b/crates/policy/src/plan/urgency.rs
@@ -3,16 +3,20 @@
 //! A burst of large jobs exceeds the capacity of the workers several times for some seconds. In order
 //! of arrival, each job would wait until little of its objective is left, and nearly all would end
 //! late. Instead, jobs that can no longer end within their objective come after those that can.
-//! Among the latter, started jobs come first, then the newest: it has its whole objective left, while
-//! the older ones are about to miss theirs anyway.
+//! Among the latter, begun jobs come first, so that they end before others begin.
+//!
+//! Among begun best-effort jobs of queues with an objective, those with the least remaining work come
+//! first: the sum of the times until their ends is the lowest in this order. Jobs that are not begun
+//! come newest first whatever their size, so that large ones do not starve: the newest has its whole
+//! objective left, while the older ones are about to miss theirs anyway.
 
-use super::Job;
+use super::{Job, Settings};
 use shallotflow_core::time::Time;
 use std::cmp::Reverse;
 use std::time::Duration;
 
 /// A job that takes more than this many times its objective is of no more value.
-const MAX_LATE_OBJECTIVES: u32 = 3;
+pub(super) const MAX_LATE_OBJECTIVES: u32 = 3;
 
 /// The resolution of [`Time`].
 const LEAST_SPAN: Duration = Duration::from_micros(1);
@@ -28,26 +32,31 @@
     TooLate,
 }
 
-/// Sort key of jobs, lowest first: priority of the queue, lateness, whether the job has not started,
-/// and newest first.
-pub(super) type Urgency = (u32, Lateness, bool, Reverse<Time>);
+/// Sort key of jobs, lowest first: priority of the queue, lateness, whether the job has not begun,
+/// remaining work of a begun job in processor-milliseconds, and newest first.
+pub(super) type Urgency = (u32, Lateness, bool, u64, Reverse<Time>);
 
 impl Job {
     /// Returns the time in which the job has to end, by its queue's objective.
     pub(super) fn objective(&self) -> Duration {
         let target = Duration::from_millis(self.queue.target_ms);
-        let chain = Duration::from_millis(self.critical_path_ms());
+        let chain = self.longest_chain(|_| true);
         chain.mul_f64(self.queue.stretch.clamp(0.0, 1_000.0)) + target
     }
 
-    /// Returns the estimated time of the longest chain of steps that are not done. It counts a step
+    /// Returns the expected time of the longest chain of steps that are not done. It counts a step
     /// in full, since the key is used while tasks of the first such step still wait.
-    fn remaining_time(&self) -> Duration {
+    pub(super) fn remaining_time(&self) -> Duration {
+        self.longest_chain(|step| self.remaining[step] > 0)
+    }
+
+    /// Returns the expected time of the longest chain of dependent steps among those that `counts`.
+    fn longest_chain(&self, counts: impl Fn(usize) -> bool) -> Duration {
         let steps = self.spec.steps.len();
         let mut longest = 0;
         let mut chains: Vec<u64> = Vec::with_capacity(steps);
-        for (step, remaining) in self.spec.steps.iter().zip(&self.remaining) {
-            let own = if *remaining > 0 { step.estimate_ms } else { 0 };
+        for (number, step) in self.spec.steps.iter().enumerate() {
+            let own = if counts(number) { self.durations_ms[number] } else { 0 };
             let before = step.after.iter().filter_map(|after| chains.get(usize::from(*after)));
             let chain = before.max().copied().unwrap_or(0) + own;
             chains.push(chain);
@@ -56,6 +65,34 @@
         Duration::from_millis(longest)
     }
 
+    /// Returns the expected work of the best-effort tasks that are not done, processor-milliseconds.
+    pub(super) fn remaining_work(&self) -> u64 {
+        let steps = self.spec.steps.len();
+        let work = self.remaining.iter().enumerate().map(|(slot, remaining)| {
+            let number = slot % steps;
+            if !self.spec.steps[number].best_effort {
+                return 0;
+            }
+            u64::from(*remaining).saturating_mul(self.task_work(number))
+        });
+        work.fold(0, u64::saturating_add)
+    }
+
+    /// Returns the expected work of one task of a step, processor-milliseconds.
+    pub(super) fn task_work(&self, step: usize) -> u64 {
+        let millicores = u64::from(self.spec.steps[step].need.millicores);
+        millicores.saturating_mul(self.durations_ms[step]) / 1_000
+    }
+
+    /// Returns whether the job has an objective and best-effort steps, so that its start may be
+    /// deferred while others use what is idle.
+    pub(super) fn is_deferrable(&self) -> bool {
+        self.queue.target_ms > 0
+            && self.queue.stretch > 0.0
+            && self.has_objective()
+            && self.spec.steps.iter().any(|step| step.best_effort)
+    }
+
     /// Returns whether the sort key of the job depends on time: long-running jobs and repetitions
     /// have no time after which they are of no value.
     fn has_objective(&self) -> bool {
@@ -76,20 +113,33 @@
             .unwrap_or(Time::NEVER)
     }
 
-    /// Returns the sort key of the job at `now`.
-    pub(super) fn urgency(&self, now: Time) -> Urgency {
-        if !self.has_objective() {
-            return (self.queue.priority, Lateness::OnTime, false, Reverse(self.received));
-        }
+    /// Returns whether the job can still meet its objective if its remaining chain begins at `now`.
+    pub(super) fn lateness(&self, now: Time) -> Lateness {
         let objective = self.objective();
         let end = now.after(self.remaining_time());
-        let lateness = if end <= self.received.after(objective) {
+        if end <= self.received.after(objective) {
             Lateness::OnTime
         } else if end <= self.received.after(objective * MAX_LATE_OBJECTIVES) {
             Lateness::Late
         } else {
             Lateness::TooLate
-        };
-        (self.queue.priority, lateness, !self.started, Reverse(self.received))
+        }
+    }
+
+    /// Returns whether the job has begun: a task was observed to run, or the job was opened.
+    pub(super) fn is_begun(&self) -> bool {
+        self.started || self.opened
+    }
+
+    /// Returns the sort key of the job at `now`.
+    pub(super) fn urgency(&self, now: Time, settings: &Settings) -> Urgency {
+        let newest = Reverse(self.received);
+        if !self.has_objective() {
+            return (self.queue.priority, Lateness::OnTime, false, 0, newest);
+        }
+        let begun = self.is_begun();
+        let by_work = settings.orders_by_work && begun && self.is_deferrable();
+        let work = if by_work { self.remaining_work() } else { 0 };
+        (self.queue.priority, self.lateness(now), !begun, work, newest)
     }
 }
--- a/crates/policy/tests/plan/overload.rs
+++ b/crates/policy/tests/plan/overload.rs
@@ -72,8 +72,15 @@
 /// The share of the offline bound that ends in time.
 const TARGET_RATIO: f64 = 0.8;
 
+/// Returns settings with which jobs are ordered by their estimates, newest first.
+fn former_rule() -> Settings {
+    Settings { learns_durations: false, orders_by_work: false, ..Settings::default() }
+}
+
 #[test]
 fn in_the_described_load_four_fifths_of_the_bound_end_in_time() {
+    let former = replay(former_rule(), &Load::default());
+    former.print("former rule");
     let figures = replay(Settings::default(), &Load::default());
     figures.print("rule in force");
     let ratio = figures.in_time() as f64 / figures.bound;
