Open best-effort jobs by the backlog and limit interference by their objectives

Cause: all heavy jobs began at once and ended late together, and after six seconds of waiting any best-effort task could start beside the serving tasks that it slows down. Change: a best-effort job of a queue with an objective begins when the work in begun jobs, at the measured rate of useful work, leaves it time to end within its objective, or when capacity is idle; the queues of one priority share the rate. A task of such a job starts where it interferes only if its job would miss its objective otherwise; a late one waits for up to three objectives.

--- a/crates/policy/src/plan/event.rs
+++ b/crates/policy/src/plan/event.rs
@@ -116,6 +116,42 @@
         /// Length of the ejection, milliseconds.
         pause_ms: u64,
     },
+    /// A job may begin.
+    Opened {
+        /// The job.
+        job: Id,
+        /// Its queue.
+        queue: Name,
+        /// Cause.
+        reason: &'static str,
+        /// Time since the owner received the job, milliseconds.
+        waited_ms: u64,
+        /// Work in begun jobs that precedes it, processor-milliseconds.
+        preceding: u64,
+        /// Rate of useful work, thousandths of a processor.
+        rate: f64,
+        /// Expected time of its longest chain of steps, milliseconds.
+        remaining_ms: u64,
+        /// Time from its receipt in which it has to end, milliseconds.
+        objective_ms: u64,
+    },
+    /// A job waits, because it is not expected to end within its objective.
+    Postponed {
+        /// The job.
+        job: Id,
+        /// Its queue.
+        queue: Name,
+        /// Time since the owner received the job, milliseconds.
+        waited_ms: u64,
+        /// Work in begun jobs that precedes it, processor-milliseconds.
+        preceding: u64,
+        /// Rate of useful work, thousandths of a processor.
+        rate: f64,
+        /// Expected time of its longest chain of steps, milliseconds.
+        remaining_ms: u64,
+        /// Time from its receipt in which it has to end, milliseconds.
+        objective_ms: u64,
+    },
     /// A job has changed its state.
     Job {
         /// The job.
--- a/crates/policy/src/plan/job.rs
+++ b/crates/policy/src/plan/job.rs
@@ -56,6 +56,8 @@
     pub(super) urgency_due: Time,
     /// Whether the job may start tasks although it would wait otherwise.
     pub(super) opened: bool,
+    /// Whether the job was found to have to wait until it is opened.
+    pub(super) postponed: bool,
     /// Offset of each step's tasks within a repetition, then the number of tasks in a repetition.
     offsets: Vec<u32>,
 }
@@ -101,6 +103,7 @@
             durations_ms,
             urgency_due: Time::NEVER,
             opened: false,
+            postponed: false,
             offsets,
         }
     }
--- a/crates/policy/src/plan/load.rs
+++ b/crates/policy/src/plan/load.rs
@@ -119,6 +119,18 @@
         (used + extra) / f64::from(capacity.millicores.max(1))
     }
 
+    /// Returns the processors that the worker leaves to best-effort tasks, and those of them that no
+    /// task is expected to use, thousandths of a processor.
+    #[allow(clippy::cast_precision_loss, clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub(super) fn spare(&self, capacity: &Bundle, settings: &Settings) -> (u64, u64) {
+        let best_effort: u64 = self.best_effort.values().map(|(_, sum)| *sum).sum();
+        let serving = (self.serving_millicores as f64 * settings.serving_use) as u64;
+        let limit = (f64::from(capacity.millicores) * settings.best_effort_limit) as u64;
+        let other = self.other_millicores - best_effort;
+        let spare = limit.saturating_sub(serving + other);
+        (spare, spare.saturating_sub(best_effort))
+    }
+
     /// Returns the score of the worker for a serving task of `image`; lower is better.
     ///
     /// A best-effort task disturbs some images much and others little. Serving tasks are packed, by
--- a/crates/policy/src/plan/mod.rs
+++ b/crates/policy/src/plan/mod.rs
@@ -10,7 +10,8 @@
 //! - [`Sizes`]: the largest observed workers, to reject jobs that fit none.
 //! - [`Event`]: decisions and observations, for the log.
 //! - [`Mismatch`]: a difference between state that is kept up to date and its source, for tests.
-//! - `accept`, `report`, `expire`, `disturbance`, `durations`, `place`, `record`, `relocate`, `urgency`, `crash`: the
+//! - `accept`, `report`, `expire`, `disturbance`, `durations`, `backlog`,
+//!   `opening`, `interference`, `place`, `record`, `relocate`, `urgency`, `crash`: the
 //!   operations on the table.
 //!
 //! A run occupies its worker until the worker lists its end, also if its task goes on elsewhere, is done
@@ -28,6 +29,7 @@
 
 mod accept;
 mod audit;
+mod backlog;
 mod changes;
 mod crash;
 mod demand;
@@ -35,9 +37,11 @@
 mod durations;
 mod event;
 mod expire;
+mod interference;
 mod job;
 mod load;
 pub mod message;
+mod opening;
 mod place;
 mod progress;
 mod ranking;
--- a/crates/policy/src/plan/place.rs
+++ b/crates/policy/src/plan/place.rs
@@ -39,8 +39,19 @@
             return;
         }
         let order: Vec<Id> = self.ready.iter().map(|(_, id)| *id).collect();
+        self.backlogs.measure(&self.settings, now);
+        let mut postponed = Vec::new();
         for id in order {
-            self.place_job(id, now, holders);
+            if self.may_begin(id, now) {
+                self.place_job(id, now, holders);
+            } else {
+                postponed.push(id);
+            }
+        }
+        for id in postponed {
+            if self.open_if_idle(id, now) {
+                self.place_job(id, now, holders);
+            }
         }
         self.relocate(now, holders);
         self.may_start = false;
@@ -102,8 +113,8 @@
         if waiting.is_empty() || (gang && waiting.len() < range.len()) {
             return false;
         }
-        let patient = job.tasks[waiting[0]].ready_since.after(self.settings.disturbance_wait);
-        if step.best_effort && !patient.passed(now) && self.refusals.is_disturbing(service, step) {
+        let may_interfere = self.settings.may_interfere(job, waiting[0], now);
+        if step.best_effort && !may_interfere && self.refusals.is_disturbing(service, step) {
             return false;
         }
         let mut isolation = Isolation::None;
--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -316,6 +316,9 @@
         }
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         job.set_phase(position, Phase::Done);
+        if job.step(&task).best_effort && job.is_deferrable() {
+            self.backlogs.complete(&job.queue.service, job.task_work(usize::from(task.step)));
+        }
         job.tasks[position].checkpoint = None;
         job.clear_suspicion(position);
         let done = job.is_done();
--- a/crates/policy/src/plan/search.rs
+++ b/crates/policy/src/plan/search.rs
@@ -86,8 +86,8 @@
     need: Bundle,
     /// Expected processor use of the task, thousandths of a processor.
     extra: f64,
-    /// Whether the task has waited so long that it may disturb serving tasks.
-    waited_long: bool,
+    /// Whether the task may start where it disturbs serving tasks.
+    may_interfere: bool,
     best: Option<Choice<'a>>,
     any_room: bool,
     any_disturbed: bool,
@@ -99,7 +99,6 @@
         let task = job.task(position);
         let step = job.step(&task);
         let demand = Demand::of(step);
-        let patience = table.settings.disturbance_wait;
         Self {
             table,
             pass,
@@ -109,7 +108,8 @@
             demand,
             need: demand.reserved(),
             extra: demand.expected_use(table.settings.serving_use),
-            waited_long: job.tasks[position].ready_since.after(patience).passed(pass.now),
+            may_interfere: step.best_effort
+                && table.settings.may_interfere(job, position, pass.now),
             best: None,
             any_room: false,
             any_disturbed: false,
@@ -232,7 +232,7 @@
         } else if step.best_effort {
             let excess = self.target_excess(worker, capacity);
             // A missed target costs a serving task more than a best-effort task gains.
-            if excess > TOLERATED_EXCESS && !self.waited_long {
+            if excess > TOLERATED_EXCESS && !self.may_interfere {
                 self.any_disturbed = true;
                 return None;
             }
--- a/crates/policy/src/plan/settings.rs
+++ b/crates/policy/src/plan/settings.rs
@@ -69,6 +69,26 @@
     /// Whether begun best-effort jobs of queues with an objective are ordered by their remaining
     /// work, the least first.
     pub orders_by_work: bool,
+    /// Whether best-effort jobs of queues with an objective begin only when they are expected to end
+    /// within it, or when capacity is idle.
+    pub opens_jobs: bool,
+    /// Factor of the expected time of the work that precedes a job when it is decided whether the job
+    /// begins; above 1 leaves a margin.
+    pub opening_margin: f64,
+    /// Interval at which the rate of useful work is measured; some reports of each worker.
+    pub rate_interval: Duration,
+    /// How long tasks have to wait before the rate is measured: about the duration of a task, since
+    /// what ends before then was started while less ran.
+    pub rate_delay: Duration,
+    /// Time over which the rate of useful work is averaged; a few durations of tasks, so that steps
+    /// that end together do not count as a higher rate.
+    pub rate_memory: Duration,
+    /// Whether a best-effort task of a job with an objective may start where it interferes with
+    /// serving tasks only if the job would miss its objective otherwise.
+    pub interferes_by_objective: bool,
+    /// How long before the latest start that still meets the objective a task may interfere with
+    /// serving tasks; covers the error of the expected durations.
+    pub interference_margin: Duration,
 }
 
 impl Default for Settings {
@@ -100,6 +120,13 @@
             duration_memory: 400.0,
             estimate_weight: 10.0,
             orders_by_work: true,
+            opens_jobs: true,
+            opening_margin: 1.0,
+            rate_interval: Duration::from_millis(500),
+            rate_delay: Duration::from_millis(3_000),
+            rate_memory: Duration::from_millis(8_000),
+            interferes_by_objective: true,
+            interference_margin: Duration::from_millis(1_000),
         }
     }
 }
--- a/crates/policy/src/plan/table.rs
+++ b/crates/policy/src/plan/table.rs
@@ -1,3 +1,4 @@
+use super::backlog::Backlogs;
 use super::changes::Changes;
 use super::durations::Durations;
 use super::message::{Kind, Reply, RunTraits, Traits};
@@ -66,6 +67,8 @@
     pub(super) sizes: Sizes,
     /// Learned disturbance between images.
     pub(super) rates: Rates,
+    /// Work that waits, and the rate at which it is done.
+    pub(super) backlogs: Backlogs,
     /// Learned durations of tasks.
     pub(super) durations: Durations,
     pub(super) events: Vec<Event>,
@@ -104,6 +107,7 @@
             missing: agents.into_iter().map(|agent| (agent, empty_at)).collect(),
             sizes: Sizes::default(),
             rates: Rates::default(),
+            backlogs: Backlogs::new(),
             durations: Durations::default(),
             events: Vec::new(),
             wall_ms: 0,
@@ -188,6 +192,7 @@
     /// Brings the job's place in the order up to date with its state.
     pub(super) fn update_ready(&mut self, id: Id, now: Time) {
         self.update_durations(id);
+        self.update_backlog(id, now);
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let waits = job.ended.is_none() && job.has_open_tasks();
         let urgency = waits.then(|| job.urgency(now, &self.settings));
@@ -212,12 +217,13 @@
 
     /// Brings the ranking and the list of holders up to date with the state of a worker.
     pub(super) fn update_worker_lists(&mut self, agent: &Name) {
-        let Self { workers, ranking, settings, .. } = self;
+        let Self { workers, ranking, settings, backlogs, .. } = self;
         let Some(worker) = workers.get_mut(agent) else { return };
         if ranking.update(agent, worker, settings) {
             self.refusals.clear();
             self.may_start = true;
         }
+        backlogs.update_worker(agent, worker, settings);
         let changed = if worker.may_hold_runs() {
             !self.holding.contains(agent) && self.holding.insert(agent.clone())
         } else {
--- a/crates/policy/tests/plan/overload.rs
+++ b/crates/policy/tests/plan/overload.rs
@@ -74,13 +74,21 @@
 
 /// Returns settings with which jobs are ordered by their estimates, newest first.
 fn former_rule() -> Settings {
-    Settings { learns_durations: false, orders_by_work: false, ..Settings::default() }
+    Settings {
+        learns_durations: false,
+        orders_by_work: false,
+        opens_jobs: false,
+        interferes_by_objective: false,
+        ..Settings::default()
+    }
 }
 
 #[test]
 fn in_the_described_load_four_fifths_of_the_bound_end_in_time() {
     let former = replay(former_rule(), &Load::default());
     former.print("former rule");
+    let settings = Settings { interferes_by_objective: false, ..Settings::default() };
+    replay(settings, &Load::default()).print("former interference");
     let figures = replay(Settings::default(), &Load::default());
     figures.print("rule in force");
     let ratio = figures.in_time() as f64 / figures.bound;
