--- a/crates/policy/src/plan/mod.rs
+++ b/crates/policy/src/plan/mod.rs
@@ -11,8 +11,8 @@
 //! - [`Event`]: decisions and observations, for the log.
 //! - [`Mismatch`]: a difference between state that is kept up to date and its source, for tests.
 //! - [`EvacuationRequests`], [`Evacuation`]: requests to evacuate failure domains, and their effect.
-//! - `accept`, `report`, `expire`, `disturbance`, `place`, `record`, `relocate`, `urgency`, `crash`,
-//!   `evacuate`: the operations on the table.
+//! - `accept`, `report`, `expire`, `disturbance`, `durations`, `backlog`, `opening`, `interference`,
+//!   `strength`, `place`, `record`, `relocate`, `urgency`, `crash`, `evacuate`: the operations on the table.
 //!
 //! A run occupies its worker until the worker lists its end, also if its task goes on elsewhere, is done
 //! or is not known.
@@ -29,6 +29,7 @@
 
 mod accept;
 mod audit;
+mod backlog;
 mod changes;
 mod cold;
 mod crash;
@@ -38,11 +39,14 @@
 mod evacuation;
 pub mod evacuation_requests;
 mod evacuations;
+mod durations;
 mod event;
 mod expire;
+mod interference;
 mod job;
 mod load;
 pub mod message;
+mod opening;
 mod place;
 mod progress;
 mod ranking;
--- a/crates/policy/src/plan/table.rs
+++ b/crates/policy/src/plan/table.rs
@@ -1,5 +1,7 @@
+use super::backlog::Backlogs;
 use super::changes::Changes;
 use super::evacuations::Evacuations;
+use super::durations::Durations;
 use super::message::{Kind, Reply, RunTraits, Traits};
 use super::ranking::Ranking;
 use super::refusals::Refusals;
@@ -68,6 +70,10 @@
     pub(super) rates: Rates,
     /// Failure domains at whose workers nothing starts.
     pub(super) evacuations: Evacuations,
+    /// Work that waits, and the rate at which it is done.
+    pub(super) backlogs: Backlogs,
+    /// Learned durations of tasks.
+    pub(super) durations: Durations,
     pub(super) events: Vec<Event>,
     /// Wall-clock time at the last tick, milliseconds since 1970.
     pub(super) wall_ms: u64,
@@ -105,6 +111,8 @@
             sizes: Sizes::default(),
             rates: Rates::default(),
             evacuations: Evacuations::default(),
+            backlogs: Backlogs::new(),
+            durations: Durations::default(),
             events: Vec::new(),
             wall_ms: 0,
         }
@@ -187,9 +195,19 @@
 
     /// Brings the job's place in the order up to date with its state.
     pub(super) fn update_ready(&mut self, id: Id, now: Time) {
+        self.update_durations(id);
+        self.update_backlog(id, now);
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let waits = job.ended.is_none() && job.has_open_tasks();
-        let urgency = waits.then(|| job.urgency(now));
+        let urgency = waits.then(|| job.urgency(now, &self.settings));
+        // Learned durations can change the time of the next change without changing the key.
+        if urgency.is_some() {
+            let due = job.urgency_changes_at(now);
+            if due != job.urgency_due {
+                job.urgency_due = due;
+                self.timers.push(due, Timer::Urgency(id));
+            }
+        }
         if urgency == job.queued {
             return;
         }
@@ -197,19 +215,19 @@
             self.ready.remove(&(former, id));
         }
         let Some(urgency) = urgency else { return };
-        self.timers.push(job.urgency_changes_at(now), Timer::Urgency(id));
         self.ready.insert((urgency, id));
         self.may_start = true;
     }
 
     /// Brings the ranking and the list of holders up to date with the state of a worker.
     pub(super) fn update_worker_lists(&mut self, agent: &Name) {
-        let Self { workers, ranking, settings, .. } = self;
+        let Self { workers, ranking, settings, backlogs, .. } = self;
         let Some(worker) = workers.get_mut(agent) else { return };
         if ranking.update(agent, worker, settings) {
             self.refusals.clear();
             self.may_start = true;
         }
+        backlogs.update_worker(agent, worker, settings);
         let changed = if worker.may_hold_runs() {
             !self.holding.contains(agent) && self.holding.insert(agent.clone())
         } else {
