Leave workers without serving tasks to images that interfere

On sites where nearly every worker runs serving tasks, best-effort tasks waited seconds for a worker where they disturb none, or started beside serving tasks and were slowed down with them. The search prefers the least used worker, so images that hardly interfere took the few vacant workers first.

They now go to workers with serving tasks as long as these are not half a worker busier.

--- a/crates/policy/src/disturbance/rates.rs
+++ b/crates/policy/src/disturbance/rates.rs
@@ -41,6 +41,14 @@
         added.copied().unwrap_or(0.0)
     }
 
+    /// Amount that `neighbor` adds to the measurement of a victim at the mean of all victims beside
+    /// which it was measured; `None` if there is none.
+    pub fn mean_added(&self, neighbor: &str) -> Option<f64> {
+        let added = self.added.values().filter_map(|neighbors| neighbors.get(neighbor));
+        let (count, sum) = added.fold((0_u32, 0.0), |(count, sum), added| (count + 1, sum + added));
+        (count > 0).then(|| sum / f64::from(count))
+    }
+
     /// Returns the part of the model that concerns `images` and is large enough to be stored for a
     /// later owner.
     pub fn snapshot_for(&self, images: &BTreeSet<Name>) -> Self {
--- a/crates/policy/src/plan/mod.rs
+++ b/crates/policy/src/plan/mod.rs
@@ -34,6 +34,7 @@
 mod disturbance;
 mod event;
 mod expire;
+mod interference;
 mod job;
 mod load;
 pub mod message;
--- a/crates/policy/src/plan/search.rs
+++ b/crates/policy/src/plan/search.rs
@@ -1,4 +1,5 @@
 use super::demand::Demand;
+use super::interference::Interference;
 use super::ranking::List;
 use super::{Job, Table, Worker};
 use shallotflow_core::graph::{Step, Task};
@@ -86,6 +87,8 @@
     need: Bundle,
     /// Expected processor use of the task, thousandths of a processor.
     extra: f64,
+    /// Added to the score of workers without serving tasks.
+    vacant_worker_cost: f64,
     /// Whether the task has waited so long that it may disturb serving tasks.
     waited_long: bool,
     best: Option<Choice<'a>>,
@@ -100,6 +103,12 @@
         let step = job.step(&task);
         let demand = Demand::of(step);
         let patience = table.settings.disturbance_wait;
+        let vacant_worker_cost = if step.best_effort {
+            Interference::of(step.image.as_ref(), &table.rates, &table.settings)
+                .vacant_worker_cost(&table.settings)
+        } else {
+            0.0
+        };
         Self {
             table,
             pass,
@@ -109,6 +118,7 @@
             demand,
             need: demand.reserved(),
             extra: demand.expected_use(table.settings.serving_use),
+            vacant_worker_cost,
             waited_long: job.tasks[position].ready_since.after(patience).passed(pass.now),
             best: None,
             any_room: false,
@@ -237,7 +247,9 @@
                 return None;
             }
             let slowdown = worker.slowdown(step.image.as_ref());
-            pressure + DISTURBANCE_WEIGHT * excess + SLOWDOWN_WEIGHT * slowdown
+            let vacant = worker.load.serving.is_empty();
+            let vacant_cost = if vacant { self.vacant_worker_cost } else { 0.0 };
+            pressure + DISTURBANCE_WEIGHT * excess + SLOWDOWN_WEIGHT * slowdown + vacant_cost
         } else {
             pressure
         };
--- a/crates/policy/src/plan/settings.rs
+++ b/crates/policy/src/plan/settings.rs
@@ -34,6 +34,12 @@
     /// How long a best-effort task waits for a worker where it disturbs no serving task; about the
     /// objective of such a job, beyond which it is of little value.
     pub disturbance_wait: Duration,
+    /// Amount that a best-effort image adds to the tail latency of serving tasks, as a share of their
+    /// target if it uses a whole worker, from which on it counts as interfering strongly.
+    pub strong_interference: f64,
+    /// Share of a worker's processors by which a worker without serving tasks is avoided by
+    /// best-effort tasks that do not interfere.
+    pub vacant_worker_cost: f64,
     /// Slowdown factor of a task whose data is in another rack.
     pub spread_factor: f64,
     /// Number of jobs with failed runs, without a completed run in between, after which a worker is
@@ -74,6 +80,8 @@
             serving_use: 0.55,
             best_effort_limit: 1.0,
             disturbance_wait: Duration::from_millis(6_000),
+            strong_interference: 0.2,
+            vacant_worker_cost: 0.5,
             spread_factor: 1.5,
             ejection_failures: 3,
             ejection: Duration::from_secs(4),
--- a/crates/policy/tests/plan/disturbance.rs
+++ b/crates/policy/tests/plan/disturbance.rs
@@ -149,3 +149,58 @@
     assert!(kept.added("watch", "gone").abs() < f64::EPSILON);
     assert!(kept.added("left", "proof").abs() < f64::EPSILON);
 }
+
+/// Creates three workers, two of them with a serving task, and rates that tell `proof`, which
+/// interferes strongly, from `cut`, which hardly does.
+fn with_one_vacant_worker() -> Harness {
+    let mut learned = Rates::default();
+    learned.set(&"watch".into(), Some(&"proof".into()), 6.0);
+    learned.set(&"watch".into(), Some(&"cut".into()), 0.01);
+    let mut harness = Harness::new(3);
+    harness.table.restore_rates(learned);
+    let watch = Step { per_worker: 1, ..serving(2, "watch") };
+    harness.table.accept(id(1), job(vec![watch]), true, harness.now);
+    harness.run_round();
+    harness
+}
+
+/// Returns the index of the worker without a serving task.
+fn vacant_worker(harness: &Harness) -> usize {
+    let serving = [task(1, 0, 0), task(1, 0, 1)].map(|task| harness.worker_of(task));
+    (0..3).find(|worker| !serving.contains(&Some(*worker))).expect("a vacant worker")
+}
+
+#[test]
+fn an_image_that_does_not_interfere_leaves_vacant_workers_to_one_that_does() {
+    let mut harness = with_one_vacant_worker();
+    let vacant = vacant_worker(&harness);
+    harness.table.accept(id(2), job(vec![best_effort(2, "cut")]), true, harness.now);
+    harness.run_round();
+    let places = [task(2, 0, 0), task(2, 0, 1)].map(|task| harness.worker_of(task));
+    assert!(!places.contains(&Some(vacant)), "{places:?}");
+    harness.table.accept(id(3), job(vec![best_effort(5, "proof")]), true, harness.now);
+    harness.run_round();
+    for index in 0..5 {
+        assert_eq!(harness.worker_of(task(3, 0, index)), Some(vacant), "task {index}");
+    }
+}
+
+#[test]
+fn an_image_that_does_not_interfere_uses_vacant_workers_once_the_others_are_busy() {
+    let mut harness = with_one_vacant_worker();
+    let vacant = vacant_worker(&harness);
+    harness.table.accept(id(2), job(vec![best_effort(10, "cut")]), true, harness.now);
+    harness.run_round();
+    let running = harness.running();
+    assert_eq!(running.len(), 12, "every task starts");
+    assert!(running.iter().any(|task| harness.worker_of(*task) == Some(vacant)));
+}
+
+#[test]
+fn an_unknown_image_counts_as_interfering() {
+    let mut harness = with_one_vacant_worker();
+    let vacant = vacant_worker(&harness);
+    harness.table.accept(id(2), job(vec![best_effort(1, "new")]), true, harness.now);
+    harness.run_round();
+    assert_eq!(harness.worker_of(task(2, 0, 0)), Some(vacant));
+}
