--- a/crates/policy/src/plan/search.rs
+++ b/crates/policy/src/plan/search.rs
@@ -1,6 +1,7 @@
 use super::cold::COLD_BASE;
 use super::demand::Demand;
 use super::ranking::{List, Pressure};
+use super::strength::Strength;
 use super::{Job, Table, Worker};
 use shallotflow_core::graph::{Step, Task};
 use shallotflow_core::name::Name;
@@ -89,6 +90,8 @@
     extra: f64,
     /// Whether the task may start where it disturbs serving tasks.
     may_interfere: bool,
+    /// Added to the score of workers without serving tasks.
+    vacant_worker_cost: f64,
     best: Option<Choice<'a>>,
     any_room: bool,
     any_disturbed: bool,
@@ -100,6 +103,12 @@
         let task = job.task(position);
         let step = job.step(&task);
         let demand = Demand::of(step);
+        let vacant_worker_cost = if step.best_effort {
+            Strength::of(step.image.as_ref(), &table.rates, &table.settings)
+                .vacant_worker_cost(&table.settings)
+        } else {
+            0.0
+        };
         Self {
             table,
             pass,
@@ -111,6 +120,7 @@
             extra: demand.expected_use(table.settings.serving_use),
             may_interfere: step.best_effort
                 && table.settings.may_interfere(job, position, pass.now),
+            vacant_worker_cost,
             best: None,
             any_room: false,
             any_disturbed: false,
@@ -247,7 +257,9 @@
                 return None;
             }
             let slowdown = worker.slowdown(step.image.as_ref());
-            pressure + DISTURBANCE_WEIGHT * excess + SLOWDOWN_WEIGHT * slowdown
+            let vacant = worker.load.serving.is_empty();
+            let vacant_cost = if vacant { self.vacant_worker_cost } else { 0.0 };
+            pressure + DISTURBANCE_WEIGHT * excess + SLOWDOWN_WEIGHT * slowdown + vacant_cost
         } else {
             pressure
         };
--- a/crates/policy/src/plan/table.rs
+++ b/crates/policy/src/plan/table.rs
@@ -1,7 +1,7 @@
 use super::backlog::Backlogs;
 use super::changes::Changes;
-use super::evacuations::Evacuations;
 use super::durations::Durations;
+use super::evacuations::Evacuations;
 use super::message::{Kind, Reply, RunTraits, Traits};
 use super::ranking::Ranking;
 use super::refusals::Refusals;
