Check evacuations along the path in virtual time

Requests and withdrawals come at random together with takeovers, restarts, outages and orders that agents execute seconds late. The oracle checks that no agent in touch sends a start later than 5 s after the confirmation; time in which the store answers nobody does not count, since nobody can learn of the request then. A new owner that does not know the requests, and an agent that executes an order from before the request, are found by that check. An owner that is cut off is tested with the store as well.

--- a/crates/scheduler/tests/owner/evacuation.rs
+++ b/crates/scheduler/tests/owner/evacuation.rs
@@ -176,6 +176,27 @@
     });
 }
 
+/// Guards against an owner that is cut off from the store and starts tasks after a request that only its
+/// successor can know.
+#[test]
+fn an_owner_that_is_cut_off_starts_nothing_after_a_request_that_its_successor_reads() {
+    run(async |shared| {
+        let former = owner(&shared).await;
+        let successor = Process::start("b", 2, &shared);
+        until(|| shared.text(&presence("b")).is_some()).await;
+        assert_eq!(former.entry.submit(Id(1), job()).await, Submission::Accepted);
+        shared
+            .intercept(|caller, _| if caller == "a" { Delivery::Silent } else { Delivery::Serve });
+        shared.expire_leases();
+        until(|| successor.owns()).await;
+        shared.put(&key(), "{}", 0);
+        for _ in 0..REPORTS {
+            assert!(!former.orders_a_start().await, "a successor may know of a request");
+        }
+        assert!(!told(&successor, true).await);
+    });
+}
+
 /// Guards against a withdrawal that is assumed while the store answers nobody.
 #[test]
 fn a_domain_stays_evacuated_through_an_outage_until_the_store_answers() {
--- a/crates/scheduler/tests/path.rs
+++ b/crates/scheduler/tests/path.rs
@@ -84,6 +84,25 @@
     assert!(found, "no seed finds {fault:?}");
 }
 
+#[test]
+fn every_guarantee_holds_while_failure_domains_are_evacuated_and_readmitted() {
+    for seed in 0..SEEDS {
+        let mut simulation = Simulation::new(seed, FaultRates::with_evacuations(), None);
+        assert_eq!(simulation.run(), Ok(()), "seed {seed}");
+    }
+}
+
+#[test_case(Fault::UnknownRequests ; "a new owner does not know the requests")]
+#[test_case(Fault::OrderBeforeRequest ; "an agent executes an order from before the request")]
+fn an_injected_fault_in_an_evacuation_is_found(fault: Fault) {
+    let rates = FaultRates::with_evacuations;
+    let late = |seed| {
+        let outcome = Simulation::new(seed, rates(), Some(fault)).run();
+        outcome.is_err_and(|broken| broken.contains("is sent to evacuated worker"))
+    };
+    assert!((0..FAULT_SEEDS).any(late), "no seed finds {fault:?}");
+}
+
 #[test_case(Fault::NoWaitForAgents ; "a new owner does not wait for agents that did not report")]
 #[test_case(Fault::FormerOwnerPlaces ; "a former owner keeps starting tasks")]
 #[test_case(Fault::FormerOwnerRenews ; "a former owner lets agents renew leases")]
--- a/crates/scheduler/tests/path/fault.rs
+++ b/crates/scheduler/tests/path/fault.rs
@@ -21,6 +21,10 @@
     CrashAsDrain,
     /// A new owner does not know the crashes that its predecessor recorded.
     ForgetCrashes,
+    /// A new owner does not know the requests to evacuate failure domains that were made before.
+    UnknownRequests,
+    /// Agents execute orders from before the evacuation of their workers.
+    OrderBeforeRequest,
     /// Agents renew leases although no owner answers.
     EndlessLease,
 }
--- a/crates/scheduler/tests/path/oracle.rs
+++ b/crates/scheduler/tests/path/oracle.rs
@@ -8,6 +8,8 @@
 const CRASHES: u32 = 3;
 /// Number of starts after [`CRASHES`] that breaks the rule.
 const STARTS_AFTER_CRASHES: u32 = 3;
+/// Time in which a confirmed request to evacuate a failure domain has to apply, in milliseconds.
+const EVACUATION_MS: u64 = 5_000;
 /// Number of crashes under a task after which its job may be shown as failed.
 const CRASHES_TO_GIVE_UP: u32 = 2;
 
@@ -39,6 +41,8 @@
     first: BTreeMap<Id, u32>,
     /// Tasks that crash the workers that start them.
     deadly: BTreeSet<Task>,
+    /// From when on nothing may be sent to start at each evacuated worker.
+    evacuated: BTreeMap<usize, u64>,
     pub(crate) broken: Option<String>,
 }
 
@@ -78,6 +82,32 @@
         }
     }
 
+    /// Records a request to evacuate the worker, which the store confirmed at `now`.
+    pub(crate) fn evacuate(&mut self, worker: usize, now: u64) {
+        self.evacuated.entry(worker).or_insert(now + EVACUATION_MS);
+    }
+
+    /// Records that the request was withdrawn.
+    pub(crate) fn readmit(&mut self, worker: usize) {
+        self.evacuated.remove(&worker);
+    }
+
+    /// Extends the time in which requests have to apply by `span`, in which the store has answered
+    /// nobody, so that nobody can have learned of them.
+    pub(crate) fn extend_evacuations(&mut self, now: u64, span: u64) {
+        for deadline in self.evacuated.values_mut().filter(|deadline| **deadline > now) {
+            *deadline += span;
+        }
+    }
+
+    /// Checks a start that an agent in touch with an owner sends to the worker.
+    pub(crate) fn check_evacuated(&mut self, worker: usize, task: Task, now: u64) {
+        if let Some(deadline) = self.evacuated.get(&worker).copied().filter(|at| *at < now) {
+            let late = now - deadline;
+            self.fail(format!("{task} is sent to evacuated worker {worker}, {late} ms too late"));
+        }
+    }
+
     pub(crate) fn mark_deadly(&mut self, task: Task) {
         self.deadly.insert(task);
     }
--- a/crates/scheduler/tests/path/simulation.rs
+++ b/crates/scheduler/tests/path/simulation.rs
@@ -25,6 +25,9 @@
 /// which contact with its agent or the owner counts as lost, and the registration after that.
 const SHRINK_MS: u64 = 4_500;
 const QUEUE: &str = "q";
+/// Longest time until an owner learns of a request: an answer of its watch is lost, and so is that of
+/// the first attempt to read the requests again.
+const MAX_WATCH_DELAY_MS: u64 = 3_000;
 /// Time in which an agent finds a new incarnation of its worker; a call that arrives earlier, meant
 /// for a former one, cannot be prevented.
 const DISCOVERY_MS: u64 = 400;
@@ -46,6 +49,10 @@
     worker_resized: f64,
     /// Probability that a job has a task that crashes its workers.
     deadly: f64,
+    /// Probability that an operator evacuates or readmits a failure domain.
+    evacuation: f64,
+    /// Probability that an agent executes an order seconds after it received it.
+    order_stalled: f64,
 }
 
 impl Default for FaultRates {
@@ -62,6 +69,8 @@
             calls_outlive_incarnations: false,
             worker_resized: 0.003,
             deadly: 0.0,
+            evacuation: 0.0,
+            order_stalled: 0.0,
         }
     }
 }
@@ -81,6 +90,11 @@
         Self { deadly: 0.3, owner_replaced: 0.005, ..Self::none() }
     }
 
+    /// Requests to evacuate failure domains and their withdrawals, beside all other faults.
+    pub(crate) fn with_evacuations() -> Self {
+        Self { evacuation: 0.006, order_stalled: 0.1, ..Self::default() }
+    }
+
     pub(crate) fn none() -> Self {
         Self {
             call_lost: 0.0,
@@ -94,6 +108,8 @@
             calls_outlive_incarnations: false,
             worker_resized: 0.0,
             deadly: 0.0,
+            evacuation: 0.0,
+            order_stalled: 0.0,
         }
     }
 }
@@ -133,11 +149,17 @@
     sequence: u64,
     tries: u32,
     unanswered: bool,
+    /// Before this time, the agent does not execute the order.
+    not_before: u64,
 }
 
 struct Owner {
     table: Table,
     alive_until: u64,
+    /// The revision of the requests that the table holds.
+    requests_revision: i64,
+    /// When it learns of later requests, if there are any.
+    learns_at: Option<u64>,
 }
 
 pub(crate) struct Simulation {
@@ -155,6 +177,9 @@
     progress: BTreeMap<Id, Progress>,
     holders: BTreeSet<Name>,
     store_down_until: u64,
+    /// The requests to evacuate failure domains in the store, and the revision of the last change.
+    requests: BTreeMap<Name, i64>,
+    requests_revision: i64,
 }
 
 /// The failure domain of a worker; each has its own.
@@ -183,7 +208,12 @@
             rates,
             fault,
             now,
-            owners: vec![Owner { table, alive_until: u64::MAX }],
+            owners: vec![Owner {
+                table,
+                alive_until: u64::MAX,
+                requests_revision: 0,
+                learns_at: None,
+            }],
             agents: (0..WORKERS).map(agent).collect(),
             workers: (0..WORKERS).map(|number| Worker::new(number, fault)).collect(),
             delayed: Vec::new(),
@@ -193,6 +223,8 @@
             progress: BTreeMap::new(),
             holders: BTreeSet::new(),
             store_down_until: 0,
+            requests: BTreeMap::new(),
+            requests_revision: 0,
         }
     }
 
@@ -211,6 +243,9 @@
             } else if self.now == begin + FAULT_PHASE_MS {
                 self.rates = FaultRates { task_fails: self.rates.task_fails, ..FaultRates::none() };
                 self.store_down_until = 0;
+                for number in 0..WORKERS {
+                    self.readmit(number);
+                }
                 for worker in &mut self.workers {
                     worker.resize(FULL_MILLICORES, self.now);
                 }
@@ -218,6 +253,9 @@
                     agent.isolated_until = 0;
                 }
             }
+            if self.now < self.store_down_until {
+                self.oracle.extend_evacuations(self.now, TICK_MS);
+            }
             self.deliver_delayed();
             for worker in &mut self.workers {
                 worker.tick(self.now, &mut self.oracle);
@@ -291,6 +329,42 @@
         if now >= self.store_down_until && self.chance(self.rates.owner_replaced) {
             self.replace_owner();
         }
+        if now >= self.store_down_until && self.chance(self.rates.evacuation) {
+            let number = self.rng.random_range(0..WORKERS);
+            if self.requests.contains_key(&domain_of(number)) {
+                self.readmit(number);
+            } else {
+                self.requests_revision += 1;
+                self.requests.insert(domain_of(number), self.requests_revision);
+                self.oracle.evacuate(number, now);
+            }
+        }
+    }
+
+    /// Withdraws the request to evacuate the domain of a worker, if there is one.
+    fn readmit(&mut self, number: usize) {
+        if self.requests.remove(&domain_of(number)).is_some() {
+            self.requests_revision += 1;
+            self.oracle.readmit(number);
+        }
+    }
+
+    /// Lets the newest owner learn of changed requests: some answers of its watch are lost, and the
+    /// requests are then read again.
+    fn follow_requests(&mut self) {
+        let owner = self.owners.last_mut().expect("an owner");
+        if owner.requests_revision == self.requests_revision || self.now < self.store_down_until {
+            return;
+        }
+        let now = self.now;
+        let rng = &mut self.rng;
+        let learns_at =
+            *owner.learns_at.get_or_insert_with(|| now + rng.random_range(0..MAX_WATCH_DELAY_MS));
+        if learns_at <= now {
+            owner.table.set_evacuated(self.requests.clone(), Time::from_millis(now));
+            owner.requests_revision = self.requests_revision;
+            owner.learns_at = None;
+        }
     }
 
     /// A successor reads the store; the former owner continues for a while, but the store accepts
@@ -318,7 +392,15 @@
                 table.cancel(*id, now);
             }
         }
-        self.owners.push(Owner { table, alive_until: u64::MAX });
+        if self.fault != Some(Fault::UnknownRequests) {
+            table.set_evacuated(self.requests.clone(), now);
+        }
+        self.owners.push(Owner {
+            table,
+            alive_until: u64::MAX,
+            requests_revision: self.requests_revision,
+            learns_at: None,
+        });
     }
 
     /// Callers submit jobs and cancel some.
@@ -531,7 +613,12 @@
     /// withdrawn, a stop is repeated until it is answered.
     fn execute_orders(&mut self, number: usize, now: Time) {
         for pending in std::mem::take(&mut self.agents[number].orders) {
-            let PendingOrder { ref order, epoch, sequence, tries, unanswered } = pending;
+            let PendingOrder { ref order, epoch, sequence, tries, unanswered, not_before } =
+                pending;
+            if self.now < not_before {
+                self.agents[number].orders.push(pending);
+                continue;
+            }
             let key = (order.task, order.run);
             let run_table = &mut self.agents[number].run_table;
             if run_table.epoch() != epoch {
@@ -552,7 +639,13 @@
                 continue;
             }
             let lease = run_table.lease_ms(now);
-            let ready = run_table.accepts_tasks()
+            let registered = run_table.registered();
+            let ignores = self.fault == Some(Fault::OrderBeforeRequest);
+            let accepts = match registered {
+                Some((_, status, _)) if ignores => status == Status::Ready,
+                _ => run_table.accepts_tasks(),
+            };
+            let ready = accepts
                 && !run_table.has_shrunk_since(sequence)
                 && !run_table.is_withdrawn(&key)
                 && tries < 2;
@@ -562,6 +655,9 @@
                 continue;
             };
             let (task, run) = key;
+            if self.now >= self.agents[number].isolated_until {
+                self.oracle.check_evacuated(number, task, self.now);
+            }
             match self.call(number, Call::Start { task, run, lease, epoch }) {
                 Ok(_) => {
                     self.agents[number].run_table.confirm_start(order, Traits::default(), now);
@@ -639,12 +735,17 @@
             if stop && !self.agents[number].run_table.begin_withdrawal((order.task, order.run)) {
                 continue;
             }
-            let pending = PendingOrder { order, epoch, sequence, tries: 0, unanswered: false };
+            let stalled = !stop && self.chance(self.rates.order_stalled);
+            let not_before =
+                if stalled { self.now + self.rng.random_range(500..12_000) } else { self.now };
+            let pending =
+                PendingOrder { order, epoch, sequence, tries: 0, unanswered: false, not_before };
             self.agents[number].orders.push(pending);
         }
     }
 
     fn decide(&mut self) {
+        self.follow_requests();
         let now = Time::from_millis(self.now);
         let newest = self.owners.len() - 1;
         let stored = self.now >= self.store_down_until;
