Apply no lease of a start that is meant for another incarnation

Cause: the simulated worker applied the lease of a late start that named a former incarnation of the same identifier, although it refused the start. The lease is on the clock of the former incarnation, so it was extended by up to 6 s after the owner counted on its end. The worker protocol forbids this: a call for another incarnation is refused and has no effect, and the stand-in compares incarnations before anything else.

Change: calls in the simulation carry the start of the incarnation that they mean, as those of the agent do. The simulated worker still carries such a start out while its own lease lasts, as a worker does that compares identifiers alone, but takes over no lease from it. The fault ForeignLease applies the lease as before and is found, so the check is as strict; NoPrevention is found as before.

--- a/crates/scheduler/tests/path.rs
+++ b/crates/scheduler/tests/path.rs
@@ -54,6 +54,13 @@
     assert!(failed(Some(Fault::NoPrevention)) > 0, "no seed finds the fault");
 }
 
+#[test]
+fn a_lease_that_is_meant_for_a_former_incarnation_doubles_runs_if_it_is_applied() {
+    let rates = FaultRates::with_outliving_calls;
+    let simulate = |seed| Simulation::new(seed, rates(), Some(Fault::ForeignLease)).run();
+    assert!((0..FAULT_SEEDS).any(|seed| simulate(seed).is_err()), "no seed finds the fault");
+}
+
 #[test]
 fn a_run_without_faults_ends_every_job_without_a_lost_run() {
     let mut simulation = Simulation::new(1, FaultRates::none(), None);
--- a/crates/scheduler/tests/path/fault.rs
+++ b/crates/scheduler/tests/path/fault.rs
@@ -7,6 +7,8 @@
     NoWithdrawal,
     /// A former owner keeps starting tasks.
     FormerOwnerPlaces,
+    /// Workers apply the lease of a start that is meant for a former incarnation.
+    ForeignLease,
     /// Starts that got no answer are carried out by a later incarnation of the worker.
     NoPrevention,
     /// A former owner lets agents renew leases.
--- a/crates/scheduler/tests/path/simulation.rs
+++ b/crates/scheduler/tests/path/simulation.rs
@@ -111,8 +111,19 @@
 
 #[derive(Clone)]
 enum Call {
-    Start { task: Task, run: u32, lease: u64, epoch: u64 },
-    Stop { task: Task, run: u32, epoch: u64 },
+    /// `started_ms` names the incarnation of the worker that the caller means.
+    Start {
+        task: Task,
+        run: u32,
+        lease: u64,
+        started_ms: u64,
+        epoch: u64,
+    },
+    Stop {
+        task: Task,
+        run: u32,
+        epoch: u64,
+    },
 }
 
 struct Agent {
@@ -401,11 +412,12 @@
         let stop_takes = self.rng.random_range(0..STOP_MS);
         let worker = &mut self.workers[worker];
         match call {
-            Call::Start { task, run, lease, epoch } => {
+            Call::Start { task, run, lease, started_ms, epoch } => {
                 let step = &self.jobs[&task.job].0.spec.steps[usize::from(task.step)];
                 let work = (takes, fails, step.need.millicores);
                 // A start that is carried out late is judged by when it was sent.
                 let times = (self.now, sent.saturating_sub(SHRINK_MS));
+                let lease = (lease, started_ms);
                 worker.start((task, run), lease, epoch, work, times, &mut self.oracle)
             }
             Call::Stop { task, run, epoch } => {
@@ -555,7 +567,8 @@
                 continue;
             };
             let (task, run) = key;
-            match self.call(number, Call::Start { task, run, lease, epoch }) {
+            let started_ms = self.workers[number].incarnation().started_ms;
+            match self.call(number, Call::Start { task, run, lease, started_ms, epoch }) {
                 Ok(_) => {
                     self.agents[number].run_table.confirm_start(order, Traits::default(), now);
                 }
--- a/crates/scheduler/tests/path/worker.rs
+++ b/crates/scheduler/tests/path/worker.rs
@@ -174,16 +174,23 @@
         self.lease = self.lease.max(lease.min(self.clock(now) + LEASE_MS));
     }
 
+    /// Starts a run. `lease` is the end of its lease, and the start of the incarnation that the caller
+    /// means. A later incarnation of the same identifier may carry the start out, but never takes
+    /// over the lease, which is on the clock of the former one: a worker that compares incarnations
+    /// refuses the whole call.
     pub(crate) fn start(
         &mut self,
         (task, run): (Task, u32),
-        lease: u64,
+        (lease, started_ms): (u64, u64),
         epoch: u64,
         (takes, fails, millicores): (u64, bool, u32),
         (now, shrunk_before): (u64, u64),
         oracle: &mut Oracle,
     ) -> Result<u64> {
         self.obey(epoch)?;
+        let meant = started_ms == self.started_ms;
+        let lease =
+            if meant || self.fault == Some(Fault::ForeignLease) { lease } else { self.lease };
         if lease <= self.clock(now) {
             return Err(Error::Late);
         }
