--- a/crates/policy/benches/plan.rs
+++ b/crates/policy/benches/plan.rs
@@ -135,6 +135,7 @@
             answers,
             received: worker.received,
             evacuated: None,
+            crashes: Vec::new(),
         }
     }
 
--- a/crates/policy/src/plan/mod.rs
+++ b/crates/policy/src/plan/mod.rs
@@ -45,6 +45,7 @@
 mod interference;
 mod job;
 mod load;
+mod loss;
 pub mod message;
 mod opening;
 mod place;
--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -69,6 +69,8 @@
         for answer in report.answers.iter().filter(|answer| answer.outcome == Outcome::Started) {
             self.apply_answer(&agent, answer, now);
         }
+        // Runs that had ended before a crash are none that it ended.
+        self.apply_crashed_ends(&agent, &report.crashes, now);
         self.update_worker(&agent, &report, now);
         if report.vacant {
             let leaving = self.workers.get(&agent).is_some_and(Worker::is_leaving);
@@ -77,6 +79,7 @@
             let crash = registered && !was_leaving && !leaving;
             self.lose_runs(&agent, "no worker runs beside the agent", crash, now);
         }
+        self.apply_crashes(&agent, &report.crashes, now);
         if report.vacant || is_empty(&report) {
             self.forget_missing(&agent, now);
         }
@@ -215,7 +218,18 @@
         if end.number <= worker.recorded || worker.ends.contains_key(&end.number) {
             return;
         }
-        worker.ends.insert(end.number, None);
+        let (number, id) = (end.number, end.task.job);
+        worker.ends.insert(number, None);
+        self.settle_end(agent, end, now);
+        let unrecorded = self.jobs.get(&id).filter(|job| job.recorded < job.version);
+        let required = unrecorded.map(|job| (job.id, job.version));
+        if let Some(worker) = self.workers.get_mut(agent) {
+            worker.ends.insert(number, required);
+        }
+    }
+
+    /// Applies the end of a run to its task.
+    pub(super) fn settle_end(&mut self, agent: &Name, end: End, now: Time) {
         let End { task, run, reason, .. } = end;
         self.events.push(Event::End { task, run, agent: agent.clone(), reason });
         self.remove_remnant(agent, task, run);
@@ -268,11 +282,6 @@
                 }
             }
         }
-        let unrecorded = self.jobs.get(&task.job).filter(|job| job.recorded < job.version);
-        let required = unrecorded.map(|job| (job.id, job.version));
-        if let Some(worker) = self.workers.get_mut(agent) {
-            worker.ends.insert(end.number, required);
-        }
     }
 
     /// Returns the members of the gang of `task`, or only `task` if it is in no gang.
@@ -576,6 +585,7 @@
 
     /// Advances the watermark up to which the worker may discard ended runs.
     pub(super) fn advance_recorded(&mut self, agent: &Name) {
+        self.advance_crashes(agent);
         let Self { workers, jobs, updated, .. } = self;
         let Some(Worker { ends, recorded, .. }) = workers.get_mut(agent) else { return };
         while let Some((number, required)) = ends.first_key_value() {
--- a/crates/policy/tests/plan/harness.rs
+++ b/crates/policy/tests/plan/harness.rs
@@ -270,6 +270,7 @@
             answers: self.answers.clone(),
             received: self.received,
             evacuated: Some(self.evacuated),
+            crashes: Vec::new(),
         }
     }
 
--- a/crates/scheduler/tests/owner.rs
+++ b/crates/scheduler/tests/owner.rs
@@ -122,6 +122,7 @@
             answers: Vec::new(),
             received: 0,
             evacuated: Some(self.evacuated.get()),
+            crashes: Vec::new(),
         };
         let (sender, reply) = oneshot::channel();
         let call = PeerCall::Report(Box::new(report), sender);
--- a/crates/scheduler/tests/path/simulation.rs
+++ b/crates/scheduler/tests/path/simulation.rs
@@ -127,8 +127,19 @@
 
 #[derive(Clone)]
 enum Call {
-    Start { task: Task, run: u32, lease: u64, epoch: u64 },
-    Stop { task: Task, run: u32, epoch: u64 },
+    /// `started_ms` names the incarnation of the worker that the caller means.
+    Start {
+        task: Task,
+        run: u32,
+        lease: u64,
+        started_ms: u64,
+        epoch: u64,
+    },
+    Stop {
+        task: Task,
+        run: u32,
+        epoch: u64,
+    },
 }
 
 struct Agent {
@@ -488,11 +499,12 @@
         let stop_takes = self.rng.random_range(0..STOP_MS);
         let worker = &mut self.workers[worker];
         match call {
-            Call::Start { task, run, lease, epoch } => {
+            Call::Start { task, run, lease, started_ms, epoch } => {
                 let step = &self.jobs[&task.job].0.spec.steps[usize::from(task.step)];
                 let work = (takes, fails, step.need.millicores);
                 // A start that is carried out late is judged by when it was sent.
                 let times = (self.now, sent.saturating_sub(SHRINK_MS));
+                let lease = (lease, started_ms);
                 worker.start((task, run), lease, epoch, work, times, &mut self.oracle)
             }
             Call::Stop { task, run, epoch } => {
@@ -570,7 +582,7 @@
         let agent = &mut self.agents[number];
         let worker = &mut self.workers[number];
         if worker.is_down(self.now) {
-            return agent.run_table.poll_failed(&Error::Vacant);
+            return agent.run_table.poll_failed(&Error::Vacant, now);
         }
         let mut lease = agent.run_table.lease_ms(now);
         if self.fault == Some(Fault::EndlessLease) {
@@ -582,13 +594,13 @@
         if lost || other {
             let error =
                 if other { Error::OtherIncarnation } else { Error::Unknown("lost".to_owned()) };
-            return agent.run_table.poll_failed(&error);
+            return agent.run_table.poll_failed(&error, now);
         }
         let recorded = agent.run_table.recorded();
         match worker.poll(lease, recorded, epoch, self.now, &mut self.oracle) {
             Ok(lists) if !answer_lost => agent.run_table.apply_lists(lists, epoch, now, now),
-            Ok(_) => agent.run_table.poll_failed(&Error::Unknown("lost".to_owned())),
-            Err(error) => agent.run_table.poll_failed(&error),
+            Ok(_) => agent.run_table.poll_failed(&Error::Unknown("lost".to_owned()), now),
+            Err(error) => agent.run_table.poll_failed(&error, now),
         }
     }
 
@@ -658,7 +670,8 @@
             if self.now >= self.agents[number].isolated_until {
                 self.oracle.check_evacuated(number, task, self.now);
             }
-            match self.call(number, Call::Start { task, run, lease, epoch }) {
+            let started_ms = self.workers[number].incarnation().started_ms;
+            match self.call(number, Call::Start { task, run, lease, started_ms, epoch }) {
                 Ok(_) => {
                     self.agents[number].run_table.confirm_start(order, Traits::default(), now);
                 }
@@ -702,6 +715,9 @@
             return;
         }
         let mut report = self.agents[number].run_table.report(now);
+        if let Some(Fault::CrashAsDrain | Fault::ForgetObservedCrashes) = self.fault {
+            report.crashes.clear();
+        }
         if let Some(profile) = report
             .worker
             .as_mut()
