Decide whether a task waits for a slot in its rack

Cause: a task whose data or group is in one rack starts at the least used worker wherever that is, although it takes longer outside the rack.

Change: the pure decision `Locality::decide`, from the expected wait for a slot in the rack, the time that a start elsewhere adds and what is left of the objective. Nothing uses it yet.

--- /dev/null
+++ b/crates/policy/src/plan/locality.rs
@@ -0,0 +1,77 @@
+//! Decides whether a task waits for a slot in the rack that holds its data or the rest of its group.
+//!
+//! Elsewhere the task takes longer by a known factor, while a wait in the rack delays it by a time that
+//! is only expected. So a task waits only while the expected wait is shorter than the time that a
+//! start elsewhere adds, and the time of waiting is bounded by that same addition: a task whose
+//! expectation turns out wrong ends at most that much later than if it had not waited.
+
+use shallotflow_core::time::Time;
+use std::time::Duration;
+
+/// Upper limit of the factor in calculations; beyond it the result would exceed any wait.
+const MAX_FACTOR: f64 = 1e6;
+
+/// What is known when the place of a task is decided.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Locality {
+    /// The time of the decision.
+    pub now: Time,
+    /// Since when the task could have been running.
+    pub ready_since: Time,
+    /// Remaining run time of the task in its rack; zero if it is not known.
+    pub duration: Duration,
+    /// Factor by which the task takes longer outside the rack.
+    pub spread_factor: f64,
+    /// Latest start in the rack with which the job can still end within its objective;
+    /// [`Time::NEVER`] without an objective.
+    pub latest_start: Time,
+    /// Whether a worker of the rack has room for the task.
+    pub has_room: bool,
+    /// Expected time until a slot in the rack becomes free, behind the tasks that wait for the rack
+    /// already; `None` if no slot is expected.
+    pub expected_wait: Option<Duration>,
+}
+
+/// Where a task starts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// At a worker of the rack, now.
+    Here,
+    /// At another worker, now.
+    Elsewhere,
+    /// At a worker of the rack if one becomes free, and at another from this time on.
+    Wait(Time),
+}
+
+impl Locality {
+    /// Decides where the task starts.
+    pub fn decide(&self) -> Decision {
+        if self.has_room {
+            return Decision::Here;
+        }
+        let Some(expected) = self.expected_wait else { return Decision::Elsewhere };
+        let until = self.wait_limit();
+        if until.passed(self.now) || self.now.after(expected) > until {
+            return Decision::Elsewhere;
+        }
+        Decision::Wait(until)
+    }
+
+    /// Returns the time that a start outside the rack adds to the run.
+    fn added(&self) -> Duration {
+        // `max` also replaces a value that is not a number.
+        let factor = self.spread_factor.max(1.0);
+        self.duration.mul_f64((factor - 1.0).min(MAX_FACTOR))
+    }
+
+    /// Returns when the wait ends at the latest. It depends on nothing that changes while the task
+    /// waits, so that a wait which has ended does not begin again.
+    fn wait_limit(&self) -> Time {
+        let added = self.added();
+        // Where the job can end in time from elsewhere, the wait leaves enough time for that.
+        let latest_elsewhere = self.latest_start.before(added);
+        let latest =
+            if latest_elsewhere > self.ready_since { latest_elsewhere } else { self.latest_start };
+        self.ready_since.after(added).min(latest)
+    }
+}
--- a/crates/policy/tests/plan/main.rs
+++ b/crates/policy/tests/plan/main.rs
@@ -7,6 +7,7 @@
 mod fuzz;
 mod gang;
 mod harness;
+mod locality;
 mod order;
 mod overload;
 mod recovery;
