Let tasks wait for a slot in the rack of their data or group

Cause: the search compared workers by processor use only, with a factor for workers outside the rack; a full rack sent tasks elsewhere at once, and a rack with room lost to idle workers elsewhere.

Change: the search uses `Locality::decide` for steps with `data_rack` or `same_rack`. Requests of runs by expected end and of waiting tasks are kept as sums for each rack that a task has named; runs of silent, leaving or evacuated workers do not count. A timer ends each wait. A worker with room in the rack goes before those elsewhere. `Event::Start` says whether the start is near and how long the task waited for that; `Event::NearWait` logs the inputs of a wait. The audit compares the sums with rebuilt ones.

--- a/crates/policy/src/plan/audit.rs
+++ b/crates/policy/src/plan/audit.rs
@@ -28,6 +28,9 @@
     /// The lists of workers.
     #[error("the ranking differs from the workers; report this as a defect")]
     Ranking,
+    /// The sums of a rack.
+    #[error("the sums of a rack differ from the runs there; report this as a defect")]
+    Racks,
     /// The agents that may hold runs.
     #[error("the holders of runs differ from the workers; report this as a defect")]
     Holders,
@@ -165,6 +168,9 @@
                 return Err(Mismatch::Trial(agent.clone()));
             }
         }
+        if !self.racks.agrees_with(&self.workers) {
+            return Err(Mismatch::Racks);
+        }
         if ranking != self.ranking {
             return Err(Mismatch::Ranking);
         }
@@ -179,7 +185,8 @@
         let Some(job) = self.jobs.get(&id) else { return Ok(()) };
         let waiting = |position: &usize| job.tasks[*position].phase == Phase::Waiting;
         let Some(position) = (0..job.tasks.len()).find(waiting) else { return Ok(()) };
-        let pass = Pass { now, holders, except: None, racks: &[], isolation: Isolation::None };
+        let pass =
+            Pass { now, holders, except: None, racks: &[], isolation: Isolation::None, members: 0 };
         let chosen = Search::new(self, pass, job, position).run();
         let best = Search::new(self, pass, job, position).run_over_all();
         let score = |outcome: &Outcome| match outcome {
--- a/crates/policy/src/plan/crash.rs
+++ b/crates/policy/src/plan/crash.rs
@@ -218,7 +218,7 @@
         let kept = self.trials.iter().find(|(_, trial)| trial.task == task);
         let kept = kept.map(|(agent, _)| agent.clone());
         let search = |isolation| {
-            let pass = Pass { now, holders, except: None, racks: &[], isolation };
+            let pass = Pass { now, holders, except: None, racks: &[], isolation, members: 0 };
             Search::new(self, pass, job, position).run()
         };
         let mut found = Outcome::Unsuited;
--- a/crates/policy/src/plan/event.rs
+++ b/crates/policy/src/plan/event.rs
@@ -23,6 +23,27 @@
         report_age_ms: u64,
         /// Expected processor use of the worker including the task, as a share of its capacity.
         pressure: f64,
+        /// Whether the worker is in the rack of the data and of the other tasks of the step; absent if
+        /// the step asks for neither.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        near: Option<bool>,
+        /// Time that the task waited for a slot in that rack although it could start elsewhere,
+        /// milliseconds.
+        near_wait_ms: u64,
+    },
+    /// A task that could start elsewhere begins to wait for a slot in the rack of its data or of the
+    /// other tasks of its step.
+    NearWait {
+        /// The task.
+        task: Task,
+        /// The rack.
+        rack: Name,
+        /// Expected time until a slot is free, milliseconds.
+        expected_ms: u64,
+        /// Longest time that the task waits, milliseconds.
+        limit_ms: u64,
+        /// Requests of the tasks that wait for the rack already, thousandths of a processor.
+        ahead_millicores: u64,
     },
     /// A stop was ordered.
     Stop {
--- a/crates/policy/src/plan/expire.rs
+++ b/crates/policy/src/plan/expire.rs
@@ -23,6 +23,8 @@
                 Timer::Urgency(id) => self.expire_urgency(id, now),
                 Timer::Forget(id) => forgotten.extend(self.forget(id, now)),
                 Timer::Worker(agent) => self.expire_worker(&agent, now),
+                Timer::Silence(agent) => self.expire_silence(&agent, now),
+                Timer::Wait => self.may_start = true,
             }
         }
         self.settle_uncertain(now);
--- a/crates/policy/src/plan/locality.rs
+++ b/crates/policy/src/plan/locality.rs
@@ -5,6 +5,7 @@
 //! start elsewhere adds, and the time of waiting is bounded by that same addition: a task whose
 //! expectation turns out wrong ends at most that much later than if it had not waited.
 
+use super::Job;
 use shallotflow_core::time::Time;
 use std::time::Duration;
 
@@ -75,3 +76,28 @@
         self.ready_since.after(added).min(latest)
     }
 }
+
+impl Job {
+    /// Returns the latest start of a task of `step` with which the job ends within its objective, if
+    /// the steps that depend on it take their estimated times; [`Time::NEVER`] without an objective.
+    pub(super) fn latest_start(&self, step: usize) -> Time {
+        let queue = &self.queue;
+        // The objective of a queue that sets none is the critical path alone, which no job can meet.
+        let has_objective = queue.stretch > 1.0 || queue.target_ms > 0;
+        if !has_objective || self.spec.is_long_running() || self.spec.repetitions > 0 {
+            return Time::NEVER;
+        }
+        let steps = &self.spec.steps;
+        let mut chains = vec![0_u64; steps.len()];
+        for (number, step) in steps.iter().enumerate().rev() {
+            chains[number] += step.estimate_ms;
+            for before in step.after.iter().map(|before| usize::from(*before)) {
+                if before < number {
+                    chains[before] = chains[before].max(chains[number]);
+                }
+            }
+        }
+        let chain = Duration::from_millis(chains.get(step).copied().unwrap_or(0));
+        self.received.after(self.objective()).before(chain)
+    }
+}
--- a/crates/policy/src/plan/mod.rs
+++ b/crates/policy/src/plan/mod.rs
@@ -40,6 +40,7 @@
 pub mod message;
 mod place;
 mod progress;
+mod racks;
 mod ranking;
 mod record;
 mod refusals;
@@ -54,6 +55,7 @@
 mod timers;
 mod trial;
 mod urgency;
+mod wait;
 mod worker;
 
 pub use audit::Mismatch;
--- a/crates/policy/src/plan/place.rs
+++ b/crates/policy/src/plan/place.rs
@@ -12,17 +12,21 @@
 use super::message::{Kind, Traits};
 use super::search::{Isolation, Outcome, Pass, Search};
 use super::timers::Timer;
+use super::wait::Wait;
 use super::{Event, Phase, Table, TaskState};
 use shallotflow_core::graph::{Id, Task};
 use shallotflow_core::name::Name;
 use shallotflow_core::time::Time;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 /// The worker selected for a task, and its expected processor use.
 struct Placement {
     task: Task,
     agent: Name,
     pressure: f64,
+    /// Whether it belongs to a gang with members in several racks.
+    spread: bool,
 }
 
 impl Table {
@@ -37,6 +41,7 @@
         if !periodic && !self.may_start {
             return;
         }
+        self.racks.begin_pass();
         let order: Vec<Id> = self.ready.iter().map(|(_, id)| *id).collect();
         for id in order {
             self.place_job(id, now, holders);
@@ -117,12 +122,25 @@
             }
         }
         let mut found: Vec<Placement> = Vec::new();
-        let mut racks: Vec<Option<Name>> = Vec::new();
+        let mut racks =
+            if same_rack { self.step_racks(id, occurrence, number) } else { Vec::new() };
+        let tasks = waiting.len();
         for position in waiting {
+            self.track_step(id, number, &racks);
             let Some(job) = self.jobs.get(&id) else { return false };
-            let pass = Pass { now, holders, except: None, racks: &racks, isolation };
+            let members = if gang { tasks - found.len() } else { 1 };
+            let pass = Pass { now, holders, except: None, racks: &racks, isolation, members };
             let (agent, pressure) = match Search::new(self, pass, job, position).run() {
                 Outcome::Worker { agent, pressure, .. } => (agent, pressure),
+                Outcome::Wait { until, expected } => {
+                    let task = job.task(position);
+                    let wait = Wait { task, members, until, expected };
+                    self.hold(&wait, &racks, now);
+                    if gang {
+                        break;
+                    }
+                    continue;
+                }
                 outcome => {
                     // A limit for each worker can also be the reason, which is not remembered.
                     let step = &job.spec.steps[number];
@@ -140,14 +158,13 @@
             };
             let task = job.task(position);
             if same_rack {
-                let profile = self.workers.get(&agent).and_then(|worker| worker.profile.as_ref());
-                let rack = profile.and_then(|profile| profile.rack.clone());
+                let rack = self.rack_at(&agent);
                 if !racks.contains(&rack) {
                     racks.push(rack);
                 }
             }
             self.occupy(&agent, task);
-            found.push(Placement { task, agent, pressure });
+            found.push(Placement { task, agent, pressure, spread: false });
         }
         if gang && found.len() < range.len() {
             for Placement { task, agent, .. } in found {
@@ -156,7 +173,9 @@
             return false;
         }
         started |= !found.is_empty();
+        let spread = gang && racks.len() > 1;
         for placement in found {
+            let placement = Placement { spread, ..placement };
             let Placement { task, ref agent, .. } = placement;
             let agent = agent.clone();
             self.start(placement, now);
@@ -171,12 +190,12 @@
     /// task starts until the result is known.
     pub(super) fn start_alone(&mut self, task: Task, agent: Name, pressure: f64, now: Time) {
         self.begin_trial(&agent, task, now);
-        self.start(Placement { task, agent, pressure }, now);
+        self.start(Placement { task, agent, pressure, spread: false }, now);
     }
 
     /// Orders the start of a task at the worker that it already occupies.
     fn start(&mut self, placement: Placement, now: Time) {
-        let Placement { task, agent, pressure } = placement;
+        let Placement { task, agent, pressure, spread } = placement;
         let Some(job) = self.jobs.get(&task.job) else { return };
         let Some(position) = job.position(&task) else { return };
         let step = job.step(&task);
@@ -220,12 +239,26 @@
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         job.set_phase(position, Phase::Starting { agent: agent.clone(), run, withdraw_at });
         let state = &mut job.tasks[position];
+        let near_wait_since = state.near_wait_since.take();
+        let near_wait = near_wait_since.map_or(Duration::ZERO, |since| now.since(since));
+        let near_wait_ms = u64::try_from(near_wait.as_millis()).unwrap_or(u64::MAX);
         state.last_run = run;
         state.begun = now;
         state.percent = 0;
         let waited_ms = u64::try_from(now.since(state.ready_since).as_millis()).unwrap_or(u64::MAX);
         let queue = job.queue.name.clone();
-        let event = Event::Start { task, run, agent, queue, waited_ms, report_age_ms, pressure };
-        self.events.push(event);
+        self.count_start(&agent, &task, now);
+        let near = self.is_near(&agent, &task).map(|near| near && !spread);
+        self.events.push(Event::Start {
+            task,
+            run,
+            agent,
+            queue,
+            waited_ms,
+            report_age_ms,
+            pressure,
+            near,
+            near_wait_ms,
+        });
     }
 }
--- a/crates/policy/src/plan/ranking.rs
+++ b/crates/policy/src/plan/ranking.rs
@@ -1,4 +1,5 @@
 use super::message::{Profile, Status};
+use super::racks::Key;
 use super::{Settings, Worker};
 use foldhash::HashMap;
 use shallotflow_core::graph::Step;
@@ -43,6 +44,11 @@
         }
     }
 
+    /// Returns the service and the rack of the worker, if it has one.
+    pub(super) fn key(&self) -> Option<Key> {
+        Some((self.service.clone(), self.rack.clone()?))
+    }
+
     fn describes(&self, profile: &Profile) -> bool {
         self.service == profile.service
             && self.labels == profile.labels
@@ -118,9 +124,9 @@
         }
     }
 
-    /// Returns the workers of `service` in the rack that holds the data of `step`.
-    pub(super) fn near(&self, service: &str, step: &Step) -> Option<&List> {
-        self.services.get(service)?.by_rack.get(step.data_rack.as_ref()?)
+    /// Returns the workers of `service` in `rack`.
+    pub(super) fn near(&self, service: &str, rack: &str) -> Option<&List> {
+        self.services.get(service)?.by_rack.get(rack)
     }
 
     fn insert(&mut self, agent: &Name, rank: &Rank) {
--- a/crates/policy/src/plan/relocate.rs
+++ b/crates/policy/src/plan/relocate.rs
@@ -74,7 +74,14 @@
         if Duration::from_millis(saved_ms) < lost * LEAST_GAIN {
             return false;
         }
-        let pass = Pass { now, holders, except: agent, racks: &[], isolation: Isolation::None };
+        let pass = Pass {
+            now,
+            holders,
+            except: agent,
+            racks: &[],
+            isolation: Isolation::None,
+            members: 0,
+        };
         match Search::new(self, pass, job, position).run() {
             Outcome::Worker { score, .. } => score <= MAX_SCORE,
             _ => false,
--- a/crates/policy/src/plan/remnant.rs
+++ b/crates/policy/src/plan/remnant.rs
@@ -29,6 +29,7 @@
     /// Lets the current run of a task occupy its worker, though the task does not wait for its end.
     pub(super) fn detach_run(&mut self, agent: &Name, task: Task, run: u32) {
         self.end_trial(agent, &task);
+        self.uncount_run(agent, &task);
         if let Some(worker) = self.workers.get_mut(agent) {
             worker.detach(task, run);
         }
--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -42,6 +42,7 @@
         worker.sequence = report.sequence;
         worker.last_order = worker.last_order.max(report.received);
         worker.last_report = now;
+        worker.quiet = false;
         worker.empty_at = now.after(self.settings.lease);
         // The reply lets the agent renew leases, also of runs that it cannot list yet.
         if let Some(empty_at) = self.missing.get_mut(&agent) {
@@ -489,6 +490,7 @@
                 self.mark_started(task.job, now);
                 self.remove_remnant(agent, task, number);
                 self.occupy(agent, task);
+                self.count_start(agent, &task, now);
                 if let Some(worker) = self.workers.get_mut(agent) {
                     worker.last_start = now;
                 }
@@ -513,6 +515,7 @@
         }
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let state = &mut job.tasks[position];
+        let progressed = run.percent != state.percent;
         // A throttled run counts as making progress.
         if run.percent != state.percent || run.pace < 100 || regained {
             state.percent = run.percent;
@@ -533,6 +536,9 @@
             placed.measurement = run.measurement;
             placed.pace = run.pace;
         }
+        if progressed {
+            self.count_progress(agent, &task, run.percent, now);
+        }
         self.clear_survivor(agent, task, now);
     }
 
--- a/crates/policy/src/plan/search.rs
+++ b/crates/policy/src/plan/search.rs
@@ -1,4 +1,6 @@
 use super::demand::Demand;
+use super::locality::{Decision, Locality};
+use super::racks::{Amount, Key};
 use super::ranking::List;
 use super::{Job, Table, Worker};
 use shallotflow_core::graph::{Step, Task};
@@ -6,6 +8,7 @@
 use shallotflow_core::resources::Bundle;
 use shallotflow_core::time::Time;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 /// Added to the score of the worker where the task failed or was slowed down last, so that any
 /// other goes first.
@@ -25,6 +28,10 @@
 /// Expected excess over a target that is within the error of the estimate, as a share of the target.
 const TOLERATED_EXCESS: f64 = 0.05;
 
+/// Added to the score of a worker outside the rack that holds the data of the task, so that any with
+/// room in the rack goes first unless it would slow the task down.
+const FAR_COST: f64 = 1.0;
+
 /// Difference of two scores that can be due to rounding.
 pub(super) const ROUNDING: f64 = 1e-9;
 
@@ -39,6 +46,8 @@
 pub(super) enum Outcome {
     /// The best worker, and its expected processor use including the task.
     Worker { agent: Name, pressure: f64, score: f64 },
+    /// The task waits for a slot in its rack until this time.
+    Wait { until: Time, expected: Duration },
     /// No worker has room for the task.
     Full,
     /// The task would disturb serving tasks wherever there is room.
@@ -66,9 +75,21 @@
     pub(super) holders: &'a BTreeSet<Name>,
     /// The worker that the task has to leave.
     pub(super) except: Option<&'a Name>,
-    /// Racks of the tasks of the step that the pass has placed.
+    /// Racks of the tasks of the step that run or that the pass has placed.
     pub(super) racks: &'a [Option<Name>],
     pub(super) isolation: Isolation,
+    /// Number of tasks that need a slot in the rack together; 0 if the task does not wait for one.
+    pub(super) members: usize,
+}
+
+/// Returns the rack where a task of `step` belongs: that of its data, or that of the other tasks of
+/// the step while they have only one.
+pub(super) fn rack_of<'a>(step: &'a Step, racks: &'a [Option<Name>]) -> Option<&'a Name> {
+    match (&step.data_rack, racks) {
+        (Some(rack), _) => Some(rack),
+        (None, [rack]) if step.same_rack => rack.as_ref(),
+        _ => None,
+    }
 }
 
 /// The search for the best worker for one task.
@@ -91,6 +112,8 @@
     best: Option<Choice<'a>>,
     any_room: bool,
     any_disturbed: bool,
+    /// Whether any worker with room was passed over for another reason.
+    any_barred: bool,
 }
 
 impl<'a> Search<'a> {
@@ -113,6 +136,7 @@
             best: None,
             any_room: false,
             any_disturbed: false,
+            any_barred: false,
         }
     }
 
@@ -128,12 +152,26 @@
                 self.consider(agent);
             }
         } else {
-            if let Some(near) = table.ranking.near(service, self.step) {
-                self.scan(near, 1.0);
+            let rack = rack_of(self.step, self.pass.racks);
+            let near = rack.and_then(|rack| table.ranking.near(service, rack));
+            if let Some(near) = near {
+                self.scan(near, 1.0, 0.0);
+            }
+            let has_room = self.best.is_some();
+            let barred = self.any_barred;
+            let (factor, cost) = if self.step.data_rack.is_some() {
+                (table.settings.spread_factor, self.far_cost())
+            } else {
+                (1.0, if rack.is_some() { table.settings.spread_factor } else { 0.0 })
+            };
+            self.scan(eligible, factor, cost);
+            if let (Some(near), Some(rack)) = (near, rack)
+                && !has_room
+                && !barred
+                && let Some(wait) = self.wait(near, rack)
+            {
+                return wait;
             }
-            let factor =
-                if self.step.data_rack.is_some() { table.settings.spread_factor } else { 1.0 };
-            self.scan(eligible, factor);
         }
         self.outcome()
     }
@@ -149,6 +187,50 @@
         self.outcome()
     }
 
+    /// Returns the outcome if the task, for which there is no room in `rack` but elsewhere, waits for
+    /// a slot at one of the workers in `near`.
+    fn wait(&self, near: &List, rack: &Name) -> Option<Outcome> {
+        let Self { table, step, .. } = *self;
+        if self.pass.members == 0 || self.best.is_none() || step.estimate_ms == 0 {
+            return None;
+        }
+        let profiles = near.iter().filter_map(|(_, agent)| table.workers.get(agent));
+        let mut profiles = profiles.filter_map(|worker| worker.profile.as_ref());
+        // The sums count the runs of all workers of the rack, so each has to suit the task.
+        let suited = profiles.all(|profile| {
+            profile.capacity.holds(&self.need)
+                && step.required_label.as_ref().is_none_or(|label| profile.labels.contains(label))
+        });
+        if !suited || step.long_running {
+            return None;
+        }
+        let key: Key = (self.job.queue.service.clone(), rack.clone());
+        let duration = Duration::from_millis(step.estimate_ms);
+        let now = self.pass.now;
+        let need = Amount::of(step, self.pass.members);
+        let expected = table.racks.get(&key)?.expected_wait(&need, duration, now)?;
+        let state = &self.job.tasks[self.job.position(&self.task)?];
+        let locality = Locality {
+            now,
+            ready_since: state.ready_since,
+            duration,
+            spread_factor: table.settings.spread_factor,
+            latest_start: self.job.latest_start(usize::from(self.task.step)),
+            has_room: false,
+            expected_wait: Some(expected),
+        };
+        match locality.decide() {
+            Decision::Wait(until) => Some(Outcome::Wait { until, expected }),
+            Decision::Here | Decision::Elsewhere => None,
+        }
+    }
+
+    /// Returns what is added to the score of a worker outside the rack of the data. A run that moves
+    /// has its place already, which is no better.
+    fn far_cost(&self) -> f64 {
+        if self.pass.except.is_some() { 0.0 } else { FAR_COST }
+    }
+
     fn outcome(self) -> Outcome {
         match self.best {
             Some(Choice { score, agent, pressure }) => {
@@ -161,14 +243,14 @@
     }
 
     /// Considers the workers of `list` that can be better than the best one found. The score of a
-    /// worker that was not considered before is at least `factor` times its expected use.
-    fn scan(&mut self, list: &'a List, factor: f64) {
+    /// worker that was not considered before is at least `factor` times its expected use plus `cost`.
+    fn scan(&mut self, list: &'a List, factor: f64, cost: f64) {
         let settings = &self.table.settings;
         let largest = self.table.sizes.largest(&self.job.queue.service);
         let least_extra = self.extra / f64::from(largest.millicores.max(1));
         for (pressure, agent) in list {
             let pressure = pressure.share();
-            let bound = (pressure + least_extra) * factor;
+            let bound = (pressure + least_extra) * factor + cost;
             if self.best.as_ref().is_some_and(|best| best.score <= bound + ROUNDING) {
                 return;
             }
@@ -194,7 +276,7 @@
     /// `None` if the task cannot go there.
     fn score(&mut self, agent: &Name, worker: &Worker) -> Option<(f64, f64)> {
         let Self { table, step, .. } = *self;
-        let Pass { now, holders, except, racks, isolation } = self.pass;
+        let Pass { now, holders, except, racks, isolation, .. } = self.pass;
         let settings = &table.settings;
         let profile = worker.profile.as_ref()?;
         let capacity = profile.capacity;
@@ -214,9 +296,11 @@
         if !table.admits(agent, &self.task, now)
             || (isolation == Isolation::Alone && !table.is_settled(agent))
         {
+            self.any_barred = true;
             return None;
         }
         if step.per_worker > 0 && worker.siblings(&self.task) >= step.per_worker as usize {
+            self.any_barred = true;
             return None;
         }
         let pressure = worker.load.pressure(self.extra, &capacity, settings);
@@ -234,6 +318,7 @@
             // A missed target costs a serving task more than a best-effort task gains.
             if excess > TOLERATED_EXCESS && !self.waited_long {
                 self.any_disturbed = true;
+                self.any_barred = true;
                 return None;
             }
             let slowdown = worker.slowdown(step.image.as_ref());
@@ -247,7 +332,7 @@
                 * f64::from(u32::try_from(worker.placed.len()).unwrap_or(u32::MAX));
         }
         if step.data_rack.is_some() && step.data_rack != profile.rack {
-            score *= settings.spread_factor;
+            score = score * settings.spread_factor + self.far_cost();
         }
         if step.same_rack && racks.iter().any(|rack| *rack != profile.rack) {
             score += settings.spread_factor;
--- a/crates/policy/src/plan/table.rs
+++ b/crates/policy/src/plan/table.rs
@@ -1,5 +1,6 @@
 use super::changes::Changes;
 use super::message::{Kind, Reply, RunTraits, Traits};
+use super::racks::Racks;
 use super::ranking::Ranking;
 use super::refusals::Refusals;
 use super::timers::{Timer, Timers};
@@ -35,6 +36,8 @@
     pub(super) ready: BTreeSet<(Urgency, Id)>,
     /// Workers that may get tasks, the least used first.
     pub(super) ranking: Ranking,
+    /// What runs in the racks that tasks have named, and what waits for them.
+    pub(super) racks: Racks,
     /// Demands that no worker had room for.
     pub(super) refusals: Refusals,
     /// Whether a change since the last pass may let a task start.
@@ -86,6 +89,7 @@
             queues: HashMap::new(),
             ready: BTreeSet::new(),
             ranking: Ranking::default(),
+            racks: Racks::default(),
             refusals: Refusals::default(),
             may_start: false,
             search_again_at: Time::ZERO,
@@ -212,6 +216,7 @@
             self.holding.remove(agent)
         };
         self.holders_version += u64::from(changed);
+        self.update_rack(agent);
     }
 
     /// Returns the reply to the latest report of `agent`, with the orders that it has not received.
@@ -309,6 +314,7 @@
         state.retry_at = retry;
         state.ready_since = now;
         state.percent = 0;
+        state.near_wait_since = None;
         state.slowed_since = None;
         if let Some(stopped_at) = state.stopped_at.take() {
             let took = now.since(stopped_at);
@@ -367,12 +373,15 @@
             target_ms: step.target_ms,
             measurement: 0,
             pace: 100,
+            ends_at: None,
+            progress_since: None,
         })
     }
 
     /// Adds `task` to the runs that occupy the worker of `agent`.
     pub(super) fn occupy(&mut self, agent: &Name, task: Task) {
         let Some(placed) = self.placed(&task) else { return };
+        self.uncount_run(agent, &task);
         if let Some(worker) = self.workers.get_mut(agent) {
             worker.occupy(task, placed);
             self.update_worker_lists(agent);
@@ -382,6 +391,7 @@
     /// Removes `task` from the runs that occupy the worker of `agent`.
     pub(super) fn vacate(&mut self, agent: &Name, task: &Task) {
         self.end_trial(agent, task);
+        self.uncount_run(agent, task);
         let Some(worker) = self.workers.get_mut(agent) else { return };
         if worker.vacate(task) {
             self.apply_freed(agent);
--- a/crates/policy/src/plan/task_state.rs
+++ b/crates/policy/src/plan/task_state.rs
@@ -80,6 +80,8 @@
     pub relocations: u8,
     /// Since when the task could have been running.
     pub ready_since: Time,
+    /// Since when the task has waited for a slot in its rack although it could start elsewhere.
+    pub near_wait_since: Option<Time>,
 }
 
 impl TaskState {
--- a/crates/policy/src/plan/timers.rs
+++ b/crates/policy/src/plan/timers.rs
@@ -17,6 +17,10 @@
     Forget(Id),
     /// The leases of a worker may have ended.
     Worker(Name),
+    /// The agent of a worker may be silent.
+    Silence(Name),
+    /// A task has waited as long as it may for a slot in its rack.
+    Wait,
 }
 
 /// Deadlines in order of time.
--- a/crates/policy/src/plan/worker.rs
+++ b/crates/policy/src/plan/worker.rs
@@ -1,6 +1,7 @@
 use super::demand::Demand;
 use super::load::Load;
 use super::message::{Incarnation, Kind, Order, Profile, Status};
+use super::racks::Key;
 use super::ranking::Rank;
 use super::remnant::Remnant;
 use serde::Serialize;
@@ -27,6 +28,12 @@
     pub(super) measurement: u32,
     /// Current speed after throttling, percent of full speed.
     pub(super) pace: u8,
+    /// When it is expected to end, while it counts for its rack; `None` if it does not end by itself.
+    #[serde(skip)]
+    pub(super) ends_at: Option<Time>,
+    /// When its progress was first listed, and the progress at that time, percent.
+    #[serde(skip)]
+    pub(super) progress_since: Option<(Time, u8)>,
 }
 
 impl Placed {
@@ -108,6 +115,15 @@
     /// Where the table's ranking lists the worker.
     #[serde(skip)]
     pub(super) rank: Option<Rank>,
+    /// The rack whose sums count the worker's runs.
+    #[serde(skip)]
+    pub(super) counted: Option<Key>,
+    /// Whether a timer is set for the silence of the agent.
+    #[serde(skip)]
+    pub(super) silence_timer: bool,
+    /// Whether the agent is silent, as far as that was found out since its last report.
+    #[serde(skip)]
+    pub(super) quiet: bool,
     #[serde(skip)]
     pub(super) outbox: VecDeque<Order>,
     #[serde(rename = "ordered")]
