Weigh a wait for a rack against the tasks that come for it, and replay surges

While more tasks come than the rack can run, each slot is used anyway.

Change: the sums of a rack include what has come for it within about a second, without the tasks that came together with the one that is decided. In a surge, a task waits only for a slot that would otherwise stay idle until the next one comes. Values of the factor that are not usable are replaced.

--- a/crates/policy/src/plan/place.rs
+++ b/crates/policy/src/plan/place.rs
@@ -248,6 +248,9 @@
         let waited_ms = u64::try_from(now.since(state.ready_since).as_millis()).unwrap_or(u64::MAX);
         let queue = job.queue.name.clone();
         self.count_start(&agent, &task, now);
+        if near_wait_since.is_none() {
+            self.count_arrival(&task, now);
+        }
         let near = self.is_near(&agent, &task).map(|near| near && !spread);
         self.events.push(Event::Start {
             task,
--- a/crates/policy/src/plan/racks.rs
+++ b/crates/policy/src/plan/racks.rs
@@ -3,6 +3,7 @@
 //! The sums of a rack are kept from the first task on that names it, so that a table without such
 //! tasks does no work for them.
 
+use super::locality::usable_factor;
 use super::timers::Timer;
 use super::worker::Placed;
 use super::{Phase, Table, Worker};
@@ -19,6 +20,9 @@
 /// rounding of two percentages exceeds the error of most estimates.
 const LEAST_PROGRESS: u8 = 10;
 
+/// Time over which the arrivals for a rack are averaged; a surge for one rack lasts some seconds.
+const ARRIVAL_WINDOW: Duration = Duration::from_secs(1);
+
 /// A service and a rack of its workers.
 pub(super) type Key = (Name, Name);
 
@@ -100,6 +104,29 @@
     ending: Amount,
     /// Requests of the tasks that the current pass lets wait for the rack.
     waiting: Amount,
+    /// What has come for the rack before `latest_at`, weighted by its age at that time.
+    earlier: Arrivals,
+    /// What has come for the rack at `latest_at`.
+    latest: Arrivals,
+    /// When the latest tasks have come.
+    latest_at: Time,
+}
+
+/// Tasks that have come for a rack.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Arrivals {
+    /// Number of tasks.
+    tasks: f64,
+    /// What they use in their estimated times, thousandths of a processor times milliseconds.
+    work: f64,
+}
+
+impl Arrivals {
+    /// Returns the sum of `self`, weighted by its age, and `other`.
+    fn aged(self, age: Duration, other: Self) -> Self {
+        let weight = (-age.as_secs_f64() / ARRIVAL_WINDOW.as_secs_f64()).exp();
+        Self { tasks: self.tasks * weight + other.tasks, work: self.work * weight + other.work }
+    }
 }
 
 impl Rack {
@@ -134,6 +161,43 @@
         Some(wait.saturating_add(duration.saturating_mul(rounds)))
     }
 
+    /// Counts a task of `step` that has come for the rack.
+    fn add_arrival(&mut self, step: &Step, now: Time) {
+        if self.latest_at != now {
+            self.earlier = self.arrivals_before(now);
+            self.latest = Arrivals::default();
+            self.latest_at = now;
+        }
+        let work = work_of(step);
+        self.latest = self.latest.aged(Duration::ZERO, Arrivals { tasks: 1.0, work });
+    }
+
+    /// Returns what has come for the rack before `now`, weighted by its age. The tasks that have come
+    /// together say nothing on whether more will.
+    fn arrivals_before(&self, now: Time) -> Arrivals {
+        if self.latest_at == now {
+            return self.earlier;
+        }
+        let age = now.since(self.latest_at);
+        self.earlier.aged(Duration::ZERO, self.latest).aged(age, Arrivals::default())
+    }
+
+    /// Returns the tasks a second that have come for the rack lately, and the processors that they keep
+    /// busy as a share of those that its runs use; without the tasks of `step`, which became ready
+    /// together at `ready_since`.
+    #[allow(clippy::cast_precision_loss)]
+    pub(super) fn arrivals(&self, step: &Step, ready_since: Time, now: Time) -> (f64, f64) {
+        let all = self.arrivals_before(now);
+        let age = now.since(ready_since);
+        let own = if age.is_zero() { 0.0 } else { f64::from(step.count) };
+        let own = Arrivals { tasks: own, work: own * work_of(step) };
+        let own = own.aged(age, Arrivals::default());
+        let window = ARRIVAL_WINDOW.as_secs_f64();
+        let work = (all.work - own.work).max(0.0) / (window * 1_000.0);
+        let rate = (all.tasks - own.tasks).max(0.0) / window;
+        (rate, work / self.ending.millicores.max(1) as f64)
+    }
+
     /// Returns the requests of the tasks that the current pass lets wait for the rack.
     pub(super) fn waiting(&self) -> Amount {
         self.waiting
@@ -160,6 +224,12 @@
     }
 }
 
+/// Returns what a task of `step` uses, thousandths of a processor times milliseconds.
+#[allow(clippy::cast_precision_loss)]
+fn work_of(step: &Step) -> f64 {
+    f64::from(step.need.millicores) * step.estimate_ms as f64
+}
+
 /// Returns the number of the interval that contains `at`.
 fn interval(at: Time) -> u64 {
     at.as_millis() / RESOLUTION_MS
@@ -191,11 +261,18 @@
         }
     }
 
+    /// Counts a task of `step` that has come for a rack.
+    pub(super) fn add_arrival(&mut self, key: &Key, step: &Step, now: Time) {
+        if let Some(rack) = self.racks.get_mut(key) {
+            rack.add_arrival(step, now);
+        }
+    }
+
     /// Returns whether each rack has the sums that the runs of `workers` give.
     pub(super) fn agrees_with(&self, workers: &BTreeMap<Name, Worker>) -> bool {
         let mut rebuilt = Self::default();
         for (key, rack) in &self.racks {
-            let rack = Rack { waiting: rack.waiting, ..Rack::default() };
+            let rack = Rack { ends: BTreeMap::new(), ending: Amount::default(), ..rack.clone() };
             rebuilt.racks.insert(key.clone(), rack);
         }
         for worker in workers.values() {
@@ -327,7 +404,11 @@
         let duration = Duration::from_millis(step.estimate_ms);
         let rack = worker.profile.as_ref().and_then(|profile| profile.rack.as_ref());
         let far = step.data_rack.is_some() && step.data_rack.as_ref() != rack;
-        Some(if far { duration.mul_f64(self.settings.spread_factor.max(1.0)) } else { duration })
+        Some(if far {
+            duration.mul_f64(usable_factor(self.settings.spread_factor))
+        } else {
+            duration
+        })
     }
 
     /// Sets the expected end of a run.
--- a/crates/policy/src/plan/search.rs
+++ b/crates/policy/src/plan/search.rs
@@ -208,8 +208,10 @@
         let duration = Duration::from_millis(step.estimate_ms);
         let now = self.pass.now;
         let need = Amount::of(step, self.pass.members);
-        let expected = table.racks.get(&key)?.expected_wait(&need, duration, now)?;
+        let sums = table.racks.get(&key)?;
+        let expected = sums.expected_wait(&need, duration, now)?;
         let state = &self.job.tasks[self.job.position(&self.task)?];
+        let (arrival_rate, demand) = sums.arrivals(step, state.ready_since, now);
         let locality = Locality {
             now,
             ready_since: state.ready_since,
@@ -218,6 +220,8 @@
             latest_start: self.job.latest_start(usize::from(self.task.step)),
             has_room: false,
             expected_wait: Some(expected),
+            arrival_rate,
+            demand,
         };
         match locality.decide() {
             Decision::Wait(until) => Some(Outcome::Wait { until, expected }),
--- a/crates/policy/src/plan/wait.rs
+++ b/crates/policy/src/plan/wait.rs
@@ -65,6 +65,8 @@
         let state = &mut job.tasks[position];
         if state.near_wait_since.is_none() {
             state.near_wait_since = Some(now);
+            let step = job.step(&task);
+            self.racks.add_arrival(&key, step, now);
             self.timers.push(until, Timer::Wait);
             let waiting = self.racks.get(&key).map(Rack::waiting).unwrap_or_default();
             self.events.push(Event::NearWait {
@@ -78,6 +80,15 @@
         self.racks.add_waiting(&key, &amount);
     }
 
+    /// Counts a task that starts without having waited for the rack of its data.
+    pub(super) fn count_arrival(&mut self, task: &Task, now: Time) {
+        let Self { jobs, racks, .. } = self;
+        let Some(job) = jobs.get(&task.job) else { return };
+        let step = job.step(task);
+        let Some(rack) = &step.data_rack else { return };
+        racks.add_arrival(&(job.queue.service.clone(), rack.clone()), step, now);
+    }
+
     /// Returns whether the worker of `agent`, where `task` has been placed, is in the rack where the
     /// task belongs; `None` if it belongs in none.
     pub(super) fn is_near(&self, agent: &Name, task: &Task) -> Option<bool> {
--- a/crates/policy/tests/plan/locality.rs
+++ b/crates/policy/tests/plan/locality.rs
@@ -21,9 +21,31 @@
         latest_start: Time::NEVER,
         has_room: false,
         expected_wait,
+        arrival_rate: 0.0,
+        demand: 0.0,
     }
 }
 
+#[test]
+fn in_a_surge_a_task_waits_only_for_a_slot_that_would_stay_idle_otherwise() {
+    // In a surge, a queue for the rack delays every task and lets no more of them start there.
+    let surge = |expected| {
+        let locality = locality(Some(ms(expected)));
+        Locality { arrival_rate: 12.0, demand: 2.4, ..locality }.decide()
+    };
+    // ln(1.5) / 12 s = 34 ms.
+    assert_eq!(surge(33), Decision::Wait(NOW.after(ms(1_000))));
+    assert_eq!(surge(35), Decision::Elsewhere);
+}
+
+#[test]
+fn many_tasks_that_the_rack_can_run_all_wait_for_it() {
+    // A large rack gets many tasks without a surge.
+    let locality = locality(Some(ms(900)));
+    let busy = Locality { arrival_rate: 100.0, demand: 0.95, ..locality };
+    assert_eq!(busy.decide(), Decision::Wait(NOW.after(ms(1_000))));
+}
+
 #[test]
 fn a_task_starts_in_its_rack_if_there_is_room() {
     // A task must not be held back where nothing has to be weighed.
--- a/crates/policy/tests/plan/main.rs
+++ b/crates/policy/tests/plan/main.rs
@@ -8,6 +8,7 @@
 mod gang;
 mod harness;
 mod locality;
+mod locality_replay;
 mod order;
 mod overload;
 mod recovery;
