Read the spread factor from the platform's settings and count near starts

Cause: the factor by which a task takes longer outside its rack was a constant of 1.5, while deployments state 1.5, 2 or 3.

Change: `bounds.spread_factor` reaches `plan::Settings` through `entry::Settings`; without the field, the default of 1.5 stays. Metrics for near and far starts and for the waits.

--- a/crates/core/src/metric.rs
+++ b/crates/core/src/metric.rs
@@ -94,6 +94,12 @@
         "Runs that an owner ordered to start.";
     GRAPH_START_WAIT = "shallotflow_graph_start_wait_seconds", Histogram, "",
         "Time from when a task became ready until its start was ordered.";
+    GRAPH_LOCALITY_WAITS = "shallotflow_graph_locality_waits_seconds", Histogram, "",
+        "Time that a task waited for a slot in its rack although it could start elsewhere.";
+    GRAPH_NEAR_STARTS = "shallotflow_graph_near_starts_total", Counter, "",
+        "Starts in the rack of the task's data and of the other tasks of its step.";
+    GRAPH_FAR_STARTS = "shallotflow_graph_far_starts_total", Counter, "",
+        "Starts outside the rack of the task's data or of the other tasks of its step.";
     GRAPH_ENDS = "shallotflow_graph_ends_total", Counter, "how",
         "Runs that ended, by exit reason, as reported to their owner.";
     GRAPH_JOBS = "shallotflow_graph_jobs_total", Counter, "state",
--- a/crates/scheduler/src/entry/meters.rs
+++ b/crates/scheduler/src/entry/meters.rs
@@ -21,10 +21,19 @@
 /// Counts a decision or observation of the owner.
 pub(super) fn event(event: &Event) {
     match event {
-        Event::Start { waited_ms, .. } => {
+        Event::Start { waited_ms, near, near_wait_ms, .. } => {
             counter!(metric::GRAPH_STARTS).increment(1);
             let waited = Duration::from_millis(*waited_ms);
             histogram!(metric::GRAPH_START_WAIT).record(waited.as_secs_f64());
+            match near {
+                Some(true) => counter!(metric::GRAPH_NEAR_STARTS).increment(1),
+                Some(false) => counter!(metric::GRAPH_FAR_STARTS).increment(1),
+                None => {}
+            }
+            if *near_wait_ms > 0 {
+                let waited = Duration::from_millis(*near_wait_ms);
+                histogram!(metric::GRAPH_LOCALITY_WAITS).record(waited.as_secs_f64());
+            }
         }
         Event::Stop { reason, .. } => {
             counter!(metric::GRAPH_STOPS, "reason" => *reason).increment(1);
--- a/crates/scheduler/src/entry/settings.rs
+++ b/crates/scheduler/src/entry/settings.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 /// The limits of an entry.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// The relative strength of the entry's machine.
     pub strength: u32,
@@ -46,6 +46,9 @@
     /// Delay between the claims of two entries that find an owner absent, multiplied by the entry's
     /// rank.
     pub claim_stagger: Duration,
+    /// Factor by which a task takes longer outside the rack of its data or of its group; `None` for
+    /// the default of [`shallotflow_policy::plan::Settings`].
+    pub spread_factor: Option<f64>,
 }
 
 impl Default for Settings {
@@ -69,6 +72,7 @@
             sizes_settle: Duration::from_millis(3_000),
             learned_interval: Duration::from_millis(3_000),
             claim_stagger: Duration::from_millis(60),
+            spread_factor: None,
         }
     }
 }
