Count tasks of the same pass as ending, and test what precedes a wait

Cause: tasks that a pass had just placed in a rack were not counted as ending there, so that the rest of their group started elsewhere at once; found by the new test `the_tasks_of_a_group_wait_for_the_rack_of_the_first`.

Change: a run counts from its placement on. A table without tasks that name a rack looks up no worker for the sums.

--- a/crates/policy/src/plan/place.rs
+++ b/crates/policy/src/plan/place.rs
@@ -164,6 +164,8 @@
                 }
             }
             self.occupy(&agent, task);
+            // The next tasks of the step may wait for its end.
+            self.count_start(&agent, &task, now);
             found.push(Placement { task, agent, pressure, spread: false });
         }
         if gang && found.len() < range.len() {
--- a/crates/policy/src/plan/racks.rs
+++ b/crates/policy/src/plan/racks.rs
@@ -357,7 +357,9 @@
 
     /// Counts a run that was ordered to start at `now`.
     pub(super) fn count_start(&mut self, agent: &Name, task: &Task, now: Time) {
-        if self.workers.get(agent).is_some_and(|worker| worker.counted.is_some()) {
+        if !self.racks.racks.is_empty()
+            && self.workers.get(agent).is_some_and(|worker| worker.counted.is_some())
+        {
             let ends_at = self.estimated_end(agent, task, now);
             self.count_run(agent, task, ends_at);
         }
@@ -365,6 +367,9 @@
 
     /// Corrects the expected end of a run that its worker has listed with `percent` of its work done.
     pub(super) fn count_progress(&mut self, agent: &Name, task: &Task, percent: u8, now: Time) {
+        if self.racks.racks.is_empty() {
+            return;
+        }
         let Some(worker) = self.workers.get(agent).filter(|worker| worker.counted.is_some()) else {
             return;
         };
@@ -414,6 +419,9 @@
     /// Sets the expected end of a run.
     fn count_run(&mut self, agent: &Name, task: &Task, ends_at: Option<Time>) {
         let Self { workers, racks, .. } = self;
+        if racks.racks.is_empty() {
+            return;
+        }
         let Some(worker) = workers.get_mut(agent) else { return };
         let Some(rack) = worker.counted.as_ref().and_then(|key| racks.racks.get_mut(key)) else {
             return;
--- a/crates/policy/tests/plan/main.rs
+++ b/crates/policy/tests/plan/main.rs
@@ -9,6 +9,7 @@
 mod harness;
 mod locality;
 mod locality_replay;
+mod locality_search;
 mod order;
 mod overload;
 mod recovery;
