--- a/crates/scheduler/src/entry/settings.rs
+++ b/crates/scheduler/src/entry/settings.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 /// The limits of an entry.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// The relative strength of the entry's machine.
     pub strength: u32,
@@ -53,6 +53,9 @@
     /// Interval at which these requests are read again although no change is known: a watch may
     /// be silent for longer than a request may take to apply.
     pub evacuation_interval: Duration,
+    /// Factor by which a task takes longer outside the rack of its data or of its group; `None` for
+    /// the default of [`shallotflow_policy::plan::Settings`].
+    pub spread_factor: Option<f64>,
 }
 
 impl Default for Settings {
@@ -78,6 +81,7 @@
             claim_stagger: Duration::from_millis(60),
             evacuation_prefix: None,
             evacuation_interval: Duration::from_millis(1_500),
+            spread_factor: None,
         }
     }
 }
--- a/crates/scheduler/tests/run_table.rs
+++ b/crates/scheduler/tests/run_table.rs
@@ -5,9 +5,8 @@
 use shallotflow_core::resources::Bundle;
 use shallotflow_core::time::Time;
 use shallotflow_policy::plan::message::{
-    Incarnation, Kind, Order, Profile, Reply, Run, RunTraits, Status, Traits,
-    CrashedRun, End, ExitReason, Incarnation, Outcome, Profile, Reply, Run, RunTraits, Status,
-    Traits,
+    CrashedRun, End, ExitReason, Incarnation, Kind, Order, Outcome, Profile, Reply, Run, RunTraits,
+    Status, Traits,
 };
 use shallotflow_scheduler::agent::run_table::RunTable;
 use shallotflow_scheduler::agent::{Error, Lists, Settings};
