Add shallotflow evacuate, which drains a failure domain

Operators had to write an exception by hand to take a failure domain out of use. With entries given, it refuses a domain in which none of them knows a worker, and names the known domains. If an entry does not answer, it evacuates and says that the domain is not verified, because evacuations are needed when machines are lost.

--- a/crates/cli/src/command/drain.rs
+++ b/crates/cli/src/command/drain.rs
@@ -1,12 +1,10 @@
 //! `shallotflow drain WORKER`.
 
 use super::except;
-use crate::connect::{Endpoints, endpoints, env};
-use crate::error::{Error, Result};
+use crate::connect::{Endpoints, endpoints};
+use crate::error::Result;
 use crate::output::{Format, Output, format};
 use bpaf::Bpaf;
-use shallotflow_core::fleet::Exception;
-use shallotflow_core::ini::codec::{Codec, Timestamp};
 
 /// Arguments of `drain`.
 #[derive(Clone, Debug, Bpaf)]
@@ -41,26 +39,18 @@
 ///
 /// Fails if a drain has no reason.
 pub(super) async fn run(arguments: Arguments) -> Result<Output> {
-    let worker = &arguments.worker;
-    let id = format!("drain-{worker}");
+    let id = format!("drain-{}", arguments.worker);
     if arguments.end {
         return except::remove_by_id(&arguments.store, arguments.change, &id).await;
     }
-    let Some(reason) = &arguments.reason else {
-        let message = "a drain needs a reason; give it with --reason TEXT";
-        return Err(Error::Argument(message.to_owned()));
+    let drain = except::Drain {
+        id: id.clone(),
+        key: "worker",
+        name: arguments.worker,
+        noun: "a drain",
+        reason: arguments.reason,
+        author: arguments.author,
+        duration: arguments.duration,
     };
-    let mut lines = vec![
-        format!("[{}]", Exception::header(&id)),
-        format!("worker = {worker}"),
-        "drain = true".to_owned(),
-        format!("reason = {reason}"),
-    ];
-    let author = env::user(arguments.author);
-    lines.extend(author.iter().map(|author| format!("author = {author}")));
-    if let Some(duration) = &arguments.duration {
-        lines.push(format!("expires = {}", Timestamp::print(&except::expiry(duration)?)));
-    }
-    let section = except::section(&lines)?;
-    except::add_section(&arguments.store, arguments.change, &id, &section).await
+    except::add_section(&arguments.store, arguments.change, &id, &drain.section()?).await
 }
--- a/crates/cli/src/command/except/mod.rs
+++ b/crates/cli/src/command/except/mod.rs
@@ -1,15 +1,17 @@
 //! `shallotflow except add|list|remove`.
 
 mod add;
+mod drain;
 mod list;
 mod remove;
 
-pub(super) use add::{add_section, expiry, section};
+pub(super) use add::add_section;
+pub(super) use drain::Drain;
 pub(super) use remove::remove_by_id;
 
 use crate::error::Result;
 use crate::output::{Format, Output};
-use add::{Add, add};
+use add::{Add, add, expiry, section};
 use bpaf::Bpaf;
 use list::{List, list};
 use remove::{Remove, remove};
--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -5,6 +5,7 @@
 pub mod check;
 pub mod drain;
 pub mod dump;
+pub mod evacuate;
 pub mod except;
 pub mod graph;
 pub mod jobs;
@@ -48,6 +49,9 @@
     /// Drains a worker, or ends its drain
     #[bpaf(command)]
     Drain(#[bpaf(external(drain::arguments))] drain::Arguments),
+    /// Evacuates a failure domain, or ends its evacuation
+    #[bpaf(command)]
+    Evacuate(#[bpaf(external(evacuate::arguments))] evacuate::Arguments),
     /// Submits, shows, cancels or counts jobs of several tasks
     #[bpaf(command)]
     Graph(#[bpaf(external(graph::action))] graph::Action),
@@ -76,6 +80,7 @@
             Self::Targets(arguments) => arguments.format,
             Self::Jobs(arguments) => arguments.format,
             Self::Drain(arguments) => arguments.format,
+            Self::Evacuate(arguments) => arguments.format,
             Self::Graph(action) => action.format(),
             Self::Dump(arguments) => arguments.format,
             Self::Submit(arguments) => arguments.format,
@@ -98,6 +103,7 @@
             Self::Targets(arguments) => targets::run(arguments).await,
             Self::Jobs(arguments) => jobs::run(arguments).await,
             Self::Drain(arguments) => drain::run(arguments).await,
+            Self::Evacuate(arguments) => evacuate::run(arguments).await,
             Self::Graph(action) => graph::run(action).await,
             Self::Dump(arguments) => dump::run(arguments).await,
             Self::Submit(arguments) => submit::run(arguments).await,
--- a/crates/cli/src/connect/mod.rs
+++ b/crates/cli/src/connect/mod.rs
@@ -8,5 +8,5 @@
 
 pub use entry::{Entry, entry};
 pub use http::{Response, send};
-pub use peers::{Peers, peers};
+pub use peers::{Peers, optional_peers, peers};
 pub use store::{Endpoints, endpoints};
--- a/crates/cli/src/connect/peers.rs
+++ b/crates/cli/src/connect/peers.rs
@@ -2,7 +2,7 @@
 
 use super::env;
 use crate::error::{Error, Result};
-use bpaf::Bpaf;
+use bpaf::{Bpaf, Parser, long};
 use shallotflow_wire::proto::scheduler_client::SchedulerClient;
 use shallotflow_wire::rpc::Channel;
 use std::net::SocketAddr;
@@ -50,6 +50,16 @@
     }
 }
 
+/// Parses the same addresses, none of which needs to be given.
+pub fn optional_peers() -> impl Parser<Peers> {
+    long("peers")
+        .help("Peers' address of an entry, to verify the domain; may be given several times")
+        .argument::<SocketAddr>("ADDRESS")
+        .many()
+        .parse(|given| env::optional_addresses(given, "SHALLOTFLOW_PEERS"))
+        .map(|addresses| Peers { addresses })
+}
+
 fn or_env(given: Vec<SocketAddr>) -> std::result::Result<Vec<SocketAddr>, String> {
     env::addresses(given, "--peers", "SHALLOTFLOW_PEERS")
 }
--- a/crates/cli/src/reference.rs
+++ b/crates/cli/src/reference.rs
@@ -14,7 +14,7 @@
     for exit in EXIT_CODES {
         page.push_str(&format!("| {} | {} |\n", exit.code, exit.meaning));
     }
-    let commands: [&[&str]; 19] = [
+    let commands: [&[&str]; 20] = [
         &[],
         &["check"],
         &["apply"],
@@ -26,6 +26,7 @@
         &["targets"],
         &["jobs"],
         &["drain"],
+        &["evacuate"],
         &["dump"],
         &["submit"],
         &["status"],
--- a/crates/cli/tests/config.rs
+++ b/crates/cli/tests/config.rs
@@ -306,3 +306,34 @@
         assert!(!drained().await);
     });
 }
+
+#[test]
+fn an_evacuation_drains_a_domain_until_it_ends() {
+    with_store(async |store| {
+        let error = store.run(&["evacuate", "z1"]).await.expect_err("no reason");
+        assert_eq!(error.exit_code(), 2);
+        assert!(error.to_string().contains("an evacuation needs a reason"), "{error}");
+        let args = ["evacuate", "--reason=smoke", "--author=anna", "--for=2h", "--change=c1", "z1"];
+        let output = store.run(&args).await.expect("an evacuation");
+        assert!(output.text.contains("are not verified: no entry is given"), "{}", output.text);
+        let revision = output.json["revision"].clone();
+        let again = store.run(&args).await.expect("the same change");
+        assert_eq!(again.json["revision"], revision, "a change is applied once");
+        let drains = async |domain: &str| {
+            let domain = format!("--domain={domain}");
+            let output = store.run(&["show", &domain, "--worker=w3"]).await.expect("values");
+            output.json["drain"] == true
+        };
+        assert!(drains("z1").await && !drains("z2").await);
+        let listed = store.run(&["except", "list"]).await.expect("a list");
+        let row = &listed.json[0];
+        assert_eq!((&row["id"], &row["author"]), (&"evacuate-z1".into(), &"anna".into()));
+        assert!(row["expires_unix_s"].is_u64(), "{row}");
+        let error = store.run(&["evacuate", "--reason=r", "z1"]).await.expect_err("a second one");
+        assert!(error.to_string().contains("`evacuate-z1` exists"), "{error}");
+        store.apply(&["evacuate", "--end", "z1"]).await;
+        assert!(!drains("z1").await);
+        let error = store.run(&["evacuate", "--end", "z1"]).await.expect_err("not evacuated");
+        assert_eq!(error.exit_code(), 5);
+    });
+}
--- a/crates/cli/tests/processes.rs
+++ b/crates/cli/tests/processes.rs
@@ -41,6 +41,32 @@
     SchedulerClient::with_origin(channel, origin).report(report).await.expect("an accepted report");
 }
 
+#[test]
+fn an_evacuation_of_an_unknown_domain_names_the_known_ones() {
+    with_store(async |store| {
+        let entry = start_entry().await;
+        let peers = format!("--peers={}", entry.peers);
+        let evacuate = async |domain: &str, peers: &str| {
+            store.run(&["evacuate", peers, "--reason=smoke", domain]).await
+        };
+        // The entry lists no workers, so that no domain can be said to be unknown.
+        let output = evacuate("d9", &peers).await.expect("an evacuation");
+        assert!(output.text.contains("the entries list no workers"), "{}", output.text);
+        announce(entry, "w1").await;
+        let error = evacuate("d2", &peers).await.expect_err("an unknown domain");
+        assert_eq!(error.exit_code(), 2);
+        let message = "no worker is in domain `d2`; the known domains are d1";
+        assert_eq!(error.to_string(), message);
+        let listed = store.run(&["except", "list"]).await.expect("a list");
+        assert!(!listed.text.contains("evacuate-d2"), "{}", listed.text);
+        let output = evacuate("d1", &peers).await.expect("an evacuation");
+        assert!(output.json.get("unverified").is_none(), "{}", output.json);
+        // An entry that is lost does not keep operators from evacuating.
+        let output = evacuate("d3", "--peers=127.0.0.1:1").await.expect("an evacuation");
+        assert!(output.text.contains("are not verified: 127.0.0.1:1"), "{}", output.text);
+    });
+}
+
 #[test]
 fn targets_of_several_entries_are_listed_once() {
     with_store(async |_| {
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -38,7 +38,7 @@
 }
 
 fn is_subcommand(arg: &str) -> bool {
-    ["apply", "show", "except", "add", "list", "remove", "drain"].contains(&arg)
+    ["apply", "show", "except", "add", "list", "remove", "drain", "evacuate"].contains(&arg)
 }
 
 /// Runs a command.
