Pass evacuated failure domains of the fleet configuration on to graphs

Quick requests and batch jobs follow an exception that drains a failure domain, and graph tasks did not. Each entry derives the domains whose workers all drain, shows them in its dump and hands them to the graph scheduler; it does so at every tick, as exceptions expire without a change of the text. Agents of graph tasks report the failure domain of their settings. A domain of which a worker is kept by domain and worker is not evacuated.

--- a/crates/agent/src/graphs.rs
+++ b/crates/agent/src/graphs.rs
@@ -14,7 +14,7 @@
     let limits = agent::Settings { lease: settings.run_lease, ..agent::Settings::default() };
     let name = settings.worker.clone();
     let agent = Agent::new(limits, name, rand::random(), worker.clone(), Rc::new(store));
-    monoio::spawn(follow(agent.clone(), worker));
+    monoio::spawn(follow(agent.clone(), worker, settings.domain.clone()));
     monoio::spawn(agent.clone().run());
     Some(agent)
 }
--- a/crates/core/src/fleet/config.rs
+++ b/crates/core/src/fleet/config.rs
@@ -2,7 +2,9 @@
 
 use super::{Exception, Subject, Values};
 use crate::ini::{Document, Fault, Result, Section};
+use crate::name::Name;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 use std::path::Path;
 
 /// Defaults and exceptions, the latter in the order of the text.
@@ -76,6 +78,33 @@
         values
     }
 
+    /// The failure domains whose workers all drain at `unix_now_s`, in seconds since the Unix epoch.
+    ///
+    /// A domain is evacuated by an exception with only a `domain` condition that sets `drain`. It is
+    /// not while another exception takes one of its workers back by `domain` and `worker`. One that
+    /// names only the worker does not count, as the configuration does not tell the domain of a
+    /// worker. The result is a pure function of the arguments.
+    pub fn evacuated_domains(&self, unix_now_s: u64) -> BTreeSet<Name> {
+        let in_force = || {
+            let drains = self.exceptions.iter().filter(|exception| exception.sets("drain"));
+            drains.filter(move |exception| exception.is_in_force(unix_now_s))
+        };
+        let kept: BTreeSet<&Name> = in_force()
+            .filter(|exception| !exception.values.drain && exception.condition.worker.is_some())
+            .filter_map(|exception| exception.condition.domain.as_ref())
+            .collect();
+        in_force()
+            .filter(|exception| exception.condition.worker.is_none())
+            .filter_map(|exception| exception.condition.domain.as_ref())
+            .filter(|domain| !kept.contains(domain))
+            .filter(|domain| {
+                let subject = Subject { domain, ..Subject::default() };
+                self.resolve(&subject, unix_now_s).drain
+            })
+            .cloned()
+            .collect()
+    }
+
     /// The exception with this identifier.
     pub fn exception(&self, id: &str) -> Option<&Exception> {
         self.exceptions.iter().find(|exception| &*exception.id == id)
--- a/crates/core/src/fleet/exception.rs
+++ b/crates/core/src/fleet/exception.rs
@@ -41,6 +41,11 @@
         self.expires_unix_s.is_none_or(|expires| unix_now_s < expires)
     }
 
+    /// Whether it overrides `key`.
+    pub fn sets(&self, key: &str) -> bool {
+        self.overrides.iter().any(|name| &**name == key)
+    }
+
     /// Parses the exception `id` from its section.
     ///
     /// # Errors
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -81,6 +81,24 @@
     assert!(config.resolve(&domain, expiry).batch);
 }
 
+#[test_case("[exception e]\ndomain = d\ndrain = true\nreason = r", &["d"]; "a domain that drains")]
+#[test_case("[exception e]\ndomain = d\ndrain = true\nreason = r\nexpires = 2026-12-31T18:00:00Z", &[]; "an exception that has expired")]
+#[test_case("[exception e]\ndomain = d\nworker = w\ndrain = true\nreason = r", &[]; "one worker that drains")]
+#[test_case("[exception e]\nworker = w\ndrain = true\nreason = r", &[]; "a worker that drains")]
+#[test_case("[exception e]\ndomain = d\nbatch = false\nreason = r", &[]; "a domain without batch work")]
+#[test_case("[defaults]\ndrain = true", &[]; "defaults that name no domain")]
+#[test_case("[exception e]\ndomain = d\ndrain = true\nreason = r\n[exception f]\ndomain = d\ndrain = false\nreason = r", &[]; "a later exception that takes the domain back")]
+#[test_case("[exception e]\ndomain = d\ndrain = false\nreason = r\n[exception f]\ndomain = d\ndrain = true\nreason = r", &["d"]; "an earlier exception that is overridden")]
+#[test_case("[exception e]\ndomain = d\ndrain = true\nreason = r\n[exception f]\ndomain = d\nworker = w\ndrain = false\nreason = r", &[]; "a worker of the domain that does not drain")]
+#[test_case("[exception e]\ndomain = d\ndrain = true\nreason = r\n[exception f]\nworker = w\ndrain = false\nreason = r", &["d"]; "a worker of an unknown domain")]
+#[test_case("[exception e]\ndomain = d\ndrain = true\nreason = r\n[exception f]\ndomain = c\ndrain = true\nreason = r", &["c", "d"]; "two domains")]
+fn domains_are_evacuated_by_exceptions_that_drain_all_their_workers(text: &str, domains: &[&str]) {
+    const EXPIRY_UNIX_S: u64 = 1_798_740_000;
+    let config = Config::parse("fleet.ini", text).expect("a valid configuration");
+    let evacuated = config.evacuated_domains(EXPIRY_UNIX_S);
+    assert_eq!(evacuated.iter().map(|domain| &**domain).collect::<Vec<_>>(), domains);
+}
+
 fn name() -> impl Strategy<Value = Name> {
     proptest::sample::select(&NAMES).prop_map(Into::into)
 }
--- a/crates/entry/src/config/keeper.rs
+++ b/crates/entry/src/config/keeper.rs
@@ -4,9 +4,11 @@
 use serde_json::json;
 use shallotflow_core::fleet::{Subject, Values};
 use shallotflow_core::metric;
+use shallotflow_core::name::Name;
 use shallotflow_policy::spread::{Body, Decision, State, Update};
 use shallotflow_wire::proto;
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::time::SystemTime;
 
 /// Size limit of the earlier texts that are kept as bases for patches, in bytes.
@@ -73,6 +75,11 @@
         self.state.borrow().config().resolve(subject, unix_now_s())
     }
 
+    /// Returns the failure domains that the configuration in force evacuates.
+    pub fn evacuated_domains(&self) -> BTreeSet<Name> {
+        self.state.borrow().config().evacuated_domains(unix_now_s())
+    }
+
     /// Returns the revision in force.
     pub fn revision(&self) -> u64 {
         self.state.borrow().revision()
--- a/crates/entry/src/operators/dump.rs
+++ b/crates/entry/src/operators/dump.rs
@@ -7,6 +7,7 @@
 use shallotflow_core::name::Name;
 use shallotflow_core::resources::Bundle;
 use shallotflow_policy::{member, route};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 /// The whole dump.
@@ -23,6 +24,7 @@
     entries: Vec<SocketAddr>,
     targets: Vec<Target>,
     config: serde_json::Value,
+    evacuated_by_configuration: BTreeSet<Name>,
     batch: serde_json::Value,
     graphs: Option<serde_json::Value>,
 }
@@ -63,6 +65,7 @@
         entries: state.directory.borrow().addresses().collect(),
         targets: targets(state),
         config: state.config.dump(),
+        evacuated_by_configuration: state.evacuated.borrow().clone(),
         batch: state.batch.dump(),
         graphs: state.graphs.as_ref().map(|entry| entry.dump()),
     };
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -17,6 +17,7 @@
 use shallotflow_wire::http::limits::Limits;
 use shallotflow_wire::http::pool::Pool;
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
@@ -36,6 +37,8 @@
     pub graphs: Option<Rc<Entry>>,
     /// The fleet configuration.
     pub config: Rc<Keeper>,
+    /// The failure domains that the fleet configuration evacuates, as passed to `graphs`.
+    pub evacuated: RefCell<BTreeSet<Name>>,
     /// Targets with their load, for routing.
     pub routes: RefCell<route::Table>,
     /// Targets with their announcements.
@@ -81,6 +84,7 @@
             batch,
             graphs,
             config: Rc::default(),
+            evacuated: RefCell::default(),
             routes: RefCell::new(routes),
             members: RefCell::new(member::Table::new(members)),
             retries: RefCell::new(retry::Budget::new(retry::Settings::default())),
--- a/crates/entry/src/tick.rs
+++ b/crates/entry/src/tick.rs
@@ -16,6 +16,7 @@
         monoio::time::sleep(TICK_INTERVAL).await;
         remove_silent_targets(&state);
         update_ejections(&state);
+        update_evacuations(&state);
         if number.is_multiple_of(TICKS_PER_UPDATE) {
             apply_config(&state);
             update_gauges(&state);
@@ -58,6 +59,23 @@
     }
 }
 
+/// Passes the failure domains that the fleet configuration evacuates on to the graph scheduler.
+///
+/// Exceptions expire without a change of the configuration, so that the set is derived anew each time.
+fn update_evacuations(state: &State) {
+    let evacuated = state.config.evacuated_domains();
+    if *state.evacuated.borrow() == evacuated {
+        return;
+    }
+    let names: Vec<&str> = evacuated.iter().map(|domain| &**domain).collect();
+    let (domains, revision) = (names.join(","), state.config.revision());
+    spdlog::info!("evacuated by configuration", kv: { domains = domains.as_str(), revision });
+    if let Some(graphs) = &state.graphs {
+        graphs.set_evacuated_by_configuration(evacuated.clone());
+    }
+    *state.evacuated.borrow_mut() = evacuated;
+}
+
 /// Applies the retry budget of the fleet configuration.
 fn apply_config(state: &State) {
     if state.config.revision() > 0 {
--- a/crates/entry/tests/config.rs
+++ b/crates/entry/tests/config.rs
@@ -6,6 +6,7 @@
 use futures_util::future::LocalBoxFuture;
 use monoio::net::TcpListener;
 use shallotflow_core::fleet::key;
+use shallotflow_core::ini::codec::{Codec, Timestamp};
 use shallotflow_entry::Settings;
 use shallotflow_runtime::executor;
 use shallotflow_standin::store::{Counters, Faults, Server, serve};
@@ -16,7 +17,7 @@
 use shallotflow_wire::proto;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 use support::Entry;
 
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
@@ -152,6 +153,41 @@
     });
 }
 
+#[test]
+fn domains_that_drain_are_evacuated_until_the_exception_is_removed_or_expires() {
+    run(async || {
+        let store = store(Faults::default()).await;
+        let entry = entry(store).await;
+        let evacuation = "[exception evacuate-z1]\ndomain = z1\ndrain = true\nreason = r\n";
+        write(store, evacuation).await;
+        wait_for_evacuated(&entry, &["z1"]).await;
+        let other = "[exception x]\ndomain = z2\nworker = w\ndrain = true\nreason = r\n";
+        write(store, other).await;
+        wait_for_evacuated(&entry, &[]).await;
+        let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).expect("a time");
+        let expires = Timestamp::print(&(now.as_secs() + 2));
+        write(store, &format!("{evacuation}expires = {expires}\n")).await;
+        wait_for_evacuated(&entry, &["z1"]).await;
+        // No change of the configuration announces the expiry.
+        wait_for_evacuated(&entry, &[]).await;
+    });
+}
+
+/// Waits until the entry shows `domains` as evacuated by its configuration.
+async fn wait_for_evacuated(entry: &Entry, domains: &[&str]) {
+    loop {
+        let request = http::Request::get("/dump").body(Body::Empty).expect("a request");
+        let pool = support::pool();
+        let answer = pool.exchange(entry.bound.operators, request, 1 << 20).await.expect("a dump");
+        let dump: serde_json::Value =
+            serde_json::from_slice(answer.body()).expect("a dump in JSON");
+        if dump["evacuated_by_configuration"] == serde_json::json!(domains) {
+            return;
+        }
+        monoio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
 fn never_respond(_: u64, _: http::Request<Body>) -> LocalBoxFuture<'static, http::Response<Body>> {
     Box::pin(std::future::pending())
 }
--- a/crates/scheduler/src/runs/follow.rs
+++ b/crates/scheduler/src/runs/follow.rs
@@ -1,5 +1,7 @@
 use super::{Client, Describe};
 use crate::agent::Agent;
+use shallotflow_core::name::Name;
+use shallotflow_policy::plan::message::Profile;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,15 +10,17 @@
 /// Timeout of one request; some hundred times its usual duration.
 const TIMEOUT: Duration = Duration::from_millis(350);
 
-/// Registers the worker's profile with `agent` until the process ends.
+/// Registers the worker's profile with `agent` until the process ends; `failure_domain` is that of
+/// the agent and its worker.
 ///
 /// A failed request is only logged here: the agent's own polls show that a worker does not answer.
-pub async fn follow(agent: Rc<Agent>, worker: Rc<Client>) {
+pub async fn follow(agent: Rc<Agent>, worker: Rc<Client>, failure_domain: Name) {
     let mut registration = 0;
     loop {
         match worker.call(&Describe {}, TIMEOUT).await {
-            Ok(profile) => {
+            Ok(described) => {
                 registration += 1;
+                let profile = Profile { failure_domain: failure_domain.clone(), ..described };
                 agent.register(profile, registration);
             }
             Err(error) => {
--- a/crates/standin/tests/runs.rs
+++ b/crates/standin/tests/runs.rs
@@ -5,9 +5,10 @@
 use shallotflow_core::settings::standin::Settings;
 use shallotflow_policy::plan::message::{ExitReason, Incarnation};
 use shallotflow_runtime::executor;
-use shallotflow_scheduler::agent::{self, Control, Error};
-use shallotflow_scheduler::runs::{Client, Describe};
+use shallotflow_scheduler::agent::{self, Agent, Control, Error};
+use shallotflow_scheduler::runs::{Client, Describe, follow};
 use shallotflow_standin::runs::{Events, Server, Transition};
+use shallotflow_store::client as store;
 use shallotflow_wire::http::gate::Gate;
 use shallotflow_wire::http::limits::Limits;
 use shallotflow_wire::http::server::serve;
@@ -121,6 +122,24 @@
     });
 }
 
+#[test]
+fn an_agent_registers_its_worker_with_its_own_failure_domain() {
+    // Without it, the owner does not know which workers an evacuation concerns.
+    with_worker(async |worker| {
+        let store = Rc::new(store::Client::new(store::Settings::default()));
+        let client = Rc::new(worker.client);
+        let settings = agent::Settings::default();
+        let agent = Agent::new(settings, "worker-1".into(), 1, client.clone(), store);
+        monoio::spawn(follow(agent.clone(), client, "z1".into()));
+        let registered = async {
+            while agent.dump()["worker"]["failure_domain"] != "z1" {
+                monoio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        monoio::time::timeout(TIMEOUT, registered).await.expect("a registration");
+    });
+}
+
 #[test]
 fn a_call_for_another_incarnation_is_refused() {
     with_worker(async |mut worker| {
