Evacuate failure domains in the soak and check that nothing starts there

The soak had no operators, and all its workers were in one failure domain. Workers are spread over three, and an operator evacuates them at random with shallotflow evacuate, repeated under one change identifier until the store confirms it. The oracle reports a start in the domain later than 5 s after the confirmation and before the withdrawal is sent. Evacuations have a generator of their own, so that the jobs and faults of a seed stay as they were.

--- a/crates/soak/src/fault/kind.rs
+++ b/crates/soak/src/fault/kind.rs
@@ -15,6 +15,8 @@
     Reset(usize),
     /// Holds back all bytes on a link: forward, backward or both.
     Silence(usize, bool, bool),
+    /// Evacuates a failure domain, by an operator's request.
+    Evacuate(usize),
 }
 
 impl Fault {
@@ -27,6 +29,7 @@
             Self::Delay(..) => "delay",
             Self::Reset(_) => "reset",
             Self::Silence(_, true, true) => "silence",
+            Self::Evacuate(_) => "evacuate",
             Self::Silence(..) => "one-way cut",
         }
     }
--- a/crates/soak/src/fault/mod.rs
+++ b/crates/soak/src/fault/mod.rs
@@ -4,6 +4,7 @@
 //! - [`Injection`]: a scheduled fault.
 //! - [`Targets`]: the processes and links that faults may affect.
 //! - [`schedule()`]: the faults of one soak.
+//! - [`evacuations()`]: the evacuations of one soak.
 
 mod injection;
 mod kind;
@@ -12,5 +13,5 @@
 
 pub use injection::Injection;
 pub use kind::Fault;
-pub use schedule::schedule;
+pub use schedule::{evacuations, schedule};
 pub use targets::Targets;
--- a/crates/soak/src/fault/schedule.rs
+++ b/crates/soak/src/fault/schedule.rs
@@ -3,6 +3,10 @@
 use rand::rngs::SmallRng;
 use std::time::Duration;
 
+/// Minimum time between two evacuations of one failure domain. The store may be paused for some
+/// seconds while the first one begins and while it ends.
+const EVACUATION_PAUSE: Duration = Duration::from_secs(12);
+
 fn random_ms(rng: &mut SmallRng, range: std::ops::Range<u64>) -> Duration {
     Duration::from_millis(rng.random_range(range))
 }
@@ -20,6 +24,24 @@
     injections
 }
 
+/// Schedules evacuations within `length`; those of one failure domain do not overlap.
+pub fn evacuations(rng: &mut SmallRng, domains: usize, length: Duration) -> Vec<Injection> {
+    let mut injections = Vec::new();
+    for domain in 0..domains {
+        let mut at = random_ms(rng, 1_000..12_000);
+        loop {
+            // Each lasts longer than the time within which it must take effect.
+            let duration = random_ms(rng, 7_000..16_000);
+            if at + duration > length {
+                break;
+            }
+            injections.push(Injection { at, duration, fault: Fault::Evacuate(domain) });
+            at += duration + EVACUATION_PAUSE + random_ms(rng, 0..10_000);
+        }
+    }
+    injections
+}
+
 /// Adds a group of faults: random ones, or the same one for all entries, simultaneous or staggered.
 fn add_group(rng: &mut SmallRng, targets: Targets, at: Duration, injections: &mut Vec<Injection>) {
     let entries = 1..=targets.entries;
--- a/crates/soak/src/history/log.rs
+++ b/crates/soak/src/history/log.rs
@@ -1,4 +1,4 @@
-use super::{Job, Run};
+use super::{Evacuation, Job, Run};
 use shallotflow_core::graph::{Id, State, Task};
 use shallotflow_standin::runs::{Event, Transition};
 use std::collections::{BTreeMap, BTreeSet};
@@ -10,6 +10,8 @@
     pub jobs: BTreeMap<Id, Job>,
     /// The runs of every task.
     pub runs: BTreeMap<Task, Vec<Run>>,
+    /// The evacuations that the store confirmed.
+    pub evacuations: Vec<Evacuation>,
     /// Runs in progress, by worker.
     active: BTreeMap<usize, BTreeSet<(Task, u32)>>,
     /// Descriptions of contradictory responses.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`proxy`]: the connections between the processes.
 //! - [`fault`]: the schedule of faults, derived from the seed.
 //! - [`load`]: the client load.
+//! - [`operator`]: evacuations of failure domains.
 //! - [`history`]: the responses that callers received and the runs at the workers.
 //! - [`oracle`]: checks the guarantees against the history.
 //! - [`run`]: one soak from start to finish.
@@ -23,6 +24,7 @@
 pub mod fault;
 pub mod history;
 pub mod load;
+pub mod operator;
 pub mod options;
 pub mod oracle;
 pub mod proxy;
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -1,6 +1,7 @@
 //! Checks the guarantees against the history.
 
-use crate::history::{History, Job, Run};
+use crate::history::{Evacuation, History, Job, Run};
+use crate::testbed;
 use shallotflow_core::graph::{Id, State, Task};
 use shallotflow_policy::plan::message::ExitReason;
 use shallotflow_standin::runs::Transition;
@@ -21,6 +22,7 @@
             violations.push(format!("{task} started, and its job was refused"));
         }
         check_runs(task, runs, job, &mut violations);
+        check_evacuations(history, task, runs, &mut violations);
         check_dependencies(history, task, runs, job, &mut violations);
     }
     for (id, job) in &history.jobs {
@@ -64,6 +66,25 @@
     }
 }
 
+fn check_evacuations(history: &History, task: &Task, runs: &[Run], violations: &mut Vec<String>) {
+    for run in runs {
+        let domain = testbed::domain_of(run.worker);
+        let mut evacuations = history.evacuations.iter();
+        let forbids = |evacuation: &&Evacuation| {
+            evacuation.domain == domain && evacuation.forbids(run.started)
+        };
+        if let Some(evacuation) = evacuations.find(forbids) {
+            let after_ms = (run.started - evacuation.confirmed) / 1_000;
+            violations.push(format!(
+                "{task} started as run {} at worker {} of {}, {after_ms} ms after its evacuation",
+                run.number,
+                run.worker,
+                testbed::domain_name(domain)
+            ));
+        }
+    }
+}
+
 /// The time by which every task of a step had been done once; `None` if a task was never done.
 fn step_done_at(history: &History, job: Id, step: u16, count: u32) -> Option<u64> {
     let mut last = 0;
--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -13,8 +13,9 @@
 use crate::fault::{self, Targets};
 use crate::history::History;
 use crate::load::Caller;
+use crate::operator::Operator;
 use crate::options::Options;
-use crate::testbed::{ENTRIES, Testbed};
+use crate::testbed::{DOMAINS, ENTRIES, Testbed};
 use action::Action;
 use anyhow::Context;
 use futures_channel::mpsc::unbounded;
@@ -61,10 +62,11 @@
     let (sender, events) = unbounded();
     let testbed = Testbed::new(options.processes, programs, directory, sender)?;
     let history: Rc<RefCell<History>> = Rc::default();
+    let operator = Operator::new(testbed.store_address, history.clone());
     let caller = Caller::new(testbed.callers.clone(), history);
     let summary =
         Summary { seed: options.seed, processes: options.processes, ..Summary::default() };
-    let mut soak = Soak::new(testbed, caller, events, summary);
+    let mut soak = Soak::new(testbed, caller, operator, events, summary);
     for child in soak.testbed.all() {
         child.start()?;
     }
@@ -73,7 +75,10 @@
     let targets =
         Targets { processes: options.processes, entries: ENTRIES, links: soak.testbed.links.len() };
     let started = Instant::now();
-    for injection in fault::schedule(&mut rng, targets, length) {
+    // A generator of their own keeps the jobs and faults of a seed as they were without evacuations.
+    let mut evacuation_rng = SmallRng::seed_from_u64(!options.seed);
+    let evacuations = fault::evacuations(&mut evacuation_rng, DOMAINS, length);
+    for injection in fault::schedule(&mut rng, targets, length).into_iter().chain(evacuations) {
         soak.schedule(started + injection.at, Action::Inject(injection));
     }
     soak.load(&mut rng, started + length, &stop).await?;
--- a/crates/soak/src/run/soak.rs
+++ b/crates/soak/src/run/soak.rs
@@ -3,6 +3,7 @@
 use crate::child::{Child, WorkerEvent};
 use crate::fault::{Fault, Injection};
 use crate::load::{self, Caller};
+use crate::operator::Operator;
 use crate::oracle;
 use crate::testbed::{ENTRIES, Testbed};
 use futures_channel::mpsc::UnboundedReceiver;
@@ -35,6 +36,7 @@
 pub(super) struct Soak {
     pub(super) testbed: Testbed,
     caller: Caller,
+    operator: Operator,
     events: UnboundedReceiver<WorkerEvent>,
     actions: BTreeMap<(Instant, u64), Action>,
     action_count: u64,
@@ -51,12 +53,14 @@
     pub(super) fn new(
         testbed: Testbed,
         caller: Caller,
+        operator: Operator,
         events: UnboundedReceiver<WorkerEvent>,
         summary: Summary,
     ) -> Self {
         Self {
             testbed,
             caller,
+            operator,
             events,
             actions: BTreeMap::new(),
             action_count: 0,
@@ -255,6 +259,9 @@
                 self.testbed.links[link].1.set_delay(delay);
                 self.schedule(ends_at, Action::Restore(link));
             }
+            Fault::Evacuate(domain) => {
+                monoio::spawn(self.operator.clone().evacuate(domain, duration));
+            }
             Fault::Reset(link) => self.testbed.links[link].1.reset(),
             Fault::Silence(link, forward, backward) => {
                 self.testbed.links[link].1.set_silent(forward, backward);
@@ -314,6 +321,7 @@
             let state = job.last_state.map_or("unknown", State::as_str);
             *self.summary.ended.entry(state).or_default() += 1;
         }
+        self.summary.evacuations = history.evacuations.len();
         self.summary.runs = history.runs.values().map(Vec::len).sum();
         if !self.summary.interrupted {
             self.summary.violations.extend(oracle::check(&history));
--- a/crates/soak/src/run/summary.rs
+++ b/crates/soak/src/run/summary.rs
@@ -18,6 +18,8 @@
     pub runs: usize,
     /// Number of injected faults by kind.
     pub faults: BTreeMap<&'static str, usize>,
+    /// Number of evacuations that the store confirmed.
+    pub evacuations: usize,
     /// Whether a signal interrupted the soak.
     pub interrupted: bool,
     /// Violated guarantees.
--- a/crates/soak/src/testbed.rs
+++ b/crates/soak/src/testbed.rs
@@ -14,6 +14,9 @@
 /// free.
 pub const MAX_PROCESSES: usize = 300;
 
+/// Number of failure domains that the workers are spread over.
+pub const DOMAINS: usize = 3;
+
 const CALLERS_PORT: u16 = 7_000;
 const PEERS_PORT: u16 = 7_001;
 const OPERATORS_PORT: u16 = 7_002;
@@ -25,6 +28,16 @@
 const AGENT_PORT: u16 = 7_010;
 const AGENT_OPERATORS_PORT: u16 = 7_011;
 
+/// The failure domain of a worker, both by index.
+pub fn domain_of(worker: usize) -> usize {
+    worker % DOMAINS
+}
+
+/// The name of a failure domain.
+pub fn domain_name(domain: usize) -> String {
+    format!("domain-{domain}")
+}
+
 /// The processes and the links between them.
 #[derive(Debug)]
 pub struct Testbed {
@@ -38,6 +51,8 @@
     pub agents: Vec<Child>,
     /// The links with their names.
     pub links: Vec<(String, Link)>,
+    /// Address at which operators reach the store, without a proxy.
+    pub store_address: SocketAddr,
     /// Addresses at which callers reach the entries.
     pub callers: Vec<SocketAddr>,
 }
@@ -128,6 +143,7 @@
         let store_child = builder.child("store".into(), "shallotflow-standin", &settings, None)?;
         let mut testbed = Self {
             store: store_child,
+            store_address: store,
             entries: Vec::new(),
             workers: Vec::new(),
             agents: Vec::new(),
@@ -196,10 +212,11 @@
         let store = builder.link(format!("agent-{number} to store"), store)?;
         let entries: Vec<String> = peers.iter().map(ToString::to_string).collect();
         let settings = format!(
-            "[agent]\nworker = worker-{number}\nlisten = {listen}\n\
+            "[agent]\nworker = worker-{number}\ndomain = {}\nlisten = {listen}\n\
              operators_listen = {operators}\nentries = {}\ntarget = {target}\n\
              control = {control}\nruns = {runs}\nstore = {store}\nrun_lease = 3s\ndrain = 1s\n\
              log = info\n",
+            domain_name(domain_of(number)),
             entries.join(", ")
         );
         let child =
--- a/crates/soak/tests/oracle.rs
+++ b/crates/soak/tests/oracle.rs
@@ -2,7 +2,7 @@
 
 use shallotflow_core::graph::{Id, Spec, State, Step, Task};
 use shallotflow_policy::plan::message::ExitReason;
-use shallotflow_soak::history::{History, Job};
+use shallotflow_soak::history::{Evacuation, History, Job};
 use shallotflow_soak::oracle;
 use shallotflow_standin::runs::{Event, Transition};
 use test_case::test_case;
@@ -13,6 +13,12 @@
     Task { job: JOB, occurrence: 0, step, index: 0 }
 }
 
+/// An evacuation of the workers 1, 4, 7 and so on.
+const EVACUATION: Evacuation =
+    Evacuation { domain: 1, confirmed: 100, withdrawn: Some(AFTER_BOUND + 10) };
+/// The first time at which a start during [`EVACUATION`] is too late.
+const AFTER_BOUND: u64 = 100 + 5_000_000 + 1;
+
 /// A job of two steps with one task each.
 fn history() -> History {
     let first = Step { count: 1, ..Step::default() };
@@ -92,6 +98,14 @@
     history.jobs.clear();
     Worker(history, 0).reports(1, 0, 1, Transition::Started);
 }, "its job was never submitted"; "a start of a job that was never submitted")]
+#[test_case(|history| {
+    history.evacuations.push(EVACUATION);
+    Worker(history, 4).reports(AFTER_BOUND, 0, 1, Transition::Started);
+}, "at worker 4 of domain-1, 5000 ms after its evacuation"; "a start after an evacuation")]
+#[test_case(|history| {
+    history.evacuations.push(Evacuation { withdrawn: None, ..EVACUATION });
+    Worker(history, 1).reports(u64::MAX / 2, 0, 1, Transition::Started);
+}, "at worker 1 of domain-1"; "a start during an evacuation without end")]
 #[test_case(|history| history.record_state(JOB, None, Some(State::Completed)), "step 0 is not done"; "completed too early")]
 #[test_case(|history| history.record_state(JOB, None, Some(State::Failed)), "none of its tasks failed often enough"; "failed without a cause")]
 #[test_case(|history| history.record_state(JOB, None, Some(State::Cancelled)), "cancelled without a cancellation request"; "cancelled without a cause")]
@@ -122,3 +136,13 @@
     );
     assert_eq!(oracle::check(&history), [""; 0]);
 }
+
+#[test_case(1, AFTER_BOUND - 1; "within the bound")]
+#[test_case(1, AFTER_BOUND + 10; "once the withdrawal is sent")]
+#[test_case(2, AFTER_BOUND; "in another domain")]
+fn a_start_that_no_evacuation_forbids_is_no_violation(worker: usize, at: u64) {
+    let mut history = history();
+    history.evacuations.push(EVACUATION);
+    Worker(&mut history, worker).reports(at, 0, 1, Transition::Started);
+    assert_eq!(oracle::check(&history), [""; 0]);
+}
