Let check find exceptions without effect, contradictions and differences

check reported only errors, so that an exception that can never match, or a reserve of the whole worker beside batch work, was noticed after it was applied.

--- a/crates/cli/src/command/dump.rs
+++ b/crates/cli/src/command/dump.rs
@@ -40,5 +40,5 @@
         });
     }
     let json: Value = response.json()?;
-    Ok(Output { text: format!("{json:#}\n"), json })
+    Ok(Output { text: format!("{json:#}\n"), json, exit_code: 0 })
 }
--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -22,7 +22,8 @@
 
 const FOOTER: &str = "Addresses default to SHALLOTFLOW_STORE, SHALLOTFLOW_ENTRY and \
     SHALLOTFLOW_PEERS; several are separated by commas.\n\
-    Exit codes: 0 done, 1 failed, 2 refused, 3 conflict, 4 outcome unknown, 5 not found.";
+    Exit codes: 0 done, 1 failed, 2 refused, 3 conflict, 4 outcome unknown, 5 not found, 6 \
+    findings of check.";
 
 /// Operates shallotflow: its fleet configuration, its targets and its batch jobs
 #[derive(Clone, Debug, Bpaf)]
@@ -96,7 +97,7 @@
     /// Returns the error of the command; it names the remedy and has an exit code.
     pub async fn run(self) -> Result<Output> {
         match self {
-            Self::Check(arguments) => check::run(arguments),
+            Self::Check(arguments) => check::run(arguments).await,
             Self::Apply(arguments) => apply::run(arguments).await,
             Self::Show(arguments) => show::run(arguments).await,
             Self::Except(action) => except::run(action).await,
--- a/crates/cli/src/command/show.rs
+++ b/crates/cli/src/command/show.rs
@@ -84,13 +84,14 @@
     Output {
         text: format!("{BASE_COMMENT}{revision}\n{}\n", text.trim_end()),
         json: json!({ "revision": revision, "text": text, "config": config }),
+        exit_code: 0,
     }
 }
 
 fn resolved_values(config: &Config, selection: &Selection) -> Output {
     let Selection { domain, worker, kind, caller } = selection;
     let values = config.resolve(&Subject { domain, worker, kind, caller }, unix_now_s());
-    Output { text: Values::TABLE.print(&values), json: json!(values) }
+    Output { text: Values::TABLE.print(&values), json: json!(values), exit_code: 0 }
 }
 
 /// The current Unix time in seconds.
--- a/crates/cli/src/connect/mod.rs
+++ b/crates/cli/src/connect/mod.rs
@@ -9,4 +9,4 @@
 pub use entry::{Entry, entry};
 pub use http::{Response, send};
 pub use peers::{Peers, optional_peers, peers};
-pub use store::{Endpoints, endpoints};
+pub use store::{Endpoints, endpoints, optional_endpoints};
--- a/crates/cli/src/connect/peers.rs
+++ b/crates/cli/src/connect/peers.rs
@@ -53,7 +53,9 @@
 /// Parses the same addresses, none of which needs to be given.
 pub fn optional_peers() -> impl Parser<Peers> {
     long("peers")
-        .help("Peers' address of an entry, to verify the domain; may be given several times")
+        .help(
+            "Peers' address of an entry, to look up the known workers; may be given several times",
+        )
         .argument::<SocketAddr>("ADDRESS")
         .many()
         .parse(|given| env::optional_addresses(given, "SHALLOTFLOW_PEERS"))
--- a/crates/cli/src/connect/store.rs
+++ b/crates/cli/src/connect/store.rs
@@ -1,7 +1,7 @@
 //! Client of the platform's store.
 
 use super::env;
-use bpaf::Bpaf;
+use bpaf::{Bpaf, Parser, long};
 use shallotflow_store::client::{Client, Settings};
 use std::net::SocketAddr;
 
@@ -22,6 +22,16 @@
     }
 }
 
+/// Parses the same endpoints, none of which needs to be given.
+pub fn optional_endpoints() -> impl Parser<Endpoints> {
+    long("store")
+        .help("Endpoint of the store, ip:port, for --current; may be given several times")
+        .argument::<SocketAddr>("ADDRESS")
+        .many()
+        .parse(|given| env::optional_addresses(given, "SHALLOTFLOW_STORE"))
+        .map(|addresses| Endpoints { addresses })
+}
+
 fn or_env(given: Vec<SocketAddr>) -> Result<Vec<SocketAddr>, String> {
     env::addresses(given, "--store", "SHALLOTFLOW_STORE")
 }
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -89,6 +89,9 @@
     pub meaning: &'static str,
 }
 
+/// The exit code of `check` if a valid configuration has findings.
+pub const EXIT_FINDINGS: u8 = 6;
+
 /// The exit codes, for the reference page.
 pub const EXIT_CODES: &[ExitCode] = &[
     ExitCode { code: 0, meaning: "done" },
@@ -100,6 +103,7 @@
         meaning: "unknown: it may have been applied; the message gives the remedy",
     },
     ExitCode { code: 5, meaning: "not found" },
+    ExitCode { code: EXIT_FINDINGS, meaning: "`check` has findings in a valid configuration" },
 ];
 
 impl Error {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -52,7 +52,7 @@
     match result {
         Ok(result) => {
             print!("{}", result.render(format));
-            0
+            result.exit_code
         }
         Err(error) => {
             eprint!("{}", error.render(format));
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -19,12 +19,14 @@
     pub text: String,
     /// The JSON document printed with `--json`.
     pub json: Value,
+    /// The exit code of the process.
+    pub exit_code: u8,
 }
 
 impl Output {
     /// Creates an output with a single line of text.
     pub fn line(text: impl Into<String>, json: Value) -> Self {
-        Self { text: format!("{}\n", text.into()), json }
+        Self { text: format!("{}\n", text.into()), json, exit_code: 0 }
     }
 
     /// Creates an output with a table; the text is `placeholder` if there are no rows.
@@ -36,7 +38,7 @@
         table.load_style(presets::NOTHING).set_header(columns.to_vec());
         table.add_rows(rows);
         let lines: Vec<String> = table.lines().map(|line| line.trim_end().to_owned()).collect();
-        Self { text: format!("{}\n", lines.join("\n")), json }
+        Self { text: format!("{}\n", lines.join("\n")), json, exit_code: 0 }
     }
 
     /// Renders the output in the given format.
--- a/crates/cli/tests/config.rs
+++ b/crates/cli/tests/config.rs
@@ -5,7 +5,7 @@
 use async_trait::async_trait;
 use shallotflow_cli::change::{Current, Edit, Session};
 use shallotflow_cli::command::command;
-use shallotflow_cli::error::Error;
+use shallotflow_cli::error::{EXIT_FINDINGS, Error};
 use shallotflow_core::fleet::{Changes, key};
 use shallotflow_standin::store::Faults;
 use shallotflow_store::client::{Client, Settings};
@@ -337,3 +337,35 @@
         assert_eq!(error.exit_code(), 5);
     });
 }
+
+#[test]
+fn check_reports_findings_and_differences_without_writing() {
+    with_store(async |store| {
+        let plain = file("check-plain.ini", FIRST);
+        store.apply(&["apply", &plain]).await;
+        let output = store.run(&["check", "--current", &plain]).await.expect("a check");
+        assert_eq!((output.exit_code, &output.json["differences"]), (0, &serde_json::json!([])));
+        assert!(output.text.contains("no differences"), "{}", output.text);
+        let before = show(&store).await;
+        let text = "[defaults]\nreserve = 20%\n[exception x]\nworker = w1\nreserve = 20%\n\
+                    reason = new disks\nauthor = anna\n";
+        let changed = file("check-changed.ini", text);
+        for base in [&["--current"][..], &["--against", &plain]] {
+            let args = [&["check"], base, &[&changed]].concat();
+            let output = store.run(&args).await.expect("a check");
+            assert_eq!(output.exit_code, EXIT_FINDINGS);
+            let finding = &output.json["findings"][0];
+            assert_eq!(
+                (&finding["kind"], &finding["key"]),
+                (&"redundant".into(), &"reserve".into())
+            );
+            let added = "added exception x, author anna, reason: new disks\n";
+            assert!(output.text.contains(added), "{}", output.text);
+            assert!(output.text.contains("  + reserve = 20%\n"), "{}", output.text);
+        }
+        assert_eq!(show(&store).await, before);
+        let both = ["check", "--current", "--against", &plain, &changed];
+        let error = store.run(&both).await.expect_err("two bases");
+        assert_eq!(error.exit_code(), 2);
+    });
+}
--- a/crates/cli/tests/processes.rs
+++ b/crates/cli/tests/processes.rs
@@ -12,7 +12,7 @@
 use shallotflow_wire::proto::scheduler_client::SchedulerClient;
 use shallotflow_wire::rpc::Channel;
 use std::time::Duration;
-use support::{run, with_store};
+use support::{file, run, with_store};
 use test_case::test_case;
 
 const PAUSE: Duration = Duration::from_millis(10);
@@ -67,6 +67,22 @@
     });
 }
 
+#[test]
+fn check_finds_conditions_that_no_known_worker_fulfils() {
+    with_store(async |_| {
+        let entry = start_entry().await;
+        announce(entry, "w1").await;
+        let text = "[exception x]\ndomain = d2\nreserve = 50%\nreason = r\n";
+        let path = file("check-workers.ini", text);
+        let peers = format!("--peers={}", entry.peers);
+        let output = run(&["check", &peers, &path]).await.expect("a check");
+        assert_eq!(output.json["findings"][0]["kind"], "unmatched", "{}", output.text);
+        let output = run(&["check", "--peers=127.0.0.1:1", &path]).await.expect("a check");
+        assert_eq!((output.exit_code, &output.json["findings"]), (0, &serde_json::json!([])));
+        assert!(output.text.contains("not compared with the known workers"), "{}", output.text);
+    });
+}
+
 #[test]
 fn targets_of_several_entries_are_listed_once() {
     with_store(async |_| {
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -38,7 +38,8 @@
 }
 
 fn is_subcommand(arg: &str) -> bool {
-    ["apply", "show", "except", "add", "list", "remove", "drain", "evacuate"].contains(&arg)
+    ["apply", "show", "except", "add", "list", "remove", "drain", "evacuate", "check"]
+        .contains(&arg)
 }
 
 /// Runs a command.
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -35,6 +35,7 @@
 mod exception;
 pub mod key;
 mod merge;
+pub mod review;
 mod scope;
 mod subject;
 mod values;
