Join the election for graphs once the fleet configuration is read

An entry that starts followed the configuration and joined the election at the same time. If the read of the configuration failed and was repeated, or before the next tick, it could own the table without knowing which failure domains are evacuated, and start tasks there. It now joins once it has read the configuration from the store and passed the domains on; while the store cannot be read, no entry can become the owner. The new test checks the order and does not force the race: it passed before the change as well.

--- a/crates/entry/src/config/follow.rs
+++ b/crates/entry/src/config/follow.rs
@@ -32,6 +32,7 @@
     for pair in &snapshot.pairs {
         offer_pair(keeper, pair);
     }
+    keeper.set_read();
     let mut watch = store.watch(key::PREFIX, snapshot.revision + 1).await?;
     loop {
         let update = watch.next().await?;
--- a/crates/entry/src/config/keeper.rs
+++ b/crates/entry/src/config/keeper.rs
@@ -1,13 +1,14 @@
 //! The fleet configuration in force at this entry.
 
 use super::Notice;
+use event_listener::Event;
 use serde_json::json;
 use shallotflow_core::fleet::{Subject, Values};
 use shallotflow_core::metric;
 use shallotflow_core::name::Name;
 use shallotflow_policy::spread::{Body, Decision, State, Update};
 use shallotflow_wire::proto;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::time::SystemTime;
 
@@ -17,11 +18,14 @@
 /// Holds the configuration in force and earlier texts.
 pub struct Keeper {
     state: RefCell<State>,
+    has_read_store: Cell<bool>,
+    store_read: Event,
 }
 
 impl Default for Keeper {
     fn default() -> Self {
-        Self { state: RefCell::new(State::with_history(MAX_HISTORY_BYTES)) }
+        let state = RefCell::new(State::with_history(MAX_HISTORY_BYTES));
+        Self { state, has_read_store: Cell::new(false), store_read: Event::new() }
     }
 }
 
@@ -70,6 +74,19 @@
         }
     }
 
+    /// Records that the configuration, if there is any, was read from the store.
+    pub fn set_read(&self) {
+        self.has_read_store.set(true);
+        self.store_read.notify(usize::MAX);
+    }
+
+    /// Waits until the configuration was read from the store once.
+    pub async fn wait_until_read(&self) {
+        while !self.has_read_store.get() {
+            self.store_read.listen().await;
+        }
+    }
+
     /// Returns the values in force for `subject`.
     pub fn resolve(&self, subject: &Subject<'_>) -> Values {
         self.state.borrow().config().resolve(subject, unix_now_s())
--- a/crates/entry/src/graphs.rs
+++ b/crates/entry/src/graphs.rs
@@ -1,7 +1,8 @@
 //! Jobs of several tasks. One entry owns the table of all these jobs; every entry accepts requests
 //! about them.
 
-use crate::Settings;
+use crate::state::State;
+use crate::{Settings, tick};
 use event_listener::Event;
 use monoio::net::TcpListener;
 use shallotflow_core::graph::Queue;
@@ -15,22 +16,30 @@
 /// one task.
 const MAX_ATTEMPTS: u32 = 5;
 
-/// Joins the election of the table's owner, and serves agents and other entries.
+/// Creates the entry of graph jobs, which [`join`] starts.
 ///
 /// # Errors
 ///
 /// Fails when the listener's address cannot be read.
-pub(crate) fn start(
+pub(crate) fn entry(
     settings: &Settings,
-    listener: TcpListener,
+    listener: &TcpListener,
     store: Rc<dyn Store>,
-    stop: Rc<Event>,
 ) -> std::io::Result<Rc<Entry>> {
     let address = settings.graphs_announce.map_or_else(|| listener.local_addr(), Ok)?;
     let limits = entry::Settings::default();
-    let entry = Entry::new(limits, settings.name.clone(), rand::random(), address, store);
+    Ok(Entry::new(limits, settings.name.clone(), rand::random(), address, store))
+}
+
+/// Joins the election of the table's owner, and serves agents and other entries.
+///
+/// It waits for the fleet configuration first, because an owner must not start tasks in failure
+/// domains that are evacuated. No entry can become the owner while the store cannot be read.
+pub(crate) async fn join(state: Rc<State>, listener: TcpListener, stop: Rc<Event>) {
+    let Some(entry) = &state.graphs else { return };
+    state.config.wait_until_read().await;
+    tick::update_evacuations(&state);
     entry.start(peers::serve(listener, stop));
-    Ok(entry)
 }
 
 /// Returns the queue for jobs of `kind`, with their `priority` from the fleet configuration.
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -31,10 +31,9 @@
         None => Rc::new(Unavailable),
     };
     let stop_graphs = Rc::new(Event::new());
-    let graphs = match (listeners.take_graphs(), store) {
-        (Some(listener), Some(store)) => {
-            Some(graphs::start(&settings, listener, store, stop_graphs.clone())?)
-        }
+    let graphs_listener = listeners.take_graphs();
+    let graphs = match (&graphs_listener, store) {
+        (Some(listener), Some(store)) => Some(graphs::entry(&settings, listener, store)?),
         _ => None,
     };
     let own = Peer { name: settings.name.clone(), callers: bound.callers, peers: bound.peers };
@@ -44,6 +43,9 @@
         monoio::spawn(follow_entries(state.clone(), session.clone()));
         monoio::spawn(config::follow(state.config.clone(), session.store()));
     }
+    if let Some(listener) = graphs_listener {
+        monoio::spawn(graphs::join(state.clone(), listener, stop_graphs.clone()));
+    }
     let open = listeners.open(&state, program, &stop);
     ready(bound);
     monoio::select! {
--- a/crates/entry/src/tick.rs
+++ b/crates/entry/src/tick.rs
@@ -62,7 +62,7 @@
 /// Passes the failure domains that the fleet configuration evacuates on to the graph scheduler.
 ///
 /// Exceptions expire without a change of the configuration, so that the set is derived anew each time.
-fn update_evacuations(state: &State) {
+pub(crate) fn update_evacuations(state: &State) {
     let evacuated = state.config.evacuated_domains();
     if *state.evacuated.borrow() == evacuated {
         return;
--- a/crates/entry/tests/config.rs
+++ b/crates/entry/tests/config.rs
@@ -173,15 +173,37 @@
     });
 }
 
+#[test]
+fn an_entry_owns_no_graphs_before_it_knows_the_evacuated_domains() {
+    // It would start tasks in a domain whose evacuation was confirmed long ago.
+    run(async || {
+        let store = store(Faults::default()).await;
+        write(store, "[exception e]\ndomain = z1\ndrain = true\nreason = r\n").await;
+        let graphs_listen = Some("127.0.0.1:0".parse().expect("an address"));
+        let settings = Settings { store: vec![store], graphs_listen, ..Settings::default() };
+        let entry = Entry::start(settings).await;
+        loop {
+            let dump = dump(&entry).await;
+            if dump["graphs"]["owned"] == true {
+                assert_eq!(dump["evacuated_by_configuration"], serde_json::json!(["z1"]));
+                return;
+            }
+            monoio::time::sleep(Duration::from_millis(1)).await;
+        }
+    });
+}
+
+async fn dump(entry: &Entry) -> serde_json::Value {
+    let request = http::Request::get("/dump").body(Body::Empty).expect("a request");
+    let pool = support::pool();
+    let answer = pool.exchange(entry.bound.operators, request, 1 << 20).await.expect("a dump");
+    serde_json::from_slice(answer.body()).expect("a dump in JSON")
+}
+
 /// Waits until the entry shows `domains` as evacuated by its configuration.
 async fn wait_for_evacuated(entry: &Entry, domains: &[&str]) {
     loop {
-        let request = http::Request::get("/dump").body(Body::Empty).expect("a request");
-        let pool = support::pool();
-        let answer = pool.exchange(entry.bound.operators, request, 1 << 20).await.expect("a dump");
-        let dump: serde_json::Value =
-            serde_json::from_slice(answer.body()).expect("a dump in JSON");
-        if dump["evacuated_by_configuration"] == serde_json::json!(domains) {
+        if dump(entry).await["evacuated_by_configuration"] == serde_json::json!(domains) {
             return;
         }
         monoio::time::sleep(POLL_INTERVAL).await;
