--- a/crates/standin/src/runs/state.rs
+++ b/crates/standin/src/runs/state.rs
@@ -49,6 +49,8 @@
                 labels: settings.labels.clone(),
                 rack: settings.labels.get(1).cloned(),
                 status: Status::Ready,
+                failure_domain: "".into(),
+                cold_remaining_ms: 0,
             },
             epoch: 0,
             lease: Time::ZERO,
