Advertise the owner's backlog and refuse jobs that cannot end in time

Cause: every job was accepted, also those that could not end within three objectives. Change: the owner's status holds the accepted work by service, priority and queue, the rate and the learned durations, valid for two seconds. An entry refuses by it before anything is stored, after it has looked the identifier up in the store for at most 40 ms. The work of a refused job counts for newcomers until its caller returns, which spreads the delays. The order of begun jobs is weighted by size (size_bias), so that large jobs are served at least half as often as all.

--- a/crates/core/src/metric.rs
+++ b/crates/core/src/metric.rs
@@ -110,6 +110,12 @@
         "1 while the entry owns the table of graphs, otherwise 0.";
     GRAPH_RECORDS = "shallotflow_graph_records_total", Counter, "result",
         "Commits of graph progress to the store, by result.";
+    GRAPH_OPEN_JOBS = "shallotflow_graph_open_jobs", Gauge, "",
+        "Best-effort graph jobs of queues with an objective that have begun, at their owner.";
+    GRAPH_OVERLOAD_REFUSALS = "shallotflow_graph_overload_refusals_total", Counter, "",
+        "Graph jobs that an entry refused because they could not end in time.";
+    GRAPH_BACKLOG = "shallotflow_graph_backlog_seconds", Gauge, "",
+        "Longest expected time in which the accepted best-effort graph jobs are done, at their owner.";
     START_CALL = "shallotflow_start_call_seconds", Histogram, "",
         "Time until a worker answered a start call, measured by its agent.";
     PACES = "shallotflow_paces_total", Counter, "",
--- a/crates/entry/src/callers/graphs.rs
+++ b/crates/entry/src/callers/graphs.rs
@@ -65,6 +65,12 @@
             let problem = Problem::not_run(Code::StoreUnavailable, detail);
             Err(problem.retry_after(seconds))
         }
+        Submission::Overloaded { retry_ms } => {
+            let seconds = u32::try_from(retry_ms.div_ceil(MS_PER_S)).unwrap_or(u32::MAX);
+            let detail = "the job has not run: it could not end in time beside the accepted jobs; \
+                          submit it again after the delay";
+            Err(Problem::not_run(Code::Overloaded, detail).retry_after(seconds))
+        }
         Submission::TooLarge { step } => {
             let detail = format!("no worker is large enough for a task of step {step}");
             Err(Problem::not_run(Code::NeverFits, detail))
--- a/crates/policy/src/plan/backlog.rs
+++ b/crates/policy/src/plan/backlog.rs
@@ -96,13 +96,20 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(super) struct Backlogs {
     pub(super) services: BTreeMap<Name, Share>,
+    /// Number of changes of the sums.
+    pub(super) version: u64,
     parts: HashMap<Id, Part>,
     workers: HashMap<Name, (Name, u64, u64)>,
 }
 
 impl Backlogs {
     pub(super) fn new() -> Self {
-        Self { services: BTreeMap::new(), parts: HashMap::new(), workers: HashMap::new() }
+        Self {
+            services: BTreeMap::new(),
+            version: 0,
+            parts: HashMap::new(),
+            workers: HashMap::new(),
+        }
     }
 
     /// Replaces what the job `id` adds to the sums.
@@ -112,6 +119,10 @@
             Some(part) => self.parts.insert(id, part.clone()),
             None => self.parts.remove(&id),
         };
+        if former.is_none() && part.is_none() {
+            return;
+        }
+        self.version += 1;
         if let Some(former) = former
             && let Some(share) = self.services.get_mut(&former.service)
         {
--- a/crates/policy/src/plan/durations.rs
+++ b/crates/policy/src/plan/durations.rs
@@ -5,6 +5,7 @@
 //! that are proportional to the durations it gives their ratio, and with random ones the mean.
 
 use super::{Phase, Settings, Table};
+use serde::{Deserialize, Serialize};
 use shallotflow_core::graph::{Step, Task};
 use shallotflow_core::name::Name;
 use shallotflow_core::time::Time;
@@ -18,7 +19,7 @@
 const LEAST_SHARE: f64 = 0.1;
 
 /// Decaying sums over pairs of estimate and duration, both in milliseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 struct Samples {
     count: f64,
     estimates: f64,
@@ -50,7 +51,7 @@
 }
 
 /// Learned durations of tasks, by queue and image.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(super) struct Durations {
     samples: BTreeMap<(Name, Option<Name>), Samples>,
 }
--- a/crates/policy/src/plan/mod.rs
+++ b/crates/policy/src/plan/mod.rs
@@ -8,6 +8,8 @@
 //! - [`Settings`]: limits and weights of the decisions.
 //! - [`Progress`]: the stored progress of a job that has started.
 //! - [`Sizes`]: the largest observed workers, to reject jobs that fit none.
+//! - [`Backlog`]: the accepted work that the owner advertises to entries.
+//! - [`Promises`]: the delays of the jobs that an entry refuses by it.
 //! - [`Event`]: decisions and observations, for the log.
 //! - [`Mismatch`]: a difference between state that is kept up to date and its source, for tests.
 //! - `accept`, `report`, `expire`, `disturbance`, `durations`, `backlog`,
@@ -28,6 +30,7 @@
 //! have ended.
 
 mod accept;
+mod advertisement;
 mod audit;
 mod backlog;
 mod changes;
@@ -44,6 +47,7 @@
 mod opening;
 mod place;
 mod progress;
+mod promises;
 mod ranking;
 mod record;
 mod refusals;
@@ -60,10 +64,12 @@
 mod urgency;
 mod worker;
 
+pub use advertisement::Backlog;
 pub use audit::Mismatch;
 pub use event::Event;
 pub use job::Job;
 pub use progress::Progress;
+pub use promises::Promises;
 pub use record::Record;
 pub use settings::Settings;
 pub use sizes::Sizes;
--- a/crates/policy/src/plan/opening.rs
+++ b/crates/policy/src/plan/opening.rs
@@ -28,7 +28,7 @@
 /// Returns the time in which `work` processor-milliseconds are done at `rate` thousandths of a
 /// processor.
 #[allow(clippy::cast_precision_loss)]
-fn drain(work: u64, rate: f64) -> Drain {
+pub(super) fn drain(work: u64, rate: f64) -> Drain {
     let seconds = work as f64 / rate.max(LEAST_RATE);
     let span = Duration::try_from_secs_f64(seconds).unwrap_or(MAX_DRAIN).min(MAX_DRAIN);
     Drain { work, rate, span }
--- a/crates/policy/src/plan/settings.rs
+++ b/crates/policy/src/plan/settings.rs
@@ -69,6 +69,9 @@
     /// Whether begun best-effort jobs of queues with an objective are ordered by their remaining
     /// work, the least first.
     pub orders_by_work: bool,
+    /// Exponent of the size of a job by which its remaining work is divided in the order: 0 orders by
+    /// the work that remains, 1 by its share of the job, so that large jobs wait no longer.
+    pub size_bias: f64,
     /// Whether best-effort jobs of queues with an objective begin only when they are expected to end
     /// within it, or when capacity is idle.
     pub opens_jobs: bool,
@@ -89,6 +92,17 @@
     /// How long before the latest start that still meets the objective a task may interfere with
     /// serving tasks; covers the error of the expected durations.
     pub interference_margin: Duration,
+    /// Whether jobs that cannot end within three objectives are refused.
+    pub refuses_jobs: bool,
+    /// How long an advertised backlog is valid: five polls of the owner's status.
+    pub advertisement_valid: Duration,
+    /// Longest delay after which the caller of a refused job is told to return: beyond it, the
+    /// expected backlog says little.
+    pub max_refusal_delay: Duration,
+    /// How much before its time the caller of a refused job may return: clocks and timers differ.
+    pub early_return: Duration,
+    /// How long after its time the place of a refused job is kept for its caller.
+    pub promise_grace: Duration,
 }
 
 impl Default for Settings {
@@ -120,13 +134,19 @@
             duration_memory: 400.0,
             estimate_weight: 10.0,
             orders_by_work: true,
+            size_bias: 1.0,
             opens_jobs: true,
-            opening_margin: 1.0,
+            opening_margin: 2.0,
             rate_interval: Duration::from_millis(500),
             rate_delay: Duration::from_millis(3_000),
             rate_memory: Duration::from_millis(8_000),
             interferes_by_objective: true,
             interference_margin: Duration::from_millis(1_000),
+            refuses_jobs: true,
+            advertisement_valid: Duration::from_millis(2_000),
+            max_refusal_delay: Duration::from_secs(60),
+            early_return: Duration::from_millis(200),
+            promise_grace: Duration::from_millis(5_000),
         }
     }
 }
--- a/crates/policy/src/plan/urgency.rs
+++ b/crates/policy/src/plan/urgency.rs
@@ -18,6 +18,9 @@
 /// A job that takes more than this many times its objective is of no more value.
 pub(super) const MAX_LATE_OBJECTIVES: u32 = 3;
 
+/// Resolution of the weighted work, so that its order survives the rounding.
+const WORK_SCALE: f64 = 1e6;
+
 /// The resolution of [`Time`].
 const LEAST_SPAN: Duration = Duration::from_micros(1);
 
@@ -33,7 +36,7 @@
 }
 
 /// Sort key of jobs, lowest first: priority of the queue, lateness, whether the job has not begun,
-/// remaining work of a begun job in processor-milliseconds, and newest first.
+/// remaining work of a begun job weighted by its size, and newest first.
 pub(super) type Urgency = (u32, Lateness, bool, u64, Reverse<Time>);
 
 impl Job {
@@ -78,6 +81,18 @@
         work.fold(0, u64::saturating_add)
     }
 
+    /// Returns the remaining work of the job, weighted by its size.
+    #[allow(clippy::cast_precision_loss, clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    fn weighted_work(&self, settings: &Settings) -> u64 {
+        let steps = 0..self.spec.steps.len();
+        let tasks = steps.filter(|step| self.spec.steps[*step].best_effort).map(|step| {
+            u64::from(self.spec.steps[step].count).saturating_mul(self.task_work(step))
+        });
+        let total = tasks.fold(0, u64::saturating_add) as f64;
+        let weight = total.max(1.0).powf(settings.size_bias.clamp(0.0, 1.0));
+        (self.remaining_work() as f64 / weight * WORK_SCALE) as u64
+    }
+
     /// Returns the expected work of one task of a step, processor-milliseconds.
     pub(super) fn task_work(&self, step: usize) -> u64 {
         let millicores = u64::from(self.spec.steps[step].need.millicores);
@@ -139,7 +154,7 @@
         }
         let begun = self.is_begun();
         let by_work = settings.orders_by_work && begun && self.is_deferrable();
-        let work = if by_work { self.remaining_work() } else { 0 };
+        let work = if by_work { self.weighted_work(settings) } else { 0 };
         (self.queue.priority, self.lateness(now), !begun, work, newest)
     }
 }
--- a/crates/policy/tests/plan/main.rs
+++ b/crates/policy/tests/plan/main.rs
@@ -11,6 +11,7 @@
 mod order;
 mod overload;
 mod recovery;
+mod refusal;
 mod relocation;
 mod replay;
 mod restart;
--- a/crates/policy/tests/plan/overload.rs
+++ b/crates/policy/tests/plan/overload.rs
@@ -1,7 +1,7 @@
 //! More work than the workers can hold.
 
 use super::harness::{Harness, id, job, step, task};
-use super::replay::{Load, replay};
+use super::replay::{Figures, Load, replay};
 use shallotflow_core::graph::Job;
 use shallotflow_core::name::Name;
 use shallotflow_policy::plan::Settings;
@@ -94,3 +94,47 @@
     let ratio = figures.in_time() as f64 / figures.bound;
     assert!(ratio >= TARGET_RATIO, "{ratio:.3} of the bound");
 }
+
+/// The share of the queue's own rate at which its largest jobs are served at least.
+const LARGE_JOBS_SHARE: f64 = 0.5;
+
+#[test]
+fn large_jobs_are_served_at_least_half_as_often_as_all() {
+    // One replay has only twenty jobs in its largest tenth.
+    let figures: Vec<Figures> = (1..=3)
+        .map(|seed| replay(Settings::default(), &Load { seed, ..Load::default() }))
+        .collect();
+    let share = |ranks: std::ops::Range<f64>| {
+        let shares = figures.iter().map(|figures| figures.share_of_ranks(ranks.clone()));
+        shares.sum::<f64>() / figures.len() as f64
+    };
+    let all = share(0.0..1.0);
+    for ranks in [0.9..1.0, 0.7..0.9] {
+        let share = share(ranks.clone());
+        println!("ranks {ranks:?}: {share:.2} in time, all {all:.2}");
+        assert!(share >= LARGE_JOBS_SHARE * all, "ranks {ranks:?}: {share:.2}, all {all:.2}");
+    }
+}
+
+/// Largest share of the jobs in time that other queues lose to one with five times its share.
+const LARGEST_LOSS: f64 = 0.05;
+
+#[test]
+fn a_queue_with_five_times_its_share_takes_little_from_the_others() {
+    let load = |rates: &[(&'static str, f64)]| Load {
+        heavy_rates: rates.to_vec(),
+        burst: 1.0,
+        ..Load::default()
+    };
+    let in_time = |figures: &Figures| {
+        let others = figures.heavy.iter().filter(|job| job.queue() == "other");
+        others.filter(|job| job.in_time()).count()
+    };
+    let alone = in_time(&replay(Settings::default(), &load(&[("other", 0.9)])));
+    let beside = in_time(&replay(Settings::default(), &load(&[("other", 0.9), ("hog", 4.5)])));
+    println!(
+        "other queue: {beside} in time beside a queue with five times its share, {alone} alone"
+    );
+    let least = alone as f64 * (1.0 - LARGEST_LOSS);
+    assert!(beside as f64 >= least, "{beside} beside the other queue, {alone} alone");
+}
--- a/crates/policy/tests/plan/replay.rs
+++ b/crates/policy/tests/plan/replay.rs
@@ -81,6 +81,10 @@
         tasks.sum::<f64>() * f64::from(HEAVY_MILLICORES) / 1_000.0
     }
 
+    pub(super) fn queue(&self) -> &str {
+        &self.job.queue.name
+    }
+
     pub(super) fn in_time(&self) -> bool {
         self.ended_ms.is_some_and(|at| at - self.at_ms <= self.objective_ms())
     }
--- a/crates/scheduler/src/entry/membership.rs
+++ b/crates/scheduler/src/entry/membership.rs
@@ -176,7 +176,8 @@
     let epoch = entry.view.borrow().owner.as_ref().map_or(0, |owner| owner.epoch);
     let request = Request::Status { epoch, store_age_ms: entry.store_age_ms() };
     match peer.ask(&request, entry.settings.ask_limit).await {
-        Ok(Response::Status { epoch, owned, store_age_ms, sizes, .. }) => {
+        Ok(Response::Status { epoch, owned, store_age_ms, sizes, backlog, .. }) => {
+            entry.observe_backlog(backlog);
             entry.observe_sizes(&sizes);
             record_store_contact(entry, store_age_ms);
             Some((epoch, owned, store_age_ms))
--- a/crates/scheduler/src/entry/meters.rs
+++ b/crates/scheduler/src/entry/meters.rs
@@ -3,7 +3,7 @@
 use super::Submission;
 use metrics::{counter, gauge, histogram};
 use shallotflow_core::metric;
-use shallotflow_policy::plan::Event;
+use shallotflow_policy::plan::{Event, Table};
 use std::time::Duration;
 
 /// Counts the outcome of a submission and records how long its caller waited.
@@ -11,9 +11,13 @@
     let outcome = match submission {
         Submission::Accepted => "accepted",
         Submission::Refused { .. } => "refused",
+        Submission::Overloaded { .. } => "overloaded",
         Submission::TooLarge { .. } => "too-large",
         Submission::Unknown => "unknown",
     };
+    if matches!(submission, Submission::Overloaded { .. }) {
+        counter!(metric::GRAPH_OVERLOAD_REFUSALS).increment(1);
+    }
     counter!(metric::GRAPH_SUBMISSIONS, "outcome" => outcome).increment(1);
     histogram!(metric::GRAPH_SUBMIT).record(took.as_secs_f64());
 }
@@ -47,6 +51,13 @@
     }
 }
 
+/// Records the work that the owner has accepted.
+pub(super) fn backlog(table: &Table) {
+    gauge!(metric::GRAPH_BACKLOG).set(table.backlog().longest_drain().as_secs_f64());
+    #[allow(clippy::cast_precision_loss)]
+    gauge!(metric::GRAPH_OPEN_JOBS).set(table.open_jobs() as f64);
+}
+
 /// Records whether the entry owns the table.
 pub(super) fn owned(owned: bool) {
     gauge!(metric::GRAPH_OWNED).set(if owned { 1.0 } else { 0.0 });
--- a/crates/scheduler/src/entry/mod.rs
+++ b/crates/scheduler/src/entry/mod.rs
@@ -9,6 +9,7 @@
 //! - `elect`: the election of the owner.
 //! - `own`: the loops of the owner.
 //! - `submit`, `ask`: the callers' calls.
+//! - `overload`: the refusal of jobs by the owner's advertised backlog.
 //! - `serve`: the calls of agents and of other entries.
 
 mod activity;
@@ -18,6 +19,7 @@
 mod member;
 mod membership;
 mod meters;
+mod overload;
 mod own;
 mod ownership;
 mod serve;
--- a/crates/scheduler/src/entry/own.rs
+++ b/crates/scheduler/src/entry/own.rs
@@ -243,6 +243,7 @@
         monoio::time::sleep(ACTIVITY_INTERVAL).await;
         if let Some(ownership) = &*entry.ownership.borrow() {
             let table = &ownership.table;
+            super::meters::backlog(table);
             entry.activity.log(table.workers().len(), table.jobs().count());
         }
     }
--- a/crates/scheduler/src/entry/settings.rs
+++ b/crates/scheduler/src/entry/settings.rs
@@ -37,6 +37,12 @@
     pub store_pause: Duration,
     /// Longest time for which storing a job is tried before its caller gets an answer.
     pub submit_limit: Duration,
+    /// Timeout of the check whether a job is stored before it is refused; refusals are due within
+    /// 50 ms.
+    pub refusal_limit: Duration,
+    /// How long after a call to store a job its result may be unknown; longer than any delayed
+    /// call to the store lasts.
+    pub unsettled_limit: Duration,
     /// Time without a report of a larger worker before a job is refused as too large; two of the
     /// workers' own reports.
     pub sizes_settle: Duration,
@@ -66,6 +72,8 @@
             tick: Duration::from_millis(25),
             store_pause: Duration::from_millis(60),
             submit_limit: Duration::from_millis(800),
+            refusal_limit: Duration::from_millis(40),
+            unsettled_limit: Duration::from_secs(10),
             sizes_settle: Duration::from_millis(3_000),
             learned_interval: Duration::from_millis(3_000),
             claim_stagger: Duration::from_millis(60),
--- a/crates/scheduler/src/entry/shared.rs
+++ b/crates/scheduler/src/entry/shared.rs
@@ -1,5 +1,6 @@
 use super::activity::Activity;
 use super::member::{Owner, Presence};
+use super::overload::Overload;
 use super::ownership::Ownership;
 use super::{Settings, elect, membership, own, serve};
 use crate::peers::{Call, Client};
@@ -65,6 +66,7 @@
     /// Notified when the owner has something to record.
     pub(super) commit_due: Event,
     pub(super) activity: Activity,
+    pub(super) overload: RefCell<Overload>,
     pub(super) stopping: Cell<bool>,
     /// The entry makes no claim before this time.
     pub(super) claims_allowed_from: Cell<Time>,
@@ -98,6 +100,7 @@
             agent_news: RefCell::default(),
             commit_due: Event::new(),
             activity: Activity::default(),
+            overload: RefCell::default(),
             stopping: Cell::new(false),
             claims_allowed_from: Cell::new(Time::ZERO),
             clients: RefCell::new(HashMap::new()),
--- a/crates/scheduler/src/entry/submission.rs
+++ b/crates/scheduler/src/entry/submission.rs
@@ -10,6 +10,11 @@
         /// Delay before the caller may retry, in milliseconds.
         retry_ms: u64,
     },
+    /// The job was not stored and never runs: it could not end in time beside the accepted ones.
+    Overloaded {
+        /// Delay after which the caller is to return, in milliseconds; whole seconds.
+        retry_ms: u64,
+    },
     /// The job was not stored: the tasks of one of its steps fit no worker.
     TooLarge {
         /// The step, counted from 0.
--- a/crates/scheduler/src/entry/submit.rs
+++ b/crates/scheduler/src/entry/submit.rs
@@ -23,7 +23,13 @@
         let started = Boottime.now();
         let stored = match self.too_large(&job) {
             Some(step) => Submission::TooLarge { step },
-            None => self.store_job(id, &job).await,
+            None => match self.refuse(id, &job).await {
+                Some(overloaded) => overloaded,
+                None => {
+                    self.begin_store(id);
+                    self.store_job(id, &job).await
+                }
+            },
         };
         let submission = match stored {
             Submission::Refused { retry_ms } => {
@@ -31,6 +37,7 @@
             }
             submission => submission,
         };
+        self.end_store(id, submission);
         let details = serde_json::json!({
             "job": id.to_string(), "queue": &*job.queue.name, "outcome": submission,
             "store_age_ms": self.store_age_ms(),
--- a/crates/scheduler/src/peers/response.rs
+++ b/crates/scheduler/src/peers/response.rs
@@ -1,7 +1,7 @@
 use crate::entry::Submission;
 use serde::{Deserialize, Serialize};
 use shallotflow_core::graph::State;
-use shallotflow_policy::plan::Sizes;
+use shallotflow_policy::plan::{Backlog, Sizes};
 use std::net::SocketAddr;
 
 /// The response of an entry to another.
@@ -20,6 +20,9 @@
         store_age_ms: u64,
         /// The largest workers that it has seen, if it owns the table.
         sizes: Sizes,
+        /// The accepted work, if it owns the table.
+        #[serde(default)]
+        backlog: Backlog,
     },
     /// The visible state of the job, if the owner knows the job.
     State(Option<State>),
