--- a/crates/policy/tests/plan/main.rs
+++ b/crates/policy/tests/plan/main.rs
@@ -15,6 +15,7 @@
 mod order;
 mod overload;
 mod recovery;
+mod refusal;
 mod relocation;
 mod replay;
 mod restart;
--- a/crates/scheduler/src/entry/mod.rs
+++ b/crates/scheduler/src/entry/mod.rs
@@ -10,6 +10,7 @@
 //! - `own`: the loops of the owner.
 //! - `evacuate`: the owner's view of the requests to evacuate failure domains.
 //! - `submit`, `ask`: the callers' calls.
+//! - `overload`: the refusal of jobs by the owner's advertised backlog.
 //! - `serve`: the calls of agents and of other entries.
 
 mod activity;
@@ -20,6 +21,7 @@
 mod member;
 mod membership;
 mod meters;
+mod overload;
 mod own;
 mod ownership;
 mod serve;
--- a/crates/scheduler/src/entry/shared.rs
+++ b/crates/scheduler/src/entry/shared.rs
@@ -1,5 +1,6 @@
 use super::activity::Activity;
 use super::member::{Owner, Presence};
+use super::overload::Overload;
 use super::ownership::Ownership;
 use super::{Settings, elect, evacuate, membership, own, serve};
 use crate::peers::{Call, Client};
@@ -67,6 +68,7 @@
     pub(super) activity: Activity,
     /// Failure domains that the fleet configuration evacuates.
     pub(super) evacuated_by_configuration: RefCell<BTreeSet<Name>>,
+    pub(super) overload: RefCell<Overload>,
     pub(super) stopping: Cell<bool>,
     /// The entry makes no claim before this time.
     pub(super) claims_allowed_from: Cell<Time>,
@@ -101,6 +103,7 @@
             commit_due: Event::new(),
             activity: Activity::default(),
             evacuated_by_configuration: RefCell::default(),
+            overload: RefCell::default(),
             stopping: Cell::new(false),
             claims_allowed_from: Cell::new(Time::ZERO),
             clients: RefCell::new(HashMap::new()),
