Spare starts without a rack the look-ups of data locality

Cause: each start looked up its job three more times, although only steps with `data_rack` or `same_rack` need that.

Change: the look-ups are made for such steps only.

--- a/crates/policy/src/plan/place.rs
+++ b/crates/policy/src/plan/place.rs
@@ -90,6 +90,7 @@
         let Some(job) = self.jobs.get(&id) else { return false };
         let step = &job.spec.steps[number];
         let (gang, per_worker, same_rack) = (step.gang, step.per_worker, step.same_rack);
+        let local = same_rack || step.data_rack.is_some();
         let service = &job.queue.service;
         let need = Demand::of(step).reserved();
         if self.refusals.is_full(service, step, &need) {
@@ -126,7 +127,9 @@
             if same_rack { self.step_racks(id, occurrence, number) } else { Vec::new() };
         let tasks = waiting.len();
         for position in waiting {
-            self.track_step(id, number, &racks);
+            if local {
+                self.track_step(id, number, &racks);
+            }
             let Some(job) = self.jobs.get(&id) else { return false };
             let members = if gang { tasks - found.len() } else { 1 };
             let pass = Pass { now, holders, except: None, racks: &racks, isolation, members };
@@ -201,6 +204,7 @@
         let Some(job) = self.jobs.get(&task.job) else { return };
         let Some(position) = job.position(&task) else { return };
         let step = job.step(&task);
+        let local = step.same_rack || step.data_rack.is_some();
         let last = if step.gang {
             let range = job.range(task.occurrence, usize::from(task.step));
             // The members of a gang share one run number, and none has started yet.
@@ -250,10 +254,11 @@
         let waited_ms = u64::try_from(now.since(state.ready_since).as_millis()).unwrap_or(u64::MAX);
         let queue = job.queue.name.clone();
         self.count_start(&agent, &task, now);
-        if near_wait_since.is_none() {
+        if local && near_wait_since.is_none() {
             self.count_arrival(&task, now);
         }
-        let near = self.is_near(&agent, &task).map(|near| near && !spread);
+        let near = if local { self.is_near(&agent, &task) } else { None };
+        let near = near.map(|near| near && !spread);
         self.events.push(Event::Start {
             task,
             run,
