Leave the new fields out of reports that do not need them

Entries of the former version could not read the reports of newer agents: messages are encoded by position, and the state of an evacuation was sent in each report, before the crashes. Both are now one last field that is left out while nothing is evacuated and no crash is unconfirmed. The state of an evacuation is a plain flag now, as agents of the former version cannot read the longer replies anyway.

--- a/crates/policy/benches/plan.rs
+++ b/crates/policy/benches/plan.rs
@@ -7,7 +7,7 @@
 use shallotflow_core::resources::Bundle;
 use shallotflow_core::time::Time;
 use shallotflow_policy::plan::message::{
-    Answer, End, ExitReason, Incarnation, Kind, Outcome, Profile, Report, Run, Status,
+    Additions, Answer, End, ExitReason, Incarnation, Kind, Outcome, Profile, Report, Run, Status,
 };
 use shallotflow_policy::plan::{Progress, Settings, Table};
 use std::collections::{BTreeMap, BTreeSet};
@@ -134,8 +134,7 @@
             ends,
             answers,
             received: worker.received,
-            evacuated: None,
-            crashes: Vec::new(),
+            additions: Additions::default(),
         }
     }
 
--- /dev/null
+++ b/crates/policy/src/plan/message/additions.rs
@@ -0,0 +1,22 @@
+use super::Crash;
+use serde::{Deserialize, Serialize};
+
+/// Fields of a report that the former version does not have.
+///
+/// Messages are encoded by position, so a report leaves them out as a whole while they have their
+/// defaults; entries of the former version can then read it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Additions {
+    /// Whether the agent refuses starts because of an evacuation, as the latest reply said.
+    pub evacuated: bool,
+    /// Crashes of the worker that no reply has confirmed as recorded, the earliest first.
+    pub crashes: Vec<Crash>,
+}
+
+impl Additions {
+    /// Returns whether all fields have their defaults.
+    pub(super) fn is_default(&self) -> bool {
+        *self == Self::default()
+    }
+}
--- a/crates/policy/src/plan/message/mod.rs
+++ b/crates/policy/src/plan/message/mod.rs
@@ -3,6 +3,7 @@
 //! An agent sends numbered [`Report`]s; the owner answers each with a [`Reply`] that carries
 //! orders and the right to renew the worker's leases.
 
+mod additions;
 mod answer;
 mod crash;
 mod crashed_run;
@@ -17,6 +18,7 @@
 mod run_traits;
 mod traits;
 
+pub use additions::Additions;
 pub use answer::{Answer, Outcome};
 pub use crash::Crash;
 pub use crashed_run::CrashedRun;
--- a/crates/policy/src/plan/message/report.rs
+++ b/crates/policy/src/plan/message/report.rs
@@ -1,4 +1,4 @@
-use super::{Answer, Crash, End, Incarnation, Profile, Run};
+use super::{Additions, Answer, End, Incarnation, Profile, Run};
 use serde::{Deserialize, Serialize};
 use shallotflow_core::name::Name;
 
@@ -33,13 +33,7 @@
     pub answers: Vec<Answer>,
     /// Highest order number that was received.
     pub received: u64,
-    /// Whether the agent refuses starts because of an evacuation, as the latest reply said; agents of
-    /// the previous version do not know.
-    #[serde(default)]
-    pub evacuated: Option<bool>,
-    /// Crashes of the worker that no reply has confirmed as recorded, the earliest first. The last
-    /// field, since messages are encoded by position: without crashes, entries of the former version
-    /// can read the report.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub crashes: Vec<Crash>,
+    /// Fields that the former version does not have.
+    #[serde(default, skip_serializing_if = "Additions::is_default")]
+    pub additions: Additions,
 }
--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -50,7 +50,7 @@
         }
         worker.vacant = report.vacant;
         worker.lacks_traits = report.lacks_traits;
-        worker.known_evacuated = report.evacuated;
+        worker.known_evacuated = report.additions.evacuated;
         if report.running.is_some() {
             worker.listed_sequence = report.sequence;
         }
@@ -71,7 +71,7 @@
             self.apply_answer(&agent, answer, now);
         }
         // Runs that had ended before a crash are none that it ended.
-        self.apply_crashed_ends(&agent, &report.crashes, now);
+        self.apply_crashed_ends(&agent, &report.additions.crashes, now);
         self.update_worker(&agent, &report, now);
         if report.vacant {
             let leaving = self.workers.get(&agent).is_some_and(Worker::is_leaving);
@@ -80,7 +80,7 @@
             let crash = registered && !was_leaving && !leaving;
             self.lose_runs(&agent, "no worker runs beside the agent", crash, now);
         }
-        self.apply_crashes(&agent, &report.crashes, now);
+        self.apply_crashes(&agent, &report.additions.crashes, now);
         if report.vacant || is_empty(&report) {
             self.forget_missing(&agent, now);
         }
--- a/crates/policy/src/plan/table.rs
+++ b/crates/policy/src/plan/table.rs
@@ -273,7 +273,7 @@
     /// change of its evacuation that it has not reported to know.
     pub fn has_updates(&self, agent: &str, recorded: u64) -> bool {
         let Some(worker) = self.workers.get(agent) else { return false };
-        let informed = worker.known_evacuated.is_none_or(|known| known == worker.evacuated);
+        let informed = worker.known_evacuated == worker.evacuated;
         worker.lacks_traits || !worker.outbox.is_empty() || worker.recorded > recorded || !informed
     }
 
--- a/crates/policy/src/plan/worker.rs
+++ b/crates/policy/src/plan/worker.rs
@@ -106,10 +106,9 @@
     pub full_until: Time,
     /// Whether its failure domain is evacuated, so that nothing starts there.
     pub evacuated: bool,
-    /// Whether the agent knows of an evacuation, by its latest report; agents of the previous version
-    /// do not report that.
+    /// Whether the agent knows of an evacuation, by its latest report.
     #[serde(skip)]
-    pub(super) known_evacuated: Option<bool>,
+    pub(super) known_evacuated: bool,
     #[serde(skip)]
     pub(super) placed: BTreeMap<Task, Placed>,
     /// Runs that may still be at the worker and are the current run of no task.
--- a/crates/policy/tests/plan/crash.rs
+++ b/crates/policy/tests/plan/crash.rs
@@ -3,7 +3,7 @@
 use super::harness::{Harness, TestWorker, id, job, name, step, task};
 use shallotflow_core::graph::{Job, State, Step, Task};
 use shallotflow_policy::plan::message::{
-    Crash, CrashedRun, End, ExitReason, Incarnation, Report, Run, Status,
+    Additions, Crash, CrashedRun, End, ExitReason, Incarnation, Report, Run, Status,
 };
 use shallotflow_policy::plan::{Phase, Progress, Table};
 use std::collections::BTreeMap;
@@ -419,7 +419,10 @@
     worker.restart_worker();
     let report = worker.report(&name(0), epoch);
     let crashes = (1..).zip(runs).map(crash).collect();
-    harness.table.apply_report(Report { crashes, ..report }, harness.now);
+    harness.table.apply_report(
+        Report { additions: Additions { crashes, ..Additions::default() }, ..report },
+        harness.now,
+    );
     harness.table.reply(&name(0)).crashes_recorded_ms
 }
 
@@ -467,7 +470,10 @@
         let crashes =
             vec![Crash { incarnation: incarnation.clone(), runs: Vec::new(), ends: ends.clone() }];
         let report = harness.worker(0).report(&name(0), epoch);
-        harness.table.apply_report(Report { crashes, ..report }, harness.now);
+        harness.table.apply_report(
+            Report { additions: Additions { crashes, ..Additions::default() }, ..report },
+            harness.now,
+        );
     }
 }
 
@@ -518,6 +524,9 @@
     let incarnation = Incarnation { id: name(0), started_ms: 1 };
     let report = harness.worker(0).report(&name(0), 1);
     let crashes = vec![Crash { incarnation, runs: Vec::new(), ends }];
-    harness.table.apply_report(Report { crashes, ..report }, harness.now);
+    harness.table.apply_report(
+        Report { additions: Additions { crashes, ..Additions::default() }, ..report },
+        harness.now,
+    );
     assert!(matches!(harness.phase(task(1, 0, 0)), Phase::Running { run: 2, .. }));
 }
--- a/crates/policy/tests/plan/harness.rs
+++ b/crates/policy/tests/plan/harness.rs
@@ -5,7 +5,8 @@
 use shallotflow_core::resources::Bundle;
 use shallotflow_core::time::Time;
 use shallotflow_policy::plan::message::{
-    Answer, End, ExitReason, Incarnation, Kind, Order, Outcome, Profile, Report, Run, Status,
+    Additions, Answer, End, ExitReason, Incarnation, Kind, Order, Outcome, Profile, Report, Run,
+    Status,
 };
 use shallotflow_policy::plan::{Phase, Settings, Table};
 use std::collections::{BTreeMap, BTreeSet};
@@ -269,8 +270,7 @@
             ends: self.ends.clone(),
             answers: self.answers.clone(),
             received: self.received,
-            evacuated: Some(self.evacuated),
-            crashes: Vec::new(),
+            additions: Additions { evacuated: self.evacuated, ..Additions::default() },
         }
     }
 
--- a/crates/scheduler/src/agent/run_table.rs
+++ b/crates/scheduler/src/agent/run_table.rs
@@ -9,8 +9,8 @@
 use shallotflow_core::time::Time;
 use shallotflow_policy::disturbance::Rates;
 use shallotflow_policy::plan::message::{
-    Answer, Crash, CrashedRun, End, Incarnation, Order, Outcome, Profile, Reply, Report, Run,
-    Status, Traits,
+    Additions, Answer, Crash, CrashedRun, End, Incarnation, Order, Outcome, Profile, Reply, Report,
+    Run, Status, Traits,
 };
 use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -552,8 +552,7 @@
             ends: Vec::new(),
             answers: Vec::new(),
             received: self.last_order,
-            evacuated: Some(self.evacuated),
-            crashes: self.crashes.unrecorded(),
+            additions: Additions { evacuated: self.evacuated, crashes: self.crashes.unrecorded() },
         };
         if self.complete {
             // The owner needs these of a worker that is gone as well: which starts it carried out.
--- a/crates/scheduler/tests/owner.rs
+++ b/crates/scheduler/tests/owner.rs
@@ -9,7 +9,9 @@
 use futures_channel::oneshot;
 use shallotflow_core::graph::{Id, Job, Queue, Spec, Step};
 use shallotflow_core::resources::Bundle;
-use shallotflow_policy::plan::message::{Incarnation, Kind, Profile, Reply, Report, Status};
+use shallotflow_policy::plan::message::{
+    Additions, Incarnation, Kind, Profile, Reply, Report, Status,
+};
 use shallotflow_runtime::executor;
 use shallotflow_scheduler::entry::{Entry, Settings, Submission, keys};
 use shallotflow_scheduler::peers::{Call as PeerCall, Request, pack};
@@ -121,8 +123,7 @@
             ends: Vec::new(),
             answers: Vec::new(),
             received: 0,
-            evacuated: Some(self.evacuated.get()),
-            crashes: Vec::new(),
+            additions: Additions { evacuated: self.evacuated.get(), ..Additions::default() },
         };
         let (sender, reply) = oneshot::channel();
         let call = PeerCall::Report(Box::new(report), sender);
--- a/crates/scheduler/tests/path/simulation.rs
+++ b/crates/scheduler/tests/path/simulation.rs
@@ -716,7 +716,7 @@
         }
         let mut report = self.agents[number].run_table.report(now);
         if let Some(Fault::CrashAsDrain | Fault::ForgetObservedCrashes) = self.fault {
-            report.crashes.clear();
+            report.additions.crashes.clear();
         }
         if let Some(profile) = report
             .worker
--- a/crates/scheduler/tests/run_table.rs
+++ b/crates/scheduler/tests/run_table.rs
@@ -65,12 +65,12 @@
     assert!(table.accepts_tasks());
     table.apply_reply(evacuated(true, 3));
     assert!(!table.accepts_tasks());
-    assert_eq!(table.report(at(0)).evacuated, Some(true));
+    assert!(table.report(at(0)).additions.evacuated);
     table.apply_reply(evacuated(false, 2));
     assert!(!table.accepts_tasks(), "a reply that was sent before the change");
     table.apply_reply(evacuated(false, 4));
     assert!(table.accepts_tasks());
-    assert_eq!(table.report(at(0)).evacuated, Some(false));
+    assert!(!table.report(at(0)).additions.evacuated);
 }
 
 /// Guards against a start between the loss of one owner and the first reply of the next.
@@ -272,19 +272,26 @@
     let mut table = joined(vec![young()]);
     assert!(table.register(profile(10_000), 1, at(0)));
     table.poll_failed(&Error::Vacant, at(90));
-    assert!(table.report(at(95)).crashes.is_empty(), "one refused connection shows no crash");
+    assert!(
+        table.report(at(95)).additions.crashes.is_empty(),
+        "one refused connection shows no crash"
+    );
     table.poll_failed(&Error::Vacant, at(190));
     let report = table.report(at(195));
-    let [crash] = &report.crashes[..] else { panic!("one crash: {report:?}") };
+    let [crash] = &report.additions.crashes[..] else { panic!("one crash: {report:?}") };
     assert_eq!(crash.incarnation.started_ms, 7);
     let Run { task, run, .. } = young();
     assert_eq!(crash.runs, [CrashedRun { task, run, carried_out: true, outlived_ms: 0 }]);
     table.apply_reply(reply(2, 0));
     table.apply_lists(lists(8, Vec::new()), 2, at(300), at(300));
     let sequence = table.report(at(310)).sequence;
-    assert_eq!(table.report(at(320)).crashes, report.crashes, "the next owner may not know it");
+    assert_eq!(
+        table.report(at(320)).additions.crashes,
+        report.additions.crashes,
+        "the next owner may not know it"
+    );
     table.apply_reply(Reply { crashes_recorded_ms: 7, ..reply(2, sequence) });
-    assert!(table.report(at(330)).crashes.is_empty());
+    assert!(table.report(at(330)).additions.crashes.is_empty());
 }
 
 /// Guards against a crash that counts again, for a task whose crashes were cleared meanwhile.
@@ -297,7 +304,7 @@
     let sequence = table.report(at(195)).sequence;
     table.apply_reply(Reply { crashes_recorded_ms: 7, ..reply(1, sequence) });
     table.apply_lists(lists(8, Vec::new()), 1, at(300), at(300));
-    assert!(table.report(at(310)).crashes.is_empty());
+    assert!(table.report(at(310)).additions.crashes.is_empty());
 }
 
 /// Guards against crashes that count for runs which had ended or had shown what they do.
@@ -309,7 +316,7 @@
     table.push_answer(Task { index: 2, ..run().task }, 3, Outcome::Absent);
     table.apply_lists(lists(8, Vec::new()), 1, at(10), at(10));
     let report = table.report(at(20));
-    let runs: Vec<_> = report.crashes.iter().flat_map(|crash| &crash.runs).collect();
+    let runs: Vec<_> = report.additions.crashes.iter().flat_map(|crash| &crash.runs).collect();
     let [unanswered] = runs[..] else { panic!("one run: {runs:?}") };
     assert_eq!((unanswered.task.index, unanswered.carried_out), (1, false));
 }
@@ -323,7 +330,7 @@
     table.poll_failed(&Error::Vacant, at(90));
     table.poll_failed(&Error::Vacant, at(190));
     table.apply_lists(lists(8, Vec::new()), 1, at(300), at(300));
-    assert!(table.report(at(310)).crashes.is_empty());
+    assert!(table.report(at(310)).additions.crashes.is_empty());
 }
 
 /// Guards against ends that are lost with their worker although the agent has read them.
@@ -337,8 +344,8 @@
     table.apply_lists(lists(8, Vec::new()), 1, at(20), at(20));
     let report = table.report(at(30));
     assert!(report.ends.is_empty(), "the new incarnation has no ends");
-    let [crash] = &report.crashes[..] else { panic!("one crash: {report:?}") };
+    let [crash] = &report.additions.crashes[..] else { panic!("one crash: {report:?}") };
     assert_eq!((crash.runs.len(), &crash.ends), (0, &vec![end]));
     table.apply_reply(Reply { crashes_recorded_ms: 7, ..reply(1, report.sequence) });
-    assert!(table.report(at(40)).crashes.is_empty());
+    assert!(table.report(at(40)).additions.crashes.is_empty());
 }
