--- a/crates/policy/src/plan/advertisement.rs
+++ b/crates/policy/src/plan/advertisement.rs
@@ -38,6 +38,11 @@
 }
 
 impl Backlog {
+    /// Returns whether it says nothing, so that a status can leave it out.
+    pub fn is_default(&self) -> bool {
+        *self == Self::default()
+    }
+
     /// Returns the longest expected time in which the work of any priority of a service is done,
     /// including that of higher priorities.
     pub fn longest_drain(&self) -> Duration {
@@ -107,7 +112,12 @@
 }
 
 impl Table {
-    /// Returns the backlog to advertise. Its cost grows with the number of queues, not of jobs.
+    /// Returns the backlog to advertise to entries: none where they refuse no jobs by it.
+    pub fn advertisement(&self) -> Backlog {
+        if self.settings.refuses_jobs { self.backlog() } else { Backlog::default() }
+    }
+
+    /// Returns the accepted work. Its cost grows with the number of queues, not of jobs.
     pub fn backlog(&self) -> Backlog {
         let services = self.backlogs.services.iter();
         let lines = services.flat_map(|(service, share)| {
--- a/crates/scheduler/src/entry/overload.rs
+++ b/crates/scheduler/src/entry/overload.rs
@@ -73,9 +73,12 @@
 
     /// Returns whether a job would be refused unless the store holds it.
     fn is_overloaded(&self, id: Id, job: &Job) -> bool {
+        if !self.overload.borrow().settings.refuses_jobs {
+            return false;
+        }
         let now = Boottime.now();
         if let Some(ownership) = &*self.ownership.borrow() {
-            let backlog = ownership.table.backlog();
+            let backlog = ownership.table.advertisement();
             self.observe_backlog(backlog);
         }
         let mut overload = self.overload.borrow_mut();
@@ -87,10 +90,14 @@
         promises.would_refuse(backlog, id, job, entries, settings, now)
     }
 
-    /// Marks a job as one that this entry may store from now on.
+    /// Marks a job as one that this entry may store from now on; only a refusal asks for that.
     pub(super) fn begin_store(&self, id: Id) {
-        let until = Boottime.now().after(self.settings.unsettled_limit);
-        self.overload.borrow_mut().unsettled.insert(id, until);
+        let mut overload = self.overload.borrow_mut();
+        if overload.settings.refuses_jobs {
+            let now = Boottime.now();
+            overload.unsettled.retain(|_, until| !until.passed(now));
+            overload.unsettled.insert(id, now.after(self.settings.unsettled_limit));
+        }
     }
 
     /// Marks a job as certainly stored or certainly not stored, unless that is unknown.
--- a/crates/scheduler/src/entry/serve.rs
+++ b/crates/scheduler/src/entry/serve.rs
@@ -151,6 +151,9 @@
             .unwrap_or_default(),
         owner: owner.map(|owner| owner.address),
         store_age_ms: entry.store_age_ms(),
-        backlog: ownership.as_ref().map(|ownership| ownership.table.backlog()).unwrap_or_default(),
+        backlog: ownership
+            .as_ref()
+            .map(|ownership| ownership.table.advertisement())
+            .unwrap_or_default(),
     }
 }
--- a/crates/scheduler/src/peers/response.rs
+++ b/crates/scheduler/src/peers/response.rs
@@ -20,8 +20,9 @@
         store_age_ms: u64,
         /// The largest workers that it has seen, if it owns the table.
         sizes: Sizes,
-        /// The accepted work, if it owns the table.
-        #[serde(default)]
+        /// The accepted work, if it owns the table and entries refuse jobs by it. The last field, left
+        /// out while it says nothing: messages are encoded by position.
+        #[serde(default, skip_serializing_if = "Backlog::is_default")]
         backlog: Backlog,
     },
     /// The visible state of the job, if the owner knows the job.
--- a/crates/scheduler/tests/status.rs
+++ b/crates/scheduler/tests/status.rs
@@ -26,3 +26,24 @@
     };
     assert_eq!((epoch, backlog), (7, Backlog::default()));
 }
+
+/// Guards against a status that entries of the previous version cannot read during an upgrade.
+#[test]
+fn a_status_without_a_backlog_has_the_form_of_the_previous_version() {
+    let former = Former::Standing {
+        epoch: 7,
+        owned: true,
+        owner: None,
+        store_age_ms: 3,
+        sizes: Sizes::default(),
+    };
+    let status = Response::Status {
+        epoch: 7,
+        owned: true,
+        owner: None,
+        store_age_ms: 3,
+        sizes: Sizes::default(),
+        backlog: Backlog::default(),
+    };
+    assert_eq!(pack(&status).expect("a packet"), pack(&former).expect("a packet"));
+}
