Spare passes and reports work for racks and durations that nothing uses

Each pass reset the sums of every rack that a task had ever named, and each listed run was looked up to count its time at work although no durations are learned. A pass now resets only the racks for which tasks waited, and the count is kept only where durations are learned. Decisions are the same; the audit against rebuilt sums passes.

--- a/crates/policy/src/plan/durations.rs
+++ b/crates/policy/src/plan/durations.rs
@@ -96,6 +96,9 @@
     /// Counts the time that a run has been at work until `now`, at the pace that its agent last
     /// reported.
     pub(super) fn count_work(&mut self, agent: &Name, task: &Task, now: Time) {
+        if !self.settings.learns_durations {
+            return;
+        }
         let placed = self.workers.get(agent).and_then(|worker| worker.placed.get(task));
         let Some(pace) = placed.map(|placed| u32::from(placed.pace)) else { return };
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
--- a/crates/policy/src/plan/racks.rs
+++ b/crates/policy/src/plan/racks.rs
@@ -239,6 +239,8 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(super) struct Racks {
     racks: HashMap<Key, Rack>,
+    /// Racks for which tasks wait in the current pass.
+    waited_for: Vec<Key>,
 }
 
 impl Racks {
@@ -249,14 +251,19 @@
 
     /// Forgets what waited in the previous pass.
     pub(super) fn begin_pass(&mut self) {
-        for rack in self.racks.values_mut() {
-            rack.waiting = Amount::default();
+        for key in self.waited_for.drain(..) {
+            if let Some(rack) = self.racks.get_mut(&key) {
+                rack.waiting = Amount::default();
+            }
         }
     }
 
     /// Adds what waits for a rack in the current pass.
     pub(super) fn add_waiting(&mut self, key: &Key, amount: &Amount) {
         if let Some(rack) = self.racks.get_mut(key) {
+            if rack.waiting == Amount::default() {
+                self.waited_for.push(key.clone());
+            }
             rack.waiting = rack.waiting.plus(amount);
         }
     }
@@ -270,7 +277,7 @@
 
     /// Returns whether each rack has the sums that the runs of `workers` give.
     pub(super) fn agrees_with(&self, workers: &BTreeMap<Name, Worker>) -> bool {
-        let mut rebuilt = Self::default();
+        let mut rebuilt = Self { waited_for: self.waited_for.clone(), ..Self::default() };
         for (key, rack) in &self.racks {
             let rack = Rack { ends: BTreeMap::new(), ending: Amount::default(), ..rack.clone() };
             rebuilt.racks.insert(key.clone(), rack);
