--- a/crates/policy/src/plan/event.rs
+++ b/crates/policy/src/plan/event.rs
@@ -2,6 +2,7 @@
 use serde::Serialize;
 use shallotflow_core::graph::{Id, State, Task};
 use shallotflow_core::name::Name;
+use std::time::Duration;
 
 /// A decision or an observation of the owner, for the log.
 #[derive(Clone, Debug, PartialEq, Serialize)]
@@ -217,3 +218,8 @@
         missing: usize,
     },
 }
+
+/// Returns a span as events give it, whole milliseconds.
+pub(super) fn milliseconds(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/policy/src/plan/opening.rs
+++ b/crates/policy/src/plan/opening.rs
@@ -4,6 +4,7 @@
 //! within its objective beside those that have begun, and otherwise waits until capacity is idle.
 
 use super::backlog::Share;
+use super::event::milliseconds;
 use super::{Event, Job, Settings, Table};
 use shallotflow_core::graph::Id;
 use shallotflow_core::time::Time;
@@ -130,7 +131,3 @@
         self.events.push(event);
     }
 }
-
-fn milliseconds(span: Duration) -> u64 {
-    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/policy/src/plan/wait.rs
+++ b/crates/policy/src/plan/wait.rs
@@ -1,5 +1,6 @@
 //! Lets tasks wait for a slot in their rack.
 
+use super::event::milliseconds;
 use super::racks::{Amount, Rack};
 use super::search::rack_of;
 use super::timers::Timer;
@@ -20,10 +21,6 @@
     pub(super) expected: Duration,
 }
 
-fn milliseconds(span: Duration) -> u64 {
-    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-}
-
 impl Table {
     /// Keeps the sums of the rack where the tasks of a step belong, if they belong in one; `racks` are
     /// those of the tasks that have a worker.
