--- a/crates/policy/src/plan/message/additions.rs
+++ b/crates/policy/src/plan/message/additions.rs
@@ -4,7 +4,7 @@
 /// Fields of a report that the former version does not have.
 ///
 /// Messages are encoded by position, so a report leaves them out as a whole while they have their
-/// defaults; entries of the former version can then read it.
+/// defaults.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Additions {
--- a/crates/policy/src/plan/ranking.rs
+++ b/crates/policy/src/plan/ranking.rs
@@ -6,8 +6,8 @@
 use shallotflow_core::name::Name;
 use std::collections::BTreeSet;
 
-/// Expected processor use of a worker plus its cost while it is cold, ordered as a number: a non-negative floating-point number
-/// orders like its bits.
+/// Expected processor use of a worker plus its cost while it is cold, ordered as a number: a
+/// non-negative floating-point number orders like its bits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Pressure(u64);
 
--- a/crates/policy/src/plan/settings.rs
+++ b/crates/policy/src/plan/settings.rs
@@ -31,9 +31,8 @@
     /// Highest expected processor use with which a best-effort task is placed, as a share of the
     /// worker's processors.
     pub best_effort_limit: f64,
-    /// How long a best-effort task waits for a worker where it disturbs no serving task. A disturbed
-    /// task slows down until its targets are met again, so an early start gains nothing: 2 s and 6 s
-    /// ended fewer jobs in time.
+    /// How long a best-effort task waits for a worker where it disturbs no serving task. A task
+    /// that disturbs others is slowed down until their targets are met, so an early start gains nothing.
     pub disturbance_wait: Duration,
     /// Amount that a best-effort image adds to the tail latency of serving tasks, as a share of their
     /// target if it uses a whole worker, from which on it counts as interfering strongly.
--- a/crates/scheduler/src/agent/crashes.rs
+++ b/crates/scheduler/src/agent/crashes.rs
@@ -17,8 +17,8 @@
 }
 
 impl Crashes {
-    /// Adds a crash, if it may have ended runs or has taken ends with it. One incarnation is seen to be gone and to be replaced;
-    /// the first observation counts.
+    /// Adds a crash, if it may have ended runs or has taken ends with it. An incarnation can be seen to
+    /// be gone and later to be replaced; the first observation counts.
     pub(super) fn push(&mut self, crash: Crash) {
         let started_ms = crash.incarnation.started_ms;
         let empty = crash.runs.is_empty() && crash.ends.is_empty();
