Release the runs of an agent that restarts and is then gone for good

What callers would see: a task that could run does not, for as long as the owner lives, with room free.

Cause: the owner releases the runs of a worker when its last lease must have ended. The timer for that was dropped while the worker counted as not synced, which it does from the first report of a new process of its agent until that process has listed the runs. If the agent was gone for good in between, its runs stayed placed and their tasks running or stopping for ever: the check for stalls waits for a list that never comes. The class: a wait whose end depends on one more message of the party that is waited for.

Change: the timer lasts as long as any run occupies the worker, one for each worker.

The test failed before: no start was ordered 7 s after the last report.

--- a/crates/policy/src/plan/expire.rs
+++ b/crates/policy/src/plan/expire.rs
@@ -32,10 +32,16 @@
     }
 
     fn expire_worker(&mut self, agent: &Name, now: Time) {
-        let Some(worker) = self.workers.get(agent).filter(|worker| worker.synced) else { return };
+        let Some(worker) = self.workers.get_mut(agent) else { return };
+        // A new process of the agent that is gone before it has listed the runs leaves them here.
+        if !worker.synced && !worker.is_occupied() {
+            worker.lease_timer = false;
+            return;
+        }
         if !worker.empty_at.passed(now) {
             return self.timers.push(worker.empty_at, Timer::Worker(agent.clone()));
         }
+        worker.lease_timer = false;
         self.lose_runs(agent, "its agent did not report for the length of a lease", false, now);
         // The worker stays in the table: when its agent returns, the process continues its
         // numbering of orders and ends.
--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -440,7 +440,9 @@
             return;
         }
         worker.synced = true;
-        self.timers.push(worker.empty_at, Timer::Worker(agent.clone()));
+        if !std::mem::replace(&mut worker.lease_timer, true) {
+            self.timers.push(worker.empty_at, Timer::Worker(agent.clone()));
+        }
         let listed: BTreeSet<Task> = running.iter().map(|run| run.task).collect();
         let placed: Vec<Task> = worker.placed.keys().copied().collect();
         for task in placed {
--- a/crates/policy/src/plan/worker.rs
+++ b/crates/policy/src/plan/worker.rs
@@ -123,6 +123,9 @@
     /// The rack whose sums count the worker's runs.
     #[serde(skip)]
     pub(super) counted: Option<Key>,
+    /// Whether a timer is set for the end of the last lease.
+    #[serde(skip)]
+    pub(super) lease_timer: bool,
     /// Whether a timer is set for the silence of the agent.
     #[serde(skip)]
     pub(super) silence_timer: bool,
@@ -174,9 +177,13 @@
     /// its agent has not listed the runs yet, which go on.
     pub(super) fn may_hold_runs(&self) -> bool {
         let empty = self.profile.as_ref().is_some_and(|p| p.status == Status::Empty);
-        let occupied = !self.placed.is_empty() || !self.remnants.is_empty();
         let unrecorded = self.crashes.values().any(|required| !required.is_empty());
-        (self.synced && !empty && !self.vacant) || occupied || unrecorded
+        (self.synced && !empty && !self.vacant) || self.is_occupied() || unrecorded
+    }
+
+    /// Returns whether any run occupies the worker.
+    pub(super) fn is_occupied(&self) -> bool {
+        !self.placed.is_empty() || !self.remnants.is_empty()
     }
 
     /// Returns whether the worker has announced that it leaves, or is known to run nothing.
--- a/crates/policy/tests/plan/harness.rs
+++ b/crates/policy/tests/plan/harness.rs
@@ -118,6 +118,21 @@
         worker.received = worker.orders.last().map_or(received, |order| order.number.max(received));
     }
 
+    /// Sends a report of a worker whose lists its agent has not read since it found this owner.
+    pub(crate) fn report_incomplete(&mut self, number: usize) {
+        let name = name(number);
+        let epoch = self.table.epoch();
+        let report = self.worker(number).report(&name, epoch);
+        let report = Report {
+            complete: false,
+            running: None,
+            ends: Vec::new(),
+            answers: Vec::new(),
+            ..report
+        };
+        self.table.apply_report(report, self.now);
+    }
+
     pub(crate) fn report_all(&mut self) {
         for number in 0..self.workers.len() {
             self.report(number);
--- a/crates/policy/tests/plan/restart.rs
+++ b/crates/policy/tests/plan/restart.rs
@@ -73,6 +73,25 @@
     assert_eq!(harness.workers[&name(other)].orders.len(), 1);
 }
 
+/// The new process of the agent has reported, but has not listed the runs before it is gone for good.
+#[test]
+fn runs_of_an_agent_that_restarts_and_is_gone_are_released_when_its_lease_has_ended() {
+    let mut harness = Harness::new(2);
+    harness.table.accept(id(1), job(vec![step(1, 1_000)]), true, harness.now);
+    harness.run_round();
+    let gone = harness.worker_of(task(1, 0, 0)).expect("a run");
+    let other = 1 - gone;
+    harness.worker(gone).restart_agent();
+    harness.report_incomplete(gone);
+    for _ in 0..14 {
+        harness.wait(Duration::from_millis(500));
+        harness.report(other);
+        harness.tick();
+    }
+    harness.report(other);
+    assert_eq!(harness.ordered_starts(other), [task(1, 0, 0)]);
+}
+
 #[test]
 fn runs_of_an_empty_worker_restart_without_waiting_for_its_lease() {
     let mut harness = Harness::new(2);
