Start a lasting task again that its worker lists no more

What callers would see: a task of a long-running job does not run, though the owner shows it as running.

Cause: a run that makes no progress for 2.5 s is stopped, and the worker's answer shows what became of it. Tasks that last were excepted, since they make no progress, and so was the audit of deadlines. If a worker's list lacked such a run and no end told of it, nothing ever ended the wait. What could make an end disappear is not known; the class is again a wait that needs a message which may never come.

Change: of a task that lasts, each list that contains it counts as progress, so a missing one is stopped after 2.5 s and started again once the agent has confirmed that it is absent.

The test failed before for a task that lasts (still running after 10 s by the owner's account); the case of a task that ends by itself passed.

--- a/crates/policy/src/plan/audit.rs
+++ b/crates/policy/src/plan/audit.rs
@@ -117,7 +117,6 @@
                     let listed_at = worker.map_or(Time::ZERO, |worker| worker.listed_at);
                     state.stalls_at.passed(listed_at)
                         && listed_at.after(STALL_RECHECK_INTERVAL).passed(now)
-                        && !job.step(&task).long_running
                 }
                 _ => false,
             };
--- a/crates/policy/src/plan/expire.rs
+++ b/crates/policy/src/plan/expire.rs
@@ -58,8 +58,14 @@
         let state = &job.tasks[position];
         let (deadline, reason) = match &state.phase {
             Phase::Starting { withdraw_at, .. } => (*withdraw_at, "its start was not answered"),
-            Phase::Running { agent, .. } if !job.step(&task).long_running => {
-                (self.stall_deadline(agent, state, now), "it makes no progress")
+            Phase::Running { agent, .. } => {
+                let long_running = job.step(&task).long_running;
+                let reason = if long_running {
+                    "its worker lists it no more"
+                } else {
+                    "it makes no progress"
+                };
+                (self.stall_deadline(agent, state, now), reason)
             }
             _ => return,
         };
--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -537,10 +537,11 @@
             _ => {}
         }
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let long_running = job.step(&task).long_running;
         let state = &mut job.tasks[position];
         let progressed = run.percent != state.percent;
-        // A throttled run counts as making progress.
-        if run.percent != state.percent || run.pace < 100 || regained {
+        // A throttled run counts as making progress, and so does one that lasts.
+        if progressed || long_running || run.pace < 100 || regained {
             state.percent = run.percent;
             state.stalls_at = now.after(stall);
         }
--- a/crates/policy/tests/plan/restart.rs
+++ b/crates/policy/tests/plan/restart.rs
@@ -1,6 +1,7 @@
 //! Restarted workers, restarted agents, and late reports.
 
 use super::harness::{Harness, id, job, name, step, task};
+use shallotflow_core::graph::Step;
 use shallotflow_policy::plan::Phase;
 use shallotflow_policy::plan::message::{ExitReason, Kind, Run, Status};
 use std::time::Duration;
@@ -92,6 +93,22 @@
     assert_eq!(harness.ordered_starts(other), [task(1, 0, 0)]);
 }
 
+#[test_case(true ; "a task that lasts")]
+#[test_case(false ; "a task that ends by itself")]
+fn a_run_that_its_worker_lists_no_more_is_started_again(long_running: bool) {
+    let mut harness = Harness::new(1);
+    let step = Step { long_running, ..step(1, 1_000) };
+    harness.table.accept(id(1), job(vec![step]), true, harness.now);
+    harness.run_round();
+    harness.worker(0).running.clear();
+    let deadline = harness.now.after(Duration::from_secs(10));
+    while harness.running().is_empty() {
+        assert!(!deadline.passed(harness.now), "{:?}", harness.phase(task(1, 0, 0)));
+        harness.wait(Duration::from_millis(500));
+        harness.run_round();
+    }
+}
+
 #[test]
 fn runs_of_an_empty_worker_restart_without_waiting_for_its_lease() {
     let mut harness = Harness::new(2);
