Find a worker whose clock was set back between two starts

What callers would see: the worker of a machine whose clock was set back gets nothing any more, tasks that ran there count as running for as long as the worker lives, and after a takeover all tasks of known jobs wait for it.

Cause: incarnations were ordered by the wall-clock time of their starts. The agent takes a registration or lists with an earlier time for delayed ones and ignores them, also when the known incarnation is gone.

Change: a registration with an earlier time counts once two polls in a row were refused by another incarnation, and lists count if they were requested after the known incarnation was found. The class: an order of events that is inferred from clocks of machines instead of from what was seen.

Both tests failed before. Found by reading.

--- a/crates/scheduler/src/agent/run_table.rs
+++ b/crates/scheduler/src/agent/run_table.rs
@@ -25,6 +25,9 @@
 const MAX_SENT_REPORTS: usize = 64;
 /// Consecutive polls that must find no listener before the worker counts as gone.
 const VACANT_POLLS: u32 = 2;
+/// Consecutive polls that another incarnation must refuse before the known one counts as gone: the first
+/// may have been sent before the present one was known.
+const REPLACED_POLLS: u32 = 2;
 /// Margin on the end of a lease for the time that a call is in flight.
 const LEASE_MARGIN: Duration = Duration::from_millis(60);
 
@@ -67,6 +70,8 @@
     evacuation_version: u64,
     deregistered: bool,
     incarnation: Option<Incarnation>,
+    /// Since when the incarnation is known.
+    incarnation_since: Time,
     running: BTreeMap<Key, ActiveRun>,
     ends: BTreeMap<u64, Unconfirmed<End>>,
     answers: Vec<Unconfirmed<Answer>>,
@@ -81,6 +86,8 @@
     failed_polls: u32,
     /// Consecutive polls that found no worker at the address.
     vacant_polls: u32,
+    /// Consecutive polls that another incarnation refused.
+    replaced_polls: u32,
     complete: bool,
     last_listed: Option<Time>,
     /// Runs that are being withdrawn, with the time at which the worker confirmed the stop.
@@ -121,6 +128,7 @@
             evacuation_version: 0,
             deregistered: false,
             incarnation: None,
+            incarnation_since: Time::ZERO,
             running: BTreeMap::new(),
             ends: BTreeMap::new(),
             answers: Vec::new(),
@@ -133,6 +141,7 @@
             offset_ms: None,
             failed_polls: 0,
             vacant_polls: 0,
+            replaced_polls: 0,
             complete: false,
             last_listed: None,
             withdrawn: BTreeMap::new(),
@@ -208,11 +217,15 @@
     }
 
     /// Applies a registration of the worker; returns `false` when it is older than the known one.
+    ///
+    /// A clock that was set back gives a later incarnation an earlier start. It counts as later once
+    /// the known one does not answer any more.
     pub fn register(&mut self, profile: Profile, registration: u64, now: Time) -> bool {
-        let older = self
-            .incarnation
-            .as_ref()
-            .is_some_and(|known| known.started_ms > profile.incarnation.started_ms);
+        let older = self.replaced_polls < REPLACED_POLLS
+            && self
+                .incarnation
+                .as_ref()
+                .is_some_and(|known| known.started_ms > profile.incarnation.started_ms);
         let same = self.incarnation.as_ref() == Some(&profile.incarnation);
         if older || (same && registration <= self.registration) {
             return false;
@@ -288,11 +301,13 @@
         // The next incarnation may be another kind of worker, whatever it is called.
         self.profile = None;
         self.incarnation = Some(incarnation);
+        self.incarnation_since = now;
         self.registration = 0;
         self.drain_deadline = None;
         self.deregistered = false;
         self.offset_ms = None;
         self.failed_polls = 0;
+        self.replaced_polls = 0;
         self.last_listed = None;
         self.unsettled.clear();
         if !first {
@@ -326,13 +341,16 @@
     pub fn apply_lists(&mut self, lists: Lists, epoch: u64, sent: Time, now: Time) {
         if self.incarnation.as_ref() != Some(&lists.incarnation) {
             let newer = |known: &Incarnation| known.started_ms > lists.incarnation.started_ms;
-            if self.incarnation.as_ref().is_some_and(newer) {
+            // What answers a poll that was sent later is the present incarnation, whatever its clock says.
+            let outdated = sent <= self.incarnation_since;
+            if outdated && self.incarnation.as_ref().is_some_and(newer) {
                 return;
             }
             self.begin_incarnation(lists.incarnation.clone(), now);
         }
         self.failed_polls = 0;
         self.vacant_polls = 0;
+        self.replaced_polls = 0;
         self.alive_at = self.alive_at.max(sent);
         self.update_clock_offset(lists.clock_ms, now);
         let page_full = lists.ends.len() >= ENDS_PER_LIST;
@@ -393,8 +411,11 @@
     pub fn poll_failed(&mut self, error: &Error, now: Time) {
         let vacant = self.is_vacant();
         match error {
-            // Another incarnation answers; the next poll reads its lists.
-            Error::OtherIncarnation => self.complete = false,
+            // Another incarnation answers; the poll after its registration reads its lists.
+            Error::OtherIncarnation => {
+                self.complete = false;
+                self.replaced_polls = self.replaced_polls.saturating_add(1);
+            }
             Error::Fenced => {}
             Error::Vacant => {
                 self.vacant_polls = self.vacant_polls.saturating_add(1);
--- a/crates/scheduler/tests/run_table.rs
+++ b/crates/scheduler/tests/run_table.rs
@@ -349,3 +349,35 @@
     table.apply_reply(Reply { crashes_recorded_ms: 7, ..reply(1, report.sequence) });
     assert!(table.report(at(40)).additions.crashes.is_empty());
 }
+
+/// The clock of the machine was set back between the two starts.
+#[test]
+fn a_worker_that_seems_to_have_started_earlier_than_its_former_incarnation_is_found() {
+    let former = Profile {
+        incarnation: Incarnation { id: Name::from("former"), started_ms: 7 },
+        ..profile(1_000)
+    };
+    let later = Profile {
+        incarnation: Incarnation { id: Name::from("later"), started_ms: 6 },
+        ..profile(1_000)
+    };
+    let mut table = joined(vec![run()]);
+    assert!(table.register(former, 5, at(10)));
+    table.poll_failed(&Error::OtherIncarnation, at(100));
+    assert!(!table.register(later.clone(), 1, at(101)), "it may be a delayed registration");
+    table.poll_failed(&Error::OtherIncarnation, at(200));
+    assert!(table.register(later, 2, at(201)));
+    table.apply_lists(lists(6, Vec::new()), 1, at(300), at(301));
+    assert!(table.is_complete());
+    assert!(table.running().is_empty(), "its former incarnation has taken the run with it");
+}
+
+#[test]
+fn lists_show_which_incarnation_answers_unless_they_were_requested_before_it_was_known() {
+    let mut table = joined(vec![run()]);
+    table.apply_lists(lists(6, Vec::new()), 1, at(0), at(50));
+    assert_eq!(table.running().len(), 1, "a late answer of the former incarnation");
+    table.apply_lists(lists(6, Vec::new()), 1, at(100), at(101));
+    assert!(table.running().is_empty(), "a clock that was set back");
+    assert_eq!(table.incarnation().map(|known| known.started_ms), Some(6));
+}
