Count a worker that refuses its agent's polls as silent

What callers would see: runs that are gone count as going on, and starts at the worker stay without an answer.

Cause: a poll that another incarnation refuses did not count as failed. If that incarnation never registers, the agent reports for ever without lists, which the owner takes for a worker about to list its runs; a successor waits for it without end. The class: a wait whose end depends on one more message of another party.

Change: such a poll counts like one without an answer, so that the worker is silent after three of them and empty once its last lease has ended.

The test failed before.

--- a/crates/scheduler/src/agent/run_table.rs
+++ b/crates/scheduler/src/agent/run_table.rs
@@ -415,6 +415,7 @@
             Error::OtherIncarnation => {
                 self.complete = false;
                 self.replaced_polls = self.replaced_polls.saturating_add(1);
+                self.failed_polls = self.failed_polls.saturating_add(1);
             }
             Error::Fenced => {}
             Error::Vacant => {
--- a/crates/scheduler/tests/run_table.rs
+++ b/crates/scheduler/tests/run_table.rs
@@ -381,3 +381,15 @@
     assert!(table.running().is_empty(), "a clock that was set back");
     assert_eq!(table.incarnation().map(|known| known.started_ms), Some(6));
 }
+
+/// Its runs would count as going on for ever, and starts there would stay without an answer.
+#[test]
+fn a_worker_whose_next_incarnation_never_registers_counts_as_empty() {
+    let mut table = joined(vec![run()]);
+    assert!(table.register(profile(1_000), 1, at(0)));
+    for poll in 1..=70 {
+        table.poll_failed(&Error::OtherIncarnation, at(poll * 100));
+    }
+    let worker = table.report(at(7_000)).worker.expect("a registered worker");
+    assert_eq!(worker.status, Status::Empty);
+}
