Let a task go elsewhere at once from a worker that refuses its start

What callers would see: a task that could run does not, while a worker that looks best refuses it again and again.

Cause: a refused start paused the task, for longer each time, up to 2 s, and the worker for 0.2 s, or not at all if it took the lease for ended or could not read the call. So from the third refusal on the worker was free again before the task, and the search, which is deterministic, chose it again, for as long as it refused. The class: a choice that is repeated without learning from its result.

Change: a refusal pauses the worker, for 0.2 s at first and up to 2 s with each refusal in a row, and the task goes elsewhere after 0.05 s; the worker that refused its latest start goes last. A call that the worker cannot read still pauses the task, since other tasks may be readable.

Tests: of six cases three failed before (an ended lease, an unreadable call, all workers refusing for a while).

--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -128,6 +128,7 @@
             worker.failing_jobs.clear();
             worker.ejected_until = Time::ZERO;
             worker.ejections = 0;
+            worker.refusals = 0;
             self.lose_runs(agent, "the worker started again", !was_leaving, now);
         } else if is_empty(report) {
             self.lose_runs(agent, "the last lease has ended", false, now);
@@ -396,6 +397,10 @@
                 state.stalls_at = now.after(self.settings.stall_timeout);
                 self.timers.push(state.stalls_at, Timer::Run(task));
                 state.misses = 0;
+                state.refused_by = None;
+                if let Some(worker) = self.workers.get_mut(agent) {
+                    worker.refusals = 0;
+                }
                 self.mark_started(task.job, now);
             }
             (_, Outcome::Started) => {}
@@ -404,27 +409,40 @@
                 self.stop_run(task, "the worker knows the run or a later one", now);
             }
             (Phase::Stopping { .. }, outcome) if outcome != Outcome::Absent => {}
-            (_, outcome) => {
+            (_, Outcome::Absent) => {
+                state.misses = state.misses.saturating_add(1);
+                self.release_task(task, now, now);
+            }
+            (_, Outcome::Refused) => {
                 state.misses = state.misses.saturating_add(1);
+                state.refused_by = Some(agent.clone());
                 let misses = state.misses;
-                let retry = match outcome {
-                    Outcome::Absent => now,
-                    _ => self.backoff(misses, now),
-                };
+                let retry = self.backoff(misses, now);
                 self.release_task(task, now, retry);
-                if matches!(outcome, Outcome::NoRoom | Outcome::Unhealthy | Outcome::NotReady) {
-                    let full = now.after(self.settings.retry_pause.saturating_mul(4));
-                    if let Some(worker) = self.workers.get_mut(agent) {
-                        worker.full_until = full;
-                        if worker.evacuated && outcome == Outcome::NotReady {
-                            self.evacuations.count_refusal();
-                        }
-                    }
+            }
+            (_, outcome) => {
+                state.refused_by = Some(agent.clone());
+                // The pause of the worker limits the tries, so the task can go elsewhere at once.
+                self.release_task(task, now, now.after(self.settings.retry_pause));
+                self.pause_worker(agent, now);
+                let evacuated = self.workers.get(agent).is_some_and(|worker| worker.evacuated);
+                if evacuated && outcome == Outcome::NotReady {
+                    self.evacuations.count_refusal();
                 }
             }
         }
     }
 
+    /// Pauses a worker that refused a start, for longer with each refusal in a row.
+    fn pause_worker(&mut self, agent: &Name, now: Time) {
+        let Some(worker) = self.workers.get_mut(agent) else { return };
+        let factor = 1 << worker.refusals.min(8);
+        let first = self.settings.retry_pause.saturating_mul(4);
+        let pause = first.saturating_mul(factor).min(self.settings.max_retry_pause);
+        worker.refusals = worker.refusals.saturating_add(1);
+        worker.full_until = worker.full_until.max(now.after(pause));
+    }
+
     fn apply_running(&mut self, agent: &Name, running: &[Run], complete: bool, now: Time) {
         for run in running {
             self.apply_run(agent, run, now);
--- a/crates/policy/src/plan/search.rs
+++ b/crates/policy/src/plan/search.rs
@@ -12,8 +12,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-/// Added to the score of the worker where the task failed or was slowed down last, so that any
-/// other goes first.
+/// Added to the score of the workers where the task failed or was slowed down last and where its
+/// latest start was refused, so that any other goes first.
 const AVOIDED_WORKER_PENALTY: f64 = 10.0;
 
 /// Added to the score for each run of a worker where a task may crash it.
@@ -365,7 +365,8 @@
             score += settings.spread_factor;
         }
         let state = &self.job.tasks[self.job.position(&self.task)?];
-        if state.avoided.as_ref() == Some(agent) {
+        if [&state.avoided, &state.refused_by].into_iter().flatten().any(|avoided| avoided == agent)
+        {
             score += AVOIDED_WORKER_PENALTY;
         }
         Some((score, pressure))
--- a/crates/policy/src/plan/settings.rs
+++ b/crates/policy/src/plan/settings.rs
@@ -21,7 +21,7 @@
     pub started_delay: Duration,
     /// First pause before a task that failed or did not start is retried; doubles each time.
     pub retry_pause: Duration,
-    /// Longest pause before a task is retried.
+    /// Longest pause before a task is retried, and of a worker that refuses starts.
     pub max_retry_pause: Duration,
     /// How long the state of an ended job is kept.
     pub retention: Duration,
--- a/crates/policy/src/plan/task_state.rs
+++ b/crates/policy/src/plan/task_state.rs
@@ -63,6 +63,8 @@
     pub begun: Time,
     /// Agent at which the task failed last, or was slowed down and stopped for that.
     pub avoided: Option<Name>,
+    /// Agent whose worker refused the latest start, since a start last succeeded.
+    pub refused_by: Option<Name>,
     /// Newest checkpoint.
     pub checkpoint: Option<Name>,
     /// Earliest time of the next start.
--- a/crates/policy/src/plan/worker.rs
+++ b/crates/policy/src/plan/worker.rs
@@ -104,6 +104,9 @@
     /// Until when it gets no tasks after it refused a start.
     #[serde(rename = "full")]
     pub full_until: Time,
+    /// Number of starts in a row that the worker or its agent refused.
+    #[serde(skip)]
+    pub(super) refusals: u32,
     /// Whether its failure domain is evacuated, so that nothing starts there.
     pub evacuated: bool,
     /// Whether the agent knows of an evacuation, by its latest report.
--- a/crates/policy/tests/plan/harness.rs
+++ b/crates/policy/tests/plan/harness.rs
@@ -146,6 +146,16 @@
         }
     }
 
+    /// Lets a worker refuse the starts that it has received.
+    pub(crate) fn refuse_starts(&mut self, number: usize, outcome: Outcome) {
+        let worker = self.worker(number);
+        for Order { task, run, kind, .. } in std::mem::take(&mut worker.orders) {
+            let stop = kind == Kind::Stop;
+            let outcome = if stop { Outcome::Absent } else { outcome };
+            worker.answers.push(Answer { task, run, outcome });
+        }
+    }
+
     /// Runs a tick, executes its orders and reports the results.
     pub(crate) fn run_round(&mut self) {
         self.tick();
--- a/crates/policy/tests/plan/retry.rs
+++ b/crates/policy/tests/plan/retry.rs
@@ -1,10 +1,12 @@
 //! Failed runs, attempts and failing workers.
 
 use super::harness::{Harness, id, job, name, step, task};
-use shallotflow_core::graph::State;
+use shallotflow_core::graph::{State, Step};
+use shallotflow_core::name::Name;
 use shallotflow_policy::plan::Phase;
 use shallotflow_policy::plan::message::{Answer, ExitReason, Kind, Outcome};
 use std::time::Duration;
+use test_case::test_case;
 
 #[test]
 fn a_failed_task_is_retried_elsewhere_until_its_attempts_are_exhausted() {
@@ -131,3 +133,60 @@
     }
     assert!(matches!(harness.phase(task(1, 0, 0)), Phase::Stopping { .. }));
 }
+
+/// The worker that looks best refuses each start while its heartbeats show it as ready.
+#[test_case(Outcome::Unhealthy ; "a worker that is not healthy")]
+#[test_case(Outcome::NoRoom ; "a worker that has no room for it")]
+#[test_case(Outcome::NotReady ; "an agent that does not reach its worker")]
+#[test_case(Outcome::Late ; "a worker that takes each lease for ended")]
+#[test_case(Outcome::Refused ; "a worker that cannot read the call")]
+fn a_task_does_not_wait_for_a_worker_that_refuses_every_start(refusal: Outcome) {
+    let serving = Step {
+        long_running: true,
+        target_ms: 100,
+        image: Some(Name::from("press")),
+        ..step(1, 1_000)
+    };
+    let mut harness = Harness::new(4);
+    harness.table.accept(id(1), job(vec![serving.clone()]), true, harness.now);
+    harness.run_round();
+    // Serving tasks of one image are packed, so that the next one belongs to the same worker.
+    let refusing = harness.worker_of(task(1, 0, 0)).expect("a run");
+    harness.table.accept(id(2), job(vec![serving]), true, harness.now);
+    for _ in 0..30 {
+        harness.tick();
+        harness.report_all();
+        harness.refuse_starts(refusing, refusal);
+        harness.execute_orders();
+        harness.report_all();
+        harness.wait(Duration::from_millis(100));
+    }
+    let place = harness.worker_of(task(2, 0, 0));
+    assert!(place.is_some_and(|place| place != refusing), "{:?}", harness.phase(task(2, 0, 0)));
+}
+
+#[test]
+fn a_task_that_all_workers_refused_for_a_while_goes_to_one_that_accepts_it_again() {
+    let mut harness = Harness::new(4);
+    harness.table.accept(id(1), job(vec![step(1, 1_000)]), true, harness.now);
+    let refusing_round = |harness: &mut Harness, workers: &[usize]| {
+        harness.tick();
+        harness.report_all();
+        for number in workers {
+            harness.refuse_starts(*number, Outcome::Unhealthy);
+        }
+        harness.execute_orders();
+        harness.report_all();
+        harness.wait(Duration::from_millis(100));
+    };
+    for _ in 0..80 {
+        refusing_round(&mut harness, &[0, 1, 2, 3]);
+    }
+    assert!(harness.running().is_empty());
+    // The pause of each worker is 2 s by now.
+    let found = (0..25).any(|_| {
+        refusing_round(&mut harness, &[0, 1, 2]);
+        harness.worker_of(task(1, 0, 0)) == Some(3)
+    });
+    assert!(found, "{:?}", harness.phase(task(1, 0, 0)));
+}
