Limit the wait for a quiet worker while nothing of a job runs and half of the processors idle

What callers would see: a best-effort job makes no progress for up to 20 s, anew after each attempt and each takeover, while most of the workers' room is free: wherever there is room, serving tasks run that its image would disturb.

Cause: the wait for a worker where a task disturbs nobody had one bound, whatever is idle. Users miss a job of which nothing runs for 3 s while there is room for it twice over and under half of the capacity is in use.

Change: in that state one task starts after 2 s where it interferes; its agent slows it down as needed, and the other tasks wait as before. What workers offer and tasks request is summed for each service with the other sums.

The new test failed before (nothing ran after 3 s); with 60 % of the processors in use the job waits as before.

--- a/crates/policy/src/plan/backlog.rs
+++ b/crates/policy/src/plan/backlog.rs
@@ -38,6 +38,16 @@
     pub(super) begun: u64,
 }
 
+/// What one worker adds to the sums of its service, thousandths of a processor.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Offer {
+    service: Name,
+    spare: u64,
+    idle: u64,
+    capacity: u64,
+    requested: u64,
+}
+
 /// The rate of useful work at one service, and the sums of its queues.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(super) struct Share {
@@ -49,6 +59,10 @@
     pub(super) spare: u64,
     /// Those of them that no task is expected to use.
     pub(super) idle: u64,
+    /// Processors of the workers, thousandths of a processor.
+    capacity: u64,
+    /// Those of them that tasks request.
+    requested: u64,
     /// Work completed since the rate was last updated, processor-milliseconds.
     completed: u64,
     /// Measured rate, thousandths of a processor; none before tasks have waited for some time.
@@ -65,6 +79,27 @@
         self.measured.unwrap_or(self.spare as f64).max(self.idle as f64)
     }
 
+    /// Returns whether tasks request less than half of the processors.
+    pub(super) fn is_half_idle(&self) -> bool {
+        self.requested * 2 < self.capacity
+    }
+
+    /// Adds what one worker offers.
+    fn add(&mut self, offer: &Offer) {
+        self.spare += offer.spare;
+        self.idle += offer.idle;
+        self.capacity += offer.capacity;
+        self.requested += offer.requested;
+    }
+
+    /// Removes what was added for one worker.
+    fn remove(&mut self, offer: &Offer) {
+        self.spare -= offer.spare;
+        self.idle -= offer.idle;
+        self.capacity -= offer.capacity;
+        self.requested -= offer.requested;
+    }
+
     /// Updates the measured rate at `now`.
     #[allow(clippy::cast_precision_loss)]
     fn measure(&mut self, settings: &Settings, now: Time) {
@@ -99,7 +134,7 @@
     /// Number of changes of the sums.
     pub(super) version: u64,
     parts: HashMap<Id, Part>,
-    workers: HashMap<Name, (Name, u64, u64)>,
+    workers: HashMap<Name, Offer>,
 }
 
 impl Backlogs {
@@ -148,12 +183,18 @@
         share.waiting += u64::from(part.waits);
     }
 
-    /// Replaces what the worker of `agent` leaves to best-effort tasks.
+    /// Replaces what the worker of `agent` adds to the sums of its service.
     pub(super) fn update_worker(&mut self, agent: &Name, worker: &Worker, settings: &Settings) {
         let ranked = worker.profile.as_ref().filter(|_| worker.rank.is_some());
         let next = ranked.map(|profile| {
             let (spare, idle) = worker.load.spare(&profile.capacity, settings);
-            (profile.service.clone(), spare, idle)
+            Offer {
+                service: profile.service.clone(),
+                spare,
+                idle,
+                capacity: u64::from(profile.capacity.millicores),
+                requested: worker.load.requested(),
+            }
         });
         if next.as_ref() == self.workers.get(agent) {
             return;
@@ -162,14 +203,13 @@
             Some(next) => self.workers.insert(agent.clone(), next.clone()),
             None => self.workers.remove(agent),
         };
-        if let Some((service, spare, idle)) = former
-            && let Some(share) = self.services.get_mut(&service)
+        if let Some(former) = former
+            && let Some(share) = self.services.get_mut(&former.service)
         {
-            (share.spare, share.idle) = (share.spare - spare, share.idle - idle);
+            share.remove(&former);
         }
-        if let Some((service, spare, idle)) = next {
-            let share = self.services.entry(service).or_default();
-            (share.spare, share.idle) = (share.spare + spare, share.idle + idle);
+        if let Some(next) = next {
+            self.services.entry(next.service.clone()).or_default().add(&next);
         }
     }
 
--- a/crates/policy/src/plan/job.rs
+++ b/crates/policy/src/plan/job.rs
@@ -195,6 +195,11 @@
         })
     }
 
+    /// Returns whether any task may run: it is neither waiting nor done.
+    pub(super) fn occupies_workers(&self) -> bool {
+        self.remaining != self.waiting
+    }
+
     /// Returns the position of a step in `remaining` and `waiting`.
     fn slot(&self, occurrence: u32, step: usize) -> usize {
         occurrence as usize * self.spec.steps.len() + step
--- a/crates/policy/src/plan/load.rs
+++ b/crates/policy/src/plan/load.rs
@@ -119,6 +119,11 @@
         (used + extra) / f64::from(capacity.millicores.max(1))
     }
 
+    /// Returns the processors that all runs request, thousandths of a processor.
+    pub(super) fn requested(&self) -> u64 {
+        self.serving_millicores + self.other_millicores
+    }
+
     /// Returns the processors that the worker leaves to best-effort tasks, and those of them that no
     /// task is expected to use, thousandths of a processor.
     #[allow(clippy::cast_precision_loss, clippy::cast_possible_truncation, clippy::cast_sign_loss)]
--- a/crates/policy/src/plan/place.rs
+++ b/crates/policy/src/plan/place.rs
@@ -118,10 +118,13 @@
         if waiting.is_empty() || (gang && waiting.len() < range.len()) {
             return false;
         }
-        let may_interfere = self.settings.may_interfere(job, waiting[0], now);
+        let may_interfere = self.may_interfere(job, waiting[0], now);
         if step.best_effort && !may_interfere && self.refusals.is_disturbing(service, step) {
             return false;
         }
+        if step.best_effort && !gang && self.is_held_up(job, waiting[0], now) {
+            waiting.truncate(1);
+        }
         let mut isolation = Isolation::None;
         let mut started = false;
         if job.suspects > 0 && !gang {
--- a/crates/policy/src/plan/search.rs
+++ b/crates/policy/src/plan/search.rs
@@ -141,8 +141,7 @@
             demand,
             need: demand.reserved(),
             extra: demand.expected_use(table.settings.serving_use),
-            may_interfere: step.best_effort
-                && table.settings.may_interfere(job, position, pass.now),
+            may_interfere: step.best_effort && table.may_interfere(job, position, pass.now),
             vacant_worker_cost,
             best: None,
             any_room: false,
--- a/crates/policy/tests/plan/disturbance.rs
+++ b/crates/policy/tests/plan/disturbance.rs
@@ -3,6 +3,7 @@
 use super::harness::{Harness, id, job, name, step, task};
 use shallotflow_core::graph::Step;
 use shallotflow_core::name::Name;
+use shallotflow_core::resources::Bundle;
 use shallotflow_policy::disturbance::Rates;
 use std::time::Duration;
 
@@ -204,3 +205,48 @@
     harness.run_round();
     assert_eq!(harness.worker_of(task(2, 0, 0)), Some(vacant));
 }
+
+/// Four workers with a serving task each, and an image that would make them miss their targets.
+fn crowded(serving_millicores: u32) -> Harness {
+    let mut learned = Rates::default();
+    learned.set(&"watch".into(), None, 0.4);
+    learned.set(&"watch".into(), Some(&"proof".into()), 20.0);
+    let mut harness = Harness::new(4);
+    harness.table.restore_rates(learned);
+    let step = Step { per_worker: 1, ..serving(4, "watch") };
+    let step = Step { need: Bundle { millicores: serving_millicores, ..step.need }, ..step };
+    harness.table.accept(id(1), job(vec![step]), true, harness.now);
+    harness.table.accept(id(2), job(vec![best_effort(3, "proof")]), true, harness.now);
+    harness
+}
+
+fn running_proofs(harness: &Harness) -> usize {
+    harness.running().iter().filter(|running| running.job == id(2)).count()
+}
+
+#[test]
+fn a_job_of_which_nothing_runs_does_not_wait_for_a_quiet_worker_while_half_of_the_processors_idle()
+{
+    let mut harness = crowded(4_000);
+    let waited = (0..30).any(|_| {
+        harness.run_round();
+        harness.wait(Duration::from_millis(100));
+        running_proofs(&harness) > 0
+    });
+    assert!(waited, "nothing runs after 3 s");
+    // The others wait for a worker where they do not interfere.
+    harness.wait(Duration::from_secs(1));
+    harness.report_all();
+    harness.run_round();
+    assert_eq!(running_proofs(&harness), 1);
+}
+
+#[test]
+fn a_job_waits_for_a_quiet_worker_while_most_processors_are_in_use() {
+    let mut harness = crowded(6_000);
+    for _ in 0..30 {
+        harness.run_round();
+        harness.wait(Duration::from_millis(100));
+    }
+    assert_eq!(running_proofs(&harness), 0);
+}
