Order a stop again that has had no result

What callers would see: a task that could run does not, or a run of a cancelled job goes on, while the owner counts the run as stopping.

Cause: once the agent has received the order to stop a run, the owner waits for its result without a deadline. Whatever loses the order between its receipt and its result leaves the task stopping for as long as the agent, the worker and the owner live.

Change: a run that is still stopping 2.5 s after the order, though its worker has listed its runs since, is ordered to stop again, also after its job has ended. Stops are idempotent, and a silent worker shows nothing.

Both cases of the test failed before (still stopping after 3 s more). One way to lose an order was found in a review of silent connections: an agent drops the order of a later owner while a former one's stop waits for its answer.

--- a/crates/policy/src/plan/expire.rs
+++ b/crates/policy/src/plan/expire.rs
@@ -53,10 +53,15 @@
     }
 
     fn expire_run(&mut self, task: Task, now: Time) {
-        let Some(job) = self.jobs.get(&task.job).filter(|job| job.ended.is_none()) else { return };
+        let Some(job) = self.jobs.get(&task.job) else { return };
         let Some(position) = job.position(&task) else { return };
         let state = &job.tasks[position];
         let (deadline, reason) = match &state.phase {
+            Phase::Stopping { agent, run } => {
+                let (agent, run) = (agent.clone(), *run);
+                return self.expire_stop(&agent, task, run, now);
+            }
+            _ if job.ended.is_some() => return,
             Phase::Starting { withdraw_at, .. } => (*withdraw_at, "its start was not answered"),
             Phase::Running { agent, .. } => {
                 let long_running = job.step(&task).long_running;
@@ -76,6 +81,26 @@
         }
     }
 
+    /// Orders the stop of the current run of `task` again if the worker has listed its runs since the
+    /// stop should have had a result. A worker that is silent, or whose agent is, shows nothing.
+    fn expire_stop(&mut self, agent: &Name, task: Task, run: u32, now: Time) {
+        let listed_at = self.workers.get(agent).map_or(Time::ZERO, |worker| worker.listed_at);
+        let timeout = self.settings.stall_timeout;
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let Some(position) = job.position(&task) else { return };
+        let state = &mut job.tasks[position];
+        let deadline = state.stopped_at.unwrap_or(now).after(timeout);
+        if !deadline.passed(now) {
+            return self.timers.push(deadline, Timer::Run(task));
+        }
+        if !deadline.passed(listed_at) {
+            return self.timers.push(now.after(STALL_RECHECK_INTERVAL), Timer::Run(task));
+        }
+        state.stopped_at = Some(now);
+        self.timers.push(now.after(timeout), Timer::Run(task));
+        self.order_stop(agent, task, run, "its stop had no result");
+    }
+
     /// Returns when a run counts as stalled, or when to look again: only a list that arrives after
     /// the deadline shows that, since a worker without one may be silent or paused.
     fn stall_deadline(&self, agent: &Name, state: &TaskState, now: Time) -> Time {
--- a/crates/policy/src/plan/table.rs
+++ b/crates/policy/src/plan/table.rs
@@ -311,6 +311,7 @@
         };
         state.phase = Phase::Stopping { agent: agent.clone(), run };
         state.stopped_at = Some(now);
+        self.timers.push(now.after(self.settings.stall_timeout), Timer::Run(task));
         self.order_stop(&agent, task, run, reason);
     }
 
--- a/crates/policy/tests/plan/restart.rs
+++ b/crates/policy/tests/plan/restart.rs
@@ -244,3 +244,32 @@
     harness.table.apply_report(late, harness.now);
     assert_eq!(harness.phase(task(1, 0, 0)), running);
 }
+
+/// The agent has received the order to stop, but nothing comes of it.
+#[test_case(false ; "of a task that could run elsewhere")]
+#[test_case(true ; "of a cancelled job")]
+fn a_stop_without_a_result_is_ordered_again(cancelled: bool) {
+    let mut harness = Harness::new(1);
+    harness.table.accept(id(1), job(vec![step(1, 1_000)]), true, harness.now);
+    harness.run_round();
+    if cancelled {
+        harness.table.cancel(id(1), harness.now);
+    }
+    // Without progress, the run is stopped after 2.5 s.
+    for _ in 0..30 {
+        harness.wait(Duration::from_millis(100));
+        harness.report_all();
+        harness.tick();
+    }
+    harness.report_all();
+    assert!(matches!(harness.phase(task(1, 0, 0)), Phase::Stopping { .. }));
+    harness.worker(0).orders.clear();
+    for _ in 0..30 {
+        harness.wait(Duration::from_millis(100));
+        harness.report_all();
+        harness.tick();
+        harness.execute_orders();
+    }
+    harness.report_all();
+    assert!(!matches!(harness.phase(task(1, 0, 0)), Phase::Stopping { .. }));
+}
