Report why tasks of open steps do not run

Change: `plan::waits` has a query over the table that decides and changes nothing. It groups the tasks of open steps that do not run by step and reason, with a count, the task that has waited longest, since when, until when if the rule sets a time, and the agents concerned. It also reports runs that count as running and that their worker has not listed for 2 s, and the number of runs that occupy workers without being the current run of a task. A report is bounded in jobs, tasks, comparisons of workers and groups; the next one continues after its last job.

Two values are kept for it: when a run was last listed, and since when a task does not run. The latter is not `ready_since`, which begins anew with each start that fails: a task that one worker refuses again and again would never have waited for long.

--- a/crates/policy/src/plan/accept.rs
+++ b/crates/policy/src/plan/accept.rs
@@ -39,6 +39,7 @@
         }
         for state in &mut job.tasks {
             state.ready_since = now;
+            state.idle_since = Some(now);
             if !fresh && self.uncertain {
                 state.phase = Phase::Uncertain;
             }
--- a/crates/policy/src/plan/load.rs
+++ b/crates/policy/src/plan/load.rs
@@ -96,6 +96,11 @@
         self.unknown == 0 && capacity.holds(&self.reserved.plus(need))
     }
 
+    /// Returns whether there would be room for `need` if no run with an unknown need were there.
+    pub(super) fn has_room_but_for_unknown(&self, capacity: &Bundle, need: &Bundle) -> bool {
+        self.unknown > 0 && capacity.holds(&self.reserved.plus(need))
+    }
+
     /// Returns whether any best-effort task runs.
     pub(super) fn has_best_effort(&self) -> bool {
         !self.best_effort.is_empty()
--- a/crates/policy/src/plan/mod.rs
+++ b/crates/policy/src/plan/mod.rs
@@ -13,6 +13,7 @@
 //! - [`Event`]: decisions and observations, for the log.
 //! - [`Mismatch`]: a difference between state that is kept up to date and its source, for tests.
 //! - [`EvacuationRequests`], [`Evacuation`]: requests to evacuate failure domains, and their effect.
+//! - [`waits`]: why tasks do not run, for logs, metrics and operators.
 //! - `accept`, `report`, `expire`, `disturbance`, `durations`, `backlog`, `opening`, `interference`,
 //!   `strength`, `place`, `record`, `relocate`, `urgency`, `crash`, `evacuate`: the operations on the table.
 //!
@@ -72,6 +73,7 @@
 mod trial;
 mod urgency;
 mod wait;
+pub mod waits;
 mod worker;
 
 pub use advertisement::Backlog;
--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -350,6 +350,7 @@
                 let range = job.range(task.occurrence, step);
                 for state in &mut job.tasks[range] {
                     state.ready_since = now;
+                    state.idle_since = Some(now);
                 }
             }
         }
@@ -393,6 +394,7 @@
         match (&state.phase, outcome) {
             (Phase::Starting { .. }, Outcome::Started) => {
                 state.phase = Phase::Running { agent: agent.clone(), run };
+                state.idle_since = None;
                 state.stalls_at = now.after(self.settings.stall_timeout);
                 self.timers.push(state.stalls_at, Timer::Run(task));
                 state.misses = 0;
@@ -506,6 +508,7 @@
         match &state.phase {
             Phase::Uncertain => {
                 state.phase = Phase::Running { agent: agent.clone(), run: number };
+                state.idle_since = None;
                 state.begun = now;
                 state.resumed = true;
                 state.stalls_at = now.after(stall);
@@ -530,6 +533,7 @@
             }
             Phase::Starting { .. } => {
                 state.phase = Phase::Running { agent: agent.clone(), run: number };
+                state.idle_since = None;
                 state.stalls_at = now.after(stall);
                 self.timers.push(state.stalls_at, Timer::Run(task));
                 self.mark_started(task.job, now);
@@ -560,6 +564,7 @@
         {
             placed.measurement = run.measurement;
             placed.pace = run.pace;
+            placed.listed_at = now;
         }
         if progressed {
             self.count_progress(agent, &task, run.percent, now);
--- a/crates/policy/src/plan/table.rs
+++ b/crates/policy/src/plan/table.rs
@@ -340,6 +340,8 @@
         let state = &mut job.tasks[position];
         state.retry_at = retry;
         state.ready_since = now;
+        // A start that failed does not begin a new wait.
+        state.idle_since = state.idle_since.or(Some(now));
         state.percent = 0;
         state.near_wait_since = None;
         state.slowed_since = None;
@@ -402,6 +404,7 @@
             pace: 100,
             ends_at: None,
             progress_since: None,
+            listed_at: Time::ZERO,
         })
     }
 
--- a/crates/policy/src/plan/task_state.rs
+++ b/crates/policy/src/plan/task_state.rs
@@ -87,6 +87,9 @@
     pub relocations: u8,
     /// Since when the task could have been running.
     pub ready_since: Time,
+    /// Since when the task could have been running and was not seen to run, whatever starts have failed
+    /// since; `None` while it runs.
+    pub idle_since: Option<Time>,
     /// Since when the task has waited for a slot in its rack although it could start elsewhere.
     pub near_wait_since: Option<Time>,
 }
--- a/crates/policy/src/plan/worker.rs
+++ b/crates/policy/src/plan/worker.rs
@@ -34,6 +34,9 @@
     /// When its progress was first listed, and the progress at that time, percent.
     #[serde(skip)]
     pub(super) progress_since: Option<(Time, u8)>,
+    /// When its worker last listed it; zero before the first list.
+    #[serde(skip)]
+    pub(super) listed_at: Time,
 }
 
 impl Placed {
--- a/crates/policy/tests/plan/main.rs
+++ b/crates/policy/tests/plan/main.rs
@@ -21,3 +21,4 @@
 mod restart;
 mod retry;
 mod sizes;
+mod waits;
