Show the rule that holds a task in the log, the metrics and the dump

Cause: operators could not find out why a task does not run while room is free, and lines of decisions are left out under load without regard to the job.

Change: the owner reports what waits each second, outside of its passes. A line `wait` says for each step which rule holds it once the wait exceeds 2 s, when the rule changes and when the wait ends; at most 50 lines a report, beside the limit for decisions, and `waits left out` counts the others. Gauges `shallotflow_graph_waiting_tasks` and `shallotflow_graph_longest_wait_seconds` by reason, and `shallotflow_graph_remnant_runs`. The dump has `waits`. An entry that gives the table up sets the gauges to 0.

--- a/crates/core/src/metric.rs
+++ b/crates/core/src/metric.rs
@@ -100,6 +100,12 @@
         "Starts in the rack of the task's data and of the other tasks of its step.";
     GRAPH_FAR_STARTS = "shallotflow_graph_far_starts_total", Counter, "",
         "Starts outside the rack of the task's data or of the other tasks of its step.";
+    GRAPH_WAITING_TASKS = "shallotflow_graph_waiting_tasks", Gauge, "reason",
+        "Tasks of open steps that do not run, by the rule that holds them, at their owner.";
+    GRAPH_LONGEST_WAIT = "shallotflow_graph_longest_wait_seconds", Gauge, "reason",
+        "Longest time for which one of these tasks could have been running, by reason.";
+    GRAPH_REMNANTS = "shallotflow_graph_remnant_runs", Gauge, "",
+        "Runs that occupy workers until their end is listed, although they are the current run of no task.";
     GRAPH_ENDS = "shallotflow_graph_ends_total", Counter, "how",
         "Runs that ended, by exit reason, as reported to their owner.";
     GRAPH_JOBS = "shallotflow_graph_jobs_total", Counter, "state",
--- a/crates/scheduler/src/entry/meters.rs
+++ b/crates/scheduler/src/entry/meters.rs
@@ -3,7 +3,9 @@
 use super::Submission;
 use metrics::{counter, gauge, histogram};
 use shallotflow_core::metric;
+use shallotflow_policy::plan::waits::{Reason, Sum};
 use shallotflow_policy::plan::{Event, Table};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Counts the outcome of a submission and records how long its caller waited.
@@ -67,6 +69,23 @@
     gauge!(metric::GRAPH_OPEN_JOBS).set(table.open_jobs() as f64);
 }
 
+/// Records the tasks that do not run, by reason; a reason that is not in `sums` holds none.
+pub(super) fn waits(sums: &BTreeMap<Reason, Sum>) {
+    for reason in Reason::ALL {
+        let Sum { tasks, longest } = sums.get(&reason).copied().unwrap_or_default();
+        let reason = reason.as_str();
+        #[allow(clippy::cast_precision_loss)]
+        gauge!(metric::GRAPH_WAITING_TASKS, "reason" => reason).set(tasks as f64);
+        gauge!(metric::GRAPH_LONGEST_WAIT, "reason" => reason).set(longest.as_secs_f64());
+    }
+}
+
+/// Records the number of runs that occupy workers, although they are the current run of no task.
+pub(super) fn remnants(runs: usize) {
+    let runs = u32::try_from(runs).unwrap_or(u32::MAX);
+    gauge!(metric::GRAPH_REMNANTS).set(f64::from(runs));
+}
+
 /// Records whether the entry owns the table.
 pub(super) fn owned(owned: bool) {
     gauge!(metric::GRAPH_OWNED).set(if owned { 1.0 } else { 0.0 });
--- a/crates/scheduler/src/entry/mod.rs
+++ b/crates/scheduler/src/entry/mod.rs
@@ -11,6 +11,7 @@
 //! - `evacuate`: the owner's view of the requests to evacuate failure domains.
 //! - `submit`, `ask`: the callers' calls.
 //! - `overload`: the refusal of jobs by the owner's advertised backlog.
+//! - `waits`: why tasks do not run, for operators.
 //! - `serve`: the calls of agents and of other entries.
 
 mod activity;
@@ -29,6 +30,7 @@
 mod shared;
 mod submission;
 mod submit;
+mod waits;
 
 pub use settings::Settings;
 pub use shared::Entry;
--- a/crates/scheduler/src/entry/own.rs
+++ b/crates/scheduler/src/entry/own.rs
@@ -11,6 +11,7 @@
 use shallotflow_core::graph::{Id, Job};
 use shallotflow_core::name::Name;
 use shallotflow_core::time::Clock;
+use shallotflow_policy::plan::waits::Journal;
 use shallotflow_policy::plan::{self, EvacuationRequests, Progress, Record, Table};
 use shallotflow_runtime::clock::{Boottime, wall_ms};
 use shallotflow_store::error::Error;
@@ -60,6 +61,7 @@
         holders_revision,
         rates_due,
         evacuation_requests: EvacuationRequests::default(),
+        waits: Journal::new(entry.settings.logged_wait),
     };
     let evacuation_revision = evacuations.as_ref().map_or(0, |snapshot| snapshot.revision);
     if let Some(snapshot) = evacuations {
--- a/crates/scheduler/src/entry/ownership.rs
+++ b/crates/scheduler/src/entry/ownership.rs
@@ -2,6 +2,7 @@
 use shallotflow_core::graph::Id;
 use shallotflow_core::name::Name;
 use shallotflow_core::time::Time;
+use shallotflow_policy::plan::waits::Journal;
 use shallotflow_policy::plan::{EvacuationRequests, Table};
 use std::collections::BTreeSet;
 
@@ -22,4 +23,6 @@
     pub(super) rates_due: Time,
     /// The operators' requests to evacuate failure domains.
     pub(super) evacuation_requests: EvacuationRequests,
+    /// The waits that were reported and logged.
+    pub(super) waits: Journal,
 }
--- a/crates/scheduler/src/entry/settings.rs
+++ b/crates/scheduler/src/entry/settings.rs
@@ -62,6 +62,11 @@
     /// Factor by which a task takes longer outside the rack of its data or of its group; `None` for
     /// the default of [`shallotflow_policy::plan::Settings`].
     pub spread_factor: Option<f64>,
+    /// Interval at which the tasks that do not run are reported by reason.
+    pub wait_interval: Duration,
+    /// Length from which on a wait is logged, and shortest time between two lines on one step; above
+    /// the usual waits for an answer or a pause.
+    pub logged_wait: Duration,
 }
 
 impl Default for Settings {
@@ -90,6 +95,8 @@
             evacuation_prefix: None,
             evacuation_interval: Duration::from_millis(1_500),
             spread_factor: None,
+            wait_interval: Duration::from_millis(1_000),
+            logged_wait: Duration::from_millis(2_000),
         }
     }
 }
--- a/crates/scheduler/src/entry/shared.rs
+++ b/crates/scheduler/src/entry/shared.rs
@@ -2,7 +2,7 @@
 use super::member::{Owner, Presence};
 use super::overload::Overload;
 use super::ownership::Ownership;
-use super::{Settings, elect, evacuate, membership, own, serve};
+use super::{Settings, elect, evacuate, membership, own, serve, waits};
 use crate::peers::{Call, Client};
 use event_listener::Event;
 use foldhash::{HashMap, HashMapExt};
@@ -119,6 +119,7 @@
         monoio::spawn(own::decide(self.clone()));
         monoio::spawn(own::record(self.clone()));
         monoio::spawn(own::log_activity(self.clone()));
+        monoio::spawn(waits::follow(self.clone()));
         monoio::spawn(serve::serve(self.clone(), calls));
     }
 
@@ -153,8 +154,10 @@
     /// Dumps the state of the entry for operators.
     pub fn dump(&self) -> serde_json::Value {
         let now = Boottime.now();
+        let may_start = self.has_no_successor(now);
         let view = self.view.borrow();
         let ownership = self.ownership.borrow();
+        let waits = ownership.as_ref().map(|ownership| waits::dump(ownership, may_start, now));
         let jobs = ownership.as_ref().map(|ownership| {
             let jobs = ownership.table.jobs().map(|job| {
                 serde_json::json!({ "job": job.id.to_string(), "state": job.state().as_str() })
@@ -181,6 +184,7 @@
             "entries": view.entries.keys().map(ToString::to_string).collect::<Vec<_>>(),
             "workers": ownership.as_ref().map(|ownership| ownership.table.workers().clone()),
             "jobs": jobs,
+            "waits": waits,
         })
     }
 
@@ -345,6 +349,8 @@
             spdlog::warn!("table given up", kv: { epoch, reason });
             super::meters::owned(false);
             super::meters::evacuated(0);
+            super::meters::waits(&BTreeMap::new());
+            super::meters::remnants(0);
         }
         // All reports are answered: another entry is or will be the owner.
         for (_, news) in self.agent_news.borrow_mut().drain() {
--- a/crates/scheduler/src/log.rs
+++ b/crates/scheduler/src/log.rs
@@ -27,6 +27,11 @@
         return;
     }
     WINDOW.set((since, lines + 1, dropped));
+    line(what, details);
+}
+
+/// Logs one line whose rate the caller bounds.
+pub(crate) fn line(what: &'static str, details: &impl Serialize) {
     // Serializing plain structs of numbers and names cannot fail.
     let details = serde_json::to_value(details).unwrap_or_default();
     spdlog::info!("{}", what, kv: { details:serde });
--- a/crates/scheduler/tests/owner.rs
+++ b/crates/scheduler/tests/owner.rs
@@ -4,6 +4,8 @@
 mod evacuation;
 #[path = "owner/store.rs"]
 mod store;
+#[path = "owner/waits.rs"]
+mod waits;
 
 use futures_channel::mpsc::{UnboundedSender, unbounded};
 use futures_channel::oneshot;
