Report tasks behind the first of their step by the rule that holds that one

Cause: a pass tries the waiting tasks of a step in order and leaves the others once one finds no worker. The survey searched for the task that had waited longest, and called it startable where the pass holds it.

Change: the survey searches for the first waiting task, as the pass does.

--- a/crates/policy/src/plan/waits/survey.rs
+++ b/crates/policy/src/plan/waits/survey.rs
@@ -210,7 +210,8 @@
                 State::Free(since) => free.push((position, since)),
             }
         }
-        if let Some((first, _)) = free.iter().min_by_key(|(_, since)| *since) {
+        // A pass tries the tasks in this order, and leaves the others once one finds no worker.
+        if let Some((first, _)) = free.first() {
             match self.search(&place, *first) {
                 Some(rule) => {
                     for (position, since) in free {
--- a/crates/policy/tests/plan/waits.rs
+++ b/crates/policy/tests/plan/waits.rs
@@ -325,6 +325,39 @@
     assert_eq!(group.until, Some(harness.now.after(Settings::default().disturbance_wait)));
 }
 
+/// A pass tries the tasks of a step in order, so a new wait of the first holds those that have waited.
+#[test]
+fn a_task_behind_one_that_would_disturb_is_reported_with_the_end_of_the_wait_of_that_one() {
+    let mut harness = Harness::new(1);
+    harness.accept(1, best_effort(2, 6_000, "proof"));
+    harness.run_round();
+    assert_eq!(harness.running(), [task(1, 0, 0)]);
+    let accepted = harness.now;
+    let mut rates = Rates::default();
+    rates.set(&"watch".into(), Some(&"proof".into()), 6.0);
+    harness.table.restore_rates(rates);
+    let serving = Step {
+        long_running: true,
+        target_ms: 100,
+        image: Some(Name::from("watch")),
+        ..step(1, 4_000)
+    };
+    harness.accept(2, serving);
+    harness.run_round();
+    let wait = Settings::default().disturbance_wait;
+    for _ in 0..40 {
+        harness.wait(wait / 40);
+        harness.report_all();
+    }
+    harness.end(task(1, 0, 0), ExitReason::Lapsed);
+    harness.report_all();
+    harness.tick();
+    let group = harness.group(1);
+    assert_eq!((group.reason, group.tasks), (Reason::Disturbing, 2));
+    assert_eq!((group.task, group.since), (task(1, 0, 1), accepted));
+    assert_eq!(group.until, Some(harness.now.after(wait)), "twice its own wait");
+}
+
 #[test]
 fn a_limit_for_each_worker_holds_the_tasks_beyond_it() {
     let mut harness = Harness::new(1);
