Measure the report on waits

Cause: the report runs on the owner's thread, each second, beside passes that are due within a millisecond.

--- a/crates/policy/benches/plan.rs
+++ b/crates/policy/benches/plan.rs
@@ -9,6 +9,7 @@
 use shallotflow_policy::plan::message::{
     Additions, Answer, End, ExitReason, Incarnation, Kind, Outcome, Profile, Report, Run, Status,
 };
+use shallotflow_policy::plan::waits::{Bounds, Scope};
 use shallotflow_policy::plan::{Progress, Settings, Table};
 use std::collections::{BTreeMap, BTreeSet};
 use std::hint::black_box;
@@ -246,6 +247,21 @@
     group.finish();
 }
 
+/// Time of a report on the tasks that do not run.
+fn report_waits(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("plan::waits");
+    for workers in WORKERS {
+        let mut owner = Owner::new(workers);
+        owner.place();
+        let (now, holders) = (owner.now, &owner.holders);
+        let scope = Scope { now, holders, may_start: true, after: None, bounds: Bounds::default() };
+        group.bench_function(BenchmarkId::from_parameter(workers), |bencher| {
+            bencher.iter(|| black_box(owner.table.waits(&scope)));
+        });
+    }
+    group.finish();
+}
+
 /// Time to load the jobs of a table after a takeover, a job.
 fn load(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("plan::load");
@@ -270,6 +286,6 @@
     name = benches;
     config = Criterion::default().warm_up_time(Duration::from_millis(300))
         .measurement_time(Duration::from_secs(1)).sample_size(20);
-    targets = start, replace_task, idle_pass, apply_report, load
+    targets = start, replace_task, idle_pass, apply_report, report_waits, load
 }
 criterion_main!(benches);
