Take no list of a worker that does not answer for progress that fails

What callers would see: work is stopped and thrown away after a worker was frozen for some seconds.

Cause: the agent of a silent worker repeats what the worker last listed, and the owner took that for a new list, which showed no progress. Only the silence of an agent was excepted, not that of its worker.

Change: such a list does not count. The first one after the silence begins a new period, as after a silence of the agent.

The test failed before (stopped after 2.5 s).

--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -451,9 +451,10 @@
         }
         self.remove_unlisted(agent, running);
         let Some(worker) = self.workers.get_mut(agent) else { return };
-        worker.listed_at = now;
         let status = worker.profile.as_ref().map(|profile| profile.status);
+        // The agent of a worker that does not answer repeats what it last listed.
         if !matches!(status, Some(Status::Silent | Status::Empty)) {
+            worker.listed_at = now;
             worker.alive_at = now;
         }
         if !complete || worker.synced {
--- a/crates/policy/tests/plan/restart.rs
+++ b/crates/policy/tests/plan/restart.rs
@@ -273,3 +273,18 @@
     harness.report_all();
     assert!(!matches!(harness.phase(task(1, 0, 0)), Phase::Stopping { .. }));
 }
+
+/// The agent of a worker that does not answer repeats what it last listed.
+#[test]
+fn the_run_of_a_silent_worker_whose_agent_reports_on_does_not_count_as_stalled() {
+    let mut harness = Harness::new(1);
+    harness.table.accept(id(1), job(vec![step(1, 1_000)]), true, harness.now);
+    harness.run_round();
+    harness.worker(0).status = Status::Silent;
+    for _ in 0..35 {
+        harness.wait(Duration::from_millis(100));
+        harness.report_all();
+        harness.tick();
+    }
+    assert!(matches!(harness.phase(task(1, 0, 0)), Phase::Running { .. }));
+}
