Count starts that are refused together as one refusal

What callers would see: after a blip a worker gets no tasks for 2 s instead of 0.2 s.

Cause: the pause of a worker grows with each refusal in a row, and six starts of one pass that are refused together counted as six.

--- a/crates/policy/tests/plan/retry.rs
+++ b/crates/policy/tests/plan/retry.rs
@@ -190,3 +190,17 @@
     });
     assert!(found, "{:?}", harness.phase(task(1, 0, 0)));
 }
+
+#[test]
+fn starts_that_are_refused_together_count_as_one_refusal() {
+    let mut harness = Harness::new(1);
+    harness.table.accept(id(1), job(vec![step(6, 1_000)]), true, harness.now);
+    harness.tick();
+    harness.report_all();
+    harness.refuse_starts(0, Outcome::NotReady);
+    harness.report_all();
+    harness.wait(Duration::from_millis(300));
+    harness.tick();
+    harness.report_all();
+    assert!(!harness.ordered_starts(0).is_empty());
+}
