Let a task go elsewhere from a worker that does not answer its start

What callers would see: a task that could run does not, while the worker that looks best loses each start.

Cause: a refused start lets the task go elsewhere, but one without an answer ended as absent and taught nothing, and so did the answer that the worker knows the run. The search is deterministic, so the same worker was chosen again for as long as its polls passed and its starts did not.

Change: a start that is withdrawn for want of an answer counts like a refused one once its absence is confirmed: the worker pauses, and the task goes elsewhere.

Two of two new cases of the test failed before.

--- a/crates/policy/src/plan/expire.rs
+++ b/crates/policy/src/plan/expire.rs
@@ -75,6 +75,10 @@
             _ => return,
         };
         if deadline.passed(now) {
+            let starting = matches!(state.phase, Phase::Starting { .. });
+            if let Some(job) = self.jobs.get_mut(&task.job) {
+                job.tasks[position].unanswered = starting;
+            }
             self.stop_run(task, reason, now);
         } else {
             self.timers.push(deadline, Timer::Run(task));
--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -400,6 +400,7 @@
                 self.timers.push(state.stalls_at, Timer::Run(task));
                 state.misses = 0;
                 state.refused_by = None;
+                state.unanswered = false;
                 if let Some(worker) = self.workers.get_mut(agent) {
                     worker.refusals = 0;
                 }
@@ -407,13 +408,22 @@
             }
             (_, Outcome::Started) => {}
             (Phase::Starting { .. }, Outcome::Old) => {
+                state.unanswered = true;
                 // The answer to the stop shows whether the run has started and ended.
                 self.stop_run(task, "the worker knows the run or a later one", now);
             }
             (Phase::Stopping { .. }, outcome) if outcome != Outcome::Absent => {}
             (_, Outcome::Absent) => {
+                let unanswered = std::mem::take(&mut state.unanswered)
+                    || matches!(state.phase, Phase::Starting { .. });
                 state.misses = state.misses.saturating_add(1);
+                if unanswered {
+                    state.refused_by = Some(agent.clone());
+                }
                 self.release_task(task, now, now);
+                if unanswered {
+                    self.pause_worker(agent, now);
+                }
             }
             (_, Outcome::Refused) => {
                 state.misses = state.misses.saturating_add(1);
--- a/crates/policy/src/plan/task_state.rs
+++ b/crates/policy/src/plan/task_state.rs
@@ -63,7 +63,9 @@
     pub begun: Time,
     /// Agent at which the task failed last, or was slowed down and stopped for that.
     pub avoided: Option<Name>,
-    /// Agent whose worker refused the latest start, since a start last succeeded.
+    /// Whether the start that is being withdrawn had no answer, or one that did not settle it.
+    pub unanswered: bool,
+    /// Agent whose worker refused or did not answer the latest start, since a start last succeeded.
     pub refused_by: Option<Name>,
     /// Newest checkpoint.
     pub checkpoint: Option<Name>,
--- a/crates/policy/tests/plan/retry.rs
+++ b/crates/policy/tests/plan/retry.rs
@@ -140,6 +140,8 @@
 #[test_case(Outcome::NotReady ; "an agent that does not reach its worker")]
 #[test_case(Outcome::Late ; "a worker that takes each lease for ended")]
 #[test_case(Outcome::Refused ; "a worker that cannot read the call")]
+#[test_case(Outcome::Absent ; "a worker that does not answer")]
+#[test_case(Outcome::Old ; "a worker that says that it knows each run")]
 fn a_task_does_not_wait_for_a_worker_that_refuses_every_start(refusal: Outcome) {
     let serving = Step {
         long_running: true,
