Try the tasks of a step that have waited longest first

What callers would see: a best-effort task that has waited as long as it may waits on, each time another task of its step is released by a failure, a stop or a move; a refused start begins the wait anew.

Cause: a pass tried the tasks of a step by number and left the others once one would have disturbed serving tasks. A task with a lower number that was released just now, and has its whole wait before it, held those behind it. The wait was counted from the latest attempt, whether it began or not.

Change: best-effort tasks are tried by the time since which they do not run, and waits for a quiet worker count from there. The report of waits follows, and says when the wait of a held-up job ends.

--- a/crates/policy/src/plan/interference.rs
+++ b/crates/policy/src/plan/interference.rs
@@ -1,6 +1,5 @@
 //! Decides whether a best-effort task may start where it interferes with serving tasks.
 
-use super::backlog::Share;
 use super::urgency::{Lateness, MAX_LATE_OBJECTIVES};
 use super::{Job, Settings, Table};
 use shallotflow_core::time::Time;
@@ -13,7 +12,7 @@
     /// miss its objective by waiting. One whose job is late gains little by it, so it waits for up to
     /// three objectives.
     fn may_interfere(&self, job: &Job, position: usize, now: Time) -> bool {
-        let ready = job.tasks[position].ready_since;
+        let ready = job.tasks[position].waits_since();
         if !self.interferes_by_objective || !job.is_deferrable() {
             return ready.after(self.disturbance_wait).passed(now);
         }
@@ -38,11 +37,23 @@
     /// While half of the processors are idle, such a job waits for a short time only: its caller sees
     /// no progress, and one run costs the serving tasks little.
     pub(super) fn is_held_up(&self, job: &Job, position: usize, now: Time) -> bool {
-        let ready = job.tasks[position].ready_since;
-        let share = self.backlogs.services.get(&job.queue.service);
-        ready.after(self.settings.idle_wait).passed(now)
-            && share.is_some_and(Share::is_half_idle)
-            && !job.occupies_workers()
+        self.ends_hold_up(job, position).is_some_and(|ends_at| ends_at.passed(now))
             && !self.settings.may_interfere(job, position, now)
     }
+
+    /// Returns when the task may interfere because nothing of its job runs; `None` if that is not so.
+    fn ends_hold_up(&self, job: &Job, position: usize) -> Option<Time> {
+        let share = self.backlogs.services.get(&job.queue.service)?;
+        let held_up = share.is_half_idle() && !job.occupies_workers();
+        held_up.then(|| job.tasks[position].waits_since().after(self.settings.idle_wait))
+    }
+
+    /// Returns when the task may interfere at the latest; `None` if that follows from the objective of
+    /// its job.
+    pub(super) fn interferes_at(&self, job: &Job, position: usize) -> Option<Time> {
+        let by_objective = self.settings.interferes_by_objective && job.is_deferrable();
+        let wait = self.settings.disturbance_wait;
+        let waited = (!by_objective).then(|| job.tasks[position].waits_since().after(wait));
+        [waited, self.ends_hold_up(job, position)].into_iter().flatten().min()
+    }
 }
--- a/crates/policy/src/plan/place.rs
+++ b/crates/policy/src/plan/place.rs
@@ -118,6 +118,10 @@
         if waiting.is_empty() || (gang && waiting.len() < range.len()) {
             return false;
         }
+        if step.best_effort {
+            // What has waited for longer may start where others may not yet.
+            waiting.sort_by_key(|position| job.tasks[*position].waits_since());
+        }
         let may_interfere = self.may_interfere(job, waiting[0], now);
         if step.best_effort && !may_interfere && self.refusals.is_disturbing(service, step) {
             return false;
--- a/crates/policy/src/plan/task_state.rs
+++ b/crates/policy/src/plan/task_state.rs
@@ -109,6 +109,11 @@
         }
     }
 
+    /// Returns since when the task could have been running, whatever starts have failed since.
+    pub(super) fn waits_since(&self) -> Time {
+        self.idle_since.unwrap_or(self.ready_since)
+    }
+
     /// Returns whether the next start has to be at a worker where nothing else starts.
     pub(super) fn must_start_alone(&self, now: Time) -> bool {
         !self.suspected.is_empty() && !self.alone_until.passed(now)
--- a/crates/policy/src/plan/waits/survey.rs
+++ b/crates/policy/src/plan/waits/survey.rs
@@ -210,6 +210,9 @@
                 State::Free(since) => free.push((position, since)),
             }
         }
+        if step.best_effort {
+            free.sort_by_key(|(position, _)| job.tasks[*position].waits_since());
+        }
         // A pass tries the tasks in this order, and leaves the others once one finds no worker.
         if let Some((first, _)) = free.first() {
             match self.search(&place, *first) {
@@ -341,11 +344,7 @@
             Outcome::Wait { until, .. } => Rule::new(Reason::Rack, ready_since).until(until),
             Outcome::Disturbing => {
                 let rule = Rule::new(Reason::Disturbing, ready_since);
-                if table.settings.interferes_by_objective && job.is_deferrable() {
-                    rule
-                } else {
-                    rule.until(ready_since.after(table.settings.disturbance_wait))
-                }
+                Rule { until: table.interferes_at(job, position), ..rule }
             }
             Outcome::Full | Outcome::Unsuited => {
                 self.comparisons += table.workers.len();
