Keep and confirm crashes of workers in the order in which they were seen

What callers would see: after the clock of a machine was set back between two starts of its worker, a task that crashes workers may start more often than the limit allows. The agent drops the later crash, or takes it for recorded, so that an owner that is replaced takes it with it.

Cause: the agent and the owner ordered and deduplicated crashes by the wall-clock start of the incarnation (started_ms <= latest_ms, crashes up to a time, a map by that time whose recorded prefix was confirmed). The same class as: an order that is inferred from clocks instead of from what was seen.

The owner keeps the crashes in the order of the report and names the last up to which all are recorded. The fields on the wire keep their names and types; where clocks are never set back, the values are the same.

--- a/crates/policy/src/plan/crash.rs
+++ b/crates/policy/src/plan/crash.rs
@@ -11,7 +11,7 @@
 //! trials, and who finds none soon starts like any other task.
 
 use super::loss::Loss;
-use super::message::{Crash, CrashedRun, ExitReason};
+use super::message::{Crash, CrashedRun, ExitReason, Incarnation};
 use super::search::{Isolation, Outcome, Pass, Search};
 use super::trial::Trial;
 use super::{Event, Job, Phase, Table, TaskState, Worker};
@@ -38,13 +38,12 @@
     /// counted already; of others only the agent knows, which outlives a predecessor that saw them.
     pub(super) fn apply_crashes(&mut self, agent: &Name, crashes: &[Crash], now: Time) {
         let Some(worker) = self.workers.get_mut(agent) else { return };
-        let reported: BTreeSet<u64> =
-            crashes.iter().map(|crash| crash.incarnation.started_ms).collect();
-        worker.crashes.retain(|started_ms, _| reported.contains(started_ms));
+        let reported =
+            |known: &Incarnation| crashes.iter().any(|crash| crash.incarnation == *known);
+        worker.crashes.retain(|(known, _)| reported(known));
         for crash in crashes {
-            let started_ms = crash.incarnation.started_ms;
-            let known = |worker: &Worker| worker.crashes.contains_key(&started_ms);
-            if self.workers.get(agent).is_some_and(known) {
+            let incarnation = &crash.incarnation;
+            if self.workers.get(agent).is_some_and(|worker| worker.knows_crash(incarnation)) {
                 continue;
             }
             let given_up = self.count_reported(agent, crash, now);
@@ -59,7 +58,7 @@
                 }
             }
             if let Some(worker) = self.workers.get_mut(agent) {
-                worker.crashes.insert(started_ms, required);
+                worker.crashes.push((incarnation.clone(), required));
             }
         }
     }
@@ -68,9 +67,8 @@
     /// this owner has not applied. Nobody else knows of them any more.
     pub(super) fn apply_crashed_ends(&mut self, agent: &Name, crashes: &[Crash], now: Time) {
         for crash in crashes {
-            let started_ms = crash.incarnation.started_ms;
             let worker = self.workers.get(agent);
-            if worker.is_some_and(|worker| worker.crashes.contains_key(&started_ms)) {
+            if worker.is_some_and(|worker| worker.knows_crash(&crash.incarnation)) {
                 continue;
             }
             for end in &crash.ends {
@@ -95,7 +93,7 @@
         else {
             return;
         };
-        for required in worker.crashes.values_mut() {
+        for (_, required) in &mut worker.crashes {
             required.retain(|id, version| {
                 let unrecorded = |job: &&mut Job| job.recorded < *version;
                 let Some(job) = jobs.get_mut(id).filter(unrecorded) else { return false };
@@ -380,11 +378,11 @@
 }
 
 impl Worker {
-    /// Returns up to which start of an incarnation, in milliseconds since 1970, the crashes that the
-    /// agent reports are recorded.
+    /// Returns the start of the last incarnation, in the agent's order, up to which all crashes that the
+    /// agent reports are recorded, in milliseconds since 1970; 0 if the first is not recorded.
     pub(super) fn crashes_recorded_ms(&self) -> u64 {
         let recorded = self.crashes.iter().take_while(|(_, required)| required.is_empty());
-        recorded.last().map_or(0, |(started_ms, _)| *started_ms)
+        recorded.last().map_or(0, |(incarnation, _)| incarnation.started_ms)
     }
 }
 
--- a/crates/policy/src/plan/message/reply.rs
+++ b/crates/policy/src/plan/message/reply.rs
@@ -37,8 +37,8 @@
     /// Number of the change that `evacuated` includes; replies may arrive out of order.
     #[serde(default)]
     pub evacuation_version: u64,
-    /// Crashes of worker incarnations that started up to this time are recorded, milliseconds since
-    /// 1970; the agent need not report them again.
+    /// Start of a worker incarnation whose crash is recorded, with all that the agent reports before it,
+    /// in milliseconds since 1970; the agent need not report these again. 0 if there is none.
     #[serde(default)]
     pub crashes_recorded_ms: u64,
 }
--- a/crates/policy/src/plan/worker.rs
+++ b/crates/policy/src/plan/worker.rs
@@ -139,10 +139,10 @@
     /// Reported ends that are not confirmed, with the job version that has to be recorded first.
     #[serde(skip)]
     pub(super) ends: BTreeMap<u64, Option<(Id, u64)>>,
-    /// Crashes that the agent reports, by the start of the incarnation in milliseconds since 1970, with
-    /// the job versions that are still to be recorded.
+    /// The incarnations whose crashes the agent reports, in its order, with the job versions that are
+    /// still to be recorded.
     #[serde(skip)]
-    pub(super) crashes: BTreeMap<u64, BTreeMap<Id, u64>>,
+    pub(super) crashes: Vec<(Incarnation, BTreeMap<Id, u64>)>,
     /// Jobs with failed runs since the last completed run.
     #[serde(skip)]
     pub(super) failing_jobs: BTreeSet<Id>,
@@ -177,10 +177,16 @@
     /// its agent has not listed the runs yet, which go on.
     pub(super) fn may_hold_runs(&self) -> bool {
         let empty = self.profile.as_ref().is_some_and(|p| p.status == Status::Empty);
-        let unrecorded = self.crashes.values().any(|required| !required.is_empty());
+        let unrecorded = self.crashes.iter().any(|(_, required)| !required.is_empty());
         (self.synced && !empty && !self.vacant) || self.is_occupied() || unrecorded
     }
 
+    /// Returns whether the crash of `incarnation` is among those that the agent reports and that are
+    /// counted.
+    pub(super) fn knows_crash(&self, incarnation: &Incarnation) -> bool {
+        self.crashes.iter().any(|(known, _)| known == incarnation)
+    }
+
     /// Returns whether any run occupies the worker.
     pub(super) fn is_occupied(&self) -> bool {
         !self.placed.is_empty() || !self.remnants.is_empty()
--- a/crates/policy/tests/plan/crash.rs
+++ b/crates/policy/tests/plan/crash.rs
@@ -402,12 +402,18 @@
     assert_eq!(harness.table.audit(harness.now, &harness.holders), Ok(()));
 }
 
-/// Reports with `crashes` of the agent 0, each a run of the task 0 that began just before.
+/// Reports crashes of the worker of agent 0, each under a run of the task 0 that began just before.
 fn report_crashes(harness: &mut Harness, runs: &[u32]) -> u64 {
-    let crash = |(started_ms, run): (u64, &u32)| Crash {
-        incarnation: Incarnation { id: name(0), started_ms },
+    let crashes: Vec<_> = (1..).zip(runs).map(|(started, run)| (started, 1, *run)).collect();
+    report_crashes_of(harness, &crashes)
+}
+
+/// Reports crashes of incarnations by their start, each under a run of the task 0 of a job.
+fn report_crashes_of(harness: &mut Harness, crashes: &[(u64, u64, u32)]) -> u64 {
+    let crash = |(started_ms, job, run): &(u64, u64, u32)| Crash {
+        incarnation: Incarnation { id: name(0), started_ms: *started_ms },
         runs: vec![CrashedRun {
-            task: task(1, 0, 0),
+            task: task(*job, 0, 0),
             run: *run,
             carried_out: true,
             outlived_ms: 9,
@@ -418,7 +424,7 @@
     let worker = harness.worker(0);
     worker.restart_worker();
     let report = worker.report(&name(0), epoch);
-    let crashes = (1..).zip(runs).map(crash).collect();
+    let crashes = crashes.iter().map(crash).collect();
     harness.table.apply_report(
         Report { additions: Additions { crashes, ..Additions::default() }, ..report },
         harness.now,
@@ -444,6 +450,22 @@
     assert_eq!(report_crashes(&mut harness, &[5, 6]), 1, "the next crash is not recorded");
 }
 
+/// Guards against a crash that counts as recorded before it is, or stays unconfirmed, since the clock of the
+/// machine was set back between two starts of its worker.
+#[test]
+fn crashes_are_confirmed_in_the_order_in_which_they_are_reported() {
+    let mut harness = Harness::owner(2, 1, vec![name(0)]);
+    harness.table.load(id(1), job(vec![step(1, 1_000)]), None, false, harness.now);
+    // Nothing is to be recorded for the second crash, since its job is not known.
+    let crashes = [(9, 1, 5), (8, 77, 6)];
+    assert_eq!(report_crashes_of(&mut harness, &crashes), 0, "the first is not recorded yet");
+    harness.store();
+    assert_eq!(report_crashes_of(&mut harness, &crashes), 8);
+    let crashes = [(9, 1, 5), (7, 1, 1_025)];
+    assert_eq!(report_crashes_of(&mut harness, &crashes), 9, "the second is not recorded yet");
+    assert_eq!(harness.table.holders().len(), 1, "a successor has to wait for the agent's report");
+}
+
 /// Guards against a task that starts under one owner after the other, each of which sees one crash.
 #[test]
 fn a_task_is_given_up_for_crashes_that_only_the_agent_has_seen() {
--- a/crates/scheduler/tests/run_table.rs
+++ b/crates/scheduler/tests/run_table.rs
@@ -393,3 +393,25 @@
     let worker = table.report(at(7_000)).worker.expect("a registered worker");
     assert_eq!(worker.status, Status::Empty);
 }
+
+/// Guards against a crash that is taken for an older one, or for recorded, since the clock of the machine
+/// was set back between the two starts.
+#[test]
+fn crashes_are_reported_in_the_order_in_which_the_agent_has_seen_them() {
+    let started = |table: &mut RunTable, ms| -> Vec<u64> {
+        let crashes = table.report(at(ms)).additions.crashes;
+        crashes.iter().map(|crash| crash.incarnation.started_ms).collect()
+    };
+    let mut table = joined(vec![young()]);
+    table.apply_lists(lists(6, vec![young()]), 1, at(100), at(101));
+    assert_eq!(started(&mut table, 110), [7]);
+    table.apply_lists(lists(5, Vec::new()), 1, at(200), at(201));
+    assert_eq!(started(&mut table, 210), [7, 6]);
+    let sequence = table.report(at(220)).sequence;
+    table.apply_reply(Reply { crashes_recorded_ms: 7, ..reply(1, sequence) });
+    assert_eq!(started(&mut table, 230), [6], "only the first of the two is recorded");
+    table.apply_reply(Reply { crashes_recorded_ms: 7, ..reply(1, sequence) });
+    assert_eq!(started(&mut table, 240), [6], "a repeated reply confirms nothing else");
+    table.apply_reply(Reply { crashes_recorded_ms: 6, ..reply(1, sequence) });
+    assert_eq!(started(&mut table, 250), [0_u64; 0]);
+}
