Count a crash whose agent restarts just after it

What callers would see: a task that crashes its workers starts a third time after three workers have crashed under it (BUDGET), if an agent restarts within some 200 ms of a crash.

Cause: the new process of the agent finds nobody at the worker's address and reports a vacancy without a registration. A worker that is only silent is reported in the same way once its last lease has ended, so the owner took both for silence and counted no crash, though the first is a refused connection: nothing runs there.

Change: the report says whether nothing listens at the address (Additions::gone; left out while false, so other reports keep their form). The owner that ordered the runs counts their crash then. It makes no task suspect, nor does another incarnation that the new process finds: a loss of power takes worker and agent, so the cause is more often that than a task. So innocent tasks need four crashes without progress, as before, and a power loss that was a suspicion when the worker came back first is none any more.

The two unit tests failed before.

--- a/crates/policy/src/plan/crash.rs
+++ b/crates/policy/src/plan/crash.rs
@@ -135,7 +135,7 @@
     /// Counts the crash of the worker of `agent` for each of its runs. Returns the tasks to give up.
     pub(super) fn count_crash(&mut self, agent: &Name, now: Time) -> Vec<Task> {
         let Some(worker) = self.workers.get(agent) else { return Vec::new() };
-        let alive_at = worker.alive_at;
+        let (alive_at, synced) = (worker.alive_at, worker.synced);
         let tasks: Vec<Task> = worker.placed.keys().copied().collect();
         let latest = self.latest_start(&tasks);
         let mut given_up = Vec::new();
@@ -150,7 +150,8 @@
                 run,
                 // An order that the worker has not answered may not have been carried out.
                 carried_out: matches!(state.phase, Phase::Running { .. }),
-                young: !state.begun.after(window).passed(alive_at),
+                // If the agent has restarted too, a loss of power explains both.
+                young: synced && !state.begun.after(window).passed(alive_at),
                 age_ms: u64::try_from(now.since(state.begun).as_millis()).unwrap_or(u64::MAX),
                 alone,
                 latest: latest == Some(task),
--- a/crates/policy/src/plan/message/additions.rs
+++ b/crates/policy/src/plan/message/additions.rs
@@ -12,6 +12,9 @@
     pub evacuated: bool,
     /// Crashes of the worker that no reply has confirmed as recorded, the earliest first.
     pub crashes: Vec<Crash>,
+    /// Whether nothing listens at the worker's address; without it, a vacant worker may only be silent.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub gone: bool,
 }
 
 impl Additions {
--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -75,9 +75,9 @@
         self.update_worker(&agent, &report, now);
         if report.vacant {
             let leaving = self.workers.get(&agent).is_some_and(Worker::is_leaving);
-            // A silent worker that has not registered since its agent started counts as gone too.
-            let registered = report.worker.is_some();
-            let crash = registered && !was_leaving && !leaving;
+            // A silent worker that has not registered since its agent started counts as vacant too.
+            let gone = report.worker.is_some() || report.additions.gone;
+            let crash = gone && !was_leaving && !leaving;
             self.lose_runs(&agent, "no worker runs beside the agent", crash, now);
         }
         self.apply_crashes(&agent, &report.additions.crashes, now);
--- a/crates/policy/tests/plan/crash.rs
+++ b/crates/policy/tests/plan/crash.rs
@@ -362,6 +362,25 @@
     assert_eq!(harness.phase(task(1, 0, 0)), Phase::Waiting);
 }
 
+/// Guards against a crash that nobody counts since the agent has restarted just after it. A loss of power
+/// takes both, so such a crash makes no task suspect.
+#[test]
+fn a_worker_that_is_gone_since_its_agent_has_started_again_has_crashed() {
+    let mut harness = Harness::new(1);
+    harness.table.accept(id(1), job(vec![step(1, 1_000)]), true, harness.now);
+    harness.run_round();
+    harness.worker(0).restart_agent();
+    let mut report = harness.worker(0).report(&name(0), 1);
+    (report.vacant, report.complete, report.running) = (true, false, None);
+    (report.incarnation, report.worker) = (None, None);
+    report.additions.gone = true;
+    harness.table.apply_report(report, harness.now);
+    assert_eq!(crashes(&harness, task(1, 0, 0)), [1]);
+    let state = &harness.table.job(id(1)).expect("a job").tasks[0];
+    assert!(state.suspected.is_empty());
+    assert_eq!(harness.phase(task(1, 0, 0)), Phase::Waiting);
+}
+
 #[test]
 fn a_suspect_does_not_start_beside_a_run_of_an_ended_job_that_may_be_young() {
     let mut harness = Harness::owner(2, 1, Vec::new());
--- a/crates/scheduler/src/agent/run_table.rs
+++ b/crates/scheduler/src/agent/run_table.rs
@@ -574,7 +574,11 @@
             ends: Vec::new(),
             answers: Vec::new(),
             received: self.last_order,
-            additions: Additions { evacuated: self.evacuated, crashes: self.crashes.unrecorded() },
+            additions: Additions {
+                evacuated: self.evacuated,
+                crashes: self.crashes.unrecorded(),
+                gone: self.is_vacant(),
+            },
         };
         if self.complete {
             // The owner needs these of a worker that is gone as well: which starts it carried out.
--- a/crates/scheduler/tests/path.rs
+++ b/crates/scheduler/tests/path.rs
@@ -83,6 +83,17 @@
     }
 }
 
+/// Guards against a crash that nobody counts since the agent restarts just after it; 400 seeds do not show
+/// it.
+#[test_case(732)]
+#[test_case(1_130)]
+#[test_case(1_638)]
+#[test_case(2_261)]
+#[test_case(2_778)]
+fn a_crash_counts_although_its_agent_restarts_just_after_it(seed: u64) {
+    assert_eq!(Simulation::new(seed, FaultRates::with_deadly_tasks(), None).run(), Ok(()));
+}
+
 #[test]
 fn tasks_that_crash_their_workers_are_given_up_under_one_owner_after_the_other() {
     for seed in 0..SEEDS {
--- a/crates/scheduler/tests/run_table.rs
+++ b/crates/scheduler/tests/run_table.rs
@@ -415,3 +415,22 @@
     table.apply_reply(Reply { crashes_recorded_ms: 6, ..reply(1, sequence) });
     assert_eq!(started(&mut table, 250), [0_u64; 0]);
 }
+
+/// Guards against a crash that nobody counts since the agent has restarted just after it.
+#[test]
+fn a_new_process_tells_a_worker_that_is_gone_from_one_that_is_silent() {
+    let mut table = table();
+    table.apply_reply(reply(1, 0));
+    table.poll_failed(&Error::Vacant, at(90));
+    assert!(!table.report(at(95)).additions.gone, "one refused connection shows nothing");
+    table.poll_failed(&Error::Vacant, at(190));
+    let report = table.report(at(195));
+    assert!(report.vacant && report.additions.gone);
+    let mut table = self::table();
+    table.apply_reply(reply(1, 0));
+    for ms in (0..20_000).step_by(400) {
+        table.poll_failed(&Error::Unreachable, at(ms));
+    }
+    let report = table.report(at(20_000));
+    assert!(report.vacant && !report.additions.gone, "it may only be silent");
+}
