Simulate machines that are lost for good, and check that no task waits without end

Change: jobs with long-running tasks, some cancelled later; an agent that restarts and is gone with its worker; a worker that comes back under another identifier, late, with an earlier start time or without ever registering; a worker that answers no calls for a while or for good; polls that are answered late or carried out seconds later; a run that is gone without an end; reports and replies that are delayed or lost with up to three in flight; the loss of all agents and owners right after a job was accepted. At most two of five workers are lost for good. The new kinds are behind two new sets of rates, so the random streams of the former ones are unchanged.

The oracle checks at each step that no open task of an accepted job is not running for longer than 21.6 s after the last fault has ended, while it fits twice and under half of the capacity is in use. 21.6 s is the sum of the stated bounds that can follow each other: 7.2 s for the last lease, 3 s of the rule, 2.5 s until a run counts as stalled, 0.9 s for its stop, 2 s for a trial, 2 s between retries, 4 s of a first ejection. At the end every long-running task runs unless its job was cancelled or has failed.

Planted faults that the property finds: records that are lost, an agent that never lists, stopped runs whose end is never told.

--- a/crates/scheduler/tests/path.rs
+++ b/crates/scheduler/tests/path.rs
@@ -4,7 +4,9 @@
 //! the processes. Calls to workers are lost before or after they are carried out, or carried out
 //! seconds later; workers, agents and owners restart; a former owner continues for a while. Workers
 //! start whatever they are told to start, shrink and grow again, and take time to stop a run. The
-//! oracle sees only the calls to workers and what workers do.
+//! oracle sees only the calls to workers and what workers do. Machines, workers and messages may also be
+//! lost for good; once all else is calm, no task that could run may wait for longer than the stated
+//! bounds allow.
 
 mod path {
     pub(crate) mod fault;
@@ -120,6 +122,25 @@
     assert!((0..FAULT_SEEDS).any(late), "no seed finds {fault:?}");
 }
 
+#[test_case(FaultRates::with_lost_machines() ; "rare faults of machines")]
+#[test_case(FaultRates::with_lost_machines_and_messages() ; "beside all other faults")]
+fn every_task_that_could_run_runs_though_machines_are_lost_for_good(rates: FaultRates) {
+    for seed in 0..FEW_SEEDS {
+        assert_eq!(Simulation::new(seed, rates, None).run(), Ok(()), "seed {seed}");
+    }
+}
+
+#[test_case(Fault::LostRecords ; "records are lost")]
+#[test_case(Fault::NoLists ; "an agent never lists its runs")]
+#[test_case(Fault::SilentStops ; "the end of a stopped run is never told")]
+fn an_injected_wait_without_end_is_found(fault: Fault) {
+    let waits = |seed| {
+        let outcome = Simulation::new(seed, FaultRates::with_lost_machines(), Some(fault)).run();
+        outcome.is_err_and(|broken| broken.contains("could run and doesn't"))
+    };
+    assert!((0..FAULT_SEEDS).any(waits), "no seed finds {fault:?}");
+}
+
 #[test_case(Fault::NoWaitForAgents ; "a new owner does not wait for agents that did not report")]
 #[test_case(Fault::FormerOwnerPlaces ; "a former owner keeps starting tasks")]
 #[test_case(Fault::FormerOwnerRenews ; "a former owner lets agents renew leases")]
@@ -139,6 +160,8 @@
 #[test_case(FaultRates::with_outliving_calls() ; "calls outlive an incarnation")]
 #[test_case(FaultRates::with_deadly_tasks() ; "deadly tasks")]
 #[test_case(FaultRates::with_deadly_tasks_and_takeovers() ; "deadly tasks and takeovers")]
+#[test_case(FaultRates::with_lost_machines() ; "lost machines")]
+#[test_case(FaultRates::with_lost_machines_and_messages() ; "lost machines and messages")]
 #[ignore = "takes minutes; run it after a change of the path"]
 fn every_guarantee_holds_on_many_seeds(rates: FaultRates) {
     let broken = |seed| Simulation::new(seed, rates, None).run().err().map(|what| (seed, what));
--- a/crates/scheduler/tests/path/fault.rs
+++ b/crates/scheduler/tests/path/fault.rs
@@ -31,4 +31,10 @@
     ForgetObservedCrashes,
     /// Agents renew leases although no owner answers.
     EndlessLease,
+    /// The records of some jobs are never written.
+    LostRecords,
+    /// One agent never lists the runs of its worker.
+    NoLists,
+    /// Agents never report that a stopped run has ended.
+    SilentStops,
 }
--- a/crates/scheduler/tests/path/oracle.rs
+++ b/crates/scheduler/tests/path/oracle.rs
@@ -1,5 +1,6 @@
 //! The guarantees that must hold, checked from the calls to workers and what workers do.
 
+use super::worker::STOP_MS;
 use shallotflow_core::graph::{Id, Task};
 use shallotflow_policy::plan::message::{End, ExitReason};
 use std::collections::{BTreeMap, BTreeSet};
@@ -13,10 +14,51 @@
 /// Number of crashes under a task after which its job may be shown as failed.
 const CRASHES_TO_GIVE_UP: u32 = 2;
 
+/// Longest time for which a task that could run may not be running once all is calm, in milliseconds:
+/// the sum of the stated bounds that can follow each other.
+const MAX_WAIT_MS: u64 =
+    LEASE_MS + SEEN_MS + STALL_MS + STOP_MS + TRIAL_MS + RETRY_MS + EJECTION_MS;
+/// A successor waits for the last lease.
+const LEASE_MS: u64 = 7_200;
+/// For so long a task may not be running in the rule for callers.
+const SEEN_MS: u64 = 3_000;
+/// A run that lists show no more is stopped.
+const STALL_MS: u64 = 2_500;
+/// A task that may have crashed its worker waits for one where it is alone.
+const TRIAL_MS: u64 = 2_000;
+/// Longest pause before a retry.
+const RETRY_MS: u64 = 2_000;
+/// First ejection of a worker where tasks fail.
+const EJECTION_MS: u64 = 4_000;
+
+/// The free processors of the workers.
+pub(crate) struct Room {
+    free: Vec<u32>,
+    half_used: bool,
+}
+
+impl Room {
+    /// Sums the capacities and the used processors of workers.
+    pub(crate) fn new(workers: impl Iterator<Item = (u32, u32)>) -> Self {
+        let workers: Vec<(u32, u32)> = workers.collect();
+        let capacity: u32 = workers.iter().map(|(capacity, _)| capacity).sum();
+        let used: u32 = workers.iter().map(|(_, used)| used).sum();
+        let free = workers.iter().map(|(capacity, used)| capacity.saturating_sub(*used)).collect();
+        Self { free, half_used: used * 2 >= capacity }
+    }
+
+    /// Whether two tasks of `need` fit, and less than half of the capacity is in use.
+    pub(crate) fn holds_twice(&self, need: u32) -> bool {
+        !self.half_used && self.free.iter().map(|free| free / need).sum::<u32>() >= 2
+    }
+}
+
 /// What the oracle has observed of one task.
 #[derive(Default)]
 struct Observed {
     running: BTreeSet<usize>,
+    /// Since when it could have been running.
+    waits_since: Option<u64>,
     /// Whether a run has ended as done and the worker was told to forget that end.
     confirmed: bool,
     /// Runs that have ended as done.
@@ -39,6 +81,8 @@
     tasks: BTreeMap<Task, Observed>,
     /// Number of tasks in the first step of each job, which the second step waits for.
     first: BTreeMap<Id, u32>,
+    /// Jobs whose tasks run until the job is cancelled.
+    long_running: BTreeSet<Id>,
     /// Tasks that crash the workers that start them.
     deadly: BTreeSet<Task>,
     /// From when on nothing may be sent to start at each evacuated worker.
@@ -47,8 +91,34 @@
 }
 
 impl Oracle {
-    pub(crate) fn accept(&mut self, job: Id, first: u32) {
+    pub(crate) fn accept(&mut self, job: Id, first: u32, long_running: bool) {
         self.first.insert(job, first);
+        if long_running {
+            self.long_running.insert(job);
+        }
+    }
+
+    /// Returns for how long a task of a job that has not ended could have been running since
+    /// `calm_since`, in milliseconds, if that is longer than all that it may wait for; `room` is whether
+    /// it would find room now.
+    pub(crate) fn wait(
+        &mut self,
+        task: Task,
+        room: bool,
+        now: u64,
+        calm_since: u64,
+    ) -> Option<u64> {
+        let before = |index| Task { step: 0, index, ..task };
+        let is_confirmed = |task| self.tasks.get(&task).is_some_and(|before| before.confirmed);
+        let is_open = task.step == 0 || (0..self.first[&task.job]).map(before).all(is_confirmed);
+        let observed = self.tasks.entry(task).or_default();
+        if !observed.running.is_empty() || !observed.done.is_empty() || !is_open || !room {
+            observed.waits_since = None;
+            return None;
+        }
+        let since = *observed.waits_since.get_or_insert(now);
+        let waited = now.saturating_sub(since.max(calm_since));
+        (waited > MAX_WAIT_MS).then_some(waited)
     }
 
     pub(crate) fn start(&mut self, worker: usize, task: Task, attempts: u32) {
@@ -123,6 +193,9 @@
     }
 
     pub(crate) fn mark_failed(&mut self, task: Task) {
+        if self.long_running.contains(&task.job) {
+            return;
+        }
         self.tasks.entry(task).or_default().failed_runs += 1;
     }
 
@@ -153,6 +226,9 @@
     }
 
     pub(crate) fn mark_done(&mut self, task: Task, run: u32) {
+        if self.long_running.contains(&task.job) {
+            return;
+        }
         self.tasks.entry(task).or_default().done.insert(run);
     }
 
@@ -160,6 +236,9 @@
     /// since that end.
     pub(crate) fn mark_forgotten(&mut self, end: &End, leased: bool) {
         let End { task, run, reason, .. } = *end;
+        if self.long_running.contains(&task.job) {
+            return;
+        }
         let observed = self.tasks.entry(task).or_default();
         observed.confirmed |= reason == ExitReason::Done;
         observed.failures += u32::from(reason == ExitReason::Failed);
--- a/crates/scheduler/tests/path/simulation.rs
+++ b/crates/scheduler/tests/path/simulation.rs
@@ -1,7 +1,7 @@
 //! A simulation of owners, agents, workers and the store in virtual time.
 
 use super::fault::Fault;
-use super::oracle::Oracle;
+use super::oracle::{Oracle, Room};
 use super::worker::{FULL_MILLICORES, STOP_MS, Worker};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -9,14 +9,19 @@
 use shallotflow_core::name::Name;
 use shallotflow_core::resources::Bundle;
 use shallotflow_core::time::Time;
-use shallotflow_policy::plan::message::{Kind, Order, Outcome, Profile, Status, Traits};
+use shallotflow_policy::plan::message::{
+    ExitReason, Incarnation, Kind, Order, Outcome, Profile, Reply, Report, Status, Traits,
+};
 use shallotflow_policy::plan::{self, Progress, Table};
 use shallotflow_scheduler::agent::run_table::{Key, RunTable};
-use shallotflow_scheduler::agent::{self, Error};
+use shallotflow_scheduler::agent::{self, Error, Lists};
 use std::collections::{BTreeMap, BTreeSet};
 
 pub(crate) const ATTEMPTS: u32 = 2;
 const WORKERS: usize = 3;
+/// Number of workers where some are lost for good, and how many of them at most.
+const MORE_WORKERS: usize = 5;
+const MAX_LOST_WORKERS: usize = 2;
 const TICK_MS: u64 = 20;
 /// Duration of the phase with faults, in milliseconds; then every job has to end.
 const FAULT_PHASE_MS: u64 = 30_000;
@@ -31,6 +36,11 @@
 /// Time in which an agent finds a new incarnation of its worker; a call that arrives earlier, meant
 /// for a former one, cannot be prevented.
 const DISCOVERY_MS: u64 = 400;
+/// Maximum number of reports of an agent that wait for their replies.
+const MAX_FLIGHTS: usize = 3;
+/// Longest time from a report until its reply, and from a poll until its answer, in milliseconds.
+const REPORT_MS: u64 = 900;
+const POLL_MS: u64 = 750;
 
 /// Probability of each fault, per call or tick.
 #[derive(Clone, Copy)]
@@ -53,6 +63,27 @@
     evacuation: f64,
     /// Probability that an agent executes an order seconds after it received it.
     order_stalled: f64,
+    workers: usize,
+    /// Probability that a job has tasks that run until it is cancelled.
+    long_running: f64,
+    /// Probability that a job with such tasks is cancelled, per tick.
+    long_running_cancelled: f64,
+    /// Probability that an agent restarts and is soon gone for good, with its worker.
+    machine_lost: f64,
+    /// Probability that a worker restarts under another identifier.
+    worker_replaced: f64,
+    /// Probability that calls to a worker time out for a while or for good.
+    worker_dark: f64,
+    /// Probability that a run is gone without an end.
+    run_vanished: f64,
+    /// Probability that the answer to a poll is held back.
+    poll_held: f64,
+    /// Probability that a poll without an answer is carried out seconds later.
+    poll_delayed: f64,
+    reply_delayed: f64,
+    reply_lost: f64,
+    /// Probability that all agents and owners lose power right after a job was accepted.
+    power_lost: f64,
 }
 
 impl Default for FaultRates {
@@ -68,9 +99,7 @@
             task_fails: 0.05,
             calls_outlive_incarnations: false,
             worker_resized: 0.003,
-            deadly: 0.0,
-            evacuation: 0.0,
-            order_stalled: 0.0,
+            ..Self::none()
         }
     }
 }
@@ -95,6 +124,44 @@
         Self { evacuation: 0.006, order_stalled: 0.1, ..Self::default() }
     }
 
+    /// Long-running tasks and the rare faults of machines, some of which never end, between calm
+    /// spans.
+    pub(crate) fn with_lost_machines() -> Self {
+        Self {
+            workers: MORE_WORKERS,
+            long_running: 0.3,
+            long_running_cancelled: 0.0005,
+            machine_lost: 0.0002,
+            worker_replaced: 0.0004,
+            worker_dark: 0.0004,
+            run_vanished: 0.0004,
+            power_lost: 0.03,
+            agent_restart: 0.0004,
+            owner_replaced: 0.001,
+            ..Self::none()
+        }
+    }
+
+    /// The same beside all other faults, with delayed polls and replies.
+    pub(crate) fn with_lost_machines_and_messages() -> Self {
+        let machines = Self::with_lost_machines();
+        Self {
+            workers: machines.workers,
+            long_running: machines.long_running,
+            long_running_cancelled: machines.long_running_cancelled,
+            machine_lost: machines.machine_lost,
+            worker_replaced: machines.worker_replaced,
+            worker_dark: machines.worker_dark,
+            run_vanished: machines.run_vanished,
+            power_lost: machines.power_lost,
+            poll_held: 0.2,
+            poll_delayed: 0.03,
+            reply_delayed: 0.3,
+            reply_lost: 0.02,
+            ..Self::default()
+        }
+    }
+
     pub(crate) fn none() -> Self {
         Self {
             call_lost: 0.0,
@@ -110,6 +177,18 @@
             deadly: 0.0,
             evacuation: 0.0,
             order_stalled: 0.0,
+            workers: WORKERS,
+            long_running: 0.0,
+            long_running_cancelled: 0.0,
+            machine_lost: 0.0,
+            worker_replaced: 0.0,
+            worker_dark: 0.0,
+            run_vanished: 0.0,
+            poll_held: 0.0,
+            poll_delayed: 0.0,
+            reply_delayed: 0.0,
+            reply_lost: 0.0,
+            power_lost: 0.0,
         }
     }
 }
@@ -118,7 +197,7 @@
 struct DelayedCall {
     at: u64,
     worker: usize,
-    worker_started_ms: u64,
+    incarnation: Incarnation,
     /// The agent's process that made the call.
     process: u64,
     sent: u64,
@@ -140,6 +219,33 @@
         run: u32,
         epoch: u64,
     },
+    Poll {
+        lease: Option<u64>,
+        recorded: u64,
+        epoch: u64,
+    },
+}
+
+/// A poll whose answer arrives at `due`.
+struct HeldPoll {
+    sent: Time,
+    due: u64,
+    epoch: u64,
+    answer: agent::Result<Lists>,
+}
+
+/// A report that arrives at the owner after a delay, or its reply that arrives after another.
+struct Flight {
+    agent: usize,
+    process: u64,
+    target: usize,
+    at: u64,
+    message: Message,
+}
+
+enum Message {
+    Report(Report),
+    Reply(Reply),
 }
 
 struct Agent {
@@ -151,6 +257,25 @@
     orders: Vec<PendingOrder>,
     /// Starts that the present incarnation of the worker must not carry out.
     late_starts: Vec<Key>,
+    held_poll: Option<HeldPoll>,
+    /// From when on the agent is gone for good.
+    gone_at: u64,
+}
+
+impl Agent {
+    fn new(number: usize, process: u64, target: usize, now: u64) -> Self {
+        let now = Time::from_millis(now);
+        Self {
+            run_table: RunTable::new(settings(), agent_name(number), process, now),
+            process,
+            isolated_until: 0,
+            target,
+            orders: Vec::new(),
+            late_starts: Vec::new(),
+            held_poll: None,
+            gone_at: u64::MAX,
+        }
+    }
 }
 
 struct PendingOrder {
@@ -182,6 +307,9 @@
     agents: Vec<Agent>,
     workers: Vec<Worker>,
     delayed: Vec<DelayedCall>,
+    flights: Vec<Flight>,
+    /// When the latest fault ended, except those that never end.
+    calm_since: u64,
     oracle: Oracle,
     jobs: BTreeMap<Id, (Job, u64)>,
     cancels: BTreeSet<Id>,
@@ -205,14 +333,6 @@
 impl Simulation {
     pub(crate) fn new(seed: u64, rates: FaultRates, fault: Option<Fault>) -> Self {
         let now = 100_000;
-        let agent = |number| Agent {
-            run_table: RunTable::new(settings(), agent_name(number), 1, Time::from_millis(now)),
-            process: 1,
-            isolated_until: 0,
-            target: 0,
-            orders: Vec::new(),
-            late_starts: Vec::new(),
-        };
         let table = Table::new(plan::Settings::default(), 1, Vec::new(), Time::from_millis(now));
         Self {
             rng: SmallRng::seed_from_u64(seed),
@@ -225,9 +345,11 @@
                 requests_revision: 0,
                 learns_at: None,
             }],
-            agents: (0..WORKERS).map(agent).collect(),
-            workers: (0..WORKERS).map(|number| Worker::new(number, fault)).collect(),
+            agents: (0..rates.workers).map(|number| Agent::new(number, 1, 0, now)).collect(),
+            workers: (0..rates.workers).map(|number| Worker::new(number, fault)).collect(),
             delayed: Vec::new(),
+            flights: Vec::new(),
+            calm_since: now,
             oracle: Oracle::default(),
             jobs: BTreeMap::new(),
             cancels: BTreeSet::new(),
@@ -252,14 +374,19 @@
                 self.inject_faults();
                 self.submit_jobs(self.now - begin);
             } else if self.now == begin + FAULT_PHASE_MS {
-                self.rates = FaultRates { task_fails: self.rates.task_fails, ..FaultRates::none() };
+                let FaultRates { task_fails, workers, .. } = self.rates;
+                self.rates = FaultRates { task_fails, workers, ..FaultRates::none() };
                 self.store_down_until = 0;
-                for number in 0..WORKERS {
+                for number in 0..self.workers.len() {
                     self.readmit(number);
                 }
                 for worker in &mut self.workers {
                     worker.resize(FULL_MILLICORES, self.now);
+                    if !worker.is_lost() {
+                        worker.dark_until = 0;
+                    }
                 }
+                self.calm_since = self.now;
                 for agent in &mut self.agents {
                     agent.isolated_until = 0;
                 }
@@ -268,13 +395,15 @@
                 self.oracle.extend_evacuations(self.now, TICK_MS);
             }
             self.deliver_delayed();
+            self.deliver_flights();
             for worker in &mut self.workers {
                 worker.tick(self.now, &mut self.oracle);
             }
-            for number in 0..WORKERS {
+            for number in 0..self.workers.len() {
                 self.agent(number);
             }
             self.decide();
+            self.check_waits();
             if let Some(broken) = self.oracle.broken.take() {
                 return Err(format!("at {} ms: {broken}", self.now - begin));
             }
@@ -282,10 +411,49 @@
         self.check_all_ended()
     }
 
+    /// Records that a fault lasts until `until`.
+    fn disturb(&mut self, until: u64) {
+        self.calm_since = self.calm_since.max(until);
+    }
+
+    /// Checks that no task waits although callers see that it could run.
+    fn check_waits(&mut self) {
+        let usable = self.workers.iter().filter(|worker| worker.is_usable(self.now));
+        let room = Room::new(usable.map(|worker| (worker.millicores(), worker.used())));
+        let table = &self.owners.last().expect("an owner").table;
+        for (id, (job, _)) in &self.jobs {
+            let ended = table.visible_state(QUEUE, *id).is_some_and(State::is_final);
+            if ended || self.cancels.contains(id) {
+                continue;
+            }
+            for task in tasks_of(*id, job) {
+                let need = job.spec.steps[usize::from(task.step)].need.millicores;
+                let room = room.holds_twice(need);
+                let Some(waited) = self.oracle.wait(task, room, self.now, self.calm_since) else {
+                    continue;
+                };
+                let phase = |job: &plan::Job| Some(job.tasks[job.position(&task)?].phase.clone());
+                let phase = table.job(*id).and_then(phase);
+                return self.oracle.fail(format!(
+                    "{task} could run and doesn't for {waited} ms; the owner has it as {phase:?}"
+                ));
+            }
+        }
+    }
+
     fn check_all_ended(&self) -> Result<(), String> {
         let table = &self.owners.last().expect("an owner").table;
         for id in self.jobs.keys() {
             let state = table.visible_state(QUEUE, *id);
+            let (job, _) = &self.jobs[id];
+            if job.spec.is_long_running() && !self.cancels.contains(id) {
+                let waits = |task: &Task| !self.oracle.is_running(*task);
+                let failed = state == Some(State::Failed);
+                if let Some(task) = tasks_of(*id, job).into_iter().find(waits).filter(|_| !failed) {
+                    return Err(format!("{task} does not run at the end"));
+                }
+                continue;
+            }
             if !state.is_some_and(State::is_final) {
                 let job = table.job(*id);
                 let phases =
@@ -308,40 +476,37 @@
         let now = self.now;
         if self.chance(self.rates.store_outage) {
             self.store_down_until = now + self.rng.random_range(500..6_000);
+            self.disturb(self.store_down_until);
         }
-        for number in 0..WORKERS {
-            if self.chance(self.rates.worker_restart) {
+        for number in 0..self.workers.len() {
+            if self.chance(self.rates.worker_restart) && !self.workers[number].is_lost() {
                 self.workers[number].restart(now, &mut self.oracle);
+                self.disturb(now);
             }
-            if self.chance(self.rates.worker_resized) {
+            // One that answers nobody is paused.
+            let dark = self.workers[number].is_dark(now);
+            if self.chance(self.rates.worker_resized) && !dark {
                 let shrunk = self.rng.random_range(0..FULL_MILLICORES);
                 let full = self.workers[number].millicores() < FULL_MILLICORES;
                 self.workers[number].resize(if full { FULL_MILLICORES } else { shrunk }, now);
+                self.disturb(now);
             }
             if self.chance(self.rates.agent_isolated) {
                 self.agents[number].isolated_until = now + self.rng.random_range(500..12_000);
+                self.disturb(self.agents[number].isolated_until);
             }
             if self.chance(self.rates.agent_restart) {
-                let process = self.agents[number].process + 1;
-                let run_table =
-                    RunTable::new(settings(), agent_name(number), process, Time::from_millis(now));
                 let target = self.rng.random_range(0..self.owners.len());
-                let isolated_until = self.agents[number].isolated_until;
-                self.agents[number] = Agent {
-                    run_table,
-                    process,
-                    isolated_until,
-                    target,
-                    orders: Vec::new(),
-                    late_starts: Vec::new(),
-                };
+                self.restart_agent(number, target);
             }
+            self.inject_losses(number);
+            self.inject_vanished_run(number);
         }
         if now >= self.store_down_until && self.chance(self.rates.owner_replaced) {
             self.replace_owner();
         }
         if now >= self.store_down_until && self.chance(self.rates.evacuation) {
-            let number = self.rng.random_range(0..WORKERS);
+            let number = self.rng.random_range(0..self.workers.len());
             if self.requests.contains_key(&domain_of(number)) {
                 self.readmit(number);
             } else {
@@ -352,6 +517,69 @@
         }
     }
 
+    /// Starts a new process of an agent, unless it is gone for good.
+    fn restart_agent(&mut self, number: usize, target: usize) {
+        let Agent { process, isolated_until, gone_at, .. } = self.agents[number];
+        let agent = Agent::new(number, process + 1, target, self.now);
+        self.agents[number] = Agent { isolated_until, gone_at, ..agent };
+        self.disturb(self.now);
+    }
+
+    /// Injects the faults of one machine that may never end.
+    fn inject_losses(&mut self, number: usize) {
+        let now = self.now;
+        let lost = self.workers.iter().filter(|worker| worker.is_lost()).count();
+        if self.workers[number].is_lost() {
+            return;
+        }
+        let may_last = lost < MAX_LOST_WORKERS;
+        if self.chance(self.rates.machine_lost) && may_last {
+            // The worker is the first to answer no more.
+            self.workers[number].dark_until = u64::MAX;
+            self.restart_agent(number, self.owners.len() - 1);
+            self.agents[number].gone_at = now + self.rng.random_range(0..REPORT_MS);
+            self.workers[number].lose_power(now, &mut self.oracle);
+        }
+        if self.chance(self.rates.worker_replaced) {
+            let set_back_ms = if self.rng.random_bool(0.3) { 50 } else { 0 };
+            let never = may_last && self.rng.random_bool(0.3);
+            let registers_at = if never { u64::MAX } else { now + self.rng.random_range(0..3_000) };
+            self.workers[number].replace(now, set_back_ms, registers_at, &mut self.oracle);
+            self.disturb(if never { now } else { registers_at });
+        }
+        if self.chance(self.rates.worker_dark) {
+            let ends_at = now + self.rng.random_range(500..12_000);
+            let forever = may_last && self.rng.random_bool(0.3);
+            self.workers[number].dark_until = if forever { u64::MAX } else { ends_at };
+            self.disturb(if forever { now } else { ends_at });
+        }
+    }
+
+    /// Lets a run of a worker disappear.
+    fn inject_vanished_run(&mut self, number: usize) {
+        if self.chance(self.rates.run_vanished) {
+            self.workers[number].forget_run(&mut self.oracle);
+            self.disturb(self.now);
+        }
+    }
+
+    /// Ends all agents and owners at once, and some workers.
+    fn lose_power(&mut self) {
+        self.replace_owner();
+        let former = self.owners.len() - 2;
+        self.owners[former].alive_until = self.now;
+        let back_at = self.now + self.rng.random_range(300..3_000);
+        let workers_too = self.rng.random_bool(0.5);
+        for number in 0..self.workers.len() {
+            self.restart_agent(number, former);
+            self.agents[number].isolated_until = back_at;
+            if workers_too && !self.workers[number].is_lost() {
+                self.workers[number].restart(self.now, &mut self.oracle);
+            }
+        }
+        self.disturb(back_at);
+    }
+
     /// Withdraws the request to evacuate the domain of a worker, if there is one.
     fn readmit(&mut self, number: usize) {
         if self.requests.remove(&domain_of(number)).is_some() {
@@ -383,6 +611,7 @@
     fn replace_owner(&mut self) {
         let now = Time::from_millis(self.now);
         let alive_until = self.now + self.rng.random_range(0..4_000);
+        self.disturb(alive_until);
         let former = self.owners.last_mut().expect("an owner");
         former.alive_until = alive_until;
         let epoch = former.table.epoch() + 1;
@@ -425,7 +654,18 @@
             let first = self.rng.random_range(1..4);
             let count = self.rng.random_range(1..4);
             let millicores = self.rng.random_range(500..2_500);
+            // All tasks fit beside those that last, also without the lost workers.
+            let lasts = |(job, _): &&(Job, u64)| job.spec.is_long_running();
+            let need = |(job, _): &(Job, u64)| {
+                let step = &job.spec.steps[0];
+                step.count * step.need.millicores
+            };
+            let lasting: u32 = self.jobs.values().filter(lasts).map(need).sum();
+            let long_running = self.chance(self.rates.long_running)
+                && lasting + first * millicores / 5 <= FULL_MILLICORES;
+            let millicores = if long_running { millicores / 5 } else { millicores };
             let step = |count, after| Step {
+                long_running,
                 count,
                 after,
                 need: Bundle { millicores, memory_mib: 10, ..Bundle::default() },
@@ -434,7 +674,11 @@
             };
             let spec = Spec {
                 text: "work".into(),
-                steps: vec![step(first, vec![]), step(count, vec![0])],
+                steps: if long_running {
+                    vec![step(first, vec![])]
+                } else {
+                    vec![step(first, vec![]), step(count, vec![0])]
+                },
                 ..Spec::default()
             };
             let queue = Queue {
@@ -444,7 +688,7 @@
                 ..Queue::default()
             };
             let job = Job { queue, spec, accepted_ms: self.now };
-            self.oracle.accept(id, first);
+            self.oracle.accept(id, first, long_running);
             if self.chance(self.rates.deadly) {
                 let index = self.rng.random_range(0..first);
                 self.oracle.mark_deadly(Task { job: id, occurrence: 0, step: 0, index });
@@ -453,6 +697,17 @@
             // Only the newest owner learns of the job; a former one may not, since it learns of
             // jobs only from the store.
             self.owners.last_mut().expect("an owner").table.accept(id, job, true, now);
+            if self.chance(self.rates.power_lost) {
+                self.lose_power();
+            }
+        }
+        if self.chance(self.rates.long_running_cancelled) {
+            let open = |id: &&Id| !self.cancels.contains(id);
+            let lasting = |id: &&Id| self.jobs[*id].0.spec.is_long_running();
+            if let Some(id) = self.jobs.keys().filter(lasting).find(open).copied() {
+                self.cancels.insert(id);
+                self.owners.last_mut().expect("an owner").table.cancel(id, now);
+            }
         }
         if self.rng.random_bool(0.001) {
             let ids: Vec<Id> = self.jobs.keys().copied().collect();
@@ -474,10 +729,14 @@
         self.delayed = rest;
         for delayed in due {
             let worker = &self.workers[delayed.worker];
-            if worker.incarnation().started_ms != delayed.worker_started_ms {
+            if worker.incarnation().id != delayed.incarnation.id {
+                continue;
+            }
+            if worker.incarnation() != delayed.incarnation {
                 // A new process of the agent does not know which starts got no answer.
                 let known = self.agents[delayed.worker].process == delayed.process;
-                if !known || !self.rates.calls_outlive_incarnations {
+                let poll = matches!(delayed.call, Call::Poll { .. });
+                if poll || !known || !self.rates.calls_outlive_incarnations {
                     continue;
                 }
                 let discovered_at = worker.since.max(worker.down_until) + DISCOVERY_MS;
@@ -501,7 +760,9 @@
         match call {
             Call::Start { task, run, lease, started_ms, epoch } => {
                 let step = &self.jobs[&task.job].0.spec.steps[usize::from(task.step)];
-                let work = (takes, fails, step.need.millicores);
+                let endless = step.long_running && self.rng.random_bool(0.7);
+                let takes = if endless { u64::from(u32::MAX) } else { takes };
+                let work = (takes, fails && !endless, step.need.millicores);
                 // A start that is carried out late is judged by when it was sent.
                 let times = (self.now, sent.saturating_sub(SHRINK_MS));
                 let lease = (lease, started_ms);
@@ -510,6 +771,9 @@
             Call::Stop { task, run, epoch } => {
                 worker.stop((task, run), epoch, (self.now, stop_takes))
             }
+            Call::Poll { lease, recorded, epoch } => {
+                worker.poll(lease, recorded, epoch, self.now, &mut self.oracle).map(|_| 0)
+            }
         }
     }
 
@@ -519,23 +783,43 @@
         if self.workers[worker].is_down(self.now) {
             return Err(Error::Vacant);
         }
+        if self.workers[worker].is_dark(self.now) {
+            return lost();
+        }
+        let present = self.workers[worker].incarnation();
+        if self.agents[worker].run_table.incarnation().is_some_and(|known| known.id != present.id) {
+            return Err(Error::OtherIncarnation);
+        }
         if self.chance(self.rates.call_delayed) {
+            self.disturb(self.now);
             let at = self.now + self.rng.random_range(500..12_000);
-            let worker_started_ms = self.workers[worker].incarnation().started_ms;
-            let process = self.agents[worker].process;
-            let sent = self.now;
-            let delayed = DelayedCall { at, worker, worker_started_ms, process, sent, call };
-            self.delayed.push(delayed);
+            self.delay(worker, call, at);
             return lost();
         }
         if self.chance(self.rates.call_lost) {
+            self.disturb(self.now);
             return lost();
         }
         let answer = self.execute(worker, call, self.now);
-        if self.chance(self.rates.call_lost) { lost() } else { answer }
+        if self.chance(self.rates.call_lost) {
+            self.disturb(self.now);
+            return lost();
+        }
+        answer
+    }
+
+    /// Lets the worker carry out a call at `at`; its answer is lost.
+    fn delay(&mut self, worker: usize, call: Call, at: u64) {
+        let incarnation = self.workers[worker].incarnation();
+        let process = self.agents[worker].process;
+        let sent = self.now;
+        self.delayed.push(DelayedCall { at, worker, incarnation, process, sent, call });
     }
 
     fn agent(&mut self, number: usize) {
+        if self.now >= self.agents[number].gone_at {
+            return;
+        }
         let now = Time::from_millis(self.now);
         let slot = (self.now / TICK_MS + number as u64 * 3) % 10;
         if slot == 0 {
@@ -550,12 +834,12 @@
             return;
         }
         if slot.is_multiple_of(2) {
-            self.report(number, now);
+            self.send_report(number, now);
         }
     }
 
     fn register(&mut self, number: usize) {
-        if self.workers[number].is_down(self.now) {
+        if !self.workers[number].is_usable(self.now) {
             return;
         }
         let millicores = match self.fault {
@@ -579,8 +863,25 @@
     fn poll(&mut self, number: usize, now: Time) {
         let lost = self.chance(self.rates.call_lost);
         let answer_lost = self.chance(self.rates.call_lost);
+        let held = self.chance(self.rates.poll_held);
+        let delayed = self.chance(self.rates.poll_delayed);
+        if lost || answer_lost || held || delayed {
+            self.disturb(self.now);
+        }
         let agent = &mut self.agents[number];
+        if let Some(poll) = agent.held_poll.take_if(|poll| poll.due <= self.now) {
+            match poll.answer {
+                Ok(lists) => agent.run_table.apply_lists(lists, poll.epoch, poll.sent, now),
+                Err(error) => agent.run_table.poll_failed(&error, now),
+            }
+        }
+        if agent.held_poll.is_some() {
+            return;
+        }
         let worker = &mut self.workers[number];
+        if worker.is_dark(self.now) {
+            return agent.run_table.poll_failed(&Error::Unknown("dark".to_owned()), now);
+        }
         if worker.is_down(self.now) {
             return agent.run_table.poll_failed(&Error::Vacant, now);
         }
@@ -597,6 +898,17 @@
             return agent.run_table.poll_failed(&error, now);
         }
         let recorded = agent.run_table.recorded();
+        if delayed {
+            agent.run_table.poll_failed(&Error::Unknown("late".to_owned()), now);
+            let at = self.now + self.rng.random_range(500..12_000);
+            return self.delay(number, Call::Poll { lease, recorded, epoch }, at);
+        }
+        if held {
+            let answer = worker.poll(lease, recorded, epoch, self.now, &mut self.oracle);
+            let due = self.now + self.rng.random_range(0..POLL_MS);
+            agent.held_poll = Some(HeldPoll { sent: now, due, epoch, answer });
+            return;
+        }
         match worker.poll(lease, recorded, epoch, self.now, &mut self.oracle) {
             Ok(lists) if !answer_lost => agent.run_table.apply_lists(lists, epoch, now, now),
             Ok(_) => agent.run_table.poll_failed(&Error::Unknown("lost".to_owned()), now),
@@ -707,33 +1019,84 @@
         }
     }
 
-    fn report(&mut self, number: usize, now: Time) {
+    fn send_report(&mut self, number: usize, now: Time) {
         let target = self.agents[number].target;
         if self.owners[target].alive_until < self.now {
             // The agent finds the newest owner by asking the entries.
             self.agents[number].target = self.owners.len() - 1;
             return;
         }
+        if self.flights.iter().filter(|flight| flight.agent == number).count() >= MAX_FLIGHTS {
+            return;
+        }
         let mut report = self.agents[number].run_table.report(now);
         if let Some(Fault::CrashAsDrain | Fault::ForgetObservedCrashes) = self.fault {
             report.additions.crashes.clear();
         }
-        if let Some(profile) = report
-            .worker
-            .as_mut()
-            .filter(|_| report.vacant && self.fault == Some(Fault::CrashAsDrain))
+        if self.fault == Some(Fault::CrashAsDrain)
+            && let Some(profile) = report.worker.as_mut().filter(|_| report.vacant)
         {
             profile.status = Status::Draining { remaining_ms: 0 };
         }
+        if self.fault == Some(Fault::NoLists) && number == 0 {
+            report.complete = false;
+            report.running = None;
+            report.ends.clear();
+            report.answers.clear();
+        }
+        if self.fault == Some(Fault::SilentStops) {
+            report.ends.retain(|end| end.reason != ExitReason::Stopped);
+            report.answers.retain(|answer| answer.outcome != Outcome::Absent);
+        }
+        if self.chance(self.rates.reply_delayed) {
+            return self.launch(number, target, Message::Report(report));
+        }
+        let reply = self.answer_report(number, target, report);
+        self.deliver_reply(number, reply);
+    }
+
+    /// Sends a report or a reply that arrives later.
+    fn launch(&mut self, agent: usize, target: usize, message: Message) {
+        let at = self.now + self.rng.random_range(0..REPORT_MS / 2);
+        self.disturb(at);
+        let process = self.agents[agent].process;
+        self.flights.push(Flight { agent, process, target, at, message });
+    }
+
+    fn deliver_flights(&mut self) {
+        let now = self.now;
+        let (due, rest): (Vec<Flight>, Vec<Flight>) =
+            std::mem::take(&mut self.flights).into_iter().partition(|flight| flight.at <= now);
+        self.flights = rest;
+        for Flight { agent, process, target, message, .. } in due {
+            let present = self.agents[agent].process == process && now < self.agents[agent].gone_at;
+            match message {
+                Message::Report(report) if self.owners[target].alive_until >= now => {
+                    let reply = self.answer_report(agent, target, report);
+                    if present && !self.chance(self.rates.reply_lost) {
+                        self.launch(agent, target, Message::Reply(reply));
+                    }
+                }
+                Message::Reply(reply) if present && now >= self.agents[agent].isolated_until => {
+                    self.deliver_reply(agent, reply);
+                }
+                // The owner or the agent is gone or cut off.
+                _ => {}
+            }
+        }
+    }
+
+    /// Lets the owner `target` apply a report; returns its reply.
+    fn answer_report(&mut self, number: usize, target: usize, report: Report) -> Reply {
+        let now = Time::from_millis(self.now);
         let table = &mut self.owners[target].table;
         let known = report.epoch == table.epoch();
-        let reply = if known {
+        let mut reply = if known {
             table.apply_report(report, now);
             table.reply(&agent_name(number))
         } else {
-            plan::message::Reply { epoch: table.epoch(), owned: true, ..Default::default() }
+            Reply { epoch: table.epoch(), owned: true, ..Reply::default() }
         };
-        let mut reply = reply;
         // A former owner cannot rule out that it has a successor.
         if target + 1 < self.owners.len() && self.fault != Some(Fault::FormerOwnerRenews) {
             reply.sequence = 0;
@@ -741,6 +1104,10 @@
         if self.fault == Some(Fault::ForgetUnrecorded) {
             reply.recorded = u64::from(u32::MAX);
         }
+        reply
+    }
+
+    fn deliver_reply(&mut self, number: usize, reply: Reply) {
         let (epoch, sequence) = (reply.epoch, reply.sequence);
         if epoch < self.agents[number].run_table.epoch() {
             self.agents[number].target = self.owners.len() - 1;
@@ -784,6 +1151,9 @@
                         let tasks = tasks_of(record.job, job);
                         self.oracle.check_failed(record.job, &tasks, ATTEMPTS);
                     }
+                    if self.fault == Some(Fault::LostRecords) && record.job.0 % 3_000 == 0 {
+                        continue;
+                    }
                     self.progress.insert(record.job, record.progress);
                     owner.table.mark_recorded(record.job, record.version);
                 }
--- a/crates/scheduler/tests/path/worker.rs
+++ b/crates/scheduler/tests/path/worker.rs
@@ -21,6 +21,9 @@
 /// How long a worker is away after a crash, in milliseconds.
 const DOWN_MS: u64 = 2_000;
 
+/// A run that lasts for longer shows no changing progress, in milliseconds.
+const ENDLESS_MS: u64 = 1_000_000;
+
 struct RunningTask {
     run: u32,
     until: u64,
@@ -31,6 +34,8 @@
 
 pub(crate) struct Worker {
     pub(crate) number: usize,
+    /// Number of identifiers that the worker has had before.
+    replaced: u32,
     started_ms: u64,
     /// Start of this incarnation, on the simulation's clock.
     pub(crate) since: u64,
@@ -48,6 +53,10 @@
     crashes_at: u64,
     /// Until when nothing listens at its address.
     pub(crate) down_until: u64,
+    /// Until when calls to it time out.
+    pub(crate) dark_until: u64,
+    /// From when on it registers beside its agent.
+    registers_at: u64,
     pub(crate) lost: usize,
     fault: Option<Fault>,
 }
@@ -56,7 +65,8 @@
     pub(crate) fn new(number: usize, fault: Option<Fault>) -> Self {
         Self {
             number,
-            started_ms: 1,
+            replaced: 0,
+            started_ms: 1_000,
             since: 0,
             fence: 0,
             lease: 0,
@@ -68,13 +78,19 @@
             capacities: vec![(0, FULL_MILLICORES)],
             crashes_at: u64::MAX,
             down_until: 0,
+            dark_until: 0,
+            registers_at: 0,
             lost: 0,
             fault,
         }
     }
 
     pub(crate) fn incarnation(&self) -> Incarnation {
-        Incarnation { id: Name::from(format!("w{}", self.number)), started_ms: self.started_ms }
+        let id = match self.replaced {
+            0 => format!("w{}", self.number),
+            replaced => format!("w{}-{replaced}", self.number),
+        };
+        Incarnation { id: Name::from(id), started_ms: self.started_ms }
     }
 
     /// The present processors; the worker starts what it is told to start, whether it has them or not.
@@ -109,11 +125,63 @@
             started_ms: self.started_ms + 1,
             since: now,
             lost: self.lost,
+            replaced: self.replaced,
+            dark_until: self.dark_until,
+            registers_at: self.registers_at,
             capacities: std::mem::take(&mut self.capacities),
             ..Self::new(self.number, self.fault)
         };
     }
 
+    /// Restarts the worker under another identifier; its clock was set back by `set_back_ms` before.
+    pub(crate) fn replace(
+        &mut self,
+        now: u64,
+        set_back_ms: u64,
+        registers_at: u64,
+        oracle: &mut Oracle,
+    ) {
+        self.restart(now, oracle);
+        self.replaced += 1;
+        self.started_ms -= set_back_ms;
+        self.registers_at = registers_at;
+    }
+
+    /// Ends the worker for good.
+    pub(crate) fn lose_power(&mut self, now: u64, oracle: &mut Oracle) {
+        self.restart(now, oracle);
+        self.down_until = u64::MAX;
+    }
+
+    /// Loses a run: neither its lists nor its ends show it any more.
+    pub(crate) fn forget_run(&mut self, oracle: &mut Oracle) {
+        if let Some((task, running)) = self.running.pop_last() {
+            let highest = self.highest.entry(task).or_default();
+            *highest = running.run.max(*highest);
+            oracle.mark_ended(self.number, task);
+        }
+    }
+
+    /// Whether the worker never comes back.
+    pub(crate) fn is_lost(&self) -> bool {
+        [self.down_until, self.dark_until, self.registers_at].contains(&u64::MAX)
+    }
+
+    /// Whether its agent can register the worker and reach it.
+    pub(crate) fn is_usable(&self, now: u64) -> bool {
+        !self.is_down(now) && !self.is_dark(now) && now >= self.registers_at
+    }
+
+    /// Whether calls to the worker time out.
+    pub(crate) fn is_dark(&self, now: u64) -> bool {
+        now < self.dark_until
+    }
+
+    /// The processors that its runs request.
+    pub(crate) fn used(&self) -> u32 {
+        self.running.values().map(|running| running.millicores).sum()
+    }
+
     pub(crate) fn is_down(&self, now: u64) -> bool {
         now < self.down_until
     }
@@ -206,8 +274,7 @@
         self.renew(lease, now);
         let active = RunningTask { run, until: now + takes, fails, stopped: false, millicores };
         self.running.insert(task, active);
-        let used = self.running.values().map(|running| running.millicores).sum();
-        oracle.check_capacity(self.number, task, used, self.millicores_since(shrunk_before));
+        oracle.check_capacity(self.number, task, self.used(), self.millicores_since(shrunk_before));
         oracle.start(self.number, task, super::simulation::ATTEMPTS);
         if oracle.is_deadly(task) {
             self.crashes_at = now + CRASH_MS;
@@ -253,8 +320,11 @@
             task: *task,
             run: running.run,
             checkpoint: None,
-            // The progress changes, so that no run counts as stalled.
-            percent: u8::try_from(now / 100 % 100).unwrap_or(0),
+            // The progress changes, so that no run counts as stalled, except that of a task that lasts.
+            percent: match running.until.saturating_sub(now) {
+                left if left > ENDLESS_MS => 100,
+                _ => u8::try_from(now / 100 % 100).unwrap_or(0),
+            },
             measurement: 0,
             pace: 100,
         };
