Refuse a start that was ordered before the worker counted as empty

What callers would see: a task runs twice for a while, at two workers.

Cause: an agent that has granted no lease to a new incarnation of its worker and gets no answer to three polls reports the worker as empty. The owner releases its runs and orders the tasks elsewhere. The reply that ordered a start at this worker may still be under way (up to 900 ms, three reports in flight); if the worker answers again when it arrives, the agent carries out the outdated order.

Change: a report that shows the worker as empty or vacant outdates the starts that came with replies to earlier reports, as one that shows a smaller worker already did. The agent answers them with "not ready", which changes nothing at the owner, since the run is not current any more. The order of reports decides, not the time.

Evidence: the unit test failed before.

--- a/crates/scheduler/src/agent/order.rs
+++ b/crates/scheduler/src/agent/order.rs
@@ -32,7 +32,7 @@
             let mut table = agent.run_table.borrow_mut();
             let ready = table.accepts_tasks()
                 && table.epoch() == epoch
-                && !table.has_shrunk_since(sequence)
+                && !table.is_outdated(sequence)
                 && !table.is_withdrawn(&key);
             (ready && !agent.stopping.get(), table.incarnation().cloned(), table.lease_ms(now))
         };
--- a/crates/scheduler/src/agent/run_table.rs
+++ b/crates/scheduler/src/agent/run_table.rs
@@ -59,8 +59,8 @@
     sequence: u64,
     profile: Option<Profile>,
     registration: u64,
-    /// The first report to the current owner that shows the worker as small as it is.
-    resized_report: u64,
+    /// The first report to the current owner that shows the worker as small as it is, or as empty.
+    outdating_report: u64,
     drain_deadline: Option<Time>,
     /// When the worker is no longer slow after its return.
     warm_at: Time,
@@ -121,7 +121,7 @@
             sequence: 0,
             profile: None,
             registration: 0,
-            resized_report: 0,
+            outdating_report: 0,
             drain_deadline: None,
             warm_at: Time::ZERO,
             evacuated: false,
@@ -245,7 +245,7 @@
         self.registration = registration;
         let former = self.profile.as_ref().map(|former| former.capacity);
         if former.is_none_or(|former| !profile.capacity.holds(&former)) {
-            self.resized_report = self.sequence + 1;
+            self.outdating_report = self.sequence + 1;
         }
         self.profile = Some(profile);
         true
@@ -257,10 +257,11 @@
         Some((profile.incarnation.clone(), profile.status, profile.capacity))
     }
 
-    /// Whether the owner may have ordered a start for a larger worker: its order came with the reply
-    /// to the report `sequence`.
-    pub fn has_shrunk_since(&self, sequence: u64) -> bool {
-        sequence < self.resized_report
+    /// Whether a start is outdated whose order came with the reply to the report `sequence`: the owner
+    /// may have ordered it for a larger worker, or may have ordered the task elsewhere since it was told
+    /// that the worker is empty.
+    pub fn is_outdated(&self, sequence: u64) -> bool {
+        sequence < self.outdating_report
     }
 
     /// Records that the worker `id` has deregistered; returns `false` when another one is
@@ -576,6 +577,10 @@
             received: self.last_order,
             additions: Additions { evacuated: self.evacuated, crashes: self.crashes.unrecorded() },
         };
+        let status = report.worker.as_ref().map(|profile| profile.status);
+        if vacant || status == Some(Status::Empty) {
+            self.outdating_report = sequence;
+        }
         if self.complete {
             // The owner needs these of a worker that is gone as well: which starts it carried out.
             for unconfirmed in &mut self.answers {
@@ -678,7 +683,7 @@
         self.sequence = 0;
         // The state itself lasts until the new owner has said otherwise.
         self.evacuation_version = 0;
-        self.resized_report = 0;
+        self.outdating_report = 0;
         self.sent_reports.clear();
         self.last_order = 0;
         self.complete = false;
--- a/crates/scheduler/tests/path/simulation.rs
+++ b/crates/scheduler/tests/path/simulation.rs
@@ -970,7 +970,7 @@
                 _ => run_table.accepts_tasks(),
             };
             let ready = accepts
-                && !run_table.has_shrunk_since(sequence)
+                && !run_table.is_outdated(sequence)
                 && !run_table.is_withdrawn(&key)
                 && tries < 2;
             let same = run_table.incarnation() == Some(&self.workers[number].incarnation());
--- a/crates/scheduler/tests/run_table.rs
+++ b/crates/scheduler/tests/run_table.rs
@@ -238,13 +238,13 @@
     let mut table = joined(Vec::new());
     table.register(profile(10_000), 1, at(10));
     let first = table.report(at(20)).sequence;
-    assert!(!table.has_shrunk_since(first));
+    assert!(!table.is_outdated(first));
     table.register(profile(4_000), 2, at(30));
-    assert!(table.has_shrunk_since(first));
+    assert!(table.is_outdated(first));
     let second = table.report(at(40)).sequence;
-    assert!(!table.has_shrunk_since(second));
+    assert!(!table.is_outdated(second));
     table.register(profile(5_000), 3, at(50));
-    assert!(!table.has_shrunk_since(second), "a larger worker holds what the smaller one does");
+    assert!(!table.is_outdated(second), "a larger worker holds what the smaller one does");
 }
 
 #[test]
@@ -393,3 +393,21 @@
     let worker = table.report(at(7_000)).worker.expect("a registered worker");
     assert_eq!(worker.status, Status::Empty);
 }
+
+/// The owner has ordered the tasks elsewhere once it has the report that the worker is empty; the reply
+/// with the first order may arrive after that report was sent.
+#[test]
+fn a_start_that_was_ordered_before_the_worker_counted_as_empty_is_refused() {
+    let mut table = joined(Vec::new());
+    assert!(table.register(profile(1_000), 1, at(0)));
+    let before = table.report(at(6_500)).sequence;
+    for poll in 0..3 {
+        table.poll_failed(&Error::Unknown("lost".to_owned()), at(6_600 + poll));
+    }
+    let report = table.report(at(6_700));
+    assert_eq!(report.worker.map(|worker| worker.status), Some(Status::Empty));
+    table.apply_lists(lists(7, Vec::new()), 1, at(6_800), at(6_800));
+    assert!(table.is_outdated(before));
+    let after = table.report(at(6_900)).sequence;
+    assert!(!table.is_outdated(after));
+}
