--- a/crates/scheduler/tests/run_table.rs
+++ b/crates/scheduler/tests/run_table.rs
@@ -238,13 +238,13 @@
     let mut table = joined(Vec::new());
     table.register(profile(10_000), 1, at(10));
     let first = table.report(at(20)).sequence;
-    assert!(!table.has_shrunk_since(first));
+    assert!(!table.is_outdated(first));
     table.register(profile(4_000), 2, at(30));
-    assert!(table.has_shrunk_since(first));
+    assert!(table.is_outdated(first));
     let second = table.report(at(40)).sequence;
-    assert!(!table.has_shrunk_since(second));
+    assert!(!table.is_outdated(second));
     table.register(profile(5_000), 3, at(50));
-    assert!(!table.has_shrunk_since(second), "a larger worker holds what the smaller one does");
+    assert!(!table.is_outdated(second), "a larger worker holds what the smaller one does");
 }
 
 #[test]
@@ -434,3 +434,21 @@
     let report = table.report(at(20_000));
     assert!(report.vacant && !report.additions.gone, "it may only be silent");
 }
+
+/// The owner has ordered the tasks elsewhere once it has the report that the worker is empty; the reply
+/// with the first order may arrive after that report was sent.
+#[test]
+fn a_start_that_was_ordered_before_the_worker_counted_as_empty_is_refused() {
+    let mut table = joined(Vec::new());
+    assert!(table.register(profile(1_000), 1, at(0)));
+    let before = table.report(at(6_500)).sequence;
+    for poll in 0..3 {
+        table.poll_failed(&Error::Unknown("lost".to_owned()), at(6_600 + poll));
+    }
+    let report = table.report(at(6_700));
+    assert_eq!(report.worker.map(|worker| worker.status), Some(Status::Empty));
+    table.apply_lists(lists(7, Vec::new()), 1, at(6_800), at(6_800));
+    assert!(table.is_outdated(before));
+    let after = table.report(at(6_900)).sequence;
+    assert!(!table.is_outdated(after));
+}
