Close all idle connections to a peer after a call timed out on one

What callers see: after open connections went silent without a reset, a platform agent may fail one call after the other to a worker that is well: up to 24 idle connections, each noticed only by its own timeout of 120 to 750 ms. Three failed polls make the worker count as silent, four failed starts withdraw the task, and no lease is renewed meanwhile, so runs lapse. The store client has up to 8 such connections and timeouts that double to 1 s, while the presence of an entry lasts for 1 s.

Cause: a call that timed out dropped its own connection only, and the pool went on to hand out the others, last used first.

Evidence: idle_connections_are_not_reused_after_a_call_timed_out_on_one_of_them fails without the fix: with four idle connections that went silent, the call after the one that timed out gets no answer either. The periods above are derived from the settings, not measured.

Ruled out: closing them whenever a call is dropped. The agent drops polls on purpose, each time an order was carried out.

Why it works: what silences one connection may have silenced all, and a new connection costs one round trip. Calls in progress on other connections are not touched; each notices by its own timeout.

--- a/crates/agent/src/worker/http.rs
+++ b/crates/agent/src/worker/http.rs
@@ -36,9 +36,9 @@
         let request = Request::post(C::PATH)
             .body(Body::Full(text.into()))
             .map_err(|error| unreachable(&error))?;
-        let exchange = self.pool.exchange(self.address, request, MAX_ANSWER_BYTES);
-        let answer = monoio::time::timeout(ANSWER_TIMEOUT + wait, exchange).await;
-        let answer = answer.map_err(|_| Error::NoAnswer("timed out".to_owned()))?;
+        let limit = ANSWER_TIMEOUT + wait;
+        let exchange = self.pool.exchange_within(limit, self.address, request, MAX_ANSWER_BYTES);
+        let answer = exchange.await;
         let answer = answer.map_err(|error| match Pool::not_sent(&error) {
             true => Error::Unreachable(error.to_string()),
             false => Error::NoAnswer(error.to_string()),
--- a/crates/scheduler/src/runs/client.rs
+++ b/crates/scheduler/src/runs/client.rs
@@ -42,9 +42,8 @@
         let request = Request::post(C::PATH)
             .body(Body::Full(body.into()))
             .map_err(|error| refused(&error))?;
-        let exchange = self.pool.exchange(self.address, request, MAX_ANSWER_BYTES);
-        let late = |_| Error::Unknown(format!("no answer within {} ms", timeout.as_millis()));
-        let answer = monoio::time::timeout(timeout, exchange).await.map_err(late)?;
+        let exchange = self.pool.exchange_within(timeout, self.address, request, MAX_ANSWER_BYTES);
+        let answer = exchange.await;
         let answer = answer.map_err(|error| match error {
             transport::Error::Refused(_) => Error::Vacant,
             transport::Error::Connect(_) => Error::Unreachable,
--- a/crates/wire/src/http/mod.rs
+++ b/crates/wire/src/http/mod.rs
@@ -37,6 +37,9 @@
     /// The peer exceeded a time limit.
     #[error("the peer sent nothing within its time limit; send without pauses")]
     Slow,
+    /// No complete response arrived within the time limit of the call, in milliseconds.
+    #[error("no answer within {0} ms; retry if idempotent")]
+    Timeout(u128),
     /// The operating system reported an error on the connection.
     #[error("the connection broke ({0}); retry if idempotent")]
     Io(#[from] std::io::Error),
--- a/crates/wire/src/http/pool.rs
+++ b/crates/wire/src/http/pool.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use foldhash::{HashMap, HashMapExt};
 use http::{Request, Response};
+use monoio::time::timeout;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -82,6 +83,31 @@
         Ok(Response::from_parts(head, body))
     }
 
+    /// Like [`Pool::exchange`], but gives up after `limit`.
+    ///
+    /// A connection that went silent shows only by a missing answer, and what silences one may have
+    /// silenced all. So the idle connections to `address` are closed then, and later exchanges open
+    /// new ones.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Error::Timeout`] after `limit`, otherwise like [`Pool::exchange`].
+    pub async fn exchange_within(
+        &self,
+        limit: Duration,
+        address: SocketAddr,
+        request: Request<Body>,
+        body_limit: usize,
+    ) -> Result<Response<Bytes>> {
+        match timeout(limit, self.exchange(address, request, body_limit)).await {
+            Ok(result) => result,
+            Err(_) => {
+                self.close_idle(address);
+                Err(Error::Timeout(limit.as_millis()))
+            }
+        }
+    }
+
     /// Closes the idle connections to `address`.
     pub fn close_idle(&self, address: SocketAddr) {
         self.idle.borrow_mut().remove(&address);
--- a/crates/wire/tests/http.rs
+++ b/crates/wire/tests/http.rs
@@ -4,11 +4,14 @@
 use futures_util::future::LocalBoxFuture;
 use http::{Request, Response, StatusCode};
 use monoio::net::{TcpListener, TcpStream};
+use shallotflow_wire::http::Error;
 use shallotflow_wire::http::body::Body;
 use shallotflow_wire::http::gate::Gate;
 use shallotflow_wire::http::limits::Limits;
 use shallotflow_wire::http::pool::Pool;
 use shallotflow_wire::http::server::{Handler, serve};
+use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -60,6 +63,23 @@
     Pool::new(Limits::default(), CONNECT_TIMEOUT, 4)
 }
 
+/// Answers each request, until its open connections go silent; later ones work.
+#[derive(Default)]
+struct Silencing {
+    open: RefCell<BTreeSet<SocketAddr>>,
+    silent: RefCell<BTreeSet<SocketAddr>>,
+}
+
+impl Handler for Silencing {
+    fn call(&self, _: Request<Body>, peer: SocketAddr) -> LocalBoxFuture<'static, Response<Body>> {
+        if self.silent.borrow().contains(&peer) {
+            return Box::pin(std::future::pending());
+        }
+        self.open.borrow_mut().insert(peer);
+        Box::pin(async { Response::new(Body::from("answer")) })
+    }
+}
+
 /// Sends `message` and returns the first 12 bytes of the response.
 async fn send_raw(address: SocketAddr, message: &'static [u8]) -> String {
     use monoio::io::{AsyncReadRentExt, AsyncWriteRentExt};
@@ -119,6 +139,28 @@
     });
 }
 
+/// All connections to a peer may go silent at once, without a reset. One call notices it; the calls
+/// after it must not notice it anew on each of the other idle connections.
+#[test]
+fn idle_connections_are_not_reused_after_a_call_timed_out_on_one_of_them() {
+    run(async |_, _| {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("a bound address");
+        let peer = Rc::new(Silencing::default());
+        monoio::spawn(serve(listener, peer.clone(), Limits::default(), Gate::default()));
+        let pool = pool();
+        let call = |timeout| pool.exchange_within(timeout, address, Request::new(Body::Empty), 100);
+        let answers = futures_util::future::join_all((0..4).map(|_| call(CONNECT_TIMEOUT))).await;
+        assert!(answers.iter().all(Result::is_ok));
+        assert_eq!(pool.idle(), 4);
+        peer.silent.borrow_mut().append(&mut peer.open.borrow_mut());
+        let silent = call(Duration::from_millis(20)).await;
+        assert!(matches!(silent, Err(Error::Timeout(20))), "{silent:?}");
+        let answer = call(CONNECT_TIMEOUT).await.expect("an answer on a new connection");
+        assert_eq!(answer.into_body(), "answer");
+    });
+}
+
 #[test]
 fn a_peer_that_reads_no_response_is_disconnected() {
     run(async |address, gate| {
