Notice within two seconds that a connection with calls in progress is silent

What callers see: on the product's own store client, an evacuation by the configuration takes effect 5 to 7 s after it was confirmed (bound 5 s) if the connections to the store went silent before; jobs and cancels whose notice to the owner was lost wait as long.

Cause: a watch has no timeout of its own. It depends on the keep-alive of its connection, which probed after 5 s and waited 5 s for the answer.

Evidence: a_call_without_a_timeout_fails_once_its_connection_is_silent fails without the change.

Weighed: a reset of the connection for all its calls once one of them has timed out. It would end slower calls to a peer, such as the storing of a job on behalf of another entry, for the sake of a status query of 250 ms.

Why it works: the probe goes out only if nothing arrived for a second, so a connection in use costs nothing more. A peer that is paused for more than two seconds loses its connections; calls time out before that, and watches go on from their last revision.

--- a/crates/wire/src/rpc/channel.rs
+++ b/crates/wire/src/rpc/channel.rs
@@ -14,8 +14,11 @@
 use std::time::Duration;
 use tonic::body::Body;
 
-const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(5);
-const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time without a frame after which a connection with calls in progress is probed; watches, which have
+/// no timeout of their own, depend on it.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time after which an unanswered probe ends the connection.
+const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(1);
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// A lazily connected client channel to one address; clones share the connection.
--- a/crates/wire/tests/rpc.rs
+++ b/crates/wire/tests/rpc.rs
@@ -11,8 +11,12 @@
 use shallotflow_wire::rpc::{Channel, serve};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tonic::{Code, Request, Response, Status};
 
+/// Longest time for which a connection may be silent before it counts as lost.
+const MAX_SILENCE: Duration = Duration::from_secs(5);
+
 /// Answers each report with its sequence number and refuses all other calls.
 struct Echo;
 
@@ -105,6 +109,28 @@
     });
 }
 
+/// A peer that accepts connections and neither answers nor closes them.
+async fn keep_silent(listener: TcpListener) {
+    let mut connections = Vec::new();
+    while let Ok(connection) = listener.accept().await {
+        connections.push(connection);
+    }
+}
+
+/// Watches have no timeout of their own, so only the channel can notice that its connection went
+/// silent.
+#[test]
+fn a_call_without_a_timeout_fails_once_its_connection_is_silent() {
+    run(async |_, _| {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("a bound address");
+        monoio::spawn(keep_silent(listener));
+        let channel = Channel::new(address);
+        let ended = monoio::time::timeout(MAX_SILENCE, report(&channel, 1)).await;
+        ended.expect("the silence is noticed").expect_err("a failure");
+    });
+}
+
 #[test]
 fn a_call_to_a_closed_port_fails() {
     run(async |_, _| {
