Close a connection whose client is silent for good

What callers see: nothing at first. Each time the connections of agents and entries go silent without a reset, the owner keeps its end of all of them, one descriptor each, until the process ends.

Cause: the server side of a gRPC connection had no keep-alive and reads for ever.

Evidence: a_server_closes_a_connection_whose_client_is_silent fails without the fix. No process was seen to run out of descriptors.

Why it works: a connection on which nothing arrives for 10 s is probed, and closed after 10 more. That is longer than the pauses of a process that users describe, so a paused peer keeps its connections.

--- a/crates/wire/src/rpc/mod.rs
+++ b/crates/wire/src/rpc/mod.rs
@@ -4,7 +4,7 @@
 mod server;
 
 pub use channel::Channel;
-pub use server::serve;
+pub use server::{serve, serve_within};
 
 use std::net::SocketAddr;
 
--- a/crates/wire/src/rpc/server.rs
+++ b/crates/wire/src/rpc/server.rs
@@ -16,10 +16,24 @@
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(5);
 
+/// Time after which a silent connection is probed, and after which an unanswered probe ends it. Longer
+/// than a peer is usually paused, so that its connections outlast that.
+const MAX_SILENCE: Duration = Duration::from_secs(10);
+
 /// Accepts connections and serves `service` on them until `stop` is notified.
 ///
 /// Connections that are open at that time finish their calls in progress and close.
 pub async fn serve<S>(listener: TcpListener, service: S, stop: Rc<Event>)
+where
+    S: Service<Request<Body>, Response = Response<Body>, Error = Infallible> + Clone + 'static,
+    S::Future: 'static,
+{
+    serve_within(listener, service, stop, MAX_SILENCE).await;
+}
+
+/// Like [`serve`], but closes connections on which nothing arrives for twice `silence`, not even the
+/// answer to a ping.
+pub async fn serve_within<S>(listener: TcpListener, service: S, stop: Rc<Event>, silence: Duration)
 where
     S: Service<Request<Body>, Response = Response<Body>, Error = Infallible> + Clone + 'static,
     S::Future: 'static,
@@ -32,7 +46,7 @@
                 monoio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             };
-            monoio::spawn(connection(stream, service.clone(), stop.clone()));
+            monoio::spawn(connection(stream, service.clone(), stop.clone(), silence));
         }
     };
     monoio::select! {
@@ -41,7 +55,7 @@
     }
 }
 
-async fn connection<S>(stream: TcpStream, service: S, stop: Rc<Event>)
+async fn connection<S>(stream: TcpStream, service: S, stop: Rc<Event>, silence: Duration)
 where
     S: Service<Request<Body>, Response = Response<Body>, Error = Infallible> + Clone + 'static,
     S::Future: 'static,
@@ -58,6 +72,8 @@
     let mut connection = std::pin::pin!(
         hyper::server::conn::http2::Builder::new(MonoioExecutor)
             .timer(MonoioTimer)
+            .keep_alive_interval(silence)
+            .keep_alive_timeout(silence)
             .serve_connection(MonoioIo::new(stream), handler)
     );
     monoio::select! {
--- a/crates/wire/tests/rpc.rs
+++ b/crates/wire/tests/rpc.rs
@@ -8,7 +8,7 @@
     ConfigReply, ConfigRequest, JobReply, JobRequest, ListReply, ListRequest, ReportReply,
     ReportRequest, SubmitRequest, TargetsReply, TargetsRequest,
 };
-use shallotflow_wire::rpc::{Channel, serve};
+use shallotflow_wire::rpc::{Channel, serve, serve_within};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,6 +16,8 @@
 
 /// Longest time for which a connection may be silent before it counts as lost.
 const MAX_SILENCE: Duration = Duration::from_secs(5);
+/// The preface of an HTTP/2 client with empty settings.
+const PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\x04\0\0\0\0\0";
 
 /// Answers each report with its sequence number and refuses all other calls.
 struct Echo;
@@ -131,6 +133,27 @@
     });
 }
 
+/// Connections that peers left without a reset must not use up the descriptors of a process.
+#[test]
+fn a_server_closes_a_connection_whose_client_is_silent() {
+    run(async |_, stop| {
+        use monoio::io::AsyncReadRent;
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("a bound address");
+        let service = SchedulerServer::new(Echo);
+        monoio::spawn(serve_within(listener, service, stop, Duration::from_millis(100)));
+        let mut client = monoio::net::TcpStream::connect(address).await.expect("a connection");
+        let closed = async {
+            monoio::io::AsyncWriteRentExt::write_all(&mut client, PREFACE).await.0?;
+            while client.read(Vec::with_capacity(1_024)).await.0? > 0 {}
+            Ok::<_, std::io::Error>(())
+        };
+        let ended = monoio::time::timeout(MAX_SILENCE, closed).await;
+        // The server may close the connection or reset it.
+        let _ = ended.expect("the connection ends");
+    });
+}
+
 #[test]
 fn a_call_to_a_closed_port_fails() {
     run(async |_, _| {
