Carry out a stop of a later owner while a former one's waits for its answer

What callers see: a run that its owner has stopped goes on for as long as its worker lives, and its task waits: the owner counts it as stopping, and repeats no order that the agent has received. In a gang, the other members wait too.

Cause: an agent drops the order to stop a run that it is already stopping. If that withdrawal is one for a former owner and its call gets no answer, it ends as soon as the agent sees the later epoch: the later owner has to decide anew. But it has decided: its order is lost. When open connections go silent, both come together: calls to workers get no answer, and entries lose their presence.

Evidence: the test in agent.rs fails without the fix.

Why it works: a withdrawal keeps the latest epoch that ordered it, and goes on for that owner. One that only a former owner ordered ends as before.

--- a/crates/scheduler/src/agent/order.rs
+++ b/crates/scheduler/src/agent/order.rs
@@ -91,13 +91,19 @@
 /// Repeats the stop of a run until the worker confirms it; a later poll shows the run's end or its
 /// absence.
 async fn stop(agent: &Rc<Agent>, key: Key, epoch: u64) {
-    if !agent.run_table.borrow_mut().begin_withdrawal(key) {
+    if !agent.run_table.borrow_mut().begin_withdrawal(key, epoch) {
         return;
     }
     let (task, run) = key;
+    let mut epoch = epoch;
     loop {
-        let incarnation = agent.run_table.borrow().incarnation().cloned();
-        if agent.run_table.borrow().epoch() != epoch {
+        let (incarnation, owner) = {
+            let table = agent.run_table.borrow();
+            // A later owner may have ordered the stop as well.
+            epoch = table.withdrawal_epoch(&key).unwrap_or(epoch);
+            (table.incarnation().cloned(), table.epoch())
+        };
+        if owner != epoch {
             // A later owner decides anew from the lists.
             return agent.run_table.borrow_mut().end_withdrawal(key);
         }
@@ -109,7 +115,12 @@
                     agent.poll_due.notify(usize::MAX);
                     return;
                 }
-                Err(Error::Fenced) => return agent.run_table.borrow_mut().end_withdrawal(key),
+                Err(Error::Fenced) => {
+                    let mut table = agent.run_table.borrow_mut();
+                    if table.withdrawal_epoch(&key).is_none_or(|ordered| ordered <= epoch) {
+                        return table.end_withdrawal(key);
+                    }
+                }
                 Err(error) => {
                     spdlog::debug!("stop repeated", kv: { reason = error.to_string() });
                 }
--- a/crates/scheduler/src/agent/run_table.rs
+++ b/crates/scheduler/src/agent/run_table.rs
@@ -50,6 +50,14 @@
     confirmed: bool,
 }
 
+/// A run that is being withdrawn.
+struct Withdrawal {
+    /// The latest owner that ordered it.
+    epoch: u64,
+    /// When the worker confirmed the stop.
+    stopped: Option<Time>,
+}
+
 /// The agent's table of runs.
 pub struct RunTable {
     settings: Settings,
@@ -90,8 +98,8 @@
     replaced_polls: u32,
     complete: bool,
     last_listed: Option<Time>,
-    /// Runs that are being withdrawn, with the time at which the worker confirmed the stop.
-    withdrawn: BTreeMap<Key, Option<Time>>,
+    /// Runs that are being withdrawn.
+    withdrawn: BTreeMap<Key, Withdrawal>,
     /// Starts without an answer, with the time until which the worker may carry them out.
     unanswered: BTreeMap<Key, Time>,
     /// Those of them that a new incarnation of the worker may carry out, until they are taken.
@@ -373,8 +381,8 @@
         let absent: Vec<Key> = self
             .withdrawn
             .iter()
-            .filter(|(key, stopped)| {
-                let stopped_before = stopped.is_some_and(|stopped| stopped < sent);
+            .filter(|(key, withdrawal)| {
+                let stopped_before = withdrawal.stopped.is_some_and(|stopped| stopped < sent);
                 stopped_before && !self.running.contains_key(key) && !page_full
             })
             .map(|(key, _)| *key)
@@ -520,19 +528,31 @@
         self.answers.push(Unconfirmed { item: answer, first_report: None, confirmed: false });
     }
 
-    /// Begins to withdraw a run; returns `false` when its withdrawal is already in progress.
-    pub fn begin_withdrawal(&mut self, key: Key) -> bool {
-        if self.withdrawn.contains_key(&key) {
-            return false;
+    /// Begins to withdraw a run for the owner of `epoch`; returns `false` when its withdrawal is already
+    /// in progress, which goes on for the later owner then.
+    pub fn begin_withdrawal(&mut self, key: Key, epoch: u64) -> bool {
+        match self.withdrawn.entry(key) {
+            Entry::Occupied(mut known) => {
+                let known = known.get_mut();
+                known.epoch = known.epoch.max(epoch);
+                false
+            }
+            Entry::Vacant(entry) => {
+                entry.insert(Withdrawal { epoch, stopped: None });
+                true
+            }
         }
-        self.withdrawn.insert(key, None);
-        true
+    }
+
+    /// The epoch of the owner for which a run is being withdrawn.
+    pub fn withdrawal_epoch(&self, key: &Key) -> Option<u64> {
+        self.withdrawn.get(key).map(|withdrawal| withdrawal.epoch)
     }
 
     /// Records that the worker confirmed the stop of a withdrawn run.
     pub fn confirm_stop(&mut self, key: Key, now: Time) {
-        if let Some(stopped) = self.withdrawn.get_mut(&key) {
-            *stopped = Some(now);
+        if let Some(withdrawal) = self.withdrawn.get_mut(&key) {
+            withdrawal.stopped = Some(now);
         }
     }
 
--- a/crates/scheduler/tests/agent.rs
+++ b/crates/scheduler/tests/agent.rs
@@ -42,6 +42,11 @@
     loses_starts: Cell<bool>,
     starts: Cell<u32>,
     stops: Cell<u32>,
+    /// The epoch whose stops get no answer once `loses_stop` is set.
+    hangs_stops_of: Cell<u64>,
+    loses_stop: Cell<bool>,
+    /// The epoch of the last stop that was answered.
+    stopped_by: Cell<u64>,
 }
 
 fn incarnation() -> Incarnation {
@@ -72,8 +77,13 @@
         Ok(1)
     }
 
-    async fn stop(&self, _: &Incarnation, _: Task, _: u32, _: u64, _: Duration) -> Result<u64> {
+    async fn stop(&self, _: &Incarnation, _: Task, _: u32, epoch: u64, _: Duration) -> Result<u64> {
         self.stops.set(self.stops.get() + 1);
+        if epoch == self.hangs_stops_of.get() {
+            until(|| self.loses_stop.get()).await;
+            return Err(Error::Unknown("the test lost the answer".to_owned()));
+        }
+        self.stopped_by.set(epoch);
         Ok(1)
     }
 
@@ -336,3 +346,46 @@
     })
     .expect("a runtime");
 }
+
+/// Two owners in turn, each of which orders the stop of the same run; the second one takes over while
+/// the stop for the first one is under way.
+async fn own_in_turn(mut calls: UnboundedReceiver<Call>, worker: Rc<Worker>) {
+    let mut last_ordered = 0;
+    while let Some(call) = calls.next().await {
+        let Call::Report(report, sender) = call else { continue };
+        let epoch = if worker.stops.get() == 0 { 1 } else { 2 };
+        let current = report.epoch == epoch;
+        if current && epoch == 2 && report.received > 0 {
+            worker.loses_stop.set(true);
+        }
+        let mut orders = Vec::new();
+        if current && report.complete && last_ordered < epoch {
+            last_ordered = epoch;
+            orders.push(Order { number: 1, task: task(1), run: 1, kind: Kind::Stop });
+        }
+        monoio::time::sleep(PAUSE).await;
+        let sequence = report.sequence;
+        let _ = sender.send(Reply { epoch, owned: true, sequence, orders, ..Reply::default() });
+    }
+}
+
+async fn carries_out_the_stop_of_the_later_owner() {
+    let worker = Rc::new(Worker::default());
+    worker.hangs_stops_of.set(1);
+    let (agent, calls) = connect(Settings::default(), &worker);
+    monoio::spawn(own_in_turn(calls, worker.clone()));
+    agent.register(profile(10_000), 1);
+    monoio::spawn(agent.clone().run());
+    until(|| worker.stopped_by.get() == 2).await;
+}
+
+/// An owner that has ordered a stop waits for its result, and does not repeat an order that the agent
+/// has received. So a stop must not be dropped because one for the former owner is under way.
+#[test]
+fn a_stop_of_a_later_owner_is_carried_out_while_one_of_the_former_owner_waits_for_its_answer() {
+    executor::run(async {
+        let ended = monoio::time::timeout(HANG, carries_out_the_stop_of_the_later_owner());
+        ended.await.expect("the run is stopped");
+    })
+    .expect("a runtime");
+}
--- a/crates/scheduler/tests/path/simulation.rs
+++ b/crates/scheduler/tests/path/simulation.rs
@@ -625,7 +625,7 @@
     /// withdrawn, a stop is repeated until it is answered.
     fn execute_orders(&mut self, number: usize, now: Time) {
         for pending in std::mem::take(&mut self.agents[number].orders) {
-            let PendingOrder { ref order, epoch, sequence, tries, unanswered, not_before } =
+            let PendingOrder { ref order, mut epoch, sequence, tries, unanswered, not_before } =
                 pending;
             if self.now < not_before {
                 self.agents[number].orders.push(pending);
@@ -633,6 +633,9 @@
             }
             let key = (order.task, order.run);
             let run_table = &mut self.agents[number].run_table;
+            if order.kind == Kind::Stop {
+                epoch = run_table.withdrawal_epoch(&key).unwrap_or(epoch);
+            }
             if run_table.epoch() != epoch {
                 run_table.end_withdrawal(key);
                 continue;
@@ -701,7 +704,7 @@
         if !unanswered || self.fault == Some(Fault::NoWithdrawal) {
             return run_table.push_answer(order.task, order.run, Outcome::NotReady);
         }
-        if run_table.begin_withdrawal(key) {
+        if run_table.begin_withdrawal(key, pending.epoch) {
             let order = Order { kind: Kind::Stop, ..order };
             self.agents[number].orders.push(PendingOrder { order, tries: 0, ..pending });
         }
@@ -748,7 +751,8 @@
         }
         for order in self.agents[number].run_table.apply_reply(reply) {
             let stop = order.kind == Kind::Stop;
-            if stop && !self.agents[number].run_table.begin_withdrawal((order.task, order.run)) {
+            let run_table = &mut self.agents[number].run_table;
+            if stop && !run_table.begin_withdrawal((order.task, order.run), epoch) {
                 continue;
             }
             let stalled = !stop && self.chance(self.rates.order_stalled);
