Decide while the deletion of ended jobs waits for the store

What callers see: in the moment in which old jobs are forgotten, while connections to the store are silent or the store is down, nothing starts and no deadline is acted on until the call for every ten jobs has timed out.

Cause: the loop that decides awaited the deletion. All other writes are made by a loop of their own.

Evidence: tasks_start_while_the_deletion_of_ended_jobs_is_not_answered fails without the fix.

Why it works: the deletion runs by itself; nothing depends on its result, since the next owner deletes what was left. The retention is a setting of the entry now, with the same default.

--- a/crates/scheduler/src/entry/own.rs
+++ b/crates/scheduler/src/entry/own.rs
@@ -47,7 +47,7 @@
     let missing = holders.iter().cloned().collect();
     let defaults = plan::Settings::default();
     let spread_factor = entry.settings.spread_factor.unwrap_or(defaults.spread_factor);
-    let limits = plan::Settings { spread_factor, ..defaults };
+    let limits = plan::Settings { spread_factor, retention: entry.settings.retention, ..defaults };
     let table = Table::new(limits, owner.epoch, missing, now);
     let progress_revisions = HashMap::default();
     let rates_due = now.after(entry.settings.learned_interval);
@@ -243,8 +243,9 @@
             }
             forgotten
         };
-        for ids in forgotten.chunks(DELETED_PER_COMMIT) {
-            delete_jobs(&entry, ids).await;
+        if !forgotten.is_empty() {
+            // The store may take until the timeout to answer.
+            monoio::spawn(delete_jobs(entry.clone(), forgotten));
         }
     }
 }
@@ -262,15 +263,17 @@
 }
 
 /// Deletes the store's keys of jobs that ended long ago.
-async fn delete_jobs(entry: &Rc<Entry>, ids: &[Id]) {
-    let mut transaction = Transaction::default();
-    for id in ids {
-        let keys = [keys::job(*id), keys::cancel(*id), keys::progress(*id)];
-        transaction = keys.into_iter().fold(transaction, Transaction::delete);
-    }
-    if let Err(error) = entry.commit(transaction).await {
-        // The next owner finds the jobs ended and deletes them in turn.
-        spdlog::warn!("jobs not forgotten", kv: { reason = error.to_string() });
+async fn delete_jobs(entry: Rc<Entry>, ids: Vec<Id>) {
+    for ids in ids.chunks(DELETED_PER_COMMIT) {
+        let mut transaction = Transaction::default();
+        for id in ids {
+            let keys = [keys::job(*id), keys::cancel(*id), keys::progress(*id)];
+            transaction = keys.into_iter().fold(transaction, Transaction::delete);
+        }
+        if let Err(error) = entry.commit(transaction).await {
+            // The next owner finds the jobs ended and deletes them in turn.
+            spdlog::warn!("jobs not forgotten", kv: { reason = error.to_string() });
+        }
     }
 }
 
--- a/crates/scheduler/src/entry/settings.rs
+++ b/crates/scheduler/src/entry/settings.rs
@@ -50,6 +50,8 @@
     /// Interval at which the learned disturbance rates are stored; it takes some ten seconds to
     /// learn them.
     pub learned_interval: Duration,
+    /// How long the state of an ended job is kept.
+    pub retention: Duration,
     /// Delay between the claims of two entries that find an owner absent, multiplied by the entry's
     /// rank.
     pub claim_stagger: Duration,
@@ -86,6 +88,7 @@
             unsettled_limit: Duration::from_secs(10),
             sizes_settle: Duration::from_millis(3_000),
             learned_interval: Duration::from_millis(3_000),
+            retention: shallotflow_policy::plan::Settings::default().retention,
             claim_stagger: Duration::from_millis(60),
             evacuation_prefix: None,
             evacuation_interval: Duration::from_millis(1_500),
--- a/crates/scheduler/tests/owner.rs
+++ b/crates/scheduler/tests/owner.rs
@@ -555,3 +555,31 @@
         assert_eq!(owned.get(), Some(false), "the answer to the release may be lost");
     });
 }
+
+/// While connections to the store are silent, each call takes until its timeout. Decisions must not
+/// wait for the deletion of old jobs then.
+#[test]
+fn tasks_start_while_the_deletion_of_ended_jobs_is_not_answered() {
+    run(async |shared| {
+        let settings = Settings { retention: PAUSE, ..Process::settings() };
+        let owner = Process::start_with(settings, "a", 1, &shared);
+        until(|| owner.owns()).await;
+        while owner.report(false).await.epoch == 0 {}
+        let deletions = Rc::new(Cell::new(0));
+        let seen = deletions.clone();
+        shared.intercept(move |_, call| match call {
+            Call::Commit(transaction)
+                if transaction.writes.iter().any(|write| matches!(write, Write::Delete { .. })) =>
+            {
+                seen.set(seen.get() + 1);
+                Delivery::Hang
+            }
+            _ => Delivery::Serve,
+        });
+        assert_eq!(owner.entry.submit(Id(1), job()).await, Submission::Accepted);
+        owner.entry.cancel("render", Id(1)).await;
+        until(|| deletions.get() > 0).await;
+        assert_eq!(owner.entry.submit(Id(2), job()).await, Submission::Accepted);
+        while !owner.orders_a_start().await {}
+    });
+}
--- a/crates/scheduler/tests/owner/store.rs
+++ b/crates/scheduler/tests/owner/store.rs
@@ -19,6 +19,8 @@
     Serve,
     /// The call is neither carried out nor answered.
     Silent,
+    /// The call is neither carried out nor does it end.
+    Hang,
     /// The call is carried out, but its answer is lost.
     LoseAnswer,
     /// The answer is lost, and the call is carried out when the test asks for it.
@@ -200,6 +202,9 @@
         let Some(mut interceptor) = interceptor else { return Delivery::Serve };
         let delivery = interceptor(self.caller, &call);
         self.shared.interceptor.borrow_mut().get_or_insert(interceptor);
+        if delivery == Delivery::Hang {
+            std::future::pending::<()>().await;
+        }
         if delivery == Delivery::Silent {
             // The client times out; the next call is decided anew.
             monoio::time::sleep(Duration::from_millis(20)).await;
@@ -247,7 +252,7 @@
                 self.shared.delayed.borrow_mut().push(transaction);
                 Err(Self::lost())
             }
-            Delivery::Silent => Err(Self::lost()),
+            Delivery::Silent | Delivery::Hang => Err(Self::lost()),
         }
     }
 
