Soak: lose open connections for good, and let jobs run until the end

The proxy discards all later bytes of the connections that are open on all links, on half or on a tenth of them, and passes neither an end nor a reset on. Three jobs with one to three tasks run until the end, where each task has to run at exactly one worker. Both are drawn from generators of their own, so the jobs and other faults of a seed stay as they were.

--- a/crates/soak/src/fault/kind.rs
+++ b/crates/soak/src/fault/kind.rs
@@ -15,6 +15,8 @@
     Reset(usize),
     /// Holds back all bytes on a link: forward, backward or both.
     Silence(usize, bool, bool),
+    /// Loses all later bytes of the open connections of a link; later connections work.
+    LoseOpen(usize),
     /// Evacuates a failure domain, by an operator's request.
     Evacuate(usize),
 }
@@ -29,6 +31,7 @@
             Self::Delay(..) => "delay",
             Self::Reset(_) => "reset",
             Self::Silence(_, true, true) => "silence",
+            Self::LoseOpen(_) => "lost connections",
             Self::Evacuate(_) => "evacuate",
             Self::Silence(..) => "one-way cut",
         }
--- a/crates/soak/src/fault/mod.rs
+++ b/crates/soak/src/fault/mod.rs
@@ -5,6 +5,7 @@
 //! - [`Targets`]: the processes and links that faults may affect.
 //! - [`schedule()`]: the faults of one soak.
 //! - [`evacuations()`]: the evacuations of one soak.
+//! - [`losses()`]: the losses of open connections of one soak.
 
 mod injection;
 mod kind;
@@ -13,5 +14,5 @@
 
 pub use injection::Injection;
 pub use kind::Fault;
-pub use schedule::{evacuations, schedule};
+pub use schedule::{evacuations, losses, schedule};
 pub use targets::Targets;
--- a/crates/soak/src/fault/schedule.rs
+++ b/crates/soak/src/fault/schedule.rs
@@ -42,6 +42,20 @@
     injections
 }
 
+/// Schedules losses of the open connections of all links, or of a part of them, within `length`.
+pub fn losses(rng: &mut SmallRng, links: usize, length: Duration) -> Vec<Injection> {
+    let mut injections = Vec::new();
+    let mut at = random_ms(rng, 1_000..4_000);
+    while at < length {
+        let percent = [100, 50, 10][rng.random_range(0..3)];
+        let lost = (0..links).filter(|_| rng.random_range(0..100) < percent);
+        let fault = |link| Injection { at, duration: Duration::ZERO, fault: Fault::LoseOpen(link) };
+        injections.extend(lost.map(fault));
+        at += random_ms(rng, 500..7_000);
+    }
+    injections
+}
+
 /// Adds a group of faults: random ones, or the same one for all entries, simultaneous or staggered.
 fn add_group(rng: &mut SmallRng, targets: Targets, at: Duration, injections: &mut Vec<Injection>) {
     let entries = 1..=targets.entries;
--- a/crates/soak/src/history/job.rs
+++ b/crates/soak/src/history/job.rs
@@ -5,6 +5,8 @@
 pub struct Job {
     /// The submitted specification.
     pub spec: Spec,
+    /// Whether the tasks of the job have to run until the end of the soak.
+    pub lasting: bool,
     /// Whether the job was accepted.
     pub accepted: bool,
     /// Whether the outcome of an attempt to submit it is unknown.
--- a/crates/soak/src/history/log.rs
+++ b/crates/soak/src/history/log.rs
@@ -61,6 +61,21 @@
         self.active.values().flatten().any(|(task, _)| task.job == job)
     }
 
+    /// Whether each task of the accepted `job` is where it belongs at the end: at exactly one worker if
+    /// the job is lasting, at none and with an ended job otherwise.
+    pub fn is_settled(&self, id: Id, job: &Job) -> bool {
+        if !job.lasting {
+            return job.last_state.is_some_and(State::is_final) && !self.is_running(id);
+        }
+        let running = self.active.values().flatten().map(|(task, _)| task);
+        let mut running: Vec<&Task> = running.filter(|task| task.job == id).collect();
+        let tasks: u32 = job.spec.steps.iter().map(|step| step.count).sum();
+        let runs = running.len();
+        running.sort_unstable();
+        running.dedup();
+        runs == running.len() && runs == tasks as usize
+    }
+
     /// Records the state of a job that a response reported; `None` means that the job is unknown.
     ///
     /// `before` is the state that was known when the query was sent. The response is compared with
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -65,10 +65,10 @@
         Some((reply.status(), not_run, reply.into_body()))
     }
 
-    /// Submits a job at one entry after another until the outcome is certain.
-    pub async fn submit(&self, id: Id, spec: Spec, entry: usize) {
+    /// Submits a job, which is never cancelled if it is `lasting`, at one entry after another until the outcome is certain.
+    pub async fn submit(&self, id: Id, spec: Spec, lasting: bool, entry: usize) {
         let Ok(body) = serde_json::to_string(&spec) else { return };
-        self.history.borrow_mut().jobs.insert(id, Job { spec, ..Job::default() });
+        self.history.borrow_mut().jobs.insert(id, Job { spec, lasting, ..Job::default() });
         let mut attempt = entry;
         loop {
             let reply = self.call(attempt, &Method::PUT, id, &body).await;
@@ -137,6 +137,15 @@
     }
 }
 
+/// A job whose `count` tasks run until it is cancelled.
+pub fn lasting_spec(count: u32) -> Spec {
+    let behavior = Behavior { long_running: true, ..Behavior::default() };
+    let need = Bundle { millicores: 300, ..Bundle::default() };
+    let step = Step { count, need, long_running: true, ..Step::default() };
+    let text = serde_json::json!({ "steps": [behavior] }).to_string();
+    Spec { text: text.into(), steps: vec![step], ..Spec::default() }
+}
+
 /// Draws a job; one in twelve runs until it is cancelled.
 pub fn random_spec(rng: &mut SmallRng) -> Spec {
     let long_running = rng.random_range(0..12) == 0;
--- a/crates/soak/src/proxy/link.rs
+++ b/crates/soak/src/proxy/link.rs
@@ -24,6 +24,7 @@
     forward: Cell<bool>,
     backward: Cell<bool>,
     resets: Cell<u64>,
+    losses: Cell<u64>,
     changed: Event,
 }
 
@@ -47,6 +48,17 @@
         self.inner.changed.notify(usize::MAX);
     }
 
+    /// Loses all later bytes of the open connections, for good and without a reset; connections that
+    /// are opened later work.
+    pub fn lose_open(&self) {
+        self.inner.losses.set(self.inner.losses.get() + 1);
+        self.inner.changed.notify(usize::MAX);
+    }
+
+    pub(super) fn losses(&self) -> u64 {
+        self.inner.losses.get()
+    }
+
     pub(super) fn delay(&self) -> Duration {
         self.inner.delay.get()
     }
--- a/crates/soak/src/proxy/relay.rs
+++ b/crates/soak/src/proxy/relay.rs
@@ -25,18 +25,39 @@
     }
     let (client_read, client_write) = client.into_split();
     let (server_read, server_write) = server.into_split();
+    let losses = link.losses();
+    let both = async {
+        let forward = relay(client_read, server_write, &link, Direction::Forward, losses);
+        let backward = relay(server_read, client_write, &link, Direction::Backward, losses);
+        let (mut forward, mut backward) = (std::pin::pin!(forward), std::pin::pin!(backward));
+        monoio::select! {
+            () = forward.as_mut() => {
+                // Neither side learns that the other one has closed a lost connection.
+                if link.losses() != losses {
+                    backward.await;
+                }
+            }
+            () = backward.as_mut() => {
+                if link.losses() != losses {
+                    forward.await;
+                }
+            }
+        }
+    };
     monoio::select! {
-        () = relay(client_read, server_write, &link, Direction::Forward) => {}
-        () = relay(server_read, client_write, &link, Direction::Backward) => {}
-        () = wait_for_reset(&link) => {}
+        () = both => {}
+        () = wait_for_reset(&link, losses) => {}
     }
 }
 
-/// Returns when the link is reset.
-async fn wait_for_reset(link: &Link) {
+/// Returns when the link is reset, unless the connection is lost.
+async fn wait_for_reset(link: &Link, losses: u64) {
     let known = link.resets();
     loop {
         let changed = link.listen();
+        if link.losses() != losses {
+            return std::future::pending().await;
+        }
         if link.resets() != known {
             return;
         }
@@ -55,12 +76,14 @@
     }
 }
 
-/// Relays bytes until either side closes.
+/// Relays bytes until either side closes, and discards them once the link has lost connections since
+/// `losses` was read.
 async fn relay(
     mut from: impl AsyncReadRent,
     mut to: impl AsyncWriteRentExt,
     link: &Link,
     direction: Direction,
+    losses: u64,
 ) {
     loop {
         let (read, bytes) = from.read(Vec::with_capacity(CHUNK_BYTES)).await;
@@ -72,6 +95,9 @@
             monoio::time::sleep(delay).await;
         }
         wait_while_silent(link, direction).await;
+        if link.losses() != losses {
+            continue;
+        }
         let (written, _) = to.write_all(bytes).await;
         if written.is_err() {
             return;
--- a/crates/soak/src/run/action.rs
+++ b/crates/soak/src/run/action.rs
@@ -7,4 +7,6 @@
     Start(usize),
     Resume(usize),
     Restore(usize),
+    /// Submits a job whose tasks run until the end of the soak, by number.
+    SubmitLasting(u32),
 }
--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -29,6 +29,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+/// Number of jobs whose tasks run until the end.
+const LASTING_JOBS: u32 = 3;
+
 /// Runs a soak.
 ///
 /// # Errors
@@ -75,12 +78,18 @@
     let targets =
         Targets { processes: options.processes, entries: ENTRIES, links: soak.testbed.links.len() };
     let started = Instant::now();
-    // A generator of their own keeps the jobs and faults of a seed as they were without evacuations.
+    // Generators of their own keep the jobs and other faults of a seed as they were without these.
     let mut evacuation_rng = SmallRng::seed_from_u64(!options.seed);
     let evacuations = fault::evacuations(&mut evacuation_rng, DOMAINS, length);
-    for injection in fault::schedule(&mut rng, targets, length).into_iter().chain(evacuations) {
+    let mut loss_rng = SmallRng::seed_from_u64(options.seed.reverse_bits());
+    let losses = fault::losses(&mut loss_rng, targets.links, length);
+    let faults = fault::schedule(&mut rng, targets, length);
+    for injection in faults.into_iter().chain(evacuations).chain(losses) {
         soak.schedule(started + injection.at, Action::Inject(injection));
     }
+    for number in 0..LASTING_JOBS {
+        soak.schedule(started + length * number / LASTING_JOBS, Action::SubmitLasting(number));
+    }
     soak.load(&mut rng, started + length, &stop).await?;
     soak.settle(&stop).await?;
     soak.summary.interrupted = stop.level() > Level::Run;
--- a/crates/soak/src/run/soak.rs
+++ b/crates/soak/src/run/soak.rs
@@ -123,7 +123,7 @@
         let after = MAX_CANCEL_DELAY.mul_f64(rng.random_range(0.0..1.0));
         let caller = self.caller.clone();
         monoio::spawn(async move {
-            caller.submit(id, spec, entry).await;
+            caller.submit(id, spec, false, entry).await;
             if cancelled {
                 monoio::time::sleep(after).await;
                 caller.cancel(id, entry + 1).await;
@@ -211,6 +211,12 @@
                     child.signal(Signal::CONT);
                 }
             }
+            Action::SubmitLasting(number) => {
+                let caller = self.caller.clone();
+                let id = Id(u64::MAX - u64::from(number));
+                let spec = load::lasting_spec(number + 1);
+                monoio::spawn(async move { caller.submit(id, spec, true, number as usize).await });
+            }
             Action::Restore(link) => {
                 let (_, link) = &self.testbed.links[link];
                 link.set_delay(Duration::ZERO);
@@ -263,6 +269,7 @@
                 monoio::spawn(self.operator.clone().evacuate(domain, duration));
             }
             Fault::Reset(link) => self.testbed.links[link].1.reset(),
+            Fault::LoseOpen(link) => self.testbed.links[link].1.lose_open(),
             Fault::Silence(link, forward, backward) => {
                 self.testbed.links[link].1.set_silent(forward, backward);
                 self.schedule(ends_at, Action::Restore(link));
@@ -284,7 +291,9 @@
             if Instant::now() > deadline {
                 for id in unfinished {
                     let state = self.caller.history.borrow().jobs[&id].last_state;
-                    let violation = format!("job {id} has not ended after the faults: {state:?}");
+                    let lasting = self.caller.history.borrow().jobs[&id].lasting;
+                    let what = if lasting { "does not run as a whole" } else { "has not ended" };
+                    let violation = format!("job {id} {what} after the faults: {state:?}");
                     self.summary.violations.insert(violation);
                 }
                 return Ok(());
@@ -298,14 +307,11 @@
         }
     }
 
-    /// Accepted jobs that have not ended or still have running tasks.
+    /// Accepted jobs that have not ended or still have running tasks, and lasting jobs that do not run.
     fn unfinished_jobs(&self) -> Vec<Id> {
         let history = self.caller.history.borrow();
-        let ended = |id: &Id| {
-            history.jobs[id].last_state.is_some_and(State::is_final) && !history.is_running(*id)
-        };
         let accepted = history.jobs.iter().filter(|(_, job)| job.accepted);
-        accepted.map(|(id, _)| *id).filter(|id| !ended(id)).collect()
+        accepted.filter(|(id, job)| !history.is_settled(**id, job)).map(|(id, _)| *id).collect()
     }
 
     /// Kills all processes and checks the guarantees.
--- a/crates/soak/tests/oracle.rs
+++ b/crates/soak/tests/oracle.rs
@@ -146,3 +146,24 @@
     Worker(&mut history, worker).reports(at, 0, 1, Transition::Started);
     assert_eq!(oracle::check(&history), [""; 0]);
 }
+
+/// Each task of a job that lasts runs at exactly one worker in the end.
+#[test_case(|worker| { worker.reports(1, 0, 1, Transition::Started); }, true; "one run")]
+#[test_case(|_| {}, false; "no run")]
+#[test_case(|worker| {
+    worker.reports(1, 0, 1, Transition::Started).reports(2, 0, 1, failed());
+}, false; "an ended run")]
+#[test_case(|worker| {
+    worker.reports(1, 0, 1, Transition::Started).reports(2, 0, 2, Transition::Started);
+}, false; "two runs")]
+fn a_lasting_job_is_settled_with_one_run_of_each_task(
+    act: impl FnOnce(&mut Worker<'_>),
+    settled: bool,
+) {
+    let mut history = history();
+    act(&mut Worker(&mut history, 0));
+    let steps = vec![Step { count: 1, long_running: true, ..Step::default() }];
+    let spec = Spec { steps, ..Spec::default() };
+    let job = Job { spec, lasting: true, accepted: true, ..Job::default() };
+    assert_eq!(history.is_settled(JOB, &job), settled);
+}
