Send a stop again whose run goes on after it was answered

What callers would see: a run of a cancelled job goes on, or a task waits for a run that its owner counts as stopping.

Cause: the agent drops an order to stop a run whose withdrawal is in progress. It stays in progress, without anyone repeating the stop, once the worker has answered and while it still lists the run, for instance after an answer that is no success but counts as one. The owner's repeated order, added before, ends in the same place.

Change: an order for a run whose stop was answered sends it again. The owner keeps the time of the first order for the duration of stops, and a deadline of its own for the repetition.

The test failed before.

--- a/crates/policy/src/plan/audit.rs
+++ b/crates/policy/src/plan/audit.rs
@@ -121,9 +121,7 @@
                 Phase::Stopping { ref agent, .. } => {
                     let worker = self.workers.get(agent);
                     let listed_at = worker.map_or(Time::ZERO, |worker| worker.listed_at);
-                    let deadline =
-                        state.stopped_at.unwrap_or(now).after(self.settings.stall_timeout);
-                    deadline.passed(listed_at)
+                    state.stop_due.passed(listed_at)
                         && listed_at.after(STALL_RECHECK_INTERVAL).passed(now)
                 }
                 _ => false,
--- a/crates/policy/src/plan/expire.rs
+++ b/crates/policy/src/plan/expire.rs
@@ -89,19 +89,17 @@
     /// stop should have had a result. A worker that is silent, or whose agent is, shows nothing.
     fn expire_stop(&mut self, agent: &Name, task: Task, run: u32, now: Time) {
         let listed_at = self.workers.get(agent).map_or(Time::ZERO, |worker| worker.listed_at);
-        let timeout = self.settings.stall_timeout;
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let Some(position) = job.position(&task) else { return };
         let state = &mut job.tasks[position];
-        let deadline = state.stopped_at.unwrap_or(now).after(timeout);
-        if !deadline.passed(now) {
-            return self.timers.push(deadline, Timer::Run(task));
+        if !state.stop_due.passed(now) {
+            return self.timers.push(state.stop_due, Timer::Run(task));
         }
-        if !deadline.passed(listed_at) {
+        if !state.stop_due.passed(listed_at) {
             return self.timers.push(now.after(STALL_RECHECK_INTERVAL), Timer::Run(task));
         }
-        state.stopped_at = Some(now);
-        self.timers.push(now.after(timeout), Timer::Run(task));
+        state.stop_due = now.after(self.settings.stall_timeout);
+        self.timers.push(state.stop_due, Timer::Run(task));
         self.order_stop(agent, task, run, "its stop had no result");
     }
 
--- a/crates/policy/src/plan/table.rs
+++ b/crates/policy/src/plan/table.rs
@@ -311,7 +311,8 @@
         };
         state.phase = Phase::Stopping { agent: agent.clone(), run };
         state.stopped_at = Some(now);
-        self.timers.push(now.after(self.settings.stall_timeout), Timer::Run(task));
+        state.stop_due = now.after(self.settings.stall_timeout);
+        self.timers.push(state.stop_due, Timer::Run(task));
         self.order_stop(&agent, task, run, reason);
     }
 
--- a/crates/policy/src/plan/task_state.rs
+++ b/crates/policy/src/plan/task_state.rs
@@ -81,6 +81,8 @@
     pub slowed_since: Option<Time>,
     /// When a stop of the current run was ordered.
     pub stopped_at: Option<Time>,
+    /// When that stop is ordered again unless it has had a result.
+    pub stop_due: Time,
     /// Time that the current run has been at work, at full pace.
     pub worked: Duration,
     /// Until when `worked` is counted.
--- a/crates/scheduler/src/agent/run_table.rs
+++ b/crates/scheduler/src/agent/run_table.rs
@@ -529,14 +529,14 @@
         self.answers.push(Unconfirmed { item: answer, first_report: None, confirmed: false });
     }
 
-    /// Begins to withdraw a run for the owner of `epoch`; returns `false` when its withdrawal is already
-    /// in progress, which goes on for the later owner then.
+    /// Begins to withdraw a run for the owner of `epoch`; returns `false` while its stop waits for an
+    /// answer, which goes on for the later owner then. A stop that had one is sent again.
     pub fn begin_withdrawal(&mut self, key: Key, epoch: u64) -> bool {
         match self.withdrawn.entry(key) {
             Entry::Occupied(mut known) => {
                 let known = known.get_mut();
                 known.epoch = known.epoch.max(epoch);
-                false
+                known.stopped.take().is_some()
             }
             Entry::Vacant(entry) => {
                 entry.insert(Withdrawal { epoch, stopped: None });
--- a/crates/scheduler/tests/run_table.rs
+++ b/crates/scheduler/tests/run_table.rs
@@ -452,3 +452,18 @@
     let after = table.report(at(6_900)).sequence;
     assert!(!table.is_outdated(after));
 }
+
+/// Guards against an order that is dropped although nothing stops the run any more.
+#[test]
+fn a_run_that_goes_on_after_its_stop_was_answered_is_stopped_again() {
+    let mut table = joined(vec![run()]);
+    let key = (run().task, run().run);
+    assert!(table.begin_withdrawal(key, 1));
+    assert!(!table.begin_withdrawal(key, 1), "the stop waits for its answer");
+    table.confirm_stop(key, at(10));
+    table.apply_lists(lists(7, vec![run()]), 1, at(20), at(20));
+    assert!(table.begin_withdrawal(key, 1));
+    table.confirm_stop(key, at(30));
+    table.apply_lists(lists(7, Vec::new()), 1, at(40), at(40));
+    assert!(!table.is_withdrawn(&key));
+}
