Keep the runs of a worker whose former incarnation deregisters late

What callers would see: tasks start elsewhere while they run, after a single poll without an answer.

Cause: a worker may start again under its identifier. A deregistration that its former incarnation sent, and that arrives after the next one has registered, marked that one as gone for as long as it lived; its first failed poll then counted as the end of all its runs.

Change: a registration that is accepted shows that the worker has not left; a deregistration that names another start changes nothing; and after one the worker counts as empty once nothing listens or three polls have failed.

--- a/crates/scheduler/src/agent/run_table.rs
+++ b/crates/scheduler/src/agent/run_table.rs
@@ -242,6 +242,8 @@
             self.begin_incarnation(profile.incarnation.clone(), now);
         }
         self.incarnation = Some(profile.incarnation.clone());
+        // A worker that registers has not left; the message was delayed, from a former incarnation.
+        self.deregistered = false;
         self.vacant_polls = 0;
         self.drain_deadline = match profile.status {
             Status::Draining { remaining_ms } => {
@@ -272,10 +274,12 @@
         sequence < self.outdating_report
     }
 
-    /// Records that the worker `id` has deregistered; returns `false` when another one is
-    /// registered.
-    pub fn deregister(&mut self, id: &str) -> bool {
-        let is_registered = self.incarnation.as_ref().is_some_and(|known| &*known.id == id);
+    /// Records that the worker `id` has deregistered, if it says so itself that started at `started_ms`;
+    /// returns `false` when another one is registered.
+    pub fn deregister(&mut self, id: &str, started_ms: Option<u64>) -> bool {
+        let is_registered = self.incarnation.as_ref().is_some_and(|known| {
+            &*known.id == id && started_ms.is_none_or(|started_ms| started_ms == known.started_ms)
+        });
         self.deregistered |= is_registered;
         is_registered
     }
@@ -632,7 +636,7 @@
         let mut profile = self.profile.clone()?;
         let cold = self.warm_at.remaining(now).as_millis();
         profile.cold_remaining_ms = u64::try_from(cold).unwrap_or(u64::MAX);
-        if self.deregistered && self.failed_polls > 0 {
+        if self.deregistered && (self.vacant_polls > 0 || self.is_silent()) {
             profile.status = Status::Empty;
         } else if self.is_silent() {
             let empty = self.granted_until.passed(now);
--- a/crates/scheduler/src/agent/shared.rs
+++ b/crates/scheduler/src/agent/shared.rs
@@ -64,9 +64,10 @@
         }
     }
 
-    /// Records that the worker `id` has left; its runs have ended.
-    pub fn deregister(&self, id: &str) {
-        if self.run_table.borrow_mut().deregister(id) {
+    /// Records that the worker `id` has left; its runs have ended. `started_ms` is the start of its
+    /// incarnation, if it says so.
+    pub fn deregister(&self, id: &str, started_ms: Option<u64>) {
+        if self.run_table.borrow_mut().deregister(id, started_ms) {
             crate::log::decision("worker left", &id);
             self.report_due.notify(usize::MAX);
         }
--- a/crates/scheduler/tests/run_table.rs
+++ b/crates/scheduler/tests/run_table.rs
@@ -467,3 +467,21 @@
     table.apply_lists(lists(7, Vec::new()), 1, at(40), at(40));
     assert!(!table.is_withdrawn(&key));
 }
+
+#[test]
+fn a_late_deregistration_of_a_former_incarnation_does_not_empty_the_present_one() {
+    let unanswered = |table: &mut RunTable, ms: u64| {
+        table.poll_failed(&Error::Unknown("lost".to_owned()), at(ms));
+        table.report(at(ms)).worker.map(|worker| worker.status)
+    };
+    let mut table = joined(vec![run()]);
+    assert!(table.register(profile(1_000), 1, at(0)));
+    assert!(!table.deregister("w", Some(6)), "it names the former one");
+    assert!(table.deregister("w", None));
+    assert!(table.register(profile(1_000), 2, at(100)), "the present one is well");
+    assert_eq!(unanswered(&mut table, 200), Some(Status::Ready));
+    assert!(table.deregister("w", Some(7)));
+    assert_eq!(unanswered(&mut table, 300), Some(Status::Ready), "a poll may be lost");
+    table.poll_failed(&Error::Vacant, at(400));
+    assert_eq!(table.report(at(400)).worker.map(|worker| worker.status), Some(Status::Empty));
+}
