Refuse a delayed registration of an incarnation that was replaced

What callers would see: after a machine's clock was set back, tasks start elsewhere while they run.

Cause: since a later incarnation may have the earlier start, a delayed registration of the former one looked newer than the present one, which the owner took for a restart.

Change: the agent remembers the starts of the last incarnations that were replaced, and takes a registration of one only when the present one no longer answers. Lists are not refused for it, so that a wrong replacement does not last.

The test failed before.

--- a/crates/scheduler/src/agent/run_table.rs
+++ b/crates/scheduler/src/agent/run_table.rs
@@ -28,6 +28,8 @@
 /// Consecutive polls that another incarnation must refuse before the known one counts as gone: the first
 /// may have been sent before the present one was known.
 const REPLACED_POLLS: u32 = 2;
+/// Number of replaced incarnations that are remembered; a delayed registration is seconds old.
+const MAX_REPLACED: usize = 8;
 /// Margin on the end of a lease for the time that a call is in flight.
 const LEASE_MARGIN: Duration = Duration::from_millis(60);
 
@@ -78,6 +80,8 @@
     evacuation_version: u64,
     deregistered: bool,
     incarnation: Option<Incarnation>,
+    /// Starts of the incarnations that it and others replaced, the latest last.
+    replaced: VecDeque<u64>,
     /// Since when the incarnation is known.
     incarnation_since: Time,
     running: BTreeMap<Key, ActiveRun>,
@@ -136,6 +140,7 @@
             evacuation_version: 0,
             deregistered: false,
             incarnation: None,
+            replaced: VecDeque::new(),
             incarnation_since: Time::ZERO,
             running: BTreeMap::new(),
             ends: BTreeMap::new(),
@@ -229,11 +234,11 @@
     /// A clock that was set back gives a later incarnation an earlier start. It counts as later once
     /// the known one does not answer any more.
     pub fn register(&mut self, profile: Profile, registration: u64, now: Time) -> bool {
+        let started_ms = profile.incarnation.started_ms;
+        let known = self.incarnation.as_ref();
         let older = self.replaced_polls < REPLACED_POLLS
-            && self
-                .incarnation
-                .as_ref()
-                .is_some_and(|known| known.started_ms > profile.incarnation.started_ms);
+            && (known.is_some_and(|known| known.started_ms > started_ms)
+                || self.replaced.contains(&started_ms));
         let same = self.incarnation.as_ref() == Some(&profile.incarnation);
         if older || (same && registration <= self.registration) {
             return false;
@@ -313,6 +318,11 @@
         self.late_starts = self.unanswered.keys().copied().collect();
         // The next incarnation may be another kind of worker, whatever it is called.
         self.profile = None;
+        self.replaced.extend(former.map(|former| former.started_ms));
+        self.replaced.retain(|started_ms| *started_ms != incarnation.started_ms);
+        if self.replaced.len() > MAX_REPLACED {
+            self.replaced.pop_front();
+        }
         self.incarnation = Some(incarnation);
         self.incarnation_since = now;
         self.registration = 0;
--- a/crates/scheduler/tests/run_table.rs
+++ b/crates/scheduler/tests/run_table.rs
@@ -362,7 +362,7 @@
         ..profile(1_000)
     };
     let mut table = joined(vec![run()]);
-    assert!(table.register(former, 5, at(10)));
+    assert!(table.register(former.clone(), 5, at(10)));
     table.poll_failed(&Error::OtherIncarnation, at(100));
     assert!(!table.register(later.clone(), 1, at(101)), "it may be a delayed registration");
     table.poll_failed(&Error::OtherIncarnation, at(200));
@@ -370,6 +370,7 @@
     table.apply_lists(lists(6, Vec::new()), 1, at(300), at(301));
     assert!(table.is_complete());
     assert!(table.running().is_empty(), "its former incarnation has taken the run with it");
+    assert!(!table.register(former, 9, at(400)), "a delayed registration of the former one");
 }
 
 #[test]
