--- a/crates/policy/src/plan/settings.rs
+++ b/crates/policy/src/plan/settings.rs
@@ -34,7 +34,7 @@
     /// How long a best-effort task waits for a worker where it disturbs no serving task. A task
     /// that disturbs others is slowed down until their targets are met, so an early start gains nothing.
     pub disturbance_wait: Duration,
-    /// How long such a task waits while nothing of its job runs and half of the processors are idle: less
+    /// How long such a task waits while nothing of its job runs and half of the processors are free: less
     /// than the 3 s after which users miss the job.
     pub idle_wait: Duration,
     /// Amount that a best-effort image adds to the tail latency of serving tasks, as a share of their
