Remember final states that were shown while the owner did not answer

What callers see: a job that an entry showed as cancelled could be shown as running again by the same entry or another one.

Cause: while the owner does not answer, an entry answers from the store, and a cancel in the store makes a job cancelled. The owner may not have heard of it, because the answer to the write was lost and its watch was silent; when it answers again, it answers running.

Why it works: the first time an entry shows a cancel from the store, it tells the owner before it answers. If the owner does not hear it, the entry shows what it remembers instead of an earlier state, and tells the owner again with each query.

--- a/crates/scheduler/src/entry/ask.rs
+++ b/crates/scheduler/src/entry/ask.rs
@@ -3,7 +3,9 @@
 use super::{Entry, keys};
 use crate::peers::{Request, Response, unpack};
 use shallotflow_core::graph::{Id, Job, State};
+use shallotflow_core::time::Clock;
 use shallotflow_policy::plan::Progress;
+use shallotflow_runtime::clock::Boottime;
 use shallotflow_store::error::Error;
 use std::rc::Rc;
 
@@ -14,6 +16,21 @@
     ///
     /// Fails when neither the owner nor the store answers.
     pub async fn state(self: &Rc<Self>, queue: &str, id: Id) -> Result<Option<State>, Error> {
+        let state = self.latest_state(queue, id).await?;
+        let shown = self.shown.borrow_mut().get(id, Boottime.now());
+        match (state, shown) {
+            // The owner has not heard of what this entry has shown from the store.
+            (Some(state), Some(shown)) if !state.is_final() => {
+                if shown == State::Cancelled {
+                    self.notify_owner_of_cancel(id).await;
+                }
+                Ok(Some(shown))
+            }
+            (state, _) => Ok(state),
+        }
+    }
+
+    async fn latest_state(&self, queue: &str, id: Id) -> Result<Option<State>, Error> {
         if let Some(ownership) = &*self.ownership.borrow()
             && let Some(state) = ownership.table.visible_state(queue, id)
         {
@@ -29,7 +46,15 @@
                 }
             }
         }
-        self.stored_state(queue, id).await
+        let state = self.stored_state(queue, id).await?;
+        if let Some(state) = state.filter(|state| state.is_final()) {
+            let first = self.shown.borrow_mut().insert(id, state, Boottime.now());
+            if first && state == State::Cancelled {
+                // Other entries show what the owner answers.
+                self.notify_owner_of_cancel(id).await;
+            }
+        }
+        Ok(state)
     }
 
     /// The state in the store, for a job that the owner does not know or when the owner does not
--- a/crates/scheduler/src/entry/mod.rs
+++ b/crates/scheduler/src/entry/mod.rs
@@ -28,6 +28,7 @@
 mod serve;
 mod settings;
 mod shared;
+mod shown;
 mod submission;
 mod submit;
 mod waits;
--- a/crates/scheduler/src/entry/shared.rs
+++ b/crates/scheduler/src/entry/shared.rs
@@ -2,6 +2,7 @@
 use super::member::{Owner, Presence};
 use super::overload::Overload;
 use super::ownership::Ownership;
+use super::shown::Shown;
 use super::{Settings, elect, evacuate, membership, own, serve, waits};
 use crate::peers::{Call, Client};
 use event_listener::Event;
@@ -69,6 +70,7 @@
     /// Failure domains that the fleet configuration evacuates.
     pub(super) evacuated_by_configuration: RefCell<BTreeSet<Name>>,
     pub(super) overload: RefCell<Overload>,
+    pub(super) shown: RefCell<Shown>,
     pub(super) stopping: Cell<bool>,
     /// The entry makes no claim before this time.
     pub(super) claims_allowed_from: Cell<Time>,
@@ -104,6 +106,7 @@
             activity: Activity::default(),
             evacuated_by_configuration: RefCell::default(),
             overload: RefCell::default(),
+            shown: RefCell::default(),
             stopping: Cell::new(false),
             claims_allowed_from: Cell::new(Time::ZERO),
             clients: RefCell::new(HashMap::new()),
--- a/crates/scheduler/src/entry/submit.rs
+++ b/crates/scheduler/src/entry/submit.rs
@@ -164,8 +164,15 @@
         }
         let details = serde_json::json!({ "job": id.to_string(), "outcome": outcome });
         crate::log::decision("cancel", &details);
-        if outcome == Cancellation::Cancelled
-            && !self.apply_cancel(id)
+        if outcome == Cancellation::Cancelled {
+            self.notify_owner_of_cancel(id).await;
+        }
+        outcome
+    }
+
+    /// Notifies the owner of a stored cancel before its watch delivers the cancel.
+    pub(super) async fn notify_owner_of_cancel(&self, id: Id) {
+        if !self.apply_cancel(id)
             && let Some(owner) = self.owner_client()
         {
             let request = Request::CancelStored { id };
@@ -174,7 +181,6 @@
                 spdlog::debug!("cancel not told", kv: { reason = error.to_string() });
             }
         }
-        outcome
     }
 
     async fn cancel_via_peer(&self, queue: &str, id: Id) -> Cancellation {
--- a/crates/scheduler/tests/owner.rs
+++ b/crates/scheduler/tests/owner.rs
@@ -2,6 +2,8 @@
 
 #[path = "owner/evacuation.rs"]
 mod evacuation;
+#[path = "owner/shown.rs"]
+mod shown;
 #[path = "owner/store.rs"]
 mod store;
 #[path = "owner/waits.rs"]
@@ -82,6 +84,17 @@
     ) -> Self {
         // Nothing listens at this address.
         let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+        Self::start_at(address, settings, name, process, shared)
+    }
+
+    /// Starts an entry that announces `address` to the others.
+    fn start_at(
+        address: SocketAddr,
+        settings: Settings,
+        name: &'static str,
+        process: u64,
+        shared: &Rc<Shared>,
+    ) -> Self {
         let store = Rc::new(Handle { caller: name, shared: shared.clone() });
         let entry = Entry::new(settings, name.into(), process, address, store);
         let (calls, receiver) = unbounded();
