--- a/crates/policy/src/plan/backlog.rs
+++ b/crates/policy/src/plan/backlog.rs
@@ -80,7 +80,7 @@
     }
 
     /// Returns whether tasks reserve less than half of the processors.
-    pub(super) fn is_half_idle(&self) -> bool {
+    pub(super) fn is_half_free(&self) -> bool {
         self.reserved * 2 < self.capacity
     }
 
--- a/crates/policy/src/plan/interference.rs
+++ b/crates/policy/src/plan/interference.rs
@@ -5,13 +5,13 @@
 use shallotflow_core::time::Time;
 
 impl Settings {
-    /// Returns whether the task at `position` of `job` may start at `now` where it interferes with
-    /// serving tasks.
+    /// Returns whether the task at `position` of `job` has waited long enough at `now` to start where it
+    /// interferes with serving tasks.
     ///
     /// A task of a job with an objective may do so only if the job can still end in time and would
     /// miss its objective by waiting. One whose job is late gains little by it, so it waits for up to
     /// three objectives.
-    fn may_interfere(&self, job: &Job, position: usize, now: Time) -> bool {
+    fn interference_wait_is_over(&self, job: &Job, position: usize, now: Time) -> bool {
         let ready = job.tasks[position].waits_since();
         if !self.interferes_by_objective || !job.is_deferrable() {
             return ready.after(self.disturbance_wait).passed(now);
@@ -29,23 +29,24 @@
     /// Returns whether the task at `position` of `job` may start at `now` where it interferes with
     /// serving tasks.
     pub(super) fn may_interfere(&self, job: &Job, position: usize, now: Time) -> bool {
-        self.settings.may_interfere(job, position, now) || self.is_held_up(job, position, now)
+        self.settings.interference_wait_is_over(job, position, now)
+            || self.only_one_may_interfere(job, position, now)
     }
 
-    /// Returns whether the task may interfere only because nothing of its job runs.
+    /// Returns whether one task of the job may interfere, only because nothing of the job runs.
     ///
-    /// While half of the processors are idle, such a job waits for a short time only: its caller sees
+    /// While half of the processors are free, such a job waits for a short time only: its caller sees
     /// no progress, and one run costs the serving tasks little.
-    pub(super) fn is_held_up(&self, job: &Job, position: usize, now: Time) -> bool {
-        self.ends_hold_up(job, position).is_some_and(|ends_at| ends_at.passed(now))
-            && !self.settings.may_interfere(job, position, now)
+    pub(super) fn only_one_may_interfere(&self, job: &Job, position: usize, now: Time) -> bool {
+        self.idle_wait_ends(job, position).is_some_and(|ends_at| ends_at.passed(now))
+            && !self.settings.interference_wait_is_over(job, position, now)
     }
 
     /// Returns when the task may interfere because nothing of its job runs; `None` if that is not so.
-    fn ends_hold_up(&self, job: &Job, position: usize) -> Option<Time> {
+    fn idle_wait_ends(&self, job: &Job, position: usize) -> Option<Time> {
         let share = self.backlogs.services.get(&job.queue.service)?;
-        let held_up = share.is_half_idle() && !job.occupies_workers();
-        held_up.then(|| job.tasks[position].waits_since().after(self.settings.idle_wait))
+        let idle = share.is_half_free() && !job.occupies_workers();
+        idle.then(|| job.tasks[position].waits_since().after(self.settings.idle_wait))
     }
 
     /// Returns when the task may interfere at the latest; `None` if that follows from the objective of
@@ -54,6 +55,6 @@
         let by_objective = self.settings.interferes_by_objective && job.is_deferrable();
         let wait = self.settings.disturbance_wait;
         let waited = (!by_objective).then(|| job.tasks[position].waits_since().after(wait));
-        [waited, self.ends_hold_up(job, position)].into_iter().flatten().min()
+        [waited, self.idle_wait_ends(job, position)].into_iter().flatten().min()
     }
 }
--- a/crates/policy/src/plan/place.rs
+++ b/crates/policy/src/plan/place.rs
@@ -126,7 +126,7 @@
         if step.best_effort && !may_interfere && self.refusals.is_disturbing(service, step) {
             return false;
         }
-        if step.best_effort && !gang && self.is_held_up(job, waiting[0], now) {
+        if step.best_effort && !gang && self.only_one_may_interfere(job, waiting[0], now) {
             waiting.truncate(1);
         }
         let mut isolation = Isolation::None;
@@ -268,6 +268,7 @@
         let near_wait_ms = u64::try_from(near_wait.as_millis()).unwrap_or(u64::MAX);
         state.last_run = run;
         state.begun = now;
+        state.unanswered = false;
         state.resumed = state.checkpoint.is_some();
         (state.worked, state.worked_until) = (Duration::ZERO, now);
         state.percent = 0;
--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -445,18 +445,18 @@
         }
     }
 
-    /// Pauses a worker that refused a start, for longer with each refusal in a row.
+    /// Pauses a worker that refused a start or did not answer it, for longer with each one in a row.
     fn pause_worker(&mut self, agent: &Name, now: Time) {
         let Some(worker) = self.workers.get_mut(agent) else { return };
         // Starts that were ordered together are refused together.
-        if !worker.full_until.passed(now) {
+        if !worker.paused_until.passed(now) {
             return;
         }
         let factor = 1 << worker.refusals.min(8);
         let first = self.settings.retry_pause.saturating_mul(4);
         let pause = first.saturating_mul(factor).min(self.settings.max_retry_pause);
         worker.refusals = worker.refusals.saturating_add(1);
-        worker.full_until = now.after(pause);
+        worker.paused_until = now.after(pause);
     }
 
     fn apply_running(&mut self, agent: &Name, running: &[Run], complete: bool, now: Time) {
--- a/crates/policy/src/plan/waits/survey.rs
+++ b/crates/policy/src/plan/waits/survey.rs
@@ -412,7 +412,7 @@
             Reason::Unready
         } else if worker.last_report.after(settings.report_timeout).passed(now) {
             Reason::Silent
-        } else if !worker.full_until.passed(now) {
+        } else if !worker.paused_until.passed(now) {
             Reason::Refused
         } else if !worker.ejected_until.passed(now) {
             Reason::Ejected
@@ -433,7 +433,7 @@
     fn obstacle_ends(&self, reason: Reason, agents: &[&Name]) -> Option<Time> {
         let workers = agents.iter().filter_map(|agent| self.table.workers.get(*agent));
         match reason {
-            Reason::Refused => workers.map(|worker| worker.full_until).min(),
+            Reason::Refused => workers.map(|worker| worker.paused_until).min(),
             Reason::Ejected => workers.map(|worker| worker.ejected_until).min(),
             Reason::Kept => {
                 let trials = agents.iter().filter_map(|agent| self.table.trials.get(*agent));
--- a/crates/policy/src/plan/worker.rs
+++ b/crates/policy/src/plan/worker.rs
@@ -106,7 +106,7 @@
     pub ejections: u32,
     /// Until when it gets no tasks after it refused a start.
     #[serde(rename = "full")]
-    pub full_until: Time,
+    pub paused_until: Time,
     /// Number of starts in a row that the worker or its agent refused.
     #[serde(skip)]
     pub(super) refusals: u32,
@@ -166,7 +166,7 @@
             && !self.vacant
             && !self.evacuated
             && now < self.last_report.after(report_timeout)
-            && self.full_until.passed(now)
+            && self.paused_until.passed(now)
     }
 
     /// Makes `process` the agent's process.
