--- a/crates/policy/src/plan/backlog.rs
+++ b/crates/policy/src/plan/backlog.rs
@@ -45,7 +45,7 @@
     spare: u64,
     idle: u64,
     capacity: u64,
-    reserved: u64,
+    requested: u64,
 }
 
 /// The rate of useful work at one service, and the sums of its queues.
@@ -61,8 +61,8 @@
     pub(super) idle: u64,
     /// Processors of the workers, thousandths of a processor.
     capacity: u64,
-    /// Those of them that tasks reserve.
-    reserved: u64,
+    /// Those of them that tasks request.
+    requested: u64,
     /// Work completed since the rate was last updated, processor-milliseconds.
     completed: u64,
     /// Measured rate, thousandths of a processor; none before tasks have waited for some time.
@@ -79,9 +79,9 @@
         self.measured.unwrap_or(self.spare as f64).max(self.idle as f64)
     }
 
-    /// Returns whether tasks reserve less than half of the processors.
+    /// Returns whether tasks request less than half of the processors.
     pub(super) fn is_half_free(&self) -> bool {
-        self.reserved * 2 < self.capacity
+        self.requested * 2 < self.capacity
     }
 
     /// Adds what one worker offers.
@@ -89,7 +89,7 @@
         self.spare += offer.spare;
         self.idle += offer.idle;
         self.capacity += offer.capacity;
-        self.reserved += offer.reserved;
+        self.requested += offer.requested;
     }
 
     /// Removes what was added for one worker.
@@ -97,7 +97,7 @@
         self.spare -= offer.spare;
         self.idle -= offer.idle;
         self.capacity -= offer.capacity;
-        self.reserved -= offer.reserved;
+        self.requested -= offer.requested;
     }
 
     /// Updates the measured rate at `now`.
@@ -193,7 +193,7 @@
                 spare,
                 idle,
                 capacity: u64::from(profile.capacity.millicores),
-                reserved: worker.load.reserved_millicores(),
+                requested: worker.load.requested(),
             }
         });
         if next.as_ref() == self.workers.get(agent) {
--- a/crates/policy/src/plan/load.rs
+++ b/crates/policy/src/plan/load.rs
@@ -124,9 +124,9 @@
         (used + extra) / f64::from(capacity.millicores.max(1))
     }
 
-    /// Returns the processors that runs reserve, thousandths of a processor; best-effort tasks reserve none.
-    pub(super) fn reserved_millicores(&self) -> u64 {
-        u64::from(self.reserved.millicores)
+    /// Returns the processors that all runs request, thousandths of a processor.
+    pub(super) fn requested(&self) -> u64 {
+        self.serving_millicores + self.other_millicores
     }
 
     /// Returns the processors that the worker leaves to best-effort tasks, and those of them that no
