Sort the waiting tasks of a step only when they are searched, and say some things plainly

A pass sorted the waiting tasks of each best-effort step, also where it then leaves the step because its image is known to disturb everywhere; the longest wait is enough to decide that. Five comments are reworded. No decision changes.

--- a/crates/policy/src/plan/place.rs
+++ b/crates/policy/src/plan/place.rs
@@ -119,15 +119,17 @@
             return false;
         }
         if step.best_effort {
+            let waits_since = |position: &usize| job.tasks[*position].waits_since();
+            let longest = waiting.iter().copied().min_by_key(waits_since).unwrap_or(waiting[0]);
+            let may_interfere = self.may_interfere(job, longest, now);
+            if !may_interfere && self.refusals.is_disturbing(service, step) {
+                return false;
+            }
             // What has waited for longer may start where others may not yet.
-            waiting.sort_by_key(|position| job.tasks[*position].waits_since());
-        }
-        let may_interfere = self.may_interfere(job, waiting[0], now);
-        if step.best_effort && !may_interfere && self.refusals.is_disturbing(service, step) {
-            return false;
-        }
-        if step.best_effort && !gang && self.only_one_may_interfere(job, waiting[0], now) {
-            waiting.truncate(1);
+            waiting.sort_by_key(waits_since);
+            if !gang && self.only_one_may_interfere(job, longest, now) {
+                waiting.truncate(1);
+            }
         }
         let mut isolation = Isolation::None;
         let mut started = false;
--- a/crates/policy/src/plan/waits/journal.rs
+++ b/crates/policy/src/plan/waits/journal.rs
@@ -29,7 +29,7 @@
 /// The waits that have been reported and logged.
 #[derive(Clone, Debug)]
 pub struct Journal {
-    /// Length of a wait from which on it is logged, and shortest time between two lines on a step.
+    /// Waits of at least this length are logged; also the shortest time between two lines on a step.
     logged_from: Duration,
     seen: BTreeMap<Key, Seen>,
     /// The last job of the latest report, if jobs follow.
--- a/crates/policy/src/plan/waits/survey.rs
+++ b/crates/policy/src/plan/waits/survey.rs
@@ -18,7 +18,7 @@
 use std::ops::Bound;
 use std::time::Duration;
 
-/// Time without a list of a run from which on the run is reported; some intervals between two lists.
+/// A run that no list has shown for this long is reported; a few intervals between two lists.
 const UNLISTED: Duration = Duration::from_secs(2);
 /// Comparisons of capacities alone that cost as much as one of a search.
 const CAPACITIES_PER_COMPARISON: usize = 8;
--- a/crates/scheduler/src/agent/run_table.rs
+++ b/crates/scheduler/src/agent/run_table.rs
@@ -247,7 +247,7 @@
             self.begin_incarnation(profile.incarnation.clone(), now);
         }
         self.incarnation = Some(profile.incarnation.clone());
-        // A worker that registers has not left; the message was delayed, from a former incarnation.
+        // An earlier deregistration came late, from a former incarnation.
         self.deregistered = false;
         self.vacant_polls = 0;
         self.drain_deadline = match profile.status {
@@ -279,8 +279,8 @@
         sequence < self.outdating_report
     }
 
-    /// Records that the worker `id` has deregistered, if it says so itself that started at `started_ms`;
-    /// returns `false` when another one is registered.
+    /// Records that the worker `id` has deregistered; returns `false` when another one is registered.
+    /// `started_ms` is the start of the incarnation that deregisters, if the message names it.
     pub fn deregister(&mut self, id: &str, started_ms: Option<u64>) -> bool {
         let is_registered = self.incarnation.as_ref().is_some_and(|known| {
             &*known.id == id && started_ms.is_none_or(|started_ms| started_ms == known.started_ms)
--- a/crates/scheduler/tests/run_table.rs
+++ b/crates/scheduler/tests/run_table.rs
@@ -395,8 +395,8 @@
     assert_eq!(worker.status, Status::Empty);
 }
 
-/// Guards against a crash that is taken for an older one, or for recorded, since the clock of the machine
-/// was set back between the two starts.
+/// Guards against a crash that is dropped as an older one, or counts as recorded too early, because the
+/// clock of the machine was set back between the two starts.
 #[test]
 fn crashes_are_reported_in_the_order_in_which_the_agent_has_seen_them() {
     let started = |table: &mut RunTable, ms| -> Vec<u64> {
