Let a worker that starts again get tasks at once

What callers would see: for up to 2 s, a worker that has just come back gets nothing, because its former incarnation refused starts.

Cause: the pause of a worker that refuses starts was not reset with its count of refusals when it starts again, as its ejection is.

The test failed before.

--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -129,6 +129,7 @@
             worker.ejected_until = Time::ZERO;
             worker.ejections = 0;
             worker.refusals = 0;
+            worker.paused_until = Time::ZERO;
             self.lose_runs(agent, "the worker started again", !was_leaving, now);
         } else if is_empty(report) {
             self.lose_runs(agent, "the last lease has ended", false, now);
--- a/crates/policy/tests/plan/retry.rs
+++ b/crates/policy/tests/plan/retry.rs
@@ -206,3 +206,29 @@
     harness.report_all();
     assert!(!harness.ordered_starts(0).is_empty());
 }
+
+#[test]
+fn a_worker_that_starts_again_is_not_paused_for_what_its_former_incarnation_refused() {
+    let mut harness = Harness::new(1);
+    harness.table.accept(id(1), job(vec![step(1, 1_000)]), true, harness.now);
+    for _ in 0..60 {
+        harness.tick();
+        harness.report_all();
+        harness.refuse_starts(0, Outcome::Unhealthy);
+        harness.report_all();
+        harness.wait(Duration::from_millis(100));
+    }
+    // The pause grows up to 2 s; one that has just begun is still to last.
+    while harness.table.workers()[&name(0)].paused_until.passed(harness.now) {
+        harness.tick();
+        harness.report_all();
+        harness.refuse_starts(0, Outcome::Unhealthy);
+        harness.report_all();
+    }
+    harness.worker(0).restart_worker();
+    harness.report_all();
+    harness.wait(Duration::from_millis(100));
+    harness.report_all();
+    harness.run_round();
+    assert_eq!(harness.running(), [task(1, 0, 0)]);
+}
