Let a worker outlive an odd heartbeat in its name

One heartbeat of another writer with the largest sequence, a later one within its range, a later start, or another service took a worker out of use: all later heartbeats of the worker counted as old for the rest of its incarnation.

Cause: RunTable::register believes the largest start and sequence that it has seen, without a bound and for good. Polls end this only for another start (REPLACED_POLLS), and not for a sequence.

It changes nothing. Three of the same sender, with a rising sequence over at least 1 s, are believed if the known worker neither registers in between nor, for another incarnation, answers a poll. So delayed heartbeats of a former incarnation, which arrive together or beside those of the present one, still change nothing, and the worker itself is believed again with its third heartbeat.

Evidence, on: one_odd_heartbeat_is_outlived_by_those_of_the_worker failed in all 6 cases ("not used after 200 of 200 heartbeats"), a_heartbeat_that_jumps_changes_nothing_of_a_known_worker in all 3, a_heartbeat_of_another_service_takes_no_worker_from_its_own and no_heartbeats_of_others_keep_a_worker_out as well.

--- a/crates/scheduler/src/agent/run_table.rs
+++ b/crates/scheduler/src/agent/run_table.rs
@@ -1,6 +1,7 @@
 //! The state that the agent keeps of its worker, and what the owner has not confirmed yet; no I/O
 //! and no clock.
 
+use super::contender::Contender;
 use super::crashes::Crashes;
 use super::{Error, Lists, Settings};
 use shallotflow_core::graph::Task;
@@ -30,6 +31,12 @@
 const REPLACED_POLLS: u32 = 2;
 /// Number of replaced incarnations that are remembered; a delayed registration is seconds old.
 const MAX_REPLACED: usize = 8;
+/// Largest step from one registration of an incarnation to the next, over lost ones: a day of ten a
+/// second.
+const MAX_REGISTRATION_STEP: u64 = 1_000_000;
+/// How much later than the time that has passed an incarnation may have started, milliseconds: a day,
+/// for clocks that are set and a former incarnation that is older than the agent's process.
+const MAX_START_STEP_MS: u64 = 86_400_000;
 /// Margin on the end of a lease for the time that a call is in flight.
 const LEASE_MARGIN: Duration = Duration::from_millis(60);
 
@@ -69,6 +76,8 @@
     sequence: u64,
     profile: Option<Profile>,
     registration: u64,
+    /// Who contradicts the known worker.
+    contender: Option<Contender>,
     /// The first report to the current owner that shows the worker as small as it is, or as empty.
     outdating_report: u64,
     drain_deadline: Option<Time>,
@@ -133,6 +142,7 @@
             sequence: 0,
             profile: None,
             registration: 0,
+            contender: None,
             outdating_report: 0,
             drain_deadline: None,
             warm_at: Time::ZERO,
@@ -229,20 +239,27 @@
         self.evacuated
     }
 
-    /// Applies a registration of the worker; returns `false` when it is older than the known one.
+    /// Applies a registration of the worker; returns `false` when it contradicts what is known: when
+    /// it is older, or steps too far ahead, or names another service.
     ///
     /// A clock that was set back gives a later incarnation an earlier start. It counts as later once
-    /// the known one does not answer any more.
+    /// the known one does not answer any more. Whoever goes on to contradict a worker that neither
+    /// registers nor answers is believed.
     pub fn register(&mut self, profile: Profile, registration: u64, now: Time) -> bool {
-        let started_ms = profile.incarnation.started_ms;
-        let known = self.incarnation.as_ref();
-        let older = self.replaced_polls < REPLACED_POLLS
-            && (known.is_some_and(|known| known.started_ms > started_ms)
-                || self.replaced.contains(&started_ms));
         let same = self.incarnation.as_ref() == Some(&profile.incarnation);
-        if older || (same && registration <= self.registration) {
-            return false;
+        if self.contradicts(&profile, registration, now) {
+            let believed = match &mut self.contender {
+                Some(contender) => contender.count(&profile, registration, now),
+                contender @ None => {
+                    *contender = Some(Contender::new(&profile, registration, now));
+                    false
+                }
+            };
+            if !believed {
+                return false;
+            }
         }
+        self.contender = None;
         if !same {
             self.begin_incarnation(profile.incarnation.clone(), now);
         }
@@ -266,6 +283,26 @@
         true
     }
 
+    fn contradicts(&self, profile: &Profile, registration: u64, now: Time) -> bool {
+        let Some(known) = &self.incarnation else { return false };
+        let started_ms = profile.incarnation.started_ms;
+        if *known == profile.incarnation {
+            let Some(former) = &self.profile else { return false };
+            let latest = self.registration.saturating_add(MAX_REGISTRATION_STEP);
+            return registration <= self.registration
+                || registration > latest
+                || former.service != profile.service;
+        }
+        let elapsed = now.since(self.incarnation_since).as_millis();
+        let elapsed_ms = u64::try_from(elapsed).unwrap_or(u64::MAX);
+        let latest_ms =
+            known.started_ms.saturating_add(elapsed_ms).saturating_add(MAX_START_STEP_MS);
+        self.replaced_polls < REPLACED_POLLS
+            && (known.started_ms > started_ms
+                || started_ms > latest_ms
+                || self.replaced.contains(&started_ms))
+    }
+
     /// The incarnation, status and capacity of the worker's last registration.
     pub fn registered(&self) -> Option<(Incarnation, Status, Bundle)> {
         let profile = self.profile.as_ref()?;
@@ -371,6 +408,9 @@
             }
             self.begin_incarnation(lists.incarnation.clone(), now);
         }
+        if self.contender.as_ref().is_some_and(|other| other.is_refuted(&lists.incarnation, sent)) {
+            self.contender = None;
+        }
         self.failed_polls = 0;
         self.vacant_polls = 0;
         self.replaced_polls = 0;
--- a/crates/scheduler/src/agent/shared.rs
+++ b/crates/scheduler/src/agent/shared.rs
@@ -49,11 +49,12 @@
 
     /// Applies a registration of the worker; `registration` counts those of one incarnation.
     ///
-    /// A registration older than the known one changes nothing.
+    /// A registration older than the known one, or one that contradicts it, changes nothing.
     pub fn register(self: &Rc<Self>, profile: Profile, registration: u64) {
         let known = self.run_table.borrow().registered();
         let now = Some((profile.incarnation.clone(), profile.status, profile.capacity));
         if !self.run_table.borrow_mut().register(profile, registration, Boottime.now()) {
+            crate::log::decision("heartbeat passed over", &(registration, now, known));
             return;
         }
         order::prevent_late_starts(self);
--- a/crates/scheduler/tests/run_table.rs
+++ b/crates/scheduler/tests/run_table.rs
@@ -1,5 +1,6 @@
 //! The agent's run table.
 
+use proptest::prelude::*;
 use shallotflow_core::graph::{Id, Task};
 use shallotflow_core::name::Name;
 use shallotflow_core::resources::Bundle;
@@ -11,6 +12,7 @@
 use shallotflow_scheduler::agent::run_table::RunTable;
 use shallotflow_scheduler::agent::{Error, Lists, Settings};
 use std::time::Duration;
+use test_case::test_case;
 
 fn at(ms: u64) -> Time {
     Time::from_millis(10_000 + ms)
@@ -486,3 +488,213 @@
     table.poll_failed(&Error::Vacant, at(400));
     assert_eq!(table.report(at(400)).worker.map(|worker| worker.status), Some(Status::Empty));
 }
+
+/// Time between two heartbeats of the tests' worker.
+const HEARTBEAT_MS: u64 = 1_500;
+/// Genuine heartbeats after an odd one within which the worker must be used as it says.
+const HEARTBEATS_TO_RECOVER: u64 = 4;
+
+/// A heartbeat that another writer sent once, and the number of its sequence.
+fn odd(id: &str, started_ms: u64) -> Profile {
+    let incarnation = Incarnation { id: Name::from(id), started_ms };
+    let status = Status::Draining { remaining_ms: 86_400_000 };
+    Profile { incarnation, status, ..profile(900_000) }
+}
+
+/// Whether the table shows the worker of `profile(1_000)` and lets it have tasks.
+fn is_used(table: &RunTable) -> bool {
+    let (incarnation, status, capacity) = table.registered().expect("a worker");
+    let expected = profile(1_000);
+    table.accepts_tasks()
+        && (incarnation, status, capacity)
+            == (expected.incarnation, expected.status, expected.capacity)
+}
+
+/// Guards against a worker that gets no task again because another writer sent one heartbeat in its
+/// name or in that of a later incarnation. No poll helps: the worker's lists are not read here.
+#[test_case("w", 7, u64::MAX ; "the largest sequence")]
+#[test_case("w", 7, 900_000 ; "a later sequence")]
+#[test_case("other", u64::MAX, 1 ; "another worker with the latest start")]
+#[test_case("other", 8, 1 ; "another worker with a later start")]
+#[test_case("w", u64::MAX, 1 ; "the same worker with the latest start")]
+#[test_case("w", 9, u64::MAX ; "the same worker with a later start")]
+fn one_odd_heartbeat_is_outlived_by_those_of_the_worker(id: &str, started_ms: u64, sequence: u64) {
+    for odd_is_first in [true, false] {
+        let mut table = table();
+        table.apply_reply(reply(1, 0));
+        if !odd_is_first {
+            assert!(table.register(profile(1_000), 1, at(0)));
+        }
+        table.register(odd(id, started_ms), sequence, at(1));
+        let mut refused = 0;
+        for heartbeat in 1..=200 {
+            table.register(profile(1_000), 1 + heartbeat, at(heartbeat * HEARTBEAT_MS));
+            refused += u64::from(!is_used(&table));
+        }
+        assert!(
+            refused < HEARTBEATS_TO_RECOVER,
+            "not used after {refused} of 200 heartbeats (odd one first: {odd_is_first})"
+        );
+    }
+}
+
+/// Guards against a change of the worker that the odd heartbeat alone brings about.
+#[test_case("w", 7, u64::MAX ; "a sequence that jumps")]
+#[test_case("other", u64::MAX, 1 ; "a start that jumps")]
+#[test_case("w", u64::MAX, 1 ; "a start of the same worker that jumps")]
+fn a_heartbeat_that_jumps_changes_nothing_of_a_known_worker(
+    id: &str,
+    started_ms: u64,
+    sequence: u64,
+) {
+    let mut table = table();
+    assert!(table.register(profile(1_000), 1, at(0)));
+    assert!(!table.register(odd(id, started_ms), sequence, at(1)));
+    assert!(is_used(&table));
+    assert!(table.report(at(2)).additions.crashes.is_empty());
+}
+
+/// A worker belongs to one service for the whole of an incarnation.
+#[test]
+fn a_heartbeat_of_another_service_takes_no_worker_from_its_own() {
+    let mut table = table();
+    assert!(table.register(profile(1_000), 1, at(0)));
+    let other = Profile { service: Name::from("nobody"), ..profile(1_000) };
+    assert!(!table.register(other.clone(), 2, at(1)));
+    assert_eq!(table.report(at(2)).worker.expect("a worker").service, Name::from("s"));
+    assert!(table.register(profile(1_000), 2, at(3)));
+
+    let mut table = self::table();
+    assert!(table.register(other, 1, at(0)), "nothing contradicts it");
+    for heartbeat in 1..=HEARTBEATS_TO_RECOVER {
+        table.register(profile(1_000), 1 + heartbeat, at(heartbeat * HEARTBEAT_MS));
+    }
+    assert_eq!(table.report(at(10_000)).worker.expect("a worker").service, Name::from("s"));
+}
+
+/// Guards against delayed heartbeats of a former incarnation that displace the present one.
+#[test_case(true ; "between heartbeats of the present one")]
+#[test_case(false ; "all at once")]
+fn late_heartbeats_of_a_former_incarnation_change_nothing(between: bool) {
+    let later = Profile {
+        incarnation: Incarnation { id: Name::from("w"), started_ms: 9 },
+        ..profile(2_000)
+    };
+    let mut table = table();
+    assert!(table.register(profile(1_000), 10, at(0)));
+    assert!(table.register(later.clone(), 1, at(5_000)));
+    for late in 0..30 {
+        let now = at(5_000 + if between { late * 400 } else { late });
+        assert!(!table.register(profile(1_000), 11 + late, now), "late heartbeat {late}");
+        if between && late % 3 == 2 {
+            assert!(table.register(later.clone(), 2 + late, now));
+        }
+    }
+    assert!(table.register(later, 100, at(20_000)));
+}
+
+/// Guards against delayed heartbeats that displace an incarnation whose answers to polls are read.
+#[test]
+fn a_worker_that_answers_polls_is_not_displaced_by_late_heartbeats() {
+    let later = Profile {
+        incarnation: Incarnation { id: Name::from("w"), started_ms: 9 },
+        ..profile(2_000)
+    };
+    let mut table = table();
+    assert!(table.register(profile(1_000), 10, at(0)));
+    assert!(table.register(later, 1, at(5_000)));
+    for late in 0..30 {
+        let now = 5_001 + late * HEARTBEAT_MS;
+        assert!(!table.register(profile(1_000), 11 + late, at(now)), "late heartbeat {late}");
+        table.apply_lists(lists(9, Vec::new()), 0, at(now + 1), at(now + 2));
+    }
+}
+
+/// Lost heartbeats leave a gap, and an incarnation may start any time after the former one.
+#[test]
+fn gaps_of_a_sequence_and_restarts_are_no_jumps() {
+    let mut table = table();
+    assert!(table.register(profile(1_000), 1, at(0)));
+    assert!(table.register(profile(1_000), 100_000, at(100_000_000)));
+    let minute = 60_000;
+    let later = Profile {
+        incarnation: Incarnation { id: Name::from("w"), started_ms: 7 + 100_000_000 + 10 * minute },
+        ..profile(2_000)
+    };
+    assert!(table.register(later, 1, at(100_000_001)), "its clock was set forward");
+}
+
+proptest! {
+    /// Any heartbeats and lists end no process, and the worker is used again after some of its own.
+    #[test]
+    fn no_heartbeats_of_others_keep_a_worker_out(
+        odd_ones in proptest::collection::vec(
+            (
+                prop_oneof!["w", "other", ""],
+                prop_oneof![0..20_u64, any::<u64>(), Just(u64::MAX)],
+                prop_oneof![0..20_u64, any::<u64>(), Just(u64::MAX)],
+                prop_oneof![Just("s"), Just("nobody")],
+                any::<u32>(),
+                any::<u64>(),
+                any::<bool>(),
+                0..3_000_u64,
+            ),
+            0..40,
+        ),
+        sequence in 1..1_000_u64,
+    ) {
+        let mut table = table();
+        table.apply_reply(reply(1, 0));
+        let mut now = 0;
+        let mut own = sequence;
+        for (id, started_ms, number, service, millicores, remaining_ms, own_follows, pause) in odd_ones {
+            now += pause;
+            let odd = Profile {
+                service: Name::from(service),
+                capacity: Bundle { millicores, ..Bundle::default() },
+                cold_remaining_ms: remaining_ms,
+                status: Status::Draining { remaining_ms },
+                ..odd(&id, started_ms)
+            };
+            table.register(odd, number, at(now));
+            let _ = (table.lease_ms(at(now)), table.report(at(now)), table.dump(at(now)));
+            if own_follows {
+                own += 1;
+                table.register(profile(1_000), own, at(now));
+            }
+        }
+        for _ in 0..HEARTBEATS_TO_RECOVER {
+            now += HEARTBEAT_MS;
+            own += 1;
+            table.register(profile(1_000), own, at(now));
+        }
+        prop_assert!(is_used(&table), "{}", table.dump(at(now)));
+        let worker = table.report(at(now)).worker.expect("a worker");
+        prop_assert_eq!(&*worker.service, "s");
+    }
+
+    /// Any clocks, numbers of ends and starts of incarnations in a worker's answers end no process.
+    #[test]
+    fn no_lists_end_the_process(
+        answers in proptest::collection::vec(
+            (any::<u64>(), any::<u64>(), any::<u64>(), any::<u32>(), any::<u64>()), 0..20,
+        ),
+    ) {
+        let mut table = table();
+        table.apply_reply(reply(1, 0));
+        for (started_ms, clock_ms, number, run_number, now) in answers {
+            let task = run().task;
+            let reason = ExitReason::Done;
+            let end = End { number, task, run: run_number, reason, checkpoint: None };
+            let read = Lists {
+                clock_ms, ends: vec![end], ..lists(started_ms, vec![Run { run: run_number, ..run() }])
+            };
+            let now = Time::from_millis(now);
+            table.apply_lists(read, 1, now, now);
+            table.mark_unanswered((task, run_number), now);
+            let sequence = table.report(now).sequence;
+            table.apply_reply(Reply { recorded: number, worker_started_ms: started_ms, ..reply(1, sequence) });
+            let _ = (table.lease_ms(now), table.take_late_starts(), table.dump(now));
+        }
+    }
+}
