Play odd heartbeats on the simulated path

The test of the table does not show what callers see of an odd heartbeat: the owner takes the runs of the displaced worker for gone and starts them elsewhere while they go on.

--- a/crates/scheduler/tests/path.rs
+++ b/crates/scheduler/tests/path.rs
@@ -37,6 +37,17 @@
     }
 }
 
+/// Guards against odd heartbeats that displace a worker, so that its tasks are started elsewhere while
+/// they go on, or that keep it out of use until its jobs end too late.
+#[test]
+fn every_guarantee_holds_beside_odd_heartbeats() {
+    for seed in 0..SEEDS {
+        let mut simulation = Simulation::new(seed, FaultRates::with_odd_heartbeats(), None);
+        let outcome = simulation.run();
+        assert_eq!(outcome, Ok(()), "seed {seed}");
+    }
+}
+
 /// Guards against a run that is done just before its worker restarts and counts as a crash; 400 seeds
 /// do not show it.
 #[test]
--- a/crates/scheduler/tests/path/simulation.rs
+++ b/crates/scheduler/tests/path/simulation.rs
@@ -84,6 +84,8 @@
     reply_lost: f64,
     /// Probability that all agents and owners lose power right after a job was accepted.
     power_lost: f64,
+    /// Probability that another writer sends an odd heartbeat just before one of a worker.
+    odd_heartbeat: f64,
 }
 
 impl Default for FaultRates {
@@ -119,6 +121,11 @@
         Self { deadly: 0.3, owner_replaced: 0.005, ..Self::none() }
     }
 
+    /// Odd heartbeats of another writer, beside all other faults.
+    pub(crate) fn with_odd_heartbeats() -> Self {
+        Self { odd_heartbeat: 0.05, ..Self::default() }
+    }
+
     /// Requests to evacuate failure domains and their withdrawals, beside all other faults.
     pub(crate) fn with_evacuations() -> Self {
         Self { evacuation: 0.006, order_stalled: 0.1, ..Self::default() }
@@ -189,6 +196,7 @@
             reply_delayed: 0.0,
             reply_lost: 0.0,
             power_lost: 0.0,
+            odd_heartbeat: 0.0,
         }
     }
 }
@@ -857,9 +865,36 @@
             cold_remaining_ms: 0,
         };
         let now = Time::from_millis(self.now);
+        if self.chance(self.rates.odd_heartbeat) {
+            self.register_odd(number, profile.clone(), now);
+        }
         self.agents[number].run_table.register(profile, self.now, now);
     }
 
+    /// Registers a worker as another writer might, with the largest sequence or start or in another
+    /// service.
+    fn register_odd(&mut self, number: usize, genuine: Profile, now: Time) {
+        let status = Status::Draining { remaining_ms: 86_400_000 };
+        let capacity = Bundle { millicores: 10_000_000, ..genuine.capacity };
+        let mut profile = Profile { status, capacity, ..genuine };
+        let mut registration = u64::MAX;
+        match self.rng.random_range(0..4) {
+            0 => {}
+            1 => profile.incarnation.started_ms = u64::MAX,
+            2 => {
+                profile.incarnation = Incarnation { id: "odd".into(), started_ms: u64::MAX };
+            }
+            _ => {
+                profile.service = "nobody".into();
+                registration = self.now;
+            }
+        }
+        // A first registration contradicts nothing, and the worker is known after it.
+        if self.agents[number].run_table.registered().is_some() {
+            self.agents[number].run_table.register(profile, registration, now);
+        }
+    }
+
     fn poll(&mut self, number: usize, now: Time) {
         let lost = self.chance(self.rates.call_lost);
         let answer_lost = self.chance(self.rates.call_lost);
