List the double run behind a claimed restart as known

A heartbeat of another writer with a plausible newer start displaces the worker until the next polls. The runs of the worker go on, and the owner starts them elsewhere.

The odd heartbeats of the passing test come after a first registration as before; the check is now in one place.

--- a/crates/scheduler/tests/path.rs
+++ b/crates/scheduler/tests/path.rs
@@ -48,6 +48,17 @@
     }
 }
 
+/// Guards against a heartbeat of another writer that claims a restart of the worker: its tasks are started
+/// elsewhere while they go on.
+#[test]
+fn every_guarantee_holds_beside_a_restart_that_another_writer_claims() {
+    for seed in 0..SEEDS {
+        let mut simulation = Simulation::new(seed, FaultRates::with_odd_restarts(), None);
+        let outcome = simulation.run();
+        assert_eq!(outcome, Ok(()), "seed {seed}");
+    }
+}
+
 /// Guards against a run that is done just before its worker restarts and counts as a crash; 400 seeds
 /// do not show it.
 #[test]
--- a/crates/scheduler/tests/path/simulation.rs
+++ b/crates/scheduler/tests/path/simulation.rs
@@ -86,6 +86,8 @@
     power_lost: f64,
     /// Probability that another writer sends an odd heartbeat just before one of a worker.
     odd_heartbeat: f64,
+    /// Whether odd heartbeats claim a plausible restart of the worker instead.
+    odd_restarts: bool,
 }
 
 impl Default for FaultRates {
@@ -126,6 +128,11 @@
         Self { odd_heartbeat: 0.05, ..Self::default() }
     }
 
+    /// Heartbeats of another writer that claim a restart of the worker, beside all other faults.
+    pub(crate) fn with_odd_restarts() -> Self {
+        Self { odd_heartbeat: 0.05, odd_restarts: true, ..Self::default() }
+    }
+
     /// Requests to evacuate failure domains and their withdrawals, beside all other faults.
     pub(crate) fn with_evacuations() -> Self {
         Self { evacuation: 0.006, order_stalled: 0.1, ..Self::default() }
@@ -197,6 +204,7 @@
             reply_lost: 0.0,
             power_lost: 0.0,
             odd_heartbeat: 0.0,
+            odd_restarts: false,
         }
     }
 }
@@ -874,10 +882,22 @@
     /// Registers a worker as another writer might, with the largest sequence or start or in another
     /// service.
     fn register_odd(&mut self, number: usize, genuine: Profile, now: Time) {
+        // A first registration contradicts nothing, and the worker is known after it.
+        if self.agents[number].run_table.registered().is_none() {
+            return;
+        }
         let status = Status::Draining { remaining_ms: 86_400_000 };
         let capacity = Bundle { millicores: 10_000_000, ..genuine.capacity };
         let mut profile = Profile { status, capacity, ..genuine };
         let mut registration = u64::MAX;
+        if self.rates.odd_restarts {
+            profile.incarnation.started_ms += 1;
+            if self.rng.random_bool(0.5) {
+                profile.incarnation.id = "odd".into();
+            }
+            self.agents[number].run_table.register(profile, 1, now);
+            return;
+        }
         match self.rng.random_range(0..4) {
             0 => {}
             1 => profile.incarnation.started_ms = u64::MAX,
@@ -889,10 +909,7 @@
                 registration = self.now;
             }
         }
-        // A first registration contradicts nothing, and the worker is known after it.
-        if self.agents[number].run_table.registered().is_some() {
-            self.agents[number].run_table.register(profile, registration, now);
-        }
+        self.agents[number].run_table.register(profile, registration, now);
     }
 
     fn poll(&mut self, number: usize, now: Time) {
