Claim the table again after its owner's record is overwritten

Callers saw accepted jobs that never ended: once another writer had left something unreadable, an epoch at its largest or a former owner under m/owner, no entry recorded progress again, and none owned the table after the next change of owner.

Cause: the owner's commits are conditional on the revision of the key, so all of them failed, while reading the key back only logged that it cannot be read; each claim by another entry failed on the same value. An epoch of another writer was continued, and at its largest `epoch + 1` overflowed.

Fix: a record that no entry can have written (unreadable, an epoch of 0 or above the revision of its record, or a former owner at a later revision) makes the owner that is known give the table up. It claims again; another entry claims only where it could without that record, so the lease bound of its claim is unchanged. If no owner is known, every other entry that is present must answer first that it owns nothing.

The new epoch is above all that were used: each claim now leaves its epoch in m/epoch in the same transaction, and a claim of an overwritten record continues from there, or from the known owner if that one is later. If m/epoch cannot be read either, it continues from the revision of the overwritten record: an epoch rises by 1 with a claim or is set to a former revision plus 1, and the claim itself has a later revision, so no epoch exceeds the revision of its record.

--- a/crates/scheduler/src/entry/elect.rs
+++ b/crates/scheduler/src/entry/elect.rs
@@ -9,12 +9,18 @@
 //! A claim succeeds only while the claimant's own presence is as it wrote it. A claim of an absent
 //! owner's table succeeds only while that owner's presence is absent, and an owner renews an absent
 //! presence only while its own claim holds. So an owner that is present has no successor.
+//!
+//! A record of the owner that another writer has overwritten changes none of this. The owner that is
+//! known gives the table up and claims it again, and another entry claims only where it could without
+//! that. If no owner is known, an entry claims once every other entry that is present answers that it
+//! does not own the table: no owner renews its presence beside the overwritten record.
 
 use super::member::Owner;
-use super::{Entry, keys, membership, own};
+use super::{Entry, keys, member, membership, own};
 use shallotflow_core::time::Clock;
 use shallotflow_runtime::clock::Boottime;
 use shallotflow_store::error::Error;
+use shallotflow_store::pair::Pair;
 use shallotflow_store::transaction::Transaction;
 use std::cmp::Reverse;
 use std::rc::Rc;
@@ -88,6 +94,9 @@
     let Some(owner) = owner else {
         monoio::time::sleep(entry.settings.first_claim).await;
         stagger(entry, rank).await;
+        if entry.view.borrow().owner_overwritten && !no_other_owns(entry).await {
+            return false;
+        }
         return entry.view.borrow().owner.is_none();
     };
     let own_former_process = owner.entry == entry.name;
@@ -113,6 +122,17 @@
     view.owner.as_ref().is_some_and(|known| *known == owner)
 }
 
+/// Whether every other entry that is present answers that it does not own the table.
+async fn no_other_owns(entry: &Rc<Entry>) -> bool {
+    for address in entry.others() {
+        let status = membership::poll_status(entry, &entry.client(address)).await;
+        if !status.is_some_and(|(_, owned, _)| !owned) {
+            return false;
+        }
+    }
+    true
+}
+
 /// Delays the claim by the entry's rank, so that most claims find the table already claimed.
 async fn stagger(entry: &Rc<Entry>, rank: usize) {
     let rank = u32::try_from(rank).unwrap_or(u32::MAX).min(8);
@@ -134,21 +154,27 @@
     let (epoch, revision) = match &current {
         None => (0, 0),
         Some(pair) => {
-            let owner = serde_json::from_slice::<Owner>(&pair.value);
-            let owner = owner.map_err(|error| Error::Rejected { reason: error.to_string() })?;
             // Only the owner that was found absent may be replaced.
-            let seen = entry.view.borrow().owner.clone();
-            if seen.is_some_and(|seen| seen != owner) {
-                entry.observe_owner(owner);
+            if entry.view.borrow().owner_revision != pair.mod_revision {
+                membership::apply_owner(entry, pair);
                 return Ok(());
             }
-            // If an entry of that name is present, either another process has the name, or its
-            // process reports that it does not own the table.
-            let absent = !entry.view.borrow().entries.contains_key(&owner.entry);
-            if absent && !owner.entry.is_empty() && owner.entry != entry.name {
-                absent_owner = Some(owner.entry.clone());
-            }
-            (owner.epoch, pair.mod_revision)
+            let (owner, overwritten) = {
+                let view = entry.view.borrow();
+                // If an entry of that name is present, either another process has the name, or its
+                // process reports that it does not own the table.
+                absent_owner = view
+                    .owner
+                    .as_ref()
+                    .map(|owner| &owner.entry)
+                    .filter(|name| !name.is_empty() && **name != entry.name)
+                    .filter(|name| !view.entries.contains_key(*name))
+                    .cloned();
+                (view.owner.clone(), view.owner_overwritten)
+            };
+            let known = owner.map_or(0, |owner| owner.epoch);
+            let epoch = if overwritten { last_epoch(entry, pair).await?.max(known) } else { known };
+            (epoch, pair.mod_revision)
         }
     };
     let owner = Owner {
@@ -162,7 +188,8 @@
     let mut transaction = Transaction::default()
         .written_by(keys::OWNER, revision)
         .written_by(keys::entry(&entry.name), entry.presence_revision.get())
-        .put(keys::OWNER, value);
+        .put(keys::OWNER, value)
+        .put(keys::EPOCH, owner.epoch.to_string());
     if let Some(absent_owner) = absent_owner {
         transaction = transaction.written_by(keys::entry(&absent_owner), 0);
     }
@@ -175,7 +202,7 @@
         }
         Err(error) => return Err(error),
     };
-    entry.observe_owner(owner.clone());
+    entry.observe_owner(owner.clone(), revision);
     let loaded = own::load(entry, &owner, revision).await;
     if loaded.is_err() {
         // Another entry may reach the store.
@@ -184,6 +211,21 @@
     loaded
 }
 
+/// An epoch that no claim before the record `overwritten` has exceeded.
+///
+/// The last claim has left its epoch in a second key. If that one cannot be read either, the revision
+/// is taken: each claim has a revision that is not below its epoch. The second key comes first since
+/// run numbers start from the epoch and do not reach far enough for the revisions of an old store.
+async fn last_epoch(entry: &Rc<Entry>, overwritten: &Pair) -> Result<u64, Error> {
+    let stored = entry.store_call(entry.store.get(keys::EPOCH)).await?;
+    match stored.as_ref().map(member::decode_epoch) {
+        Some(Ok(epoch)) => return Ok(epoch),
+        Some(Err(error)) => crate::log::refused(keys::EPOCH, &error),
+        None => {}
+    }
+    Ok(u64::try_from(overwritten.mod_revision).unwrap_or(0))
+}
+
 /// The revision of a claim whose answer was lost, if it was carried out.
 async fn read_claim(entry: &Rc<Entry>, owner: &Owner) -> Result<Option<i64>, Error> {
     let pair = entry.store_call(entry.store.get(keys::OWNER)).await;
--- a/crates/scheduler/src/entry/keys.rs
+++ b/crates/scheduler/src/entry/keys.rs
@@ -3,6 +3,7 @@
 //! | key | value | written by |
 //! |---|---|---|
 //! | `m/owner` | the owner of the table | the entry that claims it, by the key's revision, while the former owner is absent |
+//! | `m/epoch` | the epoch of the last claim, for the case that another writer overwrites the owner | the claiming entry, along with `m/owner` |
 //! | `m/entry/NAME` | the presence of an entry, under its lease | that entry; an owner by the revision of `m/owner` |
 //! | `m/agents` | agents that may hold runs | the owner, by the revisions of this key and of `m/owner` |
 //! | `j/job/ID` | a job as accepted | the accepting entry, if absent |
@@ -20,6 +21,8 @@
 pub const MEMBERSHIP: &str = "m/";
 /// The owner of the table.
 pub const OWNER: &str = "m/owner";
+/// The epoch of the last claim.
+pub const EPOCH: &str = "m/epoch";
 /// Prefix of the presence of entries.
 pub const ENTRIES: &str = "m/entry/";
 /// The list of agents that may hold runs.
--- a/crates/scheduler/src/entry/membership.rs
+++ b/crates/scheduler/src/entry/membership.rs
@@ -89,7 +89,7 @@
 /// Reads the owner of the table; this entry gives the table up if another one owns it.
 async fn find_owner(entry: &Rc<Entry>) -> Result<(), Error> {
     if let Some(pair) = entry.store_call(entry.store.get(keys::OWNER)).await? {
-        apply_pair(entry, &pair);
+        apply_owner(entry, &pair);
     }
     Ok(())
 }
@@ -132,12 +132,7 @@
 
 fn apply_pair(entry: &Rc<Entry>, pair: &Pair) {
     if pair.key == keys::OWNER {
-        match serde_json::from_slice::<Owner>(&pair.value) {
-            Ok(owner) => entry.observe_owner(owner),
-            Err(error) => {
-                spdlog::error!("owner unreadable", kv: { reason = error.to_string() });
-            }
-        }
+        apply_owner(entry, pair);
     } else if let Some(name) = pair.key.strip_prefix(keys::ENTRIES) {
         match serde_json::from_slice::<Presence>(&pair.value) {
             Ok(presence) => {
@@ -150,6 +145,14 @@
     }
 }
 
+/// Applies the record of the owner's key.
+pub(super) fn apply_owner(entry: &Entry, pair: &Pair) {
+    match Owner::decode(pair) {
+        Ok(owner) => entry.observe_owner(owner, pair.mod_revision),
+        Err(error) => entry.observe_overwritten(pair.mod_revision, &error),
+    }
+}
+
 /// Polls the owner's status until the process ends.
 ///
 /// The request carries the age of this entry's last contact with the store and the highest epoch
--- a/crates/scheduler/src/entry/own.rs
+++ b/crates/scheduler/src/entry/own.rs
@@ -5,7 +5,7 @@
 use super::activity::Activity;
 use super::member::Owner;
 use super::ownership::Ownership;
-use super::{Entry, evacuate, keys};
+use super::{Entry, evacuate, keys, membership};
 use crate::peers::{pack, unpack};
 use foldhash::HashMap;
 use shallotflow_core::graph::{Id, Job};
@@ -41,7 +41,9 @@
     let requests = entry.store_call(entry.store.range(keys::REQUESTS)).await?;
     let progress = entry.store_call(entry.store.range(keys::PROGRESS)).await?;
     let evacuations = evacuate::read(entry).await?;
-    if entry.view.borrow().owner.as_ref() != Some(owner) {
+    // Another writer may have replaced the claim without naming an owner.
+    let replaced = entry.view.borrow().owner_revision != revision;
+    if replaced || entry.view.borrow().owner.as_ref() != Some(owner) {
         return Ok(());
     }
     let now = Boottime.now();
@@ -415,14 +417,10 @@
 ) -> Result<(), Error> {
     let owner = entry.store_call(entry.store.get(keys::OWNER)).await;
     if let Some(pair) = owner? {
-        match serde_json::from_slice::<Owner>(&pair.value) {
-            Ok(owner) if owner.epoch != epoch => {
-                entry.observe_owner(owner);
-                return Ok(());
-            }
-            Ok(_) => {}
-            Err(error) => log_unreadable(keys::OWNER, &error),
-        }
+        membership::apply_owner(entry, &pair);
+    }
+    if !is_owner(entry, epoch) {
+        return Ok(());
     }
     if holders {
         let (holders, revision) = read_holders(entry).await?;
@@ -465,7 +463,7 @@
     let transaction =
         Transaction::default().written_by(keys::OWNER, revision).put(keys::OWNER, value);
     match entry.commit(transaction).await {
-        Ok(_) => entry.observe_owner(owner),
+        Ok(revision) => entry.observe_owner(owner, revision),
         Err(error) => spdlog::warn!("table not released", kv: { reason = error.to_string() }),
     }
 }
--- a/crates/scheduler/src/entry/shared.rs
+++ b/crates/scheduler/src/entry/shared.rs
@@ -26,6 +26,10 @@
 pub(super) struct View {
     /// The owner that the store or an entry last reported.
     pub(super) owner: Option<Owner>,
+    /// The revision of the last known record of the owner's key.
+    pub(super) owner_revision: i64,
+    /// Whether another writer has overwritten that record, so that `owner` can record nothing more.
+    pub(super) owner_overwritten: bool,
     /// Whether the membership has been read from the store.
     pub(super) loaded: bool,
     /// The entries that are present.
@@ -305,16 +309,23 @@
         view.others_store_contact > self.store_contact.get().after(self.settings.contact_slack)
     }
 
-    /// Applies a report of the table's owner if it is newer than the known one; gives the table up
-    /// to a later owner.
-    pub(super) fn observe_owner(&self, owner: Owner) {
+    /// Applies the record of the table's owner at `revision` if it is newer than the known one; gives
+    /// the table up to a later owner.
+    pub(super) fn observe_owner(&self, owner: Owner, revision: i64) {
         let mut view = self.view.borrow_mut();
+        if revision <= view.owner_revision {
+            return;
+        }
         let newer = view.owner.as_ref().is_none_or(|known| {
             owner.epoch > known.epoch || (owner.epoch == known.epoch && owner.entry.is_empty())
         });
         if !newer {
+            drop(view);
+            self.observe_overwritten(revision, &"a former owner is named");
             return;
         }
+        view.owner_revision = revision;
+        view.owner_overwritten = false;
         let replaced = self
             .ownership
             .borrow()
@@ -330,6 +341,24 @@
         self.membership_changed.notify(usize::MAX);
     }
 
+    /// Notes that another writer has overwritten the record of the owner at `revision`, and gives the
+    /// table up: its records are conditional on a former revision.
+    pub(super) fn observe_overwritten(&self, revision: i64, reason: &dyn std::fmt::Display) {
+        {
+            let mut view = self.view.borrow_mut();
+            if revision <= view.owner_revision {
+                return;
+            }
+            view.owner_revision = revision;
+            view.owner_overwritten = true;
+        }
+        crate::log::refused(super::keys::OWNER, reason);
+        if self.ownership.borrow().is_some() {
+            self.give_up("another writer has overwritten the record of the owner");
+        }
+        self.membership_changed.notify(usize::MAX);
+    }
+
     /// The event that is notified when the replies to reports of `agent` may be due.
     pub(super) fn news_of(&self, agent: &Name) -> Rc<Event> {
         self.agent_news.borrow_mut().entry(agent.clone()).or_default().clone()
--- a/crates/scheduler/tests/owner.rs
+++ b/crates/scheduler/tests/owner.rs
@@ -2,6 +2,8 @@
 
 #[path = "owner/evacuation.rs"]
 mod evacuation;
+#[path = "owner/foreign.rs"]
+mod foreign;
 #[path = "owner/shown.rs"]
 mod shown;
 #[path = "owner/store.rs"]
@@ -26,7 +28,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
-use store::{Call, Delivery, Handle, Shared};
+use store::{Call, Delivery, Handle, Shared, Watches};
 
 /// Stops a test that hangs; no test waits for it.
 const HANG: Duration = Duration::from_secs(60);
--- /dev/null
+++ b/crates/scheduler/tests/owner/foreign.rs
@@ -0,0 +1,122 @@
+//! Records of another writer under the keys of the entries.
+
+use super::*;
+use test_case::test_case;
+
+/// Time within which a table whose records were overwritten is owned again.
+const RECOVERY: Duration = Duration::from_secs(5);
+
+async fn within_recovery(condition: impl Fn() -> bool) -> bool {
+    monoio::time::timeout(RECOVERY, until(condition)).await.is_ok()
+}
+
+fn nested() -> String {
+    "[".repeat(100_000)
+}
+
+fn owner_record(epoch: &str, port: u32) -> String {
+    let address = format!("127.0.0.1:{port}");
+    format!(r#"{{"epoch":{epoch},"entry":"a","process":1,"address":"{address}"}}"#)
+}
+
+#[test_case("\u{0}" ; "bytes that are no json")]
+#[test_case("{}" ; "fields missing")]
+#[test_case(&nested() ; "deeply nested")]
+#[test_case(&owner_record("1", 99_999) ; "a port out of range")]
+#[test_case(&owner_record("1e300", 1) ; "a number too large")]
+#[test_case(&owner_record("18446744073709551615", 1) ; "the largest epoch")]
+#[test_case(&owner_record("0", 1) ; "an epoch that was never claimed")]
+fn an_overwritten_record_of_the_owner_stops_no_table(record: &str) {
+    let record = record.to_owned();
+    run(async |shared| {
+        let owner = Process::start("a", 1, &shared);
+        until(|| owner.owns()).await;
+        let former = owner.epoch();
+        while shared.text(keys::AGENTS).is_none() {
+            owner.report(false).await;
+        }
+        shared.put(keys::OWNER, &record, 0);
+        assert!(
+            within_recovery(|| owner.owns() && owner.epoch() > former).await,
+            "no entry owns the table again: {:?}, epoch {}",
+            shared.text(keys::OWNER).map(|text| text.chars().take(80).collect::<String>()),
+            owner.epoch(),
+        );
+        assert!(owner.epoch() < 1_000, "an epoch of another writer was continued");
+        assert_eq!(owner.entry.submit(Id(1), job()).await, Submission::Accepted);
+        while !owner.orders_a_start().await {}
+    });
+}
+
+#[test]
+fn a_new_system_beside_an_unreadable_record_of_the_owner_gets_an_owner() {
+    run(async |shared| {
+        shared.put(keys::OWNER, "\u{0}", 0);
+        let entries = [Process::start("a", 1, &shared), Process::start("b", 2, &shared)];
+        let owned = within_recovery(|| entries.iter().any(Process::owns)).await;
+        assert!(!owned, "neither entry answers the other, so either may own the table");
+        shared.intercept(|caller, _| match caller {
+            "b" => Delivery::Silent,
+            _ => Delivery::Serve,
+        });
+        shared.expire_leases();
+        assert!(within_recovery(|| entries[0].owns()).await, "the other entry is gone");
+    });
+}
+
+#[test]
+fn a_single_entry_beside_an_unreadable_record_of_the_owner_owns_the_table() {
+    run(async |shared| {
+        for _ in 0..20 {
+            shared.put(keys::OWNER, "\u{0}", 0);
+        }
+        let owner = Process::start("a", 1, &shared);
+        assert!(within_recovery(|| owner.owns()).await, "each claim fails");
+        assert!(owner.epoch() > 20, "epoch {} may have been used before", owner.epoch());
+    });
+}
+
+#[test]
+fn the_epoch_rises_with_each_overwritten_record() {
+    run(async |shared| {
+        let owner = Process::start("a", 1, &shared);
+        until(|| owner.owns()).await;
+        let mut former = owner.epoch();
+        for record in ["", "{}", &owner_record("1", 1), "[]"] {
+            shared.put(keys::OWNER, record, 0);
+            assert!(
+                within_recovery(|| owner.owns() && owner.epoch() > former).await,
+                "not owned after {record:?}, epoch {} after {former}",
+                owner.epoch()
+            );
+            former = owner.epoch();
+        }
+    });
+}
+
+#[test]
+fn nobody_claims_the_table_of_a_present_owner_whose_record_is_overwritten() {
+    run(async |shared| {
+        let owner = Process::start("a", 1, &shared);
+        until(|| owner.owns()).await;
+        let other = Process::start("b", 2, &shared);
+        until(|| shared.text(&presence("b")).is_some()).await;
+        let claims = Rc::new(Cell::new(0));
+        let counted = claims.clone();
+        // The owner neither reads the store nor writes it, but keeps its presence.
+        shared.intercept(move |caller, call| match call {
+            Call::Lease => Delivery::Serve,
+            _ if caller == "a" => Delivery::Silent,
+            Call::Commit(transaction) if writes(transaction, keys::OWNER) => {
+                counted.set(counted.get() + 1);
+                Delivery::Silent
+            }
+            _ => Delivery::Serve,
+        });
+        shared.set_watches(Watches::Silent);
+        shared.put(keys::OWNER, "{}", 0);
+        monoio::time::sleep(Duration::from_millis(500)).await;
+        assert_eq!(claims.get(), 0, "the owner may still renew leases");
+        assert!(!other.owns());
+    });
+}
