Own the table beside an unreadable list of agents

Callers saw that no job started or ended once another writer had left something unreadable under m/agents.

Cause: each claim failed on the list, and an owner whose write of the list met the other record failed to read it back, so that it recorded nothing more.

Evidence: an_overwritten_list_of_agents_stops_no_owner (three cases) and a_successor_that_cannot_read_the_list_of_agents_waits_for_all_leases failed on the former code ("the list of agents is not written again", "each claim fails").

Fix: such a list counts as one that names no agent and leaves all of them possible. An owner starts nothing until it has written the list anew. A successor gives the table the entry `*`, with which it waits until all leases have ended, those included that are renewed for agents that report meanwhile; it also stores that entry, so that the next successor waits as well. So it waits at least as long as with any list.

--- a/crates/policy/src/plan/mod.rs
+++ b/crates/policy/src/plan/mod.rs
@@ -88,6 +88,6 @@
 pub use record::Record;
 pub use settings::Settings;
 pub use sizes::Sizes;
-pub use table::Table;
+pub use table::{Table, UNLISTED};
 pub use task_state::{Phase, TaskState};
 pub use worker::Worker;
--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -1,6 +1,7 @@
 //! Applies the reports of agents to the table.
 
 use super::message::{Answer, End, ExitReason, Kind, Order, Outcome, Report, Run, Status};
+use super::table::UNLISTED;
 use super::timers::Timer;
 use super::{Event, Phase, Table, Worker};
 use shallotflow_core::graph::{State, Task};
@@ -22,6 +23,10 @@
     /// Applies a report. A report that arrives after a later one has no effect.
     pub fn apply_report(&mut self, report: Report, now: Time) {
         let agent = report.agent.clone();
+        if self.missing.contains_key(UNLISTED) && !self.workers.contains_key(&agent) {
+            self.holders_version += 1;
+            self.missing.entry(agent.clone()).or_insert(now);
+        }
         let worker = self.workers.entry(agent.clone()).or_default();
         if worker.replaced.contains(&report.process) {
             return;
--- a/crates/policy/src/plan/table.rs
+++ b/crates/policy/src/plan/table.rs
@@ -82,11 +82,15 @@
     pub(super) wall_ms: u64,
 }
 
+/// Stands in a list of agents for those that the list does not name.
+pub const UNLISTED: &str = "*";
+
 impl Table {
     /// Creates an empty table for the owner with the number `epoch`.
     ///
     /// `agents` may hold runs of predecessors; the table waits for each of them until it reports or
-    /// its leases have ended.
+    /// its leases have ended. If [`UNLISTED`] is among them, any agent may hold such runs, so the table
+    /// waits until all leases have ended.
     pub fn new(settings: Settings, epoch: u64, agents: Vec<Name>, now: Time) -> Self {
         let empty_at = now.after(settings.succession_slack).after(settings.lease);
         Self {
--- a/crates/scheduler/src/entry/own.rs
+++ b/crates/scheduler/src/entry/own.rs
@@ -112,13 +112,16 @@
     Ok(())
 }
 
-/// Reads the list of agents that may hold runs, and the list's revision.
+/// Reads the list of agents that may hold runs, and the list's revision. A list that cannot be read
+/// counts as one that names no agent and leaves all of them possible.
 async fn read_holders(entry: &Rc<Entry>) -> Result<(BTreeSet<Name>, i64), Error> {
     let Some(pair) = entry.store_call(entry.store.get(keys::AGENTS)).await? else {
         return Ok((BTreeSet::new(), 0));
     };
-    let holders = serde_json::from_slice(&pair.value);
-    let holders = holders.map_err(|error| Error::Rejected { reason: error.to_string() })?;
+    let holders = serde_json::from_slice(&pair.value).unwrap_or_else(|error| {
+        crate::log::refused(keys::AGENTS, &error);
+        BTreeSet::from([Name::from(plan::UNLISTED)])
+    });
     Ok((holders, pair.mod_revision))
 }
 
--- a/crates/scheduler/tests/owner/foreign.rs
+++ b/crates/scheduler/tests/owner/foreign.rs
@@ -120,3 +120,50 @@
         assert!(!other.owns());
     });
 }
+
+#[test_case("{" ; "bytes that are no json")]
+#[test_case(&nested() ; "deeply nested")]
+#[test_case(r#"{"agent-1":1e300}"# ; "another type")]
+fn an_overwritten_list_of_agents_stops_no_owner(list: &str) {
+    let list = list.to_owned();
+    run(async |shared| {
+        let owner = Process::start("a", 1, &shared);
+        until(|| owner.owns()).await;
+        while shared.text(keys::AGENTS).as_deref() != Some("[\"agent-1\"]") {
+            owner.report(false).await;
+        }
+        shared.put(keys::AGENTS, &list, 0);
+        // A change of the list, whose write finds the other record.
+        let changed = async {
+            while shared.text(keys::AGENTS).as_deref() != Some("[]") {
+                owner.report(true).await;
+            }
+        };
+        let changed = monoio::time::timeout(RECOVERY, changed).await;
+        assert!(changed.is_ok(), "the list of agents is not written again");
+        assert!(owner.owns());
+        // Nothing but a complete list of the agent makes its tasks run here.
+        assert_eq!(owner.entry.submit(Id(1), job()).await, Submission::Accepted);
+        while !owner.orders_a_start().await {}
+    });
+}
+
+#[test]
+fn a_successor_that_cannot_read_the_list_of_agents_waits_for_all_leases() {
+    run(async |shared| {
+        shared.put(keys::AGENTS, "{", 0);
+        let packed = pack(&job()).expect("a job");
+        let handle = Handle { caller: "test", shared: shared.clone() };
+        let record = Transaction::default().put(keys::job(Id(1)), packed);
+        handle.commit(record).await.expect("a job");
+        let owner = Process::start("a", 1, &shared);
+        assert!(within_recovery(|| owner.owns()).await, "each claim fails");
+        // An agent that is not in the list may run the task: only the end of all leases shows that
+        // none does.
+        let claimed = std::time::Instant::now();
+        while !owner.orders_a_start().await {}
+        let limits = shallotflow_policy::plan::Settings::default();
+        assert!(claimed.elapsed() + PAUSE > limits.lease, "started after {:?}", claimed.elapsed());
+        until(|| shared.text(keys::AGENTS).as_deref() == Some("[\"agent-1\"]")).await;
+    });
+}
