Write an overwritten presence again, and replace an owner that cannot

Callers saw an entry missing for the others for as long as it ran, once another writer had overwritten its presence, and no owner at all if that entry was the owner and had ended.

Cause: the view kept the former presence, so that the entry did not write it again; and a claim compares the presence of the absent owner with an absent key, while the key held the other writer's value.

Evidence: an_overwritten_presence_is_written_again (five cases: "the presence stays overwritten") and an_overwritten_presence_of_an_absent_owner_does_not_keep_its_table ("nobody owns the table of an absent owner") failed on the former code.

Fix: a presence that cannot be read is none, so its entry writes it again; an owner does so only while its claim holds. A claim compares the presence of the absent owner with the revision of the other writer's value, and only after it has stayed for 8 s: until then an owner that runs may not have learned of it and may still renew leases. The same holds where no owner is known.

--- a/crates/scheduler/src/entry/elect.rs
+++ b/crates/scheduler/src/entry/elect.rs
@@ -124,6 +124,14 @@
 
 /// Whether every other entry that is present answers that it does not own the table.
 async fn no_other_owns(entry: &Rc<Entry>) -> bool {
+    {
+        let view = entry.view.borrow();
+        let (limit, now) = (entry.settings.overwritten_limit, Boottime.now());
+        let mut names = view.overwritten_entries.keys().filter(|name| **name != entry.name);
+        if names.any(|name| view.absent_revision(name, limit, now).is_none()) {
+            return false;
+        }
+    }
     for address in entry.others() {
         let status = membership::poll_status(entry, &entry.client(address)).await;
         if !status.is_some_and(|(_, owned, _)| !owned) {
@@ -163,13 +171,19 @@
                 let view = entry.view.borrow();
                 // If an entry of that name is present, either another process has the name, or its
                 // process reports that it does not own the table.
-                absent_owner = view
+                let absent = view
                     .owner
                     .as_ref()
-                    .map(|owner| &owner.entry)
-                    .filter(|name| !name.is_empty() && **name != entry.name)
-                    .filter(|name| !view.entries.contains_key(*name))
-                    .cloned();
+                    .map(|owner| owner.entry.clone())
+                    .filter(|name| !name.is_empty() && *name != entry.name)
+                    .filter(|name| !view.entries.contains_key(name));
+                if let Some(name) = absent {
+                    let limit = entry.settings.overwritten_limit;
+                    // Until then, an owner that runs may still write its presence again.
+                    let revision = view.absent_revision(&name, limit, Boottime.now());
+                    let Some(revision) = revision else { return Ok(()) };
+                    absent_owner = Some((name, revision));
+                }
                 (view.owner.clone(), view.owner_overwritten)
             };
             let known = owner.map_or(0, |owner| owner.epoch);
@@ -190,8 +204,8 @@
         .written_by(keys::entry(&entry.name), entry.presence_revision.get())
         .put(keys::OWNER, value)
         .put(keys::EPOCH, owner.epoch.to_string());
-    if let Some(absent_owner) = absent_owner {
-        transaction = transaction.written_by(keys::entry(&absent_owner), 0);
+    if let Some((name, revision)) = absent_owner {
+        transaction = transaction.written_by(keys::entry(&name), revision);
     }
     let revision = match entry.commit(transaction).await {
         Ok(revision) => revision,
--- a/crates/scheduler/src/entry/membership.rs
+++ b/crates/scheduler/src/entry/membership.rs
@@ -4,6 +4,7 @@
 use super::keys;
 use super::member::{Owner, Presence};
 use crate::peers::{Request, Response};
+use shallotflow_core::name::Name;
 use shallotflow_core::time::Clock;
 use shallotflow_runtime::clock::Boottime;
 use shallotflow_store::error::Error;
@@ -106,7 +107,12 @@
 
 async fn watch(entry: &Rc<Entry>) -> Result<(), Error> {
     let snapshot = entry.store_call(entry.store.range(keys::MEMBERSHIP)).await?;
-    entry.view.borrow_mut().entries.clear();
+    {
+        let mut view = entry.view.borrow_mut();
+        view.entries.clear();
+        let stored = |name: &Name| snapshot.pairs.iter().any(|pair| pair.key == keys::entry(name));
+        view.overwritten_entries.retain(|name, _| stored(name));
+    }
     for pair in &snapshot.pairs {
         apply_pair(entry, pair);
     }
@@ -120,7 +126,10 @@
                 Change::Put(pair) => apply_pair(entry, &pair),
                 Change::Delete { key, .. } => {
                     if let Some(name) = key.strip_prefix(keys::ENTRIES) {
-                        entry.view.borrow_mut().entries.remove(name);
+                        let mut view = entry.view.borrow_mut();
+                        view.entries.remove(name);
+                        view.overwritten_entries.remove(name);
+                        drop(view);
                         crate::log::decision("entry gone", &name);
                     }
                 }
@@ -136,10 +145,16 @@
     } else if let Some(name) = pair.key.strip_prefix(keys::ENTRIES) {
         match serde_json::from_slice::<Presence>(&pair.value) {
             Ok(presence) => {
-                entry.view.borrow_mut().entries.insert(name.into(), presence);
+                let mut view = entry.view.borrow_mut();
+                view.overwritten_entries.remove(name);
+                view.entries.insert(name.into(), presence);
             }
             Err(error) => {
-                spdlog::error!("entry unreadable", kv: { name, reason = error.to_string() });
+                let mut view = entry.view.borrow_mut();
+                // An entry that misses its own presence writes it again.
+                view.entries.remove(name);
+                view.observe_overwritten_entry(name.into(), pair.mod_revision, Boottime.now());
+                crate::log::refused(&pair.key, &error);
             }
         }
     }
--- a/crates/scheduler/src/entry/settings.rs
+++ b/crates/scheduler/src/entry/settings.rs
@@ -13,6 +13,9 @@
     pub claim_pause: Duration,
     /// An owner that reports for this long that it does not own the table may be replaced.
     pub disowned_limit: Duration,
+    /// An entry whose presence stays overwritten by another writer for this long is absent; longer
+    /// than a silent watch and the read after it take, by which a running entry learns of it.
+    pub overwritten_limit: Duration,
     /// Duration of the lease of the entry's presence; the shortest that the store grants.
     pub presence_lease: Duration,
     /// Interval between two renewals of the presence; a third of its lease.
@@ -78,6 +81,7 @@
             first_claim: Duration::from_millis(700),
             claim_pause: Duration::from_millis(2_000),
             disowned_limit: Duration::from_millis(2_000),
+            overwritten_limit: Duration::from_millis(8_000),
             presence_lease: Duration::from_millis(1_000),
             renewal_interval: Duration::from_millis(330),
             reply_wait: Duration::from_millis(400),
--- a/crates/scheduler/src/entry/shared.rs
+++ b/crates/scheduler/src/entry/shared.rs
@@ -20,6 +20,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// The entry's view of the owner, the other entries and the workers.
 #[derive(Default)]
@@ -34,6 +35,8 @@
     pub(super) loaded: bool,
     /// The entries that are present.
     pub(super) entries: BTreeMap<Name, Presence>,
+    /// Entries whose presence another writer has overwritten: the revision, and since when it is known.
+    pub(super) overwritten_entries: BTreeMap<Name, (i64, Time)>,
     /// Since when the owner reports that it does not own the table.
     pub(super) disowned_since: Option<Time>,
     /// When the store last answered another entry, as reported by that entry.
@@ -46,6 +49,25 @@
     pub(super) sizes_grew_at: Time,
 }
 
+impl View {
+    /// Notes that another writer has overwritten the presence of an entry.
+    pub(super) fn observe_overwritten_entry(&mut self, name: Name, revision: i64, now: Time) {
+        let known = self.overwritten_entries.entry(name).or_insert((revision, now));
+        if known.0 != revision {
+            *known = (revision, now);
+        }
+    }
+
+    /// The revision of the overwritten presence of an entry once it has stayed so for `limit`; 0 if
+    /// the presence is absent.
+    pub(super) fn absent_revision(&self, name: &str, limit: Duration, now: Time) -> Option<i64> {
+        match self.overwritten_entries.get(name) {
+            Some((revision, since)) => since.after(limit).passed(now).then_some(*revision),
+            None => Some(0),
+        }
+    }
+}
+
 /// One entry; its loops and calls share this state.
 pub struct Entry {
     pub(super) settings: Settings,
--- a/crates/scheduler/tests/owner/foreign.rs
+++ b/crates/scheduler/tests/owner/foreign.rs
@@ -167,3 +167,41 @@
         until(|| shared.text(keys::AGENTS).as_deref() == Some("[\"agent-1\"]")).await;
     });
 }
+
+#[test_case("\u{0}" ; "bytes that are no json")]
+#[test_case(&nested() ; "deeply nested")]
+#[test_case(r#"{"process":1,"address":"127.0.0.1:99999"}"# ; "a port out of range")]
+#[test_case(r#"{"process":1,"address":"nowhere"}"# ; "an address that is none")]
+#[test_case(r#"{"process":1e300,"address":"127.0.0.1:1"}"# ; "a number too large")]
+fn an_overwritten_presence_is_written_again(record: &str) {
+    let record = record.to_owned();
+    run(async |shared| {
+        let owner = Process::start("a", 1, &shared);
+        until(|| owner.owns()).await;
+        let present = shared.text(&presence("a"));
+        shared.put(&presence("a"), &record, 0);
+        shared.put(&presence("ghost"), &record, 0);
+        let renewed = within_recovery(|| shared.text(&presence("a")) == present).await;
+        assert!(renewed, "the presence stays overwritten");
+        assert!(owner.owns());
+    });
+}
+
+#[test]
+fn an_overwritten_presence_of_an_absent_owner_does_not_keep_its_table() {
+    run(async |shared| {
+        let owner = Process::start("a", 1, &shared);
+        until(|| owner.owns()).await;
+        let other = Process::start("b", 2, &shared);
+        until(|| shared.text(&presence("b")).is_some()).await;
+        shared
+            .intercept(|caller, _| if caller == "a" { Delivery::Silent } else { Delivery::Serve });
+        shared.expire_leases();
+        shared.put(&presence("a"), "\u{0}", 0);
+        monoio::time::sleep(Duration::from_millis(300)).await;
+        assert!(!other.owns(), "the owner may not have read that its presence is overwritten");
+        let limit = Duration::from_secs(20);
+        let owned = monoio::time::timeout(limit, until(|| other.owns())).await;
+        assert!(owned.is_ok(), "nobody owns the table of an absent owner");
+    });
+}
