Test that odd values under any key stop no other job

The property covers the keys of the owner, its epoch, the agents, the rates, a job, its progress, the owner's presence and an evacuation request.

--- a/crates/scheduler/tests/owner/foreign.rs
+++ b/crates/scheduler/tests/owner/foreign.rs
@@ -1,6 +1,7 @@
 //! Records of another writer under the keys of the entries.
 
 use super::*;
+use proptest::prelude::*;
 use test_case::test_case;
 
 /// Time within which a table whose records were overwritten is owned again.
@@ -205,3 +206,55 @@
         assert!(owned.is_ok(), "nobody owns the table of an absent owner");
     });
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 24, ..ProptestConfig::default() })]
+
+    #[test]
+    fn odd_values_under_any_key_stop_no_other_job(
+        records in proptest::collection::vec((0..8_usize, odd_value()), 1..6),
+    ) {
+        run(async |shared| {
+            let owner = Process::start("a", 1, &shared);
+            until(|| owner.owns()).await;
+            assert_eq!(owner.entry.submit(Id(1), job()).await, Submission::Accepted);
+            while !owner.orders_a_start().await {}
+            let evacuation = format!("{EVACUATION_PREFIX}west");
+            let odd = [
+                keys::OWNER.to_owned(), keys::EPOCH.to_owned(), keys::AGENTS.to_owned(),
+                keys::RATES.to_owned(), keys::job(Id(1)), keys::progress(Id(1)), presence("a"),
+                evacuation,
+            ];
+            for (key, value) in &records {
+                shared.put(&odd[*key], value, 0);
+                monoio::time::sleep(PAUSE).await;
+            }
+            let started = async {
+                assert_eq!(owner.entry.submit(Id(2), job()).await, Submission::Accepted);
+                loop {
+                    let reply = owner.report(false).await;
+                    if reply.orders.iter().any(|order| order.task.job == Id(2)) {
+                        return;
+                    }
+                    monoio::time::sleep(PAUSE).await;
+                }
+            };
+            // All leases that the known agents may hold have ended by then.
+            let limits = shallotflow_policy::plan::Settings::default();
+            let limit = RECOVERY + limits.lease + limits.succession_slack;
+            let started = monoio::time::timeout(limit, started).await;
+            assert!(started.is_ok(), "the other job does not start: {}", owner.entry.dump());
+        });
+    }
+}
+
+fn odd_value() -> impl Strategy<Value = String> {
+    prop_oneof![
+        ".{0,40}",
+        Just(nested()),
+        Just("[]".to_owned()),
+        Just("18446744073709551615".to_owned()),
+        any::<u64>().prop_map(|epoch| owner_record(&epoch.to_string(), 1)),
+        (0..200_000_u32).prop_map(|port| owner_record("1", port)),
+    ]
+}
