--- a/crates/scheduler/src/entry/elect.rs
+++ b/crates/scheduler/src/entry/elect.rs
@@ -134,7 +134,7 @@
     }
     for address in entry.others() {
         let status = membership::poll_status(entry, &entry.client(address)).await;
-        if !status.is_some_and(|(_, owned, _)| !owned) {
+        if status.is_none_or(|(_, owned, _)| owned) {
             return false;
         }
     }
