--- a/crates/scheduler/src/entry/own.rs
+++ b/crates/scheduler/src/entry/own.rs
@@ -5,7 +5,7 @@
 use super::activity::Activity;
 use super::member::Owner;
 use super::ownership::Ownership;
-use super::{Entry, evacuate, keys};
+use super::{Entry, evacuate, keys, membership};
 use crate::peers::{pack, unpack};
 use foldhash::HashMap;
 use shallotflow_core::graph::{Id, Job};
@@ -41,7 +41,9 @@
     let requests = entry.store_call(entry.store.range(keys::REQUESTS)).await?;
     let progress = entry.store_call(entry.store.range(keys::PROGRESS)).await?;
     let evacuations = evacuate::read(entry).await?;
-    if entry.view.borrow().owner.as_ref() != Some(owner) {
+    // Another writer may have replaced the claim without naming an owner.
+    let replaced = entry.view.borrow().owner_revision != revision;
+    if replaced || entry.view.borrow().owner.as_ref() != Some(owner) {
         return Ok(());
     }
     let now = Boottime.now();
@@ -110,13 +112,16 @@
     Ok(())
 }
 
-/// Reads the list of agents that may hold runs, and the list's revision.
+/// Reads the list of agents that may hold runs, and the list's revision. A list that cannot be read
+/// counts as one that names no agent and leaves all of them possible.
 async fn read_holders(entry: &Rc<Entry>) -> Result<(BTreeSet<Name>, i64), Error> {
     let Some(pair) = entry.store_call(entry.store.get(keys::AGENTS)).await? else {
         return Ok((BTreeSet::new(), 0));
     };
-    let holders = serde_json::from_slice(&pair.value);
-    let holders = holders.map_err(|error| Error::Rejected { reason: error.to_string() })?;
+    let holders = serde_json::from_slice(&pair.value).unwrap_or_else(|error| {
+        crate::log::refused(keys::AGENTS, &error);
+        BTreeSet::from([Name::from(plan::UNLISTED)])
+    });
     Ok((holders, pair.mod_revision))
 }
 
@@ -415,14 +420,10 @@
 ) -> Result<(), Error> {
     let owner = entry.store_call(entry.store.get(keys::OWNER)).await;
     if let Some(pair) = owner? {
-        match serde_json::from_slice::<Owner>(&pair.value) {
-            Ok(owner) if owner.epoch != epoch => {
-                entry.observe_owner(owner);
-                return Ok(());
-            }
-            Ok(_) => {}
-            Err(error) => log_unreadable(keys::OWNER, &error),
-        }
+        membership::apply_owner(entry, &pair);
+    }
+    if !is_owner(entry, epoch) {
+        return Ok(());
     }
     if holders {
         let (holders, revision) = read_holders(entry).await?;
@@ -465,7 +466,7 @@
     let transaction =
         Transaction::default().written_by(keys::OWNER, revision).put(keys::OWNER, value);
     match entry.commit(transaction).await {
-        Ok(_) => entry.observe_owner(owner),
+        Ok(revision) => entry.observe_owner(owner, revision),
         Err(error) => spdlog::warn!("table not released", kv: { reason = error.to_string() }),
     }
 }
