Give a task up after two crashes only if its runs cannot have ended before

Hypotheses: a run had ended before its worker restarted and nobody read the end; a crash was counted for a run of another incarnation; one crash was counted twice.

Cause: an end that nobody has read is gone with the worker, so the run counts as a suspicion, and two suspicions gave the task up if it was alone in the latest.

Two suspicions now give a task up only if both are certain: the owner knew of the crash within a tenth of the expected duration after it had ordered the start. Otherwise a third crash of whatever kind does. Tests of the table that demand two pass unchanged: the worker crashes at the moment of the start there.

Not excluded: a run that fails within the tenth, and three crashes of which two are none.

--- a/crates/policy/src/plan/crash.rs
+++ b/crates/policy/src/plan/crash.rs
@@ -7,6 +7,9 @@
 //! nothing else starts until the result is known, so that a second crash has one cause. The numbers
 //! of the runs are recorded before a suspected task starts again, so that a later owner knows them.
 //!
+//! A run may also have ended just before its worker crashed for another reason, and nobody has read
+//! the end. Two suspicions give a task up only if neither run can have ended so soon after its start.
+//!
 //! The loss of a rack or of all power makes many suspects at once. So few workers are kept for
 //! trials, and who finds none soon starts like any other task.
 
@@ -21,13 +24,15 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// Crashes as a suspect after which a task is given up if it was alone in the latest.
-const MAX_SUSPICIONS_ALONE: usize = 2;
-/// Crashes as a suspect after which a task is given up, beside whatever others.
-const MAX_SUSPICIONS: usize = 3;
+/// Crashes as a suspect after which a task is given up if it was alone in the latest and they are certain;
+/// otherwise after one more crash.
+const MIN_SUSPICIONS: usize = 2;
 /// Crashes after which a task is given up in any case: a task may start three times more after three
 /// workers have crashed under it, and a new owner may not know of one of them.
 const MAX_CRASHES: usize = 4;
+/// Shortest time that a run takes, as a part of its expected duration: estimates are rough, and may be
+/// ten times too long.
+const LEAST_DURATION_PART: u32 = 10;
 /// Longest trial, in crash windows: a worker that stops answering is not known at once to have crashed.
 const TRIAL_WINDOWS: u32 = 3;
 /// One of so many workers may be kept for trials.
@@ -122,6 +127,8 @@
                 carried_out,
                 young: Duration::from_millis(outlived_ms) < window,
                 age_ms: outlived_ms,
+                // The agent does not tell when the worker was gone at the latest.
+                certain: false,
                 alone: false,
                 latest: latest == Some(task),
             };
@@ -145,6 +152,7 @@
             let window = self.settings.crash_window;
             let Some(state) = self.task_state(&task) else { continue };
             let Some((_, run)) = state.current().filter(|_| state.percent == 0) else { continue };
+            let least = self.least_duration(&task);
             let loss = Loss {
                 task,
                 run,
@@ -153,6 +161,8 @@
                 // If the agent has restarted too, a loss of power explains both.
                 young: synced && !state.begun.after(window).passed(alive_at),
                 age_ms: u64::try_from(now.since(state.begun).as_millis()).unwrap_or(u64::MAX),
+                // A run that was adopted began earlier, and one with a checkpoint has less to do.
+                certain: !state.resumed && !state.begun.after(least).passed(now),
                 alone,
                 latest: latest == Some(task),
             };
@@ -166,7 +176,7 @@
     /// Counts a crash for one run, unless it is counted already. Returns whether the task is to be
     /// given up.
     fn count_loss(&mut self, agent: &Name, loss: &Loss, now: Time) -> bool {
-        let Loss { task, run, carried_out, young, age_ms, alone, latest } = *loss;
+        let Loss { task, run, carried_out, young, age_ms, certain, alone, latest } = *loss;
         let Some(job) = self.jobs.get_mut(&task.job).filter(|job| job.ended.is_none()) else {
             return false;
         };
@@ -180,7 +190,7 @@
         let suspected = carried_out && young;
         let mut likely = false;
         if suspected {
-            job.add_suspicion(position, run);
+            job.add_suspicion(position, run, certain);
             let state = &mut job.tasks[position];
             state.likely = latest || state.suspected.len() > 1;
             likely = state.likely;
@@ -197,16 +207,31 @@
         let suspicions = self.gang_runs(task, |state| &state.suspected);
         if suspected {
             let agent = agent.clone();
-            let event =
-                Event::Suspect { task, run, agent, age_ms, alone, likely, suspicions, crashes };
-            self.events.push(event);
+            self.events.push(Event::Suspect {
+                task,
+                run,
+                agent,
+                age_ms,
+                certain,
+                alone,
+                likely,
+                suspicions,
+                crashes,
+            });
         }
-        let most = if alone { MAX_SUSPICIONS_ALONE } else { MAX_SUSPICIONS };
-        let is_cause = suspected && suspicions >= most;
+        let certain = self.gang_runs(task, |state| &state.certain);
+        let proven = alone && suspected && certain >= MIN_SUSPICIONS;
+        let is_cause = proven || (suspicions >= MIN_SUSPICIONS && crashes > MIN_SUSPICIONS);
         let most = if carried_out { MAX_CRASHES } else { MAX_CRASHES + 1 };
         is_cause || crashes >= most
     }
 
+    /// Returns the shortest time that a run of `task` takes from its start to its end.
+    fn least_duration(&self, task: &Task) -> Duration {
+        let Some(job) = self.jobs.get(&task.job) else { return Duration::ZERO };
+        Duration::from_millis(job.durations_ms[usize::from(task.step)]) / LEAST_DURATION_PART
+    }
+
     /// Returns the likeliest cause of a crash among the runs of a worker: what started last before it.
     fn latest_start(&self, tasks: &[Task]) -> Option<Task> {
         let begun = |task: &Task| {
@@ -394,10 +419,13 @@
         self.suspects > 0 && !self.hold_until.passed(now)
     }
 
-    fn add_suspicion(&mut self, position: usize, run: u32) {
+    fn add_suspicion(&mut self, position: usize, run: u32, certain: bool) {
         let state = &mut self.tasks[position];
         self.suspects += u32::from(state.suspected.is_empty());
         state.suspected.push(run);
+        if certain {
+            state.certain.push(run);
+        }
     }
 
     /// Returns whether the task at `position` was suspected.
@@ -406,6 +434,7 @@
         let suspected = !state.suspected.is_empty();
         self.suspects -= u32::from(suspected);
         state.suspected.clear();
+        state.certain.clear();
         suspected
     }
 
--- a/crates/policy/src/plan/event.rs
+++ b/crates/policy/src/plan/event.rs
@@ -111,6 +111,8 @@
         /// Time since the start was ordered, milliseconds; if only the agent saw the crash, how long
         /// the worker was known to live after the start.
         age_ms: u64,
+        /// Whether the run cannot have ended before the crash.
+        certain: bool,
         /// Whether nothing else could have crashed the worker.
         alone: bool,
         /// Whether it was among the last starts before the crash, or is suspected again.
--- a/crates/policy/src/plan/loss.rs
+++ b/crates/policy/src/plan/loss.rs
@@ -13,6 +13,8 @@
     pub(super) young: bool,
     /// Age of the run, in milliseconds.
     pub(super) age_ms: u64,
+    /// Whether the run cannot have ended before the crash.
+    pub(super) certain: bool,
     /// Whether nothing else could have crashed the worker.
     pub(super) alone: bool,
     /// Whether it was the last start before the crash.
--- a/crates/policy/src/plan/progress.rs
+++ b/crates/policy/src/plan/progress.rs
@@ -23,4 +23,7 @@
     /// Those of them that may have crashed the worker.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub suspected: Vec<(u32, Vec<u32>)>,
+    /// Those of them that cannot have ended before the crash.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub certain: Vec<(u32, Vec<u32>)>,
 }
--- a/crates/policy/src/plan/record.rs
+++ b/crates/policy/src/plan/record.rs
@@ -38,6 +38,9 @@
             if !state.suspected.is_empty() {
                 progress.suspected.push((number, state.suspected.clone()));
             }
+            if !state.certain.is_empty() {
+                progress.certain.push((number, state.certain.clone()));
+            }
             if let Some(checkpoint) = &state.checkpoint {
                 progress.checkpoints.push((number, checkpoint.clone()));
             }
@@ -72,6 +75,11 @@
                 state.suspected.clone_from(suspected);
             }
         }
+        for (number, certain) in &progress.certain {
+            if let Some(state) = self.tasks.get_mut(*number as usize) {
+                state.certain.clone_from(certain);
+            }
+        }
         self.suspects = self.count_suspects();
         for (number, checkpoint) in &progress.checkpoints {
             if let Some(state) = self.tasks.get_mut(*number as usize) {
--- a/crates/policy/src/plan/task_state.rs
+++ b/crates/policy/src/plan/task_state.rs
@@ -53,6 +53,8 @@
     pub crashed: Vec<u32>,
     /// Numbers of those that may have crashed the worker, since a run has outlived its start.
     pub suspected: Vec<u32>,
+    /// Numbers of those that cannot have ended before the crash.
+    pub certain: Vec<u32>,
     /// Version of the job that has to be recorded before the next start.
     pub crash_version: u64,
     /// Until when it starts only at a worker where it is alone, if it is suspected.
--- a/crates/policy/tests/plan/crash.rs
+++ b/crates/policy/tests/plan/crash.rs
@@ -113,6 +113,39 @@
     assert_eq!(harness.running().len(), 7);
 }
 
+/// Guards against a task that is given up with one true crash: of a run that had time to end, the end may
+/// only not have been read before the worker restarted.
+#[test_case(&[150, 150]; "both runs may have ended before")]
+#[test_case(&[150, 0]; "the first run may have ended before")]
+#[test_case(&[0, 150]; "the second run may have ended before")]
+fn a_task_whose_run_may_have_ended_before_a_crash_is_given_up_after_three(ages_ms: &[u64]) {
+    let mut harness = Harness::new(2);
+    harness.table.accept(id(1), job(vec![step(1, 1_000)]), true, harness.now);
+    for age_ms in ages_ms {
+        harness.run_until(task(1, 0, 0));
+        harness.wait(Duration::from_millis(*age_ms));
+        harness.crash(task(1, 0, 0));
+    }
+    assert_eq!(harness.table.job(id(1)).expect("a job").ended, None);
+    harness.run_until(task(1, 0, 0));
+    harness.wait(Duration::from_millis(150));
+    harness.crash(task(1, 0, 0));
+    assert_eq!(harness.table.job(id(1)).expect("a job").ended, Some(State::Failed));
+}
+
+#[test]
+fn a_run_that_resumed_from_a_checkpoint_may_end_at_once() {
+    let mut harness = Harness::new(2);
+    let progress = Progress { checkpoints: vec![(0, "half".into())], ..Progress::default() };
+    let resumed = job(vec![step(1, 1_000)]);
+    harness.table.load(id(1), resumed, Some(&progress), true, harness.now);
+    for _ in 0..2 {
+        harness.run_until(task(1, 0, 0));
+        harness.crash(task(1, 0, 0));
+    }
+    assert_eq!(harness.table.job(id(1)).expect("a job").ended, None);
+}
+
 #[test]
 fn a_suspect_starts_only_once_its_crash_is_recorded() {
     let mut harness = Harness::new(2);
--- a/crates/scheduler/tests/path.rs
+++ b/crates/scheduler/tests/path.rs
@@ -44,6 +44,15 @@
     assert_eq!(Simulation::new(8_224, FaultRates::default(), None).run(), Ok(()));
 }
 
+/// Guards against a task that is given up for such a run and one crash; the 50 seeds below show one more.
+#[test_case(490)]
+#[test_case(934)]
+#[test_case(1_811)]
+fn no_task_is_given_up_for_a_run_that_was_done_before_its_worker_restarted(seed: u64) {
+    let rates = FaultRates::with_lost_machines_and_messages();
+    assert_eq!(Simulation::new(seed, rates, None).run(), Ok(()));
+}
+
 #[test]
 fn every_guarantee_holds_when_calls_outlive_an_incarnation_of_the_worker() {
     for seed in 0..SEEDS {
@@ -96,6 +105,15 @@
     assert_eq!(Simulation::new(seed, FaultRates::with_deadly_tasks(), None).run(), Ok(()));
 }
 
+/// Guards against a limit on starts that holds only if all crashes count as suspicions; 400 seeds do not
+/// show it.
+#[test_case(1_383)]
+#[test_case(1_520)]
+#[test_case(2_910)]
+fn a_third_crash_gives_a_task_up_although_it_is_no_suspicion(seed: u64) {
+    assert_eq!(Simulation::new(seed, FaultRates::with_deadly_tasks(), None).run(), Ok(()));
+}
+
 #[test]
 fn tasks_that_crash_their_workers_are_given_up_under_one_owner_after_the_other() {
     for seed in 0..SEEDS {
@@ -141,7 +159,7 @@
     }
 }
 
-/// The same seeds, for the wait alone: of the case above, a fault that KNOWN-RED.txt lists ends one early.
+/// The same seeds, for the wait alone: another fault may end a case above early.
 #[test]
 fn no_task_waits_without_end_beside_all_other_faults() {
     for seed in 0..FEW_SEEDS {
--- a/crates/scheduler/tests/path/simulation.rs
+++ b/crates/scheduler/tests/path/simulation.rs
@@ -626,6 +626,7 @@
             if let Some(progress) = progress.as_mut().filter(|_| forgets) {
                 progress.crashed.clear();
                 progress.suspected.clear();
+                progress.certain.clear();
             }
             table.load(*id, job.clone(), progress.as_ref(), false, now);
             if self.cancels.contains(id) {
