Check in the simulated path that something of each job runs

Best-effort tasks of other jobs could hold back an accepted job of which nothing ran, without a bound.

Jobs of many best-effort tasks now form a backlog at the workers; their runs share the processors that others leave and list their real progress. A third of the machines is lost for good. The oracle checks each job at each step as its caller does: nothing of it runs, a task's turn has come, its room is free twice, and less than half of the processors are reserved. That may last for 3 s, counted from the end of a stated wait for something else than room. Capacities are also checked for memory, which best-effort tasks reserve. The bound for single tasks stays; it does not cover best-effort tasks, of which one may wait behind others of its job.

--- a/crates/scheduler/tests/path.rs
+++ b/crates/scheduler/tests/path.rs
@@ -6,12 +6,15 @@
 //! start whatever they are told to start, shrink and grow again, and take time to stop a run. The
 //! oracle sees only the calls to workers and what workers do. Machines, workers and messages may also be
 //! lost for good; once all else is calm, no task that could run may wait for longer than the stated
-//! bounds allow.
+//! bounds allow, and no job of which a task could run may be without a run for longer than callers were
+//! promised.
 
 mod path {
     pub(crate) mod fault;
     pub(crate) mod oracle;
+    pub(crate) mod room;
     pub(crate) mod simulation;
+    pub(crate) mod work;
     pub(crate) mod worker;
 }
 
@@ -25,6 +28,8 @@
 const MANY_SEEDS: u64 = 3_000;
 /// Enough to find calls that outlive an incarnation.
 const FEW_SEEDS: u64 = 50;
+/// Enough to find a job that waits behind a backlog.
+const BACKLOG_SEEDS: u64 = 10;
 /// Maximum number of seeds that are tried to find an injected fault.
 const FAULT_SEEDS: u64 = 2_000;
 
@@ -181,17 +186,39 @@
     }
 }
 
-/// The same seeds, for the wait alone: another fault may end a case above early.
+/// The same seeds, for the waits alone: another fault may end a case above early.
 #[test]
 fn no_task_waits_without_end_beside_all_other_faults() {
     for seed in 0..FEW_SEEDS {
         let rates = FaultRates::with_lost_machines_and_messages();
         let outcome = Simulation::new(seed, rates, None).run();
-        let waits = outcome.as_ref().is_err_and(|broken| broken.contains("could run and doesn't"));
+        let waits = outcome.as_ref().is_err_and(|broken| {
+            broken.contains("could run and doesn't") || broken.contains("though a task could")
+        });
         assert!(!waits, "seed {seed}: {outcome:?}");
     }
 }
 
+/// Guards against a job of which nothing runs behind the best-effort tasks of other jobs, while callers
+/// count the processors of those tasks as free.
+#[test_case(FaultRates::with_backlog() ; "a third of the machines is lost")]
+#[test_case(FaultRates::with_backlog_and_takeovers() ; "beside rare faults")]
+fn no_job_is_without_a_run_for_long_in_a_backlog(rates: FaultRates) {
+    for seed in 0..BACKLOG_SEEDS {
+        assert_eq!(Simulation::new(seed, rates, None).run(), Ok(()), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_wait_behind_best_effort_tasks_without_a_bound_is_found() {
+    let waits = |seed| {
+        let fault = Some(Fault::EndlessIdleWait);
+        let outcome = Simulation::new(seed, FaultRates::with_backlog(), fault).run();
+        outcome.is_err_and(|broken| broken.contains("though a task could"))
+    };
+    assert!((0..FAULT_SEEDS).any(waits), "no seed finds the fault");
+}
+
 #[test_case(Fault::LostRecords ; "records are lost")]
 #[test_case(Fault::NoLists ; "an agent never lists its runs")]
 #[test_case(Fault::SilentStops ; "the end of a stopped run is never told")]
@@ -224,6 +251,8 @@
 #[test_case(FaultRates::with_deadly_tasks_and_takeovers() ; "deadly tasks and takeovers")]
 #[test_case(FaultRates::with_lost_machines() ; "lost machines")]
 #[test_case(FaultRates::with_lost_machines_and_messages() ; "lost machines and messages")]
+#[test_case(FaultRates::with_backlog() ; "backlog")]
+#[test_case(FaultRates::with_backlog_and_takeovers() ; "backlog and takeovers")]
 #[ignore = "takes minutes; run it after a change of the path"]
 fn every_guarantee_holds_on_many_seeds(rates: FaultRates) {
     let broken = |seed| Simulation::new(seed, rates, None).run().err().map(|what| (seed, what));
--- a/crates/scheduler/tests/path/fault.rs
+++ b/crates/scheduler/tests/path/fault.rs
@@ -37,4 +37,6 @@
     NoLists,
     /// Agents never report that a stopped run has ended.
     SilentStops,
+    /// A job of which nothing runs waits behind the best-effort tasks of other jobs without a bound.
+    EndlessIdleWait,
 }
--- a/crates/scheduler/tests/path/oracle.rs
+++ b/crates/scheduler/tests/path/oracle.rs
@@ -2,6 +2,7 @@
 
 use super::worker::STOP_MS;
 use shallotflow_core::graph::{Id, Task};
+use shallotflow_core::resources::Bundle;
 use shallotflow_policy::plan::message::{End, ExitReason};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -30,28 +31,14 @@
 const RETRY_MS: u64 = 2_000;
 /// First ejection of a worker where tasks fail.
 const EJECTION_MS: u64 = 4_000;
-
-/// The free processors of the workers.
-pub(crate) struct Room {
-    free: Vec<u32>,
-    half_used: bool,
-}
-
-impl Room {
-    /// Sums the capacities and the used processors of workers.
-    pub(crate) fn new(workers: impl Iterator<Item = (u32, u32)>) -> Self {
-        let workers: Vec<(u32, u32)> = workers.collect();
-        let capacity: u32 = workers.iter().map(|(capacity, _)| capacity).sum();
-        let used: u32 = workers.iter().map(|(_, used)| used).sum();
-        let free = workers.iter().map(|(capacity, used)| capacity.saturating_sub(*used)).collect();
-        Self { free, half_used: used * 2 >= capacity }
-    }
-
-    /// Whether two tasks of `need` fit, and less than half of the capacity is in use.
-    pub(crate) fn holds_twice(&self, need: u32) -> bool {
-        !self.half_used && self.free.iter().map(|free| free / need).sum::<u32>() >= 2
-    }
-}
+/// A task of a job under which a worker crashed, and the others of the job, wait for a trial.
+const HELD_MS: u64 = 6_200;
+/// The runs of a lost machine count until their leases have ended; from the last report of its agent, or
+/// the last answer of its worker.
+const GONE_MS: u64 = 6_400;
+/// The owner orders starts at a machine that is gone until its agent counts as silent, and waits for the
+/// answer to the last one.
+const SILENT_MS: u64 = 1_300 + 700;
 
 /// What the oracle has observed of one task.
 #[derive(Default)]
@@ -87,6 +74,12 @@
     deadly: BTreeSet<Task>,
     /// From when on nothing may be sent to start at each evacuated worker.
     evacuated: BTreeMap<usize, u64>,
+    /// Since when nothing of a job runs although callers see that a task could.
+    idle_since: BTreeMap<Id, u64>,
+    /// Until when a stated wait for something else than room may hold all tasks of a job.
+    held_until: BTreeMap<Id, u64>,
+    /// Until when such a wait may hold all jobs.
+    all_held_until: u64,
     pub(crate) broken: Option<String>,
 }
 
@@ -121,6 +114,64 @@
         (waited > MAX_WAIT_MS).then_some(waited)
     }
 
+    /// Whether the turn of `task` has come and it is not done, as its caller sees it.
+    pub(crate) fn is_due(&self, task: Task) -> bool {
+        let before = |index| Task { step: 0, index, ..task };
+        let mut first = (0..self.first[&task.job]).map(before);
+        !self.is_done(&task) && (task.step == 0 || first.all(|before| self.is_done(&before)))
+    }
+
+    /// Returns for how long nothing of a job ran since `calm_since`, in milliseconds, if that is longer
+    /// than callers were promised; `startable` is whether nothing runs now although a task could.
+    ///
+    /// Where a stated wait for something else than room comes before, the promise counts from its end:
+    /// callers see nothing of it, but until then no rule on room or order can let a task start.
+    pub(crate) fn idle(
+        &mut self,
+        job: Id,
+        startable: bool,
+        now: u64,
+        calm_since: u64,
+    ) -> Option<u64> {
+        if !startable {
+            self.idle_since.remove(&job);
+            return None;
+        }
+        let since = *self.idle_since.entry(job).or_insert(now);
+        let held_until = self.held_until.get(&job).copied().unwrap_or(0);
+        let idle =
+            now.saturating_sub(since.max(calm_since).max(held_until).max(self.all_held_until));
+        (idle > SEEN_MS).then_some(idle)
+    }
+
+    /// Records that a wait may hold all tasks of the job until `until`.
+    fn hold(&mut self, job: Id, until: u64) {
+        let held_until = self.held_until.entry(job).or_default();
+        *held_until = until.max(*held_until);
+    }
+
+    /// Records that a successor of the owner has claimed the table: until the agents have listed what they
+    /// run, no task starts.
+    pub(crate) fn mark_claim(&mut self, now: u64) {
+        self.all_held_until = self.all_held_until.max(now + LEASE_MS);
+    }
+
+    /// Records that the owner does not know yet which failure domains it may use again.
+    pub(crate) fn mark_unknown_requests(&mut self, now: u64) {
+        self.all_held_until = self.all_held_until.max(now);
+    }
+
+    /// Records that a machine is lost for good and its agent reports until `gone_at`.
+    pub(crate) fn mark_machine_lost(&mut self, gone_at: u64) {
+        self.all_held_until = self.all_held_until.max(gone_at + SILENT_MS);
+    }
+
+    /// Records that the owner takes all tasks of the job whose turn has come for started at machines that
+    /// are lost, the last one at `lost_at`.
+    pub(crate) fn mark_tied(&mut self, job: Id, lost_at: u64) {
+        self.hold(job, lost_at + GONE_MS);
+    }
+
     pub(crate) fn start(&mut self, worker: usize, task: Task, attempts: u32) {
         let Some(first) = self.first.get(&task.job).copied() else {
             return self.fail(format!("{task} was never submitted"));
@@ -187,16 +238,18 @@
     }
 
     /// Records that a worker has crashed under the run of `task`.
-    pub(crate) fn mark_crashed(&mut self, worker: usize, task: Task) {
+    pub(crate) fn mark_crashed(&mut self, worker: usize, task: Task, now: u64) {
         self.mark_ended(worker, task);
         self.tasks.entry(task).or_default().crashes += 1;
+        self.hold(task.job, now + HELD_MS);
     }
 
-    pub(crate) fn mark_failed(&mut self, task: Task) {
+    pub(crate) fn mark_failed(&mut self, task: Task, now: u64) {
         if self.long_running.contains(&task.job) {
             return;
         }
         self.tasks.entry(task).or_default().failed_runs += 1;
+        self.hold(task.job, now + RETRY_MS);
     }
 
     /// Checks that a job that is shown as failed has a task that failed in all its attempts, or under
@@ -214,8 +267,14 @@
     }
 
     /// Checks that a start does not bring its worker over its capacity.
-    pub(crate) fn check_capacity(&mut self, worker: usize, task: Task, used: u32, capacity: u32) {
-        if used > capacity {
+    pub(crate) fn check_capacity(
+        &mut self,
+        worker: usize,
+        task: Task,
+        used: Bundle,
+        capacity: Bundle,
+    ) {
+        if !capacity.holds(&used) {
             self.fail(format!("{task} brings worker {worker} of {capacity} to {used}"));
         }
     }
@@ -225,6 +284,12 @@
         self.tasks.entry(task).or_default().running.remove(&worker);
     }
 
+    /// Records that a run has ended of which neither lists nor ends tell.
+    pub(crate) fn mark_vanished(&mut self, worker: usize, task: Task, now: u64) {
+        self.mark_ended(worker, task);
+        self.hold(task.job, now + STALL_MS);
+    }
+
     pub(crate) fn mark_done(&mut self, task: Task, run: u32) {
         if self.long_running.contains(&task.job) {
             return;
--- a/crates/scheduler/tests/path/simulation.rs
+++ b/crates/scheduler/tests/path/simulation.rs
@@ -1,7 +1,9 @@
 //! A simulation of owners, agents, workers and the store in virtual time.
 
 use super::fault::Fault;
-use super::oracle::{Oracle, Room};
+use super::oracle::Oracle;
+use super::room::Room;
+use super::work::Work;
 use super::worker::{FULL_MILLICORES, STOP_MS, Worker};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -12,16 +14,21 @@
 use shallotflow_policy::plan::message::{
     ExitReason, Incarnation, Kind, Order, Outcome, Profile, Reply, Report, Status, Traits,
 };
-use shallotflow_policy::plan::{self, Progress, Table};
+use shallotflow_policy::plan::{self, Phase, Progress, Table};
 use shallotflow_scheduler::agent::run_table::{Key, RunTable};
 use shallotflow_scheduler::agent::{self, Error, Lists};
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 pub(crate) const ATTEMPTS: u32 = 2;
 const WORKERS: usize = 3;
 /// Number of workers where some are lost for good, and how many of them at most.
 const MORE_WORKERS: usize = 5;
 const MAX_LOST_WORKERS: usize = 2;
+/// Number of workers that have a backlog.
+const BACKLOG_WORKERS: usize = 6;
+/// Time added to the objective of best-effort jobs, in milliseconds.
+const BACKLOG_TARGET_MS: u64 = 20_000;
 const TICK_MS: u64 = 20;
 /// Duration of the phase with faults, in milliseconds; then every job has to end.
 const FAULT_PHASE_MS: u64 = 30_000;
@@ -88,6 +95,10 @@
     odd_heartbeat: f64,
     /// Whether odd heartbeats claim a plausible restart of the worker instead.
     odd_restarts: bool,
+    /// Probability that a job is one of many best-effort tasks.
+    backlog: f64,
+    /// Whether a third of the machines are lost for good at the same time.
+    third_lost: bool,
 }
 
 impl Default for FaultRates {
@@ -176,6 +187,24 @@
         }
     }
 
+    /// Best-effort jobs that ask for more than the workers have, and a third of the machines lost for
+    /// good while they wait.
+    pub(crate) fn with_backlog() -> Self {
+        Self { workers: BACKLOG_WORKERS, backlog: 0.85, third_lost: true, ..Self::none() }
+    }
+
+    /// The same beside the rare faults of machines and owners.
+    pub(crate) fn with_backlog_and_takeovers() -> Self {
+        Self {
+            worker_restart: 0.0002,
+            agent_restart: 0.0004,
+            owner_replaced: 0.001,
+            run_vanished: 0.0002,
+            task_fails: 0.02,
+            ..Self::with_backlog()
+        }
+    }
+
     pub(crate) fn none() -> Self {
         Self {
             call_lost: 0.0,
@@ -205,6 +234,8 @@
             power_lost: 0.0,
             odd_heartbeat: 0.0,
             odd_restarts: false,
+            backlog: 0.0,
+            third_lost: false,
         }
     }
 }
@@ -327,6 +358,10 @@
     /// When the latest fault ended, except those that never end.
     calm_since: u64,
     oracle: Oracle,
+    /// When agents or their workers were lost for good.
+    lost_at: BTreeMap<Name, u64>,
+    /// When a third of the machines are lost.
+    third_lost_at: Option<u64>,
     jobs: BTreeMap<Id, (Job, u64)>,
     cancels: BTreeSet<Id>,
     progress: BTreeMap<Id, Progress>,
@@ -349,9 +384,11 @@
 impl Simulation {
     pub(crate) fn new(seed: u64, rates: FaultRates, fault: Option<Fault>) -> Self {
         let now = 100_000;
-        let table = Table::new(plan::Settings::default(), 1, Vec::new(), Time::from_millis(now));
+        let table = Table::new(plan_settings(fault), 1, Vec::new(), Time::from_millis(now));
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let third_lost_at = rates.third_lost.then(|| now + rng.random_range(5_000..25_000));
         Self {
-            rng: SmallRng::seed_from_u64(seed),
+            rng,
             rates,
             fault,
             now,
@@ -367,6 +404,8 @@
             flights: Vec::new(),
             calm_since: now,
             oracle: Oracle::default(),
+            lost_at: BTreeMap::new(),
+            third_lost_at,
             jobs: BTreeMap::new(),
             cancels: BTreeSet::new(),
             progress: BTreeMap::new(),
@@ -435,21 +474,54 @@
     /// Checks that no task waits although callers see that it could run.
     fn check_waits(&mut self) {
         let usable = self.workers.iter().filter(|worker| worker.is_usable(self.now));
-        let room = Room::new(usable.map(|worker| (worker.millicores(), worker.used())));
+        let room = Room::new(usable.map(|worker| (worker.capacity(), worker.reserved())));
         let table = &self.owners.last().expect("an owner").table;
         for (id, (job, _)) in &self.jobs {
             let ended = table.visible_state(QUEUE, *id).is_some_and(State::is_final);
             if ended || self.cancels.contains(id) {
                 continue;
             }
-            for task in tasks_of(*id, job) {
-                let need = job.spec.steps[usize::from(task.step)].need.millicores;
-                let room = room.holds_twice(need);
+            let reserved = |task: &Task| {
+                let step = &job.spec.steps[usize::from(task.step)];
+                let millicores = if step.best_effort { 0 } else { step.need.millicores };
+                Bundle { millicores, ..step.need }
+            };
+            let phase = |task: &Task| {
+                let job = table.job(*id)?;
+                Some(job.tasks[job.position(task)?].phase.clone())
+            };
+            let tasks = tasks_of(*id, job);
+            let due: Vec<Task> =
+                tasks.iter().copied().filter(|task| self.oracle.is_due(*task)).collect();
+            let startable = due.iter().any(|task| room.holds_twice(&reserved(task)))
+                && !tasks.iter().any(|task| self.oracle.is_running(*task));
+            let lost_at = |task: &Task| match phase(task)? {
+                Phase::Starting { agent, .. }
+                | Phase::Running { agent, .. }
+                | Phase::Stopping { agent, .. } => self.lost_at.get(&agent).copied(),
+                _ => None,
+            };
+            let tied: Option<Vec<u64>> = due.iter().map(lost_at).collect();
+            if let Some(lost_at) = tied.into_iter().flatten().max() {
+                self.oracle.mark_tied(*id, lost_at);
+            }
+            if let Some(idle) = self.oracle.idle(*id, startable, self.now, self.calm_since) {
+                let phases: Vec<_> = due.iter().map(phase).collect();
+                return self.oracle.fail(format!(
+                    "nothing of {id} runs for {idle} ms though a task could; the owner has those whose \
+                     turn has come as {phases:?}"
+                ));
+            }
+            for task in tasks {
+                // Best-effort tasks wait behind others of their job.
+                if job.spec.steps[usize::from(task.step)].best_effort {
+                    continue;
+                }
+                let room = room.holds_twice(&reserved(&task));
                 let Some(waited) = self.oracle.wait(task, room, self.now, self.calm_since) else {
                     continue;
                 };
-                let phase = |job: &plan::Job| Some(job.tasks[job.position(&task)?].phase.clone());
-                let phase = table.job(*id).and_then(phase);
+                let phase = phase(&task);
                 return self.oracle.fail(format!(
                     "{task} could run and doesn't for {waited} ms; the owner has it as {phase:?}"
                 ));
@@ -494,6 +566,12 @@
             self.store_down_until = now + self.rng.random_range(500..6_000);
             self.disturb(self.store_down_until);
         }
+        if self.third_lost_at.is_some_and(|at| at <= now) {
+            self.third_lost_at = None;
+            for number in 0..self.workers.len() / 3 {
+                self.lose_machine(number);
+            }
+        }
         for number in 0..self.workers.len() {
             if self.chance(self.rates.worker_restart) && !self.workers[number].is_lost() {
                 self.workers[number].restart(now, &mut self.oracle);
@@ -541,6 +619,18 @@
         self.disturb(self.now);
     }
 
+    /// Ends an agent and its worker for good.
+    fn lose_machine(&mut self, number: usize) {
+        // The worker is the first to answer no more.
+        self.workers[number].dark_until = u64::MAX;
+        self.restart_agent(number, self.owners.len() - 1);
+        let gone_at = self.now + self.rng.random_range(0..REPORT_MS);
+        self.agents[number].gone_at = gone_at;
+        self.workers[number].lose_power(self.now, &mut self.oracle);
+        self.lost_at.insert(agent_name(number), gone_at);
+        self.oracle.mark_machine_lost(gone_at);
+    }
+
     /// Injects the faults of one machine that may never end.
     fn inject_losses(&mut self, number: usize) {
         let now = self.now;
@@ -550,11 +640,7 @@
         }
         let may_last = lost < MAX_LOST_WORKERS;
         if self.chance(self.rates.machine_lost) && may_last {
-            // The worker is the first to answer no more.
-            self.workers[number].dark_until = u64::MAX;
-            self.restart_agent(number, self.owners.len() - 1);
-            self.agents[number].gone_at = now + self.rng.random_range(0..REPORT_MS);
-            self.workers[number].lose_power(now, &mut self.oracle);
+            self.lose_machine(number);
         }
         if self.chance(self.rates.worker_replaced) {
             let set_back_ms = if self.rng.random_bool(0.3) { 50 } else { 0 };
@@ -562,19 +648,25 @@
             let registers_at = if never { u64::MAX } else { now + self.rng.random_range(0..3_000) };
             self.workers[number].replace(now, set_back_ms, registers_at, &mut self.oracle);
             self.disturb(if never { now } else { registers_at });
+            if never {
+                self.lost_at.insert(agent_name(number), now);
+            }
         }
         if self.chance(self.rates.worker_dark) {
             let ends_at = now + self.rng.random_range(500..12_000);
             let forever = may_last && self.rng.random_bool(0.3);
             self.workers[number].dark_until = if forever { u64::MAX } else { ends_at };
             self.disturb(if forever { now } else { ends_at });
+            if forever {
+                self.lost_at.insert(agent_name(number), now);
+            }
         }
     }
 
     /// Lets a run of a worker disappear.
     fn inject_vanished_run(&mut self, number: usize) {
         if self.chance(self.rates.run_vanished) {
-            self.workers[number].forget_run(&mut self.oracle);
+            self.workers[number].forget_run(self.now, &mut self.oracle);
             self.disturb(self.now);
         }
     }
@@ -611,6 +703,7 @@
         if owner.requests_revision == self.requests_revision || self.now < self.store_down_until {
             return;
         }
+        self.oracle.mark_unknown_requests(self.now);
         let now = self.now;
         let rng = &mut self.rng;
         let learns_at =
@@ -628,6 +721,7 @@
         let now = Time::from_millis(self.now);
         let alive_until = self.now + self.rng.random_range(0..4_000);
         self.disturb(alive_until);
+        self.oracle.mark_claim(self.now);
         let former = self.owners.last_mut().expect("an owner");
         former.alive_until = alive_until;
         let epoch = former.table.epoch() + 1;
@@ -636,7 +730,7 @@
             Some(Fault::NoWaitForAgents) => Vec::new(),
             _ => self.holders.iter().cloned().collect(),
         };
-        let mut table = Table::new(plan::Settings::default(), epoch, missing, now);
+        let mut table = Table::new(plan_settings(self.fault), epoch, missing, now);
         for (id, (job, _)) in &self.jobs {
             let mut progress = self.progress.get(id).cloned();
             if let Some(progress) = progress.as_mut().filter(|_| forgets) {
@@ -698,10 +792,15 @@
                 },
                 ..Spec::default()
             };
+            let backlog = self.chance(self.rates.backlog);
+            let spec = if backlog { self.draw_backlog(spec) } else { spec };
+            let first = spec.steps[0].count;
+            let long_running = long_running && !backlog;
             let queue = Queue {
                 name: QUEUE.into(),
                 service: "s".into(),
                 attempts: ATTEMPTS,
+                target_ms: if backlog { BACKLOG_TARGET_MS } else { 0 },
                 ..Queue::default()
             };
             let job = Job { queue, spec, accepted_ms: self.now };
@@ -737,6 +836,24 @@
         }
     }
 
+    /// Makes the steps of a job best-effort and draws many tasks for the first.
+    fn draw_backlog(&mut self, spec: Spec) -> Spec {
+        let estimate_ms = self.rng.random_range(1_000..5_000);
+        let first = self.rng.random_range(4..16);
+        let millicores = self.rng.random_range(1_000..2_500);
+        let memory_mib = self.rng.random_range(20..60);
+        let steps = spec.steps.into_iter().enumerate().map(|(number, step)| Step {
+            count: if number == 0 { first } else { step.count },
+            need: Bundle { millicores, memory_mib, ..Bundle::default() },
+            best_effort: true,
+            image: Some("fill".into()),
+            estimate_ms,
+            long_running: false,
+            ..step
+        });
+        Spec { steps: steps.collect(), ..spec }
+    }
+
     /// Delivers the delayed calls to their workers, whichever incarnation those have: calls name an
     /// identifier, which a later incarnation may share.
     fn deliver_delayed(&mut self) {
@@ -779,7 +896,17 @@
                 let step = &self.jobs[&task.job].0.spec.steps[usize::from(task.step)];
                 let endless = step.long_running && self.rng.random_bool(0.7);
                 let takes = if endless { u64::from(u32::MAX) } else { takes };
-                let work = (takes, fails && !endless, step.need.millicores);
+                let takes = if step.best_effort {
+                    step.estimate_ms * (500 + takes % 1_000) / 1_000
+                } else {
+                    takes
+                };
+                let work = Work {
+                    takes,
+                    fails: fails && !endless,
+                    need: step.need,
+                    best_effort: step.best_effort,
+                };
                 // A start that is carried out late is judged by when it was sent.
                 let times = (self.now, sent.saturating_sub(SHRINK_MS));
                 let lease = (lease, started_ms);
@@ -1229,6 +1356,17 @@
     agent::Settings::default()
 }
 
+/// The settings of owners; with a planted fault, those of the rule that it stands for.
+fn plan_settings(fault: Option<Fault>) -> plan::Settings {
+    let settings = plan::Settings::default();
+    match fault {
+        Some(Fault::EndlessIdleWait) => {
+            plan::Settings { idle_wait: Duration::from_secs(3_600), ..settings }
+        }
+        _ => settings,
+    }
+}
+
 fn tasks_of(id: Id, job: &Job) -> Vec<Task> {
     let mut tasks = Vec::new();
     for (step, spec) in (0_u16..).zip(&job.spec.steps) {
--- a/crates/scheduler/tests/path/worker.rs
+++ b/crates/scheduler/tests/path/worker.rs
@@ -2,8 +2,10 @@
 
 use super::fault::Fault;
 use super::oracle::Oracle;
+use super::work::Work;
 use shallotflow_core::graph::Task;
 use shallotflow_core::name::Name;
+use shallotflow_core::resources::Bundle;
 use shallotflow_policy::plan::message::{End, ExitReason, Incarnation, Run};
 use shallotflow_scheduler::agent::{Error, Lists, Result};
 use std::collections::BTreeMap;
@@ -12,6 +14,8 @@
 pub(crate) const STOP_MS: u64 = 900;
 /// Processors of a worker that has not shrunk.
 pub(crate) const FULL_MILLICORES: u32 = 5_000;
+/// Memory of a worker.
+const MEMORY_MIB: u32 = 1_000;
 
 /// Longest lease that a worker grants, in milliseconds.
 pub(crate) const LEASE_MS: u64 = 6_000;
@@ -26,10 +30,27 @@
 
 struct RunningTask {
     run: u32,
+    /// When it ends; of a best-effort run, only once it is stopped or its work is done.
     until: u64,
-    fails: bool,
     stopped: bool,
-    millicores: u32,
+    work: Work,
+    /// How long the rest takes if nothing slows it down, in milliseconds.
+    left_ms: f64,
+}
+
+impl RunningTask {
+    /// The progress that the worker lists, in percent.
+    fn percent(&self, now: u64) -> u8 {
+        if self.work.best_effort {
+            let share = 1.0 - self.left_ms.max(0.0) / self.work.takes as f64;
+            return (share * 100.0) as u8;
+        }
+        // The progress changes, so that no run counts as stalled, except that of a task that lasts.
+        match self.until.saturating_sub(now) {
+            left if left > ENDLESS_MS => 100,
+            _ => u8::try_from(now / 100 % 100).unwrap_or(0),
+        }
+    }
 }
 
 pub(crate) struct Worker {
@@ -49,6 +70,8 @@
     lapsed_end: u64,
     /// The processors since each time at which they changed, the latest last.
     capacities: Vec<(u64, u32)>,
+    /// Until when the work of its best-effort runs is counted.
+    advanced_at: u64,
     /// When the worker crashes, once it has started a task that crashes it.
     crashes_at: u64,
     /// Until when nothing listens at its address.
@@ -76,6 +99,7 @@
             last_end: 0,
             lapsed_end: 0,
             capacities: vec![(0, FULL_MILLICORES)],
+            advanced_at: 0,
             crashes_at: u64::MAX,
             down_until: 0,
             dark_until: 0,
@@ -93,6 +117,15 @@
         Incarnation { id: Name::from(id), started_ms: self.started_ms }
     }
 
+    /// The present capacity.
+    pub(crate) fn capacity(&self) -> Bundle {
+        Self::bundle(self.millicores())
+    }
+
+    fn bundle(millicores: u32) -> Bundle {
+        Bundle { millicores, memory_mib: MEMORY_MIB, ..Bundle::default() }
+    }
+
     /// The present processors; the worker starts what it is told to start, whether it has them or not.
     pub(crate) fn millicores(&self) -> u32 {
         self.capacities.last().map_or(FULL_MILLICORES, |(_, millicores)| *millicores)
@@ -118,12 +151,13 @@
     /// Restarts the worker, which then knows nothing of its former incarnation.
     pub(crate) fn restart(&mut self, now: u64, oracle: &mut Oracle) {
         for task in self.running.keys() {
-            oracle.mark_crashed(self.number, *task);
+            oracle.mark_crashed(self.number, *task, now);
         }
         self.lost += self.running.len();
         *self = Self {
             started_ms: self.started_ms + 1,
             since: now,
+            advanced_at: now,
             lost: self.lost,
             replaced: self.replaced,
             dark_until: self.dark_until,
@@ -154,11 +188,11 @@
     }
 
     /// Loses a run: neither its lists nor its ends show it any more.
-    pub(crate) fn forget_run(&mut self, oracle: &mut Oracle) {
+    pub(crate) fn forget_run(&mut self, now: u64, oracle: &mut Oracle) {
         if let Some((task, running)) = self.running.pop_last() {
             let highest = self.highest.entry(task).or_default();
             *highest = running.run.max(*highest);
-            oracle.mark_ended(self.number, task);
+            oracle.mark_vanished(self.number, task, now);
         }
     }
 
@@ -177,9 +211,25 @@
         now < self.dark_until
     }
 
-    /// The processors that its runs request.
-    pub(crate) fn used(&self) -> u32 {
-        self.running.values().map(|running| running.millicores).sum()
+    /// What its runs reserve.
+    pub(crate) fn reserved(&self) -> Bundle {
+        let reserved = self.running.values().map(|running| running.work.reserved());
+        reserved.fold(Bundle::default(), |sum, reserved| sum.plus(&reserved))
+    }
+
+    /// Advances the best-effort runs, which share the processors that other runs leave.
+    fn advance(&mut self, now: u64) {
+        let span = now - std::mem::replace(&mut self.advanced_at, now);
+        let left = self.millicores().saturating_sub(self.reserved().millicores);
+        let best_effort = || self.running.values().filter(|running| running.work.best_effort);
+        let wanted: u32 = best_effort().map(|running| running.work.need.millicores).sum();
+        let speed = (f64::from(left) / f64::from(wanted.max(1))).min(1.0);
+        for running in self.running.values_mut().filter(|running| running.work.best_effort) {
+            running.left_ms -= span as f64 * speed;
+            if running.left_ms <= 0.0 {
+                running.until = running.until.min(now);
+            }
+        }
     }
 
     pub(crate) fn is_down(&self, now: u64) -> bool {
@@ -192,6 +242,7 @@
             self.restart(now, oracle);
             self.down_until = now + DOWN_MS;
         }
+        self.advance(now);
         let due: Vec<Task> = self
             .running
             .iter()
@@ -201,21 +252,21 @@
         for task in due {
             let reason = match &self.running[&task] {
                 running if running.stopped => ExitReason::Stopped,
-                running if running.fails => ExitReason::Failed,
+                running if running.work.fails => ExitReason::Failed,
                 _ => ExitReason::Done,
             };
-            self.end(task, reason, oracle);
+            self.end(task, reason, now, oracle);
         }
         if self.clock(now) >= self.lease {
             for task in self.running.keys().copied().collect::<Vec<_>>() {
                 self.lost += 1;
-                self.end(task, ExitReason::Lapsed, oracle);
+                self.end(task, ExitReason::Lapsed, now, oracle);
             }
             self.lapsed_end = self.last_end;
         }
     }
 
-    fn end(&mut self, task: Task, reason: ExitReason, oracle: &mut Oracle) {
+    fn end(&mut self, task: Task, reason: ExitReason, now: u64, oracle: &mut Oracle) {
         let Some(running) = self.running.remove(&task) else { return };
         self.last_end += 1;
         let (number, run) = (self.last_end, running.run);
@@ -225,7 +276,7 @@
         oracle.mark_ended(self.number, task);
         match reason {
             ExitReason::Done => oracle.mark_done(task, run),
-            ExitReason::Failed => oracle.mark_failed(task),
+            ExitReason::Failed => oracle.mark_failed(task, now),
             _ => {}
         }
     }
@@ -251,7 +302,7 @@
         (task, run): (Task, u32),
         (lease, started_ms): (u64, u64),
         epoch: u64,
-        (takes, fails, millicores): (u64, bool, u32),
+        work: Work,
         (now, shrunk_before): (u64, u64),
         oracle: &mut Oracle,
     ) -> Result<u64> {
@@ -272,9 +323,11 @@
             return Err(Error::Old);
         }
         self.renew(lease, now);
-        let active = RunningTask { run, until: now + takes, fails, stopped: false, millicores };
-        self.running.insert(task, active);
-        oracle.check_capacity(self.number, task, self.used(), self.millicores_since(shrunk_before));
+        let until = if work.best_effort { u64::MAX } else { now + work.takes };
+        let left_ms = work.takes as f64;
+        self.running.insert(task, RunningTask { run, until, stopped: false, work, left_ms });
+        let capacity = Self::bundle(self.millicores_since(shrunk_before));
+        oracle.check_capacity(self.number, task, self.reserved(), capacity);
         oracle.start(self.number, task, super::simulation::ATTEMPTS);
         if oracle.is_deadly(task) {
             self.crashes_at = now + CRASH_MS;
@@ -320,11 +373,7 @@
             task: *task,
             run: running.run,
             checkpoint: None,
-            // The progress changes, so that no run counts as stalled, except that of a task that lasts.
-            percent: match running.until.saturating_sub(now) {
-                left if left > ENDLESS_MS => 100,
-                _ => u8::try_from(now / 100 % 100).unwrap_or(0),
-            },
+            percent: running.percent(now),
             measurement: 0,
             pace: 100,
         };
