--- a/crates/scheduler/tests/path/oracle.rs
+++ b/crates/scheduler/tests/path/oracle.rs
@@ -244,6 +244,12 @@
         self.hold(task.job, now + HELD_MS);
     }
 
+    /// Records that an end is lost that the store may not hold: the owner may take the run for one under
+    /// which the worker crashed.
+    pub(crate) fn mark_end_lost(&mut self, task: Task, now: u64) {
+        self.hold(task.job, now + HELD_MS);
+    }
+
     pub(crate) fn mark_failed(&mut self, task: Task, now: u64) {
         if self.long_running.contains(&task.job) {
             return;
--- a/crates/scheduler/tests/path/worker.rs
+++ b/crates/scheduler/tests/path/worker.rs
@@ -153,6 +153,9 @@
         for task in self.running.keys() {
             oracle.mark_crashed(self.number, *task, now);
         }
+        for end in &self.ends {
+            oracle.mark_end_lost(end.task, now);
+        }
         self.lost += self.running.len();
         *self = Self {
             started_ms: self.started_ms + 1,
