Let the simulated path know that a takeover waits for a lost machine's lease

A machine that is lost after a takeover has reported to the new owner without a list; that moves the end of the wait `uncertain`, as docs/design/waits.md says, to 6.4 s after its last report.

--- a/crates/scheduler/tests/path/simulation.rs
+++ b/crates/scheduler/tests/path/simulation.rs
@@ -499,6 +499,8 @@
                 Phase::Starting { agent, .. }
                 | Phase::Running { agent, .. }
                 | Phase::Stopping { agent, .. } => self.lost_at.get(&agent).copied(),
+                // An agent that reports and cannot list moves the end of this wait with each report.
+                Phase::Uncertain => self.lost_at.values().max().copied(),
                 _ => None,
             };
             // The owner may not know of an end at a machine that is lost; the next step waits for it.
