Start a task of a job whose only runs are at silent machines

A job of which tasks wait had nothing running for up to 9 s in the simulated path, after the machine of its only run was lost: the owner counted that run until the last lease had ended, 6.4 s after the last report, and the job's other tasks waited as `busy` until 2 s later.

Runs at agents that have not reported for the report timeout no longer keep a job from counting as starved. The time starts anew only when a run is listed, not with each change beside such a run.

--- a/crates/policy/src/plan/job.rs
+++ b/crates/policy/src/plan/job.rs
@@ -173,7 +173,7 @@
         self.remaining[slot] -= count(phase, Phase::Done);
         self.running -= u32::from(former.is_running());
         self.running += u32::from(phase.is_running());
-        if self.running > 0 {
+        if phase.is_running() {
             self.starved_since = None;
         }
     }
--- a/crates/policy/src/plan/starvation.rs
+++ b/crates/policy/src/plan/starvation.rs
@@ -11,11 +11,12 @@
 use super::demand::Demand;
 use super::ranking::Ranking;
 use super::refusals::Refusals;
+use super::task_state::{Phase, TaskState};
 use super::{Job, Table, Worker};
 use shallotflow_core::graph::{Id, Step};
 use shallotflow_core::name::Name;
 use shallotflow_core::time::Time;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The number of times that the room for a task is free when callers miss it.
 const SPARE_ROOMS: u32 = 2;
@@ -47,10 +48,25 @@
 impl Table {
     /// Brings up to date since when each waiting job starves.
     pub(super) fn update_starvation(&mut self, now: Time) {
-        let Self { ready, jobs, workers, ranking, backlogs, .. } = self;
+        let Self { ready, jobs, workers, ranking, backlogs, settings, .. } = self;
+        // A run at a silent agent may be gone with its machine; callers do not see it.
+        let is_silent =
+            |worker: &Worker| worker.last_report.after(settings.report_timeout).passed(now);
+        let silent: BTreeMap<&Name, &Worker> =
+            workers.iter().filter(|(_, worker)| is_silent(worker)).collect();
+        let unheard: BTreeSet<Id> =
+            silent.values().flat_map(|worker| worker.placed.keys()).map(|task| task.job).collect();
         let mut full = Refusals::default();
         for (_, id) in ready.iter() {
-            let Some(job) = jobs.get_mut(id).filter(|job| job.running == 0) else { continue };
+            let Some(job) = jobs.get_mut(id) else { continue };
+            let is_heard = |state: &TaskState| match &state.phase {
+                Phase::Running { agent, .. } => !silent.contains_key(agent),
+                _ => false,
+            };
+            if job.running > 0 && (!unheard.contains(id) || job.tasks.iter().any(is_heard)) {
+                job.starved_since = None;
+                continue;
+            }
             let service = &job.queue.service;
             let half_free = backlogs.services.get(service).is_some_and(Share::is_half_free);
             let starves = half_free
--- a/crates/policy/tests/plan/starvation.rs
+++ b/crates/policy/tests/plan/starvation.rs
@@ -124,6 +124,36 @@
     }
 }
 
+/// Guards against a run at a lost machine that counts as one that callers see, until its lease has ended.
+#[test]
+fn a_job_starts_another_task_when_the_machine_of_its_only_run_is_silent() {
+    let mut harness = Harness::new(4);
+    harness.table.accept(id(1), job(vec![best_effort(80, 2_000)]), true, harness.now);
+    harness.run_round();
+    harness.table.accept(id(2), job(vec![best_effort(3, 2_000)]), true, harness.now);
+    assert!(harness.time_to_run(2, LONGEST) < LONGEST);
+    let first = harness.running().into_iter().find(|running| running.job == id(2));
+    let lost = harness.worker_of(first.expect("a run")).expect("a worker");
+    let lost_at = harness.now;
+    let settings = Settings::default();
+    let limit = settings.report_timeout + settings.idle_wait + 4 * STEP;
+    while harness.running().iter().filter(|running| running.job == id(2)).count() < 2 {
+        harness.wait(STEP);
+        harness.tick();
+        for number in (0..4).filter(|number| *number != lost) {
+            harness.report(number);
+            let worker = harness.worker(number);
+            worker.execute_orders();
+            for run in worker.running.values_mut() {
+                run.percent = (run.percent + 1).min(99);
+            }
+            harness.report(number);
+        }
+        let waited = harness.now.since(lost_at);
+        assert!(waited < limit, "no other task runs after {waited:?}");
+    }
+}
+
 #[test]
 fn a_job_waits_while_half_of_the_processors_are_reserved() {
     let mut harness = Harness::new(2);
