--- a/crates/policy/src/plan/audit.rs
+++ b/crates/policy/src/plan/audit.rs
@@ -36,7 +36,7 @@
     Holders,
     /// A deadline of a task that has passed without effect.
     #[error("the deadline of {0} has passed without effect; report this as a defect")]
-    Starved(Task),
+    Overdue(Task),
     /// A job with changes that are not due to be recorded.
     #[error("changes of job {0} are never recorded; report this as a defect")]
     Unrecorded(Id),
@@ -110,7 +110,7 @@
         }
         for (position, state) in job.tasks.iter().enumerate() {
             let task = job.task(position);
-            let starved = match state.phase {
+            let overdue = match state.phase {
                 Phase::Starting { withdraw_at, .. } => withdraw_at.passed(now),
                 Phase::Running { ref agent, .. } => {
                     self.is_overdue_by_list(agent, state.stalls_at, now)
@@ -120,8 +120,8 @@
                 }
                 _ => false,
             };
-            if starved {
-                return Err(Mismatch::Starved(task));
+            if overdue {
+                return Err(Mismatch::Overdue(task));
             }
         }
         Ok(())
