Let a job that starves start at an ejected worker

Callers could see nothing of a job run for the 4 to 64 s of an ejection, although the ejected worker had room: an ejection is no disturbance to them. Found in review, with a test in virtual time: nothing ran within 3 s at a service whose only worker with room was ejected. An ejected worker is now the last choice of such a job in place of none. Tasks that last still wait there.

--- a/crates/policy/src/plan/search.rs
+++ b/crates/policy/src/plan/search.rs
@@ -12,8 +12,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-/// Added to the score of the workers where the task failed or was slowed down last and where its
-/// latest start was refused, so that any other goes first.
+/// Added to the score of the workers where the task failed or was slowed down last, where its latest
+/// start was refused, and that are ejected, so that any other goes first.
 const AVOIDED_WORKER_PENALTY: f64 = 10.0;
 
 /// Added to the score for each run of a worker where a task may crash it.
@@ -314,9 +314,11 @@
         if !worker.load.has_room(&capacity, &self.need) {
             return None;
         }
-        // An ejected worker gets nothing: waiting for a full worker is better.
+        // An ejected worker gets nothing, as waiting for a full worker is better, unless callers miss the
+        // job.
+        let ejected = !worker.ejected_until.passed(now);
         if !worker.accepts_tasks(now, settings.report_timeout)
-            || !worker.ejected_until.passed(now)
+            || (ejected && !starved)
             || !holders.contains(agent)
             || except == Some(agent)
             || !step.required_label.as_ref().is_none_or(|label| profile.labels.contains(label))
@@ -373,8 +375,8 @@
             score += settings.spread_factor;
         }
         let state = &self.job.tasks[self.job.position(&self.task)?];
-        if [&state.avoided, &state.refused_by].into_iter().flatten().any(|avoided| avoided == agent)
-        {
+        let avoided = [&state.avoided, &state.refused_by];
+        if ejected || avoided.into_iter().flatten().any(|avoided| avoided == agent) {
             score += AVOIDED_WORKER_PENALTY;
         }
         Some((score, pressure))
