Count no processors of machines that are gone for good

The profile of a machine outlives it, so its processors counted as free for as long as the owner lived, and half of the rest could be reserved while the owner took half of all for free. Found in review by a trial: with two of four workers gone and 12 of the other 20 processors reserved, a job still started beyond the limits. A worker now counts while its runs are listed or may still be there.

--- a/crates/policy/src/plan/backlog.rs
+++ b/crates/policy/src/plan/backlog.rs
@@ -186,7 +186,9 @@
 
     /// Replaces what the worker of `agent` adds to the sums of its service.
     pub(super) fn update_worker(&mut self, agent: &Name, worker: &Worker, settings: &Settings) {
-        let present = worker.profile.as_ref().filter(|_| !worker.vacant);
+        // The profile of a machine that is gone outlives its last lease.
+        let exists = !worker.vacant && (worker.synced || worker.is_occupied());
+        let present = worker.profile.as_ref().filter(|_| exists);
         let next = present.map(|profile| {
             let (spare, idle) = if worker.rank.is_some() {
                 worker.load.spare(&profile.capacity, settings)
