Measure starvation by the time without a run, and check the room at the start

Callers could see nothing of a job run for more than 3 s although room was free all the while: the time counted anew each time that the owner saw no room, and the owner also counts starts that are not carried out yet, stops that are under way and ends that it has not read.

The clock now measures only that nothing runs although the turn of a task has come; use and room are checked just before each start, so jobs that start in one pass do not take the same room. Repetitions that are not due no longer count, a task that was done before it was seen to run ends the wait, a gang needs room for itself and twice for a task, and of a job with suspects another task starts if the suspect finds no worker. idle_wait is 1.5 s: the sum of the interval at which jobs are looked for, twice, an unanswered start and an answered one stays below 3 s, where it was above.

Tests, red before: a_job_runs_though_starts_under_way_..., a_repetition_that_is_not_due_..., a_job_runs_at_an_ejected_worker_...; a_job_whose_starts_are_lost_... allows 3 s in place of 4 s. The bound of the test of silent machines names its parts.

--- a/crates/policy/src/plan/job.rs
+++ b/crates/policy/src/plan/job.rs
@@ -48,9 +48,9 @@
     pub(super) waiting: Vec<u32>,
     /// Number of tasks that run.
     pub(super) running: u32,
-    /// Since when no task runs although callers count room for one; brought up to date at the
-    /// starvation interval.
-    pub(super) starved_since: Option<Time>,
+    /// Since when no task runs although the turn of one has come; brought up to date at the starvation
+    /// interval.
+    pub(super) idle_since: Option<Time>,
     /// Position of the job in the table's order, while tasks of open steps wait.
     pub(super) queued: Option<Urgency>,
     /// Agents with ends that are confirmed once a later version of the job is recorded.
@@ -104,7 +104,7 @@
             hold_until: Time::ZERO,
             waiting,
             running: 0,
-            starved_since: None,
+            idle_since: None,
             queued: None,
             ending: BTreeSet::new(),
             durations_ms,
@@ -173,8 +173,8 @@
         self.remaining[slot] -= count(phase, Phase::Done);
         self.running -= u32::from(former.is_running());
         self.running += u32::from(phase.is_running());
-        if phase.is_running() {
-            self.starved_since = None;
+        if phase.is_running() || *phase == Phase::Done {
+            self.idle_since = None;
         }
     }
 
@@ -206,15 +206,21 @@
     }
 
     /// Returns the open steps of which a task is waiting, by repetition; it may not be due yet.
-    pub(super) fn open_steps(&self) -> impl Iterator<Item = &Step> {
+    fn open_steps(&self) -> impl Iterator<Item = (u32, &Step)> {
         let steps = self.spec.steps.len();
         self.waiting.iter().enumerate().filter_map(move |(slot, waiting)| {
             let occurrence = u32::try_from(slot / steps).unwrap_or(u32::MAX);
             let open = *waiting > 0 && self.is_open(occurrence, slot % steps);
-            open.then(|| &self.spec.steps[slot % steps])
+            open.then(|| (occurrence, &self.spec.steps[slot % steps]))
         })
     }
 
+    /// Returns the open steps of which a task is waiting and whose repetition is due at `wall_ms`.
+    pub(super) fn due_steps(&self, wall_ms: u64) -> impl Iterator<Item = &Step> {
+        let due = move |occurrence: u32| self.spec.due_ms(occurrence) <= wall_ms;
+        self.open_steps().filter(move |(occurrence, _)| due(*occurrence)).map(|(_, step)| step)
+    }
+
     /// Returns whether the start of a task is ordered and not answered.
     pub(super) fn is_starting(&self) -> bool {
         self.tasks.iter().any(|state| matches!(state.phase, Phase::Starting { .. }))
--- a/crates/policy/src/plan/place.rs
+++ b/crates/policy/src/plan/place.rs
@@ -14,6 +14,7 @@
 use super::demand::Demand;
 use super::event::milliseconds;
 use super::message::{Kind, Traits};
+use super::refusals::Refusals;
 use super::search::{Isolation, Outcome, Pass, Search};
 use super::timers::Timer;
 use super::wait::Wait;
@@ -88,9 +89,11 @@
 
     /// Starts one task, or one gang, of each job that starves, the longest first.
     fn place_starved(&mut self, round: Round<'_>) {
-        self.update_starvation(round.now);
-        for (since, id) in self.starved_jobs(round.now) {
-            if self.place_job(id, round) {
+        self.update_idle_jobs(round.now);
+        self.refusals.clear();
+        let mut full = Refusals::default();
+        for (since, id) in self.overdue_jobs(round.now) {
+            if self.has_room_for(id, &mut full) && self.place_job(id, round) {
                 let idle_ms = milliseconds(round.now.since(since));
                 self.events.push(Event::Starved { job: id, idle_ms });
             }
@@ -154,9 +157,6 @@
             // What has waited for longer may start where others may not yet.
             waiting.sort_by_key(waits_since);
         }
-        if starved && !gang {
-            waiting.truncate(1);
-        }
         let mut isolation = Isolation::None;
         let mut started = false;
         if job.suspects > 0 && !gang {
@@ -168,6 +168,9 @@
                 return false;
             }
         }
+        if starved && !gang {
+            waiting.truncate(usize::from(!started));
+        }
         let mut found: Vec<Placement> = Vec::new();
         let mut racks =
             if same_rack { self.step_racks(id, occurrence, number) } else { Vec::new() };
--- a/crates/policy/src/plan/settings.rs
+++ b/crates/policy/src/plan/settings.rs
@@ -35,7 +35,8 @@
     /// that disturbs others is slowed down until their targets are met, so an early start gains nothing.
     pub disturbance_wait: Duration,
     /// How long nothing of a job may run while callers count room for it, before one of its tasks starts
-    /// whatever else runs: the 3 s after which users miss the job, less the time of a start.
+    /// whatever else runs: the 3 s after which users miss the job, less twice `starvation_interval`, a
+    /// start without an answer and one with it.
     pub idle_wait: Duration,
     /// Interval at which the jobs that starve are looked for: a tenth of `idle_wait`, as it delays them.
     pub starvation_interval: Duration,
@@ -134,7 +135,7 @@
             serving_use: 0.55,
             best_effort_limit: 1.0,
             disturbance_wait: Duration::from_millis(20_000),
-            idle_wait: Duration::from_millis(2_000),
+            idle_wait: Duration::from_millis(1_500),
             starvation_interval: Duration::from_millis(200),
             strong_interference: 0.2,
             vacant_worker_cost: 0.5,
--- a/crates/policy/tests/plan/starvation.rs
+++ b/crates/policy/tests/plan/starvation.rs
@@ -3,7 +3,7 @@
 //! Callers miss a job if nothing of it runs for three seconds while one of its tasks could, the room
 //! for it is free twice, and less than half of the processors are reserved.
 
-use super::harness::{Harness, id, job, step, task};
+use super::harness::{Harness, id, job, name, step, task};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use shallotflow_core::graph::{Id, Job, State, Step, Task};
@@ -11,7 +11,7 @@
 use shallotflow_core::resources::Bundle;
 use shallotflow_core::time::Time;
 use shallotflow_policy::disturbance::Rates;
-use shallotflow_policy::plan::message::ExitReason;
+use shallotflow_policy::plan::message::{ExitReason, Outcome, Status};
 use shallotflow_policy::plan::{Event, Phase, Settings};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -120,7 +120,7 @@
         }
         harness.execute_orders();
         harness.report_all();
-        assert!(harness.now.since(accepted) < Duration::from_secs(4), "nothing runs after 4 s");
+        assert!(harness.now.since(accepted) < LONGEST, "nothing runs after 3 s");
     }
 }
 
@@ -136,7 +136,8 @@
     let lost = harness.worker_of(first.expect("a run")).expect("a worker");
     let lost_at = harness.now;
     let settings = Settings::default();
-    let limit = settings.report_timeout + settings.idle_wait + 4 * STEP;
+    let noticed = settings.report_timeout + settings.starvation_interval;
+    let limit = noticed + settings.idle_wait + settings.starvation_interval + 2 * STEP;
     while harness.running().iter().filter(|running| running.job == id(2)).count() < 2 {
         harness.wait(STEP);
         harness.tick();
@@ -154,6 +155,80 @@
     }
 }
 
+/// Guards against a clock that starts anew each time that the owner counts no room, though callers do.
+#[test]
+fn a_job_runs_though_starts_under_way_take_the_room_again_and_again() {
+    let mut harness = Harness::new(1);
+    harness.table.accept(id(1), job(vec![best_effort(20, 2_000)]), true, harness.now);
+    harness.run_round();
+    harness.table.accept(id(2), job(vec![best_effort(3, 2_000)]), true, harness.now);
+    let begin = harness.now;
+    for tick in 0_u64.. {
+        if tick.is_multiple_of(18) {
+            let mut refused = step(1, 100);
+            refused.need.memory_mib = 9_400;
+            harness.table.accept(id(100 + tick), job(vec![refused]), true, harness.now);
+        }
+        harness.tick();
+        harness.report_all();
+        if tick % 18 == 2 {
+            harness.table.cancel(id(100 + tick - 2), harness.now);
+        }
+        let orders = std::mem::take(&mut harness.worker(0).orders);
+        let (held, executed) = orders.into_iter().partition(|order| order.task.job.0 >= 100);
+        harness.worker(0).orders = executed;
+        harness.execute_orders();
+        for run in harness.worker(0).running.values_mut() {
+            run.percent = (run.percent + 1).min(99);
+        }
+        harness.worker(0).orders = held;
+        if tick % 18 == 3 {
+            harness.refuse_starts(0, Outcome::Refused);
+        }
+        harness.report_all();
+        if harness.running().iter().any(|running| running.job == id(2)) {
+            break;
+        }
+        harness.wait(2 * STEP);
+        let waited = harness.now.since(begin);
+        assert!(waited < LONGEST, "nothing runs after {waited:?}");
+    }
+}
+
+#[test]
+fn a_job_runs_at_an_ejected_worker_rather_than_nowhere() {
+    let mut harness = Harness::new(4);
+    for other in 1..4 {
+        harness.worker(other).status = Status::Draining { remaining_ms: 60_000 };
+    }
+    harness.report_all();
+    for number in 20..23 {
+        harness.table.accept(id(number), job(vec![step(1, 500)]), true, harness.now);
+        harness.run_round();
+        harness.end(task(number, 0, 0), ExitReason::Failed);
+        harness.report_all();
+        harness.table.cancel(id(number), harness.now);
+        harness.run_round();
+    }
+    assert!(!harness.table.workers()[&name(0)].ejected_until.passed(harness.now));
+    harness.table.accept(id(2), job(vec![best_effort(1, 2_000)]), true, harness.now);
+    assert!(harness.time_to_run(2, LONGEST) < LONGEST);
+}
+
+#[test]
+fn a_repetition_that_is_not_due_does_not_starve() {
+    let mut harness = Harness::new(1);
+    harness.table.accept(id(1), job(vec![best_effort(20, 2_000)]), true, harness.now);
+    harness.run_round();
+    let mut later = job(vec![best_effort(1, 2_000)]);
+    later.spec.repetitions = 1;
+    later.spec.first_due_ms = harness.now.as_millis() + 5_000;
+    harness.table.accept(id(2), later, true, harness.now);
+    let waited = harness.time_to_run(2, Duration::from_secs(9));
+    let due = Duration::from_secs(5);
+    assert!(waited > due + Duration::from_secs(1) && waited < due + LONGEST, "{waited:?}");
+}
+
 #[test]
 fn a_job_waits_while_half_of_the_processors_are_reserved() {
     let mut harness = Harness::new(2);
@@ -309,7 +384,7 @@
                     worker.running.clear();
                     worker.orders.clear();
                     (worker.memory_mib, worker.millicores) = (1, 1);
-                    worker.status = shallotflow_policy::plan::message::Status::Empty;
+                    worker.status = Status::Empty;
                 }
             }
             self.harness.report_all();
