--- a/crates/policy/src/plan/event.rs
+++ b/crates/policy/src/plan/event.rs
@@ -37,7 +37,7 @@
     Starved {
         /// The job.
         job: Id,
-        /// How long nothing of it ran while callers counted room for it, milliseconds.
+        /// How long nothing of it has run although the turn of a task had come, milliseconds.
         idle_ms: u64,
     },
     /// A task that could start elsewhere begins to wait for a slot in the rack of its data or of the
--- a/crates/policy/src/plan/settings.rs
+++ b/crates/policy/src/plan/settings.rs
@@ -34,11 +34,12 @@
     /// How long a best-effort task waits for a worker where it disturbs no serving task. A task
     /// that disturbs others is slowed down until their targets are met, so an early start gains nothing.
     pub disturbance_wait: Duration,
-    /// How long nothing of a job may run while callers count room for it, before one of its tasks starts
-    /// whatever else runs: the 3 s after which users miss the job, less twice `starvation_interval`, a
+    /// How long nothing of a job may run before one of its tasks starts whatever else runs, if callers count
+    /// room for it: the 3 s after which users miss the job, less twice `starvation_interval`, a
     /// start without an answer and one with it.
     pub idle_wait: Duration,
-    /// Interval at which the jobs that starve are looked for: a tenth of `idle_wait`, as it delays them.
+    /// Interval at which the jobs that starve are looked for; it delays them twice, as their wait is noticed
+    /// and acted on.
     pub starvation_interval: Duration,
     /// Amount that a best-effort image adds to the tail latency of serving tasks, as a share of their
     /// target if it uses a whole worker, from which on it counts as interfering strongly.
