--- a/crates/scheduler/tests/owner/foreign.rs
+++ b/crates/scheduler/tests/owner/foreign.rs
@@ -208,7 +208,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 24, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 24, max_shrink_iters: 4, ..ProptestConfig::default() })]
 
     #[test]
     fn odd_values_under_any_key_stop_no_other_job(
