--- a/crates/scheduler/tests/owner/foreign.rs
+++ b/crates/scheduler/tests/owner/foreign.rs
@@ -207,6 +207,9 @@
     });
 }
 
+/// Ends a case that waits for what never happens.
+const CASE_LIMIT: Duration = Duration::from_secs(60);
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 24, max_shrink_iters: 4, ..ProptestConfig::default() })]
 
@@ -215,6 +218,7 @@
         records in proptest::collection::vec((0..8_usize, odd_value()), 1..6),
     ) {
         run(async |shared| {
+            let case = async {
             let owner = Process::start("a", 1, &shared);
             until(|| owner.owns()).await;
             assert_eq!(owner.entry.submit(Id(1), job()).await, Submission::Accepted);
@@ -244,6 +248,9 @@
             let limit = RECOVERY + limits.lease + limits.succession_slack;
             let started = monoio::time::timeout(limit, started).await;
             assert!(started.is_ok(), "the other job does not start: {}", owner.entry.dump());
+            };
+            let ended = monoio::time::timeout(CASE_LIMIT, case).await;
+            assert!(ended.is_ok(), "the case does not end");
         });
     }
 }
