--- a/crates/scheduler/tests/owner/foreign.rs
+++ b/crates/scheduler/tests/owner/foreign.rs
@@ -227,12 +227,17 @@
     });
 }
 
+/// The seed of the cases: one that has found a fault, or the one in the environment.
+fn seed() -> u64 {
+    std::env::var("SHALLOTFLOW_FUZZ_SEED").ok().and_then(|seed| seed.parse().ok()).unwrap_or(4)
+}
+
 /// Ends a case that waits for what never happens.
 const CASE_LIMIT: Duration = Duration::from_secs(60);
 
 proptest! {
     #![proptest_config(ProptestConfig {
-        rng_seed: RngSeed::Fixed(4), failure_persistence: None, cases: 24, max_shrink_iters: 4,
+        rng_seed: RngSeed::Fixed(seed()), failure_persistence: None, cases: 24, max_shrink_iters: 4,
         ..ProptestConfig::default()
     })]
 
