Keep one name for the rule on interference

Since a job that starves is handled before the others, Table::may_interfere only called interference_wait_is_over. The rule has one name now, at the settings that it reads. No decision changes.

--- a/crates/policy/src/plan/interference.rs
+++ b/crates/policy/src/plan/interference.rs
@@ -11,7 +11,7 @@
     /// A task of a job with an objective may do so only if the job can still end in time and would
     /// miss its objective by waiting. One whose job is late gains little by it, so it waits for up to
     /// three objectives.
-    fn interference_wait_is_over(&self, job: &Job, position: usize, now: Time) -> bool {
+    pub(super) fn may_interfere(&self, job: &Job, position: usize, now: Time) -> bool {
         let ready = job.tasks[position].waits_since();
         if !self.interferes_by_objective || !job.is_deferrable() {
             return ready.after(self.disturbance_wait).passed(now);
@@ -26,12 +26,6 @@
 }
 
 impl Table {
-    /// Returns whether the task at `position` of `job` may start at `now` where it interferes with
-    /// serving tasks.
-    pub(super) fn may_interfere(&self, job: &Job, position: usize, now: Time) -> bool {
-        self.settings.interference_wait_is_over(job, position, now)
-    }
-
     /// Returns when the task may interfere at the latest; `None` if that follows from the objective of
     /// its job.
     pub(super) fn interferes_at(&self, job: &Job, position: usize) -> Option<Time> {
--- a/crates/policy/src/plan/place.rs
+++ b/crates/policy/src/plan/place.rs
@@ -150,7 +150,7 @@
         if step.best_effort {
             let waits_since = |position: &usize| job.tasks[*position].waits_since();
             let longest = waiting.iter().copied().min_by_key(waits_since).unwrap_or(waiting[0]);
-            let may_interfere = starved || self.may_interfere(job, longest, now);
+            let may_interfere = starved || self.settings.may_interfere(job, longest, now);
             if !may_interfere && self.refusals.is_disturbing(service, step) {
                 return false;
             }
--- a/crates/policy/src/plan/search.rs
+++ b/crates/policy/src/plan/search.rs
@@ -144,7 +144,7 @@
             need: demand.reserved(),
             extra: demand.expected_use(table.settings.serving_use),
             may_interfere: step.best_effort
-                && (pass.starved || table.may_interfere(job, position, pass.now)),
+                && (pass.starved || table.settings.may_interfere(job, position, pass.now)),
             vacant_worker_cost,
             best: None,
             any_room: false,
