Log refused messages and refused records by one limit

Two limits on log lines had been written beside each other, one for heartbeats and lists in the adapter and one for records of the store.

--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`peers`]: calls between entries and agents.
 //! - [`runs`]: the product's own interface of a worker, and the agent's client of it.
 //! - [`log`]: one log line for each decision, within a bounded rate.
+//! - [`refusals`]: log lines for refused messages and records, at a bounded rate.
 //!
 //! The systems of [`shallotflow_policy::plan`] make all decisions on jobs, workers and runs.
 
@@ -13,6 +14,7 @@
 pub mod entry;
 pub mod log;
 pub mod peers;
+pub mod refusals;
 pub mod runs;
 
 /// Generated messages and services.
--- a/platform/src/refusals.rs
+++ b/crates/scheduler/src/refusals.rs
@@ -1,4 +1,4 @@
-//! Log lines for messages that are refused, at a bounded rate.
+//! Log lines for messages and records that are refused, at a bounded rate.
 
 use std::cell::Cell;
 use std::time::{Duration, Instant};
@@ -21,7 +21,7 @@
 }
 
 impl Refusals {
-    /// Creates the log of refused messages; `what` is the text of its lines.
+    /// Creates a log whose lines have the text `what`.
     pub fn new(what: &'static str) -> Self {
         Self {
             what,
@@ -31,7 +31,8 @@
         }
     }
 
-    /// Logs that a message of `from` is refused; returns whether a line was written.
+    /// Logs that a message of `from`, or the record under that key, is refused. Returns whether a line was
+    /// written.
     pub fn log(&self, from: &str, reason: &str, now: Instant) -> bool {
         if self.window_end.get().is_none_or(|end| now >= end) {
             self.window_end.set(now.checked_add(WINDOW));
