Review: a start that a restarted worker carries out before its agent knows runs twice

Breaks TWICE when a worker crashes and is up again 60 ms later under its id (srv_crash): a start that reaches the new life before the agent knows of it is taken for one of the old life, and its task is started elsewhere while the stop of the first run still waits for its 850 ms.

--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -18,7 +18,7 @@
         "cancel-in-outage" => {
             Some((Sizes { entries: 4, workers: 3, status_s: 120 }, cancel_in_outage))
         }
-        "quick-restart" => Some((Sizes { entries: 2, workers: 3, status_s: 120 }, quick_restart)),
+        "quick-restart" => Some((Sizes { entries: 2, workers: 8, status_s: 120 }, quick_restart)),
         _ => None,
     }
 }
@@ -276,40 +276,33 @@
     Ok(late_starts(rig, &cancelled, calm))
 }
 
-/// A worker crashes and starts again at once under its id, again and again.
+/// How long a worker is down.
+const DOWN_MS: u64 = 60;
+
+/// One worker after the other crashes and is started again under its id, while jobs come.
 fn quick_restart(rig: &mut Rig, trouble: bool) -> Result<Vec<String>, String> {
-    let mut threads = Vec::new();
-    for entry in 0..2 {
-        let (requester, open) = (rig.requester(entry), rig.open.clone());
-        threads.push(std::thread::spawn(move || {
-            let mut number = 100_000 * (entry as u64 + 1);
-            while open.load(Ordering::SeqCst) {
-                requester.submit(&id(number), 2, 4, 700);
-                number += 1;
-                sleep(150);
-            }
-        }));
-    }
-    sleep(3_000);
-    for round in 0..20 {
+    for round in 0..22_usize {
+        let number = round % rig.workers.len();
+        let former = rig.workers[number].clone();
         if trouble {
-            let number = round % rig.workers.len();
-            let former = rig.workers[number].clone();
             former.crash();
-            let restarted = (0..500).find_map(|_| {
-                let life = crate::worker::Worker::start(&former.id, rig.places[number].clone(), rig.record.clone());
-                if life.is_err() {
-                    sleep(1);
-                }
-                life.ok()
-            });
-            rig.workers[number] = restarted.ok_or("the worker's address is not free")?;
         }
-        sleep(2_000);
-    }
-    rig.open.store(false, Ordering::SeqCst);
-    for thread in threads {
-        let _ = thread.join();
+        let requester = rig.requester(round % rig.entries.len());
+        let count = rig.workers.len();
+        let submission = std::thread::spawn(move || {
+            sleep(DOWN_MS - 20 + (round as u64 % 6) * 3);
+            requester.submit(&id(100_000 + round as u64), 1, count, 3_000)
+        });
+        sleep(DOWN_MS);
+        if trouble {
+            let place = rig.places[number].clone();
+            let life = crate::worker::Worker::start(&former.id, place, rig.record.clone());
+            rig.workers[number] = life.map_err(|error| error.to_string())?;
+        }
+        if !submission.join().unwrap_or(false) {
+            rig.record.say("a job was not accepted");
+        }
+        sleep(3_900);
     }
     let now_ms = rig.record.now_ms();
     let mut broken = overlaps(&rig.record.seen(), now_ms);
--- a/review/standins/worker.rs
+++ b/review/standins/worker.rs
@@ -10,6 +10,10 @@
 use std::time::{Duration, Instant, SystemTime};
 
 pub const HEARTBEAT: Duration = Duration::from_millis(1_500);
+/// How long after its start a worker reports for the first time.
+const FIRST_REPORT: Duration = Duration::from_millis(15);
+/// How long a stop takes; at most `stop_ms`, which is 900 ms.
+const STOP_MS: u64 = 850;
 
 #[derive(Clone)]
 pub struct Place {
@@ -28,6 +32,8 @@
     lease_end: u64,
     /// When each run will be done, on the worker's clock.
     running: BTreeMap<(String, u32), u64>,
+    /// When each run that is being stopped will be gone, on the worker's clock.
+    stopping: BTreeMap<(String, u32), u64>,
     /// The highest run of each task that was stopped or has ended.
     over: HashMap<String, u32>,
     finished: Vec<(u64, String, u32, &'static str)>,
@@ -75,6 +81,7 @@
         let this = worker.clone();
         std::thread::spawn(move || {
             let mut sequence = 0;
+            std::thread::sleep(FIRST_REPORT);
             while !this.gone.load(Ordering::SeqCst) {
                 sequence += 1;
                 this.report(sequence);
@@ -120,6 +127,7 @@
 
     fn end(&self, state: &mut State, task: &str, run: u32, how: &'static str) {
         state.running.remove(&(task.to_owned(), run));
+        state.stopping.remove(&(task.to_owned(), run));
         let over = state.over.entry(task.to_owned()).or_default();
         *over = (*over).max(run);
         state.last_end += 1;
@@ -140,6 +148,11 @@
         for (task, run) in over {
             self.end(&mut state, &task, run, "done");
         }
+        let stopped: Vec<(String, u32)> =
+            state.stopping.iter().filter(|(_, end)| **end <= clock).map(|(key, _)| key.clone()).collect();
+        for (task, run) in stopped {
+            self.end(&mut state, &task, run, "stopped");
+        }
         if state.lease_end <= clock {
             let lapsed: Vec<(String, u32)> = state.running.keys().cloned().collect();
             for (task, run) in lapsed {
@@ -199,7 +212,7 @@
             }
             "/shallotflow/run-stop" => {
                 if state.running.contains_key(&(task.clone(), run)) {
-                    self.end(&mut state, &task, run, "stopped");
+                    state.stopping.entry((task, run)).or_insert(clock + STOP_MS);
                 } else {
                     let over = state.over.entry(task).or_default();
                     *over = (*over).max(run);
