--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -18,6 +18,9 @@
         "cancel-in-outage" => {
             Some((Sizes { entries: 4, workers: 3, status_s: 120 }, cancel_in_outage))
         }
+        "foreign-report" => {
+            Some((Sizes { entries: 2, workers: 8, status_s: 120 }, foreign_report))
+        }
         "quick-restart" => Some((Sizes { entries: 2, workers: 8, status_s: 120 }, quick_restart)),
         _ => None,
     }
@@ -309,3 +312,22 @@
     broken.extend(starts_after_done(&rig.record.seen()));
     Ok(broken)
 }
+
+/// Status reports of another writer reach single agents: the service in them does not exist.
+fn foreign_report(rig: &mut Rig, trouble: bool) -> Result<Vec<String>, String> {
+    for round in 0..10_usize {
+        let requester = rig.requester(round % rig.entries.len());
+        if !requester.submit(&id(200_000 + round as u64), 1, rig.workers.len(), 5_000) {
+            rig.record.say("a job was not accepted");
+        }
+        sleep(2_500);
+        if trouble {
+            rig.workers[round % rig.workers.len()].report_foreign();
+        }
+        sleep(5_500);
+    }
+    let now_ms = rig.record.now_ms();
+    let mut broken = overlaps(&rig.record.seen(), now_ms);
+    broken.extend(starts_after_done(&rig.record.seen()));
+    Ok(broken)
+}
--- a/review/standins/worker.rs
+++ b/review/standins/worker.rs
@@ -104,6 +104,25 @@
         self.record.say(&format!("worker {} crashed", self.id));
     }
 
+    /// Sends a status report as another writer may: it names a service that does not exist.
+    pub fn report_foreign(&self) {
+        let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        let body = format!(
+            "{{\"service\":\"nobody\",\"address\":\"{}\",\"zone\":{},\"version\":\"v1\",\"slots\":8,\
+             \"state\":\"ready\",\"cold_remaining_ms\":0,\"capacity\":{{\"cpu\":64000,\
+             \"task_memory_mb\":256000,\"gpus\":0}},\"labels\":[\"a\",\"r1-9\"],\"clock_ms\":1,\
+             \"sequence\":1,\"born\":{}}}",
+            self.place.app,
+            quote(&self.place.zone),
+            now.as_millis()
+        );
+        let path = "/shallotflow/instances/i-0bad/heartbeat";
+        let limit = Duration::from_secs(1);
+        let answer = http::call(self.place.control, "POST", path, "worker", &body, limit);
+        let status = answer.map_or(0, |(status, _)| status);
+        self.record.say(&format!("another writer's report at the agent of {}: {status}", self.id));
+    }
+
     fn clock(&self) -> u64 {
         5_000 + self.start.elapsed().as_millis() as u64
     }
