Review: tasks whose ends do not fit into one list run again after a kill of the agent

Breaks TWICE when one agent is killed for 3.5 s (node_kill) and 600 tasks of its worker end meanwhile: a list of ends holds 500, but counts as complete, and the owner starts the tasks of the other 100 again.

--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -21,6 +21,7 @@
         "foreign-report" => {
             Some((Sizes { entries: 2, workers: 8, status_s: 120 }, foreign_report))
         }
+        "many-ends" => Some((Sizes { entries: 2, workers: 2, status_s: 120 }, many_ends)),
         "quick-restart" => Some((Sizes { entries: 2, workers: 8, status_s: 120 }, quick_restart)),
         _ => None,
     }
@@ -331,3 +332,34 @@
     broken.extend(starts_after_done(&rig.record.seen()));
     Ok(broken)
 }
+
+/// An agent is killed while more tasks than fit into one list end at its worker.
+fn many_ends(rig: &mut Rig, trouble: bool) -> Result<Vec<String>, String> {
+    let job = id(300_000);
+    // 600 tasks a worker: each has 64 processors and 250 GB.
+    if !rig.requester(0).submit_sized(&job, 1, 1_200, 3_000, (100, 64)) {
+        return Err("the job was not accepted".to_owned());
+    }
+    let start = Instant::now();
+    let started = |rig: &Rig| {
+        rig.record.seen().iter().filter(|event| event.what == What::Started).count()
+    };
+    while started(rig) < 1_200 && start.elapsed() < Duration::from_secs(5) {
+        sleep(50);
+    }
+    rig.record.say(&format!("{} tasks have started", started(rig)));
+    sleep(500);
+    if trouble {
+        rig.agents[0].kill();
+        rig.record.say("the agent of side-1 is killed");
+    }
+    sleep(3_500);
+    if trouble {
+        rig.agents[0].restart()?;
+        rig.record.say("the agent of side-1 starts again");
+    }
+    sleep(14_000);
+    let state = rig.requester(1).state(&job);
+    rig.record.say(&format!("the job is shown as {state:?}"));
+    Ok(starts_after_done(&rig.record.seen()))
+}
--- a/review/standins/rig.rs
+++ b/review/standins/rig.rs
@@ -41,6 +41,9 @@
 pub struct Process {
     pub name: String,
     pub ip: String,
+    program: &'static str,
+    settings: PathBuf,
+    folder: PathBuf,
     child: Child,
 }
 
@@ -48,6 +51,18 @@
     pub fn signal(&self, signal: i32) {
         unsafe { kill(self.child.id() as i32, signal) };
     }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Starts the process again after it was killed.
+    pub fn restart(&mut self) -> Result<(), String> {
+        self.child = start_child(self.program, &self.name, &self.settings, &self.folder)?;
+        Ok(())
+    }
 }
 
 impl Drop for Process {
@@ -207,10 +222,22 @@
 
     /// Submits a job of `steps` steps in a row of `count` tasks, each `work_ms` long.
     pub fn submit(&self, id: &str, steps: usize, count: usize, work_ms: u64) -> bool {
+        self.submit_sized(id, steps, count, work_ms, (500, 256))
+    }
+
+    /// Submits a job of tasks that need this many thousandths of a processor and mebibytes.
+    pub fn submit_sized(
+        &self,
+        id: &str,
+        steps: usize,
+        count: usize,
+        work_ms: u64,
+        (cpu, memory_mb): (u32, u32),
+    ) -> bool {
         let step = |number: usize| {
             let after = if number > 0 { format!(",\"after\":[{}]", number - 1) } else { String::new() };
             format!(
-                "{{\"count\":{count},\"cpu\":500,\"task_memory_mb\":256,\"estimated_ms\":{work_ms}{after}}}"
+                "{{\"count\":{count},\"cpu\":{cpu},\"task_memory_mb\":{memory_mb},\"estimated_ms\":{work_ms}{after}}}"
             )
         };
         let steps: Vec<String> = (0..steps).map(step).collect();
@@ -234,13 +261,25 @@
 }
 
 fn spawn(
-    program: &str,
+    program: &'static str,
     name: String,
     ip: String,
     path: &PathBuf,
     folder: &PathBuf,
 ) -> Result<Process, String> {
-    let log = std::fs::File::create(folder.join(format!("{name}.log")));
+    let child = start_child(program, &name, path, folder)?;
+    let (settings, folder) = (path.clone(), folder.clone());
+    Ok(Process { name, ip, program, settings, folder, child })
+}
+
+fn start_child(
+    program: &str,
+    name: &str,
+    path: &PathBuf,
+    folder: &PathBuf,
+) -> Result<Child, String> {
+    let path_of_log = folder.join(format!("{name}.log"));
+    let log = std::fs::File::options().create(true).append(true).open(path_of_log);
     let log = log.map_err(|error| error.to_string())?;
     let errors = log.try_clone().map_err(|error| error.to_string())?;
     let mut command = Command::new(program);
@@ -258,8 +297,7 @@
             Ok(())
         })
     };
-    let child = command.spawn().map_err(|error| format!("{program}: {error}"))?;
-    Ok(Process { name, ip, child })
+    command.spawn().map_err(|error| format!("{program}: {error}"))
 }
 
 fn configuration() -> String {
