Review: one large job with a long specification stops all starts

Breaks LOST when one large job is accepted (burst): 2,400 tasks of 0.05 core with a specification of 3,905 bytes, on two workers. A reply to an agent carries the specification once for each start and passes the 4 MB that its receiver takes, so no agent gets orders any more, and no lease is renewed.

--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -14,6 +14,7 @@
 pub fn find(name: &str) -> Option<(Sizes, Run)> {
     match name {
         "ended-jobs" => Some((Sizes { entries: 2, workers: 3, status_s: 120 }, ended_jobs)),
+        "large-job" => Some((Sizes { entries: 2, workers: 2, status_s: 120 }, large_job)),
         "lost-cancel" => Some((Sizes { entries: 6, workers: 3, status_s: 120 }, lost_cancel)),
         "cancel-in-outage" => {
             Some((Sizes { entries: 4, workers: 3, status_s: 120 }, cancel_in_outage))
@@ -363,3 +364,77 @@
     rig.record.say(&format!("the job is shown as {state:?}"));
     Ok(starts_after_done(&rig.record.seen()))
 }
+
+/// Thousandths of a processor of a task of the small jobs and of the large one.
+const SMALL_CPU: u32 = 500;
+const LARGE_CPU: u32 = 50;
+/// Half of the processors of two workers, in thousandths.
+const HALF_CPU: u32 = 64_000;
+
+/// A large job comes beside small ones.
+fn large_job(rig: &mut Rig, trouble: bool) -> Result<Vec<String>, String> {
+    let requester = rig.requester(1);
+    let mut accepted = Vec::new();
+    let mut submit = |number: u64, count: usize, work_ms: u64| {
+        let id = id(number);
+        if requester.submit(&id, 1, count, work_ms) {
+            accepted.push(id);
+        }
+    };
+    for number in 0..4 {
+        submit(500_000 + number, 4, 12_000);
+    }
+    sleep(2_000);
+    let large = id(400_000);
+    if trouble {
+        let text = format!("{} 2000", "x".repeat(3_900));
+        if !rig.requester(0).submit_text(&large, 1, 2_400, 2_000, (LARGE_CPU, 32), &text) {
+            return Err("the large job was not accepted".to_owned());
+        }
+    }
+    for number in 0..15 {
+        sleep(1_000);
+        submit(600_000 + number, 2, 500);
+    }
+    if trouble {
+        accepted.push(large.clone());
+    }
+    // LOST: `finish_s` after the end of the traffic the jobs are asked for, and then 3 s are looked at.
+    sleep(14_000);
+    let from_ms = rig.record.now_ms();
+    let states: Vec<(String, String)> =
+        accepted.iter().map(|id| (id.clone(), rig.requester(0).state(id))).collect();
+    sleep(3_500);
+    let (seen, to_ms) = (rig.record.seen(), rig.record.now_ms());
+    let runs = runs_within(&seen, from_ms, to_ms);
+    let cpu = |task: &String| if task.starts_with(&large) { LARGE_CPU } else { SMALL_CPU };
+    let used: u32 = runs.iter().map(cpu).sum();
+    rig.record.say(&format!("{used} thousandths of a processor were used in the last {} ms", to_ms - from_ms));
+    let open = states.iter().filter(|(_, state)| state != "completed");
+    let broken = open.filter_map(|(id, state)| {
+        let waits = !runs.iter().any(|task| task.starts_with(id)) && used < HALF_CPU;
+        let unknown = state.is_empty();
+        (waits || unknown).then(|| {
+            format!("{id} is {state:?}, and nothing of it runs from {from_ms} ms to {to_ms} ms")
+        })
+    });
+    Ok(broken.collect())
+}
+
+/// The tasks that ran at any time from `from_ms` to `to_ms`.
+fn runs_within(seen: &[Seen], from_ms: u64, to_ms: u64) -> Vec<String> {
+    let ended = |start: &Seen| {
+        seen.iter().find(|event| {
+            event.task == start.task
+                && event.run == start.run
+                && event.worker == start.worker
+                && event.at_ms >= start.at_ms
+                && matches!(event.what, What::Ended(_))
+        })
+    };
+    let starts = seen.iter().filter(|event| event.what == What::Started && event.at_ms <= to_ms);
+    starts
+        .filter(|start| ended(start).is_none_or(|end| end.at_ms >= from_ms))
+        .map(|start| start.task.clone())
+        .collect()
+}
--- a/review/standins/rig.rs
+++ b/review/standins/rig.rs
@@ -227,12 +227,25 @@
 
     /// Submits a job of tasks that need this many thousandths of a processor and mebibytes.
     pub fn submit_sized(
+        &self,
+        id: &str,
+        steps: usize,
+        count: usize,
+        work_ms: u64,
+        need: (u32, u32),
+    ) -> bool {
+        self.submit_text(id, steps, count, work_ms, need, &format!("work {work_ms}"))
+    }
+
+    /// Submits a job with this specification.
+    pub fn submit_text(
         &self,
         id: &str,
         steps: usize,
         count: usize,
         work_ms: u64,
         (cpu, memory_mb): (u32, u32),
+        text: &str,
     ) -> bool {
         let step = |number: usize| {
             let after = if number > 0 { format!(",\"after\":[{}]", number - 1) } else { String::new() };
@@ -241,8 +254,7 @@
             )
         };
         let steps: Vec<String> = (0..steps).map(step).collect();
-        let body =
-            format!("{{\"specification\":\"work {work_ms}\",\"steps\":[{}]}}", steps.join(","));
+        let body = format!("{{\"specification\":\"{text}\",\"steps\":[{}]}}", steps.join(","));
         self.call("POST", id, &body).is_some_and(|(status, _)| status == 200)
     }
 
