--- a/review/standins/rig.rs
+++ b/review/standins/rig.rs
@@ -110,7 +110,7 @@
         let store = Arc::new(Store::new());
         let platform: SocketAddr = format!("{net}.1:8169").parse().unwrap();
         let serving = store.clone();
-        http::Server::start(platform, Arc::new(move |request| serving.answer(&request)))
+        http::Server::start(platform, 1_000, Arc::new(move |request| serving.answer(&request)))
             .map_err(|error| error.to_string())?;
         let expiring = store.clone();
         std::thread::spawn(move || {
--- a/review/standins/worker.rs
+++ b/review/standins/worker.rs
@@ -12,6 +12,8 @@
 pub const HEARTBEAT: Duration = Duration::from_millis(1_500);
 /// How long after its start a worker reports for the first time.
 const FIRST_REPORT: Duration = Duration::from_millis(15);
+/// How many channels a worker takes.
+const CHANNELS: usize = 64;
 /// How long a stop takes; at most `stop_ms`, which is 900 ms.
 const STOP_MS: u64 = 850;
 
@@ -68,7 +70,11 @@
             place,
         });
         let this = worker.clone();
-        let server = Server::start(worker.place.app, Arc::new(move |request| this.answer(&request)))?;
+        let server = Server::start(
+            worker.place.app,
+            CHANNELS,
+            Arc::new(move |request| this.answer(&request)),
+        )?;
         *worker.server.lock().unwrap() = Some(server);
         worker.record.say(&format!("worker {id} born {}", worker.born_ms));
         let this = worker.clone();
