--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -19,9 +19,7 @@
         "cancel-in-outage" => {
             Some((Sizes { entries: 4, workers: 3, status_s: 120 }, cancel_in_outage))
         }
-        "foreign-report" => {
-            Some((Sizes { entries: 2, workers: 8, status_s: 120 }, foreign_report))
-        }
+        "foreign-report" => Some((Sizes { entries: 2, workers: 8, status_s: 120 }, foreign_report)),
         "many-ends" => Some((Sizes { entries: 2, workers: 2, status_s: 120 }, many_ends)),
         "quick-restart" => Some((Sizes { entries: 2, workers: 8, status_s: 120 }, quick_restart)),
         _ => None,
@@ -88,11 +86,7 @@
 
 /// UNASKED: a machine in touch starts a task later than `cancel_ms` after the job's cancelling was
 /// acknowledged. Only starts at calm times count.
-fn late_starts(
-    rig: &Rig,
-    cancelled: &[(String, u64)],
-    calm: impl Fn(u64) -> bool,
-) -> Vec<String> {
+fn late_starts(rig: &Rig, cancelled: &[(String, u64)], calm: impl Fn(u64) -> bool) -> Vec<String> {
     let (seen, requester) = (rig.record.seen(), rig.requester(0));
     let mut broken = Vec::new();
     for (id, acknowledged_ms) in cancelled {
@@ -234,7 +228,8 @@
     rig.store.set_silent(true);
     let mut threads = Vec::new();
     for entry in 0..rig.entries.len() {
-        let (requester, open, record) = (rig.requester(entry), rig.open.clone(), rig.record.clone());
+        let (requester, open, record) =
+            (rig.requester(entry), rig.open.clone(), rig.record.clone());
         threads.push(std::thread::spawn(move || {
             let (mut cancelled, mut number) = (Vec::new(), 10_000 * (entry as u64 + 1));
             while open.load(Ordering::SeqCst) {
@@ -346,9 +341,8 @@
         sleep(50);
     }
     let start = Instant::now();
-    let started = |rig: &Rig| {
-        rig.record.seen().iter().filter(|event| event.what == What::Started).count()
-    };
+    let started =
+        |rig: &Rig| rig.record.seen().iter().filter(|event| event.what == What::Started).count();
     while started(rig) < 40 * JOBS as usize && start.elapsed() < Duration::from_secs(2) {
         sleep(50);
     }
@@ -410,7 +404,10 @@
     let runs = runs_within(&seen, from_ms, to_ms);
     let cpu = |task: &String| if task.starts_with(&large) { LARGE_CPU } else { SMALL_CPU };
     let used: u32 = runs.iter().map(cpu).sum();
-    rig.record.say(&format!("{used} thousandths of a processor were used in the last {} ms", to_ms - from_ms));
+    rig.record.say(&format!(
+        "{used} thousandths of a processor were used in the last {} ms",
+        to_ms - from_ms
+    ));
     let open = states.iter().filter(|(_, state)| state != "completed");
     let broken = open.filter_map(|(id, state)| {
         let waits = !runs.iter().any(|task| task.starts_with(id)) && used < HALF_CPU;
--- a/review/standins/rig.rs
+++ b/review/standins/rig.rs
@@ -13,8 +13,8 @@
 use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use store::Store;
 use worker::{Place, Worker};
@@ -248,7 +248,8 @@
         text: &str,
     ) -> bool {
         let step = |number: usize| {
-            let after = if number > 0 { format!(",\"after\":[{}]", number - 1) } else { String::new() };
+            let after =
+                if number > 0 { format!(",\"after\":[{}]", number - 1) } else { String::new() };
             format!(
                 "{{\"count\":{count},\"cpu\":{cpu},\"task_memory_mb\":{memory_mb},\"estimated_ms\":{work_ms}{after}}}"
             )
@@ -264,7 +265,8 @@
 
     pub fn state(&self, id: &str) -> String {
         let Some((200, body)) = self.call("GET", id, "") else { return String::new() };
-        json::Json::parse(body.as_bytes()).map_or(String::new(), |body| body.get("state").text().to_owned())
+        json::Json::parse(body.as_bytes())
+            .map_or(String::new(), |body| body.get("state").text().to_owned())
     }
 }
 
@@ -331,11 +333,8 @@
         let listen = format!("  frontend: \"{ip}:8161\"\n  readiness: \"{ip}:8167\"\n");
         ("frontend", "frontend", listen, 0.25, 260)
     };
-    let app = if side {
-        format!("app: \"{ip}:8165\"\nservice: \"{SERVICE}\"\n")
-    } else {
-        String::new()
-    };
+    let app =
+        if side { format!("app: \"{ip}:8165\"\nservice: \"{SERVICE}\"\n") } else { String::new() };
     let status_s = sizes.status_s;
     format!(
         "node_name: \"{name}\"\nrole: \"my-{class}\"\nmachine_class: \"{class}\"\nserves:\n  - \"{serves}\"\n\
@@ -398,7 +397,9 @@
     }
     let (code, verdict) = match &result {
         Ok(broken) if broken.is_empty() => (0, "the rule held".to_owned()),
-        Ok(broken) => (1, format!("the rule was broken {} times:\n{}", broken.len(), broken.join("\n"))),
+        Ok(broken) => {
+            (1, format!("the rule was broken {} times:\n{}", broken.len(), broken.join("\n")))
+        }
         Err(error) => (2, format!("the case could not run: {error}")),
     };
     let text = format!("{}\n{verdict}\n", rig.record.text());
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -251,8 +251,7 @@
                 return Some((410, "{}".to_owned()));
             } else {
                 let changes = state.history.iter();
-                let changes =
-                    changes.filter(|(at, key, _)| *at > after && key.starts_with(prefix));
+                let changes = changes.filter(|(at, key, _)| *at > after && key.starts_with(prefix));
                 let events: Vec<String> = changes
                     .map(|(at, key, item)| match item {
                         Some(item) => format!("{{{}}}", item.json(key)),
@@ -263,8 +262,7 @@
                     .collect();
                 if !events.is_empty() || now >= until {
                     let (events, revision) = (events.join(","), state.revision);
-                    let body =
-                        format!("{{\"events\":[{events}],\"store_revision\":{revision}}}");
+                    let body = format!("{{\"events\":[{events}],\"store_revision\":{revision}}}");
                     return Some((200, body));
                 }
             }
--- a/review/standins/worker.rs
+++ b/review/standins/worker.rs
@@ -168,13 +168,21 @@
             return;
         }
         let clock = self.clock();
-        let over: Vec<(String, u32)> =
-            state.running.iter().filter(|(_, end)| **end <= clock).map(|(key, _)| key.clone()).collect();
+        let over: Vec<(String, u32)> = state
+            .running
+            .iter()
+            .filter(|(_, end)| **end <= clock)
+            .map(|(key, _)| key.clone())
+            .collect();
         for (task, run) in over {
             self.end(&mut state, &task, run, "done");
         }
-        let stopped: Vec<(String, u32)> =
-            state.stopping.iter().filter(|(_, end)| **end <= clock).map(|(key, _)| key.clone()).collect();
+        let stopped: Vec<(String, u32)> = state
+            .stopping
+            .iter()
+            .filter(|(_, end)| **end <= clock)
+            .map(|(key, _)| key.clone())
+            .collect();
         for (task, run) in stopped {
             self.end(&mut state, &task, run, "stopped");
         }
