--- a/review/standins/record.rs
+++ b/review/standins/record.rs
@@ -9,6 +9,8 @@
     Ended(&'static str),
     /// The end was taken note of: `last_seen` has reached it.
     Noted(&'static str),
+    /// The lease of the worker has lapsed; no task is named.
+    LeaseLapsed,
 }
 
 /// Something that a worker saw of a run.
--- a/review/standins/worker.rs
+++ b/review/standins/worker.rs
@@ -32,6 +32,8 @@
 struct State {
     fence: i64,
     lease_end: u64,
+    /// Whether the end of the lease has been recorded.
+    lapsed: bool,
     /// When each run will be done, on the worker's clock.
     running: BTreeMap<(String, u32), u64>,
     /// When each run that is being stopped will be gone, on the worker's clock.
@@ -187,6 +189,9 @@
             self.end(&mut state, &task, run, "stopped");
         }
         if state.lease_end <= clock {
+            if !std::mem::replace(&mut state.lapsed, true) {
+                self.record.see(&self.id, "", 0, What::LeaseLapsed);
+            }
             let lapsed: Vec<(String, u32)> = state.running.keys().cloned().collect();
             for (task, run) in lapsed {
                 self.end(&mut state, &task, run, "lapsed");
@@ -228,6 +233,7 @@
             }
             let deadline = (deadline as u64).min(clock + self.place.max_hold_ms);
             state.lease_end = state.lease_end.max(deadline);
+            state.lapsed &= deadline <= clock;
         }
         match request.path.as_str() {
             "/shallotflow/run-start" => {
