Let the owner wait for the leases that agents renew

Cause: agents renewed leases for bounds.max_hold_ms, 10 s there, and the owner and its successors waited 6.4 s whatever the settings said.

Change: plan::Lease holds the length and what follows from it; entries read it from the field that agents read, and replies state it, so that an agent renews no longer leases than its owner allows. The default is left out of replies, which agents of the former version read then.

Cost: where leases last 10 s, tasks of a machine that is lost together with its agent start again after 10.5 s in place of 6.4 s.

--- a/crates/policy/src/plan/message/reply.rs
+++ b/crates/policy/src/plan/message/reply.rs
@@ -1,4 +1,5 @@
 use super::{Disturbance, Order, RunTraits};
+use crate::plan::Lease;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -41,4 +42,8 @@
     /// in milliseconds since 1970; the agent need not report these again. 0 if there is none.
     #[serde(default)]
     pub crashes_recorded_ms: u64,
+    /// The longest lease that the agent may renew, counted from when it sent the answered report.
+    /// The former version does not have this field, so the default is left out.
+    #[serde(default, skip_serializing_if = "Lease::is_default", rename = "lease_ms")]
+    pub lease: Lease,
 }
--- a/crates/policy/src/plan/mod.rs
+++ b/crates/policy/src/plan/mod.rs
@@ -6,6 +6,7 @@
 //!
 //! - [`message`]: the messages between agents and the owner.
 //! - [`Settings`]: limits and weights of the decisions.
+//! - [`Lease`]: for how long runs go on without contact to the owner.
 //! - [`Progress`]: the stored progress of a job that has started.
 //! - [`Sizes`]: the largest observed workers, to reject jobs that fit none.
 //! - [`Backlog`]: the accepted work that the owner advertises to entries.
@@ -48,6 +49,7 @@
 mod expire;
 mod interference;
 mod job;
+mod lease;
 mod load;
 mod locality;
 mod loss;
@@ -83,6 +85,7 @@
 pub use evacuation_requests::EvacuationRequests;
 pub use event::Event;
 pub use job::Job;
+pub use lease::Lease;
 pub use locality::{Decision, Locality};
 pub use progress::Progress;
 pub use promises::Promises;
--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -48,7 +48,7 @@
         worker.last_order = worker.last_order.max(report.received);
         worker.last_report = now;
         worker.quiet = false;
-        worker.empty_at = now.after(self.settings.lease);
+        worker.empty_at = now.after(self.settings.lease.wait());
         // The reply lets the agent renew leases, also of runs that it cannot list yet.
         if let Some(empty_at) = self.missing.get_mut(&agent) {
             *empty_at = worker.empty_at;
--- a/crates/policy/src/plan/settings.rs
+++ b/crates/policy/src/plan/settings.rs
@@ -1,13 +1,13 @@
+use super::Lease;
 use std::time::Duration;
 
 /// Limits and weights of the decisions.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
-    /// Longest time from a report until the worker is certain to run nothing, unless renewed: the
-    /// longest lease of a worker, plus clock drift and a margin.
-    pub lease: Duration,
+    /// The longest lease that the owner lets agents renew.
+    pub lease: Lease,
     /// How long after a claim a predecessor may still take itself for the owner and renew leases: the
-    /// duration of its presence, less the margin in `lease`.
+    /// duration of its presence, less the margin in [`Lease::wait`].
     pub succession_slack: Duration,
     /// An agent that has not reported for this long gets no new tasks; three report intervals.
     pub report_timeout: Duration,
@@ -124,7 +124,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            lease: Duration::from_millis(6_400),
+            lease: Lease::default(),
             succession_slack: Duration::from_millis(800),
             report_timeout: Duration::from_millis(1_300),
             answer_timeout: Duration::from_millis(700),
--- a/crates/policy/src/plan/table.rs
+++ b/crates/policy/src/plan/table.rs
@@ -94,7 +94,7 @@
     /// its leases have ended. If [`UNLISTED`] is among them, any agent may hold such runs, so the table
     /// waits until all leases have ended.
     pub fn new(settings: Settings, epoch: u64, agents: Vec<Name>, now: Time) -> Self {
-        let empty_at = now.after(settings.succession_slack).after(settings.lease);
+        let empty_at = now.after(settings.succession_slack).after(settings.lease.wait());
         Self {
             settings,
             epoch,
@@ -272,6 +272,7 @@
             },
             evacuated: worker.evacuated,
             evacuation_version: self.evacuations.version(),
+            lease: self.settings.lease,
             ..Reply::default()
         }
     }
--- a/crates/scheduler/src/agent/run_table.rs
+++ b/crates/scheduler/src/agent/run_table.rs
@@ -9,6 +9,7 @@
 use shallotflow_core::resources::Bundle;
 use shallotflow_core::time::Time;
 use shallotflow_policy::disturbance::Rates;
+use shallotflow_policy::plan::Lease;
 use shallotflow_policy::plan::message::{
     Additions, Answer, Crash, CrashedRun, End, Incarnation, Order, Outcome, Profile, Reply, Report,
     Run, Status, Traits,
@@ -37,8 +38,6 @@
 /// How much later than the time that has passed an incarnation may have started, milliseconds: a day,
 /// for clocks that are set and a former incarnation that is older than the agent's process.
 const MAX_START_STEP_MS: u64 = 86_400_000;
-/// Margin on the end of a lease for the time that a call is in flight.
-const LEASE_MARGIN: Duration = Duration::from_millis(60);
 
 /// A run at the worker.
 pub struct ActiveRun {
@@ -133,7 +132,7 @@
     /// Creates the table of the agent named `agent`; `process` identifies the agent's process.
     pub fn new(settings: Settings, agent: Name, process: u64, now: Time) -> Self {
         // A former process of the agent may have renewed leases just before it ended.
-        let granted_until = now.after(settings.lease * (100 + settings.drift_percent) / 100);
+        let granted_until = Lease::ended_at(settings.lease.authorised_until(now), now);
         Self {
             settings,
             agent,
@@ -388,10 +387,7 @@
         if self.authorised_until.passed(now) || self.is_silent() {
             return None;
         }
-        let remaining = self.authorised_until.remaining(now);
-        let drift = remaining * self.settings.drift_percent / 100;
-        self.granted_until =
-            self.granted_until.max(self.authorised_until.after(drift).after(LEASE_MARGIN));
+        self.granted_until = self.granted_until.max(Lease::ended_at(self.authorised_until, now));
         let end_ms = i64::try_from(self.authorised_until.as_millis()).unwrap_or(i64::MAX);
         u64::try_from(end_ms.saturating_add(offset)).ok()
     }
@@ -715,7 +711,8 @@
         let sequence = reply.sequence;
         let sent = self.sent_reports.iter().find(|(number, _)| *number == sequence);
         if let Some((_, sent)) = sent {
-            self.authorised_until = self.authorised_until.max(sent.after(self.settings.lease));
+            let lease = self.settings.lease.min(reply.lease);
+            self.authorised_until = self.authorised_until.max(lease.authorised_until(*sent));
         }
         let reported = |first: Option<u64>| first.is_some_and(|first| first <= sequence);
         self.answers.retain(|unconfirmed| !reported(unconfirmed.first_report));
--- a/crates/scheduler/src/agent/settings.rs
+++ b/crates/scheduler/src/agent/settings.rs
@@ -1,10 +1,12 @@
+use shallotflow_policy::plan::Lease;
 use std::time::Duration;
 
 /// The limits of an agent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
-    /// Longest lease that the worker grants; taken from the worker's own settings.
-    pub lease: Duration,
+    /// Longest lease that the worker grants; taken from the worker's own settings. The agent renews no
+    /// longer ones than the owner lets it.
+    pub lease: Lease,
     /// How long a poll waits for a run to end while any run is active; the worker's measurements
     /// change as often.
     pub poll_wait: Duration,
@@ -33,14 +35,12 @@
     pub report_pause: Duration,
     /// Interval at which the complete list of runs is reported, for checkpoints and measurements.
     pub list_interval: Duration,
-    /// The share of a lease by which a worker's clock may run slow, in percent.
-    pub drift_percent: u32,
 }
 
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            lease: Duration::from_millis(6_000),
+            lease: Lease::default(),
             poll_wait: Duration::from_millis(400),
             idle_wait: Duration::from_millis(1_500),
             call_limit: Duration::from_millis(350),
@@ -53,7 +53,6 @@
             report_limit: Duration::from_millis(900),
             report_pause: Duration::from_millis(60),
             list_interval: Duration::from_millis(450),
-            drift_percent: 2,
         }
     }
 }
--- a/crates/scheduler/src/entry/own.rs
+++ b/crates/scheduler/src/entry/own.rs
@@ -48,10 +48,7 @@
     }
     let now = Boottime.now();
     let missing = holders.iter().cloned().collect();
-    let defaults = plan::Settings::default();
-    let spread_factor = entry.settings.spread_factor.unwrap_or(defaults.spread_factor);
-    let limits = plan::Settings { spread_factor, retention: entry.settings.retention, ..defaults };
-    let table = Table::new(limits, owner.epoch, missing, now);
+    let table = Table::new(entry.settings.limits(), owner.epoch, missing, now);
     let progress_revisions = HashMap::default();
     let rates_due = now.after(entry.settings.learned_interval);
     let mut ownership = Ownership {
--- a/crates/scheduler/src/entry/settings.rs
+++ b/crates/scheduler/src/entry/settings.rs
@@ -1,6 +1,10 @@
+use shallotflow_policy::plan::{self, Lease};
 use std::sync::Arc;
 use std::time::Duration;
 
+/// The part of an entry's presence by which [`Lease::wait`] exceeds the leases that it covers.
+const PRESENCE_MARGIN: Duration = Duration::from_millis(200);
+
 /// The limits of an entry.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -58,6 +62,9 @@
     /// Delay between the claims of two entries that find an owner absent, multiplied by the entry's
     /// rank.
     pub claim_stagger: Duration,
+    /// Longest lease of a worker's runs that the entry, as the owner, lets agents renew; the same at all
+    /// entries, since a successor waits for the leases of its predecessor.
+    pub lease: Lease,
     /// Prefix of the keys by which operators request the evacuation of a failure domain; `None`
     /// where that does not exist.
     pub evacuation_prefix: Option<Arc<str>>,
@@ -97,8 +104,9 @@
             unsettled_limit: Duration::from_secs(10),
             sizes_settle: Duration::from_millis(3_000),
             learned_interval: Duration::from_millis(3_000),
-            retention: shallotflow_policy::plan::Settings::default().retention,
+            retention: plan::Settings::default().retention,
             claim_stagger: Duration::from_millis(60),
+            lease: Lease::default(),
             evacuation_prefix: None,
             evacuation_interval: Duration::from_millis(1_500),
             spread_factor: None,
@@ -107,3 +115,17 @@
         }
     }
 }
+
+impl Settings {
+    /// Returns the limits of the table that the entry owns.
+    pub fn limits(&self) -> plan::Settings {
+        let defaults = plan::Settings::default();
+        plan::Settings {
+            lease: self.lease,
+            succession_slack: self.presence_lease.saturating_sub(PRESENCE_MARGIN),
+            spread_factor: self.spread_factor.unwrap_or(defaults.spread_factor),
+            retention: self.retention,
+            ..defaults
+        }
+    }
+}
--- a/crates/scheduler/tests/owner/foreign.rs
+++ b/crates/scheduler/tests/owner/foreign.rs
@@ -165,7 +165,11 @@
         let claimed = std::time::Instant::now();
         while !owner.orders_a_start().await {}
         let limits = shallotflow_policy::plan::Settings::default();
-        assert!(claimed.elapsed() + PAUSE > limits.lease, "started after {:?}", claimed.elapsed());
+        assert!(
+            claimed.elapsed() + PAUSE > limits.lease.wait(),
+            "started after {:?}",
+            claimed.elapsed()
+        );
         until(|| shared.text(keys::AGENTS).as_deref() == Some("[\"agent-1\"]")).await;
     });
 }
@@ -273,7 +277,7 @@
             };
             // All leases that the known agents may hold have ended by then.
             let limits = shallotflow_policy::plan::Settings::default();
-            let limit = RECOVERY + limits.lease + limits.succession_slack;
+            let limit = RECOVERY + limits.lease.wait() + limits.succession_slack;
             let started = monoio::time::timeout(limit, started).await;
             assert!(started.is_ok(), "the other job does not start: {}", owner.entry.dump());
             };
--- a/crates/scheduler/tests/path.rs
+++ b/crates/scheduler/tests/path.rs
@@ -42,6 +42,16 @@
     }
 }
 
+/// Guards against an owner that waits for shorter leases than agents renew, and starts tasks elsewhere
+/// while they go on at workers that are cut off.
+#[test]
+fn every_guarantee_holds_where_workers_grant_long_leases() {
+    for seed in 0..SEEDS {
+        let mut simulation = Simulation::new(seed, FaultRates::with_long_leases(), None);
+        assert_eq!(simulation.run(), Ok(()), "seed {seed}");
+    }
+}
+
 /// Guards against odd heartbeats that displace a worker, so that its tasks are started elsewhere while
 /// they go on, or that keep it out of use until its jobs end too late.
 #[test]
--- a/crates/scheduler/tests/path/oracle.rs
+++ b/crates/scheduler/tests/path/oracle.rs
@@ -15,12 +15,16 @@
 /// Number of crashes under a task after which its job may be shown as failed.
 const CRASHES_TO_GIVE_UP: u32 = 2;
 
-/// Longest time for which a task that could run may not be running once all is calm, in milliseconds:
-/// the sum of the stated bounds that can follow each other.
-const MAX_WAIT_MS: u64 =
-    LEASE_MS + SEEN_MS + STALL_MS + STOP_MS + TRIAL_MS + RETRY_MS + EJECTION_MS;
-/// A successor waits for the last lease.
-const LEASE_MS: u64 = 7_200;
+/// Longest time for which a task that could run may not be running once all is calm, in milliseconds,
+/// beyond the wait of a successor: the sum of the stated bounds that can follow each other.
+const MAX_WAIT_MS: u64 = SEEN_MS + STALL_MS + STOP_MS + TRIAL_MS + RETRY_MS + EJECTION_MS;
+/// A successor waits for the last lease, which a former owner may have let agents renew for so long after
+/// the claim.
+const SUCCESSION_MS: u64 = 800;
+/// The end of a lease is certain once the lease, the drift of the worker's clock and this have passed.
+const LEASE_MARGIN_MS: u64 = 280;
+/// The drift of a worker's clock, in percent.
+const DRIFT_PERCENT: u64 = 2;
 /// For so long a task may not be running in the rule for callers.
 const SEEN_MS: u64 = 3_000;
 /// A run that lists show no more is stopped.
@@ -33,9 +37,6 @@
 const EJECTION_MS: u64 = 4_000;
 /// A task of a job under which a worker crashed, and the others of the job, wait for a trial.
 const HELD_MS: u64 = 6_200;
-/// The runs of a lost machine count until their leases have ended; from the last report of its agent, or
-/// the last answer of its worker.
-const GONE_MS: u64 = 6_400;
 /// The owner orders starts at a machine that is gone until its agent counts as silent, and waits for the
 /// answer to the last one.
 const SILENT_MS: u64 = 1_300 + 700;
@@ -65,6 +66,8 @@
 /// Observations of all tasks, and the guarantees over them.
 #[derive(Default)]
 pub(crate) struct Oracle {
+    /// The longest lease of a worker.
+    lease_ms: u64,
     tasks: BTreeMap<Task, Observed>,
     /// Number of tasks in the first step of each job, which the second step waits for.
     first: BTreeMap<Id, u32>,
@@ -84,6 +87,17 @@
 }
 
 impl Oracle {
+    /// Creates an oracle for workers whose leases last for at most `lease_ms`.
+    pub(crate) fn new(lease_ms: u64) -> Self {
+        Self { lease_ms, ..Self::default() }
+    }
+
+    /// The runs of a lost machine count for so long until their leases have ended; from the last report of
+    /// its agent, or the last answer of its worker.
+    fn gone_ms(&self) -> u64 {
+        self.lease_ms + self.lease_ms * DRIFT_PERCENT / 100 + LEASE_MARGIN_MS
+    }
+
     pub(crate) fn accept(&mut self, job: Id, first: u32, long_running: bool) {
         self.first.insert(job, first);
         if long_running {
@@ -111,7 +125,7 @@
         }
         let since = *observed.waits_since.get_or_insert(now);
         let waited = now.saturating_sub(since.max(calm_since));
-        (waited > MAX_WAIT_MS).then_some(waited)
+        (waited > self.gone_ms() + SUCCESSION_MS + MAX_WAIT_MS).then_some(waited)
     }
 
     /// Whether the turn of `task` has come and it is not done, as its caller sees it.
@@ -153,7 +167,7 @@
     /// Records that a successor of the owner has claimed the table: until the agents have listed what they
     /// run, no task starts.
     pub(crate) fn mark_claim(&mut self, now: u64) {
-        self.all_held_until = self.all_held_until.max(now + LEASE_MS);
+        self.all_held_until = self.all_held_until.max(now + self.gone_ms() + SUCCESSION_MS);
     }
 
     /// Records that the owner does not know yet which failure domains it may use again.
@@ -169,7 +183,7 @@
     /// Records that the owner takes all tasks of the job whose turn has come for started at machines that
     /// are lost, the last one at `lost_at`.
     pub(crate) fn mark_tied(&mut self, job: Id, lost_at: u64) {
-        self.hold(job, lost_at + GONE_MS);
+        self.hold(job, lost_at + self.gone_ms());
     }
 
     pub(crate) fn start(&mut self, worker: usize, task: Task, attempts: u32) {
--- a/crates/scheduler/tests/path/simulation.rs
+++ b/crates/scheduler/tests/path/simulation.rs
@@ -14,9 +14,10 @@
 use shallotflow_policy::plan::message::{
     ExitReason, Incarnation, Kind, Order, Outcome, Profile, Reply, Report, Status, Traits,
 };
-use shallotflow_policy::plan::{self, Phase, Progress, Table};
+use shallotflow_policy::plan::{self, Lease, Phase, Progress, Table};
 use shallotflow_scheduler::agent::run_table::{Key, RunTable};
 use shallotflow_scheduler::agent::{self, Error, Lists};
+use shallotflow_scheduler::entry;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -39,6 +40,9 @@
 /// which contact with its agent or the owner counts as lost, and the registration after that.
 const SHRINK_MS: u64 = 4_500;
 const QUEUE: &str = "q";
+/// Longest lease of a worker: the usual one, and that of some platforms, in milliseconds.
+const LEASE_MS: u64 = 6_000;
+const LONG_LEASE_MS: u64 = 10_000;
 /// Longest time until an owner learns of a request: an answer of its watch is lost, and so is that of
 /// the first attempt to read the requests again.
 const MAX_WATCH_DELAY_MS: u64 = 3_000;
@@ -73,6 +77,8 @@
     /// Probability that an agent executes an order seconds after it received it.
     order_stalled: f64,
     workers: usize,
+    /// The longest lease that workers grant, in milliseconds.
+    lease_ms: u64,
     /// Probability that a job has tasks that run until it is cancelled.
     long_running: f64,
     /// Probability that a job with such tasks is cancelled, per tick.
@@ -126,6 +132,11 @@
         Self { calls_outlive_incarnations: true, ..Self::default() }
     }
 
+    /// Workers that grant longer leases than usual, beside all other faults.
+    pub(crate) fn with_long_leases() -> Self {
+        Self { lease_ms: LONG_LEASE_MS, ..Self::default() }
+    }
+
     /// Tasks that crash their workers, beside all other faults.
     pub(crate) fn with_deadly_tasks() -> Self {
         Self { deadly: 0.2, ..Self::default() }
@@ -223,6 +234,7 @@
             evacuation: 0.0,
             order_stalled: 0.0,
             workers: WORKERS,
+            lease_ms: LEASE_MS,
             long_running: 0.0,
             long_running_cancelled: 0.0,
             machine_lost: 0.0,
@@ -312,10 +324,10 @@
 }
 
 impl Agent {
-    fn new(number: usize, process: u64, target: usize, now: u64) -> Self {
+    fn new(number: usize, process: u64, target: usize, lease_ms: u64, now: u64) -> Self {
         let now = Time::from_millis(now);
         Self {
-            run_table: RunTable::new(settings(), agent_name(number), process, now),
+            run_table: RunTable::new(settings(lease_ms), agent_name(number), process, now),
             process,
             isolated_until: 0,
             target,
@@ -386,7 +398,9 @@
 impl Simulation {
     pub(crate) fn new(seed: u64, rates: FaultRates, fault: Option<Fault>) -> Self {
         let now = 100_000;
-        let table = Table::new(plan_settings(fault), 1, Vec::new(), Time::from_millis(now));
+        let lease_ms = rates.lease_ms;
+        let table =
+            Table::new(plan_settings(lease_ms, fault), 1, Vec::new(), Time::from_millis(now));
         let mut rng = SmallRng::seed_from_u64(seed);
         let third_lost_at = rates.third_lost.then(|| now + rng.random_range(5_000..25_000));
         Self {
@@ -400,12 +414,16 @@
                 requests_revision: 0,
                 learns_at: None,
             }],
-            agents: (0..rates.workers).map(|number| Agent::new(number, 1, 0, now)).collect(),
-            workers: (0..rates.workers).map(|number| Worker::new(number, fault)).collect(),
+            agents: (0..rates.workers)
+                .map(|number| Agent::new(number, 1, 0, lease_ms, now))
+                .collect(),
+            workers: (0..rates.workers)
+                .map(|number| Worker::new(number, lease_ms, fault))
+                .collect(),
             delayed: Vec::new(),
             flights: Vec::new(),
             calm_since: now,
-            oracle: Oracle::default(),
+            oracle: Oracle::new(lease_ms),
             lost_at: BTreeMap::new(),
             third_lost_at,
             jobs: BTreeMap::new(),
@@ -432,8 +450,8 @@
                 self.inject_faults();
                 self.submit_jobs(self.now - begin);
             } else if self.now == begin + FAULT_PHASE_MS {
-                let FaultRates { task_fails, workers, .. } = self.rates;
-                self.rates = FaultRates { task_fails, workers, ..FaultRates::none() };
+                let FaultRates { task_fails, workers, lease_ms, .. } = self.rates;
+                self.rates = FaultRates { task_fails, workers, lease_ms, ..FaultRates::none() };
                 self.store_down_until = 0;
                 for number in 0..self.workers.len() {
                     self.readmit(number);
@@ -625,7 +643,7 @@
     /// Starts a new process of an agent, unless it is gone for good.
     fn restart_agent(&mut self, number: usize, target: usize) {
         let Agent { process, isolated_until, gone_at, .. } = self.agents[number];
-        let agent = Agent::new(number, process + 1, target, self.now);
+        let agent = Agent::new(number, process + 1, target, self.rates.lease_ms, self.now);
         self.agents[number] = Agent { isolated_until, gone_at, ..agent };
         self.disturb(self.now);
     }
@@ -741,7 +759,8 @@
             Some(Fault::NoWaitForAgents) => Vec::new(),
             _ => self.holders.iter().cloned().collect(),
         };
-        let mut table = Table::new(plan_settings(self.fault), epoch, missing, now);
+        let mut table =
+            Table::new(plan_settings(self.rates.lease_ms, self.fault), epoch, missing, now);
         for (id, (job, _)) in &self.jobs {
             let mut progress = self.progress.get(id).cloned();
             if let Some(progress) = progress.as_mut().filter(|_| forgets) {
@@ -1363,13 +1382,15 @@
     }
 }
 
-fn settings() -> agent::Settings {
-    agent::Settings::default()
+fn settings(lease_ms: u64) -> agent::Settings {
+    let lease = Lease::new(Duration::from_millis(lease_ms));
+    agent::Settings { lease, ..agent::Settings::default() }
 }
 
 /// The settings of owners; with a planted fault, those of the rule that it stands for.
-fn plan_settings(fault: Option<Fault>) -> plan::Settings {
-    let settings = plan::Settings::default();
+fn plan_settings(lease_ms: u64, fault: Option<Fault>) -> plan::Settings {
+    let lease = Lease::new(Duration::from_millis(lease_ms));
+    let settings = entry::Settings { lease, ..entry::Settings::default() }.limits();
     match fault {
         Some(Fault::EndlessIdleWait) => {
             plan::Settings { idle_wait: Duration::from_secs(3_600), ..settings }
--- a/crates/scheduler/tests/path/worker.rs
+++ b/crates/scheduler/tests/path/worker.rs
@@ -17,9 +17,6 @@
 /// Memory of a worker.
 const MEMORY_MIB: u32 = 1_000;
 
-/// Longest lease that a worker grants, in milliseconds.
-pub(crate) const LEASE_MS: u64 = 6_000;
-
 /// Time from the start of a task that crashes its worker to the crash, in milliseconds.
 const CRASH_MS: u64 = 10;
 /// How long a worker is away after a crash, in milliseconds.
@@ -62,6 +59,8 @@
     pub(crate) since: u64,
     fence: u64,
     lease: u64,
+    /// Longest lease that it grants, in milliseconds.
+    max_lease_ms: u64,
     running: BTreeMap<Task, RunningTask>,
     highest: BTreeMap<Task, u32>,
     ends: Vec<End>,
@@ -85,7 +84,7 @@
 }
 
 impl Worker {
-    pub(crate) fn new(number: usize, fault: Option<Fault>) -> Self {
+    pub(crate) fn new(number: usize, max_lease_ms: u64, fault: Option<Fault>) -> Self {
         Self {
             number,
             replaced: 0,
@@ -93,6 +92,7 @@
             since: 0,
             fence: 0,
             lease: 0,
+            max_lease_ms,
             running: BTreeMap::new(),
             highest: BTreeMap::new(),
             ends: Vec::new(),
@@ -166,7 +166,7 @@
             dark_until: self.dark_until,
             registers_at: self.registers_at,
             capacities: std::mem::take(&mut self.capacities),
-            ..Self::new(self.number, self.fault)
+            ..Self::new(self.number, self.max_lease_ms, self.fault)
         };
     }
 
@@ -293,7 +293,7 @@
     }
 
     fn renew(&mut self, lease: u64, now: u64) {
-        self.lease = self.lease.max(lease.min(self.clock(now) + LEASE_MS));
+        self.lease = self.lease.max(lease.min(self.clock(now) + self.max_lease_ms));
     }
 
     /// Starts a run. `lease` is the end of its lease, and the start of the incarnation that the caller
--- a/crates/scheduler/tests/run_table.rs
+++ b/crates/scheduler/tests/run_table.rs
@@ -6,6 +6,7 @@
 use shallotflow_core::name::Name;
 use shallotflow_core::resources::Bundle;
 use shallotflow_core::time::Time;
+use shallotflow_policy::plan::Lease;
 use shallotflow_policy::plan::message::{
     CrashedRun, End, ExitReason, Incarnation, Kind, Order, Outcome, Profile, Reply, Run, RunTraits,
     Status, Traits,
@@ -57,6 +58,17 @@
     assert_eq!(table.lease_ms(at(6_101)), None, "the time that the reply allows has passed");
 }
 
+/// Guards against an agent that renews longer leases than its owner and a successor wait for.
+#[test_case(2_000, 2_000 ; "the owner allows less than the worker grants")]
+#[test_case(10_000, 6_000 ; "the owner allows more")]
+fn a_lease_is_no_longer_than_the_owner_allows(allowed_ms: u64, expected_ms: u64) {
+    let mut table = joined(Vec::new());
+    let sequence = table.report(at(100)).sequence;
+    let lease = Lease::new(Duration::from_millis(allowed_ms));
+    table.apply_reply(Reply { lease, ..reply(1, sequence) });
+    assert_eq!(table.lease_ms(at(200)), Some(500 + 100 + expected_ms));
+}
+
 /// Guards against an agent that executes starts in an evacuated domain, and against a late reply that
 /// ends the evacuation.
 #[test]
