Refuse starts that were ordered before the last lease ended

What callers would see: TWICE. A task starts again after its end was recorded.

Cause: an agent that was out of contact for longer than a lease still holds orders that the owner has given up with its runs. Back in contact it may renew leases, and carries them out. Ruled out: a late call to the worker, which names the end of its own lease and is refused as late.

Change: a report that is sent while the agent may renew no leases outdates the orders from before. The owner waits longer than the agent may renew, so it has not given up before such a report.

Test: run_table a_start_that_was_ordered_before_the_lease_ended_is_refused; without the change the start is not outdated.

--- a/crates/scheduler/src/agent/run_table.rs
+++ b/crates/scheduler/src/agent/run_table.rs
@@ -77,7 +77,8 @@
     registration: u64,
     /// Who contradicts the known worker.
     contender: Option<Contender>,
-    /// The first report to the current owner that shows the worker as small as it is, or as empty.
+    /// The first report to the current owner that shows the worker as small as it is, or as empty, or that
+    /// was sent while no lease could be renewed.
     outdating_report: u64,
     drain_deadline: Option<Time>,
     /// When the worker is no longer slow after its return.
@@ -310,7 +311,7 @@
 
     /// Whether a start is outdated whose order came with the reply to the report `sequence`: the owner
     /// may have ordered it for a larger worker, or may have ordered the task elsewhere since it was told
-    /// that the worker is empty.
+    /// that the worker is empty, or since the last lease ended.
     pub fn is_outdated(&self, sequence: u64) -> bool {
         sequence < self.outdating_report
     }
@@ -652,7 +653,8 @@
             },
         };
         let status = report.worker.as_ref().map(|profile| profile.status);
-        if vacant || status == Some(Status::Empty) {
+        // An owner that lets the agent renew no leases may have given up the runs that it has ordered.
+        if vacant || status == Some(Status::Empty) || self.authorised_until.passed(now) {
             self.outdating_report = sequence;
         }
         if self.complete {
--- a/crates/scheduler/tests/run_table.rs
+++ b/crates/scheduler/tests/run_table.rs
@@ -551,6 +551,21 @@
     }
 }
 
+/// Guards against a start that the agent carries out after the owner has taken the task elsewhere, since
+/// no report arrived for the length of a lease.
+#[test]
+fn a_start_that_was_ordered_before_the_lease_ended_is_refused() {
+    let mut table = joined(Vec::new());
+    let sequence = table.report(at(0)).sequence;
+    table.apply_reply(reply(1, sequence));
+    assert!(!table.is_outdated(sequence));
+    table.report(at(5_000));
+    assert!(!table.is_outdated(sequence), "the lease has not ended");
+    let later = table.report(at(6_100)).sequence;
+    assert!(table.is_outdated(sequence));
+    assert!(!table.is_outdated(later), "the owner has heard of the agent again");
+}
+
 /// Guards against a change of the worker that the odd heartbeat alone brings about.
 #[test_case("w", 7, u64::MAX ; "a sequence that jumps")]
 #[test_case("other", u64::MAX, 1 ; "a start that jumps")]
