Let agents renew leases from their first complete list on

What callers would see: LOST. Nothing of a job runs for more than 3 s after a takeover, long after all leases of the former owner have ended.

Cause: each report of an agent moved the end of the successor's wait by a lease, since the reply allowed the agent to renew leases, also of an agent that cannot list its worker's runs: one that has restarted beside a worker that is dark for good.

Change: the owner allows an agent to renew leases from its first complete list on (the reply's sequence is 0 before), and only such reports move the end of the wait. An agent lists within milliseconds of the worker's answer, so a worker that answers loses nothing by it.

Test: recovery a_task_waits_for_the_lease_of_an_agent_that_reports_but_cannot_read_the_lists. It assumed that such reports renew leases; it now checks that they do not, and that the task starts at the end of the successor's wait.

--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -48,10 +48,12 @@
         worker.last_order = worker.last_order.max(report.received);
         worker.last_report = now;
         worker.quiet = false;
-        worker.empty_at = now.after(self.settings.lease.wait());
-        // The reply lets the agent renew leases, also of runs that it cannot list yet.
-        if let Some(empty_at) = self.missing.get_mut(&agent) {
-            *empty_at = worker.empty_at;
+        // The reply lets the agent renew leases once it has listed the runs.
+        if worker.synced || (report.complete && report.running.is_some()) {
+            worker.empty_at = now.after(self.settings.lease.wait());
+            if let Some(empty_at) = self.missing.get_mut(&agent) {
+                *empty_at = worker.empty_at;
+            }
         }
         worker.vacant = report.vacant;
         worker.lacks_traits = report.lacks_traits;
--- a/crates/policy/src/plan/table.rs
+++ b/crates/policy/src/plan/table.rs
@@ -256,7 +256,7 @@
         Reply {
             epoch: self.epoch,
             owned: true,
-            sequence: worker.sequence,
+            sequence: if worker.synced { worker.sequence } else { 0 },
             orders: worker.outbox.iter().cloned().collect(),
             recorded: worker.recorded,
             run_traits: if worker.lacks_traits { self.run_traits(worker) } else { Vec::new() },
@@ -277,6 +277,12 @@
         }
     }
 
+    /// Returns whether `agent` may renew leases: it has listed the runs of its worker to this owner. One that
+    /// cannot list has not reached its worker, and would move the end of a lease with each report.
+    pub fn may_renew(&self, agent: &str) -> bool {
+        self.workers.get(agent).is_some_and(|worker| worker.synced)
+    }
+
     /// Returns whether there are orders or traits for `agent`, ends above `recorded` to discard, or a
     /// change of its evacuation that it has not reported to know.
     pub fn has_updates(&self, agent: &str, recorded: u64) -> bool {
--- a/crates/policy/tests/plan/recovery.rs
+++ b/crates/policy/tests/plan/recovery.rs
@@ -171,15 +171,16 @@
         }
         harness.table.apply_report(report, harness.now);
     };
-    // Each of these reports renews the agent's leases.
+    // None of these reports lets the agent renew leases, so none moves the end of the wait.
     for _ in 0..8 {
         report_incomplete(&mut harness);
+        assert_eq!(harness.table.reply(&name(1)).sequence, 0);
         harness.report(0);
         harness.tick();
         assert_eq!(harness.phase(task(1, 0, 0)), Phase::Uncertain);
         harness.wait(Duration::from_secs(1));
     }
-    harness.wait(Duration::from_millis(5_500));
+    report_incomplete(&mut harness);
     harness.report(0);
     harness.run_round();
     assert_eq!(harness.running(), [task(1, 0, 0)]);
--- a/crates/scheduler/src/entry/serve.rs
+++ b/crates/scheduler/src/entry/serve.rs
@@ -65,6 +65,7 @@
             if !latest || has_update || deadline.passed(Boottime.now()) {
                 Activity::count(&entry.activity.replies, 1);
                 // A later report may have arrived meanwhile; its own reply decides on it.
+                let may_renew = may_renew && ownership.table.may_renew(&agent);
                 let sequence = if may_renew { sequence } else { 0 };
                 return Reply { sequence, ..ownership.table.reply(&agent) };
             }
