Believe a restart of a worker once the worker answers as that incarnation

Cause: a registration with a later start ended the known incarnation at once, and the adapter addressed later calls by its identifier.

Change: a registration of another incarnation is a claim that the agent checks with a poll of that incarnation, and nothing of the known one is given up before the worker answers as the new one.

Tests of heartbeats that assumed belief without an answer now let the worker answer the check; their expectations stay or are stricter.

--- a/crates/scheduler/src/agent/look.rs
+++ b/crates/scheduler/src/agent/look.rs
@@ -4,9 +4,11 @@
 
 use super::pace::Service;
 use super::run_table::{ActiveRun, Key};
-use super::{Agent, Error, order};
+use super::{Agent, Error, Poll, order};
 use shallotflow_core::name::Name;
+use shallotflow_core::resources::Bundle;
 use shallotflow_core::time::Clock;
+use shallotflow_policy::plan::message::{Incarnation, Status};
 use shallotflow_runtime::clock::Boottime;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -36,15 +38,14 @@
 
 async fn poll(agent: &Rc<Agent>) -> Result<(), Error> {
     let sent = Boottime.now();
-    let (incarnation, lease, recorded, epoch, busy, complete, silent) = {
+    let (poll, epoch, busy, complete, silent, registered) = {
         let mut table = agent.run_table.borrow_mut();
-        let lease = table.lease_ms(sent);
-        let incarnation = table.incarnation().cloned();
-        let complete = table.is_complete();
-        let busy = table.is_busy();
-        (incarnation, lease, table.recorded(), table.epoch(), busy, complete, table.is_silent())
+        let poll = table.next_poll(sent);
+        let (busy, complete) = (table.is_busy(), table.is_complete());
+        (poll, table.epoch(), busy, complete, table.is_silent(), table.registered())
     };
-    let wait = match (complete, busy) {
+    let Poll { incarnation, checks_claim, lease_ms: lease, recorded } = poll;
+    let wait = match (complete && !checks_claim, busy) {
         // The owner waits for the lists, or the agent needs the worker's clock before it can grant
         // a lease.
         (false, _) => std::time::Duration::ZERO,
@@ -55,10 +56,18 @@
     let limit = wait + agent.settings.call_limit;
     let call = agent.control.poll(incarnation.as_ref(), lease, recorded, epoch, wait, limit);
     let lists = monoio::select! {
-        lists = call => lists?,
+        lists = call => lists,
         // The poll in flight does not reflect orders that were executed since it was sent.
         () = wait_for_poll_due(agent, wait) => return Ok(()),
     };
+    if checks_claim && matches!(lists, Err(Error::OtherIncarnation)) {
+        log_refuted(agent.run_table.borrow_mut().refute_claim(), registered.as_ref());
+        return Ok(());
+    }
+    let lists = lists?;
+    if checks_claim && incarnation.as_ref() != Some(&lists.incarnation) {
+        log_refuted(incarnation, registered.as_ref());
+    }
     let (report_due, answered_early) = {
         let mut table = agent.run_table.borrow_mut();
         let now = Boottime.now();
@@ -66,7 +75,12 @@
         table.apply_lists(lists, epoch, sent, now);
         let ends = table.listed_ends() > known;
         let answered_early = !ends && now.since(sent) < wait / 2;
-        (ends || !complete || silent, answered_early)
+        let present = table.registered();
+        let changed = present.is_some() && present != registered;
+        if changed {
+            crate::log::decision("worker registered", &present);
+        }
+        (ends || !complete || silent || changed, answered_early)
     };
     order::prevent_late_starts(agent);
     if silent {
@@ -92,6 +106,11 @@
     Ok(())
 }
 
+/// Logs that the worker does not run as the incarnation that a registration has claimed.
+fn log_refuted(claimed: Option<Incarnation>, registered: Option<&(Incarnation, Status, Bundle)>) {
+    crate::log::decision("heartbeat refuted", &(claimed, registered));
+}
+
 async fn wait_for_poll_due(agent: &Rc<Agent>, wait: std::time::Duration) {
     if wait.is_zero() {
         return std::future::pending().await;
--- a/crates/scheduler/src/agent/mod.rs
+++ b/crates/scheduler/src/agent/mod.rs
@@ -5,11 +5,13 @@
 //! - [`Agent`]: the agent's loops.
 //! - [`run_table`]: the state that it keeps of its worker and what the owner has not confirmed yet.
 //! - [`pace`]: the paces of best-effort tasks.
+//! - [`Poll`], [`RegistrationOutcome`]: what that table decides on a poll and on a registration.
 //! - [`Settings`]: its limits.
 //!
 //! The agent renews the leases of runs only up to the time that the owner's last reply allows, so
 //! that the runs of an isolated worker end by themselves.
 
+mod claim;
 mod contender;
 mod control;
 mod crashes;
@@ -17,6 +19,8 @@
 mod look;
 mod order;
 pub mod pace;
+mod poll;
+mod registration;
 mod report;
 pub mod run_table;
 mod settings;
@@ -24,5 +28,7 @@
 
 pub use control::{Control, Error, Result, Start};
 pub use lists::Lists;
+pub use poll::Poll;
+pub use registration::Outcome as RegistrationOutcome;
 pub use settings::Settings;
 pub use shared::Agent;
--- a/crates/scheduler/src/agent/run_table.rs
+++ b/crates/scheduler/src/agent/run_table.rs
@@ -1,9 +1,11 @@
 //! The state that the agent keeps of its worker, and what the owner has not confirmed yet; no I/O
 //! and no clock.
 
+use super::claim::Claim;
 use super::contender::Contender;
 use super::crashes::Crashes;
-use super::{Error, Lists, Settings};
+use super::registration::Registration;
+use super::{Error, Lists, Poll, RegistrationOutcome, Settings};
 use shallotflow_core::graph::Task;
 use shallotflow_core::name::Name;
 use shallotflow_core::resources::Bundle;
@@ -27,17 +29,9 @@
 const MAX_SENT_REPORTS: usize = 64;
 /// Consecutive polls that must find no listener before the worker counts as gone.
 const VACANT_POLLS: u32 = 2;
-/// Consecutive polls that another incarnation must refuse before the known one counts as gone: the first
-/// may have been sent before the present one was known.
-const REPLACED_POLLS: u32 = 2;
-/// Number of replaced incarnations that are remembered; a delayed registration is seconds old.
-const MAX_REPLACED: usize = 8;
 /// Largest step from one registration of an incarnation to the next, over lost ones: a day of ten a
 /// second.
 const MAX_REGISTRATION_STEP: u64 = 1_000_000;
-/// How much later than the time that has passed an incarnation may have started, milliseconds: a day,
-/// for clocks that are set and a former incarnation that is older than the agent's process.
-const MAX_START_STEP_MS: u64 = 86_400_000;
 
 /// A run at the worker.
 pub struct ActiveRun {
@@ -77,6 +71,8 @@
     registration: u64,
     /// Who contradicts the known worker.
     contender: Option<Contender>,
+    /// The last registration of another incarnation.
+    claim: Option<Claim>,
     /// The first report to the current owner that shows the worker as small as it is, or as empty, or that
     /// was sent while no lease could be renewed.
     outdating_report: u64,
@@ -89,8 +85,6 @@
     evacuation_version: u64,
     deregistered: bool,
     incarnation: Option<Incarnation>,
-    /// Starts of the incarnations that it and others replaced, the latest last.
-    replaced: VecDeque<u64>,
     /// Since when the incarnation is known.
     incarnation_since: Time,
     running: BTreeMap<Key, ActiveRun>,
@@ -107,8 +101,6 @@
     failed_polls: u32,
     /// Consecutive polls that found no worker at the address.
     vacant_polls: u32,
-    /// Consecutive polls that another incarnation refused.
-    replaced_polls: u32,
     complete: bool,
     last_listed: Option<Time>,
     /// Runs that are being withdrawn.
@@ -143,6 +135,7 @@
             profile: None,
             registration: 0,
             contender: None,
+            claim: None,
             outdating_report: 0,
             drain_deadline: None,
             warm_at: Time::ZERO,
@@ -150,7 +143,6 @@
             evacuation_version: 0,
             deregistered: false,
             incarnation: None,
-            replaced: VecDeque::new(),
             incarnation_since: Time::ZERO,
             running: BTreeMap::new(),
             ends: BTreeMap::new(),
@@ -164,7 +156,6 @@
             offset_ms: None,
             failed_polls: 0,
             vacant_polls: 0,
-            replaced_polls: 0,
             complete: false,
             last_listed: None,
             withdrawn: BTreeMap::new(),
@@ -239,30 +230,52 @@
         self.evacuated
     }
 
-    /// Applies a registration of the worker; returns `false` when it contradicts what is known: when
-    /// it is older, or steps too far ahead, or names another service.
+    /// Applies a registration of the worker that describes the known incarnation, unless it is older than
+    /// the last one, steps too far ahead or names another service. Whoever goes on to contradict a worker
+    /// that does not register is believed.
     ///
-    /// A clock that was set back gives a later incarnation an earlier start. It counts as later once
-    /// the known one does not answer any more. Whoever goes on to contradict a worker that neither
-    /// registers nor answers is believed.
-    pub fn register(&mut self, profile: Profile, registration: u64, now: Time) -> bool {
-        let same = self.incarnation.as_ref() == Some(&profile.incarnation);
-        if self.contradicts(&profile, registration, now) {
+    /// Anyone may send a registration, so one of another incarnation only claims it: it applies once that
+    /// incarnation answers a poll.
+    pub fn register(&mut self, profile: Profile, number: u64, now: Time) -> RegistrationOutcome {
+        if !self.is_known(&profile.incarnation) {
+            let registration = Registration { profile, number };
+            self.claim = Some(Claim { registration, since: now, deferred: false });
+            return RegistrationOutcome::Claimed;
+        }
+        if self.contradicts(&profile, number) {
             let believed = match &mut self.contender {
-                Some(contender) => contender.count(&profile, registration, now),
+                Some(contender) => contender.count(&profile.service, number, now),
                 contender @ None => {
-                    *contender = Some(Contender::new(&profile, registration, now));
+                    *contender = Some(Contender::new(&profile.service, number, now));
                     false
                 }
             };
             if !believed {
-                return false;
+                return RegistrationOutcome::PassedOver;
             }
         }
+        self.apply_registration(Registration { profile, number }, now);
+        RegistrationOutcome::Applied
+    }
+
+    /// Whether a registration of this incarnation describes the known one.
+    fn is_known(&self, incarnation: &Incarnation) -> bool {
+        self.incarnation.as_ref().is_some_and(|known| {
+            // Answers to polls do not name the identifier.
+            known == incarnation && (known.id.is_empty() || known.id == incarnation.id)
+        })
+    }
+
+    fn contradicts(&self, profile: &Profile, number: u64) -> bool {
+        let Some(former) = &self.profile else { return false };
+        let latest = self.registration.saturating_add(MAX_REGISTRATION_STEP);
+        number <= self.registration || number > latest || former.service != profile.service
+    }
+
+    /// Applies a registration of the incarnation that runs.
+    fn apply_registration(&mut self, registration: Registration, now: Time) {
+        let Registration { profile, number } = registration;
         self.contender = None;
-        if !same {
-            self.begin_incarnation(profile.incarnation.clone(), now);
-        }
         self.incarnation = Some(profile.incarnation.clone());
         // An earlier deregistration came late, from a former incarnation.
         self.deregistered = false;
@@ -274,33 +287,35 @@
             _ => None,
         };
         self.warm_at = now.after(Duration::from_millis(profile.cold_remaining_ms));
-        self.registration = registration;
+        self.registration = number;
         let former = self.profile.as_ref().map(|former| former.capacity);
         if former.is_none_or(|former| !profile.capacity.holds(&former)) {
             self.outdating_report = self.sequence + 1;
         }
         self.profile = Some(profile);
-        true
     }
 
-    fn contradicts(&self, profile: &Profile, registration: u64, now: Time) -> bool {
-        let Some(known) = &self.incarnation else { return false };
-        let started_ms = profile.incarnation.started_ms;
-        if *known == profile.incarnation {
-            let Some(former) = &self.profile else { return false };
-            let latest = self.registration.saturating_add(MAX_REGISTRATION_STEP);
-            return registration <= self.registration
-                || registration > latest
-                || former.service != profile.service;
+    /// The next poll: it checks the incarnation that a registration claims, or renews the leases of the
+    /// known one.
+    pub fn next_poll(&mut self, now: Time) -> Poll {
+        if let Some(claim) = self.claim.as_mut()
+            && !std::mem::take(&mut claim.deferred)
+        {
+            let incarnation = Some(claim.registration.profile.incarnation.clone());
+            // The numbers of ends and the clock are those of another incarnation.
+            return Poll { incarnation, checks_claim: true, lease_ms: None, recorded: 0 };
+        }
+        Poll {
+            incarnation: self.incarnation.clone(),
+            checks_claim: false,
+            lease_ms: self.lease_ms(now),
+            recorded: self.recorded,
         }
-        let elapsed = now.since(self.incarnation_since).as_millis();
-        let elapsed_ms = u64::try_from(elapsed).unwrap_or(u64::MAX);
-        let latest_ms =
-            known.started_ms.saturating_add(elapsed_ms).saturating_add(MAX_START_STEP_MS);
-        self.replaced_polls < REPLACED_POLLS
-            && (known.started_ms > started_ms
-                || started_ms > latest_ms
-                || self.replaced.contains(&started_ms))
+    }
+
+    /// Drops the claim that an answer of the worker has refuted; returns the incarnation that it named.
+    pub fn refute_claim(&mut self) -> Option<Incarnation> {
+        self.claim.take().map(|claim| claim.registration.profile.incarnation)
     }
 
     /// The incarnation, status and capacity of the worker's last registration.
@@ -355,11 +370,6 @@
         self.late_starts = self.unanswered.keys().copied().collect();
         // The next incarnation may be another kind of worker, whatever it is called.
         self.profile = None;
-        self.replaced.extend(former.map(|former| former.started_ms));
-        self.replaced.retain(|started_ms| *started_ms != incarnation.started_ms);
-        if self.replaced.len() > MAX_REPLACED {
-            self.replaced.pop_front();
-        }
         self.incarnation = Some(incarnation);
         self.incarnation_since = now;
         self.registration = 0;
@@ -367,7 +377,6 @@
         self.deregistered = false;
         self.offset_ms = None;
         self.failed_polls = 0;
-        self.replaced_polls = 0;
         self.last_listed = None;
         self.unsettled.clear();
         if !first {
@@ -396,6 +405,8 @@
     /// Applies the worker's lists; `sent` is when they were requested, `epoch` the owner at that
     /// time.
     pub fn apply_lists(&mut self, lists: Lists, epoch: u64, sent: Time, now: Time) {
+        let claim = self.claim.take_if(|claim| sent >= claim.since).map(|claim| claim.registration);
+        let claim = claim.filter(|claim| claim.profile.incarnation == lists.incarnation);
         if self.incarnation.as_ref() != Some(&lists.incarnation) {
             let newer = |known: &Incarnation| known.started_ms > lists.incarnation.started_ms;
             // What answers a poll that was sent later is the present incarnation, whatever its clock says.
@@ -405,12 +416,11 @@
             }
             self.begin_incarnation(lists.incarnation.clone(), now);
         }
-        if self.contender.as_ref().is_some_and(|other| other.is_refuted(&lists.incarnation, sent)) {
-            self.contender = None;
+        if let Some(claim) = claim {
+            self.apply_registration(claim, now);
         }
         self.failed_polls = 0;
         self.vacant_polls = 0;
-        self.replaced_polls = 0;
         self.alive_at = self.alive_at.max(sent);
         self.update_clock_offset(lists.clock_ms, now);
         let page_full = lists.ends.len() >= ENDS_PER_LIST;
@@ -470,11 +480,13 @@
     /// Records a failed poll.
     pub fn poll_failed(&mut self, error: &Error, now: Time) {
         let vacant = self.is_vacant();
+        if let Some(claim) = &mut self.claim {
+            claim.deferred = true;
+        }
         match error {
             // Another incarnation answers; the poll after its registration reads its lists.
             Error::OtherIncarnation => {
                 self.complete = false;
-                self.replaced_polls = self.replaced_polls.saturating_add(1);
                 self.failed_polls = self.failed_polls.saturating_add(1);
             }
             Error::Fenced => {}
--- a/crates/scheduler/src/agent/shared.rs
+++ b/crates/scheduler/src/agent/shared.rs
@@ -1,6 +1,6 @@
 use super::pace::Controller;
 use super::run_table::RunTable;
-use super::{Control, Settings, look, order, report};
+use super::{Control, RegistrationOutcome, Settings, look, report};
 use event_listener::Event;
 use shallotflow_core::name::Name;
 use shallotflow_core::time::Clock;
@@ -49,19 +49,24 @@
 
     /// Applies a registration of the worker; `registration` counts those of one incarnation.
     ///
-    /// A registration older than the known one, or one that contradicts it, changes nothing.
+    /// A registration older than the known one, or one that contradicts it, changes nothing. One of another
+    /// incarnation applies once the worker answers a poll as that one.
     pub fn register(self: &Rc<Self>, profile: Profile, registration: u64) {
         let known = self.run_table.borrow().registered();
         let now = Some((profile.incarnation.clone(), profile.status, profile.capacity));
-        if !self.run_table.borrow_mut().register(profile, registration, Boottime.now()) {
-            crate::log::decision("heartbeat passed over", &(registration, now, known));
-            return;
-        }
-        order::prevent_late_starts(self);
-        if known != now {
-            crate::log::decision("worker registered", &now);
-            self.report_due.notify(usize::MAX);
-            self.poll_due.notify(usize::MAX);
+        match self.run_table.borrow_mut().register(profile, registration, Boottime.now()) {
+            RegistrationOutcome::PassedOver => {
+                crate::log::decision("heartbeat passed over", &(registration, now, known));
+            }
+            RegistrationOutcome::Claimed => {
+                self.poll_due.notify(usize::MAX);
+            }
+            RegistrationOutcome::Applied if known != now => {
+                crate::log::decision("worker registered", &now);
+                self.report_due.notify(usize::MAX);
+                self.poll_due.notify(usize::MAX);
+            }
+            RegistrationOutcome::Applied => {}
         }
     }
 
--- a/crates/scheduler/tests/path/simulation.rs
+++ b/crates/scheduler/tests/path/simulation.rs
@@ -16,7 +16,7 @@
 };
 use shallotflow_policy::plan::{self, Lease, Phase, Progress, Table};
 use shallotflow_scheduler::agent::run_table::{Key, RunTable};
-use shallotflow_scheduler::agent::{self, Error, Lists};
+use shallotflow_scheduler::agent::{self, Error, Lists, Poll};
 use shallotflow_scheduler::entry;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -1095,19 +1095,25 @@
         if worker.is_down(self.now) {
             return agent.run_table.poll_failed(&Error::Vacant, now);
         }
-        let mut lease = agent.run_table.lease_ms(now);
-        if self.fault == Some(Fault::EndlessLease) {
+        let Poll { incarnation, checks_claim, lease_ms: mut lease, recorded } =
+            agent.run_table.next_poll(now);
+        if self.fault == Some(Fault::EndlessLease) && !checks_claim {
             lease = Some(u64::MAX / 4);
         }
-        let other =
-            agent.run_table.incarnation().is_some_and(|known| *known != worker.incarnation());
+        let present = worker.incarnation();
+        let other = incarnation.is_some_and(|asked| {
+            asked != present || (!asked.id.is_empty() && asked.id != present.id)
+        });
         let epoch = agent.run_table.epoch();
+        if other && checks_claim && !lost {
+            agent.run_table.refute_claim();
+            return;
+        }
         if lost || other {
             let error =
                 if other { Error::OtherIncarnation } else { Error::Unknown("lost".to_owned()) };
             return agent.run_table.poll_failed(&error, now);
         }
-        let recorded = agent.run_table.recorded();
         if delayed {
             agent.run_table.poll_failed(&Error::Unknown("late".to_owned()), now);
             let at = self.now + self.rng.random_range(500..12_000);
--- a/crates/scheduler/tests/run_table.rs
+++ b/crates/scheduler/tests/run_table.rs
@@ -12,7 +12,7 @@
     Status, Traits,
 };
 use shallotflow_scheduler::agent::run_table::RunTable;
-use shallotflow_scheduler::agent::{Error, Lists, Settings};
+use shallotflow_scheduler::agent::{Error, Lists, RegistrationOutcome, Settings};
 use std::time::Duration;
 use test_case::test_case;
 
@@ -46,6 +46,42 @@
     table
 }
 
+/// Registers a worker that runs as `present`, which answers the poll by which a claim is checked. Returns
+/// whether the registration applies.
+fn register_beside(
+    present: &Incarnation,
+    table: &mut RunTable,
+    profile: Profile,
+    number: u64,
+    now: Time,
+) -> bool {
+    match table.register(profile.clone(), number, now) {
+        RegistrationOutcome::Applied => return true,
+        RegistrationOutcome::PassedOver => return false,
+        RegistrationOutcome::Claimed => {}
+    }
+    let poll = table.next_poll(now);
+    assert!(poll.checks_claim && poll.lease_ms.is_none() && poll.recorded == 0, "{poll:?}");
+    if profile.incarnation.id == present.id || profile.incarnation.id.is_empty() {
+        let answer = Lists { incarnation: present.clone(), ..lists(0, Vec::new()) };
+        table.apply_lists(answer, table.epoch(), now, now);
+    } else {
+        // The worker refuses calls for another identifier.
+        table.refute_claim();
+    }
+    let registered = table.registered().map(|(incarnation, status, _)| (incarnation, status));
+    registered == Some((profile.incarnation, profile.status))
+}
+
+/// Registers the worker of [`profile`], which runs.
+fn register(table: &mut RunTable, profile: Profile, number: u64, now: Time) -> bool {
+    register_beside(&incarnation(7), table, profile, number, now)
+}
+
+fn incarnation(started_ms: u64) -> Incarnation {
+    Incarnation { id: Name::from("w"), started_ms }
+}
+
 #[test]
 fn a_lease_reaches_only_as_far_as_the_last_reply_allows() {
     let mut table = joined(Vec::new());
@@ -74,7 +110,7 @@
 #[test]
 fn an_evacuated_agent_accepts_no_tasks_until_a_later_change_says_otherwise() {
     let mut table = joined(Vec::new());
-    assert!(table.register(profile(1_000), 1, at(0)));
+    assert!(register(&mut table, profile(1_000), 1, at(0)));
     let evacuated =
         |evacuated, evacuation_version| Reply { evacuated, evacuation_version, ..reply(1, 0) };
     assert!(table.accepts_tasks());
@@ -92,7 +128,7 @@
 #[test]
 fn an_evacuation_lasts_until_the_new_owner_has_said_otherwise() {
     let mut table = joined(Vec::new());
-    assert!(table.register(profile(1_000), 1, at(0)));
+    assert!(register(&mut table, profile(1_000), 1, at(0)));
     table.apply_reply(Reply { evacuated: true, evacuation_version: 9, ..reply(1, 0) });
     table.apply_reply(reply(2, 0));
     assert!(!table.accepts_tasks());
@@ -106,7 +142,7 @@
 #[test]
 fn an_agent_that_restarts_learns_of_an_evacuation_with_its_first_reply() {
     let mut table = table();
-    assert!(table.register(profile(1_000), 1, at(0)));
+    assert!(register(&mut table, profile(1_000), 1, at(0)));
     // The first report names no owner, and its reply has no orders.
     assert!(table.apply_reply(reply(1, 0)).is_empty());
     let traits = Traits::default();
@@ -122,7 +158,7 @@
 fn the_cold_time_of_a_worker_runs_out() {
     let mut table = joined(Vec::new());
     let cold = Profile { cold_remaining_ms: 3_000, ..profile(1_000) };
-    assert!(table.register(cold, 1, at(0)));
+    assert!(register(&mut table, cold, 1, at(0)));
     let mut remaining = |ms| table.report(at(ms)).worker.map(|worker| worker.cold_remaining_ms);
     assert_eq!(remaining(1_000), Some(2_000));
     assert_eq!(remaining(4_000), Some(0));
@@ -241,7 +277,7 @@
 #[test]
 fn a_new_incarnation_is_not_taken_for_as_large_as_the_former_one() {
     let mut table = joined(Vec::new());
-    table.register(profile(10_000), 1, at(10));
+    register(&mut table, profile(10_000), 1, at(10));
     assert!(table.accepts_tasks());
     table.apply_lists(lists(8, Vec::new()), 1, at(20), at(20));
     assert!(!table.accepts_tasks(), "it has not registered");
@@ -251,21 +287,21 @@
 #[test]
 fn a_start_is_outdated_until_the_owner_knows_of_the_smaller_worker() {
     let mut table = joined(Vec::new());
-    table.register(profile(10_000), 1, at(10));
+    register(&mut table, profile(10_000), 1, at(10));
     let first = table.report(at(20)).sequence;
     assert!(!table.is_outdated(first));
-    table.register(profile(4_000), 2, at(30));
+    register(&mut table, profile(4_000), 2, at(30));
     assert!(table.is_outdated(first));
     let second = table.report(at(40)).sequence;
     assert!(!table.is_outdated(second));
-    table.register(profile(5_000), 3, at(50));
+    register(&mut table, profile(5_000), 3, at(50));
     assert!(!table.is_outdated(second), "a larger worker holds what the smaller one does");
 }
 
 #[test]
 fn a_worker_that_stays_silent_counts_as_empty_while_the_owner_answers() {
     let mut table = joined(vec![run()]);
-    assert!(table.register(profile(10_000), 1, at(0)));
+    assert!(register(&mut table, profile(10_000), 1, at(0)));
     let mut status = None;
     for ms in (0..20_000).step_by(400) {
         let report = table.report(at(ms));
@@ -285,7 +321,7 @@
 #[test]
 fn a_crash_is_reported_to_each_owner_until_one_has_recorded_it() {
     let mut table = joined(vec![young()]);
-    assert!(table.register(profile(10_000), 1, at(0)));
+    assert!(register(&mut table, profile(10_000), 1, at(0)));
     table.poll_failed(&Error::Vacant, at(90));
     assert!(
         table.report(at(95)).additions.crashes.is_empty(),
@@ -313,7 +349,7 @@
 #[test]
 fn a_crash_that_is_seen_again_after_it_was_recorded_is_not_reported_again() {
     let mut table = joined(vec![young()]);
-    assert!(table.register(profile(10_000), 1, at(0)));
+    assert!(register(&mut table, profile(10_000), 1, at(0)));
     table.poll_failed(&Error::Vacant, at(90));
     table.poll_failed(&Error::Vacant, at(190));
     let sequence = table.report(at(195)).sequence;
@@ -341,7 +377,7 @@
 fn a_worker_that_drains_has_not_crashed_when_it_is_gone() {
     let mut table = joined(vec![young()]);
     let status = Status::Draining { remaining_ms: 5_000 };
-    assert!(table.register(Profile { status, ..profile(10_000) }, 1, at(0)));
+    assert!(register(&mut table, Profile { status, ..profile(10_000) }, 1, at(0)));
     table.poll_failed(&Error::Vacant, at(90));
     table.poll_failed(&Error::Vacant, at(190));
     table.apply_lists(lists(8, Vec::new()), 1, at(300), at(300));
@@ -368,24 +404,21 @@
 /// The clock of the machine was set back between the two starts.
 #[test]
 fn a_worker_that_seems_to_have_started_earlier_than_its_former_incarnation_is_found() {
-    let former = Profile {
-        incarnation: Incarnation { id: Name::from("former"), started_ms: 7 },
-        ..profile(1_000)
-    };
+    let former = profile(1_000);
     let later = Profile {
         incarnation: Incarnation { id: Name::from("later"), started_ms: 6 },
         ..profile(1_000)
     };
+    let present = later.incarnation.clone();
     let mut table = joined(vec![run()]);
-    assert!(table.register(former.clone(), 5, at(10)));
-    table.poll_failed(&Error::OtherIncarnation, at(100));
-    assert!(!table.register(later.clone(), 1, at(101)), "it may be a delayed registration");
-    table.poll_failed(&Error::OtherIncarnation, at(200));
-    assert!(table.register(later, 2, at(201)));
-    table.apply_lists(lists(6, Vec::new()), 1, at(300), at(301));
+    assert!(register(&mut table, former.clone(), 5, at(10)));
+    assert_eq!(table.register(later.clone(), 1, at(101)), RegistrationOutcome::Claimed);
+    assert_eq!(table.running().len(), 1, "it may be a delayed registration");
+    assert!(register_beside(&present, &mut table, later, 2, at(201)));
     assert!(table.is_complete());
     assert!(table.running().is_empty(), "its former incarnation has taken the run with it");
-    assert!(!table.register(former, 9, at(400)), "a delayed registration of the former one");
+    let delayed = register_beside(&present, &mut table, former, 9, at(400));
+    assert!(!delayed, "a delayed registration of the former one");
 }
 
 #[test]
@@ -402,7 +435,7 @@
 #[test]
 fn a_worker_whose_next_incarnation_never_registers_counts_as_empty() {
     let mut table = joined(vec![run()]);
-    assert!(table.register(profile(1_000), 1, at(0)));
+    assert!(register(&mut table, profile(1_000), 1, at(0)));
     for poll in 1..=70 {
         table.poll_failed(&Error::OtherIncarnation, at(poll * 100));
     }
@@ -456,7 +489,7 @@
 #[test]
 fn a_start_that_was_ordered_before_the_worker_counted_as_empty_is_refused() {
     let mut table = joined(Vec::new());
-    assert!(table.register(profile(1_000), 1, at(0)));
+    assert!(register(&mut table, profile(1_000), 1, at(0)));
     let before = table.report(at(6_500)).sequence;
     for poll in 0..3 {
         table.poll_failed(&Error::Unknown("lost".to_owned()), at(6_600 + poll));
@@ -491,10 +524,10 @@
         table.report(at(ms)).worker.map(|worker| worker.status)
     };
     let mut table = joined(vec![run()]);
-    assert!(table.register(profile(1_000), 1, at(0)));
+    assert!(register(&mut table, profile(1_000), 1, at(0)));
     assert!(!table.deregister("w", Some(6)), "it names the former one");
     assert!(table.deregister("w", None));
-    assert!(table.register(profile(1_000), 2, at(100)), "the present one is well");
+    assert!(register(&mut table, profile(1_000), 2, at(100)), "the present one is well");
     assert_eq!(unanswered(&mut table, 200), Some(Status::Ready));
     assert!(table.deregister("w", Some(7)));
     assert_eq!(unanswered(&mut table, 300), Some(Status::Ready), "a poll may be lost");
@@ -524,7 +557,7 @@
 }
 
 /// Guards against a worker that gets no task again because another writer sent one heartbeat in its
-/// name or in that of a later incarnation. No poll helps: the worker's lists are not read here.
+/// name or in that of a later incarnation.
 #[test_case("w", 7, u64::MAX ; "the largest sequence")]
 #[test_case("w", 7, 900_000 ; "a later sequence")]
 #[test_case("other", u64::MAX, 1 ; "another worker with the latest start")]
@@ -536,12 +569,12 @@
         let mut table = table();
         table.apply_reply(reply(1, 0));
         if !odd_is_first {
-            assert!(table.register(profile(1_000), 1, at(0)));
+            assert!(register(&mut table, profile(1_000), 1, at(0)));
         }
-        table.register(odd(id, started_ms), sequence, at(1));
+        register(&mut table, odd(id, started_ms), sequence, at(1));
         let mut refused = 0;
         for heartbeat in 1..=200 {
-            table.register(profile(1_000), 1 + heartbeat, at(heartbeat * HEARTBEAT_MS));
+            register(&mut table, profile(1_000), 1 + heartbeat, at(heartbeat * HEARTBEAT_MS));
             refused += u64::from(!is_used(&table));
         }
         assert!(
@@ -551,6 +584,47 @@
     }
 }
 
+/// Guards against a heartbeat of another writer that has the runs of a worker taken for lost, and started
+/// elsewhere while they go on.
+#[test_case("other", 8 ; "another worker with a later start")]
+#[test_case("w", 8 ; "the same worker with a later start")]
+#[test_case("other", 7 ; "another worker with the same start")]
+#[test_case("other", 6 ; "another worker with an earlier start")]
+fn a_claimed_restart_loses_no_run_of_a_worker_that_runs(id: &str, started_ms: u64) {
+    let mut table = joined(vec![run()]);
+    assert!(register(&mut table, profile(1_000), 1, at(0)));
+    let claimed = Profile { status: Status::Ready, ..odd(id, started_ms) };
+    assert_eq!(table.register(claimed.clone(), 1, at(100)), RegistrationOutcome::Claimed);
+    assert_eq!(table.running().len(), 1, "before the check");
+    assert!(is_used(&table));
+    let poll = table.next_poll(at(101));
+    assert!(poll.checks_claim);
+    if id == "w" {
+        table.apply_lists(lists(7, vec![run()]), 1, at(101), at(102));
+    } else {
+        table.refute_claim();
+    }
+    assert!(!table.next_poll(at(103)).checks_claim, "the claim is refuted");
+    assert_eq!(table.running().len(), 1);
+    assert!(is_used(&table));
+    let report = table.report(at(104));
+    assert!(report.additions.crashes.is_empty() && !report.vacant, "{report:?}");
+}
+
+/// Guards against leases that lapse while the check of a claim gets no answer.
+#[test]
+fn leases_are_renewed_while_a_claim_stays_without_an_answer() {
+    let mut table = joined(vec![run()]);
+    let sequence = table.report(at(0)).sequence;
+    table.apply_reply(reply(1, sequence));
+    table.register(odd("other", 8), 1, at(10));
+    assert!(table.next_poll(at(20)).checks_claim);
+    table.poll_failed(&Error::Unknown("lost".to_owned()), at(370));
+    let poll = table.next_poll(at(470));
+    assert!(!poll.checks_claim && poll.lease_ms.is_some(), "{poll:?}");
+    assert!(table.next_poll(at(480)).checks_claim, "the claim is not forgotten");
+}
+
 /// Guards against a start that the agent carries out after the owner has taken the task elsewhere, since
 /// no report arrived for the length of a lease.
 #[test]
@@ -576,8 +650,8 @@
     sequence: u64,
 ) {
     let mut table = table();
-    assert!(table.register(profile(1_000), 1, at(0)));
-    assert!(!table.register(odd(id, started_ms), sequence, at(1)));
+    assert!(register(&mut table, profile(1_000), 1, at(0)));
+    assert!(!register(&mut table, odd(id, started_ms), sequence, at(1)));
     assert!(is_used(&table));
     assert!(table.report(at(2)).additions.crashes.is_empty());
 }
@@ -586,16 +660,16 @@
 #[test]
 fn a_heartbeat_of_another_service_takes_no_worker_from_its_own() {
     let mut table = table();
-    assert!(table.register(profile(1_000), 1, at(0)));
+    assert!(register(&mut table, profile(1_000), 1, at(0)));
     let other = Profile { service: Name::from("nobody"), ..profile(1_000) };
-    assert!(!table.register(other.clone(), 2, at(1)));
+    assert!(!register(&mut table, other.clone(), 2, at(1)));
     assert_eq!(table.report(at(2)).worker.expect("a worker").service, Name::from("s"));
-    assert!(table.register(profile(1_000), 2, at(3)));
+    assert!(register(&mut table, profile(1_000), 2, at(3)));
 
     let mut table = self::table();
-    assert!(table.register(other, 1, at(0)), "nothing contradicts it");
+    assert!(register(&mut table, other, 1, at(0)), "nothing contradicts it");
     for heartbeat in 1..=HEARTBEATS_TO_RECOVER {
-        table.register(profile(1_000), 1 + heartbeat, at(heartbeat * HEARTBEAT_MS));
+        register(&mut table, profile(1_000), 1 + heartbeat, at(heartbeat * HEARTBEAT_MS));
     }
     assert_eq!(table.report(at(10_000)).worker.expect("a worker").service, Name::from("s"));
 }
@@ -609,16 +683,19 @@
         ..profile(2_000)
     };
     let mut table = table();
-    assert!(table.register(profile(1_000), 10, at(0)));
-    assert!(table.register(later.clone(), 1, at(5_000)));
+    assert!(register(&mut table, profile(1_000), 10, at(0)));
+    assert!(register_beside(&later.incarnation, &mut table, later.clone(), 1, at(5_000)));
     for late in 0..30 {
         let now = at(5_000 + if between { late * 400 } else { late });
-        assert!(!table.register(profile(1_000), 11 + late, now), "late heartbeat {late}");
+        assert!(
+            !register_beside(&later.incarnation, &mut table, profile(1_000), 11 + late, now),
+            "late heartbeat {late}"
+        );
         if between && late % 3 == 2 {
-            assert!(table.register(later.clone(), 2 + late, now));
+            assert!(register_beside(&later.incarnation, &mut table, later.clone(), 2 + late, now));
         }
     }
-    assert!(table.register(later, 100, at(20_000)));
+    assert!(register_beside(&later.incarnation, &mut table, later.clone(), 100, at(20_000)));
 }
 
 /// Guards against delayed heartbeats that displace an incarnation whose answers to polls are read.
@@ -629,11 +706,14 @@
         ..profile(2_000)
     };
     let mut table = table();
-    assert!(table.register(profile(1_000), 10, at(0)));
-    assert!(table.register(later, 1, at(5_000)));
+    assert!(register(&mut table, profile(1_000), 10, at(0)));
+    assert!(register_beside(&later.incarnation, &mut table, later.clone(), 1, at(5_000)));
     for late in 0..30 {
         let now = 5_001 + late * HEARTBEAT_MS;
-        assert!(!table.register(profile(1_000), 11 + late, at(now)), "late heartbeat {late}");
+        assert!(
+            !register_beside(&later.incarnation, &mut table, profile(1_000), 11 + late, at(now)),
+            "late heartbeat {late}"
+        );
         table.apply_lists(lists(9, Vec::new()), 0, at(now + 1), at(now + 2));
     }
 }
@@ -642,14 +722,17 @@
 #[test]
 fn gaps_of_a_sequence_and_restarts_are_no_jumps() {
     let mut table = table();
-    assert!(table.register(profile(1_000), 1, at(0)));
-    assert!(table.register(profile(1_000), 100_000, at(100_000_000)));
+    assert!(register(&mut table, profile(1_000), 1, at(0)));
+    assert!(register(&mut table, profile(1_000), 100_000, at(100_000_000)));
     let minute = 60_000;
     let later = Profile {
         incarnation: Incarnation { id: Name::from("w"), started_ms: 7 + 100_000_000 + 10 * minute },
         ..profile(2_000)
     };
-    assert!(table.register(later, 1, at(100_000_001)), "its clock was set forward");
+    assert!(
+        register_beside(&later.incarnation.clone(), &mut table, later, 1, at(100_000_001)),
+        "its clock was set forward"
+    );
 }
 
 proptest! {
@@ -688,17 +771,17 @@
                 status: Status::Draining { remaining_ms },
                 ..odd(&id, started_ms)
             };
-            table.register(odd, number, at(now));
+            register(&mut table, odd, number, at(now));
             let _ = (table.lease_ms(at(now)), table.report(at(now)), table.dump(at(now)));
             if own_follows {
                 own += 1;
-                table.register(profile(1_000), own, at(now));
+                register(&mut table, profile(1_000), own, at(now));
             }
         }
         for _ in 0..HEARTBEATS_TO_RECOVER {
             now += HEARTBEAT_MS;
             own += 1;
-            table.register(profile(1_000), own, at(now));
+            register(&mut table, profile(1_000), own, at(now));
         }
         prop_assert!(is_used(&table), "{}", table.dump(at(now)));
         let worker = table.report(at(now)).worker.expect("a worker");
