Apply all jobs before all cancels wherever requests are read

Cause: after a 410 the owner applied the requests in the order of their keys, j/cancel/ID before j/job/ID, and a cancel of a job that the table does not hold was dropped, as was the entry's notice of it. The same path added jobs without their progress, and the takeover read the jobs before their progress.

Change: entry::requests reads and applies requests in one way at the takeover and after a 410: progress before jobs, and all jobs with their progress before all cancels. The table keeps a cancel of an unknown job until the job arrives, within a bound.

Tests, all failing before: owner requests::a_cancel_counts_that_is_read_again_together_with_its_job, a_cancel_counts_whose_notice_comes_before_the_job, a_job_that_has_ended_does_not_run_again_once_it_is_read_again, a_job_that_is_deleted_while_it_is_read_does_not_run_again; plan a_cancel_counts_that_arrives_before_its_job.

--- a/crates/policy/src/plan/accept.rs
+++ b/crates/policy/src/plan/accept.rs
@@ -5,6 +5,10 @@
 use shallotflow_core::graph::{self, Id, State};
 use shallotflow_core::time::Time;
 
+/// Maximum number of cancels that wait for their jobs; the owner's watch delivers any other one again
+/// after its job.
+const MAX_EARLY_CANCELS: usize = 10_000;
+
 impl Table {
     /// Adds a job that the store holds. Returns `false` without a change if the job is in the table.
     ///
@@ -58,16 +62,29 @@
             self.active.insert(id);
         }
         let done = job.is_done();
+        let cancelled = self.early_cancels.remove(&id).is_some();
         self.jobs.insert(id, job);
         if ended.is_none() && done {
             self.end_job(id, State::Completed, "every task is done", now);
         }
         self.update_ready(id, now);
+        if cancelled {
+            self.cancel(id, now);
+        }
         true
     }
 
-    /// Cancels a job; the cancellation is recorded before this call.
+    /// Cancels a job; the cancellation is recorded before this call. One of a job that the table does not
+    /// hold counts once the job arrives.
     pub fn cancel(&mut self, id: Id, now: Time) {
+        if !self.jobs.contains_key(&id) {
+            if self.early_cancels.len() < MAX_EARLY_CANCELS {
+                let until = now.after(self.settings.retention);
+                self.early_cancels.insert(id, until);
+                self.timers.push(until, Timer::Forget(id));
+            }
+            return;
+        }
         self.end_job(id, State::Cancelled, "the caller cancelled it", now);
     }
 }
--- a/crates/policy/src/plan/expire.rs
+++ b/crates/policy/src/plan/expire.rs
@@ -121,8 +121,11 @@
         self.update_ready(id, now);
     }
 
-    /// Removes an ended job once its end is recorded.
+    /// Removes an ended job once its end is recorded, and a cancel that has waited for its job.
     fn forget(&mut self, id: Id, now: Time) -> Option<Id> {
+        if self.early_cancels.get(&id).is_some_and(|until| until.passed(now)) {
+            self.early_cancels.remove(&id);
+        }
         let job = self.jobs.get(&id)?;
         if job.recorded < job.version || !job.forget_at.passed(now) {
             let again = job.forget_at.max(now.after(self.settings.record_delay));
--- a/crates/policy/src/plan/table.rs
+++ b/crates/policy/src/plan/table.rs
@@ -59,6 +59,9 @@
     pub(super) timers: Timers,
     /// Jobs with unrecorded changes.
     pub(super) changes: Changes,
+    /// Cancels of jobs that the table does not hold yet, and until when they wait for them: notices and
+    /// answers of the store may arrive in any order.
+    pub(super) early_cancels: BTreeMap<Id, Time>,
     /// Agents of workers that may hold runs of this owner.
     pub(super) holding: BTreeSet<Name>,
     /// Number of changes of the agents that [`Table::holders`] returns, counted from 1.
@@ -114,6 +117,7 @@
             slowed: Vec::new(),
             timers: Timers::default(),
             changes: Changes::default(),
+            early_cancels: BTreeMap::new(),
             holding: BTreeSet::new(),
             holders_version: 1,
             updated: BTreeSet::new(),
--- a/crates/policy/tests/plan/cancel.rs
+++ b/crates/policy/tests/plan/cancel.rs
@@ -18,6 +18,21 @@
     assert!(harness.running().is_empty());
 }
 
+/// Guards against a cancel that is lost since it arrives before its job.
+#[test]
+fn a_cancel_counts_that_arrives_before_its_job() {
+    let mut harness = Harness::new(1);
+    harness.table.cancel(id(1), harness.now);
+    harness.run_round();
+    harness.table.accept(id(1), job(vec![step(1, 1_000)]), true, harness.now);
+    harness.run_round();
+    assert!(harness.running().is_empty());
+    assert_eq!(harness.table.visible_state("renders", id(1)), Some(State::Cancelled));
+    harness.table.accept(id(2), job(vec![step(1, 1_000)]), true, harness.now);
+    harness.run_round();
+    assert_eq!(harness.running(), [task(2, 0, 0)], "it counts for its own job only");
+}
+
 #[test]
 fn a_cancel_withdraws_a_start_in_flight() {
     let mut harness = Harness::new(1);
--- a/crates/scheduler/src/entry/mod.rs
+++ b/crates/scheduler/src/entry/mod.rs
@@ -8,6 +8,7 @@
 //! - `membership`: the entry's presence, the other entries and the owner of the table.
 //! - `elect`: the election of the owner.
 //! - `own`: the loops of the owner.
+//! - `requests`: the owner's view of the jobs and cancels in the store.
 //! - `evacuate`: the owner's view of the requests to evacuate failure domains.
 //! - `submit`, `ask`: the callers' calls.
 //! - `overload`: the refusal of jobs by the owner's advertised backlog.
@@ -25,6 +26,7 @@
 mod overload;
 mod own;
 mod ownership;
+mod requests;
 mod serve;
 mod settings;
 mod shared;
--- a/crates/scheduler/src/entry/own.rs
+++ b/crates/scheduler/src/entry/own.rs
@@ -1,23 +1,22 @@
-//! The owner's loops: loading the table, watching requests, deciding and recording.
+//! The owner's loops: loading the table, deciding and recording.
 //!
 //! The module keeps its name: log filters and the field `target` of log lines contain its path.
 
 use super::activity::Activity;
 use super::member::Owner;
 use super::ownership::Ownership;
+use super::requests::{self, Requests};
 use super::{Entry, evacuate, keys, membership};
 use crate::peers::{pack, unpack};
 use foldhash::HashMap;
-use shallotflow_core::graph::{Id, Job};
+use shallotflow_core::graph::Id;
 use shallotflow_core::name::Name;
 use shallotflow_core::time::Clock;
 use shallotflow_policy::plan::waits::Journal;
-use shallotflow_policy::plan::{self, EvacuationRequests, Progress, Record, Table};
+use shallotflow_policy::plan::{self, EvacuationRequests, Record, Table};
 use shallotflow_runtime::clock::{Boottime, wall_ms};
 use shallotflow_store::error::Error;
-use shallotflow_store::pair::Pair;
 use shallotflow_store::transaction::Transaction;
-use shallotflow_store::watch::Change;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
@@ -38,8 +37,7 @@
 pub(super) async fn load(entry: &Rc<Entry>, owner: &Owner, revision: i64) -> Result<(), Error> {
     let (holders, holders_revision) = read_holders(entry).await?;
     let learned = entry.store_call(entry.store.get(keys::RATES)).await?;
-    let requests = entry.store_call(entry.store.range(keys::REQUESTS)).await?;
-    let progress = entry.store_call(entry.store.range(keys::PROGRESS)).await?;
+    let requests = Requests::read(entry).await?;
     let evacuations = evacuate::read(entry).await?;
     // Another writer may have replaced the claim without naming an owner.
     let replaced = entry.view.borrow().owner_revision != revision;
@@ -74,37 +72,14 @@
         None => {}
     }
     ownership.table.set_queues(entry.queues.borrow().clone(), now);
-    let mut stored_progress: HashMap<Id, Progress> = HashMap::default();
-    let mut unreadable: BTreeSet<Id> = BTreeSet::new();
-    for pair in progress.pairs {
-        let Some(id) = id_of(&pair.key, keys::PROGRESS) else { continue };
-        ownership.progress_revisions.insert(id, pair.mod_revision);
-        match unpack(&pair.value) {
-            Ok(progress) => {
-                stored_progress.insert(id, progress);
-            }
-            Err(error) => {
-                log_unreadable(&pair.key, &error);
-                unreadable.insert(id);
-            }
-        }
-    }
-    for pair in &requests.pairs {
-        // A job whose progress cannot be read may be partly done; it is left to a later version.
-        if !id_of(&pair.key, keys::JOBS).is_some_and(|id| unreadable.contains(&id)) {
-            apply_job(&mut ownership, pair, &stored_progress, true);
-        }
-    }
-    for pair in &requests.pairs {
-        apply_cancel(&mut ownership, &pair.key);
-    }
-    let jobs = requests.pairs.len();
+    let (jobs, requests_revision) = (requests.len(), requests.revision);
+    requests.apply(&mut ownership, true);
     let waits = ownership.holders.len();
     spdlog::info!("table owned", kv: { epoch = owner.epoch, jobs, waits });
     super::meters::owned(true);
     *entry.ownership.borrow_mut() = Some(ownership);
     entry.decision_due.notify(usize::MAX);
-    monoio::spawn(watch_requests(entry.clone(), owner.epoch, requests.revision));
+    monoio::spawn(requests::watch(entry.clone(), owner.epoch, requests_revision));
     monoio::spawn(evacuate::follow(entry.clone(), owner.epoch, evacuation_revision));
     Ok(())
 }
@@ -122,95 +97,10 @@
     Ok((holders, pair.mod_revision))
 }
 
-fn log_unreadable(key: &str, error: &dyn std::fmt::Display) {
+pub(super) fn log_unreadable(key: &str, error: &dyn std::fmt::Display) {
     spdlog::error!("record unreadable", kv: { key, reason = error.to_string() });
 }
 
-fn id_of(key: &str, prefix: &str) -> Option<Id> {
-    key.strip_prefix(prefix)?.parse().ok()
-}
-
-fn apply_job(
-    ownership: &mut Ownership,
-    pair: &Pair,
-    stored_progress: &HashMap<Id, Progress>,
-    loading: bool,
-) {
-    let Some(id) = id_of(&pair.key, keys::JOBS) else { return };
-    if ownership.table.job(id).is_some() {
-        // The entry that accepted the job has sent it already.
-        return;
-    }
-    match unpack::<Job>(&pair.value) {
-        Ok(job) => {
-            // A predecessor cannot have known a job that was stored after the claim.
-            let fresh = pair.create_revision > ownership.revision;
-            let added =
-                ownership.table.load(id, job, stored_progress.get(&id), fresh, Boottime.now());
-            if added && !loading {
-                let details = serde_json::json!({ "job": id.to_string(), "by": "store" });
-                crate::log::decision("job heard", &details);
-            }
-        }
-        Err(error) => log_unreadable(&pair.key, &error),
-    }
-}
-
-fn apply_cancel(ownership: &mut Ownership, key: &str) {
-    let Some(id) = id_of(key, keys::CANCELS) else { return };
-    ownership.table.cancel(id, Boottime.now());
-}
-
-/// Watches the store for jobs and cancels while the ownership of `epoch` lasts.
-async fn watch_requests(entry: Rc<Entry>, epoch: u64, revision: i64) {
-    let mut revision = revision;
-    while is_owner(&entry, epoch) {
-        match watch_from(&entry, epoch, &mut revision).await {
-            Ok(()) => return,
-            Err(Error::Compacted { .. }) => {
-                let snapshot = entry.store_call(entry.store.range(keys::REQUESTS)).await;
-                if let Ok(snapshot) = snapshot {
-                    let pairs = snapshot.pairs.into_iter().map(Change::Put).collect();
-                    apply_changes(&entry, epoch, pairs);
-                    revision = snapshot.revision;
-                }
-            }
-            Err(error) => {
-                spdlog::debug!("watch broke", kv: { reason = error.to_string() });
-            }
-        }
-        monoio::time::sleep(entry.settings.store_pause).await;
-    }
-}
-
-async fn watch_from(entry: &Rc<Entry>, epoch: u64, revision: &mut i64) -> Result<(), Error> {
-    let mut watch = entry.store.watch(keys::REQUESTS, *revision + 1).await?;
-    loop {
-        let update = entry.store_call(watch.next()).await?;
-        *revision = update.revision.max(*revision);
-        if !apply_changes(entry, epoch, update.changes) {
-            return Ok(());
-        }
-    }
-}
-
-/// Returns `false` once the ownership of `epoch` has ended.
-fn apply_changes(entry: &Rc<Entry>, epoch: u64, changes: Vec<Change>) -> bool {
-    let mut ownership = entry.ownership.borrow_mut();
-    let Some(ownership) = ownership.as_mut().filter(|ownership| ownership.table.epoch() == epoch)
-    else {
-        return false;
-    };
-    for change in changes {
-        if let Change::Put(pair) = change {
-            apply_job(ownership, &pair, &HashMap::default(), false);
-            apply_cancel(ownership, &pair.key);
-        }
-    }
-    entry.decision_due.notify(usize::MAX);
-    true
-}
-
 pub(super) fn is_owner(entry: &Rc<Entry>, epoch: u64) -> bool {
     entry.ownership.borrow().as_ref().is_some_and(|ownership| ownership.table.epoch() == epoch)
 }
--- a/crates/scheduler/tests/owner.rs
+++ b/crates/scheduler/tests/owner.rs
@@ -4,6 +4,8 @@
 mod evacuation;
 #[path = "owner/foreign.rs"]
 mod foreign;
+#[path = "owner/requests.rs"]
+mod requests;
 #[path = "owner/shown.rs"]
 mod shown;
 #[path = "owner/store.rs"]
