List active runs once all ends are known

Cause: the agent reported the list of active runs as complete although the worker's page of ends was full, and the owner released what was neither listed nor ended.

Change: the list of active runs waits until the worker has no more ends and all are reported.

Test: run_table active_runs_are_listed_once_all_ends_are_known, failing without the condition.

--- a/crates/scheduler/src/agent/run_table.rs
+++ b/crates/scheduler/src/agent/run_table.rs
@@ -691,7 +691,7 @@
         let ends_left = self.report_ends(&mut report);
         let due = |listed: Time| listed.after(self.settings.list_interval).passed(now);
         // A run that the list lacks has ended, so the list waits until all ends are reported.
-        if !ends_left && self.last_listed.is_none_or(due) {
+        if !ends_left && !self.more_ends && self.last_listed.is_none_or(due) {
             self.last_listed = Some(now);
             report.running = Some(self.list_running());
         }
--- a/crates/scheduler/tests/run_table.rs
+++ b/crates/scheduler/tests/run_table.rs
@@ -636,6 +636,22 @@
     numbers.map(end).collect()
 }
 
+/// Guards against runs that are started again since their ends did not fit into the worker's list: a list
+/// of active runs that counts as complete has them lost.
+#[test]
+fn active_runs_are_listed_once_all_ends_are_known() {
+    let mut table = joined(Vec::new());
+    table.apply_lists(Lists { ends: ends(1..501, None), ..lists(7, Vec::new()) }, 1, at(1), at(1));
+    let report = table.report(at(1_000));
+    assert_eq!((report.ends.len(), report.running), (500, None), "the worker may have more");
+    let recorded = Reply { recorded: 500, worker_started_ms: 7, ..reply(1, report.sequence) };
+    table.apply_reply(recorded);
+    let rest = Lists { ends: ends(501..601, None), ..lists(7, vec![run()]) };
+    table.apply_lists(rest, 1, at(1_100), at(1_100));
+    let report = table.report(at(1_200));
+    assert_eq!((report.ends.len(), report.running), (100, Some(vec![run()])));
+}
+
 /// Guards against a report that is too large for a message, so that it fails each time.
 #[test]
 fn a_report_with_large_checkpoints_is_sent_in_parts() {
