--- a/crates/standin/tests/runs.rs
+++ b/crates/standin/tests/runs.rs
@@ -131,6 +131,8 @@
         let settings = agent::Settings::default();
         let agent = Agent::new(settings, "worker-1".into(), 1, client.clone(), store);
         monoio::spawn(follow(agent.clone(), client, "z1".into()));
+        // The worker answers the poll that confirms its registration.
+        monoio::spawn(agent.clone().run());
         let registered = async {
             while agent.dump()["worker"]["failure_domain"] != "z1" {
                 monoio::time::sleep(Duration::from_millis(5)).await;
