Let a full model of disturbance learn of later images

Cause: the bound on the model that came with the bounds on messages kept the first 1,000 images for good, so a caller with that many would keep the owner from learning of any later one; the neighbors of an image had no bound at all. Change: a new image takes the place of another, and neighbors are bounded as well. Result: a_full_model_learns_of_a_later_image fails with the former rule and passes now.

--- a/crates/policy/src/disturbance/rates.rs
+++ b/crates/policy/src/disturbance/rates.rs
@@ -14,8 +14,8 @@
 /// Maximum number of victims in a snapshot, and of neighbors of each: with names of 255 bytes it stays
 /// within half of what a store keeps under one key.
 const MAX_SNAPSHOT_IMAGES: usize = 40;
-/// Maximum number of victims in the model; others have the initial base.
-const MAX_VICTIMS: usize = 1_000;
+/// Maximum number of victims in the model, and of neighbors of each; a new one takes the place of another.
+const MAX_IMAGES: usize = 1_000;
 /// Part of an error that one measurement corrects.
 const ADDED_LEARNING_RATE: f64 = 0.3;
 /// The same for the base, which has to average over the fluctuations of the victim's own load.
@@ -107,20 +107,31 @@
         if !measurement.is_finite() || measurement < 0.0 {
             return;
         }
-        if self.bases.len() >= MAX_VICTIMS && !self.bases.contains_key(victim) {
-            return;
-        }
         let error = measurement.min(MAX_MEASUREMENT)
             - self.expected(victim, neighbors.iter().map(|(name, share)| (name, *share)));
         let scaled = |share: f64| share / TYPICAL_SHARE;
         let norm = 1.0 + neighbors.iter().map(|(_, share)| scaled(*share).powi(2)).sum::<f64>();
         let base = self.base(victim) + BASE_LEARNING_RATE * error / norm;
+        if let Some(replaced) = make_room(&mut self.bases, victim) {
+            self.added.remove(&replaced);
+        }
         self.bases.insert(victim.clone(), base.clamp(0.0, MAX_MEASUREMENT));
         let rates = self.added.entry(victim.clone()).or_default();
         for (name, share) in neighbors {
+            make_room(rates, name);
             let added = rates.entry(name.clone()).or_insert(0.0);
             *added = (*added + ADDED_LEARNING_RATE * error * scaled(*share) / norm / TYPICAL_SHARE)
                 .max(0.0);
         }
     }
 }
+
+/// Removes an image if `rates` is full and lacks `image`; returns the removed one.
+fn make_room(rates: &mut HashMap<Name, f64>, image: &Name) -> Option<Name> {
+    if rates.len() < MAX_IMAGES || rates.contains_key(image) {
+        return None;
+    }
+    let replaced = rates.keys().next().cloned()?;
+    rates.remove(&replaced);
+    Some(replaced)
+}
--- a/crates/policy/tests/plan/disturbance.rs
+++ b/crates/policy/tests/plan/disturbance.rs
@@ -250,3 +250,18 @@
     }
     assert_eq!(running_proofs(&harness), 0);
 }
+
+/// Guards against a model that many images of one caller fill, and that learns nothing of later ones.
+#[test]
+fn a_full_model_learns_of_a_later_image() {
+    let mut rates = Rates::default();
+    let untouched = rates.base("late");
+    for number in 0..1_500 {
+        rates.learn(&format!("image-{number}").as_str().into(), &[], 0.5);
+    }
+    for _ in 0..20 {
+        rates.learn(&"late".into(), &[("beside".into(), 0.5)], 2.0);
+    }
+    assert!(rates.base("late") > untouched);
+    assert!(rates.added("late", "beside") > 0.0);
+}
