--- a/crates/policy/src/plan/message/reply.rs
+++ b/crates/policy/src/plan/message/reply.rs
@@ -14,7 +14,8 @@
     pub owner: Option<SocketAddr>,
     /// Number of the answered report; the agent may renew leases from the time it sent the report.
     /// 0 if the agent has not listed the runs yet, or if the owner may have a successor, which counts on
-    /// the end of the present leases: the agent then renews none, and repeats in its next report what this one contained.
+    /// the end of the present leases: the agent then renews none, and repeats in its next report what this
+    /// one contained.
     pub sequence: u64,
     /// Orders that the agent has not received yet.
     pub orders: Vec<Order>,
--- a/crates/scheduler/src/agent/mod.rs
+++ b/crates/scheduler/src/agent/mod.rs
@@ -5,7 +5,7 @@
 //! - [`Agent`]: the agent's loops.
 //! - [`run_table`]: the state that it keeps of its worker and what the owner has not confirmed yet.
 //! - [`pace`]: the paces of best-effort tasks.
-//! - [`Poll`], [`RegistrationOutcome`]: what that table decides on a poll and on a registration.
+//! - [`Poll`], [`Verdict`]: what that table decides on a poll and on a registration.
 //! - [`Settings`]: its limits.
 //!
 //! The agent renews the leases of runs only up to the time that the owner's last reply allows, so
@@ -25,10 +25,11 @@
 pub mod run_table;
 mod settings;
 mod shared;
+mod verdict;
 
 pub use control::{Control, Error, Result, Start};
 pub use lists::Lists;
 pub use poll::Poll;
-pub use registration::Outcome as RegistrationOutcome;
 pub use settings::Settings;
 pub use shared::Agent;
+pub use verdict::Verdict;
--- a/crates/scheduler/src/agent/registration.rs
+++ b/crates/scheduler/src/agent/registration.rs
@@ -7,14 +7,3 @@
     /// The number of the registration within one incarnation.
     pub(super) number: u64,
 }
-
-/// What becomes of a registration.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// It describes the known incarnation and applies.
-    Applied,
-    /// It claims another incarnation, and applies once that one answers a poll.
-    Claimed,
-    /// It contradicts what is known.
-    PassedOver,
-}
--- a/crates/scheduler/src/agent/run_table.rs
+++ b/crates/scheduler/src/agent/run_table.rs
@@ -5,7 +5,7 @@
 use super::contender::Contender;
 use super::crashes::Crashes;
 use super::registration::Registration;
-use super::{Error, Lists, Poll, RegistrationOutcome, Settings};
+use super::{Error, Lists, Poll, Settings, Verdict};
 use shallotflow_core::graph::Task;
 use shallotflow_core::name::Name;
 use shallotflow_core::resources::Bundle;
@@ -244,11 +244,11 @@
     ///
     /// Anyone may send a registration, so one of another incarnation only claims it: it applies once that
     /// incarnation answers a poll.
-    pub fn register(&mut self, profile: Profile, number: u64, now: Time) -> RegistrationOutcome {
+    pub fn register(&mut self, profile: Profile, number: u64, now: Time) -> Verdict {
         if !self.is_known(&profile.incarnation) {
             let registration = Registration { profile, number };
             self.claim = Some(Claim { registration, since: now, deferred: false });
-            return RegistrationOutcome::Claimed;
+            return Verdict::Claimed;
         }
         if self.contradicts(&profile, number) {
             let believed = match &mut self.contender {
@@ -259,11 +259,11 @@
                 }
             };
             if !believed {
-                return RegistrationOutcome::PassedOver;
+                return Verdict::PassedOver;
             }
         }
         self.apply_registration(Registration { profile, number }, now);
-        RegistrationOutcome::Applied
+        Verdict::Applied
     }
 
     /// Whether a registration of this incarnation describes the known one.
--- a/crates/scheduler/src/agent/shared.rs
+++ b/crates/scheduler/src/agent/shared.rs
@@ -1,6 +1,6 @@
 use super::pace::Controller;
 use super::run_table::RunTable;
-use super::{Control, RegistrationOutcome, Settings, look, report};
+use super::{Control, Settings, Verdict, look, report};
 use event_listener::Event;
 use shallotflow_core::name::Name;
 use shallotflow_core::time::Clock;
@@ -55,18 +55,18 @@
         let known = self.run_table.borrow().registered();
         let now = Some((profile.incarnation.clone(), profile.status, profile.capacity));
         match self.run_table.borrow_mut().register(profile, registration, Boottime.now()) {
-            RegistrationOutcome::PassedOver => {
+            Verdict::PassedOver => {
                 crate::log::decision("heartbeat passed over", &(registration, now, known));
             }
-            RegistrationOutcome::Claimed => {
+            Verdict::Claimed => {
                 self.poll_due.notify(usize::MAX);
             }
-            RegistrationOutcome::Applied if known != now => {
+            Verdict::Applied if known != now => {
                 crate::log::decision("worker registered", &now);
                 self.report_due.notify(usize::MAX);
                 self.poll_due.notify(usize::MAX);
             }
-            RegistrationOutcome::Applied => {}
+            Verdict::Applied => {}
         }
     }
 
--- a/crates/scheduler/tests/owner/requests.rs
+++ b/crates/scheduler/tests/owner/requests.rs
@@ -26,6 +26,14 @@
     handle.commit(transaction).await.expect("the records are stored");
 }
 
+/// The records of a job that has completed.
+fn completed(id: Id) -> Transaction {
+    let done = Progress { state: State::Completed, done: vec![(0, 0)], ..Progress::default() };
+    Transaction::default()
+        .put(keys::job(id), pack(&job()).expect("a job"))
+        .put(keys::progress(id), pack(&done).expect("a record"))
+}
+
 /// Drops the history of the store, and waits until the owner knows the job `id`, which was stored last.
 async fn read_again(owner: &Process, shared: &Rc<Shared>, id: Id) {
     shared.compact();
@@ -87,11 +95,7 @@
 fn a_job_that_has_ended_does_not_run_again_once_it_is_read_again() {
     run(async |shared| {
         let owner = start_deaf_owner(&shared).await;
-        let done = Progress { state: State::Completed, done: vec![(0, 0)], ..Progress::default() };
-        let records = Transaction::default()
-            .put(keys::job(Id(7)), pack(&job()).expect("a job"))
-            .put(keys::progress(Id(7)), pack(&done).expect("a record"));
-        store(&shared, records).await;
+        store(&shared, completed(Id(7))).await;
         read_again(&owner, &shared, Id(7)).await;
         assert_eq!(state_in_table(&owner, Id(7)), State::Completed.as_str());
         assert!(!owner.orders_a_start().await);
@@ -103,11 +107,7 @@
 #[test]
 fn a_job_that_is_deleted_while_it_is_read_does_not_run_again() {
     run(async |shared| {
-        let done = Progress { state: State::Completed, done: vec![(0, 0)], ..Progress::default() };
-        let records = Transaction::default()
-            .put(keys::job(Id(7)), pack(&job()).expect("a job"))
-            .put(keys::progress(Id(7)), pack(&done).expect("a record"));
-        store(&shared, records).await;
+        store(&shared, completed(Id(7))).await;
         let contents = shared.clone();
         let mut reads = 0;
         shared.intercept(move |_, call| {
--- a/crates/scheduler/tests/run_table.rs
+++ b/crates/scheduler/tests/run_table.rs
@@ -12,7 +12,7 @@
     Status, Traits,
 };
 use shallotflow_scheduler::agent::run_table::RunTable;
-use shallotflow_scheduler::agent::{Error, Lists, RegistrationOutcome, Settings};
+use shallotflow_scheduler::agent::{Error, Lists, Settings, Verdict};
 use shallotflow_scheduler::peers::{MAX_MESSAGE_BYTES, pack};
 use std::time::Duration;
 use test_case::test_case;
@@ -57,9 +57,9 @@
     now: Time,
 ) -> bool {
     match table.register(profile.clone(), number, now) {
-        RegistrationOutcome::Applied => return true,
-        RegistrationOutcome::PassedOver => return false,
-        RegistrationOutcome::Claimed => {}
+        Verdict::Applied => return true,
+        Verdict::PassedOver => return false,
+        Verdict::Claimed => {}
     }
     let poll = table.next_poll(now);
     assert!(poll.checks_claim && poll.lease_ms.is_none() && poll.recorded == 0, "{poll:?}");
@@ -413,7 +413,7 @@
     let present = later.incarnation.clone();
     let mut table = joined(vec![run()]);
     assert!(register(&mut table, former.clone(), 5, at(10)));
-    assert_eq!(table.register(later.clone(), 1, at(101)), RegistrationOutcome::Claimed);
+    assert_eq!(table.register(later.clone(), 1, at(101)), Verdict::Claimed);
     assert_eq!(table.running().len(), 1, "it may be a delayed registration");
     assert!(register_beside(&present, &mut table, later, 2, at(201)));
     assert!(table.is_complete());
@@ -595,7 +595,7 @@
     let mut table = joined(vec![run()]);
     assert!(register(&mut table, profile(1_000), 1, at(0)));
     let claimed = Profile { status: Status::Ready, ..odd(id, started_ms) };
-    assert_eq!(table.register(claimed.clone(), 1, at(100)), RegistrationOutcome::Claimed);
+    assert_eq!(table.register(claimed.clone(), 1, at(100)), Verdict::Claimed);
     assert_eq!(table.running().len(), 1, "before the check");
     assert!(is_used(&table));
     let poll = table.next_poll(at(101));
