Let pages of ends follow each other behind a known unreadable row

Cause: on a full page, runs whose ends are on later pages counted as hidden by the row.

Change: a list of ends with no more unreadable rows than one that hid nothing holds no page back.

--- a/crates/scheduler/src/agent/look.rs
+++ b/crates/scheduler/src/agent/look.rs
@@ -40,7 +40,7 @@
     let sent = Boottime.now();
     let (poll, epoch, busy, complete, silent, registered, hid_runs) = {
         let mut table = agent.run_table.borrow_mut();
-        let hid_runs = table.hides_runs(sent);
+        let hid_runs = agent.hid_runs.get();
         let poll = table.next_poll(sent);
         let (busy, complete) = (table.is_busy(), table.is_complete());
         let (silent, registered) = (table.is_silent(), table.registered());
@@ -89,6 +89,7 @@
         if changed {
             crate::log::decision("worker registered", &present);
         }
+        agent.hid_runs.set(hides_runs);
         (ends || !complete || silent || changed || hides_runs != hid_runs, answered_early)
     };
     order::prevent_late_starts(agent);
--- a/crates/scheduler/src/agent/shared.rs
+++ b/crates/scheduler/src/agent/shared.rs
@@ -23,6 +23,8 @@
     /// Notified when the worker must be polled without waiting.
     pub(super) poll_due: Event,
     pub(super) stopping: Cell<bool>,
+    /// Whether the last lists of the worker hid runs for too long.
+    pub(super) hid_runs: Cell<bool>,
 }
 
 impl Agent {
@@ -44,6 +46,7 @@
             report_due: Event::new(),
             poll_due: Event::new(),
             stopping: Cell::new(false),
+            hid_runs: Cell::new(false),
         })
     }
 
--- a/crates/scheduler/tests/gaps.rs
+++ b/crates/scheduler/tests/gaps.rs
@@ -173,6 +173,27 @@
     assert_eq!(agent.poll(Received::default(), lapsed()), 3, "the ends behind it are forgotten");
 }
 
+/// Guards against a worker of which each page of ends, once begun by a row that cannot be read, costs the leases
+/// of all runs.
+#[test]
+fn pages_that_begin_with_the_same_unreadable_row_follow_each_other() {
+    let mut agent = Agent::joined(0..40);
+    agent.poll(received((0..40).map(run).map(Some), false), received([None], false));
+    agent.report();
+    let mut forgotten = 0;
+    for _ in 0..30 {
+        let numbers = forgotten + 1..=40;
+        let has_more = numbers.clone().count() >= 3;
+        let index = |number: u64| u32::try_from(number - 1).expect("a small number");
+        let page = numbers.take(3).map(|number| Some(end(number, index(number))));
+        let rows = std::iter::once(None).chain(page);
+        forgotten = agent.poll(Received::default(), received(rows, has_more));
+        assert_eq!(status(&agent.report()), Some(Status::Ready));
+    }
+    assert_eq!(agent.report().running.as_deref(), Some(&[][..]));
+    assert_eq!(agent.known.len(), 40, "every end was read");
+}
+
 /// Guards against a new process of the agent that reports no run at all while one row cannot be read.
 #[test]
 fn a_new_process_reports_the_runs_that_it_can_read() {
