Take a key of the store for absent only by a whole list

A completed job whose progress was missing from a list ran again at a new owner; an evacuation ended that nobody had withdrawn. Found by reading, not reported.

Cause: a page that says truncated and has no items ended the list, an item without a key was dropped, and readers took what was left for all that there is.

Where it is not, known keys that it lacks are read one by one, and jobs are read again until their list is whole. A watch that has missed a change has all read again.

--- a/crates/cli/src/change/session.rs
+++ b/crates/cli/src/change/session.rs
@@ -47,7 +47,7 @@
     ///
     /// Fails if the store does not respond.
     pub async fn read(&self) -> Result<Current> {
-        let pairs = self.store.range(key::PREFIX).await?.pairs;
+        let pairs = self.store.range(key::PREFIX).await?.whole()?;
         let find = |key: &str| pairs.iter().find(|pair| pair.key == key);
         let text = find(key::TEXT);
         let changes = find(key::CHANGES).and_then(|pair| serde_json::from_slice(&pair.value).ok());
--- a/crates/entry/src/batch/claim.rs
+++ b/crates/entry/src/batch/claim.rs
@@ -7,6 +7,7 @@
 use shallotflow_policy::ledger::assignment;
 use shallotflow_store::error::{Error, Result};
 use shallotflow_store::pair::Pair;
+use shallotflow_store::store::Snapshot;
 use shallotflow_store::transaction::Transaction;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -87,16 +88,17 @@
 async fn claim(service: &Rc<Service>, ledger: u32, lease: Lease) -> Result<()> {
     let Some(epoch) = create_owner_key(service, ledger, lease).await? else { return Ok(()) };
     let store = service.session.store();
-    let snapshot = store.range(&keys::segments(ledger)).await;
-    let snapshot = match snapshot {
-        Ok(snapshot) => snapshot,
+    // A ledger without one of its segments would lose the jobs in it.
+    let segments = store.range(&keys::segments(ledger)).await.and_then(Snapshot::whole);
+    let segments = match segments {
+        Ok(segments) => segments,
         Err(error) => {
             delete_owner_key(service, ledger, epoch).await;
             return Err(error);
         }
     };
     let segments: Vec<(u64, String)> =
-        snapshot.pairs.into_iter().filter_map(parse_segment).collect();
+        segments.into_rows().into_iter().filter_map(parse_segment).collect();
     let still_held = service.session.last_lease().is_some_and(|held| held.id == lease.id);
     if !still_held {
         return Ok(());
--- a/crates/entry/src/config/follow.rs
+++ b/crates/entry/src/config/follow.rs
@@ -29,11 +29,14 @@
 
 async fn read_and_watch(keeper: &Keeper, store: &dyn Store) -> Result<()> {
     let snapshot = store.range(key::PREFIX).await?;
-    for pair in &snapshot.pairs {
+    let revision = snapshot.revision;
+    for pair in snapshot.pairs.rows() {
         offer_pair(keeper, pair);
     }
+    // Only a whole list shows that there is no configuration.
+    snapshot.whole()?;
     keeper.set_read();
-    let mut watch = store.watch(key::PREFIX, snapshot.revision + 1).await?;
+    let mut watch = store.watch(key::PREFIX, revision + 1).await?;
     loop {
         let update = watch.next().await?;
         for change in update.changes {
--- a/crates/entry/src/session/mod.rs
+++ b/crates/entry/src/session/mod.rs
@@ -226,7 +226,7 @@
 async fn read_and_watch(session: &Session) -> Result<std::convert::Infallible> {
     let snapshot = session.store.range(keys::FLEET).await?;
     let revision = snapshot.revision;
-    session.view.replace(View::read(snapshot));
+    session.view.replace(View::read(&snapshot.whole()?, revision));
     session.changed.notify(usize::MAX);
     let mut watch = session.store.watch(keys::FLEET, revision + 1).await?;
     loop {
--- a/crates/entry/src/session/view.rs
+++ b/crates/entry/src/session/view.rs
@@ -1,9 +1,9 @@
 //! The live entries and the owners of ledgers, as last seen.
 
 use super::{Owner, Presence, keys};
+use shallotflow_core::list::Whole;
 use shallotflow_core::name::Name;
 use shallotflow_store::pair::Pair;
-use shallotflow_store::store::Snapshot;
 use shallotflow_store::watch::{Change, Update};
 use std::collections::BTreeMap;
 
@@ -17,9 +17,10 @@
 }
 
 impl View {
-    pub(super) fn read(snapshot: Snapshot) -> Self {
-        let mut view = Self { revision: snapshot.revision, ..Self::default() };
-        for pair in &snapshot.pairs {
+    /// Reads all entries and owners; whoever is missing is gone.
+    pub(super) fn read(pairs: &Whole<Pair>, revision: i64) -> Self {
+        let mut view = Self { revision, ..Self::default() };
+        for pair in pairs.iter() {
             view.put(pair);
         }
         view
--- a/crates/policy/src/plan/evacuation_requests.rs
+++ b/crates/policy/src/plan/evacuation_requests.rs
@@ -77,4 +77,9 @@
         self.domains.retain(|domain, _| present.contains(&&**domain));
         self.rejected.retain(|domain, _| present.contains(&&**domain));
     }
+
+    /// Returns the domains of all requests that were read, also of those that were rejected.
+    pub fn known(&self) -> impl Iterator<Item = &Name> {
+        self.domains.keys().chain(self.rejected.keys())
+    }
 }
--- a/crates/scheduler/src/entry/evacuate.rs
+++ b/crates/scheduler/src/entry/evacuate.rs
@@ -1,10 +1,12 @@
 //! The owner's view of the requests to evacuate failure domains.
 //!
 //! The owner reads the requests before it starts anything, and then follows them by a watch. After
-//! each failure of the watch it reads them again: a key that is then absent is a withdrawn request.
+//! each failure of the watch it reads them again: a key that the store then does not hold is a withdrawn
+//! request.
 
 use super::ownership::Ownership;
-use super::{Entry, own};
+use super::{Entry, absence, own};
+use shallotflow_core::list::Received;
 use shallotflow_core::name::Name;
 use shallotflow_core::time::Clock;
 use shallotflow_policy::plan::evacuation_requests;
@@ -13,7 +15,7 @@
 use shallotflow_store::pair::Pair;
 use shallotflow_store::store::Snapshot;
 use shallotflow_store::watch::{Change, Update, Watch};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 /// Reads the requests; `None` where they do not exist.
@@ -22,17 +24,28 @@
     entry.store_call(entry.store.range(prefix)).await.map(Some)
 }
 
-/// Replaces the known requests by all that the store holds.
-pub(super) fn replace(entry: &Entry, ownership: &mut Ownership, pairs: Vec<Pair>) {
-    let Some(prefix) = &entry.settings.evacuation_prefix else { return };
-    let present: Vec<&str> =
-        pairs.iter().filter_map(|pair| pair.key.strip_prefix(&**prefix)).collect();
-    ownership.evacuation_requests.retain(&present);
-    for pair in &pairs {
+/// Applies the requests that the store lists.
+pub(super) fn put_all(entry: &Entry, ownership: &mut Ownership, listed: &Received<Pair>) {
+    for pair in listed.rows() {
         put(entry, ownership, pair);
     }
 }
 
+/// Returns the domains of the known requests that the store does not hold any more.
+async fn withdrawn(
+    entry: &Rc<Entry>,
+    prefix: &str,
+    listed: &Received<Pair>,
+) -> Result<BTreeSet<String>, Error> {
+    let known: Vec<String> = {
+        let ownership = entry.ownership.borrow();
+        let known = ownership.iter().flat_map(|ownership| ownership.evacuation_requests.known());
+        known.map(|domain| format!("{prefix}{domain}")).collect()
+    };
+    let absent = absence::absent(entry, listed, known).await?;
+    Ok(absent.iter().filter_map(|key| key.strip_prefix(prefix)).map(str::to_owned).collect())
+}
+
 /// Brings the table up to date with the requests and the fleet configuration.
 pub(super) fn apply(entry: &Entry, ownership: &mut Ownership) {
     let configured = entry.evacuated_by_configuration.borrow();
@@ -59,7 +72,7 @@
                 next = None;
             }
             None => {
-                next = read_again(&entry, epoch).await;
+                next = read_again(&entry, epoch, &prefix).await;
                 if next.is_none() {
                     monoio::time::sleep(entry.settings.store_pause).await;
                 }
@@ -70,12 +83,22 @@
 
 /// Reads the requests again. Returns the revision from which on they are watched, if the store
 /// answered in time.
-async fn read_again(entry: &Rc<Entry>, epoch: u64) -> Option<i64> {
-    let reason = match monoio::time::timeout(entry.settings.evacuation_interval, read(entry)).await
-    {
-        Ok(Ok(snapshot)) => {
-            let snapshot = snapshot?;
-            change(entry, epoch, |ownership| replace(entry, ownership, snapshot.pairs));
+async fn read_again(entry: &Rc<Entry>, epoch: u64, prefix: &str) -> Option<i64> {
+    let reading = async {
+        let Some(snapshot) = read(entry).await? else { return Ok(None) };
+        let withdrawn = withdrawn(entry, prefix, &snapshot.pairs).await?;
+        Ok::<_, Error>(Some((snapshot, withdrawn)))
+    };
+    let reason = match monoio::time::timeout(entry.settings.evacuation_interval, reading).await {
+        Ok(Ok(read)) => {
+            let (snapshot, withdrawn) = read?;
+            change(entry, epoch, |ownership| {
+                let known: Vec<Name> = ownership.evacuation_requests.known().cloned().collect();
+                let names = known.iter().map(|domain| &**domain);
+                let present: Vec<&str> = names.filter(|name| !withdrawn.contains(*name)).collect();
+                ownership.evacuation_requests.retain(&present);
+                put_all(entry, ownership, &snapshot.pairs);
+            });
             return Some(snapshot.revision + 1);
         }
         Ok(Err(error)) => error.to_string(),
--- a/crates/scheduler/src/entry/keys.rs
+++ b/crates/scheduler/src/entry/keys.rs
@@ -67,7 +67,7 @@
     let snapshot = store.range(MEMBERSHIP).await?;
     let mut owner = None;
     let mut entries = Vec::new();
-    for pair in snapshot.pairs {
+    for pair in snapshot.pairs.rows() {
         if pair.key == OWNER {
             let stored = serde_json::from_slice::<Owner>(&pair.value).ok();
             owner = stored.filter(|owner| !owner.entry.is_empty()).map(|owner| owner.address);
--- a/crates/scheduler/src/entry/membership.rs
+++ b/crates/scheduler/src/entry/membership.rs
@@ -1,10 +1,8 @@
 //! The entry's presence in the store, the presence of other entries and the owner of the table.
 
-use super::Entry;
-use super::keys;
 use super::member::{Owner, Presence};
+use super::{Entry, absence, keys};
 use crate::peers::{Request, Response};
-use shallotflow_core::name::Name;
 use shallotflow_core::time::Clock;
 use shallotflow_runtime::clock::Boottime;
 use shallotflow_store::error::Error;
@@ -107,17 +105,26 @@
 
 async fn watch(entry: &Rc<Entry>) -> Result<(), Error> {
     let snapshot = entry.store_call(entry.store.range(keys::MEMBERSHIP)).await?;
+    let known: Vec<String> = {
+        let view = entry.view.borrow();
+        let names = view.entries.keys().chain(view.overwritten_entries.keys());
+        names.map(|name| keys::entry(name)).collect()
+    };
+    let gone = absence::absent(entry, &snapshot.pairs, known).await?;
     {
         let mut view = entry.view.borrow_mut();
-        view.entries.clear();
-        let stored = |name: &Name| snapshot.pairs.iter().any(|pair| pair.key == keys::entry(name));
-        view.overwritten_entries.retain(|name, _| stored(name));
+        view.entries.retain(|name, _| !gone.contains(&keys::entry(name)));
+        view.overwritten_entries.retain(|name, _| !gone.contains(&keys::entry(name)));
     }
-    for pair in &snapshot.pairs {
+    for pair in snapshot.pairs.rows() {
         apply_pair(entry, pair);
     }
     entry.view.borrow_mut().loaded = true;
     entry.membership_changed.notify(usize::MAX);
+    if !snapshot.pairs.is_whole() {
+        monoio::time::sleep(absence::REREAD_PAUSE).await;
+        return Ok(());
+    }
     let mut watch = entry.store.watch(keys::MEMBERSHIP, snapshot.revision + 1).await?;
     loop {
         let update = entry.store_call(watch.next()).await;
--- a/crates/scheduler/src/entry/mod.rs
+++ b/crates/scheduler/src/entry/mod.rs
@@ -15,6 +15,7 @@
 //! - `waits`: why tasks do not run, for operators.
 //! - `serve`: the calls of agents and of other entries.
 
+mod absence;
 mod activity;
 mod ask;
 mod elect;
--- a/crates/scheduler/src/entry/own.rs
+++ b/crates/scheduler/src/entry/own.rs
@@ -65,7 +65,7 @@
     };
     let evacuation_revision = evacuations.as_ref().map_or(0, |snapshot| snapshot.revision);
     if let Some(snapshot) = evacuations {
-        evacuate::replace(entry, &mut ownership, snapshot.pairs);
+        evacuate::put_all(entry, &mut ownership, &snapshot.pairs);
     }
     evacuate::apply(entry, &mut ownership);
     match learned.map(|pair| unpack(&pair.value)) {
@@ -75,14 +75,14 @@
         None => {}
     }
     ownership.table.set_queues(entry.queues.borrow().clone(), now);
-    let (jobs, requests_revision) = (requests.len(), requests.revision);
+    let (jobs, position) = (requests.len(), requests.position);
     requests.apply(&mut ownership, true);
     let waits = ownership.holders.len();
     spdlog::info!("table owned", kv: { epoch = owner.epoch, jobs, waits });
     super::meters::owned(true);
     *entry.ownership.borrow_mut() = Some(ownership);
     entry.decision_due.notify(usize::MAX);
-    monoio::spawn(requests::watch(entry.clone(), owner.epoch, requests_revision));
+    monoio::spawn(requests::watch(entry.clone(), owner.epoch, position));
     monoio::spawn(evacuate::follow(entry.clone(), owner.epoch, evacuation_revision));
     Ok(())
 }
--- a/crates/scheduler/src/entry/requests.rs
+++ b/crates/scheduler/src/entry/requests.rs
@@ -4,7 +4,7 @@
 //! store orders the pairs by their keys, and a job that the table has forgotten may still be stored.
 
 use super::ownership::Ownership;
-use super::{Entry, keys, own};
+use super::{Entry, absence, keys, own};
 use crate::peers::unpack;
 use foldhash::HashMap;
 use shallotflow_core::graph::{Id, Job};
@@ -19,8 +19,7 @@
 
 /// The requests in the store, and the progress of their jobs.
 pub(super) struct Requests {
-    /// The revision from which on changes of the requests are to be watched.
-    pub(super) revision: i64,
+    pub(super) position: Position,
     /// Jobs and cancels.
     pairs: Vec<Pair>,
     progress: Vec<Pair>,
@@ -39,7 +38,16 @@
     pub(super) async fn read(entry: &Rc<Entry>) -> Result<Self, Error> {
         let progress = entry.store_call(entry.store.range(keys::PROGRESS)).await?.pairs;
         let requests = entry.store_call(entry.store.range(keys::REQUESTS)).await?;
-        Ok(Self { revision: requests.revision, pairs: requests.pairs, progress })
+        let position =
+            Position { revision: requests.revision, is_whole: requests.pairs.is_whole() };
+        let mut pairs = requests.pairs.into_rows();
+        let is_whole = progress.is_whole();
+        let mut progress = progress.into_rows();
+        if !is_whole {
+            let gone = read_missing(entry, &pairs, &mut progress).await?;
+            pairs.retain(|pair| !gone.contains(&pair.key));
+        }
+        Ok(Self { position, pairs, progress })
     }
 
     /// Adds the jobs that the table does not hold, and applies all cancels.
@@ -75,6 +83,30 @@
     }
 }
 
+/// Reads one by one the progress of the jobs for which `progress` has none: the store lists it in part.
+/// Returns the keys of the jobs that were deleted meanwhile.
+async fn read_missing(
+    entry: &Rc<Entry>,
+    pairs: &[Pair],
+    progress: &mut Vec<Pair>,
+) -> Result<BTreeSet<String>, Error> {
+    let listed: BTreeSet<Id> =
+        progress.iter().filter_map(|pair| id_of(&pair.key, keys::PROGRESS)).collect();
+    let missing = pairs.iter().filter_map(|pair| id_of(&pair.key, keys::JOBS));
+    let mut gone = BTreeSet::new();
+    for id in missing.filter(|id| !listed.contains(id)) {
+        match entry.store_call(entry.store.get(&keys::progress(id))).await? {
+            Some(pair) => progress.push(pair),
+            // The progress may have been deleted with its job since the job was read.
+            None if entry.store_call(entry.store.get(&keys::job(id))).await?.is_none() => {
+                gone.insert(keys::job(id));
+            }
+            None => {}
+        }
+    }
+    Ok(gone)
+}
+
 fn id_of(key: &str, prefix: &str) -> Option<Id> {
     key.strip_prefix(prefix)?.parse().ok()
 }
@@ -110,15 +142,30 @@
     ownership.table.cancel(id, Boottime.now());
 }
 
-/// Watches the store for jobs and cancels while the ownership of `epoch` lasts.
-pub(super) async fn watch(entry: Rc<Entry>, epoch: u64, revision: i64) {
-    let mut revision = revision;
+/// How far the requests were read.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Position {
+    /// The revision from which on changes of the requests are to be watched.
+    revision: i64,
+    /// Whether all requests up to there were read.
+    is_whole: bool,
+}
+
+/// Watches the store for jobs and cancels while the ownership of `epoch` lasts. Requests that were not
+/// all read are read again until they are.
+pub(super) async fn watch(entry: Rc<Entry>, epoch: u64, mut position: Position) {
     while own::is_owner(&entry, epoch) {
-        match watch_from(&entry, epoch, &mut revision).await {
+        let result = if position.is_whole {
+            watch_from(&entry, epoch, &mut position.revision).await
+        } else {
+            monoio::time::sleep(absence::REREAD_PAUSE).await;
+            Err(Error::Compacted { oldest: position.revision })
+        };
+        match result {
             Ok(()) => return,
             Err(Error::Compacted { .. }) => match Requests::read(&entry).await {
                 Ok(requests) => {
-                    revision = requests.revision;
+                    position = requests.position;
                     change(&entry, epoch, |ownership| requests.apply(ownership, false));
                 }
                 Err(error) => {
--- a/crates/scheduler/tests/owner/evacuation.rs
+++ b/crates/scheduler/tests/owner/evacuation.rs
@@ -267,3 +267,18 @@
         assert!(!owner.report(false).await.evacuated);
     });
 }
+
+/// Guards against an evacuation that ends since the row of its request cannot be read.
+#[test]
+fn a_request_whose_row_cannot_be_read_is_not_withdrawn() {
+    run(async |shared| {
+        shared.put(&key(), "{}", 0);
+        let owner = owner(&shared).await;
+        assert!(!told(&owner, true).await);
+        shared.hide(&key());
+        shared.set_watches(Watches::Fail);
+        // Each failure of the watch has the requests read again.
+        monoio::time::sleep(10 * Settings::default().store_pause).await;
+        check_waits(&owner, 1, || shared.delete(&key())).await;
+    });
+}
--- a/crates/scheduler/tests/owner/requests.rs
+++ b/crates/scheduler/tests/owner/requests.rs
@@ -131,3 +131,34 @@
         assert!(!ordered.contains(&Id(7)), "{ordered:?}");
     });
 }
+
+/// Guards against a completed job that runs again at a successor: the row of its progress cannot be read, and the
+/// job counts as one that has not begun.
+#[test]
+fn a_job_whose_progress_is_missing_from_the_list_does_not_run_again() {
+    run(async |shared| {
+        store(&shared, completed(Id(7))).await;
+        shared.hide(&keys::progress(Id(7)));
+        let owner = Process::start("a", 1, &shared);
+        until(|| owner.owns()).await;
+        while owner.report(false).await.epoch == 0 {}
+        assert_eq!(state_in_table(&owner, Id(7)), State::Completed.as_str());
+        assert!(!owner.orders_a_start().await);
+    });
+}
+
+/// Guards against a job that nobody knows of until the next owner, since its row could not be read once.
+#[test]
+fn a_job_that_is_missing_from_the_list_is_found_once_it_can_be_read() {
+    run(async |shared| {
+        let records = Transaction::default().put(keys::job(Id(7)), pack(&job()).expect("a job"));
+        store(&shared, records).await;
+        shared.hide(&keys::job(Id(7)));
+        let owner = Process::start("a", 1, &shared);
+        until(|| owner.owns()).await;
+        while owner.report(false).await.epoch == 0 {}
+        assert!(!knows(&owner, Id(7)));
+        shared.show_all();
+        until(|| knows(&owner, Id(7))).await;
+    });
+}
--- a/crates/scheduler/tests/owner/store.rs
+++ b/crates/scheduler/tests/owner/store.rs
@@ -2,6 +2,7 @@
 
 use async_trait::async_trait;
 use event_listener::Event;
+use shallotflow_core::list::Reader;
 use shallotflow_store::error::{Error, Result};
 use shallotflow_store::pair::Pair;
 use shallotflow_store::store::{Snapshot, Store};
@@ -67,6 +68,8 @@
     watches: Cell<Watches>,
     interceptor: RefCell<Option<Interceptor>>,
     delayed: RefCell<Vec<Transaction>>,
+    /// Keys whose rows cannot be read in lists.
+    hidden: RefCell<BTreeSet<String>>,
 }
 
 impl Shared {
@@ -133,6 +136,16 @@
         self.delayed.borrow().len()
     }
 
+    /// Lets lists show the row of a key in a form that cannot be read from now on.
+    pub(crate) fn hide(&self, key: &str) {
+        self.hidden.borrow_mut().insert(key.to_owned());
+    }
+
+    /// Lets lists show all rows.
+    pub(crate) fn show_all(&self) {
+        self.hidden.borrow_mut().clear();
+    }
+
     /// Begins a change; all its writes have one revision.
     fn begin(&self) {
         self.revision.set(self.revision.get() + 1);
@@ -231,10 +244,10 @@
             Delivery::Serve => {
                 let pairs = self.shared.pairs.borrow();
                 let pairs = pairs.values().filter(|pair| pair.key.starts_with(prefix));
-                Ok(Snapshot {
-                    pairs: pairs.cloned().collect(),
-                    revision: self.shared.revision.get(),
-                })
+                let hidden = self.shared.hidden.borrow();
+                let mut rows = Reader::default();
+                rows.extend(pairs.map(|pair| (!hidden.contains(&pair.key)).then(|| pair.clone())));
+                Ok(Snapshot { pairs: rows.finish(false), revision: self.shared.revision.get() })
             }
             _ => Err(Self::lost()),
         }
--- a/crates/standin/tests/store.rs
+++ b/crates/standin/tests/store.rs
@@ -68,7 +68,7 @@
             client.commit(create(key, key)).await.expect("a new key");
         }
         let snapshot = client.range("/a/").await.expect("an answer");
-        let keys: Vec<_> = snapshot.pairs.iter().map(|pair| pair.key.as_str()).collect();
+        let keys: Vec<_> = snapshot.pairs.rows().iter().map(|pair| pair.key.as_str()).collect();
         assert_eq!(keys, ["/a/1", "/a/2"]);
     });
 }
--- a/crates/store/src/client/mod.rs
+++ b/crates/store/src/client/mod.rs
@@ -17,6 +17,7 @@
 use rpc::kv_client::KvClient;
 use rpc::lease_client::LeaseClient;
 use rpc::watch_client::WatchClient;
+use shallotflow_core::list::Received;
 use shallotflow_core::metric;
 use shallotflow_wire::rpc::Channel;
 use std::cell::Cell;
@@ -113,7 +114,8 @@
         let request = rpc::RangeRequest { key: prefix.into(), range_end, ..Default::default() };
         let reply = self.fetch(request).await?;
         let revision = convert::revision(reply.header.as_ref());
-        Ok(Snapshot { pairs: reply.kvs.into_iter().map(convert::pair).collect(), revision })
+        let pairs = Received::new(reply.kvs.into_iter().map(convert::pair), reply.more);
+        Ok(Snapshot { pairs, revision })
     }
 
     async fn commit(&self, transaction: Transaction) -> Result<i64> {
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -1,21 +1,36 @@
 //! The interface of the store.
 
-use crate::error::Result;
+use crate::error::{Error, Result};
 use crate::pair::Pair;
 use crate::transaction::Transaction;
 use crate::watch::Watch;
 use async_trait::async_trait;
+use shallotflow_core::list::{Received, Whole};
 use std::time::Duration;
 
 /// A consistent read of several pairs.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Snapshot {
-    /// The pairs, ordered by key.
-    pub pairs: Vec<Pair>,
+    /// The pairs, ordered by key. A key that they lack is absent in the store if they are whole.
+    pub pairs: Received<Pair>,
     /// The store revision of the read; a watch continues from the next one.
     pub revision: i64,
 }
 
+impl Snapshot {
+    /// All pairs with the prefix.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store may have others.
+    pub fn whole(self) -> Result<Whole<Pair>> {
+        self.pairs.into_whole().map_err(|part| {
+            let rows = part.rows().len();
+            Error::Unknown { reason: format!("of the store's list only {rows} rows could be read") }
+        })
+    }
+}
+
 /// A key-value store with transactions, leases and watches.
 #[async_trait(?Send)]
 pub trait Store {
@@ -26,7 +41,7 @@
     /// Fails if no endpoint responds within the timeout.
     async fn get(&self, key: &str) -> Result<Option<Pair>>;
 
-    /// Returns all pairs whose keys start with `prefix`.
+    /// Returns the pairs whose keys start with `prefix`, as far as they can be read.
     ///
     /// # Errors
     ///
