Compare the owner's presence in each claim of another entry

What callers could see: TWICE. Two owners start the jobs that are stored after the later claim.

Cause: a claim compared the presence of an owner only if the claimant's view lacked its name. An owner that had started again and claimed as its next process counted as absent to an entry whose view was older, and was replaced if it did not answer one status call.

Change: where another process has the owner's name, the claimant reads the presence and claims only while it is not that of the owner's process.

Evidence: owner::a_claim_fails_when_the_owner_is_present_as_a_later_process failed before with epoch 3 of the second entry.

--- a/crates/scheduler/src/entry/elect.rs
+++ b/crates/scheduler/src/entry/elect.rs
@@ -8,15 +8,18 @@
 //!
 //! A claim succeeds only while the claimant's own presence is as it wrote it. A claim of an absent
 //! owner's table succeeds only while that owner's presence is absent, and an owner renews an absent
-//! presence only while its own claim holds. So an owner that is present has no successor.
+//! presence only while its own claim holds. Where another process has the owner's name, a claim succeeds
+//! only while the presence is not that of the owner's process. So an owner that is present has no
+//! successor, unless it reports for a while that it does not own the table.
 //!
 //! A record of the owner that another writer has overwritten changes none of this. The owner that is
 //! known gives the table up and claims it again, and another entry claims only where it could without
 //! that. If no owner is known, an entry claims once every other entry that is present answers that it
 //! does not own the table: no owner renews its presence beside the overwritten record.
 
-use super::member::Owner;
+use super::member::{Owner, Presence};
 use super::{Entry, keys, member, membership, own};
+use shallotflow_core::name::Name;
 use shallotflow_core::time::Clock;
 use shallotflow_runtime::clock::Boottime;
 use shallotflow_store::error::Error;
@@ -167,10 +170,15 @@
                 membership::apply_owner(entry, pair);
                 return Ok(());
             }
+            let other = other_process(entry);
+            if let Some((name, process)) = other {
+                let Some(revision) = revision_without(entry, &name, process).await? else {
+                    return Ok(());
+                };
+                absent_owner = Some((name, revision));
+            }
             let (owner, overwritten) = {
                 let view = entry.view.borrow();
-                // If an entry of that name is present, either another process has the name, or its
-                // process reports that it does not own the table.
                 let absent = view
                     .owner
                     .as_ref()
@@ -225,6 +233,33 @@
     loaded
 }
 
+/// The owner whose name another process has, as far as this entry knows: the name and the owner's process.
+/// If the owner's own process is present, it reports that it does not own the table.
+fn other_process(entry: &Entry) -> Option<(Name, u64)> {
+    let view = entry.view.borrow();
+    let owner = view.owner.as_ref().filter(|owner| owner.entry != entry.name)?;
+    let presence = view.entries.get(&owner.entry)?;
+    (presence.process != owner.process).then(|| (owner.entry.clone(), owner.process))
+}
+
+/// The revision of the presence of the entry `name`, unless it is that of `process`: the view may be older
+/// than the claim of that process.
+async fn revision_without(
+    entry: &Rc<Entry>,
+    name: &Name,
+    process: u64,
+) -> Result<Option<i64>, Error> {
+    let Some(pair) = entry.store_call(entry.store.get(&keys::entry(name))).await? else {
+        return Ok(Some(0));
+    };
+    let presence = serde_json::from_slice::<Presence>(&pair.value);
+    if presence.is_ok_and(|presence| presence.process == process) {
+        membership::apply_pair(entry, &pair);
+        return Ok(None);
+    }
+    Ok(Some(pair.mod_revision))
+}
+
 /// An epoch that no claim before the record `overwritten` has exceeded.
 ///
 /// The last claim has left its epoch in a second key. If that one cannot be read either, the revision
--- a/crates/scheduler/src/entry/membership.rs
+++ b/crates/scheduler/src/entry/membership.rs
@@ -146,7 +146,8 @@
     }
 }
 
-fn apply_pair(entry: &Rc<Entry>, pair: &Pair) {
+/// Applies a record of the membership.
+pub(super) fn apply_pair(entry: &Entry, pair: &Pair) {
     if pair.key == keys::OWNER {
         apply_owner(entry, pair);
     } else if let Some(name) = pair.key.strip_prefix(keys::ENTRIES) {
--- a/crates/scheduler/tests/owner.rs
+++ b/crates/scheduler/tests/owner.rs
@@ -436,6 +436,42 @@
     });
 }
 
+/// Guards against a second owner beside one that is present: the claimant knows the former process of that entry, and
+/// the claim of the present one.
+#[test]
+fn a_claim_fails_when_the_owner_is_present_as_a_later_process() {
+    run(async |shared| {
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+        let presence_of = |process: u64| {
+            serde_json::json!({ "process": process, "address": address, "strength": 1 }).to_string()
+        };
+        let owner_of = |epoch: u64, process: u64| {
+            let owner = serde_json::json!({
+                "epoch": epoch, "entry": "a", "process": process, "address": address
+            });
+            owner.to_string()
+        };
+        shared.put(&presence("a"), &presence_of(1), 0);
+        shared.put(keys::OWNER, &owner_of(1, 1), 0);
+        let other = Process::start("b", 9, &shared);
+        until(|| shared.text(&presence("b")).is_some()).await;
+        monoio::time::sleep(Duration::from_millis(50)).await;
+        assert!(!other.owns(), "the owner is present");
+        // The list of the present entries lacks the later process.
+        shared.set_watches(Watches::Silent);
+        shared.hide(&presence("a"));
+        shared.put(&presence("a"), &presence_of(2), 0);
+        shared.put(keys::OWNER, &owner_of(2, 2), 0);
+        shared.set_watches(Watches::Fail);
+        monoio::time::sleep(Duration::from_millis(800)).await;
+        let holder = shared.text(keys::OWNER).expect("an owner");
+        assert!(holder.contains("\"process\":2"), "{holder}");
+        assert!(!other.owns());
+        shared.delete(&presence("a"));
+        until(|| other.owns()).await;
+    });
+}
+
 #[test]
 fn a_claim_fails_when_the_store_has_lost_the_presence_of_who_claims() {
     run(async |shared| {
