Hold pages of ends back behind every unreadable row again

An old row may be forgotten just as a new one comes; the watermark then passes an end that nobody has read.

--- a/crates/core/src/list/reader.rs
+++ b/crates/core/src/list/reader.rs
@@ -5,12 +5,11 @@
 pub struct Reader<T> {
     rows: Vec<T>,
     first_gap: Option<usize>,
-    unread: usize,
 }
 
 impl<T> Default for Reader<T> {
     fn default() -> Self {
-        Self { rows: Vec::new(), first_gap: None, unread: 0 }
+        Self { rows: Vec::new(), first_gap: None }
     }
 }
 
@@ -21,7 +20,6 @@
             Some(row) => self.rows.push(row),
             None => {
                 self.first_gap.get_or_insert(self.rows.len());
-                self.unread += 1;
             }
         }
     }
@@ -33,8 +31,7 @@
 
     /// Ends the list; `has_more` is whether the sender may have further rows, as far as it says.
     pub fn finish(self, has_more: bool) -> Received<T> {
-        let Self { rows, first_gap, unread } = self;
-        Received { rows, first_gap, unread, has_more }
+        Received { rows: self.rows, first_gap: self.first_gap, has_more }
     }
 }
 
--- a/crates/core/src/list/received.rs
+++ b/crates/core/src/list/received.rs
@@ -7,8 +7,6 @@
     pub(super) rows: Vec<T>,
     /// How many rows could be read before the first that could not.
     pub(super) first_gap: Option<usize>,
-    /// How many rows could not be read.
-    pub(super) unread: usize,
     /// Whether the sender may have rows after the last one.
     pub(super) has_more: bool,
 }
@@ -31,11 +29,6 @@
         &self.rows[..self.first_gap.unwrap_or(self.rows.len())]
     }
 
-    /// How many rows could not be read.
-    pub fn unread(&self) -> usize {
-        self.unread
-    }
-
     /// Whether a row could not be read.
     pub fn has_gap(&self) -> bool {
         self.first_gap.is_some()
--- a/crates/scheduler/src/agent/account.rs
+++ b/crates/scheduler/src/agent/account.rs
@@ -7,8 +7,7 @@
 /// A row of the worker's lists that cannot be read may be any run or its end. It hides nothing if each
 /// run that the agent knows of is shown beside it, and if the agent knows of all of them. Otherwise the
 /// ends from that row on stay at the worker, and if the row is still there at the deadline, the
-/// worker's leases are left to end: then nothing runs there. A row that was found to hide nothing holds
-/// no further page of ends back.
+/// worker's leases are left to end: then nothing runs there.
 #[derive(Debug, Default)]
 pub(super) struct Account {
     /// Whether all runs at the worker are known: from lists that were whole, or since its last lease had
@@ -18,8 +17,6 @@
     settled: bool,
     /// Known runs that go on no more, and whose ends have not been read.
     hidden: BTreeSet<Key>,
-    /// How many unreadable rows a list of ends had that hid nothing.
-    harmless: usize,
     /// Until when rows that cannot be read may hide runs before leases are left to end.
     deadline: Option<Time>,
     /// The last end that may be forgotten, because the one after it cannot be read.
@@ -32,10 +29,8 @@
 pub(super) struct Lack {
     /// Whether the worker may have more ends than it listed.
     pub(super) more_ends: bool,
-    /// How many rows of the list of ends could not be read.
-    pub(super) unread_ends: usize,
-    /// Whether a row of the list of active runs could not be read.
-    pub(super) unread_runs: bool,
+    /// Whether a row could not be read.
+    pub(super) gap: bool,
     /// Whether a known run or an unanswered start is shown neither as active nor as ended.
     pub(super) unseen: bool,
     /// The last end that may be forgotten if that row is an end that matters.
@@ -77,12 +72,7 @@
     pub(super) fn apply(&mut self, lack: &Lack, deadline: Time) {
         let shown = self.all_known && self.hidden.is_empty() && !lack.unseen;
         self.settled = shown && !lack.more_ends;
-        if shown {
-            self.harmless = lack.unread_ends;
-        }
-        // The runs that are not shown may have ended beyond this page.
-        let next_page = lack.more_ends && !lack.unread_runs && lack.unread_ends <= self.harmless;
-        let hides = (lack.unread_runs || lack.unread_ends > 0) && !shown && !next_page;
+        let hides = lack.gap && !shown;
         self.deadline = hides.then(|| self.deadline.unwrap_or(deadline));
         self.last_end = hides.then_some(lack.last_end);
         if !hides {
--- a/crates/scheduler/src/agent/run_table.rs
+++ b/crates/scheduler/src/agent/run_table.rs
@@ -444,8 +444,7 @@
         let before_gap = ends.rows_before_gap().last().map(|end| end.number);
         let mut lack = Lack {
             more_ends: ends.has_more(),
-            unread_ends: ends.unread(),
-            unread_runs: running.has_gap(),
+            gap: ends.has_gap() || running.has_gap(),
             unseen: self.unanswered.values().any(|until| !until.passed(now)),
             last_end: before_gap.unwrap_or(self.forgotten),
         };
