Log where the time of ended jobs went, and what the learned disturbance is worth

The owner logs one line for each ended job, outside of the limit on lines of decisions, that splits the time along the chain of its last tasks; two counters sum it by queue and cause, and 'shallotflow delays' prints a table. 'disturbance' lines and a gauge compare the learned model with one in which nothing disturbs anything. No decision changes.

--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -3,6 +3,7 @@
 pub mod apply;
 pub mod cancel;
 pub mod check;
+pub mod delays;
 pub mod drain;
 pub mod dump;
 pub mod evacuate;
@@ -59,6 +60,9 @@
     /// Prints the state of a process
     #[bpaf(command)]
     Dump(#[bpaf(external(dump::arguments))] dump::Arguments),
+    /// Shows by queue from a log of entries why jobs ended late
+    #[bpaf(command)]
+    Delays(#[bpaf(external(delays::arguments))] delays::Arguments),
     /// Submits a batch job
     #[bpaf(command)]
     Submit(#[bpaf(external(submit::arguments))] submit::Arguments),
@@ -84,6 +88,7 @@
             Self::Evacuate(arguments) => arguments.format,
             Self::Graph(action) => action.format(),
             Self::Dump(arguments) => arguments.format,
+            Self::Delays(arguments) => arguments.format,
             Self::Submit(arguments) => arguments.format,
             Self::Status(arguments) => arguments.format,
             Self::Cancel(arguments) => arguments.format,
@@ -107,6 +112,7 @@
             Self::Evacuate(arguments) => evacuate::run(arguments).await,
             Self::Graph(action) => graph::run(action).await,
             Self::Dump(arguments) => dump::run(arguments).await,
+            Self::Delays(arguments) => delays::run(arguments).await,
             Self::Submit(arguments) => submit::run(arguments).await,
             Self::Status(arguments) => status::run(arguments).await,
             Self::Cancel(arguments) => cancel::run(arguments).await,
--- a/crates/cli/tests/config.rs
+++ b/crates/cli/tests/config.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use async_trait::async_trait;
+use serde_json::json;
 use shallotflow_cli::change::{Current, Edit, Session};
 use shallotflow_cli::command::command;
 use shallotflow_cli::error::{EXIT_FINDINGS, Error};
@@ -369,3 +370,24 @@
         assert_eq!(error.exit_code(), 2);
     });
 }
+
+#[test]
+fn delays_show_the_causes_of_late_jobs_by_queue() {
+    let line = |queue: &str, late: bool, disturbing_ms: u64| {
+        let delay = json!({ "disturbing_ms": disturbing_ms, "slowed_ms": 500, "run_ms": 2_000 });
+        let details = json!({
+            "event": "ended", "job": "1", "queue": queue, "late": late, "took_ms": 2_500 + disturbing_ms,
+            "objective_ms": 3_000, "work": 1_000, "last_task_ms": 400, "delay": delay,
+        });
+        format!("1.5 entry-1 {}\n", json!({ "message": "ended", "details": details }))
+    };
+    let log = [line("renders", true, 4_000), line("renders", false, 0), line("quotes", false, 0)];
+    let path = file("delays.log", &format!("not JSON\n{{}}\n{}", log.concat()));
+    with_store(async |_| {
+        let output = run(&["delays", &path]).await.expect("a table");
+        let rows = output.json.as_array().expect("rows");
+        let first = json!(["renders", "2", "6.5", "1", "50%", "disturbing", "1", "50%", "4.0"]);
+        assert_eq!(rows.iter().find(|row| row[0] == "renders"), Some(&first), "{}", output.text);
+        assert!(run(&["delays", "absent.log"]).await.is_err());
+    });
+}
--- a/crates/core/src/metric.rs
+++ b/crates/core/src/metric.rs
@@ -110,6 +110,12 @@
         "Runs that ended, by exit reason, as reported to their owner.";
     GRAPH_JOBS = "shallotflow_graph_jobs_total", Counter, "state",
         "Graph jobs that reached a final state, counted by their owner.";
+    GRAPH_LATE_JOBS = "shallotflow_graph_late_jobs_total", Counter, "queue",
+        "Graph jobs that failed or ended after their objective, by queue, counted by their owner.";
+    GRAPH_LATE_MS = "shallotflow_graph_late_milliseconds_total", Counter, "queue, cause",
+        "Time of these jobs on the chain of their last tasks, by what it was used for other than the work.";
+    GRAPH_DISTURBANCE_ERROR = "shallotflow_graph_disturbance_error", Gauge, "model",
+        "Mean error of the expected tail latency of serving tasks as a share of their target, with the learned disturbance and with none.";
     GRAPH_STOPS = "shallotflow_graph_stops_total", Counter, "reason",
         "Runs that were ordered to stop, by reason.";
     GRAPH_CRASHES = "shallotflow_graph_crashes_total", Counter, "",
--- a/crates/policy/src/disturbance/mod.rs
+++ b/crates/policy/src/disturbance/mod.rs
@@ -7,11 +7,13 @@
 //!
 //! [`Rates`] is the model for neighbors whose shares of the worker are known.
 
+mod error;
 mod history;
 mod rates;
 mod settings;
 mod table;
 
+pub use error::Error;
 pub use history::History;
 pub use rates::Rates;
 pub use settings::Settings;
--- a/crates/policy/src/disturbance/rates.rs
+++ b/crates/policy/src/disturbance/rates.rs
@@ -1,3 +1,4 @@
+use super::Error;
 use foldhash::HashMap;
 use serde::{Deserialize, Serialize};
 use shallotflow_core::name::Name;
@@ -32,6 +33,8 @@
 pub struct Rates {
     bases: HashMap<Name, f64>,
     added: HashMap<Name, HashMap<Name, f64>>,
+    #[serde(skip)]
+    error: Error,
 }
 
 impl Rates {
@@ -65,6 +68,7 @@
         let (bases, added) = (bases.take(MAX_SNAPSHOT_IMAGES), added.take(MAX_SNAPSHOT_IMAGES));
         Self {
             bases: bases.map(|(victim, base)| (victim.clone(), *base)).collect(),
+            error: Error::default(),
             added: added
                 .map(|(victim, pairs)| {
                     (
@@ -87,6 +91,17 @@
         self.base(victim) + added.sum::<f64>()
     }
 
+    /// Returns how well the model has predicted the latest measurements.
+    pub fn error(&self) -> Error {
+        self.error
+    }
+
+    /// Returns the number of pairs, and of those of which the neighbor adds more than `added`.
+    pub fn pairs(&self, added: f64) -> (usize, usize) {
+        let pairs = self.added.values().flat_map(HashMap::values);
+        pairs.fold((0, 0), |(all, above), pair| (all + 1, above + usize::from(*pair > added)))
+    }
+
     /// Sets the value of a pair, or the base of `victim` if there is no neighbor.
     pub fn set(&mut self, victim: &Name, neighbor: Option<&Name>, value: f64) {
         match neighbor {
@@ -107,11 +122,13 @@
         if !measurement.is_finite() || measurement < 0.0 {
             return;
         }
+        let base = self.base(victim);
         let error = measurement.min(MAX_MEASUREMENT)
             - self.expected(victim, neighbors.iter().map(|(name, share)| (name, *share)));
+        self.error.add(error, measurement.min(MAX_MEASUREMENT) - base);
         let scaled = |share: f64| share / TYPICAL_SHARE;
         let norm = 1.0 + neighbors.iter().map(|(_, share)| scaled(*share).powi(2)).sum::<f64>();
-        let base = self.base(victim) + BASE_LEARNING_RATE * error / norm;
+        let base = base + BASE_LEARNING_RATE * error / norm;
         if let Some(replaced) = make_room(&mut self.bases, victim) {
             self.added.remove(&replaced);
         }
--- a/crates/policy/src/plan/disturbance.rs
+++ b/crates/policy/src/plan/disturbance.rs
@@ -33,6 +33,11 @@
         self.rates.snapshot_for(&images.collect())
     }
 
+    /// Returns the learned rates.
+    pub fn rates(&self) -> &Rates {
+        &self.rates
+    }
+
     /// Replaces the rates by those that a predecessor learned.
     pub fn restore_rates(&mut self, learned: Rates) {
         self.rates = learned;
--- a/crates/policy/src/plan/event.rs
+++ b/crates/policy/src/plan/event.rs
@@ -1,3 +1,4 @@
+use super::Delay;
 use super::message::{ExitReason, Outcome};
 use serde::Serialize;
 use shallotflow_core::graph::{Id, State, Task};
@@ -194,6 +195,26 @@
         /// Cause.
         reason: &'static str,
     },
+    /// A job with an objective has ended other than by its caller.
+    Ended {
+        /// The job.
+        job: Id,
+        /// Its queue.
+        queue: Name,
+        /// Whether it failed, or took longer than its objective by the estimates of its tasks.
+        late: bool,
+        /// Time since the owner received the job, milliseconds.
+        took_ms: u64,
+        /// Time in which it had to end, milliseconds.
+        objective_ms: u64,
+        /// Work of its tasks by their estimates, processor-milliseconds.
+        work: u64,
+        /// Time from the end of half of the tasks of each step on the chain to that of its last,
+        /// milliseconds.
+        last_task_ms: u64,
+        /// Where the time went.
+        delay: Delay,
+    },
     /// A stored job violates the rules for jobs and is left out.
     Invalid {
         /// The job.
--- /dev/null
+++ b/crates/policy/src/plan/holds.rs
@@ -0,0 +1,37 @@
+use super::hold::Hold;
+use shallotflow_core::time::Time;
+use std::time::Duration;
+
+/// For how long each rule has held the waiting tasks of one step.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(super) struct Holds {
+    /// The rule in force, and since when.
+    current: Option<(Hold, Time)>,
+    /// Time by rule, in the order of [`Hold::ALL`], without that of the rule in force.
+    sums: [Duration; Hold::ALL.len()],
+}
+
+impl Holds {
+    /// Notes the rule that holds the tasks from `now` on; `None` if all of them have started.
+    pub(super) fn set(&mut self, hold: Option<Hold>, now: Time) {
+        if self.current.map(|(current, _)| current) == hold {
+            return;
+        }
+        if let Some((former, since)) = self.current {
+            self.sums[former as usize] += now.since(since);
+        }
+        self.current = hold.map(|hold| (hold, now));
+    }
+
+    /// Splits `wait`, the time that a task of the step has waited, in proportion to the times of the
+    /// rules; all of it is `other` if no rule held the step.
+    pub(super) fn split(&self, wait: Duration) -> ([Duration; Hold::ALL.len()], Duration) {
+        let total = self.sums.iter().sum::<Duration>();
+        if total.is_zero() {
+            return (self.sums, wait);
+        }
+        let held = wait.min(total);
+        let share = held.as_secs_f64() / total.as_secs_f64();
+        (self.sums.map(|sum| sum.mul_f64(share)), wait - held)
+    }
+}
--- a/crates/policy/src/plan/job.rs
+++ b/crates/policy/src/plan/job.rs
@@ -1,3 +1,5 @@
+use super::hold::Hold;
+use super::holds::Holds;
 use super::urgency::Urgency;
 use super::{Phase, TaskState};
 use shallotflow_core::graph::{self, Id, Queue, Spec, State, Step, Task};
@@ -63,6 +65,8 @@
     pub(super) opened: bool,
     /// Whether the job was found to have to wait until it is opened.
     pub(super) postponed: bool,
+    /// For how long each rule has held the waiting tasks, by repetition and step.
+    pub(super) holds: Vec<Holds>,
     /// Offset of each step's tasks within a repetition, then the number of tasks in a repetition.
     offsets: Vec<u32>,
 }
@@ -81,6 +85,7 @@
         let counts = job.spec.steps.iter().map(|step| step.count);
         let remaining: Vec<u32> = (0..occurrences).flat_map(|_| counts.clone()).collect();
         let waiting = remaining.clone();
+        let holds = vec![Holds::default(); remaining.len()];
         let durations_ms = job.spec.steps.iter().map(|step| step.estimate_ms).collect();
         let states = vec![TaskState::default(); tasks as usize * occurrences as usize];
         Self {
@@ -111,6 +116,7 @@
             urgency_due: Time::NEVER,
             opened: false,
             postponed: false,
+            holds,
             offsets,
         }
     }
@@ -200,6 +206,12 @@
         self.waiting[self.slot(occurrence, step)]
     }
 
+    /// Notes the rule that holds the waiting tasks of `step` in the repetition `occurrence`.
+    pub(super) fn set_hold(&mut self, occurrence: u32, step: usize, hold: Option<Hold>, now: Time) {
+        let slot = self.slot(occurrence, step);
+        self.holds[slot].set(hold, now);
+    }
+
     /// Returns whether any task of an open step is waiting; it may not be due yet.
     pub(super) fn has_open_tasks(&self) -> bool {
         self.open_steps().next().is_some()
--- a/crates/policy/src/plan/mod.rs
+++ b/crates/policy/src/plan/mod.rs
@@ -11,6 +11,7 @@
 //! - [`Sizes`]: the largest observed workers, to reject jobs that fit none.
 //! - [`Backlog`]: the accepted work that the owner advertises to entries.
 //! - [`Promises`]: the delays of the jobs that an entry refuses by it.
+//! - [`Delay`]: where the time of an ended job went.
 //! - [`Event`]: decisions and observations, for the log.
 //! - [`Mismatch`]: a difference between state that is kept up to date and its source, for tests.
 //! - [`EvacuationRequests`], [`Evacuation`]: requests to evacuate failure domains, and their effect.
@@ -38,6 +39,7 @@
 mod changes;
 mod cold;
 mod crash;
+mod delay;
 mod demand;
 mod disturbance;
 mod durations;
@@ -47,6 +49,8 @@
 mod evacuations;
 mod event;
 mod expire;
+mod hold;
+mod holds;
 mod interference;
 mod job;
 mod lease;
@@ -82,6 +86,7 @@
 
 pub use advertisement::Backlog;
 pub use audit::Mismatch;
+pub use delay::Delay;
 pub use evacuation::Evacuation;
 pub use evacuation_requests::EvacuationRequests;
 pub use event::Event;
--- a/crates/policy/src/plan/place.rs
+++ b/crates/policy/src/plan/place.rs
@@ -13,6 +13,7 @@
 
 use super::demand::Demand;
 use super::event::milliseconds;
+use super::hold::Hold;
 use super::message::{Kind, Traits};
 use super::outbox;
 use super::refusals::Refusals;
@@ -135,6 +136,7 @@
         let service = &job.queue.service;
         let need = Demand::of(step).reserved();
         if self.refusals.is_full(service, step, &need) {
+            self.note_hold(id, occurrence, number, Some(Hold::NoRoom), now);
             return false;
         }
         let range = job.range(occurrence, number);
@@ -153,6 +155,7 @@
             let longest = waiting.iter().copied().min_by_key(waits_since).unwrap_or(waiting[0]);
             let may_interfere = starved || self.settings.may_interfere(job, longest, now);
             if !may_interfere && self.refusals.is_disturbing(service, step) {
+                self.note_hold(id, occurrence, number, Some(Hold::Disturbing), now);
                 return false;
             }
             // What has waited for longer may start where others may not yet.
@@ -176,6 +179,7 @@
         let mut racks =
             if same_rack { self.step_racks(id, occurrence, number) } else { Vec::new() };
         let tasks = waiting.len();
+        let mut hold = None;
         for position in waiting {
             if local {
                 self.track_step(id, number, &racks);
@@ -190,6 +194,7 @@
                     let task = job.task(position);
                     let wait = Wait { task, members, until, expected };
                     self.hold(&wait, &racks, now);
+                    hold = Some(Hold::Rack);
                     if gang {
                         break;
                     }
@@ -198,6 +203,11 @@
                 outcome => {
                     // A limit for each worker can also be the reason, which is not remembered.
                     let step = &job.spec.steps[number];
+                    hold = Some(match outcome {
+                        Outcome::Full => Hold::NoRoom,
+                        Outcome::Disturbing => Hold::Disturbing,
+                        _ => Hold::Busy,
+                    });
                     match outcome {
                         Outcome::Full if per_worker == 0 => {
                             self.refusals.push_full(&job.queue.service, step, need);
@@ -230,6 +240,9 @@
                 worker.placed_bytes = 0;
             }
         }
+        if !starved {
+            self.note_hold(id, occurrence, number, hold, now);
+        }
         if gang && found.len() < range.len() {
             for Placement { task, agent, .. } in found {
                 self.vacate(&agent, &task);
@@ -250,6 +263,13 @@
         started
     }
 
+    /// Notes which rule holds the waiting tasks of a step.
+    fn note_hold(&mut self, id: Id, occurrence: u32, step: usize, hold: Option<Hold>, now: Time) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.set_hold(occurrence, step, hold, now);
+        }
+    }
+
     /// Orders the start of a suspected task at a worker that it already occupies, and where no other
     /// task starts until the result is known.
     pub(super) fn start_alone(&mut self, task: Task, agent: Name, pressure: f64, now: Time) {
--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -347,6 +347,7 @@
         }
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         job.set_phase(position, Phase::Done);
+        job.tasks[position].done_at = now;
         if job.step(&task).best_effort && job.is_deferrable() {
             self.backlogs.complete(&job.queue.service, job.task_work(usize::from(task.step)));
         }
--- a/crates/policy/src/plan/table.rs
+++ b/crates/policy/src/plan/table.rs
@@ -362,6 +362,10 @@
         let fresh = job.fresh;
         let agent = job.tasks[position].current().map(|(agent, _)| agent.clone());
         let uncertain = self.uncertain && !fresh;
+        if matches!(job.tasks[position].phase, Phase::Running { .. } | Phase::Stopping { .. }) {
+            let state = &mut job.tasks[position];
+            state.earlier_runs += now.since(state.begun);
+        }
         job.set_phase(position, if uncertain { Phase::Uncertain } else { Phase::Waiting });
         let state = &mut job.tasks[position];
         state.retry_at = retry;
@@ -407,6 +411,8 @@
         self.timers.push(job.forget_at, Timer::Forget(id));
         self.update_ready(id, now);
         self.events.push(Event::Job { job: id, state, reason });
+        let ended = self.jobs.get(&id).and_then(|job| job.ended_event(state, now));
+        self.events.extend(ended);
         for task in running {
             self.stop_run(task, reason, now);
         }
--- a/crates/policy/src/plan/task_state.rs
+++ b/crates/policy/src/plan/task_state.rs
@@ -70,6 +70,10 @@
     pub likely: bool,
     /// When the start of the current run was ordered, or the run was adopted.
     pub begun: Time,
+    /// Time that earlier runs have used, which ended without completing the work.
+    pub earlier_runs: Duration,
+    /// When its work was found to be complete.
+    pub done_at: Time,
     /// Agent at which the task failed last, or was slowed down and stopped for that.
     pub avoided: Option<Name>,
     /// Whether the start that is being withdrawn had no answer, or one that did not settle it.
--- a/crates/policy/tests/plan/main.rs
+++ b/crates/policy/tests/plan/main.rs
@@ -3,6 +3,7 @@
 mod cancel;
 mod capacity;
 mod crash;
+mod delay;
 mod disturbance;
 mod evacuation;
 mod fuzz;
--- a/crates/scheduler/src/entry/meters.rs
+++ b/crates/scheduler/src/entry/meters.rs
@@ -3,6 +3,7 @@
 use super::Submission;
 use metrics::{counter, gauge, histogram};
 use shallotflow_core::metric;
+use shallotflow_policy::disturbance::Rates;
 use shallotflow_policy::plan::waits::{Reason, Sum};
 use shallotflow_policy::plan::{Event, Table};
 use std::collections::BTreeMap;
@@ -57,6 +58,13 @@
             let alone = if *alone { "yes" } else { "no" };
             counter!(metric::GRAPH_SUSPECTS, "alone" => alone).increment(1);
         }
+        Event::Ended { queue, late: true, delay, .. } => {
+            counter!(metric::GRAPH_LATE_JOBS, "queue" => queue.to_string()).increment(1);
+            for (cause, ms) in delay.causes().into_iter().filter(|(_, ms)| *ms > 0) {
+                let labels = [("queue", queue.to_string()), ("cause", cause.to_owned())];
+                counter!(metric::GRAPH_LATE_MS, &labels).increment(ms);
+            }
+        }
         Event::Starved { .. } => counter!(metric::GRAPH_STARVED).increment(1),
         Event::GivenUp { .. } => counter!(metric::GRAPH_GIVEN_UP).increment(1),
         _ => {}
@@ -87,6 +95,13 @@
     gauge!(metric::GRAPH_REMNANTS).set(f64::from(runs));
 }
 
+/// Records how well the learned disturbance predicts what workers measure.
+pub(super) fn disturbance(rates: &Rates) {
+    let error = rates.error();
+    gauge!(metric::GRAPH_DISTURBANCE_ERROR, "model" => "learned").set(error.learned);
+    gauge!(metric::GRAPH_DISTURBANCE_ERROR, "model" => "none").set(error.alone);
+}
+
 /// Records whether the entry owns the table.
 pub(super) fn owned(owned: bool) {
     gauge!(metric::GRAPH_OWNED).set(if owned { 1.0 } else { 0.0 });
--- a/crates/scheduler/src/entry/own.rs
+++ b/crates/scheduler/src/entry/own.rs
@@ -13,7 +13,7 @@
 use shallotflow_core::name::Name;
 use shallotflow_core::time::Clock;
 use shallotflow_policy::plan::waits::Journal;
-use shallotflow_policy::plan::{self, EvacuationRequests, Record, Table};
+use shallotflow_policy::plan::{self, EvacuationRequests, Event, Record, Table};
 use shallotflow_runtime::clock::{Boottime, wall_ms};
 use shallotflow_store::error::Error;
 use shallotflow_store::transaction::Transaction;
@@ -33,6 +33,9 @@
 const COMMIT_PAUSE: Duration = Duration::from_millis(15);
 /// Interval between two log lines on the owner's activity.
 const ACTIVITY_INTERVAL: Duration = Duration::from_secs(5);
+/// A neighbor that adds this share of the target if it uses a whole worker holds tasks of a tenth of a
+/// worker back beside services that are near their targets.
+const HOLDING_RATE: f64 = 0.5;
 /// Updates within this time are decided together.
 const COALESCE_DELAY: Duration = Duration::from_millis(1);
 
@@ -131,7 +134,10 @@
             entry.notify_agents(ownership.table.take_updated());
             for event in events {
                 super::meters::event(&event);
-                crate::log::decision("plan", &event);
+                match event {
+                    Event::Ended { .. } => crate::log::summary("ended", &event),
+                    event => crate::log::decision("plan", &event),
+                }
             }
             if ownership.table.next_record().passed(now)
                 || ownership.table.holders_version() != ownership.holders_version
@@ -154,11 +160,22 @@
         if let Some(ownership) = &*entry.ownership.borrow() {
             let table = &ownership.table;
             super::meters::backlog(table);
+            super::meters::disturbance(table.rates());
+            log_disturbance(table);
             entry.activity.log(table.workers().len(), table.jobs().count());
         }
     }
 }
 
+/// Logs what the learned disturbance is worth: by its error, and by the pairs that hold tasks back.
+fn log_disturbance(table: &Table) {
+    let error = table.rates().error();
+    let (pairs, holding) = table.rates().pairs(HOLDING_RATE);
+    spdlog::info!("disturbance", kv: {
+        pairs, holding, error = error.learned, error_alone = error.alone
+    });
+}
+
 /// Deletes the store's keys of jobs that ended long ago.
 async fn delete_jobs(entry: Rc<Entry>, ids: Vec<Id>) {
     for ids in ids.chunks(DELETED_PER_COMMIT) {
--- a/crates/scheduler/src/log.rs
+++ b/crates/scheduler/src/log.rs
@@ -10,14 +10,36 @@
 /// busy entry writes, and below 1% of its processor.
 const MAX_LINES_PER_SECOND: u32 = 400;
 
+/// Maximum number of summaries of ended jobs per second, which do not share the limit above: without them,
+/// nothing says where the time of a late job went.
+const MAX_SUMMARIES_PER_SECOND: u32 = 100;
+
+/// The start of the present second, and the lines that were written and left out in it.
+type Window = Cell<(Option<Instant>, u32, u32)>;
+
 thread_local! {
-    static WINDOW: Cell<(Option<Instant>, u32, u32)> = const { Cell::new((None, 0, 0)) };
+    static DECISIONS: Window = const { Cell::new((None, 0, 0)) };
+    static SUMMARIES: Window = const { Cell::new((None, 0, 0)) };
     static RECORDS: Refusals = Refusals::new("record refused");
 }
 
 /// Logs one decision, unless the limit of this second is reached.
 pub fn decision(what: &'static str, details: &impl Serialize) {
-    let (since, lines, dropped) = WINDOW.get();
+    if DECISIONS.with(|window| admits(window, MAX_LINES_PER_SECOND)) {
+        line(what, details);
+    }
+}
+
+/// Logs the summary of a job, unless the limit of this second is reached.
+pub fn summary(what: &'static str, details: &impl Serialize) {
+    if SUMMARIES.with(|window| admits(window, MAX_SUMMARIES_PER_SECOND)) {
+        line(what, details);
+    }
+}
+
+/// Counts one line; returns whether it is written.
+fn admits(window: &Window, limit: u32) -> bool {
+    let (since, lines, dropped) = window.get();
     let now = Instant::now();
     let new_window = since.is_none_or(|since| now.duration_since(since) > Duration::from_secs(1));
     if new_window && dropped > 0 {
@@ -25,12 +47,10 @@
     }
     let (since, lines, dropped) =
         if new_window { (Some(now), 0, 0) } else { (since, lines, dropped) };
-    if lines >= MAX_LINES_PER_SECOND {
-        WINDOW.set((since, lines, dropped + 1));
-        return;
-    }
-    WINDOW.set((since, lines + 1, dropped));
-    line(what, details);
+    let admitted = lines < limit;
+    let (lines, dropped) = if admitted { (lines + 1, dropped) } else { (lines, dropped + 1) };
+    window.set((since, lines, dropped));
+    admitted
 }
 
 /// Logs that the record under `key` is refused, at a bounded rate.
