Add a failing test: load swings are learned as the effect of harmless images

Services whose load swings within 14 s, with an image beside them that adds nothing and one that adds five times the target for a whole worker.

--- a/crates/policy/tests/plan/disturbance.rs
+++ b/crates/policy/tests/plan/disturbance.rs
@@ -1,10 +1,12 @@
 //! Best-effort tasks on workers with serving tasks.
 
 use super::harness::{Harness, id, job, name, step, task, whole};
-use shallotflow_core::graph::Step;
+use shallotflow_core::graph::{Step, Task};
 use shallotflow_core::name::Name;
 use shallotflow_core::resources::Bundle;
 use shallotflow_policy::disturbance::Rates;
+use shallotflow_policy::plan::message::ExitReason;
+use std::f64::consts::TAU;
 use std::time::Duration;
 
 fn serving(count: u32, image: &str) -> Step {
@@ -265,3 +267,65 @@
     assert!(rates.base("late") > untouched);
     assert!(rates.added("late", "beside") > 0.0);
 }
+
+/// Time between two reports of a worker's measurements, milliseconds.
+const REPORT_MS: u64 = 450;
+/// Tail latency of an idle service as a share of its target.
+const IDLE_RATIO: f64 = 0.2;
+/// Load of a service at the mean, and how far it swings, as a share of it.
+const SERVICE_LOAD: (f64, f64) = (0.45, 0.5);
+/// Load that `proof` adds to a service if it uses a whole worker; `cut` adds none.
+const PROOF_LOAD: f64 = 1.0;
+/// What a harmless image may seem to add: a task of a tenth of a worker then stays within the
+/// tolerated excess of 0.05.
+const HARMLESS: f64 = 0.5;
+
+/// Lets each worker measure its service, whose latency grows as that of a queue and whose load swings within
+/// 14 s, beside what runs there. The runs of `cut` and `proof` last for five reports.
+fn measure(harness: &mut Harness, round: u64) {
+    for number in 0..harness.workers.len() {
+        let (mean, swing) = SERVICE_LOAD;
+        let phase = (round * REPORT_MS) as f64 / 14_000.0 + number as f64 * 0.37;
+        let is_proof = |task: &Task| task.job.0 >= 100 && task.job.0 % 2 == 1;
+        let worker = harness.worker(number);
+        let proofs = worker.running.keys().filter(|task| is_proof(task)).count() as f64;
+        let load = mean * (1.0 + swing * (TAU * phase).sin()) + proofs * 0.2 * PROOF_LOAD;
+        let ratio = IDLE_RATIO / (1.0 - load.min(0.95));
+        let mut ended = Vec::new();
+        for (task, run) in &mut worker.running {
+            run.percent = (run.percent + 20).min(100);
+            run.measurement = if task.job == id(1) { (ratio * 100.0) as u32 } else { 2_000 };
+            if task.job == id(1) {
+                run.percent = 100;
+            } else if run.percent == 100 {
+                ended.push(*task);
+            }
+        }
+        for task in ended {
+            worker.end(task, ExitReason::Done);
+        }
+    }
+}
+
+#[test]
+fn a_swinging_load_is_not_learned_as_the_effect_of_a_harmless_neighbor() {
+    let mut harness = Harness::new(12);
+    let watch = Step { per_worker: 1, ..serving(12, "watch") };
+    harness.table.accept(id(1), job(vec![watch]), true, harness.now);
+    harness.run_round();
+    let mut highest: f64 = 0.0;
+    for round in 0..120 {
+        let image = if round % 2 == 1 { "proof" } else { "cut" };
+        harness.table.accept(id(100 + round), job(vec![best_effort(3, image)]), true, harness.now);
+        harness.wait(Duration::from_millis(REPORT_MS));
+        measure(&mut harness, round);
+        harness.run_round();
+        if round >= 40 {
+            highest = highest.max(harness.table.rates().added("watch", "cut"));
+        }
+    }
+    let proof = harness.table.rates().added("watch", "proof");
+    println!("cut {highest:.2} at most, proof {proof:.2} at the end");
+    assert!(highest < HARMLESS, "{highest:.2}");
+    assert!(proof > 4.0 * HARMLESS, "{proof:.2}");
+}
