Learn disturbance from changes between two measurements

Cause: the model corrected each pair of images by 0.3 of the error of every measurement, so it remembered about three of them. The load of a service swings by half within 14 s, which moves its tail latency more than most neighbors do, and some 700 measurements a second wrote these swings into the rates of the whole fleet. Class: an estimate that follows the last samples of a signal it does not model.

Change: a pair is corrected by the change between two successive measurements of one run, which the swings hardly affect, with a gain that falls with what is known (a Kalman filter without covariances). The model is linear in the reciprocal of the latency, as that of a queue, instead of the latency, which depends on the load.

--- a/crates/policy/src/disturbance/mod.rs
+++ b/crates/policy/src/disturbance/mod.rs
@@ -10,11 +10,13 @@
 mod error;
 mod history;
 mod rates;
+mod sample;
 mod settings;
 mod table;
 
 pub use error::Error;
 pub use history::History;
 pub use rates::Rates;
+pub use sample::Sample;
 pub use settings::Settings;
 pub use table::Table;
--- a/crates/policy/src/plan/disturbance.rs
+++ b/crates/policy/src/plan/disturbance.rs
@@ -1,27 +1,45 @@
 //! Learns how strongly best-effort tasks disturb serving tasks, by image.
 
+use super::measured::Measured;
 use super::message::Disturbance;
 use super::{Phase, Table, Worker};
-use crate::disturbance::Rates;
+use crate::disturbance::{Rates, Sample};
 use shallotflow_core::name::Name;
-use std::collections::BTreeSet;
+use shallotflow_core::time::Time;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 /// About the largest number of disturbances in one reply, and of neighbors of one image: some times what
 /// a worker has, whose paces an agent still decides without those that are left out.
 const MAX_DISTURBANCES: usize = 200;
 
-/// The image of a serving task, and its tail latency as a share of its target.
-type Measurement = (Name, f64);
-/// The image of a best-effort task, and its share of the worker's processors.
-type Share = (Name, f64);
+/// Least time between two measurements that are compared: a worker's figures cover half a second.
+const LEAST_SPAN: Duration = Duration::from_millis(400);
+/// Longest such time: beyond it, the load of the serving tasks themselves has changed.
+const LONGEST_SPAN: Duration = Duration::from_millis(1_500);
 
 impl Table {
     /// Updates the learned rates from the runs that a worker has just listed.
-    pub(super) fn learn_rates(&mut self, agent: &Name) {
+    pub(super) fn learn_rates(&mut self, agent: &Name, now: Time) {
         let Some(worker) = self.workers.get(agent) else { return };
-        let (measurements, shares) = self.measurements(worker);
-        for (victim, measurement) in measurements {
-            self.rates.learn(&victim, &shares, measurement);
+        let former = worker.measured.as_ref();
+        if former.is_some_and(|former| !former.at.after(LEAST_SPAN).passed(now)) {
+            return;
+        }
+        let measured = self.measure(worker, now);
+        let former = former.filter(|former| !former.at.after(LONGEST_SPAN).passed(now));
+        for (task, (victim, ratio)) in &measured.serving {
+            let sample = Sample { ratio: *ratio, neighbors: &measured.neighbors };
+            match former.and_then(|former| Some((former, former.serving.get(task)?))) {
+                Some((former, (_, ratio))) => {
+                    let before = Sample { ratio: *ratio, neighbors: &former.neighbors };
+                    self.rates.learn_change(victim, &before, &sample);
+                }
+                None => self.rates.learn(victim, &sample),
+            }
+        }
+        if let Some(worker) = self.workers.get_mut(agent) {
+            worker.measured = Some(measured);
         }
     }
 
@@ -43,9 +61,10 @@
         self.rates = learned;
     }
 
-    fn measurements(&self, worker: &Worker) -> (Vec<Measurement>, Vec<Share>) {
-        let mut measurements = Vec::new();
-        let mut shares = Vec::new();
+    /// Returns what the worker measures of its runs.
+    fn measure(&self, worker: &Worker, now: Time) -> Measured {
+        let mut serving = BTreeMap::new();
+        let mut neighbors: BTreeMap<&Name, f64> = BTreeMap::new();
         let capacity = worker.profile.as_ref().map_or(1, |p| p.capacity.millicores.max(1));
         for (task, placed) in &worker.placed {
             let state = self.task_state(task);
@@ -55,13 +74,14 @@
             };
             let Some(image) = &placed.image else { continue };
             if placed.target_ms > 0 && state.percent >= 100 && placed.measurement > 0 {
-                let measurement = f64::from(placed.measurement) / f64::from(placed.target_ms);
-                measurements.push((image.clone(), measurement));
+                serving.insert(*task, (image.clone(), placed.target_ratio()));
             } else if placed.best_effort {
-                shares.push((image.clone(), f64::from(placed.measurement) / f64::from(capacity)));
+                let share = f64::from(placed.measurement) / f64::from(capacity);
+                *neighbors.entry(image).or_default() += share;
             }
         }
-        (measurements, shares)
+        let neighbors = neighbors.into_iter().map(|(image, share)| (image.clone(), share));
+        Measured { at: now, serving, neighbors: neighbors.collect() }
     }
 
     /// Returns the learned disturbances between the images at a worker.
--- a/crates/policy/src/plan/mod.rs
+++ b/crates/policy/src/plan/mod.rs
@@ -57,6 +57,7 @@
 mod load;
 mod locality;
 mod loss;
+mod measured;
 pub mod message;
 mod opening;
 mod outbox;
--- a/crates/policy/src/plan/report.rs
+++ b/crates/policy/src/plan/report.rs
@@ -112,7 +112,7 @@
         }
         if let Some(running) = &report.running {
             self.apply_running(&agent, running, report.complete, now);
-            self.learn_rates(&agent);
+            self.learn_rates(&agent, now);
         }
         self.advance_recorded(&agent);
     }
--- a/crates/policy/src/plan/search.rs
+++ b/crates/policy/src/plan/search.rs
@@ -5,6 +5,7 @@
 use super::ranking::{List, Pressure};
 use super::strength::Strength;
 use super::{Job, Table, Worker};
+use crate::disturbance::Rates;
 use shallotflow_core::graph::{Step, Task};
 use shallotflow_core::name::Name;
 use shallotflow_core::resources::Bundle;
@@ -393,9 +394,9 @@
             let victim = placed.image_name();
             let expected = rates.expected(&victim, worker.load.best_effort(capacity));
             let before = expected.max(placed.target_ratio());
-            let added = rates.added(&victim, image) * share;
+            let after = Rates::raised(before, rates.added(&victim, image) * share);
             // Of a target that is exceeded already, only the added part counts.
-            (before + added - DISTURBANCE_THRESHOLD).clamp(0.0, added)
+            (after - DISTURBANCE_THRESHOLD).clamp(0.0, (after - before).max(0.0))
         });
         excess.fold(0.0, f64::max)
     }
--- a/crates/policy/src/plan/worker.rs
+++ b/crates/policy/src/plan/worker.rs
@@ -1,5 +1,6 @@
 use super::demand::Demand;
 use super::load::Load;
+use super::measured::Measured;
 use super::message::{Incarnation, Kind, Order, Profile, Status};
 use super::outbox::{self, Outbox};
 use super::racks::Key;
@@ -124,6 +125,9 @@
     pub(super) known_evacuated: bool,
     #[serde(skip)]
     pub(super) placed: BTreeMap<Task, Placed>,
+    /// What its last list but for those shortly after it measured.
+    #[serde(skip)]
+    pub(super) measured: Option<Measured>,
     /// Runs that may still be at the worker and are the current run of no task.
     #[serde(skip)]
     pub(super) remnants: BTreeMap<(Task, u32), Remnant>,
--- a/crates/scheduler/src/agent/pace.rs
+++ b/crates/scheduler/src/agent/pace.rs
@@ -116,7 +116,8 @@
         let share = best_effort.get(image).copied().unwrap_or(0.0);
         let paces = services.iter().map(|victim| {
             let added = rates.added(&victim.image, image) * share;
-            let headroom = START_RATIO - victim.target_ratio().max(rates.base(&victim.image));
+            let before = victim.target_ratio().max(rates.base(&victim.image));
+            let headroom = Rates::headroom(before, START_RATIO);
             if added <= MIN_EXPLAINED { 1.0 } else { (headroom / added).clamp(0.1, 1.0) }
         });
         percent(paces.fold(1.0, f64::min))
