Bound what all connections of a process hold by one budget

Cause: limits on each message and each connection, and none on their sum. Chunks counted only once they were whole, bodies had no deadline, and one connection could keep the loop busy.

Change: one budget for the HTTP listeners of a process, charged as bytes arrive; when it is used up, unfinished requests are closed, the costliest (bytes times time) first. The same at the limit on connections. Chunks are counted when announced, bodies have a deadline and are collected in blocks, and a connection pauses after 32 KiB.

--- a/crates/core/src/metric.rs
+++ b/crates/core/src/metric.rs
@@ -86,6 +86,8 @@
         "Revision of the fleet configuration in force.";
     STORE_CALLS = "shallotflow_store_calls_total", Counter, "call, result",
         "Calls to the store, by call and result.";
+    HTTP_EVICTIONS = "shallotflow_http_evictions_total", Counter, "limit",
+        "Connections that were closed before their requests had arrived whole, by the limit that was reached.";
     GRAPH_SUBMISSIONS = "shallotflow_graph_submissions_total", Counter, "outcome",
         "Graph jobs submitted to an entry, by outcome.";
     GRAPH_SUBMIT = "shallotflow_graph_submit_seconds", Histogram, "",
--- a/crates/entry/src/listeners.rs
+++ b/crates/entry/src/listeners.rs
@@ -10,6 +10,7 @@
 use shallotflow_runtime::operators::Listener;
 use shallotflow_runtime::program::Program;
 use shallotflow_runtime::stop::Stop;
+use shallotflow_wire::http::budget::Budget;
 use shallotflow_wire::http::gate::Gate;
 use shallotflow_wire::proto::scheduler_server::SchedulerServer;
 use shallotflow_wire::{http, rpc};
@@ -74,10 +75,13 @@
     pub(crate) fn open(self, state: &Rc<State>, program: Program, stop: &Stop) -> Open {
         let limits = state.settings.limits.clone();
         let operators = self.operators.gate();
+        let budget = Budget::new(limits.held_bytes);
         let inspector = Rc::new(Inspector::new(state.clone()));
-        monoio::spawn(self.operators.serve(program, inspector, limits.clone(), stop.clone()));
+        let listener = self.operators.within(budget.clone());
+        monoio::spawn(listener.serve(program, inspector, limits.clone(), stop.clone()));
         let router = Rc::new(callers::Router::new(state.clone()));
-        monoio::spawn(http::server::serve(self.callers, router, limits, state.gate.clone()));
+        let gate = state.gate.clone();
+        monoio::spawn(http::server::serve_within(self.callers, router, limits, gate, budget));
         let stop_peers = Rc::new(Event::new());
         let (service, calls) = peers::channel();
         monoio::spawn(calls.run(state.clone()));
--- a/crates/runtime/src/operators/listener.rs
+++ b/crates/runtime/src/operators/listener.rs
@@ -6,6 +6,7 @@
 use crate::program::Program;
 use crate::stop::{Dump, Level, Stop};
 use monoio::net::TcpListener;
+use shallotflow_wire::http::budget::Budget;
 use shallotflow_wire::http::gate::Gate;
 use shallotflow_wire::http::limits::Limits;
 use shallotflow_wire::http::server;
@@ -17,6 +18,7 @@
     listener: TcpListener,
     address: SocketAddr,
     gate: Gate,
+    budget: Option<Budget>,
 }
 
 impl Listener {
@@ -28,7 +30,12 @@
     pub fn bind(address: SocketAddr) -> std::io::Result<Self> {
         let listener = listen::bind(address)?;
         let address = listener.local_addr()?;
-        Ok(Self { listener, address, gate: Gate::default() })
+        Ok(Self { listener, address, gate: Gate::default(), budget: None })
+    }
+
+    /// Lets the connections share the budget of the process.
+    pub fn within(self, budget: Budget) -> Self {
+        Self { budget: Some(budget), ..self }
     }
 
     /// The bound address.
@@ -55,7 +62,8 @@
     ) {
         let dumping = dump_on_signal(inspect.clone());
         let handler = Rc::new(Handler { program, inspect, stop: stop.clone() });
-        let serving = server::serve(self.listener, handler, limits, self.gate);
+        let budget = self.budget.unwrap_or_else(|| Budget::new(limits.held_bytes));
+        let serving = server::serve_within(self.listener, handler, limits, self.gate, budget);
         monoio::select! {
             () = serving => {}
             () = dumping => {}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,9 +4,11 @@
 //! - [`worker`]: a worker that runs tasks under leases, behind a control interface.
 //! - [`runs`]: a worker that runs graph tasks.
 //! - [`target`]: a target whose requests are slowed down by other work on the same worker.
+//! - [`crowd`]: clients that send large bodies and stop just short of their end.
 //! - [`audit`]: a record of what actually ran and which guarantees were violated.
 
 pub mod audit;
+pub mod crowd;
 pub mod runs;
 pub mod store;
 pub mod target;
--- a/crates/wire/src/http/body.rs
+++ b/crates/wire/src/http/body.rs
@@ -1,12 +1,13 @@
 //! Bodies of requests and responses.
 
+use super::chunks::Chunks;
+use super::collected::Collected;
 use super::reader::{Framing, Reader};
 use super::{Error, Result};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, Method, StatusCode};
-use monoio_http::h1::codec::decoder::ChunkedBodyDecoder;
 use std::cell::RefCell;
 use std::rc::Rc;
 
@@ -70,14 +71,17 @@
         if let Self::Full(bytes) = self {
             return Ok(bytes);
         }
-        let mut collected = BytesMut::new();
+        let mut collected = Collected::default();
         while let Some(piece) = self.next().await {
-            collected.extend_from_slice(&piece?);
+            collected.push(&piece?);
+            if let Self::Incoming(incoming) = &mut self {
+                incoming.set_collected(collected.held());
+            }
             if collected.len() > limit {
                 return Err(Error::BodyTooLarge(limit as u64));
             }
         }
-        Ok(collected.freeze())
+        Ok(collected.into_bytes())
     }
 }
 
@@ -135,9 +139,21 @@
         piece.transpose()
     }
 
+    /// Charges the bytes that the consumer of the body keeps until the request is answered.
+    fn set_collected(&mut self, bytes: usize) {
+        if let Some(reader) = &mut self.reader {
+            reader.set_collected(bytes);
+        } else if let Some(reader) = &mut *self.slot.borrow_mut() {
+            reader.set_collected(bytes);
+        }
+    }
+
     fn finish(&mut self) {
         let reusable = !matches!(self.framing, Framing::UntilClose(_));
-        let reader = self.reader.take();
+        let mut reader = self.reader.take();
+        if let Some(reader) = &mut reader {
+            reader.finish_message();
+        }
         if reusable {
             *self.slot.borrow_mut() = reader;
         }
@@ -179,7 +195,7 @@
         if !encoding.as_bytes().eq_ignore_ascii_case(b"chunked") {
             return Err(Error::Malformed("a Transfer-Encoding other than chunked".to_owned()));
         }
-        return Ok(Some(Framing::Chunked(ChunkedBodyDecoder::default(), 0)));
+        return Ok(Some(Framing::Chunked(Chunks::new(limit))));
     }
     let Some(length) = length else { return Ok(None) };
     let digits = length.to_str().ok().filter(|text| text.bytes().all(|b| b.is_ascii_digit()));
--- a/crates/wire/src/http/mod.rs
+++ b/crates/wire/src/http/mod.rs
@@ -4,13 +4,18 @@
 //! of bodies of known length, and connections that are reused only after the whole response was
 //! read.
 
+mod account;
 pub mod body;
+pub mod budget;
+pub mod chunks;
 pub mod client;
+mod collected;
 pub mod gate;
 pub mod limits;
 pub mod pool;
 mod reader;
 pub mod server;
+mod turn;
 mod writer;
 
 /// The reason why an exchange failed.
--- a/crates/wire/src/http/reader.rs
+++ b/crates/wire/src/http/reader.rs
@@ -1,6 +1,9 @@
 //! Reads heads and bodies from one connection.
 
+use super::account::{Account, Phase};
+use super::chunks::{Chunks, Decoded as Chunk};
 use super::limits::Limits;
+use super::turn::yield_turn;
 use super::{Error, Result};
 use bytes::{Bytes, BytesMut};
 use futures_util::FutureExt;
@@ -8,16 +11,17 @@
 use monoio::net::TcpStream;
 use monoio::time::timeout;
 use monoio_codec::{Decoded, Decoder};
-use monoio_http::h1::codec::decoder::{ChunkedBodyDecoder, DecodeError};
+use monoio_http::h1::codec::decoder::DecodeError;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Size of reads for heads; most heads fit, and a connection that waits for a message keeps only
 /// this much memory.
 const HEAD_READ_BYTES: usize = 2 * 1024;
 /// Size of reads for bodies.
 const BODY_READ_BYTES: usize = 16 * 1024;
-const MAX_CHUNK_BYTES: usize = 1024 * 1024;
+/// Bytes after which a connection lets the others go first, whatever has arrived on it.
+const TURN_BYTES: usize = 32 * 1024;
 
 /// The read half of a connection, with the bytes that were read ahead.
 pub(super) struct Reader {
@@ -25,21 +29,80 @@
     buffer: BytesMut,
     scratch: Vec<u8>,
     limits: Rc<Limits>,
+    /// What a connection of a caller holds; others hold answers to calls of this process.
+    account: Option<Account>,
+    /// Bytes of the body that its consumer has collected.
+    collected: usize,
+    /// When the body has to have ended.
+    body_deadline: Option<Instant>,
+    /// Bytes that were read since other connections had their turn.
+    turn: usize,
 }
 
 /// How the end of a body is determined.
 pub(super) enum Framing {
     /// The body has this many remaining bytes.
     Length(u64),
-    /// The body is chunked; the number counts the body bytes read so far.
-    Chunked(ChunkedBodyDecoder, u64),
+    /// The body is chunked.
+    Chunked(Chunks),
     /// The body ends when the peer closes; the number counts the bytes read so far.
     UntilClose(u64),
 }
 
 impl Reader {
     pub(super) fn new(io: OwnedReadHalf<TcpStream>, limits: Rc<Limits>) -> Self {
-        Self { io, buffer: BytesMut::new(), scratch: Vec::new(), limits }
+        Self {
+            io,
+            buffer: BytesMut::new(),
+            scratch: Vec::new(),
+            limits,
+            account: None,
+            collected: 0,
+            body_deadline: None,
+            turn: 0,
+        }
+    }
+
+    /// Charges what the connection holds to `account`.
+    pub(super) fn with_account(self, account: Account) -> Self {
+        Self { account: Some(account), ..self }
+    }
+
+    /// Sets the time in which the body has to arrive.
+    pub(super) fn begin_body(&mut self) {
+        self.body_deadline = Instant::now().checked_add(self.limits.body);
+    }
+
+    /// Notes that the request has arrived whole.
+    pub(super) fn finish_message(&mut self) {
+        self.body_deadline = None;
+        self.set_phase(Phase::Answering);
+    }
+
+    /// Charges the bytes that the consumer of the body keeps until the request is answered.
+    pub(super) fn set_collected(&mut self, bytes: usize) {
+        if self.collected != bytes {
+            self.collected = bytes;
+            self.charge();
+        }
+    }
+
+    /// Notes that the request is answered.
+    pub(super) fn release(&mut self) {
+        self.collected = 0;
+        self.charge();
+    }
+
+    fn set_phase(&self, phase: Phase) {
+        if let Some(account) = &self.account {
+            account.set_phase(phase);
+        }
+    }
+
+    fn charge(&self) {
+        if let Some(account) = &self.account {
+            account.charge(self.scratch.len() + self.buffer.capacity() + self.collected);
+        }
     }
 
     /// Whether bytes were received that belong to no message read so far.
@@ -54,12 +117,15 @@
 
     /// Waits for the first byte of a message; returns `false` if the peer closed the connection.
     pub(super) async fn wait_first_byte(&mut self) -> Result<bool> {
-        if !self.buffer.is_empty() {
-            return Ok(true);
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
+            self.set_phase(Phase::Idle(Instant::now()));
+            if self.fill(HEAD_READ_BYTES).await? == 0 {
+                return Ok(false);
+            }
         }
-        self.scratch.truncate(HEAD_READ_BYTES);
-        self.scratch.shrink_to_fit();
-        Ok(self.fill(HEAD_READ_BYTES).await? > 0)
+        self.set_phase(Phase::Receiving(Instant::now()));
+        Ok(true)
     }
 
     /// Reads a whole head within `limit`; its first byte has already arrived.
@@ -96,7 +162,7 @@
     pub(super) async fn body(&mut self, framing: &mut Framing) -> Result<Option<Bytes>> {
         match framing {
             Framing::Length(remaining) => self.sized(remaining).await,
-            Framing::Chunked(decoder, received) => self.chunked(decoder, received).await,
+            Framing::Chunked(chunks) => self.chunked(chunks).await,
             Framing::UntilClose(received) => self.until_close(received).await,
         }
     }
@@ -105,7 +171,8 @@
         if *remaining == 0 {
             return Ok(None);
         }
-        if self.buffer.is_empty() && self.fill_with_timeout().await? == 0 {
+        let wanted = usize::try_from(*remaining).unwrap_or(usize::MAX);
+        if self.buffer.is_empty() && self.fill_with_timeout(wanted).await? == 0 {
             return Err(Error::Truncated);
         }
         let size = usize::try_from(*remaining).unwrap_or(usize::MAX).min(self.buffer.len());
@@ -113,31 +180,21 @@
         Ok(Some(self.buffer.split_to(size).freeze()))
     }
 
-    async fn chunked(
-        &mut self,
-        decoder: &mut ChunkedBodyDecoder,
-        received: &mut u64,
-    ) -> Result<Option<Bytes>> {
+    async fn chunked(&mut self, chunks: &mut Chunks) -> Result<Option<Bytes>> {
         loop {
-            match decoder.decode(&mut self.buffer)? {
-                Decoded::Some(None) => return Ok(None),
-                Decoded::Some(Some(bytes)) => {
-                    self.count_body_bytes(received, bytes.len())?;
-                    return Ok(Some(bytes));
-                }
-                _ => {}
-            }
-            if self.buffer.len() > MAX_CHUNK_BYTES {
-                return Err(Error::BodyTooLarge(MAX_CHUNK_BYTES as u64));
+            match chunks.decode(&mut self.buffer)? {
+                Chunk::Piece(bytes) => return Ok(Some(bytes)),
+                Chunk::End => return Ok(None),
+                Chunk::Partial => {}
             }
-            if self.fill_with_timeout().await? == 0 {
+            if self.fill_with_timeout(chunks.wanted()).await? == 0 {
                 return Err(Error::Truncated);
             }
         }
     }
 
     async fn until_close(&mut self, received: &mut u64) -> Result<Option<Bytes>> {
-        if self.buffer.is_empty() && self.fill_with_timeout().await? == 0 {
+        if self.buffer.is_empty() && self.fill_with_timeout(BODY_READ_BYTES).await? == 0 {
             return Ok(None);
         }
         let bytes = self.buffer.split().freeze();
@@ -153,22 +210,39 @@
         Ok(())
     }
 
-    async fn fill_with_timeout(&mut self) -> Result<usize> {
-        let limit = self.limits.stall;
-        timeout(limit, self.fill(BODY_READ_BYTES)).await.map_err(|_| Error::Slow)?
+    /// Reads up to `wanted` bytes of a body.
+    async fn fill_with_timeout(&mut self, wanted: usize) -> Result<usize> {
+        let now = Instant::now();
+        let left = self.body_deadline.map(|deadline| deadline.saturating_duration_since(now));
+        let limit = left.map_or(self.limits.stall, |left| left.min(self.limits.stall));
+        let size = wanted.min(BODY_READ_BYTES);
+        timeout(limit, self.fill(size)).await.map_err(|_| Error::Slow)?
     }
 
-    /// Reads once, up to `size` bytes or the larger size of an earlier read.
+    /// Reads once, up to `size` bytes.
     async fn fill(&mut self, size: usize) -> Result<usize> {
+        if self.turn >= TURN_BYTES {
+            self.turn = 0;
+            yield_turn().await;
+        }
         // A cancelled read drops the buffer that it took, so the length may be zero here.
         let mut scratch = std::mem::take(&mut self.scratch);
-        if scratch.len() < size {
-            scratch.resize(size, 0);
+        if scratch.len() > size {
+            scratch = Vec::new();
         }
-        let (result, scratch) = self.io.read(scratch).await;
+        scratch.resize(size, 0);
+        self.scratch = scratch;
+        self.charge();
+        let (result, scratch) = self.io.read(std::mem::take(&mut self.scratch)).await;
         self.scratch = scratch;
         let count = result?;
+        self.turn += count;
         self.buffer.extend_from_slice(&self.scratch[..count]);
+        self.charge();
+        if self.account.as_ref().is_some_and(Account::is_evicted) {
+            // The connection closes at once, without an answer that could be taken for a refusal.
+            return std::future::pending().await;
+        }
         Ok(count)
     }
 }
--- a/crates/wire/src/http/server.rs
+++ b/crates/wire/src/http/server.rs
@@ -1,9 +1,12 @@
 //! Serves HTTP/1.1 on a listener.
 
+use super::account::{Account, wait_evicted};
 use super::body::{Body, Incoming, Slot, request_framing};
-use super::gate::Gate;
+use super::budget::Budget;
+use super::gate::{Gate, Guard};
 use super::limits::Limits;
 use super::reader::Reader;
+use super::turn::yield_turn;
 use super::writer::Writer;
 use super::{Error, Result};
 use futures_util::future::LocalBoxFuture;
@@ -56,8 +59,23 @@
 }
 
 /// Accepts connections until `gate` drains; open connections then finish their exchange and close.
+///
+/// The listener has a budget of its own; see [`serve_within`].
 pub async fn serve(listener: TcpListener, handler: Rc<dyn Handler>, limits: Limits, gate: Gate) {
+    let budget = Budget::new(limits.held_bytes);
+    serve_within(listener, handler, limits, gate, budget).await;
+}
+
+/// Like [`serve`], with the budget that all listeners of the process share.
+pub async fn serve_within(
+    listener: TcpListener,
+    handler: Rc<dyn Handler>,
+    limits: Limits,
+    gate: Gate,
+    budget: Budget,
+) {
     let limits = Rc::new(limits);
+    let number = budget.add_listener();
     let accepting = async {
         loop {
             let Ok((stream, peer)) = listener.accept().await else {
@@ -65,7 +83,23 @@
                 monoio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             };
-            monoio::spawn(connection(stream, peer, handler.clone(), limits.clone(), gate.clone()));
+            // A crowd at the limit must not keep newcomers out.
+            let full = gate.connections() >= limits.connections;
+            let is_refused = full && !budget.replace_connection(number);
+            let connection = Connection {
+                stream,
+                peer,
+                handler: handler.clone(),
+                limits: limits.clone(),
+                gate: gate.clone(),
+                guard: gate.add_connection(),
+                account: (!is_refused).then(|| budget.open(number)),
+            };
+            monoio::spawn(connection.run());
+            if full {
+                // The one that was replaced has to close first.
+                yield_turn().await;
+            }
         }
     };
     monoio::select! {
@@ -74,36 +108,48 @@
     }
 }
 
-async fn connection(
+/// A connection that was accepted.
+struct Connection {
     stream: TcpStream,
     peer: SocketAddr,
     handler: Rc<dyn Handler>,
     limits: Rc<Limits>,
     gate: Gate,
-) {
-    let _guard = gate.add_connection();
-    if stream.set_nodelay(true).is_err() {
-        return;
-    }
-    let (read, write) = stream.into_split();
-    let mut writer = Writer::new(write, limits.stall);
-    let mut reader = Reader::new(read, limits.clone());
-    if gate.connections() > limits.connections {
-        let (head, mut body) = handler.overloaded().into_parts();
-        let _ = writer.response(&head, &mut body, false, true).await;
-        return writer.close().await;
-    }
-    let exchanges = async {
-        while let Ok(Some(next)) =
-            exchange(reader, &mut writer, peer, &*handler, &limits, &gate).await
-        {
-            reader = next;
+    guard: Guard,
+    /// What it holds; `None` if it exceeds the limit on connections.
+    account: Option<Account>,
+}
+
+impl Connection {
+    /// Serves requests until the connection closes.
+    async fn run(self) {
+        let Self { stream, peer, handler, limits, gate, guard: _guard, account } = self;
+        if stream.set_nodelay(true).is_err() {
+            return;
+        }
+        let (read, write) = stream.into_split();
+        let mut writer = Writer::new(write, limits.stall);
+        let reader = Reader::new(read, limits.clone());
+        let Some(account) = account else {
+            let (head, mut body) = handler.overloaded().into_parts();
+            let _ = writer.response(&head, &mut body, false, true).await;
+            return writer.close().await;
+        };
+        let evicted = wait_evicted(account.state());
+        let mut reader = reader.with_account(account);
+        let exchanges = async {
+            while let Ok(Some(next)) =
+                exchange(reader, &mut writer, peer, &*handler, &limits, &gate).await
+            {
+                reader = next;
+            }
+            writer.close().await;
+        };
+        monoio::select! {
+            () = gate.wait_aborted() => {}
+            () = evicted => {}
+            () = exchanges => {}
         }
-        writer.close().await;
-    };
-    monoio::select! {
-        () = gate.wait_aborted() => {}
-        () = exchanges => {}
     }
 }
 
@@ -134,6 +180,7 @@
     }
     let keep_alive = keeps_alive(&head);
     let skip_body = head.method == Method::HEAD;
+    reader.begin_body();
     let slot = Slot::default();
     let body = Body::Incoming(Incoming::new(reader, framing, slot.clone()));
     let (head, mut body) = handler.call(Request::from_parts(head, body), peer).await.into_parts();
@@ -141,7 +188,11 @@
     let abandoned = slot.borrow().is_none() && Rc::strong_count(&slot) == 1;
     let close = !keep_alive || gate.is_draining() || abandoned || requests_close(&head.headers);
     writer.response(&head, &mut body, skip_body, close).await?;
-    Ok(slot.borrow_mut().take().filter(|_| !close))
+    let mut next = slot.borrow_mut().take().filter(|_| !close);
+    if let Some(reader) = &mut next {
+        reader.release();
+    }
+    Ok(next)
 }
 
 /// Waits for the next request; returns `false` if the connection should close instead.
