Slow only images down that can be the cause of a miss

Runs of parcel-reproc were slowed down beside services that missed their targets by their own load, and a job ends with its slowest run.

Cause: an agent slowed each image that accounts for a fifth of what is known to disturb a service, however little that is in all, and also where the service would miss its target without any of them.

Change: an image is slowed down if it adds something of note and the service would meet its target without best-effort tasks, or if its effect is not known; the owner sends only effects that it knows. As before, a miss without known effects slows all images down, and one of 2 s stops all.

Evidence: the new test fails on the former code (slowed to 25%).

--- a/crates/policy/src/disturbance/rates.rs
+++ b/crates/policy/src/disturbance/rates.rs
@@ -88,6 +88,11 @@
         added.copied().unwrap_or(0.0)
     }
 
+    /// Returns whether the model has a value for the pair.
+    pub fn knows(&self, victim: &str, neighbor: &str) -> bool {
+        self.added.get(victim).is_some_and(|neighbors| neighbors.contains_key(neighbor))
+    }
+
     /// Amount that `neighbor` adds to the measurement of a victim at the mean of all victims beside
     /// which it was measured; `None` if there is none.
     pub fn mean_added(&self, neighbor: &str) -> Option<f64> {
--- a/crates/policy/src/plan/disturbance.rs
+++ b/crates/policy/src/plan/disturbance.rs
@@ -104,7 +104,8 @@
             }
             let added = self.rates.base(victim) as f32;
             disturbances.push(Disturbance { victim: victim.clone(), neighbor: None, added });
-            for neighbor in neighbors.iter().take(MAX_DISTURBANCES) {
+            let known = neighbors.iter().filter(|neighbor| self.rates.knows(victim, neighbor));
+            for neighbor in known.take(MAX_DISTURBANCES) {
                 let added = self.rates.added(victim, neighbor) as f32;
                 let neighbor = Some((*neighbor).clone());
                 disturbances.push(Disturbance { victim: victim.clone(), neighbor, added });
--- a/crates/scheduler/src/agent/pace.rs
+++ b/crates/scheduler/src/agent/pace.rs
@@ -81,7 +81,7 @@
             if ratio <= HOLD_RATIO {
                 continue;
             }
-            for image in self.culprits(&victim.image, best_effort, rates) {
+            for image in self.culprits(victim, best_effort, rates) {
                 *throttled.entry(image).or_default() |= ratio > 1.0;
             }
         }
@@ -123,20 +123,27 @@
         percent(paces.fold(1.0, f64::min))
     }
 
-    /// The images that disturb `victim` most; all of them when the known rates do not explain the
-    /// miss.
+    /// The images that disturb `victim` most, and those whose effect on it is not known. Without known
+    /// effects of note these are all; if the victim would miss its target without any of them, its own
+    /// load is the cause, and only the latter.
     fn culprits(
         &self,
-        victim: &Name,
+        victim: &Service,
         best_effort: &BTreeMap<Name, f64>,
         rates: &Rates,
     ) -> Vec<Name> {
         let added = |image: &Name| {
             let pace = f64::from(self.paces.get(image).copied().unwrap_or(100)) / 100.0;
-            rates.added(victim, image) * best_effort.get(image).copied().unwrap_or(0.0) * pace
+            let share = best_effort.get(image).copied().unwrap_or(0.0);
+            rates.added(&victim.image, image) * share * pace
         };
         let all: f64 = best_effort.keys().map(added).sum();
-        let culprit = |image: &&Name| all < MIN_EXPLAINED || added(image) >= CULPRIT_SHARE * all;
+        let explains = Rates::headroom(victim.target_ratio(), 1.0) + all >= 0.0;
+        let culprit = |image: &&Name| {
+            let added = added(image);
+            let of_note = added >= MIN_EXPLAINED && added >= CULPRIT_SHARE * all;
+            all < MIN_EXPLAINED || (explains && of_note) || !rates.knows(&victim.image, image)
+        };
         best_effort.keys().filter(culprit).cloned().collect()
     }
 }
--- a/crates/scheduler/tests/pace.rs
+++ b/crates/scheduler/tests/pace.rs
@@ -69,3 +69,19 @@
     }
     assert_eq!(last, 100);
 }
+
+/// Guards against images that are slowed down, or not sped up again, for a miss that they cannot have caused.
+#[test]
+fn an_image_is_not_slowed_down_for_a_service_that_misses_its_target_by_its_own_load() {
+    let mut rates = Rates::default();
+    rates.set(&"watch".into(), Some(&"cut".into()), 0.3);
+    let mut controller = Controller::default();
+    let mut beside: BTreeMap<Name, f64> = [(Name::from("cut"), 0.2)].into();
+    controller.decide(&service(20), &beside, &rates, at(0));
+    let paces = controller.decide(&service(80), &beside, &rates, at(600));
+    assert_eq!(paces["cut"], 100);
+    // One whose effect is not known may be the cause.
+    beside.insert(Name::from("new"), 0.2);
+    let paces = controller.decide(&service(80), &beside, &rates, at(1_200));
+    assert!(paces["cut"] == 100 && paces["new"] <= 25, "{paces:?}");
+}
