--- a/crates/entry/tests/crowd.rs
+++ b/crates/entry/tests/crowd.rs
@@ -3,11 +3,11 @@
 use event_listener::Event;
 use monoio::net::TcpListener;
 use shallotflow_runtime::executor;
-use shallotflow_standin::crowd::{self, Crowd, Framing};
+use shallotflow_standin::crowd::{self, Crowd, Framing, Process};
 use shallotflow_standin::store::{Counters, Faults, Server, serve};
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::{Child, Command};
+use std::process::Command;
 use std::rc::Rc;
 use std::sync::{Mutex, PoisonError, mpsc};
 use std::time::{Duration, Instant};
@@ -28,25 +28,12 @@
 
 const HEAD: &str = "POST /jobs HTTP/1.1\r\nhost: entry\r\nidempotency-key: crowd\r\n";
 
-/// An entry in a process of its own. Dropping it kills the process.
+/// An entry in a process of its own.
 struct Entry {
-    child: Child,
+    process: Process,
     callers: SocketAddr,
 }
 
-impl Drop for Entry {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-/// Returns a free address of this host.
-fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("a bound address")
-}
-
 /// Starts a store stand-in that runs until the test process ends.
 fn start_store() -> SocketAddr {
     let (ready, bound) = mpsc::channel();
@@ -63,20 +50,21 @@
 
 impl Entry {
     fn start(name: &str, connections: usize) -> Self {
-        let callers = free_address();
+        let callers = crowd::free_address().expect("a free port");
         let settings = format!(
             "[entry]\nname = entry-1\ndomain = d1\nlog = warn\ncallers_listen = {callers}\n\
              peers_listen = {}\noperators_listen = {}\nstore = {}\n\n\
              [limits]\nbody_bytes = 256KiB\nconnections = {connections}\n",
-            free_address(),
-            free_address(),
+            crowd::free_address().expect("a free port"),
+            crowd::free_address().expect("a free port"),
             start_store(),
         );
         let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("crowd-{name}.ini"));
         std::fs::write(&path, settings).expect("a written file");
         let program = env!("CARGO_BIN_EXE_shallotflow-entry");
-        let child = Command::new(program).arg("--config").arg(&path).spawn().expect("a process");
-        let entry = Self { child, callers };
+        let mut command = Command::new(program);
+        let process = Process::start(command.arg("--config").arg(&path)).expect("a process");
+        let entry = Self { process, callers };
         let started = Instant::now();
         while entry.submit("before").ok() != Some(202) {
             assert!(started.elapsed() < TEST_TIMEOUT, "no job was accepted");
@@ -97,10 +85,7 @@
     }
 
     fn check(&mut self) {
-        let process = self.child.id();
-        assert!(self.child.try_wait().expect("a state").is_none(), "the process has ended");
-        let peak = crowd::peak_memory(process).expect("a process");
-        let descriptors = crowd::descriptors(process).expect("a process");
+        let (peak, descriptors) = self.process.usage().expect("a process that goes on");
         println!("peak {peak} bytes, {descriptors} descriptors");
         assert!(peak <= MEMORY, "{peak} bytes");
         assert!(descriptors <= DESCRIPTORS, "{descriptors} descriptors");
--- a/crates/scheduler/src/agent/pace.rs
+++ b/crates/scheduler/src/agent/pace.rs
@@ -123,9 +123,10 @@
         percent(paces.fold(1.0, f64::min))
     }
 
-    /// The images that disturb `victim` most, and those whose effect on it is not known. Without known
-    /// effects of note these are all; if the victim would miss its target without any of them, its own
-    /// load is the cause, and only the latter.
+    /// The images to slow down for `victim`: those that disturb it most, and those whose effect on it is not
+    /// known. If it would miss its target without best-effort tasks, its own load is the cause, and only
+    /// the latter are left. If the known effects amount to nothing, the miss is unexplained, and all images
+    /// slow down.
     fn culprits(
         &self,
         victim: &Service,
--- a/crates/standin/src/crowd.rs
+++ b/crates/standin/src/crowd.rs
@@ -2,7 +2,8 @@
 
 use std::fmt::Write as _;
 use std::io::{self, Read, Write as _};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command};
 use std::time::Duration;
 
 /// Time for one write; a connection that the process does not read or has closed stays as it is.
@@ -96,23 +97,50 @@
     status.ok_or_else(|| io::Error::other(format!("no answer: {text}")))
 }
 
-/// Returns the highest memory use of a process so far, bytes.
+/// Returns a free address of this host.
 ///
 /// # Errors
 ///
-/// Fails if the process does not run.
-pub fn peak_memory(process: u32) -> io::Result<u64> {
-    let text = std::fs::read_to_string(format!("/proc/{process}/status"))?;
-    let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-    let kilobytes = line.and_then(|line| line.trim().trim_end_matches(" kB").parse::<u64>().ok());
-    kilobytes.map(|kilobytes| kilobytes * 1024).ok_or_else(|| io::Error::other("no peak"))
+/// Fails if there is no free port.
+pub fn free_address() -> io::Result<SocketAddr> {
+    TcpListener::bind("127.0.0.1:0")?.local_addr()
 }
 
-/// Returns the number of open descriptors of a process.
-///
-/// # Errors
-///
-/// Fails if the process does not run.
-pub fn descriptors(process: u32) -> io::Result<usize> {
-    Ok(std::fs::read_dir(format!("/proc/{process}/fd"))?.count())
+/// A process that is watched beside a crowd. Dropping it kills the process.
+pub struct Process(Child);
+
+impl Process {
+    /// Starts a process.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the program cannot be run.
+    pub fn start(command: &mut Command) -> io::Result<Self> {
+        command.spawn().map(Self)
+    }
+
+    /// Returns the highest memory use so far, bytes, and the number of open descriptors.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process has ended.
+    pub fn usage(&mut self) -> io::Result<(u64, usize)> {
+        if let Some(status) = self.0.try_wait()? {
+            return Err(io::Error::other(format!("the process has ended: {status}")));
+        }
+        let folder = format!("/proc/{}", self.0.id());
+        let text = std::fs::read_to_string(format!("{folder}/status"))?;
+        let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes =
+            line.and_then(|line| line.trim().trim_end_matches(" kB").parse::<u64>().ok());
+        let peak = kilobytes.ok_or_else(|| io::Error::other("no peak"))? * 1024;
+        Ok((peak, std::fs::read_dir(format!("{folder}/fd"))?.count()))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
 }
--- a/crates/wire/src/http/reader.rs
+++ b/crates/wire/src/http/reader.rs
@@ -20,7 +20,7 @@
 const HEAD_READ_BYTES: usize = 2 * 1024;
 /// Size of reads for bodies.
 const BODY_READ_BYTES: usize = 16 * 1024;
-/// Bytes after which a connection lets the others go first, whatever has arrived on it.
+/// Bytes after which a connection of a caller lets the others go first, whatever has arrived on it.
 const TURN_BYTES: usize = 32 * 1024;
 
 /// The read half of a connection, with the bytes that were read ahead.
@@ -221,7 +221,7 @@
 
     /// Reads once, up to `size` bytes.
     async fn fill(&mut self, size: usize) -> Result<usize> {
-        if self.turn >= TURN_BYTES {
+        if self.account.is_some() && self.turn >= TURN_BYTES {
             self.turn = 0;
             yield_turn().await;
         }
