Count tasks that predecessors completed from the opening of their step

The line 'ended' gave 42,292 s as the wait for the last task of a job whose other tasks were done before a takeover: their ends are not known and counted from the start of the clock.

--- a/crates/policy/src/plan/delay.rs
+++ b/crates/policy/src/plan/delay.rs
@@ -136,9 +136,10 @@
         chain.earlier += state.earlier_runs;
         chain.run += shortest;
         chain.slowed += run - shortest;
-        let mut ends: Vec<Time> = states.iter().map(|state| state.done_at).collect();
+        // An owner does not know when its predecessors' tasks ended.
+        let mut ends: Vec<Time> = states.iter().map(|state| state.done_at.max(opened)).collect();
         ends.sort_unstable();
         let half = ends.get((ends.len().max(1) - 1) / 2).copied().unwrap_or(state.done_at);
-        chain.last_task += state.done_at.since(half);
+        chain.last_task += state.done_at.max(opened).since(half);
     }
 }
