Let eight connections with much to read go on in each millisecond

Each of 700 connections went on with 32 KiB before the loop came to its timers, so renewals of a ledger's lease were late. The pause bounded the turn of a connection and not that of all.

All connections of a process share eight turns a millisecond now, a turn is 64 KiB, or 8 KiB in chunks. The first bytes of a request never wait.

--- a/crates/wire/src/http/account.rs
+++ b/crates/wire/src/http/account.rs
@@ -1,4 +1,5 @@
 use super::budget::Budget;
+use super::turn::yield_turn;
 use event_listener::Event;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -87,6 +88,14 @@
         }
     }
 
+    /// Waits until the connection may go on reading.
+    pub(super) async fn wait_turn(&self) {
+        yield_turn().await;
+        while !self.budget.take_turn() {
+            yield_turn().await;
+        }
+    }
+
     /// Returns whether the connection has to close.
     pub(super) fn is_evicted(&self) -> bool {
         self.state.evicted.get()
--- a/crates/wire/src/http/budget.rs
+++ b/crates/wire/src/http/budget.rs
@@ -18,6 +18,10 @@
 /// Part of the budget that is free after connections were closed, so that they are compared once for many
 /// arrivals.
 const FREED_PART: usize = 8;
+/// Connections with much to read that go on in one interval, so that timers and other work come in between
+/// however many there are.
+const TURNS: usize = 8;
+const TURN_INTERVAL: Duration = Duration::from_millis(1);
 /// Shortest time between two log lines.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -33,6 +37,8 @@
     accounts: RefCell<BTreeMap<u64, Rc<State>>>,
     opened: Cell<u64>,
     listeners: Cell<usize>,
+    /// Connections that went on in the present interval, and when it began.
+    turns: Cell<(Option<Instant>, usize)>,
     /// Connections that were closed since the last log line, and when the next one may be written.
     closed: Cell<u64>,
     log_at: Cell<Option<Instant>>,
@@ -47,6 +53,7 @@
             accounts: RefCell::default(),
             opened: Cell::default(),
             listeners: Cell::default(),
+            turns: Cell::default(),
             closed: Cell::default(),
             log_at: Cell::default(),
         };
@@ -74,6 +81,16 @@
         Account::new(self.clone(), number, state)
     }
 
+    /// Returns whether a connection with much to read may go on.
+    pub(super) fn take_turn(&self) -> bool {
+        let now = Instant::now();
+        let (since, turns) = self.inner.turns.get();
+        let is_over = since.is_none_or(|since| now >= since + TURN_INTERVAL);
+        let (since, turns) = if is_over { (Some(now), 0) } else { (since, turns) };
+        self.inner.turns.set((since, turns + 1));
+        turns < TURNS
+    }
+
     /// Closes the account of a connection.
     pub(super) fn close(&self, number: u64) {
         if let Some(state) = self.inner.accounts.borrow_mut().remove(&number) {
--- a/crates/wire/src/http/reader.rs
+++ b/crates/wire/src/http/reader.rs
@@ -3,7 +3,6 @@
 use super::account::{Account, Phase};
 use super::chunks::{Chunks, Decoded as Chunk};
 use super::limits::Limits;
-use super::turn::yield_turn;
 use super::{Error, Result};
 use bytes::{Bytes, BytesMut};
 use futures_util::FutureExt;
@@ -20,8 +19,11 @@
 const HEAD_READ_BYTES: usize = 2 * 1024;
 /// Size of reads for bodies.
 const BODY_READ_BYTES: usize = 16 * 1024;
-/// Bytes after which a connection of a caller lets the others go first, whatever has arrived on it.
-const TURN_BYTES: usize = 32 * 1024;
+/// Cost after which a connection of a caller lets the others go first, whatever has arrived on it: that of as
+/// many bytes of a body with a known length.
+const TURN_COST: usize = 64 * 1024;
+/// Cost of a byte of a chunked body, which may be a chunk of its own.
+const CHUNKED_COST: usize = 8;
 
 /// The read half of a connection, with the bytes that were read ahead.
 pub(super) struct Reader {
@@ -35,7 +37,7 @@
     collected: usize,
     /// When the body has to have ended.
     body_deadline: Option<Instant>,
-    /// Bytes that were read since other connections had their turn.
+    /// Cost of what was read since other connections had their turn.
     turn: usize,
 }
 
@@ -187,9 +189,11 @@
                 Chunk::End => return Ok(None),
                 Chunk::Partial => {}
             }
-            if self.fill_with_timeout(chunks.wanted()).await? == 0 {
+            let read = self.fill_with_timeout(chunks.wanted()).await?;
+            if read == 0 {
                 return Err(Error::Truncated);
             }
+            self.turn += (CHUNKED_COST - 1) * read;
         }
     }
 
@@ -221,9 +225,9 @@
 
     /// Reads once, up to `size` bytes.
     async fn fill(&mut self, size: usize) -> Result<usize> {
-        if self.account.is_some() && self.turn >= TURN_BYTES {
+        if let Some(account) = self.account.as_ref().filter(|_| self.turn >= TURN_COST) {
+            account.wait_turn().await;
             self.turn = 0;
-            yield_turn().await;
         }
         // A cancelled read drops the buffer that it took, so the length may be zero here.
         let mut scratch = std::mem::take(&mut self.scratch);
