Do not carry a request out whose connection closes for memory

A request could be carried out, and its connection closed without an answer: when the last chunk of a body used the budget up, the end of the body was decoded from the buffer before the connection closed.

A body is read on only while its connection stays open. The wait for a turn does not count as time of the peer any more, and the text of 408 says what is true of slow bodies too. What a body holds is not summed for each piece, and the accounts are not copied for each comparison.

--- a/crates/wire/src/http/account.rs
+++ b/crates/wire/src/http/account.rs
@@ -37,7 +37,8 @@
         }
     }
 
-    /// Returns what an unfinished request has cost: its bytes times the milliseconds since the first, and one.
+    /// Returns what an unfinished request has cost: its bytes times the milliseconds since the first byte arrived
+    /// plus one.
     pub(super) fn cost(&self, now: Instant) -> Option<u128> {
         match self.phase.get() {
             Phase::Receiving(since) if !self.evicted.get() => {
--- a/crates/wire/src/http/budget.rs
+++ b/crates/wire/src/http/budget.rs
@@ -60,11 +60,6 @@
         Self { inner: Rc::new(inner) }
     }
 
-    /// Returns the bytes that all connections hold.
-    pub fn used(&self) -> usize {
-        self.inner.used.get()
-    }
-
     /// Returns the number of a new listener, whose connections make room for each other.
     pub(super) fn add_listener(&self) -> usize {
         let listener = self.inner.listeners.get();
@@ -108,21 +103,20 @@
         }
     }
 
-    /// Closes the connections with unfinished requests that have cost the budget most. If all of the rest is
-    /// in use for requests that are being answered, newcomers exceed it by their buffers until they are
-    /// the costliest.
+    /// Closes the connections with unfinished requests that have cost the budget most. Requests that are being
+    /// answered keep what they hold, so newcomers are closed if these use it up.
     fn make_room(&self) {
         let now = Instant::now();
-        let accounts: Vec<Rc<State>> = self.inner.accounts.borrow().values().cloned().collect();
-        let unfinished = accounts.into_iter().filter_map(|state| Some((state.cost(now)?, state)));
-        let mut unfinished: Vec<(u128, Rc<State>)> = unfinished.collect();
+        let accounts = self.inner.accounts.borrow();
+        let unfinished = accounts.values().filter_map(|state| Some((state.cost(now)?, state)));
+        let mut unfinished: Vec<(u128, &Rc<State>)> = unfinished.collect();
         unfinished.sort_unstable_by_key(|(cost, _)| std::cmp::Reverse(*cost));
         let wanted = self.inner.limit - self.inner.limit / FREED_PART;
         for (_, state) in unfinished {
-            if self.used() <= wanted {
+            if self.inner.used.get() <= wanted {
                 break;
             }
-            self.evict(&state, "memory", now);
+            self.evict(state, "memory", now);
         }
     }
 
@@ -130,17 +124,17 @@
     /// idle for longest. Returns whether there was one.
     pub(super) fn replace_connection(&self, listener: usize) -> bool {
         let now = Instant::now();
-        let accounts: Vec<Rc<State>> = self.inner.accounts.borrow().values().cloned().collect();
-        let of_listener = || accounts.iter().filter(|state| state.listener == listener);
+        let accounts = self.inner.accounts.borrow();
+        let of_listener = || accounts.values().filter(|state| state.listener == listener);
         let costliest = of_listener().filter_map(|state| Some((state.cost(now)?, state)));
         let costliest = costliest.max_by_key(|(cost, _)| *cost).map(|(_, state)| state);
-        let idle = || {
-            of_listener().filter_map(|state| match state.phase.get() {
+        let idlest = || {
+            let idle = of_listener().filter_map(|state| match state.phase.get() {
                 Phase::Idle(since) => Some((since, state)),
                 _ => None,
-            })
+            });
+            idle.min_by_key(|(since, _)| *since).map(|(_, state)| state)
         };
-        let idlest = || idle().min_by_key(|(since, _)| *since).map(|(_, state)| state);
         let Some(state) = costliest.or_else(idlest) else { return false };
         self.evict(state, "connections", now);
         true
--- a/crates/wire/src/http/collected.rs
+++ b/crates/wire/src/http/collected.rs
@@ -35,7 +35,8 @@
 
     /// Returns the bytes in use, also those that are not filled yet.
     pub(super) fn held(&self) -> usize {
-        self.blocks.iter().map(Vec::capacity).sum()
+        let first = self.blocks.first().map_or(0, Vec::capacity);
+        first + self.blocks.len().saturating_sub(1) * BLOCK_BYTES
     }
 
     pub(super) fn into_bytes(mut self) -> Bytes {
--- a/crates/wire/src/http/mod.rs
+++ b/crates/wire/src/http/mod.rs
@@ -40,7 +40,7 @@
     #[error("the body exceeds {0} bytes; send a smaller body")]
     BodyTooLarge(u64),
     /// The peer exceeded a time limit.
-    #[error("the peer sent nothing within its time limit; send without pauses")]
+    #[error("the message did not arrive within its time limit; send it faster and without pauses")]
     Slow,
     /// No complete response arrived within the time limit of the call, in milliseconds.
     #[error("no answer within {0} ms; retry if idempotent")]
--- a/crates/wire/src/http/reader.rs
+++ b/crates/wire/src/http/reader.rs
@@ -119,6 +119,7 @@
 
     /// Waits for the first byte of a message; returns `false` if the peer closed the connection.
     pub(super) async fn wait_first_byte(&mut self) -> Result<bool> {
+        self.wait_turn().await;
         if self.buffer.is_empty() {
             self.buffer = BytesMut::new();
             self.set_phase(Phase::Idle(Instant::now()));
@@ -162,6 +163,8 @@
 
     /// Reads the next piece of a body; `None` at its end.
     pub(super) async fn body(&mut self, framing: &mut Framing) -> Result<Option<Bytes>> {
+        // The rest of the body may be buffered: a request whose connection closes must not be carried out.
+        self.stay_open().await;
         match framing {
             Framing::Length(remaining) => self.sized(remaining).await,
             Framing::Chunked(chunks) => self.chunked(chunks).await,
@@ -214,8 +217,25 @@
         Ok(())
     }
 
+    /// Never returns if the connection has to close: it does so at once, without an answer that could be taken
+    /// for a refusal.
+    async fn stay_open(&self) {
+        if self.account.as_ref().is_some_and(Account::is_evicted) {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Waits for the next turn of a connection that has used its own. No time limit of the peer includes this.
+    async fn wait_turn(&mut self) {
+        if let Some(account) = self.account.as_ref().filter(|_| self.turn >= TURN_COST) {
+            account.wait_turn().await;
+            self.turn = 0;
+        }
+    }
+
     /// Reads up to `wanted` bytes of a body.
     async fn fill_with_timeout(&mut self, wanted: usize) -> Result<usize> {
+        self.wait_turn().await;
         let now = Instant::now();
         let left = self.body_deadline.map(|deadline| deadline.saturating_duration_since(now));
         let limit = left.map_or(self.limits.stall, |left| left.min(self.limits.stall));
@@ -225,10 +245,6 @@
 
     /// Reads once, up to `size` bytes.
     async fn fill(&mut self, size: usize) -> Result<usize> {
-        if let Some(account) = self.account.as_ref().filter(|_| self.turn >= TURN_COST) {
-            account.wait_turn().await;
-            self.turn = 0;
-        }
         // A cancelled read drops the buffer that it took, so the length may be zero here.
         let mut scratch = std::mem::take(&mut self.scratch);
         if scratch.len() > size {
@@ -243,10 +259,7 @@
         self.turn += count;
         self.buffer.extend_from_slice(&self.scratch[..count]);
         self.charge();
-        if self.account.as_ref().is_some_and(Account::is_evicted) {
-            // The connection closes at once, without an answer that could be taken for a refusal.
-            return std::future::pending().await;
-        }
+        self.stay_open().await;
         Ok(count)
     }
 }
