Use the reasons of waits for delays, and find the last task of each step once

The account of a job's time had four rules of its own beside waits::Reason, which already names them. The chain of last tasks compared the tasks of a step again for each step that depends on it, so the end of a job with many dependent steps could keep the owner busy; each step is now looked at once. disturbance::Error was no error type and is Deviation.

--- a/crates/policy/src/disturbance/mod.rs
+++ b/crates/policy/src/disturbance/mod.rs
@@ -7,14 +7,14 @@
 //!
 //! [`Rates`] is the model for neighbors whose shares of the worker are known.
 
-mod error;
+mod deviation;
 mod history;
 mod rates;
 mod sample;
 mod settings;
 mod table;
 
-pub use error::Error;
+pub use deviation::Deviation;
 pub use history::History;
 pub use rates::Rates;
 pub use sample::Sample;
--- a/crates/policy/src/disturbance/rates.rs
+++ b/crates/policy/src/disturbance/rates.rs
@@ -1,4 +1,4 @@
-use super::{Error, Sample};
+use super::{Deviation, Sample};
 use foldhash::HashMap;
 use serde::{Deserialize, Serialize};
 use shallotflow_core::name::Name;
@@ -56,7 +56,7 @@
     #[serde(skip)]
     noise: HashMap<Name, f64>,
     #[serde(skip)]
-    error: Error,
+    deviation: Deviation,
 }
 
 /// Returns the reciprocal of a measurement, within the range that the model covers.
@@ -114,7 +114,7 @@
             bases: bases.map(|(victim, base)| (victim.clone(), *base)).collect(),
             variances: HashMap::default(),
             noise: HashMap::default(),
-            error: Error::default(),
+            deviation: Deviation::default(),
             added: added
                 .map(|(victim, pairs)| {
                     (
@@ -150,8 +150,8 @@
     }
 
     /// Returns how well the model has predicted the latest measurements.
-    pub fn error(&self) -> Error {
-        self.error
+    pub fn deviation(&self) -> Deviation {
+        self.deviation
     }
 
     /// Returns the number of pairs, and of those of which the neighbor adds more than `added`.
@@ -250,7 +250,7 @@
             sample.shares().map(|(name, share)| self.added(victim, name) * share).sum();
         let measured = sample.ratio.min(MAX_MEASUREMENT);
         let expected = Self::raised(base, added).min(MAX_MEASUREMENT);
-        self.error.add(measured - expected, measured - base);
+        self.deviation.add(measured - expected, measured - base);
         let weight = sample.shares().map(|(_, share)| (share / TYPICAL_SHARE).powi(2));
         let weight = BASE_LEARNING_RATE / (1.0 + weight.sum::<f64>());
         let alone = speed(sample.ratio) + added;
--- a/crates/policy/src/plan/delay.rs
+++ b/crates/policy/src/plan/delay.rs
@@ -4,7 +4,8 @@
 //! one that ended last among the steps that it depended on, and so on. Each of them waited, ran to no
 //! avail, and ran. The chain is followed once, when the job ends.
 
-use super::hold::Hold;
+use super::holds::REASONS;
+use super::waits::Reason;
 use super::{Event, Job, TaskState};
 use serde::Serialize;
 use shallotflow_core::graph::State;
@@ -14,13 +15,13 @@
 /// The parts of the time from the receipt of a job to its end, milliseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Delay {
-    /// Held by the rule [`Hold::Disturbing`].
+    /// Held by the rule [`Reason::Disturbing`].
     pub disturbing_ms: u64,
-    /// Held by the rule [`Hold::NoRoom`].
+    /// Held by the rule [`Reason::NoRoom`].
     pub no_room_ms: u64,
-    /// Held by the rule [`Hold::Rack`].
+    /// Held by the rule [`Reason::Rack`].
     pub rack_ms: u64,
-    /// Held by the rule [`Hold::Busy`].
+    /// Held by the rule [`Reason::Busy`].
     pub busy_ms: u64,
     /// Waited otherwise: for its turn, an answer, a retry or the list that shows an end.
     pub other_wait_ms: u64,
@@ -36,10 +37,10 @@
     /// Returns the parts other than the runs themselves, with their names in metrics.
     pub fn causes(&self) -> [(&'static str, u64); 7] {
         [
-            (Hold::Disturbing.as_str(), self.disturbing_ms),
-            (Hold::NoRoom.as_str(), self.no_room_ms),
-            (Hold::Rack.as_str(), self.rack_ms),
-            (Hold::Busy.as_str(), self.busy_ms),
+            (Reason::Disturbing.as_str(), self.disturbing_ms),
+            (Reason::NoRoom.as_str(), self.no_room_ms),
+            (Reason::Rack.as_str(), self.rack_ms),
+            (Reason::Busy.as_str(), self.busy_ms),
             ("other-wait", self.other_wait_ms),
             ("earlier-runs", self.earlier_runs_ms),
             ("slowed", self.slowed_ms),
@@ -50,7 +51,7 @@
 /// A chain of tasks of a job, followed from its end.
 #[derive(Default)]
 struct Chain {
-    held: [Duration; Hold::ALL.len()],
+    held: [Duration; REASONS.len()],
     other: Duration,
     earlier: Duration,
     run: Duration,
@@ -98,19 +99,20 @@
     /// Follows the tasks that ended last, from the end of the job to its receipt.
     fn chain(&self) -> Chain {
         let mut chain = Chain::default();
-        let ends = |step: usize| {
+        let steps = 0..self.spec.steps.len();
+        // The task of each step that ended last.
+        let ends = steps.clone().map(|step| {
             let tasks = self.tasks[self.range(0, step)].iter();
             tasks.max_by_key(|state| state.done_at)
-        };
-        let last = |steps: &mut dyn Iterator<Item = usize>| -> Option<usize> {
-            steps.max_by_key(|step| ends(*step).map(|state| state.done_at))
-        };
-        let mut next = last(&mut (0..self.spec.steps.len()));
+        });
+        let ends: Vec<Option<&TaskState>> = ends.collect();
+        let end = |step: usize| ends.get(step).copied().flatten();
+        let mut next = steps.max_by_key(|step| end(*step).map(|state| state.done_at));
         while let Some(step) = next {
-            let before =
-                last(&mut self.spec.steps[step].after.iter().map(|after| usize::from(*after)));
-            let opened = before.and_then(ends).map_or(self.received, |state| state.done_at);
-            if let Some(state) = ends(step) {
+            let before = self.spec.steps[step].after.iter().map(|after| usize::from(*after));
+            let before = before.max_by_key(|step| end(*step).map(|state| state.done_at));
+            let opened = before.and_then(end).map_or(self.received, |state| state.done_at);
+            if let Some(state) = end(step) {
                 self.add_link(&mut chain, step, state, opened.max(self.received));
             }
             // A step depends on earlier ones only.
--- a/crates/policy/src/plan/job.rs
+++ b/crates/policy/src/plan/job.rs
@@ -1,6 +1,6 @@
-use super::hold::Hold;
 use super::holds::Holds;
 use super::urgency::Urgency;
+use super::waits::Reason;
 use super::{Phase, TaskState};
 use shallotflow_core::graph::{self, Id, Queue, Spec, State, Step, Task};
 use shallotflow_core::name::Name;
@@ -207,7 +207,13 @@
     }
 
     /// Notes the rule that holds the waiting tasks of `step` in the repetition `occurrence`.
-    pub(super) fn set_hold(&mut self, occurrence: u32, step: usize, hold: Option<Hold>, now: Time) {
+    pub(super) fn set_hold(
+        &mut self,
+        occurrence: u32,
+        step: usize,
+        hold: Option<Reason>,
+        now: Time,
+    ) {
         let slot = self.slot(occurrence, step);
         self.holds[slot].set(hold, now);
     }
--- a/crates/policy/src/plan/mod.rs
+++ b/crates/policy/src/plan/mod.rs
@@ -49,7 +49,6 @@
 mod evacuations;
 mod event;
 mod expire;
-mod hold;
 mod holds;
 mod interference;
 mod job;
--- a/crates/policy/src/plan/place.rs
+++ b/crates/policy/src/plan/place.rs
@@ -13,13 +13,13 @@
 
 use super::demand::Demand;
 use super::event::milliseconds;
-use super::hold::Hold;
 use super::message::{Kind, Traits};
 use super::outbox;
 use super::refusals::Refusals;
 use super::search::{Isolation, Outcome, Pass, Search};
 use super::timers::Timer;
 use super::wait::Wait;
+use super::waits::Reason;
 use super::{Event, Phase, Table, TaskState};
 use shallotflow_core::graph::{Id, Task};
 use shallotflow_core::name::Name;
@@ -136,7 +136,7 @@
         let service = &job.queue.service;
         let need = Demand::of(step).reserved();
         if self.refusals.is_full(service, step, &need) {
-            self.note_hold(id, occurrence, number, Some(Hold::NoRoom), now);
+            self.note_hold(id, occurrence, number, Some(Reason::NoRoom), now);
             return false;
         }
         let range = job.range(occurrence, number);
@@ -155,7 +155,7 @@
             let longest = waiting.iter().copied().min_by_key(waits_since).unwrap_or(waiting[0]);
             let may_interfere = starved || self.settings.may_interfere(job, longest, now);
             if !may_interfere && self.refusals.is_disturbing(service, step) {
-                self.note_hold(id, occurrence, number, Some(Hold::Disturbing), now);
+                self.note_hold(id, occurrence, number, Some(Reason::Disturbing), now);
                 return false;
             }
             // What has waited for longer may start where others may not yet.
@@ -194,7 +194,7 @@
                     let task = job.task(position);
                     let wait = Wait { task, members, until, expected };
                     self.hold(&wait, &racks, now);
-                    hold = Some(Hold::Rack);
+                    hold = Some(Reason::Rack);
                     if gang {
                         break;
                     }
@@ -204,9 +204,9 @@
                     // A limit for each worker can also be the reason, which is not remembered.
                     let step = &job.spec.steps[number];
                     hold = Some(match outcome {
-                        Outcome::Full => Hold::NoRoom,
-                        Outcome::Disturbing => Hold::Disturbing,
-                        _ => Hold::Busy,
+                        Outcome::Full => Reason::NoRoom,
+                        Outcome::Disturbing => Reason::Disturbing,
+                        _ => Reason::Busy,
                     });
                     match outcome {
                         Outcome::Full if per_worker == 0 => {
@@ -264,7 +264,7 @@
     }
 
     /// Notes which rule holds the waiting tasks of a step.
-    fn note_hold(&mut self, id: Id, occurrence: u32, step: usize, hold: Option<Hold>, now: Time) {
+    fn note_hold(&mut self, id: Id, occurrence: u32, step: usize, hold: Option<Reason>, now: Time) {
         if let Some(job) = self.jobs.get_mut(&id) {
             job.set_hold(occurrence, step, hold, now);
         }
--- a/crates/scheduler/src/entry/meters.rs
+++ b/crates/scheduler/src/entry/meters.rs
@@ -97,9 +97,9 @@
 
 /// Records how well the learned disturbance predicts what workers measure.
 pub(super) fn disturbance(rates: &Rates) {
-    let error = rates.error();
-    gauge!(metric::GRAPH_DISTURBANCE_ERROR, "model" => "learned").set(error.learned);
-    gauge!(metric::GRAPH_DISTURBANCE_ERROR, "model" => "none").set(error.alone);
+    let deviation = rates.deviation();
+    gauge!(metric::GRAPH_DISTURBANCE_ERROR, "model" => "learned").set(deviation.learned);
+    gauge!(metric::GRAPH_DISTURBANCE_ERROR, "model" => "none").set(deviation.alone);
 }
 
 /// Records whether the entry owns the table.
--- a/crates/scheduler/src/entry/own.rs
+++ b/crates/scheduler/src/entry/own.rs
@@ -169,10 +169,10 @@
 
 /// Logs what the learned disturbance is worth: by its error, and by the pairs that hold tasks back.
 fn log_disturbance(table: &Table) {
-    let error = table.rates().error();
+    let deviation = table.rates().deviation();
     let (pairs, holding) = table.rates().pairs(HOLDING_RATE);
     spdlog::info!("disturbance", kv: {
-        pairs, holding, error = error.learned, error_alone = error.alone
+        pairs, holding, error = deviation.learned, error_alone = deviation.alone
     });
 }
 
