Log the state on which a claim is decided

Change: `elect` keeps what it has found as a `Vacancy` (the owner, the revision of its record when the check began, the ground), and logs it with each claim beside the revision that the claim compares and the presence that has to be absent.

No behaviour changes.

--- a/crates/scheduler/src/entry/elect.rs
+++ b/crates/scheduler/src/entry/elect.rs
@@ -17,7 +17,9 @@
 //! that. If no owner is known, an entry claims once every other entry that is present answers that it
 //! does not own the table: no owner renews its presence beside the overwritten record.
 
+use super::ground::Ground;
 use super::member::{Owner, Presence};
+use super::vacancy::Vacancy;
 use super::{Entry, keys, member, membership, own};
 use shallotflow_core::name::Name;
 use shallotflow_core::time::Clock;
@@ -42,8 +44,10 @@
         }
         if entry.ownership.borrow().is_some() {
             check_ownership(&entry);
-        } else if !entry.stopping.get() && should_claim(&entry).await {
-            claim(&entry).await;
+        } else if !entry.stopping.get()
+            && let Some(vacancy) = find_vacancy(&entry).await
+        {
+            claim(&entry, &vacancy).await;
         }
     }
 }
@@ -69,21 +73,20 @@
     }
 }
 
-async fn should_claim(entry: &Rc<Entry>) -> bool {
+/// Finds out whether the table has no owner, so that this entry may claim it.
+async fn find_vacancy(entry: &Rc<Entry>) -> Option<Vacancy> {
     let now = Boottime.now();
     // Another entry would treat an owner without presence as absent and claim its table.
     if now < entry.claims_allowed_from.get() || !entry.is_present(now) {
-        return false;
+        return None;
     }
-    let (owner, present, rank) = {
+    let (owner, revision, present, disowned, rank) = {
         let view = entry.view.borrow();
         if !view.loaded || now > entry.store_contact.get().after(entry.settings.store_silence) {
-            return false;
+            return None;
         }
         let owner = view.owner.clone();
-        let present = owner.as_ref().is_some_and(|owner| {
-            view.entries.get(&owner.entry).is_some_and(|presence| presence.process == owner.process)
-        });
+        let present = owner.as_ref().is_some_and(|owner| view.is_present(owner));
         let disowned = view
             .disowned_since
             .is_some_and(|since| since.after(entry.settings.disowned_limit).passed(now));
@@ -92,21 +95,30 @@
             .entries
             .iter()
             .filter(|(name, presence)| (Reverse(presence.strength), *name) < own_rank);
-        (owner, present && !disowned, stronger.count())
+        (owner, view.owner_revision, present, disowned, stronger.count())
     };
     let Some(owner) = owner else {
         monoio::time::sleep(entry.settings.first_claim).await;
         stagger(entry, rank).await;
         if entry.view.borrow().owner_overwritten && !no_other_owns(entry).await {
-            return false;
+            return None;
         }
-        return entry.view.borrow().owner.is_none();
+        let unclaimed = entry.view.borrow().owner.is_none();
+        let vacancy = Vacancy { owner: None, revision, ground: Ground::Unclaimed };
+        return unclaimed.then_some(vacancy);
     };
-    let own_former_process = owner.entry == entry.name;
-    if present && !own_former_process {
-        return false;
-    }
-    if !owner.entry.is_empty() && !own_former_process {
+    let ground = if owner.entry == entry.name {
+        Ground::Own
+    } else if owner.entry.is_empty() {
+        Ground::Released
+    } else if !present {
+        Ground::Absent
+    } else if disowned {
+        Ground::Disowned
+    } else {
+        return None;
+    };
+    if matches!(ground, Ground::Absent | Ground::Disowned) {
         let client = entry.client(owner.address);
         let status = membership::poll_status(entry, &client).await;
         let max_age_ms =
@@ -115,14 +127,14 @@
             owned && epoch == owner.epoch && store_age_ms < max_age_ms
         });
         if healthy {
-            return false;
+            return None;
         }
     }
-    if !own_former_process {
+    if ground != Ground::Own {
         stagger(entry, rank).await;
     }
-    let view = entry.view.borrow();
-    view.owner.as_ref().is_some_and(|known| *known == owner)
+    let unchanged = entry.view.borrow().owner.as_ref() == Some(&owner);
+    unchanged.then_some(Vacancy { owner: Some(owner), revision, ground })
 }
 
 /// Whether every other entry that is present answers that it does not own the table.
@@ -150,8 +162,8 @@
     monoio::time::sleep(entry.settings.claim_stagger * rank).await;
 }
 
-async fn claim(entry: &Rc<Entry>) {
-    if let Err(error) = try_claim(entry).await {
+async fn claim(entry: &Rc<Entry>, vacancy: &Vacancy) {
+    if let Err(error) = try_claim(entry, vacancy).await {
         spdlog::warn!("claim failed", kv: { reason = error.to_string() });
         entry.give_up("the claim could not be completed");
         let pause = entry.settings.claim_pause;
@@ -159,7 +171,7 @@
     }
 }
 
-async fn try_claim(entry: &Rc<Entry>) -> Result<(), Error> {
+async fn try_claim(entry: &Rc<Entry>, vacancy: &Vacancy) -> Result<(), Error> {
     let current = entry.store_call(entry.store.get(keys::OWNER)).await?;
     let mut absent_owner = None;
     let (epoch, revision) = match &current {
@@ -205,6 +217,10 @@
         process: entry.process,
         address: entry.address,
     };
+    let details = serde_json::json!({
+        "epoch": owner.epoch, "vacancy": vacancy, "revision": revision, "while_absent": absent_owner,
+    });
+    crate::log::decision("claim", &details);
     let value = serde_json::to_vec(&owner).unwrap_or_default();
     // An owner without presence would be replaced at once, and could replace its successor in turn.
     let mut transaction = Transaction::default()
--- a/crates/scheduler/src/entry/mod.rs
+++ b/crates/scheduler/src/entry/mod.rs
@@ -8,6 +8,7 @@
 //! - `membership`: the entry's presence, the other entries and the owner of the table.
 //! - `witnesses`: what other entries say while the store does not answer the owner.
 //! - `elect`: the election of the owner.
+//! - `vacancy`, `ground`: the state on which a claim is decided.
 //! - `own`: the loops of the owner.
 //! - `requests`: the owner's view of the jobs and cancels in the store.
 //! - `evacuate`: the owner's view of the requests to evacuate failure domains.
@@ -21,6 +22,7 @@
 mod ask;
 mod elect;
 mod evacuate;
+mod ground;
 pub mod keys;
 mod member;
 mod membership;
@@ -35,6 +37,7 @@
 mod shown;
 mod submission;
 mod submit;
+mod vacancy;
 mod waits;
 mod witnesses;
 
--- a/crates/scheduler/src/entry/shared.rs
+++ b/crates/scheduler/src/entry/shared.rs
@@ -53,6 +53,11 @@
 }
 
 impl View {
+    /// Whether the process that claimed the table as `owner` is present.
+    pub(super) fn is_present(&self, owner: &Owner) -> bool {
+        self.entries.get(&owner.entry).is_some_and(|presence| presence.process == owner.process)
+    }
+
     /// Removes an entry whose presence has ended.
     pub(super) fn remove_entry(&mut self, name: &str, now: Time) {
         if let Some((name, presence)) = self.entries.remove_entry(name) {
--- /dev/null
+++ b/crates/scheduler/src/entry/vacancy.rs
@@ -0,0 +1,14 @@
+use super::ground::Ground;
+use super::member::Owner;
+use serde::Serialize;
+
+/// A table that this entry has found without an owner: the state on which a claim is decided.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub(super) struct Vacancy {
+    /// The owner that is to be replaced, if one is known.
+    pub(super) owner: Option<Owner>,
+    /// The revision of the owner's record that was known when the check began; 0 without a record.
+    pub(super) revision: i64,
+    /// Why the table may be claimed.
+    pub(super) ground: Ground,
+}
