Claim the table only as it was found vacant

Cause: an entry finds the owner absent, and then reads the owner's record. It compared the revision that it read with the one that its view holds by then. If the answer takes 0.3 s, its watch may have shown the claim of another entry meanwhile: both are that entry's, so the first one claims the table of an owner that is present. The view lists that owner, so no presence has to be absent either.

Change: a claim compares the revision at which the check began with the one that it reads, and is conditional on it.

Tests: `owner claim::an_entry_does_not_claim_the_table_of_an_owner_that_claimed_it_meanwhile` and `claim::an_entry_that_knows_no_owner_does_not_claim_the_table_of_one_that_claimed_it_meanwhile`, which failed before (the claimant took epochs 3 and 2 from a present owner).

--- a/crates/scheduler/src/entry/elect.rs
+++ b/crates/scheduler/src/entry/elect.rs
@@ -103,9 +103,8 @@
         if entry.view.borrow().owner_overwritten && !no_other_owns(entry).await {
             return None;
         }
-        let unclaimed = entry.view.borrow().owner.is_none();
         let vacancy = Vacancy { owner: None, revision, ground: Ground::Unclaimed };
-        return unclaimed.then_some(vacancy);
+        return Some(vacancy).filter(|vacancy| vacancy.is_current(&entry.view.borrow()));
     };
     let ground = if owner.entry == entry.name {
         Ground::Own
@@ -133,8 +132,8 @@
     if ground != Ground::Own {
         stagger(entry, rank).await;
     }
-    let unchanged = entry.view.borrow().owner.as_ref() == Some(&owner);
-    unchanged.then_some(Vacancy { owner: Some(owner), revision, ground })
+    let vacancy = Vacancy { owner: Some(owner), revision, ground };
+    Some(vacancy).filter(|vacancy| vacancy.is_current(&entry.view.borrow()))
 }
 
 /// Whether every other entry that is present answers that it does not own the table.
@@ -177,8 +176,9 @@
     let (epoch, revision) = match &current {
         None => (0, 0),
         Some(pair) => {
-            // Only the owner that was found absent may be replaced.
-            if entry.view.borrow().owner_revision != pair.mod_revision {
+            // The table has been claimed or released since it was found vacant. The view may show that already,
+            // so it says nothing of the state that was checked.
+            if vacancy.revision != pair.mod_revision {
                 membership::apply_owner(entry, pair);
                 return Ok(());
             }
--- a/crates/scheduler/src/entry/vacancy.rs
+++ b/crates/scheduler/src/entry/vacancy.rs
@@ -1,5 +1,6 @@
 use super::ground::Ground;
 use super::member::Owner;
+use super::shared::View;
 use serde::Serialize;
 
 /// A table that this entry has found without an owner: the state on which a claim is decided.
@@ -12,3 +13,10 @@
     /// Why the table may be claimed.
     pub(super) ground: Ground,
 }
+
+impl Vacancy {
+    /// Whether no later record of the owner is known: most claims find that another entry was faster.
+    pub(super) fn is_current(&self, view: &View) -> bool {
+        view.owner_revision == self.revision
+    }
+}
--- a/crates/scheduler/tests/owner.rs
+++ b/crates/scheduler/tests/owner.rs
@@ -1,5 +1,7 @@
 //! Ownership of the table, and what an owner must not do while it may have a successor.
 
+#[path = "owner/claim.rs"]
+mod claim;
 #[path = "owner/evacuation.rs"]
 mod evacuation;
 #[path = "owner/foreign.rs"]
@@ -25,7 +27,7 @@
 };
 use shallotflow_runtime::executor;
 use shallotflow_scheduler::entry::{Entry, Settings, Submission, keys};
-use shallotflow_scheduler::peers::{Call as PeerCall, Request, pack};
+use shallotflow_scheduler::peers::{Call as PeerCall, Request, Response, pack};
 use shallotflow_store::store::Store;
 use shallotflow_store::transaction::{Transaction, Write};
 use std::cell::Cell;
@@ -164,6 +166,15 @@
         reply
     }
 
+    /// Whether the entry answers other entries that it owns the table.
+    async fn says_that_it_owns(&self) -> bool {
+        let (sender, answer) = oneshot::channel();
+        let request = Request::Status { epoch: 0, store_age_ms: 0 };
+        self.calls.unbounded_send(PeerCall::Ask(Box::new(request), sender)).expect("an entry");
+        let answer = answer.await.expect("an answer");
+        matches!(answer, Response::Status { owned: true, .. })
+    }
+
     /// Whether a reply to the agent orders a start.
     async fn orders_a_start(&self) -> bool {
         let reply = self.report(false).await;
--- /dev/null
+++ b/crates/scheduler/tests/owner/claim.rs
@@ -0,0 +1,95 @@
+//! Claims that are decided on one state of the table and carried out in another.
+
+use super::store::{Call, Delivery, Shared};
+use super::{Process, presence, run, until};
+use shallotflow_scheduler::entry::keys;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Longer than an entry takes for a claim whose read of the owner's record is answered.
+const CLAIM: Duration = Duration::from_millis(100);
+
+/// Announces the entry `name` as `process`; nothing answers at its address.
+fn announce(name: &str, process: u64, shared: &Shared) {
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+    let value = serde_json::json!({ "process": process, "address": address, "strength": 1 });
+    shared.put(&presence(name), &value.to_string(), 0);
+}
+
+/// Records the claim of `epoch` by the entry `name`.
+fn record_claim(epoch: u64, name: &str, process: u64, shared: &Shared) {
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+    let owner = serde_json::json!({
+        "epoch": epoch, "entry": name, "process": process, "address": address
+    });
+    shared.put(keys::OWNER, &owner.to_string(), 0);
+}
+
+/// Starts the entry `b` beside the present owner `a`.
+async fn start_beside_owner(shared: &Rc<Shared>) -> Process {
+    announce("a", 1, shared);
+    record_claim(1, "a", 1, shared);
+    let claimant = Process::start("b", 9, shared);
+    until(|| shared.text(&presence("b")).is_some()).await;
+    until(|| claimant.epoch() == 1).await;
+    claimant
+}
+
+/// Ends the presence of the owner `a`, and waits until another entry has found it absent and reads its record.
+async fn hold_the_read_of_a_claim(shared: &Shared) {
+    shared.intercept(|_, call| match call {
+        Call::Read => Delivery::Held,
+        _ => Delivery::Serve,
+    });
+    shared.delete(&presence("a"));
+    until(|| shared.held_count() > 0).await;
+}
+
+fn holder(shared: &Shared) -> String {
+    shared.text(keys::OWNER).expect("an owner")
+}
+
+/// Guards against a second owner beside one that is present: in a slow store, the read of a claimant
+/// shows the claim of another entry, which the claimant's watch has shown meanwhile.
+#[test]
+fn an_entry_does_not_claim_the_table_of_an_owner_that_claimed_it_meanwhile() {
+    run(async |shared| {
+        let claimant = start_beside_owner(&shared).await;
+        hold_the_read_of_a_claim(&shared).await;
+        announce("c", 2, &shared);
+        record_claim(2, "c", 2, &shared);
+        until(|| claimant.epoch() == 2).await;
+        shared.serve_all();
+        shared.release_held();
+        monoio::time::sleep(CLAIM).await;
+        assert!(holder(&shared).contains("\"entry\":\"c\""), "{}", holder(&shared));
+        assert!(!claimant.owns());
+        shared.delete(&presence("c"));
+        until(|| claimant.owns()).await;
+        assert_eq!(claimant.epoch(), 3);
+    });
+}
+
+/// Guards against a claim over a record that another entry has claimed while the first claimant asked the others
+/// whether one of them owns the table.
+#[test]
+fn an_entry_that_knows_no_owner_does_not_claim_the_table_of_one_that_claimed_it_meanwhile() {
+    run(async |shared| {
+        shared.put(keys::OWNER, "{}", 0);
+        shared.intercept(|_, call| match call {
+            Call::Read => Delivery::Held,
+            _ => Delivery::Serve,
+        });
+        let claimant = Process::start("b", 9, &shared);
+        until(|| shared.held_count() > 0).await;
+        announce("c", 2, &shared);
+        record_claim(1, "c", 2, &shared);
+        until(|| claimant.epoch() == 1).await;
+        shared.serve_all();
+        shared.release_held();
+        monoio::time::sleep(CLAIM).await;
+        assert!(holder(&shared).contains("\"entry\":\"c\""), "{}", holder(&shared));
+        assert!(!claimant.owns());
+    });
+}
--- a/crates/scheduler/tests/owner/store.rs
+++ b/crates/scheduler/tests/owner/store.rs
@@ -22,6 +22,8 @@
     Silent,
     /// The call is neither carried out nor does it end.
     Hang,
+    /// The call is carried out and answered once the test asks for it.
+    Held,
     /// The call is carried out, but its answer is lost.
     LoseAnswer,
     /// The answer is lost, and the call is carried out when the test asks for it.
@@ -68,6 +70,9 @@
     watches: Cell<Watches>,
     interceptor: RefCell<Option<Interceptor>>,
     delayed: RefCell<Vec<Transaction>>,
+    /// The number of calls that wait for the test.
+    held: Cell<usize>,
+    released: Event,
     /// Keys whose rows cannot be read in lists.
     hidden: RefCell<BTreeSet<String>>,
 }
@@ -136,6 +141,17 @@
         self.delayed.borrow().len()
     }
 
+    /// The number of calls that wait for the test.
+    pub(crate) fn held_count(&self) -> usize {
+        self.held.get()
+    }
+
+    /// Carries out the calls that wait for the test.
+    pub(crate) fn release_held(&self) {
+        self.held.set(0);
+        self.released.notify(usize::MAX);
+    }
+
     /// Lets lists show the row of a key in a form that cannot be read from now on.
     pub(crate) fn hide(&self, key: &str) {
         self.hidden.borrow_mut().insert(key.to_owned());
@@ -218,6 +234,12 @@
         if delivery == Delivery::Hang {
             std::future::pending::<()>().await;
         }
+        if delivery == Delivery::Held {
+            let released = self.shared.released.listen();
+            self.shared.held.set(self.shared.held.get() + 1);
+            released.await;
+            return Delivery::Serve;
+        }
         if delivery == Delivery::Silent {
             // The client times out; the next call is decided anew.
             monoio::time::sleep(Duration::from_millis(20)).await;
@@ -265,7 +287,7 @@
                 self.shared.delayed.borrow_mut().push(transaction);
                 Err(Self::lost())
             }
-            Delivery::Silent | Delivery::Hang => Err(Self::lost()),
+            Delivery::Silent | Delivery::Hang | Delivery::Held => Err(Self::lost()),
         }
     }
 
