Claim the table of an absent owner only while it is absent

An owner was found absent, and by the time its record was read the view listed it again: the claim then set no condition on its presence, since the view is taken for the state that was checked. So an owner that renews its presence while a claimant reads is replaced although it is present, and both start jobs.

Change: the ground of a vacancy decides on the condition. A claim of an absent owner's table always has one, and is given up if the view lists that owner again. The claim of a table that its present owner disowns needs none, as that owner can own it again only by a new claim, which has another revision. Whether the record was overwritten is a part of the vacancy too.

Test: `owner claim::an_entry_does_not_claim_the_table_of_an_owner_that_is_present_again`, which failed before (epoch 2 of b beside a).

--- a/crates/scheduler/src/entry/elect.rs
+++ b/crates/scheduler/src/entry/elect.rs
@@ -80,7 +80,7 @@
     if now < entry.claims_allowed_from.get() || !entry.is_present(now) {
         return None;
     }
-    let (owner, revision, present, disowned, rank) = {
+    let (owner, revision, overwritten, present, disowned, rank) = {
         let view = entry.view.borrow();
         if !view.loaded || now > entry.store_contact.get().after(entry.settings.store_silence) {
             return None;
@@ -95,15 +95,16 @@
             .entries
             .iter()
             .filter(|(name, presence)| (Reverse(presence.strength), *name) < own_rank);
-        (owner, view.owner_revision, present, disowned, stronger.count())
+        let (revision, overwritten) = (view.owner_revision, view.owner_overwritten);
+        (owner, revision, overwritten, present, disowned, stronger.count())
     };
     let Some(owner) = owner else {
         monoio::time::sleep(entry.settings.first_claim).await;
         stagger(entry, rank).await;
-        if entry.view.borrow().owner_overwritten && !no_other_owns(entry).await {
+        if overwritten && !no_other_owns(entry).await {
             return None;
         }
-        let vacancy = Vacancy { owner: None, revision, ground: Ground::Unclaimed };
+        let vacancy = Vacancy { owner: None, revision, overwritten, ground: Ground::Unclaimed };
         return Some(vacancy).filter(|vacancy| vacancy.is_current(&entry.view.borrow()));
     };
     let ground = if owner.entry == entry.name {
@@ -132,7 +133,7 @@
     if ground != Ground::Own {
         stagger(entry, rank).await;
     }
-    let vacancy = Vacancy { owner: Some(owner), revision, ground };
+    let vacancy = Vacancy { owner: Some(owner), revision, overwritten, ground };
     Some(vacancy).filter(|vacancy| vacancy.is_current(&entry.view.borrow()))
 }
 
@@ -172,45 +173,27 @@
 
 async fn try_claim(entry: &Rc<Entry>, vacancy: &Vacancy) -> Result<(), Error> {
     let current = entry.store_call(entry.store.get(keys::OWNER)).await?;
-    let mut absent_owner = None;
-    let (epoch, revision) = match &current {
-        None => (0, 0),
-        Some(pair) => {
-            // The table has been claimed or released since it was found vacant. The view may show that already,
-            // so it says nothing of the state that was checked.
-            if vacancy.revision != pair.mod_revision {
-                membership::apply_owner(entry, pair);
-                return Ok(());
-            }
-            let other = other_process(entry);
-            if let Some((name, process)) = other {
-                let Some(revision) = revision_without(entry, &name, process).await? else {
-                    return Ok(());
-                };
-                absent_owner = Some((name, revision));
-            }
-            let (owner, overwritten) = {
-                let view = entry.view.borrow();
-                let absent = view
-                    .owner
-                    .as_ref()
-                    .map(|owner| owner.entry.clone())
-                    .filter(|name| !name.is_empty() && *name != entry.name)
-                    .filter(|name| !view.entries.contains_key(name));
-                if let Some(name) = absent {
-                    let limit = entry.settings.overwritten_limit;
-                    // Until then, an owner that runs may still write its presence again.
-                    let revision = view.absent_revision(&name, limit, Boottime.now());
-                    let Some(revision) = revision else { return Ok(()) };
-                    absent_owner = Some((name, revision));
-                }
-                (view.owner.clone(), view.owner_overwritten)
-            };
-            let known = owner.map_or(0, |owner| owner.epoch);
-            let epoch = if overwritten { last_epoch(entry, pair).await?.max(known) } else { known };
-            (epoch, pair.mod_revision)
+    if let Some(pair) = &current
+        && pair.mod_revision != vacancy.revision
+    {
+        // The table has been claimed or released since it was found vacant. The view may show that already,
+        // so it says nothing of the state that was checked.
+        membership::apply_owner(entry, pair);
+        return Ok(());
+    }
+    let absent_owner = match (vacancy.ground, &vacancy.owner) {
+        (Ground::Absent, Some(owner)) => {
+            let Some(revision) = absent_revision(entry, owner).await? else { return Ok(()) };
+            Some((owner.entry.clone(), revision))
         }
+        _ => None,
+    };
+    let known = vacancy.owner.as_ref().map_or(0, |owner| owner.epoch);
+    let epoch = match &current {
+        Some(pair) if vacancy.overwritten => last_epoch(entry, pair).await?.max(known),
+        _ => known,
     };
+    let revision = current.map_or(0, |pair| pair.mod_revision);
     let owner = Owner {
         epoch: epoch + 1,
         entry: entry.name.clone(),
@@ -251,13 +234,22 @@
     loaded
 }
 
-/// The owner whose name another process has, as far as this entry knows: the name and the owner's process.
-/// If the owner's own process is present, it reports that it does not own the table.
-fn other_process(entry: &Entry) -> Option<(Name, u64)> {
-    let view = entry.view.borrow();
-    let owner = view.owner.as_ref().filter(|owner| owner.entry != entry.name)?;
-    let presence = view.entries.get(&owner.entry)?;
-    (presence.process != owner.process).then(|| (owner.entry.clone(), owner.process))
+/// The revision of the owner's presence that shows its absence, 0 if there is none; `None` if the owner may be
+/// present again.
+async fn absent_revision(entry: &Rc<Entry>, owner: &Owner) -> Result<Option<i64>, Error> {
+    {
+        let view = entry.view.borrow();
+        match view.entries.get(&owner.entry) {
+            Some(presence) if presence.process == owner.process => return Ok(None),
+            Some(_) => {}
+            None => {
+                // Before that limit, an owner that runs may still write its presence again.
+                let limit = entry.settings.overwritten_limit;
+                return Ok(view.absent_revision(&owner.entry, limit, Boottime.now()));
+            }
+        }
+    }
+    revision_without(entry, &owner.entry, owner.process).await
 }
 
 /// The revision of the presence of the entry `name`, unless it is that of `process`: the view may be older
--- a/crates/scheduler/src/entry/vacancy.rs
+++ b/crates/scheduler/src/entry/vacancy.rs
@@ -10,6 +10,8 @@
     pub(super) owner: Option<Owner>,
     /// The revision of the owner's record that was known when the check began; 0 without a record.
     pub(super) revision: i64,
+    /// Whether another writer has overwritten that record.
+    pub(super) overwritten: bool,
     /// Why the table may be claimed.
     pub(super) ground: Ground,
 }
--- a/crates/scheduler/tests/owner/claim.rs
+++ b/crates/scheduler/tests/owner/claim.rs
@@ -93,3 +93,22 @@
         assert!(!claimant.owns());
     });
 }
+
+/// Guards against a second owner beside one that has renewed its presence while a claimant read its record.
+#[test]
+fn an_entry_does_not_claim_the_table_of_an_owner_that_is_present_again() {
+    run(async |shared| {
+        let claimant = start_beside_owner(&shared).await;
+        hold_the_read_of_a_claim(&shared).await;
+        announce("a", 1, &shared);
+        let known = || claimant.entry.dump()["entries"].as_array().map_or(0, Vec::len);
+        until(|| known() == 2).await;
+        shared.serve_all();
+        shared.release_held();
+        monoio::time::sleep(CLAIM).await;
+        assert!(holder(&shared).contains("\"entry\":\"a\""), "{}", holder(&shared));
+        assert!(!claimant.owns());
+        shared.delete(&presence("a"));
+        until(|| claimant.owns()).await;
+    });
+}
