Count a claim that is on its way as one that is owned

An entry answered that it did not own the table until its claim was answered; only loading counted as owned. If the answer takes long or is lost, the others know of the claim by their watches, hear for 2 s that its owner does not own the table, and claim it. The first claimant has its presence, so it starts tasks once it has loaded the table, until its watch shows the later claim.

Change: an entry answers that it owns the table from the moment at which it sends its claim. One that hangs loses its presence, as before.

Test: `owner claim::an_entry_whose_claim_is_on_its_way_is_not_replaced_while_it_is_present`, which failed before.

--- a/crates/scheduler/src/entry/elect.rs
+++ b/crates/scheduler/src/entry/elect.rs
@@ -214,19 +214,27 @@
     if let Some((name, revision)) = absent_owner {
         transaction = transaction.written_by(keys::entry(&name), revision);
     }
+    // Another entry must not take the table for one that nobody owns until the claim is answered and loaded.
+    entry.claimed.set(Some(revision));
+    let result = complete(entry, &owner, transaction).await;
+    entry.claimed.set(None);
+    result
+}
+
+/// Commits the claim of `owner`, and loads the table if the claim was carried out.
+async fn complete(entry: &Rc<Entry>, owner: &Owner, transaction: Transaction) -> Result<(), Error> {
     let revision = match entry.commit(transaction).await {
         Ok(revision) => revision,
         Err(Error::NotApplied { .. }) => return Ok(()),
         Err(error) if error.may_be_applied() => {
-            let Some(revision) = read_claim(entry, &owner).await? else { return Ok(()) };
+            let Some(revision) = read_claim(entry, owner).await? else { return Ok(()) };
             revision
         }
         Err(error) => return Err(error),
     };
+    entry.claimed.set(Some(revision));
     entry.observe_owner(owner.clone(), revision);
-    entry.loading.set(true);
-    let loaded = own::load(entry, &owner, revision).await;
-    entry.loading.set(false);
+    let loaded = own::load(entry, owner, revision).await;
     if loaded.is_err() {
         // Another entry may reach the store.
         own::release_claim(entry, owner.epoch, revision).await;
--- a/crates/scheduler/src/entry/serve.rs
+++ b/crates/scheduler/src/entry/serve.rs
@@ -151,8 +151,8 @@
     let ownership = entry.ownership.borrow();
     Response::Status {
         epoch: owner.map_or(0, |owner| owner.epoch),
-        // Nobody may claim the table while its owner loads it, however long that takes.
-        owned: ownership.is_some() || entry.loading.get(),
+        // Nobody may claim the table while its owner claims and loads it, however long that takes.
+        owned: ownership.is_some() || entry.claimed.get().is_some(),
         sizes: ownership
             .as_ref()
             .map(|ownership| ownership.table.sizes().clone())
--- a/crates/scheduler/src/entry/shared.rs
+++ b/crates/scheduler/src/entry/shared.rs
@@ -113,8 +113,9 @@
     pub(super) overload: RefCell<Overload>,
     pub(super) shown: RefCell<Shown>,
     pub(super) stopping: Cell<bool>,
-    /// Whether it has claimed the table and loads it.
-    pub(super) loading: Cell<bool>,
+    /// The revision of the owner's record on which the claim in progress rests, until the table is loaded: the one
+    /// that it replaces, and its own once it is answered.
+    pub(super) claimed: Cell<Option<i64>>,
     /// The entry makes no claim before this time.
     pub(super) claims_allowed_from: Cell<Time>,
     clients: RefCell<HashMap<SocketAddr, Client>>,
@@ -151,7 +152,7 @@
             overload: RefCell::default(),
             shown: RefCell::default(),
             stopping: Cell::new(false),
-            loading: Cell::new(false),
+            claimed: Cell::new(None),
             claims_allowed_from: Cell::new(Time::ZERO),
             clients: RefCell::new(HashMap::new()),
         })
--- a/crates/scheduler/tests/owner/claim.rs
+++ b/crates/scheduler/tests/owner/claim.rs
@@ -1,7 +1,7 @@
 //! Claims that are decided on one state of the table and carried out in another.
 
 use super::store::{Call, Delivery, Shared};
-use super::{Process, presence, run, until};
+use super::{Process, presence, run, until, writes};
 use shallotflow_scheduler::entry::keys;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
@@ -112,3 +112,24 @@
         until(|| claimant.owns()).await;
     });
 }
+
+/// Guards against a second owner beside one whose claim takes long to be answered: it answered until then that it
+/// did not own the table.
+#[test]
+fn an_entry_whose_claim_is_on_its_way_is_not_replaced_while_it_is_present() {
+    run(async |shared| {
+        shared.intercept(|_, call| match call {
+            Call::Commit(transaction) if writes(transaction, keys::OWNER) => Delivery::Held,
+            _ => Delivery::Serve,
+        });
+        let claimant = Process::start("a", 1, &shared);
+        until(|| shared.held_count() > 0).await;
+        assert!(
+            claimant.says_that_it_owns().await,
+            "another entry may claim the table beside this one"
+        );
+        shared.serve_all();
+        shared.release_held();
+        until(|| claimant.owns()).await;
+    });
+}
