Renew the presence beside a claim in progress only if the claim holds

An owner that has lost its presence writes it again only while its claim holds, but an entry that claims or loads the table did so without a condition: the condition came from the table, which it does not have yet. If its presence ends while it loads and another entry claims the table, it is present again beside the later claim, takes the table over once it has loaded it, and starts tasks until its watch shows that claim.

Found by reading. Change: the revision on which a claim in progress rests is the condition of such a renewal: the record that the claim replaces until it is answered, and its own record then.

Test: `owner claim::an_entry_that_loads_the_table_renews_its_presence_only_if_nobody_has_claimed_the_table`, which failed before. The test's store tells interceptors which key a read asks for.

--- a/crates/scheduler/src/entry/membership.rs
+++ b/crates/scheduler/src/entry/membership.rs
@@ -70,8 +70,7 @@
     let value = serde_json::to_vec(&presence).unwrap_or_default();
     let mut transaction = Transaction::default().put_leased(keys::entry(&entry.name), value, id);
     // An owner whose presence has ended renews it only if nobody has claimed its table.
-    let owned = entry.ownership.borrow().as_ref().map(|ownership| ownership.revision);
-    if let Some(revision) = owned {
+    if let Some(revision) = entry.claimed_revision() {
         transaction = transaction.written_by(keys::OWNER, revision);
     }
     match entry.commit(transaction).await {
--- a/crates/scheduler/src/entry/shared.rs
+++ b/crates/scheduler/src/entry/shared.rs
@@ -320,6 +320,12 @@
         view.sizes.too_large(&job.queue.service, &job.spec).filter(|_| settled)
     }
 
+    /// The revision of the owner's record on which this entry's ownership or its claim in progress rests.
+    pub(super) fn claimed_revision(&self) -> Option<i64> {
+        let owned = self.ownership.borrow().as_ref().map(|ownership| ownership.revision);
+        owned.or(self.claimed.get())
+    }
+
     /// Whether the entry's presence is certainly recorded, so that nobody has claimed its table.
     ///
     /// A successful call to the store does not show that: the presence may have ended in an outage.
--- a/crates/scheduler/tests/owner.rs
+++ b/crates/scheduler/tests/owner.rs
@@ -539,7 +539,7 @@
         // The agent is removed from the list; the answer is lost, and nothing can be read back.
         shared.intercept(|_, call| match call {
             Call::Commit(transaction) if writes(transaction, keys::AGENTS) => Delivery::LoseAnswer,
-            Call::Read => Delivery::Silent,
+            Call::Read(_) => Delivery::Silent,
             _ => Delivery::Serve,
         });
         while shared.text(keys::AGENTS).as_deref() != Some("[]") {
@@ -547,7 +547,7 @@
         }
         shared.intercept(|_, call| match call {
             Call::Commit(transaction) if writes(transaction, keys::AGENTS) => Delivery::Silent,
-            Call::Read => Delivery::Silent,
+            Call::Read(_) => Delivery::Silent,
             _ => Delivery::Serve,
         });
         assert_eq!(owner.entry.submit(Id(1), job()).await, Submission::Accepted);
--- a/crates/scheduler/tests/owner/claim.rs
+++ b/crates/scheduler/tests/owner/claim.rs
@@ -1,6 +1,6 @@
 //! Claims that are decided on one state of the table and carried out in another.
 
-use super::store::{Call, Delivery, Shared};
+use super::store::{Call, Delivery, Shared, Watches};
 use super::{Process, presence, run, until, writes};
 use shallotflow_scheduler::entry::keys;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -39,7 +39,7 @@
 /// Ends the presence of the owner `a`, and waits until another entry has found it absent and reads its record.
 async fn hold_the_read_of_a_claim(shared: &Shared) {
     shared.intercept(|_, call| match call {
-        Call::Read => Delivery::Held,
+        Call::Read(keys::OWNER) => Delivery::Held,
         _ => Delivery::Serve,
     });
     shared.delete(&presence("a"));
@@ -78,7 +78,7 @@
     run(async |shared| {
         shared.put(keys::OWNER, "{}", 0);
         shared.intercept(|_, call| match call {
-            Call::Read => Delivery::Held,
+            Call::Read(keys::OWNER) => Delivery::Held,
             _ => Delivery::Serve,
         });
         let claimant = Process::start("b", 9, &shared);
@@ -133,3 +133,31 @@
         until(|| claimant.owns()).await;
     });
 }
+
+/// Guards against a second owner beside one that has lost its presence and its table while it loaded the table: it
+/// wrote its presence again whoever owned the table by then, and went on until its watch showed the later claim.
+#[test]
+fn an_entry_that_loads_the_table_renews_its_presence_only_if_nobody_has_claimed_the_table() {
+    run(async |shared| {
+        shared.intercept(|_, call| match call {
+            Call::Range(keys::REQUESTS) => Delivery::Held,
+            _ => Delivery::Serve,
+        });
+        let loading = Process::start("a", 1, &shared);
+        until(|| shared.held_count() > 0).await;
+        shared.set_watches(Watches::Silent);
+        shared.expire_leases();
+        announce("c", 2, &shared);
+        record_claim(2, "c", 2, &shared);
+        monoio::time::sleep(CLAIM).await;
+        assert_eq!(
+            shared.text(&presence("a")),
+            None,
+            "the presence was written beside a later claim"
+        );
+        shared.serve_all();
+        shared.release_held();
+        monoio::time::sleep(CLAIM).await;
+        assert!(!loading.owns(), "{}", holder(&shared));
+    });
+}
--- a/crates/scheduler/tests/owner/store.rs
+++ b/crates/scheduler/tests/owner/store.rs
@@ -33,7 +33,7 @@
 /// A call as the test's interceptor sees it.
 pub(crate) enum Call<'a> {
     /// A read of one key.
-    Read,
+    Read(&'a str),
     /// A read of all keys with a prefix.
     Range(&'a str),
     /// A change.
@@ -255,7 +255,7 @@
 #[async_trait(?Send)]
 impl Store for Handle {
     async fn get(&self, key: &str) -> Result<Option<Pair>> {
-        match self.intercepted(Call::Read).await {
+        match self.intercepted(Call::Read(key)).await {
             Delivery::Serve => Ok(self.shared.pairs.borrow().get(key).cloned()),
             _ => Err(Self::lost()),
         }
