Write the presence only over the one that was read

A write of the presence whose answer is lost may be carried out after the next one. The key then belongs to the lease of the former write, which nobody renews, while the entry renews the other lease and takes itself for present until its watch shows that the key is gone.

Change: the presence is written over the revision that was read along with the grant of its lease, so only one of two such writes is carried out. It costs one more read each time that an entry writes its presence, at the same time as the grant.

Tests: `owner claim::a_delayed_write_of_the_presence_does_not_replace_a_later_one`, which failed before (1 delayed write was applied). `an_owner_renews_its_presence_only_if_nobody_has_claimed_the_table` asked for any comparison; it asks for that of the owner's key now, since there always is one.

--- a/crates/scheduler/src/entry/membership.rs
+++ b/crates/scheduler/src/entry/membership.rs
@@ -61,14 +61,22 @@
             Err(error) => return Err(error),
         }
     }
-    let id = entry.store_call(entry.store.grant(entry.settings.presence_lease)).await?;
+    let key = keys::entry(&entry.name);
+    let (granted, current) = futures_util::join!(
+        entry.store_call(entry.store.grant(entry.settings.presence_lease)),
+        entry.store_call(entry.store.get(&key))
+    );
+    let (id, current) = (granted?, current?);
     let presence = Presence {
         process: entry.process,
         address: entry.address,
         strength: entry.settings.strength,
     };
     let value = serde_json::to_vec(&presence).unwrap_or_default();
-    let mut transaction = Transaction::default().put_leased(keys::entry(&entry.name), value, id);
+    // A delayed write of the presence must not replace a later one, since the lease of the former ends first.
+    let revision = current.map_or(0, |pair| pair.mod_revision);
+    let mut transaction =
+        Transaction::default().written_by(&*key, revision).put_leased(&*key, value, id);
     // An owner whose presence has ended renews it only if nobody has claimed its table.
     if let Some(revision) = entry.claimed_revision() {
         transaction = transaction.written_by(keys::OWNER, revision);
--- a/crates/scheduler/tests/owner.rs
+++ b/crates/scheduler/tests/owner.rs
@@ -29,7 +29,7 @@
 use shallotflow_scheduler::entry::{Entry, Settings, Submission, keys};
 use shallotflow_scheduler::peers::{Call as PeerCall, Request, Response, pack};
 use shallotflow_store::store::Store;
-use shallotflow_store::transaction::{Transaction, Write};
+use shallotflow_store::transaction::{Compare, Transaction, Write};
 use std::cell::Cell;
 use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -288,7 +288,8 @@
                 && writes(transaction, &presence("a"))
                 && store.text(&presence("a")).is_none()
             {
-                noted.set(Some((watched.owns(), !transaction.compares.is_empty())));
+                let mut compared = transaction.compares.iter().map(Compare::key);
+                noted.set(Some((watched.owns(), compared.any(|key| key == keys::OWNER))));
             }
             Delivery::Serve
         });
--- a/crates/scheduler/tests/owner/claim.rs
+++ b/crates/scheduler/tests/owner/claim.rs
@@ -161,3 +161,20 @@
         assert!(!loading.owns(), "{}", holder(&shared));
     });
 }
+
+/// Guards against a presence that ends although its lease is renewed: a write whose answer was lost is carried out
+/// after the next one, and its lease is that of nobody.
+#[test]
+fn a_delayed_write_of_the_presence_does_not_replace_a_later_one() {
+    run(async |shared| {
+        shared.intercept(|_, call| match call {
+            Call::Commit(transaction) if writes(transaction, &presence("a")) => Delivery::Delayed,
+            _ => Delivery::Serve,
+        });
+        let entry = Process::start("a", 1, &shared);
+        until(|| shared.delayed_count() > 0).await;
+        shared.serve_all();
+        until(|| entry.owns()).await;
+        assert_eq!(shared.apply_delayed(), 0);
+    });
+}
