Take a job for new only under the claim under which it was stored

Cause: a job that is stored after an owner's claim starts at once there, since no predecessor can have known it; jobs from before wait until all agents have listed what they run. Whether a job is new was decided by the owner alone: its revision is above that of the claim. An owner that has been replaced and does not know it yet decides the same. After it has stood still, its watch of the requests may show it such a job before its watch of the owner's record shows the successor, and for 0.6 s after the end of its presence it takes itself for the only owner without a word of the others; that is safe for leases, for which a successor waits, and not for such jobs.

Change: a job is stored under the condition that the owner's record has the revision that the storing entry knows, and the record of the job names it. An owner takes a job for new only if that is its own claim, and for one of before otherwise. A job of a later claim shows an owner that it may have been replaced: it reads the owner's record before it goes on. If the owner has changed, the store refuses the write, and the entry reads the record and repeats it: two more calls, for the first job of each entry after a claim. This replaces the owner's check of its own presence when another entry notifies it of a job.

Ruled out as a change: jobs that wait until the presence is renewed after they were heard. It holds starts back by up to a renewal, and takes the end of a lease for the end of the claim's rights, which a store that takes keys away ends sooner.

Tests, the first two failed before: `owner claim::an_owner_starts_no_job_that_was_stored_under_a_later_claim`, `claim::a_job_is_stored_under_the_claim_in_force_although_its_entry_knows_a_former_one`, `claim::a_job_that_was_stored_under_the_owners_claim_waits_for_no_agent`, `claim::a_job_that_names_an_impossible_claim_neither_ends_an_owner_nor_is_left_out`.

--- a/crates/scheduler/src/entry/ask.rs
+++ b/crates/scheduler/src/entry/ask.rs
@@ -1,8 +1,8 @@
 //! Callers' queries of jobs and queues.
 
-use super::{Entry, keys};
+use super::{Entry, keys, stored};
 use crate::peers::{Request, Response, unpack};
-use shallotflow_core::graph::{Id, Job, State};
+use shallotflow_core::graph::{Id, State};
 use shallotflow_core::time::Clock;
 use shallotflow_policy::plan::Progress;
 use shallotflow_runtime::clock::Boottime;
@@ -62,8 +62,8 @@
     async fn stored_state(&self, queue: &str, id: Id) -> Result<Option<State>, Error> {
         let pair = self.store_call(self.store.get(&keys::job(id))).await;
         let Some(pair) = pair? else { return Ok(None) };
-        let stored = unpack::<Job>(&pair.value);
-        let job = stored.map_err(|error| Error::Rejected { reason: error.to_string() })?;
+        let stored = stored::Job::decode(&pair);
+        let job = stored.map_err(|error| Error::Rejected { reason: error.to_string() })?.job;
         if &*job.queue.name != queue {
             return Ok(None);
         }
--- a/crates/scheduler/src/entry/membership.rs
+++ b/crates/scheduler/src/entry/membership.rs
@@ -96,7 +96,7 @@
 }
 
 /// Reads the owner of the table; this entry gives the table up if another one owns it.
-async fn find_owner(entry: &Rc<Entry>) -> Result<(), Error> {
+pub(super) async fn find_owner(entry: &Rc<Entry>) -> Result<(), Error> {
     if let Some(pair) = entry.store_call(entry.store.get(keys::OWNER)).await? {
         apply_owner(entry, &pair);
     }
--- a/crates/scheduler/src/entry/mod.rs
+++ b/crates/scheduler/src/entry/mod.rs
@@ -10,6 +10,7 @@
 //! - `elect`: the election of the owner.
 //! - `vacancy`, `ground`: the state on which a claim is decided.
 //! - `own`: the loops of the owner.
+//! - `stored`: a job as the store holds it.
 //! - `requests`: the owner's view of the jobs and cancels in the store.
 //! - `evacuate`: the owner's view of the requests to evacuate failure domains.
 //! - `submit`, `ask`: the callers' calls.
@@ -35,6 +36,7 @@
 mod settings;
 mod shared;
 mod shown;
+mod stored;
 mod submission;
 mod submit;
 mod vacancy;
--- a/crates/scheduler/src/entry/requests.rs
+++ b/crates/scheduler/src/entry/requests.rs
@@ -4,16 +4,16 @@
 //! store orders the pairs by their keys, and a job that the table has forgotten may still be stored.
 
 use super::ownership::Ownership;
-use super::{Entry, absence, keys, own};
+use super::{Entry, absence, keys, membership, own, stored};
 use crate::peers::unpack;
 use foldhash::HashMap;
-use shallotflow_core::graph::{Id, Job};
+use shallotflow_core::graph::Id;
 use shallotflow_core::time::Clock;
 use shallotflow_policy::plan::Progress;
 use shallotflow_runtime::clock::Boottime;
 use shallotflow_store::error::Error;
 use shallotflow_store::pair::Pair;
-use shallotflow_store::watch::Change;
+use shallotflow_store::watch::{Change, Update};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
@@ -122,10 +122,9 @@
         // The entry that accepted the job has sent it already.
         return;
     }
-    match unpack::<Job>(&pair.value) {
-        Ok(job) => {
-            // A predecessor cannot have known a job that was stored after the claim.
-            let fresh = pair.create_revision > ownership.revision;
+    match stored::Job::decode(pair) {
+        Ok(stored::Job { job, claim }) => {
+            let fresh = claim == ownership.revision;
             let added =
                 ownership.table.load(id, job, stored_progress.get(&id), fresh, Boottime.now());
             if added && !loading {
@@ -184,6 +183,10 @@
     let mut watch = entry.store.watch(keys::REQUESTS, *revision + 1).await?;
     loop {
         let update = entry.store_call(watch.next()).await?;
+        if entry.claimed_revision().is_some_and(|claim| shows_later_claim(&update, claim)) {
+            // The watch of the owner's record may be behind this one. A successor starts such jobs.
+            membership::find_owner(entry).await?;
+        }
         *revision = update.revision.max(*revision);
         let applied = change(entry, epoch, |ownership| {
             for change in update.changes {
@@ -199,6 +202,16 @@
     }
 }
 
+/// Whether `update` holds a job that was stored under a later claim than `claim`.
+fn shows_later_claim(update: &Update, claim: i64) -> bool {
+    update.changes.iter().any(|change| match change {
+        Change::Put(pair) if pair.key.starts_with(keys::JOBS) => {
+            stored::Job::decode(pair).is_ok_and(|stored| stored.claim > claim)
+        }
+        _ => false,
+    })
+}
+
 /// Changes the table by what callers have requested; returns `false` once the ownership of `epoch` has
 /// ended.
 fn change(entry: &Rc<Entry>, epoch: u64, change: impl FnOnce(&mut Ownership)) -> bool {
--- a/crates/scheduler/src/entry/serve.rs
+++ b/crates/scheduler/src/entry/serve.rs
@@ -115,8 +115,8 @@
             }
             None => Response::NotOwner,
         },
-        Request::JobStored { id, job } => {
-            if entry.accept_stored(id, job) {
+        Request::JobStored { id, job, claim } => {
+            if entry.accept_stored(id, job, claim) {
                 Response::Acknowledged
             } else {
                 Response::NotOwner
--- a/crates/scheduler/src/entry/submit.rs
+++ b/crates/scheduler/src/entry/submit.rs
@@ -1,7 +1,7 @@
 //! Submits and cancels jobs.
 
-use super::{Cancellation, Entry, Submission, keys};
-use crate::peers::{Request, Response, pack, unpack};
+use super::{Cancellation, Entry, Submission, keys, membership, stored};
+use crate::peers::{Request, Response};
 use shallotflow_core::graph::{Id, Job};
 use shallotflow_core::time::Clock;
 use shallotflow_runtime::clock::Boottime;
@@ -17,6 +17,17 @@
 /// seconds.
 const RETRY_MS: u64 = 1_000;
 
+/// Why a job was not stored.
+enum Stored {
+    /// It is stored already, or that cannot be known.
+    Decided(Submission),
+    /// It is not stored, and the owner's record has another revision than the expected one.
+    Absent {
+        /// That revision, 0 if there is no record.
+        owner_revision: i64,
+    },
+}
+
 impl Entry {
     /// Submits a job; the job is stored before the caller gets an answer.
     pub async fn submit(self: &Rc<Self>, id: Id, job: Job) -> Submission {
@@ -44,22 +55,16 @@
         });
         crate::log::decision("submit", &details);
         super::meters::submitted(submission, Boottime.now().since(started));
-        if submission == Submission::Accepted {
-            self.notify_owner(id, job);
-        }
         submission
     }
 
-    /// Stores a job unless it is already stored.
-    pub(super) async fn store_job(&self, id: Id, job: &Job) -> Submission {
+    /// Stores a job unless it is already stored, and notifies the owner of it.
+    ///
+    /// The record names the claim of the owner at that time, which the store compares: whoever is the owner takes
+    /// the job for new only if it was stored under its own claim.
+    pub(super) async fn store_job(self: &Rc<Self>, id: Id, job: &Job) -> Submission {
         let refused = Submission::Refused { retry_ms: RETRY_MS };
-        let value = match pack(job) {
-            Ok(value) => value,
-            Err(error) => {
-                spdlog::error!("job not packed", kv: { reason = error.to_string() });
-                return refused;
-            }
-        };
+        let mut claim = self.view.borrow().owner_revision;
         if self.store_age_ms() > MAX_STORE_AGE_MS {
             // Nothing is sent, so the job is certainly not stored; the renewal of the entry's
             // presence probes the store.
@@ -68,11 +73,32 @@
         let deadline = Boottime.now().after(self.settings.submit_limit);
         let mut unknown = false;
         loop {
+            let value = match stored::Job::encode(job, claim) {
+                Ok(value) => value,
+                Err(error) => {
+                    spdlog::error!("job not packed", kv: { reason = error.to_string() });
+                    return refused;
+                }
+            };
             let key = keys::job(id);
-            let transaction = Transaction::default().created_by(&*key, 0).put(&*key, value.clone());
+            let transaction = Transaction::default()
+                .created_by(&*key, 0)
+                .written_by(keys::OWNER, claim)
+                .put(&*key, value);
             match self.commit(transaction).await {
-                Ok(_) => return Submission::Accepted,
-                Err(Error::NotApplied { .. }) => return self.check_stored_job(id, job).await,
+                Ok(_) => {
+                    self.notify_owner(id, job.clone(), claim);
+                    return Submission::Accepted;
+                }
+                Err(Error::NotApplied { .. }) => match self.check_stored_job(id, job).await {
+                    Stored::Decided(submission) => return submission,
+                    Stored::Absent { owner_revision } => {
+                        claim = owner_revision;
+                        if !deadline.passed(Boottime.now()) {
+                            continue;
+                        }
+                    }
+                },
                 Err(error) => {
                     unknown |= error.may_be_applied();
                     let lost = error.may_be_applied();
@@ -91,19 +117,26 @@
         }
     }
 
-    /// Handles an identifier that is already stored; the job counts as the same one if its queue is
-    /// the same.
-    async fn check_stored_job(&self, id: Id, job: &Job) -> Submission {
-        let pair = self.store_call(self.store.get(&keys::job(id))).await;
-        let stored = match pair {
-            Ok(Some(pair)) => unpack::<Job>(&pair.value).ok(),
-            Ok(None) => None,
-            Err(_) => return Submission::Unknown,
+    /// Finds out why a job was not stored: an identifier may be stored already, and counts as the same job if its
+    /// queue is the same, or the owner's record has changed.
+    async fn check_stored_job(&self, id: Id, job: &Job) -> Stored {
+        let key = keys::job(id);
+        let (stored, owner) = futures_util::join!(
+            self.store_call(self.store.get(&key)),
+            self.store_call(self.store.get(keys::OWNER))
+        );
+        let (Ok(stored), Ok(owner)) = (stored, owner) else {
+            return Stored::Decided(Submission::Unknown);
         };
-        if stored.is_some_and(|stored| stored.queue.name == job.queue.name) {
-            return Submission::Accepted;
-        }
-        Submission::Unknown
+        let Some(stored) = stored else {
+            if let Some(pair) = &owner {
+                membership::apply_owner(self, pair);
+            }
+            return Stored::Absent { owner_revision: owner.map_or(0, |pair| pair.mod_revision) };
+        };
+        let same = stored::Job::decode(&stored)
+            .is_ok_and(|stored| stored.job.queue.name == job.queue.name);
+        Stored::Decided(if same { Submission::Accepted } else { Submission::Unknown })
     }
 
     /// Asks the other entries to store the job when the store refuses this entry.
@@ -125,30 +158,28 @@
     }
 
     /// Notifies the owner of a stored job before its watch delivers the job.
-    fn notify_owner(self: &Rc<Self>, id: Id, job: Job) {
-        if self.accept_stored(id, job.clone()) {
+    fn notify_owner(self: &Rc<Self>, id: Id, job: Job, claim: i64) {
+        if self.accept_stored(id, job.clone(), claim) {
             return;
         }
         let Some(owner) = self.owner_client() else { return };
         let entry = self.clone();
         monoio::spawn(async move {
-            let request = Request::JobStored { id, job };
+            let request = Request::JobStored { id, job, claim };
             if let Err(error) = owner.ask(&request, entry.settings.ask_limit).await {
                 spdlog::debug!("offer lost", kv: { reason = error.to_string() });
             }
         });
     }
 
-    /// Adds a stored job to the table; returns `false` if this entry is no owner or is not present.
-    ///
-    /// An owner whose presence is absent may already have a successor, for which such a job is new;
-    /// it leaves the job to the watch.
-    pub(super) fn accept_stored(&self, id: Id, job: Job) -> bool {
-        let now = Boottime.now();
-        let present = self.is_present(now);
+    /// Adds a job that was stored under `claim` to the table; returns `false` if this entry is no owner, or was
+    /// replaced before that: the watch checks that, and a successor starts the job.
+    pub(super) fn accept_stored(&self, id: Id, job: Job, claim: i64) -> bool {
         let mut ownership = self.ownership.borrow_mut();
-        let Some(ownership) = ownership.as_mut().filter(|_| present) else { return false };
-        if ownership.table.accept(id, job, true, now) {
+        let Some(ownership) = ownership.as_mut().filter(|owned| claim <= owned.revision) else {
+            return false;
+        };
+        if ownership.table.accept(id, job, claim == ownership.revision, Boottime.now()) {
             let details = serde_json::json!({ "job": id.to_string(), "by": "entry" });
             crate::log::decision("job heard", &details);
         }
@@ -213,8 +244,8 @@
                 let pair = self.store_call(self.store.get(&keys::job(id))).await;
                 match pair {
                     Ok(Some(pair)) => {
-                        let job = unpack::<Job>(&pair.value);
-                        if !job.is_ok_and(|job| &*job.queue.name == queue) {
+                        let stored = stored::Job::decode(&pair);
+                        if !stored.is_ok_and(|stored| &*stored.job.queue.name == queue) {
                             return Cancellation::Absent;
                         }
                         exists = true;
--- a/crates/scheduler/src/peers/request.rs
+++ b/crates/scheduler/src/peers/request.rs
@@ -32,6 +32,9 @@
         id: Id,
         /// The job.
         job: Job,
+        /// The revision of the owner's record under which it was stored; 0 if that is not known.
+        #[serde(default)]
+        claim: i64,
     },
     /// Notifies the owner of a cancel that has just been stored.
     #[serde(rename = "Cancel")]
--- a/crates/scheduler/tests/owner.rs
+++ b/crates/scheduler/tests/owner.rs
@@ -416,7 +416,7 @@
         let owner = Process::start("a", 1, &shared);
         until(|| owner.owns()).await;
         let (sender, answer) = oneshot::channel();
-        let request = Request::JobStored { id: Id(3), job: invalid };
+        let request = Request::JobStored { id: Id(3), job: invalid, claim: 0 };
         owner.calls.unbounded_send(PeerCall::Ask(Box::new(request), sender)).expect("an entry");
         answer.await.expect("an answer");
         let mut started = BTreeSet::new();
--- a/crates/scheduler/tests/owner/claim.rs
+++ b/crates/scheduler/tests/owner/claim.rs
@@ -1,8 +1,12 @@
 //! Claims that are decided on one state of the table and carried out in another.
 
-use super::store::{Call, Delivery, Shared, Watches};
-use super::{Process, presence, run, until, writes};
-use shallotflow_scheduler::entry::keys;
+use super::store::{Call, Delivery, Handle, Shared, Watches};
+use super::{Process, job, presence, run, until, writes};
+use shallotflow_core::graph::Id;
+use shallotflow_scheduler::entry::{Submission, keys};
+use shallotflow_scheduler::peers::pack;
+use shallotflow_store::store::Store;
+use shallotflow_store::transaction::Transaction;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -178,3 +182,76 @@
         assert_eq!(shared.apply_delayed(), 0);
     });
 }
+
+/// Guards against a job that two owners start: the watch of a replaced owner shows it a job that was
+/// stored after its successor's claim, before its other watch shows that claim.
+#[test]
+fn an_owner_starts_no_job_that_was_stored_under_a_later_claim() {
+    run(async |shared| {
+        let owner = Process::start("a", 1, &shared);
+        until(|| owner.owns()).await;
+        while owner.report(false).await.epoch == 0 {}
+        let beside = Process::start("b", 9, &shared);
+        until(|| beside.epoch() == 1).await;
+        shared.mute("a", keys::MEMBERSHIP);
+        announce("c", 2, &shared);
+        record_claim(2, "c", 2, &shared);
+        until(|| beside.epoch() == 2).await;
+        assert_eq!(beside.entry.submit(Id(1), job()).await, Submission::Accepted);
+        for _ in 0..3 {
+            assert!(!owner.orders_a_start().await, "the successor starts the job too");
+        }
+        assert!(!owner.owns());
+    });
+}
+
+/// Guards against the same where the entry that stores the job does not know of the successor either: it would
+/// notify the former owner.
+#[test]
+fn a_job_is_stored_under_the_claim_in_force_although_its_entry_knows_a_former_one() {
+    run(async |shared| {
+        let owner = Process::start("a", 1, &shared);
+        until(|| owner.owns()).await;
+        while owner.report(false).await.epoch == 0 {}
+        shared.mute("a", keys::MEMBERSHIP);
+        announce("c", 2, &shared);
+        record_claim(2, "c", 2, &shared);
+        assert_eq!(owner.epoch(), 1);
+        assert_eq!(owner.entry.submit(Id(1), job()).await, Submission::Accepted);
+        assert!(!owner.orders_a_start().await, "the successor starts the job too");
+        assert!(!owner.owns());
+    });
+}
+
+/// Guards against new jobs that wait for agents that are gone, as jobs from before the claim have to.
+#[test]
+fn a_job_that_was_stored_under_the_owners_claim_waits_for_no_agent() {
+    run(async |shared| {
+        shared.put(keys::AGENTS, "[\"agent-2\"]", 0);
+        let owner = Process::start("a", 1, &shared);
+        until(|| owner.owns()).await;
+        let beside = Process::start("b", 9, &shared);
+        until(|| beside.epoch() == 1).await;
+        assert_eq!(beside.entry.submit(Id(1), job()).await, Submission::Accepted);
+        let started = async { while !owner.orders_a_start().await {} };
+        let started = monoio::time::timeout(Duration::from_secs(3), started).await;
+        assert!(started.is_ok(), "agent-2 cannot have run the job");
+    });
+}
+
+/// Guards against another writer whose record names a claim that does not exist.
+#[test]
+fn a_job_that_names_an_impossible_claim_neither_ends_an_owner_nor_is_left_out() {
+    run(async |shared| {
+        let owner = Process::start("a", 1, &shared);
+        until(|| owner.owns()).await;
+        while owner.report(false).await.epoch == 0 {}
+        let mut record = pack(&job()).expect("a job");
+        record.extend(pack(&i64::MAX).expect("a claim"));
+        let handle = Handle { caller: "test", shared: shared.clone() };
+        let record = Transaction::default().put(keys::job(Id(1)), record);
+        handle.commit(record).await.expect("a job");
+        while !owner.orders_a_start().await {}
+        assert_eq!(owner.epoch(), 1);
+    });
+}
--- a/crates/scheduler/tests/owner/requests.rs
+++ b/crates/scheduler/tests/owner/requests.rs
@@ -77,9 +77,10 @@
 fn a_cancel_counts_whose_notice_comes_before_the_job() {
     run(async |shared| {
         let owner = start_deaf_owner(&shared).await;
-        for request in
-            [Request::CancelStored { id: Id(7) }, Request::JobStored { id: Id(7), job: job() }]
-        {
+        for request in [
+            Request::CancelStored { id: Id(7) },
+            Request::JobStored { id: Id(7), job: job(), claim: 0 },
+        ] {
             let (sender, answer) = futures_channel::oneshot::channel();
             owner.calls.unbounded_send(Call::Ask(Box::new(request), sender)).expect("an entry");
             answer.await.expect("an answer");
--- a/crates/scheduler/tests/owner/store.rs
+++ b/crates/scheduler/tests/owner/store.rs
@@ -68,6 +68,8 @@
     /// The oldest revision whose changes are kept.
     oldest: Cell<i64>,
     watches: Cell<Watches>,
+    /// The caller and the prefix of watches that show no change.
+    muted: Cell<Option<(&'static str, &'static str)>>,
     interceptor: RefCell<Option<Interceptor>>,
     delayed: RefCell<Vec<Transaction>>,
     /// The number of calls that wait for the test.
@@ -131,6 +133,11 @@
         self.changed.notify(usize::MAX);
     }
 
+    /// Lets the watches of `caller` on `prefix` show no change from now on.
+    pub(crate) fn mute(&self, caller: &'static str, prefix: &'static str) {
+        self.muted.set(Some((caller, prefix)));
+    }
+
     /// Carries out the delayed transactions, and returns how many were applied.
     pub(crate) fn apply_delayed(&self) -> usize {
         let delayed = std::mem::take(&mut *self.delayed.borrow_mut());
@@ -318,13 +325,15 @@
 
     async fn watch(&self, prefix: &str, revision: i64) -> Result<Box<dyn Watch>> {
         let shared = self.shared.clone();
-        Ok(Box::new(Follower { shared, prefix: prefix.to_owned(), next: revision }))
+        let caller = self.caller;
+        Ok(Box::new(Follower { shared, caller, prefix: prefix.to_owned(), next: revision }))
     }
 }
 
 /// A watch, which is served unless the test says otherwise.
 struct Follower {
     shared: Rc<Shared>,
+    caller: &'static str,
     prefix: String,
     next: i64,
 }
@@ -348,6 +357,10 @@
         loop {
             let changed = self.shared.changed.listen();
             let changes = self.changes();
+            if self.shared.muted.get() == Some((self.caller, &*self.prefix)) {
+                changed.await;
+                continue;
+            }
             if self.shared.watches.get() == Watches::Fail {
                 return Err(Handle::lost());
             }
